--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 generate: tools ## regenerate the wire types (needs protoc, Debian's protobuf-compiler)
 	PATH=$(TOOLBIN):$$PATH protoc --proto_path=pkg/wire --go_out=pkg/wire --go_opt=paths=source_relative \
-		--go-grpc_out=pkg/wire --go-grpc_opt=paths=source_relative wrenferry.proto
+		--go-grpc_out=pkg/wire --go-grpc_opt=paths=source_relative wrenferry.proto fleet.proto
 
 try: build ## run the main job once on an embedded instance, and end
 	$(BIN)/wrenferryd try
--- /dev/null
+++ b/pkg/configfile/configfile.go
@@ -0,0 +1,126 @@
+// Package configfile reads a process's settings file, JSON with comments, by a
+// table of fields. The same table drives the check, the help and the docs.
+//
+// A file is read whole or not at all: every problem in it is reported, each
+// with its place, its value and what could stand there.
+package configfile
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+)
+
+// Field is one row of the table of a file's settings.
+type Field[T any] struct {
+	Name     string
+	Example  string
+	Required bool
+	Help     string
+	Set      func(c *T, literal []byte) error
+}
+
+// Parse reads a settings file into c.
+func Parse[T any](file string, source []byte, c *T, fields []Field[T]) error {
+	syntax, err := hujson.Parse(source)
+	if err != nil {
+		return fault.New(fault.BadInput, file, "not JSON with comments", "mend the syntax").WithCause(err)
+	}
+	object, ok := syntax.Value.(*hujson.Object)
+	if !ok {
+		return fault.New(fault.BadInput, file, "not an object", "write it as { ... }")
+	}
+	var problems []string
+	seen := map[string]bool{}
+	for i := range object.Members {
+		m := &object.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		seen[name] = true
+		if problem := set(c, fields, name, m); problem != "" {
+			problems = append(problems, position(file, source, m.Value.StartOffset)+problem)
+		}
+	}
+	for _, f := range fields {
+		if f.Required && !seen[f.Name] {
+			problems = append(problems, fmt.Sprintf("%s:1:1: %q is missing; write for example %q: %s", file, f.Name, f.Name, f.Example))
+		}
+	}
+	if len(problems) > 0 {
+		return fault.New(fault.BadInput, "", strings.Join(problems, "\n"), "")
+	}
+	return nil
+}
+
+func set[T any](c *T, fields []Field[T], name string, m *hujson.ObjectMember) string {
+	value := m.Value.Clone()
+	value.Standardize()
+	for _, f := range fields {
+		if f.Name != name {
+			continue
+		}
+		if err := f.Set(c, []byte(value.String())); err != nil {
+			return fmt.Sprintf("%q can't be %s; write for example %s", name, strings.TrimSpace(value.String()), f.Example)
+		}
+		return ""
+	}
+	return fmt.Sprintf("unknown setting %q; wrenferryd --help lists them", name)
+}
+
+func position(file string, source []byte, offset int) string {
+	before := string(source[:offset])
+	return fmt.Sprintf("%s:%d:%d: ", file, strings.Count(before, "\n")+1, offset-strings.LastIndex(before, "\n"))
+}
+
+// Value reads any JSON value into the field that at names.
+func Value[T, V any](at func(*T) *V) func(*T, []byte) error {
+	return func(c *T, b []byte) error { return json.Unmarshal(b, at(c)) }
+}
+
+// Address reads an IP number with a port.
+func Address[T any](at func(*T) *string) func(*T, []byte) error {
+	return func(c *T, b []byte) error {
+		if err := json.Unmarshal(b, at(c)); err != nil {
+			return err
+		}
+		host, _, err := net.SplitHostPort(*at(c))
+		if err != nil {
+			return err
+		}
+		if net.ParseIP(host) == nil {
+			return fault.New(fault.BadInput, host, "not an IP number", "")
+		}
+		return nil
+	}
+}
+
+// Span reads a duration like "1.5s".
+func Span[T any](at func(*T) *time.Duration) func(*T, []byte) error {
+	return func(c *T, b []byte) error {
+		var s string
+		if err := json.Unmarshal(b, &s); err != nil {
+			return err
+		}
+		d, err := time.ParseDuration(s)
+		*at(c) = d
+		return err
+	}
+}
+
+// Count reads a number that lies between two bounds.
+func Count[T any](least, most float64, at func(*T) *float64) func(*T, []byte) error {
+	return func(c *T, b []byte) error {
+		if err := json.Unmarshal(b, at(c)); err != nil {
+			return err
+		}
+		if *at(c) < least || *at(c) > most {
+			return fault.New(fault.BadInput, string(b), fmt.Sprintf("not between %g and %g", least, most), "")
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/pkg/connection/fleetpeer/client.go
@@ -0,0 +1,114 @@
+// Package fleetpeer is the connection between entry hosts of a fleet, over
+// gRPC: a client for each address, and the serving side.
+//
+// Nothing here decides anything. A peer that does not answer costs its caller
+// a bounded wait and no more.
+package fleetpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Clients holds a connection for each address that was asked for.
+type Clients struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClients returns no connections yet. dial opens one; it should notice a
+// peer that has gone dark.
+func NewClients(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Clients {
+	return &Clients{dial: dial, conns: map[string]*grpc.ClientConn{}}
+}
+
+// To returns the client for an address.
+func (c *Clients) To(address string) (*Peer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.conns[address]
+	if conn == nil {
+		var err error
+		conn, err = grpc.NewClient("passthrough:///"+address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return c.dial(ctx, "tcp", a) }),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
+				MinConnectTimeout: 500 * time.Millisecond,
+			}),
+			grpc.WithDisableServiceConfig(),
+			grpc.WithNoProxy(),
+			grpc.WithReadBufferSize(bufferSize),
+			grpc.WithWriteBufferSize(bufferSize),
+		)
+		if err != nil {
+			return nil, fault.New(fault.BadInput, address, "not an address of a peer", "").WithCause(err)
+		}
+		c.conns[address] = conn
+	}
+	return &Peer{FleetClient: wire.NewFleetClient(conn), address: address}, nil
+}
+
+// bufferSize keeps the memory of a connection small: messages between peers
+// are a few KB.
+const bufferSize = 8 << 10
+
+// Keep closes the connections to addresses that are not wanted any more.
+func (c *Clients) Keep(wanted map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		if !wanted[address] {
+			_ = conn.Close() // nobody uses it
+			delete(c.conns, address)
+		}
+	}
+}
+
+// Peer is the connection to one peer.
+type Peer struct {
+	wire.FleetClient
+	address string
+}
+
+// CommitFor asks the peer to commit a transaction in our stead.
+func (p *Peer) CommitFor(ctx context.Context, t table.Transaction) (table.Committed, error) {
+	reply, err := p.Commit(ctx, encodeTransaction(t))
+	if err != nil {
+		return table.Committed{}, fault.New(fault.Unknown, p.address, "the peer did not answer", "").WithCause(err)
+	}
+	if reply.GetFailure() != "" {
+		return table.Committed{}, fault.New(fault.Code(reply.GetFailure()), p.address, "the peer's table call failed", "")
+	}
+	return table.Committed{
+		Conflict: reply.GetConflict(), Found: decodeRows(reply.GetRows()), Version: reply.GetVersion(),
+		StoreTime: time.Duration(reply.GetStoreMs()) * time.Millisecond,
+	}, nil
+}
+
+// ReadFor asks the peer to read a range in our stead.
+func (p *Peer) ReadFor(ctx context.Context, r table.Range) (table.Page, error) {
+	reply, err := p.Read(ctx, &wire.TableRead{Table: r.Table, Part: r.Part, From: r.From, To: r.To, Limit: int32(r.Limit)})
+	if err != nil {
+		return table.Page{}, fault.New(fault.Unavailable, p.address, "the peer did not answer", "").WithCause(err)
+	}
+	if reply.GetFailure() != "" {
+		return table.Page{}, fault.New(fault.Code(reply.GetFailure()), p.address, "the peer's table call failed", "")
+	}
+	return table.Page{
+		Rows: decodeRows(reply.GetRows()), More: reply.GetMore(), Version: reply.GetVersion(),
+		StoreTime: time.Duration(reply.GetStoreMs()) * time.Millisecond,
+	}, nil
+}
--- /dev/null
+++ b/pkg/connection/fleetpeer/server.go
@@ -0,0 +1,90 @@
+package fleetpeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Control is the control thread, as far as peers speak to it.
+type Control interface {
+	Accepted(spec *wire.JobSpec)
+	Cancelled(cell, id string)
+	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
+	Load(ctx context.Context, cell string) *wire.CellLoad
+	TakeOver(cell string)
+	Yield(cell string)
+}
+
+// Table is the table as this host reaches it straight.
+type Table interface {
+	table.Reader
+	Commit(ctx context.Context, t table.Transaction) (table.Committed, error)
+}
+
+// Server answers peers.
+type Server struct {
+	wire.UnimplementedFleetServer
+	Control Control
+	Table   Table
+}
+
+// Accepted takes a job that another host put into the table.
+func (s *Server) Accepted(ctx context.Context, m *wire.AcceptedJob) (*wire.CellLoad, error) {
+	s.Control.Accepted(m.GetSpec())
+	return s.Control.Load(ctx, m.GetSpec().GetCell()), nil
+}
+
+// Cancelled takes word of a cancel that stands in the table.
+func (s *Server) Cancelled(_ context.Context, m *wire.JobRef) (*wire.Empty, error) {
+	s.Control.Cancelled(m.GetCell(), m.GetId())
+	return &wire.Empty{}, nil
+}
+
+// State tells a job's state, if this host leads its cell.
+func (s *Server) State(ctx context.Context, m *wire.JobRef) (*wire.JobStateReply, error) {
+	phase, known := s.Control.Phase(ctx, m.GetCell(), m.GetId())
+	return &wire.JobStateReply{Known: known, Phase: phase}, nil
+}
+
+// Load tells a cell's load, if this host leads it.
+func (s *Server) Load(ctx context.Context, m *wire.CellRef) (*wire.CellLoad, error) {
+	return s.Control.Load(ctx, m.GetCell()), nil
+}
+
+// TakeOver asks this host to take a seat that is being released.
+func (s *Server) TakeOver(_ context.Context, m *wire.CellRef) (*wire.Empty, error) {
+	s.Control.TakeOver(m.GetCell())
+	return &wire.Empty{}, nil
+}
+
+// Yield asks this host to release a cell of another hall.
+func (s *Server) Yield(_ context.Context, m *wire.CellRef) (*wire.Empty, error) {
+	s.Control.Yield(m.GetCell())
+	return &wire.Empty{}, nil
+}
+
+// Commit commits in a peer's stead.
+func (s *Server) Commit(ctx context.Context, m *wire.TableCommit) (*wire.TableCommitReply, error) {
+	done, err := s.Table.Commit(ctx, decodeTransaction(m))
+	if err != nil {
+		return &wire.TableCommitReply{Failure: string(fault.CodeOf(err))}, nil
+	}
+	return &wire.TableCommitReply{
+		Version: done.Version, StoreMs: int64(done.StoreTime / time.Millisecond), Conflict: done.Conflict, Rows: encodeRows(done.Found),
+	}, nil
+}
+
+// Read reads in a peer's stead.
+func (s *Server) Read(ctx context.Context, m *wire.TableRead) (*wire.TableReadReply, error) {
+	page, err := s.Table.Read(ctx, table.Range{Table: m.GetTable(), Part: m.GetPart(), From: m.GetFrom(), To: m.GetTo(), Limit: int(m.GetLimit())})
+	if err != nil {
+		return &wire.TableReadReply{Failure: string(fault.CodeOf(err))}, nil
+	}
+	return &wire.TableReadReply{
+		Rows: encodeRows(page.Rows), More: page.More, Version: page.Version, StoreMs: int64(page.StoreTime / time.Millisecond),
+	}, nil
+}
--- /dev/null
+++ b/pkg/process/cell/events.go
@@ -0,0 +1,194 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Event is something that a State takes in.
+type Event interface{ event() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// ManifestChanged brings a newer manifest.
+type ManifestChanged struct{ Manifest *manifest.Manifest }
+
+// WorkersListed brings all workers of the cell that the list holds.
+type WorkersListed struct{ Records []workers.Record }
+
+// Led says that this process leads the cell from now on. Roster are the
+// workers that may hold runs of earlier leaders; RosterUntil is when the last
+// lease that any of them could have granted is over.
+type Led struct {
+	Epoch       int64
+	Roster      []*wire.RosterEntry
+	RosterUntil time.Time
+}
+
+// Deposed says that it no longer does.
+type Deposed struct{ Why string }
+
+// RosterRecorded says which workers the table's leadership row now names.
+type RosterRecorded struct{ IDs []string }
+
+// LoadedJob is one job as it was read from the table.
+type LoadedJob struct {
+	Spec     *wire.JobSpec
+	Progress *wire.JobProgress
+	Recorded int64
+}
+
+// Loaded brings what the table holds of the cell, read after its fences were
+// put in every part.
+type Loaded struct {
+	Epoch   int64
+	Jobs    []LoadedJob
+	Cancels []string
+	// Fences are the versions of the fence rows by part.
+	Fences map[string]int64
+	// Wall is the time of day, for jobs with times.
+	Wall time.Time
+	// StoreNow is the store's clock at the time of the event.
+	StoreNow time.Duration
+}
+
+// Accepted brings a job that stands in the table.
+type Accepted struct {
+	Spec     *wire.JobSpec
+	StoreNow time.Duration
+}
+
+// CancelAsked brings a cancel that stands in the table.
+type CancelAsked struct{ ID string }
+
+// Looked is the outcome of a look at a worker.
+type Looked struct {
+	Worker  string
+	SentAt  time.Time
+	Report  workers.Report
+	Refusal workers.Refusal
+	Err     error
+}
+
+// Started is the outcome of an order to start.
+type Started struct {
+	Worker string
+	Task   string
+	Run    int64
+	Reply  workers.Reply
+	Err    error
+}
+
+// StopAnswered is the outcome of an order to stop.
+type StopAnswered struct {
+	Worker string
+	Reply  workers.Reply
+	Err    error
+}
+
+// PaceAnswered is the outcome of an order to pace.
+type PaceAnswered struct {
+	Worker  string
+	Task    string
+	Run     int64
+	Percent int
+	Reply   workers.Reply
+	Err     error
+}
+
+// RecordAnswered is the outcome of writing progress in one part.
+type RecordAnswered struct {
+	Part      string
+	Serial    int64
+	Committed table.Committed
+	Err       error
+}
+
+// Release asks the leader to hand the cell over: it starts nothing more.
+type Release struct{}
+
+func (Tick) event()            {}
+func (ManifestChanged) event() {}
+func (WorkersListed) event()   {}
+func (Led) event()             {}
+func (Deposed) event()         {}
+func (RosterRecorded) event()  {}
+func (Loaded) event()          {}
+func (Accepted) event()        {}
+func (CancelAsked) event()     {}
+func (Looked) event()          {}
+func (Started) event()         {}
+func (StopAnswered) event()    {}
+func (PaceAnswered) event()    {}
+func (RecordAnswered) event()  {}
+func (Release) event()         {}
+
+// Effect is something that a State wants done.
+type Effect interface{ effect() }
+
+// Load asks for the fences to be put and the cell's rows to be read; Loaded
+// answers.
+type Load struct{ Epoch int64 }
+
+// SendLook asks for a look at a worker; Looked answers.
+type SendLook struct {
+	To   workers.Target
+	Look workers.Look
+}
+
+// SendStart asks for an order to start; Started answers.
+type SendStart struct {
+	To    workers.Target
+	Start workers.Start
+}
+
+// SendStop asks for an order to stop; StopAnswered answers.
+type SendStop struct {
+	To   workers.Target
+	Stop workers.Stop
+}
+
+// SendPace asks for an order to pace; PaceAnswered answers.
+type SendPace struct {
+	To   workers.Target
+	Pace workers.Pace
+}
+
+// Record asks for progress to be written; RecordAnswered answers.
+type Record struct {
+	Part        string
+	Serial      int64
+	Transaction table.Transaction
+}
+
+// StepDown says that another leader was found to be in charge.
+type StepDown struct{ Why string }
+
+// Note is a line for the log: one decision and what it was made from.
+type Note struct {
+	What   What
+	Job    string
+	Task   string
+	Run    int64
+	Worker string
+	// Detail is what else decided, in words and figures.
+	Detail string
+	// AgeMs is how old the information was, where that matters; -1: it has none.
+	AgeMs int64
+	Code  fault.Code
+}
+
+func (Load) effect()      {}
+func (SendLook) effect()  {}
+func (SendStart) effect() {}
+func (SendStop) effect()  {}
+func (SendPace) effect()  {}
+func (Record) effect()    {}
+func (StepDown) effect()  {}
+func (Note) effect()      {}
--- /dev/null
+++ b/pkg/process/cell/leaving.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// leaveMargin is what must be left of a leaving worker's time after the end of
+// a run, for it to be let run on: a stop takes up to stop_ms of it.
+const leaveMargin = 300 * time.Millisecond
+
+// leave moves what a leaving worker can't end in the time it has left. What
+// can end there stays; the rest is stopped with a checkpoint and goes on
+// elsewhere.
+func (s *State) leave(now time.Time) {
+	for _, w := range s.workers {
+		if !w.Leaving || !w.SilentSince.IsZero() {
+			continue
+		}
+		left := w.Remaining - now.Sub(w.LeavingAt)
+		for r := range w.Runs {
+			if r.State != jobs.Running || !s.moveAway(now, r, left) {
+				continue
+			}
+			s.stop(now, w, r, "its worker leaves")
+		}
+	}
+}
+
+func (s *State) moveAway(now time.Time, r *jobs.Run, left time.Duration) bool {
+	if r.Task.Unit.Lasting() {
+		return true
+	}
+	return remaining(now, r) > left-leaveMargin
+}
+
+// remaining estimates how much longer a run takes, from its progress so far
+// or, while there is none, from its caller's guess.
+func remaining(now time.Time, r *jobs.Run) time.Duration {
+	guess := time.Duration(r.Task.Unit.Spec.GetEstimateMs()) * time.Millisecond
+	if r.Percent <= 0 {
+		return max(0, guess-now.Sub(r.BeganAt))
+	}
+	ran := r.ProgressAt.Sub(r.BeganAt)
+	whole := time.Duration(float64(ran) * 100 / float64(r.Percent))
+	return max(0, whole-now.Sub(r.BeganAt))
+}
+
+// runsOf lists a worker's runs of a kind.
+func runsOf(w *workers.Worker, want func(*jobs.Run) bool) []*jobs.Run {
+	var list []*jobs.Run
+	for r := range w.Runs {
+		if want(r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/process/cell/load.go
@@ -0,0 +1,216 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// A takeover. The new leader puts its fence in each part, so that its
+// forerunner writes no progress from then on, and reads the cell's jobs. Then
+// it looks at every worker that its forerunners could have used: that raises
+// the fence there too, and the answer lists what runs and what has ended. What
+// is found at none of them may start. A worker that does not answer holds this
+// up until the last lease that a forerunner could have granted is over.
+
+func (s *State) takeLed(now time.Time, e Led) {
+	known := s.workers
+	listed := s.listed
+	s.forget()
+	s.listed = listed
+	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
+	s.settleBy = e.RosterUntil
+	for id, w := range known {
+		if w.Listed {
+			s.workers[id] = workers.New(w.Record, now)
+		}
+	}
+	for _, r := range e.Roster {
+		if s.workers[r.GetId()] == nil {
+			w := workers.New(workers.Record{ID: r.GetId(), Address: r.GetAddress(), Host: r.GetHost(), Service: r.GetService()}, now)
+			w.Listed, w.UnlistedAt = false, now
+			s.workers[r.GetId()] = w
+		}
+		s.unsettled[r.GetId()] = true
+	}
+	s.note(Note{What: NoteLed, Detail: fmt.Sprintf("epoch %d, %d workers to hear", e.Epoch, len(e.Roster)), AgeMs: -1})
+	s.emit(Load{Epoch: e.Epoch})
+}
+
+func (s *State) takeLoaded(now time.Time, e Loaded) {
+	if e.Epoch != s.epoch || s.phase != loading {
+		return
+	}
+	for name, version := range e.Fences {
+		s.part(name).fence = version
+	}
+	early := s.jobs // came by word of peers while the table was read
+	s.jobs = map[string]*jobs.Job{}
+	for _, l := range e.Jobs {
+		s.jobs[l.Spec.GetId()] = s.restore(now, e, l)
+	}
+	for id, j := range early {
+		if s.jobs[id] == nil {
+			s.jobs[id] = j
+		}
+	}
+	s.phase = leading
+	for _, id := range e.Cancels {
+		s.takeCancel(now, CancelAsked{ID: id})
+	}
+	for _, j := range s.jobs {
+		s.touch(j)
+	}
+	s.note(Note{What: NoteLoaded, Detail: fmt.Sprintf("%d jobs, %d cancels", len(s.jobs), len(e.Cancels)), AgeMs: -1})
+}
+
+func (s *State) restore(now time.Time, e Loaded, l LoadedJob) *jobs.Job {
+	age := e.StoreNow - time.Duration(l.Spec.GetAcceptedStoreMs())*time.Millisecond
+	j := jobs.Restore(l.Spec, l.Progress, l.Recorded, now.Add(-max(0, age)), e.Wall)
+	if j.Ended() {
+		j.EndedAt = now
+	}
+	if s.unsafe.NoSettling {
+		for _, u := range j.Units {
+			for _, t := range u.Tasks {
+				t.Settled = true
+			}
+		}
+	}
+	return j
+}
+
+// settle ends the waiting for workers that have not been heard.
+func (s *State) settle(now time.Time) {
+	if s.settled {
+		return
+	}
+	for id := range s.unsettled {
+		w := s.workers[id]
+		if w == nil || w.Heard || w.Gone {
+			delete(s.unsettled, id)
+		}
+	}
+	if len(s.unsettled) > 0 && now.Before(s.settleBy) {
+		return
+	}
+	s.settled = true
+	nowhere := 0
+	for _, j := range s.jobs {
+		changed := false
+		for _, u := range j.Units {
+			for _, t := range u.Tasks {
+				if !t.Settled {
+					t.Settled, changed = true, true
+					if len(t.Runs) == 0 && j.Begun {
+						nowhere++
+					}
+				}
+			}
+		}
+		if changed {
+			s.touch(j)
+		}
+	}
+	s.note(Note{What: NoteSettled, Detail: fmt.Sprintf("%d tasks found nowhere, %d workers not heard", nowhere, len(s.unsettled)), AgeMs: -1})
+}
+
+func (s *State) takeRoster(e RosterRecorded) {
+	s.roster = map[string]bool{}
+	for _, id := range e.IDs {
+		s.roster[id] = true
+	}
+	s.placeNow = true
+}
+
+func (s *State) takeRelease() {
+	switch s.phase {
+	case leading:
+		s.phase = releasing
+		s.note(Note{What: NoteReleased, AgeMs: -1})
+	case loading:
+		s.stepDown("released while loading")
+	case following, releasing:
+	}
+}
+
+func (s *State) stepDown(why string) {
+	if s.phase == following {
+		return
+	}
+	s.note(Note{What: NoteDeposed, Detail: why, AgeMs: -1})
+	workersKnown, listed := s.workers, s.listed
+	s.forget()
+	s.workers, s.listed = workersKnown, listed
+	for _, w := range s.workers {
+		w.Runs = map[*jobs.Run]struct{}{}
+	}
+}
+
+func unsettle(j *jobs.Job) {
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			t.Settled = t.Done
+		}
+	}
+}
+
+// ------------------------------------------------------------ new work
+
+func (s *State) takeAccepted(now time.Time, e Accepted) {
+	id := e.Spec.GetId()
+	if s.phase == following || s.phase == releasing || s.jobs[id] != nil {
+		return
+	}
+	age := e.StoreNow - time.Duration(e.Spec.GetAcceptedStoreMs())*time.Millisecond
+	j := jobs.New(e.Spec, now.Add(-max(0, age)))
+	s.jobs[id] = j
+	if !s.settled && !s.unsafe.NoSettling {
+		// A forerunner that does not know of its end yet may have been told of
+		// the job too, and have started it where we haven't been heard.
+		unsettle(j)
+	}
+	tasks := 0
+	for _, step := range e.Spec.GetSteps() {
+		tasks += int(step.GetCount())
+	}
+	s.note(Note{
+		What: NoteJobQueued, Job: id, AgeMs: age.Milliseconds(),
+		Detail: fmt.Sprintf("queue %s, %d steps, %d tasks", e.Spec.GetQueue(), len(e.Spec.GetSteps()), tasks),
+	})
+	if _, asked := s.cancels[id]; asked {
+		s.takeCancel(now, CancelAsked{ID: id})
+	}
+	s.touch(j)
+}
+
+func (s *State) takeCancel(now time.Time, e CancelAsked) {
+	j := s.jobs[e.ID]
+	if j == nil || s.phase == loading {
+		s.cancels[e.ID] = now
+		return
+	}
+	delete(s.cancels, e.ID)
+	if j.Ended() {
+		return
+	}
+	s.endJob(now, j, wire.JobPhase_JOB_PHASE_CANCELLED, "cancelled by its caller")
+}
+
+// endJob decides a job's last phase. What still runs of it is stopped by
+// stopUnwanted.
+func (s *State) endJob(now time.Time, j *jobs.Job, p wire.JobPhase, reason string) {
+	if j.Ended() {
+		return
+	}
+	j.End(p, reason, now)
+	s.markDirty(j, true)
+	s.touch(j)
+	s.note(Note{
+		What: NoteJobEnded, Job: j.Spec.GetId(), AgeMs: now.Sub(j.AcceptedAt).Milliseconds(),
+		Detail: fmt.Sprintf("%s: %s", p, reason),
+	})
+}
--- /dev/null
+++ b/pkg/process/cell/notes.go
@@ -0,0 +1,73 @@
+package cell
+
+// What names a kind of decision or change of belief in the log. The table
+// below is the one list of them; docs/EVENTS.md is made from it.
+type What string
+
+// The kinds of notes.
+const (
+	NoteLed          What = "cell-led"
+	NoteDeposed      What = "cell-deposed"
+	NoteLoaded       What = "cell-loaded"
+	NoteSettled      What = "cell-settled"
+	NoteReleased     What = "cell-released"
+	NoteManifest     What = "manifest-in-force"
+	NoteJobQueued    What = "job-queued"
+	NoteJobEnded     What = "job-ended"
+	NoteJobRecorded  What = "job-recorded"
+	NoteRecordFailed What = "record-failed"
+	NoteStart        What = "task-start"
+	NoteStartRefused What = "task-start-refused"
+	NoteStartUnsure  What = "task-start-unsure"
+	NoteAdopted      What = "task-adopted"
+	NoteStop         What = "task-stop"
+	NoteEnd          What = "task-end"
+	NoteLost         What = "task-lost"
+	NotePace         What = "task-pace"
+	NoteCopy         What = "task-copy"
+	NoteWorkerNew    What = "worker-new"
+	NoteWorkerGone   What = "worker-gone"
+	NoteWorkerLeaves What = "worker-leaving"
+	NoteWorkerSilent What = "worker-silent"
+	NoteWorkerHeard  What = "worker-heard"
+	NoteWorkerAside  What = "worker-aside"
+	NoteWorkerBack   What = "worker-back"
+	NoteUnreadable   What = "unreadable"
+)
+
+// NoteHelp is one row of the table of notes.
+type NoteHelp struct {
+	What What
+	Says string
+}
+
+// Notes lists every kind of note and what it says.
+var Notes = []NoteHelp{
+	{NoteLed, "this process leads a cell from now on; detail: epoch"},
+	{NoteDeposed, "this process no longer leads the cell; detail: why"},
+	{NoteLoaded, "the cell's jobs were read from the table; detail: how many"},
+	{NoteSettled, "what earlier leaders started is known or surely over; detail: how many tasks were found nowhere"},
+	{NoteReleased, "the cell is given up on purpose"},
+	{NoteManifest, "a newer manifest is in force; detail: version"},
+	{NoteJobQueued, "a job came to the cell; detail: steps, tasks"},
+	{NoteJobEnded, "a job's last state was decided; detail: state, reason, time since acceptance"},
+	{NoteJobRecorded, "the table holds a job's last state: callers are told from now on"},
+	{NoteRecordFailed, "progress could not be written, and is tried again"},
+	{NoteStart, "a task is ordered to start; detail: wait, room left, checkpoint"},
+	{NoteStartRefused, "the worker refused the start; detail: why"},
+	{NoteStartUnsure, "the start got no answer: it may run"},
+	{NoteAdopted, "a run of an earlier leader goes on"},
+	{NoteStop, "a run is ordered to stop; detail: why"},
+	{NoteEnd, "a run ended; detail: how, percent"},
+	{NoteLost, "a run is surely over without its end having been seen; detail: why"},
+	{NotePace, "a filler's share of work is changed; detail: share, the tail that decided"},
+	{NoteCopy, "a second run of a straggling task is ordered"},
+	{NoteWorkerNew, "a worker came to be known"},
+	{NoteWorkerGone, "a worker's life is over; detail: why"},
+	{NoteWorkerLeaves, "a worker takes no new work; detail: time left"},
+	{NoteWorkerSilent, "a worker does not answer; its lease runs out"},
+	{NoteWorkerHeard, "a worker answers (again)"},
+	{NoteWorkerAside, "a worker gets no work for a while; detail: why"},
+	{NoteWorkerBack, "a worker that was put aside works again"},
+	{NoteUnreadable, "a message or row could not be used; detail: which"},
+}
--- /dev/null
+++ b/pkg/process/cell/place.go
@@ -0,0 +1,273 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+)
+
+// Placement. Units that have tasks to start are taken in the order of what
+// their jobs still earn: first those of a higher priority, among equals the
+// nearest objective, and jobs that are past all credit last. Each task goes to
+// the usable worker where it leaves the least room (so that large holes stay
+// for large tasks), or, for a filler, where most processors are unused.
+
+const (
+	// defaultStretch and defaultSlack stand in for a queue that no manifest
+	// names any more.
+	defaultStretch = 2.0
+	defaultSlack   = time.Second
+	// hopelessAfter times its objective a job earns nothing any more (the
+	// platform's page on credit).
+	hopelessAfter = 3.0
+)
+
+// candidate is a unit with its place in the order.
+type candidate struct {
+	unit     *jobs.Unit
+	hopeless bool
+	priority int
+	due      time.Time
+}
+
+// place starts what may start and has room.
+func (s *State) place(now time.Time) {
+	if !s.placeNow || s.manifest == nil || len(s.workers) == 0 {
+		return
+	}
+	s.placeNow = false
+	usable := s.usableWorkers(now)
+	for _, c := range s.order(now) {
+		if len(usable) == 0 {
+			return
+		}
+		if c.unit.Spec.GetGang() {
+			s.placeGang(now, c.unit, usable)
+			continue
+		}
+		s.placeTasks(now, c.unit, usable)
+	}
+}
+
+func (s *State) order(now time.Time) []candidate {
+	list := make([]candidate, 0, len(s.waiting))
+	for u := range s.waiting {
+		list = append(list, s.candidate(now, u))
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].before(list[b]) })
+	return list
+}
+
+func (s *State) candidate(now time.Time, u *jobs.Unit) candidate {
+	j := u.Job
+	q := s.queue(j)
+	objective := time.Duration(float64(j.WholeChain())*q.Stretch) + q.Slack
+	since := j.AcceptedAt
+	if j.Spec.GetRepeats() > 0 {
+		since = now.Add(-s.wall.Sub(j.DueAt(u.Time)))
+	}
+	return candidate{
+		unit: u, priority: q.Priority, due: since.Add(objective),
+		hopeless: !u.Lasting() && now.Sub(since) > time.Duration(hopelessAfter*float64(objective)),
+	}
+}
+
+func (c candidate) before(d candidate) bool {
+	switch {
+	case c.hopeless != d.hopeless:
+		return d.hopeless
+	case c.priority != d.priority:
+		return c.priority < d.priority
+	case !c.due.Equal(d.due):
+		return c.due.Before(d.due)
+	}
+	return c.unit.Name() < d.unit.Name()
+}
+
+// queue is what the manifest says of a job's queue, or stands in for it.
+func (s *State) queue(j *jobs.Job) manifest.Queue {
+	if q, ok := s.manifest.Queue(j.Spec.GetQueue()); ok {
+		return q
+	}
+	return manifest.Queue{Service: j.Spec.GetService(), Stretch: defaultStretch, Slack: defaultSlack}
+}
+
+// usable says whether a worker takes new work now.
+func (s *State) usable(now time.Time, w *workers.Worker) bool {
+	return w.Usable(now, heardWithin) && s.roster[w.ID] && !w.Health.Aside(now, len(w.Runs))
+}
+
+func (s *State) usableWorkers(now time.Time) []*workers.Worker {
+	list := make([]*workers.Worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		if s.usable(now, w) {
+			list = append(list, w)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
+	return list
+}
+
+func (s *State) placeTasks(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
+	service := s.service(u.Job)
+	for _, t := range u.Waiting(now) {
+		w := s.choose(now, t, service, usable)
+		if w == nil {
+			return
+		}
+		s.start(now, w, t, s.nextRun(), "")
+	}
+	if !wantsStart(u) {
+		delete(s.waiting, u)
+	}
+}
+
+// choose picks the worker for a task; nil: none has room.
+func (s *State) choose(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
+	var best *workers.Worker
+	bestScore := 0.0
+	for _, w := range usable {
+		if !s.fits(now, t.Unit, service, w) {
+			continue
+		}
+		score := s.score(t, w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// fits says whether one more task of a unit may go to a worker.
+func (s *State) fits(now time.Time, u *jobs.Unit, service string, w *workers.Worker) bool {
+	if w.Service != service || !w.HasLabel(u.Spec.GetLabel()) {
+		return false
+	}
+	if !workers.Reserved(u).Fits(w.Free()) {
+		return false
+	}
+	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
+		return false
+	}
+	// A worker that was put aside gets one run as a trial.
+	return !w.Health.Aside(now, len(w.Runs))
+}
+
+const (
+	// farPenalty weighs a worker away from the data against room left: more
+	// than any room can make up for.
+	farPenalty = 10.0
+	// avoidPenalty is for the worker where the task failed last.
+	avoidPenalty = 20.0
+	// servingPenalty is for a filler beside tasks with a target: worth two
+	// tenths of a worker's processors.
+	servingPenalty = 0.2
+)
+
+// score ranks the workers that a task fits on; the highest is taken.
+func (s *State) score(t *jobs.Task, w *workers.Worker) float64 {
+	score := 0.0
+	u := t.Unit
+	total := float64(max(1, w.Capacity.Millicores))
+	if u.Spec.GetFiller() {
+		score = float64(w.Unused()) / total
+		if w.Serving() {
+			score -= servingPenalty
+		}
+	} else {
+		score = -float64(w.Free().Millicores) / total
+	}
+	if rack := u.Spec.GetRack(); rack != "" && w.Rack != rack && !w.HasLabel(rack) {
+		score -= farPenalty
+	}
+	if t.AvoidWorker == w.ID {
+		score -= avoidPenalty
+	}
+	return score
+}
+
+// placeGang starts all tasks of a gang as one run, or none.
+func (s *State) placeGang(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
+	waiting := u.Waiting(now)
+	if len(waiting) < len(u.Tasks) {
+		return // some still run: their ends come first
+	}
+	pool := usable
+	if u.Spec.GetSameRack() {
+		pool = s.bestRack(now, u, usable)
+	}
+	if !s.startGang(now, u, pool) && u.Spec.GetSameRack() {
+		s.startGang(now, u, usable)
+	}
+}
+
+// startGang tries the gang on the pool; what it reserves is given back if not
+// all of it fits.
+func (s *State) startGang(now time.Time, u *jobs.Unit, pool []*workers.Worker) bool {
+	service := s.service(u.Job)
+	chosen := make([]*workers.Worker, 0, len(u.Tasks))
+	held := make([]*jobs.Run, 0, len(u.Tasks))
+	release := func() {
+		for i, r := range held {
+			chosen[i].Remove(r)
+		}
+	}
+	for _, t := range u.Tasks {
+		w := s.choose(now, t, service, pool)
+		if w == nil {
+			release()
+			return false
+		}
+		r := &jobs.Run{Task: t, Worker: w.ID}
+		w.Add(r)
+		chosen, held = append(chosen, w), append(held, r)
+	}
+	release()
+	number := s.nextRun()
+	checkpoint := gangCheckpoint(u)
+	for i, t := range u.Tasks {
+		t.Checkpoint = checkpoint
+		s.start(now, chosen[i], t, number, "")
+	}
+	delete(s.waiting, u)
+	return true
+}
+
+// gangCheckpoint is the one text that all members bring: any member's is good
+// for all, the greatest is as new as any that can be told apart.
+func gangCheckpoint(u *jobs.Unit) string {
+	for _, t := range u.Tasks {
+		if t.Checkpoint != "" {
+			return t.Checkpoint
+		}
+	}
+	return ""
+}
+
+// bestRack returns the workers of the rack with the most room for a unit.
+func (s *State) bestRack(now time.Time, u *jobs.Unit, usable []*workers.Worker) []*workers.Worker {
+	racks := map[string][]*workers.Worker{}
+	for _, w := range usable {
+		if s.fits(now, u, s.service(u.Job), w) {
+			racks[w.Rack] = append(racks[w.Rack], w)
+		}
+	}
+	var best []*workers.Worker
+	bestFree := int64(-1)
+	for rack, list := range racks {
+		free := int64(0)
+		for _, w := range list {
+			free += w.Free().Millicores
+		}
+		if rack == u.Spec.GetRack() && rack != "" {
+			free *= 4 // where the data lies, if it has any room to speak of
+		}
+		if free > bestFree {
+			best, bestFree = list, free
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/process/cell/state.go
@@ -0,0 +1,371 @@
+// Package cell schedules the workers of one cell: who may start what, where,
+// and what is known of it.
+//
+// A State belongs to one thread. It takes in events and returns effects; it
+// makes no calls and reads no clock, so each failure can be brought about by
+// events alone. Data flows one way:
+//
+//	event -> load.go (takeover), look.go (workers' lists), orders.go (answers)
+//	      -> ends.go (what an end means for its job)
+//	      -> place.go, copies.go, leaving.go (what to start and to stop)
+//	      -> pace.go (how fast fillers work)
+//	      -> record.go (what must last) and effects
+//
+// A start is not recorded anywhere: workers list what runs. An end is
+// acknowledged to its worker after it is recorded. See docs/design/platform.md.
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+type phase int
+
+const (
+	following phase = iota
+	loading
+	leading
+	releasing
+)
+
+// Bounds are the times that the deployment sets.
+type Bounds struct {
+	// MaxLease is the longest that a worker holds what runs without renewal.
+	MaxLease time.Duration
+	// StopLimit is how long a stop may take.
+	StopLimit time.Duration
+	// GangWait is how long members of a gang wait for each other.
+	GangWait time.Duration
+	// SaveEvery is how much work lies between two checkpoints.
+	SaveEvery time.Duration
+	// Retention is how long an ended job's state is told.
+	Retention time.Duration
+	// FarFactor is how much longer work takes away from its data.
+	FarFactor float64
+}
+
+// Unsafe takes out one fence each, so that a test can show what it is for.
+type Unsafe struct {
+	// NoSettling starts at once what an earlier leader may have started.
+	NoSettling bool
+	// NoRecorded acknowledges ends before they are recorded.
+	NoRecorded bool
+	// NoRunEpoch lets run numbers begin at 1 in each epoch.
+	NoRunEpoch bool
+	// NoLeaseWait takes runs of a silent worker for over at once.
+	NoLeaseWait bool
+}
+
+// State is what the leader of a cell knows.
+type State struct {
+	name   string
+	bounds Bounds
+	unsafe Unsafe
+
+	epoch    int64
+	phase    phase
+	manifest *manifest.Manifest
+	listed   bool
+	wall     time.Time
+
+	jobs    map[string]*jobs.Job
+	workers map[string]*workers.Worker
+	roster  map[string]bool
+	// cancels are asked for, of jobs that have not been seen yet.
+	cancels map[string]time.Time
+	// waiting are the units that have tasks to start.
+	waiting map[*jobs.Unit]struct{}
+	parts   map[string]*part
+	seq     int64
+	runs    int64
+
+	// unsettled are the workers that must be heard before tasks which were
+	// found nowhere may start; settleBy is when waiting ends anyway.
+	unsettled map[string]bool
+	settled   bool
+	settleBy  time.Time
+
+	placeNow bool
+	outbox   []Effect
+}
+
+// Option changes how a State is made.
+type Option func(*State)
+
+// WithUnsafe takes fences out, for tests.
+func WithUnsafe(u Unsafe) Option { return func(s *State) { s.unsafe = u } }
+
+// New returns the state of a process that does not lead the cell.
+func New(name string, bounds Bounds, options ...Option) *State {
+	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}}
+	s.forget()
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+func (s *State) forget() {
+	s.jobs = map[string]*jobs.Job{}
+	s.cancels = map[string]time.Time{}
+	s.waiting = map[*jobs.Unit]struct{}{}
+	s.roster = map[string]bool{}
+	s.parts = map[string]*part{}
+	s.unsettled = map[string]bool{}
+	s.settled = false
+	s.phase = following
+	s.workers = map[string]*workers.Worker{}
+	s.listed = false
+}
+
+// Take takes in one event. Decide, called after a batch of events, acts on
+// them: deciding after each one would cost as much again for nothing.
+func (s *State) Take(now time.Time, e Event) {
+	switch e := e.(type) {
+	case Tick:
+		s.placeNow = s.placeNow || len(s.waiting) > 0
+	case ManifestChanged:
+		s.manifest = e.Manifest
+		s.placeNow = true
+	case WorkersListed:
+		s.takeListed(now, e)
+	case Led:
+		s.takeLed(now, e)
+	case Deposed:
+		s.stepDown(e.Why)
+	case RosterRecorded:
+		s.takeRoster(e)
+	case Loaded:
+		s.takeLoaded(now, e)
+	case Accepted:
+		s.takeAccepted(now, e)
+	case CancelAsked:
+		s.takeCancel(now, e)
+	case Looked:
+		s.takeLooked(now, e)
+	case Started:
+		s.takeStarted(now, e)
+	case StopAnswered:
+		s.takeStopAnswered(now, e)
+	case PaceAnswered:
+		s.takePaceAnswered(now, e)
+	case RecordAnswered:
+		s.takeRecorded(now, e)
+	case Release:
+		s.takeRelease()
+	}
+}
+
+// Decide does all that has become due and returns what is to be done. wall is
+// the time of day: it decides only which times of repeated jobs are due.
+func (s *State) Decide(now, wall time.Time) []Effect {
+	s.wall = wall
+	if s.phase == leading || s.phase == releasing {
+		s.checkRuns(now)
+		s.settle(now)
+	}
+	if s.phase == leading {
+		s.openTimes()
+		s.leave(now)
+		s.place(now)
+		s.pace(now)
+	}
+	if s.phase == leading || s.phase == releasing {
+		s.stopUnwanted(now)
+		s.record(now)
+		s.forgetEnded(now)
+	}
+	if s.phase != following {
+		s.look(now)
+	}
+	out := s.outbox
+	s.outbox = nil
+	return out
+}
+
+func (s *State) emit(e Effect) { s.outbox = append(s.outbox, e) }
+
+func (s *State) note(n Note) {
+	s.emit(n)
+}
+
+func target(w *workers.Worker) workers.Target {
+	return workers.Target{ID: w.ID, Address: w.Address}
+}
+
+// touch looks anew at which units of a job have tasks to start, and marks its
+// progress for recording.
+func (s *State) touch(j *jobs.Job) {
+	for _, u := range j.Units {
+		if !j.Ended() && !u.Done() && u.Ready() && wantsStart(u) {
+			s.waiting[u] = struct{}{}
+		} else {
+			delete(s.waiting, u)
+		}
+	}
+	s.placeNow = true
+}
+
+func wantsStart(u *jobs.Unit) bool {
+	for _, t := range u.Tasks {
+		if !t.Done && t.Settled && len(t.Runs) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) openTimes() {
+	for _, j := range s.jobs {
+		if j.Spec.GetRepeats() == 0 || j.Ended() {
+			continue
+		}
+		if len(j.OpenDue(s.wall)) > 0 {
+			s.touch(j)
+		}
+	}
+}
+
+// forgetEnded drops jobs whose last state has been told for long enough.
+func (s *State) forgetEnded(now time.Time) {
+	for id, at := range s.cancels {
+		if now.Sub(at) > s.bounds.Retention {
+			delete(s.cancels, id)
+		}
+	}
+	for id, j := range s.jobs {
+		if j.Ended() && j.Durable == j.Phase && now.Sub(j.EndedAt) > s.bounds.Retention {
+			s.part(rows.JobPart(id)).expired[id] = j
+			delete(s.jobs, id)
+		}
+	}
+}
+
+// --------------------------------------------------------------- readings
+
+// Leading says whether this process leads the cell and has loaded its jobs.
+func (s *State) Leading() bool { return s.phase == leading || s.phase == releasing }
+
+// Quiet says whether a planned stop may give the cell up now: nothing is on
+// its way to the table or to workers.
+func (s *State) Quiet() bool {
+	if s.phase != releasing {
+		return s.phase == following
+	}
+	for _, p := range s.parts {
+		if p.sending || len(p.dirty) > 0 {
+			return false
+		}
+	}
+	for _, w := range s.workers {
+		for r := range w.Runs {
+			if r.State == jobs.Sent {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Phase tells a job's phase as far as the table holds it.
+func (s *State) Phase(id string) (wire.JobPhase, bool) {
+	j := s.jobs[id]
+	if j == nil || !s.Leading() {
+		return wire.JobPhase_JOB_PHASE_UNSPECIFIED, false
+	}
+	if jobs.Last(j.Durable) {
+		return j.Durable, true
+	}
+	if j.Begun {
+		return wire.JobPhase_JOB_PHASE_RUNNING, true
+	}
+	return wire.JobPhase_JOB_PHASE_QUEUED, true
+}
+
+// Load sums the cell up for those who choose where a job goes.
+func (s *State) Load() *wire.CellLoad {
+	l := &wire.CellLoad{Leading: s.Leading(), Cell: s.name, Pending: map[string]int32{}}
+	for _, w := range s.workers {
+		if w.Gone || !w.Listed || w.Leaving {
+			continue
+		}
+		l.CapacityMillicores += w.Capacity.Millicores
+		l.FreeMillicores += max(0, w.Free().Millicores)
+	}
+	for _, j := range s.jobs {
+		if j.Ended() {
+			continue
+		}
+		if !j.Begun {
+			l.Pending[j.Spec.GetQueue()]++
+		}
+		l.BacklogCoreMs += backlog(j)
+	}
+	return l
+}
+
+// backlog is the work of a job that has not started, in core ms.
+func backlog(j *jobs.Job) int64 {
+	sum := int64(0)
+	for _, u := range j.Units {
+		if u.Lasting() || u.Spec.GetFiller() {
+			continue
+		}
+		for _, t := range u.Tasks {
+			if !t.Done && len(t.Runs) == 0 {
+				sum += u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
+			}
+		}
+	}
+	return sum
+}
+
+// Roster lists the workers that may hold runs, for the leadership row. A
+// worker that is not in the row gets no work.
+func (s *State) Roster() []*wire.RosterEntry {
+	var list []*wire.RosterEntry
+	for _, w := range s.workers {
+		if !w.Gone {
+			list = append(list, &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service})
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].GetId() < list[b].GetId() })
+	return list
+}
+
+// Counts is a summary for the status page and the metrics.
+type Counts struct {
+	Jobs, Waiting, Running, Workers, Usable, Aside int
+	Settled                                        bool
+}
+
+// Counts returns the summary.
+func (s *State) Counts(now time.Time) Counts {
+	c := Counts{Settled: s.settled}
+	for _, j := range s.jobs {
+		if !j.Ended() {
+			c.Jobs++
+		}
+	}
+	for u := range s.waiting {
+		c.Waiting += len(u.Waiting(now))
+	}
+	for _, w := range s.workers {
+		c.Workers++
+		c.Running += len(w.Runs)
+		if s.usable(now, w) {
+			c.Usable++
+		}
+		if _, aside := w.Health.IsAside(); aside {
+			c.Aside++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/process/fleet/answers.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// What traffic and peers ask of the control thread.
+
+// Accepted takes a job that stands in the table.
+func (c *Control) Accepted(spec *wire.JobSpec) {
+	c.tell(cellEvent{cell: spec.GetCell(), event: cell.Accepted{Spec: spec, StoreNow: c.store.Now(time.Now())}})
+}
+
+// Cancelled takes a cancel that stands in the table.
+func (c *Control) Cancelled(cellName, id string) {
+	c.tell(cellEvent{cell: cellName, event: cell.CancelAsked{ID: id}})
+}
+
+// Phase tells a job's phase, if this process leads its cell and knows it.
+func (c *Control) Phase(ctx context.Context, cellName, id string) (wire.JobPhase, bool) {
+	type answer struct {
+		phase wire.JobPhase
+		known bool
+	}
+	out := make(chan answer, 1)
+	ok := c.ask(ctx, func(c *Control, _ time.Time) {
+		a := answer{}
+		if s := c.seats[cellName]; s != nil {
+			a.phase, a.known = s.state.Phase(id)
+		}
+		out <- a
+	})
+	if !ok {
+		return wire.JobPhase_JOB_PHASE_UNSPECIFIED, false
+	}
+	a := <-out
+	return a.phase, a.known
+}
+
+// Load tells a cell's load.
+func (c *Control) Load(ctx context.Context, cellName string) *wire.CellLoad {
+	out := make(chan *wire.CellLoad, 1)
+	ok := c.ask(ctx, func(c *Control, _ time.Time) {
+		if s := c.seats[cellName]; s != nil {
+			out <- s.state.Load()
+			return
+		}
+		out <- &wire.CellLoad{}
+	})
+	if !ok {
+		return &wire.CellLoad{Cell: cellName}
+	}
+	return <-out
+}
+
+// TakeOver asks for a seat that is being released.
+func (c *Control) TakeOver(cellName string) { c.tell(takeOver{cell: cellName}) }
+
+// Yield asks for a seat of another hall to be released.
+func (c *Control) Yield(cellName string) { c.tell(yield{cell: cellName}) }
+
+// Leave begins the planned stop: every cell is handed over.
+func (c *Control) Leave() { c.tell(leave{}) }
+
+// Held lists the cells that this process leads.
+func (c *Control) Held() []string {
+	var list []string
+	for name, v := range c.View().Cells {
+		if v.Mine {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// Summary sums up the cells that this process leads.
+func (c *Control) Summary(ctx context.Context) map[string]cell.Counts {
+	out := make(chan map[string]cell.Counts, 1)
+	ok := c.ask(ctx, func(c *Control, now time.Time) {
+		all := map[string]cell.Counts{}
+		for name, s := range c.seats {
+			if s.state.Leading() {
+				all[name] = s.state.Counts(now)
+			}
+		}
+		out <- all
+	})
+	if !ok {
+		return nil
+	}
+	return <-out
+}
--- /dev/null
+++ b/pkg/process/fleet/config.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/configfile"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+)
+
+// Config is what one process learns from its settings file.
+type Config struct {
+	Name    string
+	Hall    string
+	Halls   []string
+	Callers string
+	Ready   string
+	Control string
+	Metrics string
+	Table   string
+
+	MaxLease  time.Duration
+	StopLimit time.Duration
+	GangWait  time.Duration
+	SaveEvery time.Duration
+	Retention time.Duration
+	Grace     time.Duration
+	FarFactor float64
+	MemoryMB  float64
+	LogLevel  string
+}
+
+// Bounds are those of the settings that decide in a cell.
+func (c Config) Bounds() cell.Bounds {
+	return cell.Bounds{
+		MaxLease: c.MaxLease, StopLimit: c.StopLimit, GangWait: c.GangWait, SaveEvery: c.SaveEvery,
+		Retention: c.Retention, FarFactor: c.FarFactor,
+	}
+}
+
+// Fields is the look-up table that drives the check, the help and the docs.
+var Fields = []configfile.Field[Config]{
+	{Name: "name", Example: `"entry-1"`, Required: true, Help: "The entry host's name, unique in the deployment.", Set: configfile.Value(func(c *Config) *string { return &c.Name })},
+	{Name: "hall", Example: `"mtl-a"`, Required: true, Help: "The hall that it stands in.", Set: configfile.Value(func(c *Config) *string { return &c.Hall })},
+	{Name: "halls", Example: `["mtl-a", "mtl-b"]`, Required: true, Help: "All halls of the deployment.", Set: configfile.Value(func(c *Config) *[]string { return &c.Halls })},
+	{Name: "callers", Example: `"10.0.0.1:8080"`, Required: true, Help: "Where callers are served over HTTP, behind the balancer.", Set: configfile.Address(func(c *Config) *string { return &c.Callers })},
+	{Name: "ready", Example: `"10.0.0.1:8081"`, Required: true, Help: "Where the balancer asks whether this host takes calls.", Set: configfile.Address(func(c *Config) *string { return &c.Ready })},
+	{Name: "control", Example: `"10.0.0.1:8082"`, Required: true, Help: "Where other entry hosts are served over gRPC.", Set: configfile.Address(func(c *Config) *string { return &c.Control })},
+	{Name: "metrics", Example: `"10.0.0.1:8083"`, Required: true, Help: "Where metrics and the state of this process are told over HTTP.", Set: configfile.Address(func(c *Config) *string { return &c.Metrics })},
+	{Name: "table", Example: `"10.0.0.9:7000"`, Required: true, Help: "Where the table service is.", Set: configfile.Address(func(c *Config) *string { return &c.Table })},
+	{Name: "maxLease", Example: `"10s"`, Help: "The longest that a worker holds what runs without renewal (default 10s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.MaxLease })},
+	{Name: "stopLimit", Example: `"900ms"`, Help: "How long the stop of a task may take (default 900ms).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.StopLimit })},
+	{Name: "gangWait", Example: `"3s"`, Help: "How long members of a gang wait for each other (default 3s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.GangWait })},
+	{Name: "saveEvery", Example: `"500ms"`, Help: "How much work lies between two checkpoints (default 500ms).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.SaveEvery })},
+	{Name: "retention", Example: `"2m"`, Help: "How long the state of an ended job is told (default 2m).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.Retention })},
+	{Name: "grace", Example: `"6s"`, Help: "How long a planned stop may take (default 6s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.Grace })},
+	{Name: "farFactor", Example: `1.5`, Help: "How much longer work takes away from its data, 1 to 100 (default 1.5).", Set: configfile.Count(1, 100, func(c *Config) *float64 { return &c.FarFactor })},
+	{Name: "memoryMB", Example: `284`, Help: "The memory that the process may take, 32 to 65536 MB (default 256).", Set: configfile.Count(32, 65536, func(c *Config) *float64 { return &c.MemoryMB })},
+	{Name: "logLevel", Example: `"info"`, Help: "debug, info, warning or error (default info).", Set: configfile.Value(func(c *Config) *string { return &c.LogLevel })},
+}
+
+// ParseConfig reads a settings file, whole, and reports all that is wrong.
+func ParseConfig(file string, source []byte) (Config, error) {
+	c := Config{
+		MaxLease: 10 * time.Second, StopLimit: 900 * time.Millisecond, GangWait: 3 * time.Second, SaveEvery: 500 * time.Millisecond,
+		Retention: 2 * time.Minute, Grace: 6 * time.Second, FarFactor: 1.5, MemoryMB: 256, LogLevel: "info",
+	}
+	return c, configfile.Parse(file, source, &c, Fields)
+}
--- /dev/null
+++ b/pkg/process/fleet/control.go
@@ -0,0 +1,270 @@
+// Package fleet runs one entry host that schedules jobs of steps on a shared
+// table: the control thread, what it follows, and what it has done.
+//
+// One goroutine, Control, owns all scheduling state: a seat and a cell.State
+// for each cell of the deployment. Followers (watch.go) read the table and hand
+// it messages; its effects are carried out by other goroutines (effects.go)
+// whose outcomes come back as messages. Traffic sees it only through an
+// immutable View, and through short questions.
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wrenferry/wrenferry/pkg/connection/store"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	// inboxSize bounds the messages that wait for the control thread.
+	inboxSize = 4096
+	// batchMost bounds the messages that one decision takes in.
+	batchMost = 256
+	// tickEvery is how often time alone may change a decision.
+	tickEvery = 100 * time.Millisecond
+	// askTimeout bounds a question to the control thread.
+	askTimeout = 500 * time.Millisecond
+)
+
+// Control owns the scheduling state of a process.
+type Control struct {
+	self    election.Self
+	store   *store.Client
+	caller  workers.Caller
+	log     *logrus.Entry
+	metrics metrics.Registry
+	wall    func() time.Time
+
+	inbox    chan message
+	seats    map[string]*seat
+	manifest *manifest.Manifest
+	leaving  bool
+	view     atomic.Pointer[View]
+	// yieldTo asks a leader of another hall for a seat of this one.
+	yieldTo func(cell, address string)
+	asked   map[string]time.Time
+}
+
+// seat is one cell in this process.
+type seat struct {
+	name, hall string
+	seat       *election.Seat
+	state      *cell.State
+	touched    bool
+	// storeAge of the last row decides how long a successor waits.
+}
+
+// View is what the control thread lets others see of the cells.
+type View struct {
+	At    time.Time
+	Cells map[string]CellView
+}
+
+// CellView is who leads a cell.
+type CellView struct {
+	Hall    string
+	Leader  string
+	Address string
+	Epoch   int64
+	// Fresh says that its renewals come.
+	Fresh bool
+	// Mine says that this process leads it, with its jobs loaded.
+	Mine bool
+}
+
+// NewControl returns the control thread of a process for the given cells, each
+// with the hall that it stands in.
+func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
+	c := &Control{
+		self: self, store: st, caller: caller, log: log, metrics: registry, wall: time.Now,
+		inbox: make(chan message, inboxSize), seats: map[string]*seat{}, asked: map[string]time.Time{},
+		yieldTo: func(string, string) {},
+	}
+	for name, hall := range cells {
+		c.seats[name] = &seat{
+			name: name, hall: hall, seat: election.New(name, hall, self), state: cell.New(name, bounds, options...),
+		}
+	}
+	c.publish(time.Now())
+	return c
+}
+
+// String names the part for the supervisor.
+func (c *Control) String() string { return "control" }
+
+// Serve runs the control thread until the context ends.
+func (c *Control) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-c.inbox:
+			now := time.Now()
+			m.apply(c, now)
+			c.takeMore(now)
+			c.act(ctx, now)
+		case <-ticker.C:
+			now := time.Now()
+			for _, s := range c.seats {
+				s.state.Take(now, cell.Tick{})
+				s.touched = true
+				c.seatChanged(now, s, s.seat.Expire(now))
+			}
+			c.act(ctx, now)
+		}
+	}
+}
+
+func (c *Control) takeMore(now time.Time) {
+	for range batchMost {
+		select {
+		case m := <-c.inbox:
+			m.apply(c, now)
+		default:
+			return
+		}
+	}
+}
+
+// act lets each cell that was touched decide, and the seats renew.
+func (c *Control) act(ctx context.Context, now time.Time) {
+	wall := c.wall()
+	for _, s := range c.seats {
+		if s.touched {
+			s.touched = false
+			for _, e := range s.state.Decide(now, wall) {
+				c.carryOut(ctx, now, s, e)
+			}
+		}
+		c.electSeat(ctx, now, s)
+	}
+}
+
+func (c *Control) electSeat(ctx context.Context, now time.Time, s *seat) {
+	if s.seat.Role() == election.Leader && s.state.Quiet() {
+		s.seat.Release() // a planned stop, or a yield, has come to its end
+	}
+	if w := s.seat.Next(now, s.state.Roster(), c.held(s), c.leaving); w != nil {
+		go c.writeSeat(ctx, s.name, *w)
+	}
+	if s.seat.AskYield(now) && !c.leaving && now.Sub(c.asked[s.name]) > yieldAgain {
+		c.asked[s.name] = now
+		c.yieldTo(s.name, s.seat.Row().GetAddress())
+	}
+}
+
+// yieldAgain is the time between two requests for a seat.
+const yieldAgain = time.Second
+
+// held counts the other seats that this process holds.
+func (c *Control) held(but *seat) int {
+	n := 0
+	for _, s := range c.seats {
+		if s != but && s.seat.Role() == election.Leader {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Control) seatChanged(now time.Time, s *seat, change election.Change) {
+	switch {
+	case change.Led:
+		epoch := s.seat.Row().GetEpoch()
+		s.state.Take(now, cell.Led{
+			Epoch: epoch, Roster: change.Before.GetRoster(), RosterUntil: rosterUntil(now, change),
+		})
+		if c.manifest != nil {
+			s.state.Take(now, cell.ManifestChanged{Manifest: c.manifest})
+		}
+		s.state.Take(now, cell.RosterRecorded{IDs: ids(s.seat.Row().GetRoster())})
+		s.touched = true
+	case change.Lost:
+		s.state.Take(now, cell.Deposed{Why: change.Why})
+		s.touched = true
+	}
+	c.publish(now)
+}
+
+// rosterUntil is when the last lease that a forerunner could have granted is
+// over: it grants none after its tenure, nor after it has released the seat.
+func rosterUntil(now time.Time, change election.Change) time.Time {
+	const longest = cell.LongestLease + cell.LongestLease/10
+	if change.Before == nil {
+		return now
+	}
+	if change.Before.GetReleased() {
+		return now.Add(longest)
+	}
+	return now.Add(election.Tenure - change.Age + longest)
+}
+
+func ids(roster []*wire.RosterEntry) []string {
+	list := make([]string, 0, len(roster))
+	for _, r := range roster {
+		list = append(list, r.GetId())
+	}
+	return list
+}
+
+func (c *Control) writeSeat(ctx context.Context, name string, w election.Write) {
+	done, err := c.store.Commit(ctx, tableWrite(rows.LeadKey(name), w))
+	version := int64(0)
+	switch {
+	case err != nil:
+		c.log.WithFields(logrus.Fields{"cell": name, "why": err.Error()}).Warn("lead-write-failed")
+	case !done.Conflict:
+		version = done.Version
+	}
+	c.tell(seatWritten{cell: name, version: version, roster: ids(w.Row.GetRoster())})
+}
+
+// publish lets traffic see who leads.
+func (c *Control) publish(now time.Time) {
+	v := &View{At: now, Cells: map[string]CellView{}}
+	for name, s := range c.seats {
+		row := s.seat.Row()
+		v.Cells[name] = CellView{
+			Hall: s.hall, Leader: row.GetHost(), Address: row.GetAddress(), Epoch: row.GetEpoch(),
+			Fresh: s.seat.Fresh(now), Mine: s.seat.Role() == election.Leader,
+		}
+	}
+	c.view.Store(v)
+}
+
+// View is who leads, as this process last saw it.
+func (c *Control) View() *View { return c.view.Load() }
+
+// tell hands a message to the control thread.
+func (c *Control) tell(m message) { c.inbox <- m }
+
+// ask runs a reading on the control thread and waits for it; false: it did not
+// come to it in time.
+func (c *Control) ask(ctx context.Context, read func(c *Control, now time.Time)) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	m := ask{read: read, done: make(chan struct{})}
+	select {
+	case c.inbox <- m:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-m.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/process/fleet/effects.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+)
+
+const (
+	// orderTimeout bounds an order to a worker: a hundred times an ordinary
+	// one. Orders without an answer are sent again.
+	orderTimeout = 400 * time.Millisecond
+	// lookSlack is what a look may take beyond the wait that it asks for.
+	lookSlack = 600 * time.Millisecond
+)
+
+func tableWrite(key table.Key, w election.Write) table.Transaction {
+	return table.Transaction{
+		Conditions: []table.Condition{{Key: key, Version: w.Version}},
+		Puts:       []table.Row{rows.Row(key, w.Row)},
+	}
+}
+
+// carryOut starts an effect; its outcome comes back as a message.
+func (c *Control) carryOut(ctx context.Context, now time.Time, s *seat, e cell.Effect) {
+	name := s.name
+	switch e := e.(type) {
+	case cell.Note:
+		c.logNote(name, e)
+	case cell.StepDown:
+		s.state.Take(now, cell.Deposed{Why: e.Why})
+		s.touched = true
+	case cell.Load:
+		go c.load(ctx, name, e.Epoch)
+	case cell.SendLook:
+		go c.sendLook(ctx, name, e, now)
+	case cell.SendStart:
+		go c.sendStart(ctx, name, e)
+	case cell.SendStop:
+		go c.sendStop(ctx, name, e)
+	case cell.SendPace:
+		go c.sendPace(ctx, name, e)
+	case cell.Record:
+		go c.record(ctx, name, e)
+	}
+}
+
+func (c *Control) sendLook(ctx context.Context, name string, e cell.SendLook, sentAt time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, e.Look.Wait+lookSlack)
+	defer cancel()
+	report, refusal, err := c.caller.Look(ctx, e.To, e.Look)
+	c.countCall("look", refusal, err)
+	c.tell(cellEvent{name, cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err}})
+}
+
+func (c *Control) sendStart(ctx context.Context, name string, e cell.SendStart) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := c.caller.Start(ctx, e.To, e.Start)
+	c.countCall("start", reply.Refusal, err)
+	c.tell(cellEvent{name, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: reply, Err: err}})
+}
+
+func (c *Control) sendStop(ctx context.Context, name string, e cell.SendStop) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := c.caller.Stop(ctx, e.To, e.Stop)
+	c.countCall("stop", reply.Refusal, err)
+	c.tell(cellEvent{name, cell.StopAnswered{Worker: e.To.ID, Reply: reply, Err: err}})
+}
+
+func (c *Control) sendPace(ctx context.Context, name string, e cell.SendPace) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := c.caller.Pace(ctx, e.To, e.Pace)
+	c.countCall("pace", reply.Refusal, err)
+	c.tell(cellEvent{name, cell.PaceAnswered{
+		Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent, Reply: reply, Err: err,
+	}})
+}
+
+func (c *Control) record(ctx context.Context, name string, e cell.Record) {
+	began := time.Now()
+	done, err := c.store.Commit(ctx, e.Transaction)
+	metrics.GetOrRegisterTimer("record", c.metrics).UpdateSince(began)
+	c.tell(cellEvent{name, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: done, Err: err}})
+}
+
+func (c *Control) countCall(what string, refusal workers.Refusal, err error) {
+	outcome := "ok"
+	switch {
+	case err != nil:
+		outcome = "unanswered"
+	case refusal != workers.RefusedNot:
+		outcome = "refused." + string(refusal)
+	}
+	metrics.GetOrRegisterCounter("worker."+what+"."+outcome, c.metrics).Inc(1)
+}
+
+// logNote writes one decision to the log.
+func (c *Control) logNote(name string, n cell.Note) {
+	fields := logrus.Fields{"cell": name}
+	add := func(key, value string) {
+		if value != "" {
+			fields[key] = value
+		}
+	}
+	add("job", n.Job)
+	add("task", n.Task)
+	add("worker", n.Worker)
+	add("detail", n.Detail)
+	add("code", string(n.Code))
+	if n.Run != 0 {
+		fields["run"] = n.Run
+	}
+	if n.AgeMs >= 0 {
+		fields["age_ms"] = n.AgeMs
+	}
+	metrics.GetOrRegisterCounter("note."+string(n.What), c.metrics).Inc(1)
+	c.log.WithFields(fields).Info(string(n.What))
+}
--- /dev/null
+++ b/pkg/process/fleet/figures.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// serveMetrics tells counters and timers as text, a line each.
+func (h *Host) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	lines := []string{fmt.Sprintf("log.dropped %d", h.eventLog.Dropped())}
+	h.Metrics.Each(func(name string, value any) { lines = append(lines, metricLines(name, value)...) })
+	for name, c := range h.Control.Summary(r.Context()) {
+		lines = append(lines,
+			fmt.Sprintf("cell.%s.jobs %d", name, c.Jobs), fmt.Sprintf("cell.%s.waiting %d", name, c.Waiting),
+			fmt.Sprintf("cell.%s.running %d", name, c.Running), fmt.Sprintf("cell.%s.workers %d", name, c.Workers),
+			fmt.Sprintf("cell.%s.usable %d", name, c.Usable), fmt.Sprintf("cell.%s.aside %d", name, c.Aside))
+	}
+	sort.Strings(lines)
+	w.Header().Set("Content-Type", "text/plain")
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(w, l); err != nil {
+			return // who asked has left
+		}
+	}
+}
+
+func metricLines(name string, value any) []string {
+	switch m := value.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d", name, m.Count())}
+	case metrics.Timer:
+		p := m.Percentiles([]float64{0.5, 0.95, 0.99})
+		ms := float64(time.Millisecond)
+		return []string{
+			fmt.Sprintf("%s.count %d", name, m.Count()), fmt.Sprintf("%s.p50_ms %.1f", name, p[0]/ms),
+			fmt.Sprintf("%s.p95_ms %.1f", name, p[1]/ms), fmt.Sprintf("%s.p99_ms %.1f", name, p[2]/ms),
+		}
+	}
+	return nil
+}
+
+// status is what an operator asks first of a host.
+type status struct {
+	Host, Hall string
+	Ready      bool
+	Why        string `json:",omitempty"`
+	Manifest   int64
+	StoreAgeMs int64
+	Cells      map[string]CellView
+	Led        any
+	Hosts      []string
+}
+
+func (h *Host) serveStatus(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	s := status{Host: h.Config.Name, Hall: h.Config.Hall, StoreAgeMs: h.Store.SinceWorked(now).Milliseconds(), Cells: h.Control.View().Cells, Led: h.Control.Summary(r.Context())}
+	s.Ready, s.Why = h.Ready(now)
+	if m := h.Manifest(); m != nil {
+		s.Manifest = m.Version()
+	}
+	for _, other := range h.Hosts.List() {
+		s.Hosts = append(s.Hosts, other.GetName())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		h.Log.WithField("why", err.Error()).Warn("status-not-sent")
+	}
+}
--- /dev/null
+++ b/pkg/process/fleet/host.go
@@ -0,0 +1,324 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+	"google.golang.org/grpc"
+
+	"github.com/wrenferry/wrenferry/pkg/connection/fleetpeer"
+	"github.com/wrenferry/wrenferry/pkg/connection/store"
+	"github.com/wrenferry/wrenferry/pkg/eventlog"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	// storeSilence is how long the table may be silent, straight and through
+	// peers, before this host sends callers to others.
+	storeSilence = 1500 * time.Millisecond
+	// balancerWait is how long a planned stop goes on taking calls: the
+	// balancer asks once a second and takes a host out after two misses.
+	balancerWait = 2200 * time.Millisecond
+	// handoverWait bounds the wait for all seats to be given up.
+	handoverWait = 1500 * time.Millisecond
+	// stopMargin is kept of the grace for the process's own end.
+	stopMargin = 500 * time.Millisecond
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 3 * time.Second
+	// idleTimeout is how long a caller's unused connection is kept.
+	idleTimeout = 15 * time.Second
+	// maxHeader bounds the headers of a call.
+	maxHeader = 16 << 10
+	// streamWindow keeps the memory of peers' connections small.
+	streamWindow = 64 << 10
+	// delaySpread spreads hosts that see the same, so that one takes a seat.
+	delaySpread = 150 * time.Millisecond
+)
+
+// Outside is what the host's surroundings provide, each through an adapter.
+type Outside struct {
+	Table  store.Direct
+	Caller workers.Caller
+	Source Source
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Callers makes the handler of callers' calls.
+	Callers func(h *Host) http.Handler
+}
+
+// Host is one entry host.
+type Host struct {
+	Config  Config
+	Store   *store.Client
+	Control *Control
+	Hosts   *Hosts
+	Metrics metrics.Registry
+	Log     *logrus.Entry
+
+	eventLog *eventlog.Log
+	peers    *fleetpeer.Clients
+	manifest atomic.Pointer[manifest.Manifest]
+	leaving  atomic.Bool
+	outside  Outside
+	self     election.Self
+
+	callers, ready, figures *http.Server
+	listeners               map[*http.Server]net.Listener
+	grpc                    *grpc.Server
+	grpcListener            net.Listener
+}
+
+// New puts a host together and opens its ports.
+func New(config Config, outside Outside, log *eventlog.Log, options ...cell.Option) (*Host, error) {
+	now := time.Now()
+	life := uuid.New()
+	self := election.Self{
+		Life: config.Name + "/" + life.String(), Host: config.Name, Hall: config.Hall, Address: config.Control, Since: now,
+		Delay: time.Duration(life[0]) * delaySpread / 256,
+	}
+	h := &Host{
+		Config: config, outside: outside, eventLog: log, Metrics: metrics.NewRegistry(), self: self,
+		Log:       log.With(logrus.Fields{"host": config.Name, "hall": config.Hall, "life": life.String()[:8]}),
+		peers:     fleetpeer.NewClients(outside.Dial),
+		listeners: map[*http.Server]net.Listener{},
+	}
+	h.Hosts = &Hosts{Self: self, Peers: h.peers}
+	h.Store = store.New(outside.Table, h.Hosts.ForTable, h.Metrics, now)
+	h.Hosts.Store = h.Store
+	cells := map[string]string{}
+	for _, hall := range config.Halls {
+		cells[hall] = hall
+	}
+	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, h.Log, h.Metrics, options...)
+	h.Control.yieldTo = h.yieldTo
+	return h, h.listen()
+}
+
+// Manifest is the newest manifest, or nil while none has been read.
+func (h *Host) Manifest() *manifest.Manifest { return h.manifest.Load() }
+
+// To returns the client for a peer's address.
+func (h *Host) To(address string) (wire.FleetClient, error) { return h.peers.To(address) }
+
+func (h *Host) listen() error {
+	readyMux := http.NewServeMux()
+	readyMux.HandleFunc("GET /readyz", h.serveReady)
+	figuresMux := http.NewServeMux()
+	figuresMux.HandleFunc("GET /metrics", h.serveMetrics)
+	figuresMux.HandleFunc("GET /status", h.serveStatus)
+	var err error
+	if h.callers, err = h.server(h.Config.Callers, h.outside.Callers(h)); err != nil {
+		return err
+	}
+	if h.ready, err = h.server(h.Config.Ready, readyMux); err != nil {
+		return err
+	}
+	if h.figures, err = h.server(h.Config.Metrics, figuresMux); err != nil {
+		return err
+	}
+	h.grpc = grpc.NewServer(
+		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(streamWindow),
+		grpc.ReadBufferSize(8<<10), grpc.WriteBufferSize(8<<10),
+	)
+	wire.RegisterFleetServer(h.grpc, &fleetpeer.Server{Control: h.Control, Table: h.outside.Table})
+	h.grpcListener, err = openPort(h.Config.Control)
+	return err
+}
+
+func (h *Host) server(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := openPort(address)
+	if err != nil {
+		return nil, err
+	}
+	s := &http.Server{Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.listeners[s] = listener
+	return s, nil
+}
+
+func openPort(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, address, "can't listen there", "is the address this host's, and free?").WithCause(err)
+	}
+	return listener, nil
+}
+
+// Run runs the host until the context ends, and then stops it as planned.
+func (h *Host) Run(ctx context.Context) error {
+	// A panic ends the process: a control state that was left half changed must
+	// not go on, and another host takes over.
+	supervisor := suture.New("wrenferryd", suture.Spec{PassThroughPanics: true, EventHook: func(e suture.Event) {
+		h.Log.WithField("detail", e.String()).Warn("part-ended")
+	}})
+	for _, part := range h.parts() {
+		supervisor.Add(part)
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	h.Log.WithField("callers", h.Config.Callers).Info("host-started")
+	ended := supervisor.ServeBackground(running)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	h.stop()
+	cancel()
+	<-ended
+	h.Log.Info("host-stopped")
+	h.eventLog.Flush()
+	return nil
+}
+
+func (h *Host) parts() []suture.Service {
+	list := []suture.Service{
+		h.eventLog, h.Control, h.Hosts,
+		&ManifestFollower{Store: h.Store, Source: h.outside.Source, Log: h.Log, Changed: h.takeManifest},
+		&WorkersFollower{Store: h.Store, Source: h.outside.Source, Control: h.Control, Log: h.Log},
+		&LeadsFollower{Store: h.Store, Control: h.Control},
+		&grpcPart{server: h.grpc, listener: h.grpcListener},
+	}
+	for s, l := range h.listeners {
+		list = append(list, &httpPart{server: s, listener: l})
+	}
+	return list
+}
+
+func (h *Host) takeManifest(m *manifest.Manifest) {
+	h.manifest.Store(m)
+	h.Control.tell(manifestCame{manifest: m})
+}
+
+// stop is the planned stop: say so, hand the seats over, go on until the
+// balancer has noticed, finish what is in flight.
+func (h *Host) stop() {
+	began := time.Now()
+	h.Log.Info("host-stopping")
+	h.leaving.Store(true)
+	h.Hosts.Leave()
+	h.callers.SetKeepAlivesEnabled(false)
+	h.handOver()
+	time.Sleep(time.Until(began.Add(balancerWait)))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.Config.Grace-stopMargin))
+	defer cancel()
+	if err := h.callers.Shutdown(ctx); err != nil {
+		h.Log.WithField("why", err.Error()).Warn("stop-cut-calls")
+	}
+}
+
+// handOver gives the seats up and asks hosts of their halls to take them.
+func (h *Host) handOver() {
+	held := h.Control.Held()
+	h.Control.Leave()
+	for _, name := range held {
+		next := h.Hosts.Successor(h.Control.View().Cells[name].Hall)
+		if next == nil {
+			continue
+		}
+		h.Log.WithFields(logrus.Fields{"cell": name, "to": next.GetName()}).Info("cell-handed-over")
+		p, err := h.peers.To(next.GetAddress())
+		if err != nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), peerWord)
+		if _, err := p.TakeOver(ctx, &wire.CellRef{Cell: name}); err != nil {
+			h.Log.WithFields(logrus.Fields{"cell": name, "to": next.GetName(), "why": err.Error()}).Warn("handover-unanswered")
+		}
+		cancel()
+	}
+	deadline := time.Now().Add(handoverWait)
+	for len(h.Control.Held()) > 0 && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// peerWord bounds a word to a peer that needs no answer.
+const peerWord = 300 * time.Millisecond
+
+// yieldTo asks a leader of another hall for a seat of ours.
+func (h *Host) yieldTo(cellName, address string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerWord)
+		defer cancel()
+		p, err := h.peers.To(address)
+		if err != nil {
+			return // its row will name another address
+		}
+		if _, err := p.Yield(ctx, &wire.CellRef{Cell: cellName}); err != nil {
+			h.Log.WithFields(logrus.Fields{"cell": cellName, "why": err.Error()}).Warn("yield-unanswered")
+		}
+	}()
+}
+
+// Ready says whether this host takes calls, and if not, why.
+func (h *Host) Ready(now time.Time) (bool, string) {
+	switch {
+	case h.leaving.Load():
+		return false, "stopping"
+	case h.manifest.Load() == nil:
+		return false, "no manifest yet"
+	case h.Store.SinceWorked(now) > storeSilence:
+		return false, "the table does not answer"
+	}
+	return true, ""
+}
+
+func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ok, why := h.Ready(time.Now()); !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ------------------------------------------------------------------ parts
+
+// httpPart is an HTTP server as a supervised part.
+type httpPart struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// String names the part for the supervisor.
+func (p *httpPart) String() string { return "server on " + p.listener.Addr().String() }
+
+// Serve serves until the context ends or the server is shut down.
+func (p *httpPart) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.server.Close() })
+	defer stop()
+	if err := p.server.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
+
+// grpcPart is the peers' server as a supervised part.
+type grpcPart struct {
+	server   *grpc.Server
+	listener net.Listener
+}
+
+// String names the part for the supervisor.
+func (p *grpcPart) String() string { return "peers' server" }
+
+// Serve serves until the context ends.
+func (p *grpcPart) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, p.server.Stop)
+	defer stop()
+	if err := p.server.Serve(p.listener); err != nil {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
--- /dev/null
+++ b/pkg/process/fleet/load.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// loadAgain is the pause after a load that failed.
+const loadAgain = 100 * time.Millisecond
+
+// load puts the fences of a new epoch and reads the cell's jobs, part by part,
+// until it has all of them or the epoch is over.
+func (c *Control) load(ctx context.Context, name string, epoch int64) {
+	for ctx.Err() == nil {
+		loaded, err := c.loadOnce(ctx, name, epoch)
+		if err == nil {
+			c.tell(cellEvent{name, loaded.event})
+			c.followCell(ctx, name, epoch, loaded.versions)
+			return
+		}
+		c.log.WithFields(logrus.Fields{"cell": name, "why": err.Error()}).Warn("cell-load-failed")
+		if fault.CodeOf(err) == fault.Conflict {
+			c.tell(cellEvent{name, cell.Deposed{Why: err.Error()}})
+			return
+		}
+		if v := c.View().Cells[name]; !v.Mine || v.Epoch != epoch {
+			return
+		}
+		time.Sleep(loadAgain)
+	}
+}
+
+// loadedCell is what the table holds of a cell, and as of which versions.
+type loadedCell struct {
+	event    cell.Loaded
+	versions followFrom
+}
+
+// loadedPart is what one part of the table holds of a cell.
+type loadedPart struct {
+	fence    int64
+	jobs     []cell.LoadedJob
+	cancels  []string
+	versions followFrom
+	err      error
+}
+
+func (c *Control) loadOnce(ctx context.Context, name string, epoch int64) (*loadedCell, error) {
+	parts := make([]loadedPart, rows.JobParts)
+	var wait sync.WaitGroup
+	for i := range parts {
+		wait.Go(func() { parts[i] = c.loadPart(ctx, name, rows.PartName(i), epoch) })
+	}
+	wait.Wait()
+	now := time.Now()
+	event := cell.Loaded{Epoch: epoch, Fences: map[string]int64{}, Wall: c.wall(), StoreNow: c.store.Now(now)}
+	versions := parts[0].versions
+	for i, p := range parts {
+		if p.err != nil {
+			return nil, p.err
+		}
+		event.Fences[rows.PartName(i)] = p.fence
+		event.Jobs = append(event.Jobs, p.jobs...)
+		event.Cancels = append(event.Cancels, p.cancels...)
+		versions.specs = min(versions.specs, p.versions.specs)
+		versions.cancels = min(versions.cancels, p.versions.cancels)
+	}
+	return &loadedCell{event: event, versions: versions}, nil
+}
+
+func (c *Control) loadPart(ctx context.Context, name, part string, epoch int64) loadedPart {
+	p := loadedPart{}
+	if p.fence, p.err = c.putFence(ctx, name, part, epoch); p.err != nil {
+		return p
+	}
+	specs, err := table.ReadAll(ctx, c.store, rows.SpecTable(name), part)
+	if err != nil {
+		p.err = err
+		return p
+	}
+	progress, err := table.ReadAll(ctx, c.store, rows.ProgressTable(name), part)
+	if err != nil {
+		p.err = err
+		return p
+	}
+	cancels, err := table.ReadAll(ctx, c.store, rows.CancelTable(name), part)
+	if err != nil {
+		p.err = err
+		return p
+	}
+	p.versions = followFrom{specs: specs.Version, cancels: cancels.Version}
+	p.jobs = c.joinRows(specs.Rows, progress.Rows)
+	for _, r := range cancels.Rows {
+		p.cancels = append(p.cancels, r.Key.Key)
+	}
+	return p
+}
+
+// joinRows puts jobs together from their rows. Jobs that have ended have
+// progress and no specification any more.
+func (c *Control) joinRows(specs, progress []table.Row) []cell.LoadedJob {
+	known := map[string]cell.LoadedJob{}
+	for _, r := range specs {
+		spec := &wire.JobSpec{}
+		if err := rows.Read(r, spec); err != nil {
+			c.unreadable(r, err)
+			continue
+		}
+		known[spec.GetId()] = cell.LoadedJob{Spec: spec}
+	}
+	for _, r := range progress {
+		p := &wire.JobProgress{}
+		if err := rows.Read(r, p); err != nil {
+			c.unreadable(r, err)
+			continue
+		}
+		j := known[r.Key.Key]
+		if j.Spec == nil {
+			j.Spec = &wire.JobSpec{Id: r.Key.Key}
+		}
+		j.Progress, j.Recorded = p, r.Version
+		known[r.Key.Key] = j
+	}
+	list := make([]cell.LoadedJob, 0, len(known))
+	for _, j := range known {
+		list = append(list, j)
+	}
+	return list
+}
+
+func (c *Control) unreadable(r table.Row, err error) {
+	c.log.WithFields(logrus.Fields{"table": r.Table, "key": r.Key.Key, "why": err.Error()}).Error(string(cell.NoteUnreadable))
+}
+
+// putFence raises a cell's fence in one part, and returns the row's version.
+func (c *Control) putFence(ctx context.Context, name, part string, epoch int64) (int64, error) {
+	key := rows.FenceKey(name, part)
+	page, err := c.store.Read(ctx, table.Range{Table: key.Table, Part: part, From: name, To: name + "\x00", Limit: 1})
+	if err != nil {
+		return 0, err
+	}
+	before := int64(0)
+	if len(page.Rows) > 0 {
+		fence := &wire.CellFence{}
+		if err := rows.Read(page.Rows[0], fence); err != nil {
+			return 0, err
+		}
+		switch {
+		case fence.GetEpoch() > epoch:
+			return 0, fault.New(fault.Conflict, name, "a later leader has put its fence", "")
+		case fence.GetEpoch() == epoch:
+			return page.Rows[0].Version, nil // an earlier try of ours
+		}
+		before = page.Rows[0].Version
+	}
+	done, err := c.store.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: key, Version: before}},
+		Puts:       []table.Row{rows.Row(key, &wire.CellFence{Epoch: epoch})},
+	})
+	if err != nil {
+		return 0, err
+	}
+	if done.Conflict {
+		return 0, fault.New(fault.Unavailable, name, "the fence moved meanwhile", "")
+	}
+	return done.Version, nil
+}
--- /dev/null
+++ b/pkg/process/jobs/job.go
@@ -0,0 +1,296 @@
+// Package jobs answers one question: which tasks of which jobs may start now?
+//
+// A job has steps, a step has tasks that are alike. A step waits for the steps
+// that it comes after; a job that repeats runs its steps once for each of its
+// times. A step at one time is a Unit here. Nothing in this package knows
+// workers or makes calls; times are arguments. Data flows one way: a
+// specification and, after a takeover, recorded progress come in; ends of runs
+// change tasks; the progress to record goes out.
+package jobs
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Job is one accepted job. It belongs to one thread.
+type Job struct {
+	Spec *wire.JobSpec
+	// Phase is what callers are told once the record that says so is durable.
+	Phase wire.JobPhase
+	// Recorded is the version of the progress row; 0 before the first.
+	Recorded int64
+	// Durable is the phase that the progress row holds.
+	Durable wire.JobPhase
+	// AcceptedAt is the local reading of the steady clock when it was accepted.
+	AcceptedAt time.Time
+	// EndedAt is when its last phase was decided.
+	EndedAt time.Time
+	Reason  string
+	// Begun says that a task has started at some time.
+	Begun bool
+	Units []*Unit
+
+	times int
+}
+
+// Unit is one step at one of the job's times.
+type Unit struct {
+	Job   *Job
+	Time  int
+	Step  int
+	Spec  *wire.StepSpec
+	Tasks []*Task
+	Size  ledger.Size
+	// FailedAt are workers where runs of the unit failed. Failures at several of
+	// them speak against the unit, not the workers.
+	FailedAt map[string]bool
+
+	done int
+	// gangFailures are run numbers of a gang that ended in failure.
+	gangFailures map[int64]bool
+}
+
+// Task is one task. It runs at most once at a time, unless its step allows
+// copies.
+type Task struct {
+	Unit  *Unit
+	Index int
+	Done  bool
+	// Settled is false while the task may run at a worker that has not yet been
+	// heard since the cell changed its leader.
+	Settled bool
+	// Checkpoint is the newest that is known; empty: from the start.
+	Checkpoint string
+	FailedRuns []int64
+	// Runs are those that may be running now.
+	Runs []*Run
+	// RetryAt holds back a task whose last start was refused.
+	RetryAt time.Time
+	// AvoidWorker is where its last run failed: the next one goes elsewhere, if
+	// it can.
+	AvoidWorker string
+}
+
+// New returns a job that nobody has worked on yet.
+func New(spec *wire.JobSpec, acceptedAt time.Time) *Job {
+	j := &Job{Spec: spec, Phase: wire.JobPhase_JOB_PHASE_QUEUED, AcceptedAt: acceptedAt}
+	if spec.GetRepeats() == 0 {
+		j.openTime(0)
+	}
+	return j
+}
+
+// Repeats is how many times the steps run in all.
+func (j *Job) Repeats() int { return max(1, int(j.Spec.GetRepeats())) }
+
+func (j *Job) openTime(time int) {
+	for i, step := range j.Spec.GetSteps() {
+		u := &Unit{
+			Job: j, Time: time, Step: i, Spec: step,
+			Size: ledger.Size{Millicores: step.GetMillicores(), MemoryMB: step.GetMemoryMb(), Accelerators: step.GetAccelerators()},
+		}
+		for n := range int(step.GetCount()) {
+			u.Tasks = append(u.Tasks, &Task{Unit: u, Index: n, Settled: true})
+		}
+		j.Units = append(j.Units, u)
+	}
+	j.times = max(j.times, time+1)
+}
+
+// OpenDue opens the times that have fallen due by the time of day wall, and
+// returns the units that are new.
+func (j *Job) OpenDue(wall time.Time) []*Unit {
+	before := len(j.Units)
+	for j.times < int(j.Spec.GetRepeats()) && !wall.Before(j.DueAt(j.times)) {
+		j.openTime(j.times)
+	}
+	return j.Units[before:]
+}
+
+// DueAt is the time of day at which the job's given time falls due.
+func (j *Job) DueAt(n int) time.Time {
+	return time.UnixMilli(j.Spec.GetFirstUnixMs() + int64(n)*j.Spec.GetIntervalMs())
+}
+
+// Ended says whether the job's phase is its last.
+func (j *Job) Ended() bool { return Last(j.Phase) }
+
+// Last says whether a phase is one that a job never leaves.
+func Last(p wire.JobPhase) bool {
+	switch p {
+	case wire.JobPhase_JOB_PHASE_COMPLETED, wire.JobPhase_JOB_PHASE_FAILED, wire.JobPhase_JOB_PHASE_CANCELLED:
+		return true
+	default:
+		return false
+	}
+}
+
+// End gives the job its last phase. A job that has ended stays as it is.
+func (j *Job) End(phase wire.JobPhase, reason string, now time.Time) {
+	if j.Ended() {
+		return
+	}
+	j.Phase, j.Reason, j.EndedAt = phase, reason, now
+}
+
+// AllDone says whether every task of every time has ended well.
+func (j *Job) AllDone() bool {
+	if j.times < j.Repeats() {
+		return false
+	}
+	for _, u := range j.Units {
+		if !u.Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// unit finds the unit of a step at a time.
+func (j *Job) unit(time, step int) *Unit {
+	at := time*len(j.Spec.GetSteps()) + step
+	if time < 0 || step < 0 || step >= len(j.Spec.GetSteps()) || at >= len(j.Units) {
+		return nil
+	}
+	return j.Units[at]
+}
+
+// Task finds a task by its numbers; it is nil where there is none.
+func (j *Job) Task(time, step, index int) *Task {
+	u := j.unit(time, step)
+	if u == nil || index < 0 || index >= len(u.Tasks) {
+		return nil
+	}
+	return u.Tasks[index]
+}
+
+// Chain is the longest chain of estimated work from a step to the job's end,
+// the step included.
+func (j *Job) Chain(step int) time.Duration {
+	longest := time.Duration(0)
+	for i := step + 1; i < len(j.Spec.GetSteps()); i++ {
+		if comesAfter(j.Spec.GetSteps()[i], step) {
+			longest = max(longest, j.Chain(i))
+		}
+	}
+	return longest + time.Duration(j.Spec.GetSteps()[step].GetEstimateMs())*time.Millisecond
+}
+
+func comesAfter(s *wire.StepSpec, step int) bool {
+	for _, a := range s.GetAfter() {
+		if int(a) == step {
+			return true
+		}
+	}
+	return false
+}
+
+// WholeChain is the longest chain of estimated work of the whole job.
+func (j *Job) WholeChain() time.Duration {
+	longest := time.Duration(0)
+	for i := range j.Spec.GetSteps() {
+		longest = max(longest, j.Chain(i))
+	}
+	return longest
+}
+
+// ------------------------------------------------------------------ units
+
+// Done says whether all tasks of the unit have ended well.
+func (u *Unit) Done() bool { return u.done == len(u.Tasks) }
+
+// Ready says whether the unit's tasks may start: all tasks of the steps that it
+// comes after, at the same time, have ended well.
+func (u *Unit) Ready() bool {
+	for _, a := range u.Spec.GetAfter() {
+		before := u.Job.unit(u.Time, int(a))
+		if before == nil || !before.Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// Lasting says whether the unit's tasks run until the job is cancelled.
+func (u *Unit) Lasting() bool { return u.Spec.GetLasting() }
+
+// Waiting lists the tasks that may start now.
+func (u *Unit) Waiting(now time.Time) []*Task {
+	var list []*Task
+	for _, t := range u.Tasks {
+		if t.Waiting(now) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// Name is the unit's name in advice and logs: ID.TIME.STEP.
+func (u *Unit) Name() string {
+	return u.Job.Spec.GetId() + "." + strconv.Itoa(u.Time) + "." + strconv.Itoa(u.Step)
+}
+
+// ------------------------------------------------------------------ tasks
+
+// Name is the task's name at workers: ID.TIME.STEP.INDEX.
+func (t *Task) Name() string { return t.Unit.Name() + "." + strconv.Itoa(t.Index) }
+
+// Waiting says whether the task wants a start.
+func (t *Task) Waiting(now time.Time) bool {
+	return !t.Done && t.Settled && len(t.Runs) == 0 && !now.Before(t.RetryAt)
+}
+
+// MarkDone records that a run of the task ended well. It says whether that was
+// news.
+func (t *Task) MarkDone() bool {
+	if t.Done || t.Unit.Lasting() {
+		return false
+	}
+	t.Done = true
+	t.Settled = true
+	t.Unit.done++
+	return true
+}
+
+// MarkFailed counts a run that ended in failure, once, and says how many have.
+// A gang counts its runs as one.
+func (t *Task) MarkFailed(run int64) int {
+	if t.Unit.Spec.GetGang() {
+		if t.Unit.gangFailures == nil {
+			t.Unit.gangFailures = map[int64]bool{}
+		}
+		t.Unit.gangFailures[run] = true
+	}
+	known := false
+	for _, r := range t.FailedRuns {
+		known = known || r == run
+	}
+	if !known {
+		t.FailedRuns = append(t.FailedRuns, run)
+	}
+	return max(len(t.FailedRuns), len(t.Unit.gangFailures))
+}
+
+// Run finds the task's run with the given number at the given worker.
+func (t *Task) Run(number int64, worker string) *Run {
+	for _, r := range t.Runs {
+		if r.Number == number && r.Worker == worker {
+			return r
+		}
+	}
+	return nil
+}
+
+// Drop takes a run out of those that may be running.
+func (t *Task) Drop(r *Run) {
+	for i, have := range t.Runs {
+		if have == r {
+			t.Runs = append(t.Runs[:i:i], t.Runs[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/process/jobs/progress.go
@@ -0,0 +1,88 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Progress encodes what must outlive the leader: what is done, which runs
+// failed, checkpoints, and the phase. Runs are not recorded: workers list them.
+func (j *Job) Progress() *wire.JobProgress {
+	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason}
+	if j.Ended() {
+		return p
+	}
+	for _, u := range j.Units {
+		if up := u.progress(); up != nil {
+			p.Units = append(p.Units, up)
+		}
+	}
+	return p
+}
+
+func (u *Unit) progress() *wire.UnitProgress {
+	up := &wire.UnitProgress{Time: int32(u.Time), Step: int32(u.Step)}
+	if u.done > 0 {
+		up.Done = make([]byte, (len(u.Tasks)+7)/8)
+	}
+	for i, t := range u.Tasks {
+		if t.Done {
+			up.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if len(t.FailedRuns) > 0 || t.Checkpoint != "" {
+			up.Notes = append(up.Notes, &wire.TaskNote{Index: int32(i), FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint})
+		}
+	}
+	if up.Done == nil && up.Notes == nil {
+		return nil
+	}
+	return up
+}
+
+// Restore takes over what an earlier leader recorded. Every task that is not
+// done counts as unsettled: it may be running somewhere.
+func Restore(spec *wire.JobSpec, p *wire.JobProgress, recorded int64, acceptedAt, wall time.Time) *Job {
+	j := New(spec, acceptedAt)
+	j.Recorded = recorded
+	j.OpenDue(wall)
+	if p != nil {
+		j.Phase, j.Durable, j.Reason = p.GetPhase(), p.GetPhase(), p.GetReason()
+		j.Begun = p.GetPhase() != wire.JobPhase_JOB_PHASE_QUEUED
+		for _, up := range p.GetUnits() {
+			j.restoreUnit(up)
+		}
+	}
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			t.Settled = t.Done
+		}
+	}
+	return j
+}
+
+func (j *Job) restoreUnit(up *wire.UnitProgress) {
+	for int(up.GetTime()) >= j.times && j.times < j.Repeats() {
+		j.openTime(j.times) // it had begun, so its time had come
+	}
+	u := j.unit(int(up.GetTime()), int(up.GetStep()))
+	if u == nil {
+		return
+	}
+	for i, t := range u.Tasks {
+		if i/8 < len(up.GetDone()) && up.GetDone()[i/8]&(1<<(i%8)) != 0 {
+			t.MarkDone()
+		}
+	}
+	for _, n := range up.GetNotes() {
+		if int(n.GetIndex()) >= len(u.Tasks) {
+			continue
+		}
+		t := u.Tasks[n.GetIndex()]
+		t.Checkpoint = n.GetCheckpoint()
+		for _, r := range n.GetFailedRuns() {
+			t.MarkFailed(r)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/process/workers/report.go
@@ -0,0 +1,122 @@
+package workers
+
+import (
+	"context"
+	"time"
+)
+
+// Target names a worker for a call: the life that is meant, and where it is.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Look asks a worker what runs and what has ended there, and renews its lease.
+type Look struct {
+	// Fence is the leader's epoch; a worker does nothing for a lower one.
+	Fence int64
+	// Until is the end of the lease by the worker's clock; 0: no renewal.
+	Until time.Duration
+	// Recorded is the newest end that is durable: the worker may forget it.
+	Recorded int64
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+}
+
+// Start orders one run.
+type Start struct {
+	Fence      int64
+	Task       string
+	Run        int64
+	Body       string
+	Until      time.Duration
+	Checkpoint string
+	Ticket     string
+}
+
+// Stop orders the end of one run.
+type Stop struct {
+	Fence int64
+	Task  string
+	Run   int64
+}
+
+// Pace sets the share in percent at which a run works.
+type Pace struct {
+	Fence   int64
+	Task    string
+	Run     int64
+	Percent int
+}
+
+// How a run ended.
+type How string
+
+// The ends of runs.
+const (
+	EndedDone    How = "done"
+	EndedFailed  How = "failed"
+	EndedStopped How = "stopped"
+	EndedLapsed  How = "lapsed"
+	EndedBroken  How = "broken"
+	EndedAlone   How = "alone"
+)
+
+// Active is one run as its worker lists it.
+type Active struct {
+	Task       string
+	Run        int64
+	Checkpoint string
+	Percent    int
+	// Reading is the fifth entry of the list: a tail latency in ms for tasks
+	// with a target, else the millicores in use.
+	Reading int64
+}
+
+// End is the end of one run as its worker lists it.
+type End struct {
+	Number     int64
+	Task       string
+	Run        int64
+	How        How
+	Checkpoint string
+}
+
+// Report is a worker's answer to a look.
+type Report struct {
+	Clock  time.Duration
+	Active []Active
+	Ended  []End
+}
+
+// Refusal is why a worker did not do as it was told.
+type Refusal string
+
+// The refusals. None means that it did.
+const (
+	RefusedNot       Refusal = ""
+	RefusedFence     Refusal = "fence"     // another leader's epoch is higher
+	RefusedOld       Refusal = "old"       // not above a run that ended there
+	RefusedLate      Refusal = "late"      // the order's limit was over
+	RefusedRoom      Refusal = "room"      // it does not fit
+	RefusedTicket    Refusal = "ticket"    // not allowed there
+	RefusedLife      Refusal = "life"      // another incarnation lives there
+	RefusedBusy      Refusal = "busy"      // unwell: it has done nothing
+	RefusedMalformed Refusal = "malformed" // it can't read the order
+	RefusedMissing   Refusal = "missing"   // no such run there
+)
+
+// Reply is a worker's answer to an order.
+type Reply struct {
+	Refusal Refusal
+	Clock   time.Duration
+}
+
+// Caller carries calls to workers. An error says that nobody knows whether the
+// order was or will be carried out, unless its code is fault.NotRun.
+type Caller interface {
+	Look(ctx context.Context, to Target, l Look) (Report, Refusal, error)
+	Start(ctx context.Context, to Target, s Start) (Reply, error)
+	Stop(ctx context.Context, to Target, s Stop) (Reply, error)
+	Pace(ctx context.Context, to Target, p Pace) (Reply, error)
+}
--- /dev/null
+++ b/pkg/process/workers/worker.go
@@ -0,0 +1,210 @@
+// Package workers keeps what a cell's leader knows of each worker: which
+// incarnation it is, how its clock stands, until when it holds what runs on it,
+// what that is, what room is left, and whether it can be trusted.
+//
+// A worker lists what runs and what has ended until it is told that an end is
+// recorded, so its lists are the log of starts. It ends everything by itself
+// when its lease is over, by its own clock. Nothing here makes calls; times are
+// arguments.
+package workers
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+)
+
+// Record is what the list of workers says of one incarnation.
+type Record struct {
+	// ID names the incarnation: another life of the same host has another.
+	ID       string
+	Host     string
+	Service  string
+	Address  string
+	Hall     string
+	Kind     string
+	Rack     string
+	Labels   []string
+	Capacity ledger.Size
+	Ready    bool
+	// Leaving says that it takes no new work; Remaining is how long it will at
+	// least still serve.
+	Leaving   bool
+	Remaining time.Duration
+	Version   int64
+}
+
+// HasLabel says whether the worker carries a label; none is always carried.
+func (r Record) HasLabel(label string) bool {
+	return label == "" || slices.Contains(r.Labels, label)
+}
+
+const (
+	// clockError is how much faster or slower a worker's clock may run than
+	// ours (2% on the pages of the platform; 1% more for our own).
+	clockError = 0.03
+	// clockSlack covers rounding to milliseconds on both sides.
+	clockSlack = 20 * time.Millisecond
+)
+
+// Worker is one incarnation, as its cell's leader knows it.
+type Worker struct {
+	Record
+	// Listed says that the list of workers still holds it.
+	Listed     bool
+	UnlistedAt time.Time
+	// LeavingAt is when it was first seen to be leaving.
+	LeavingAt time.Time
+	// Runs are those that may be running there.
+	Runs map[*jobs.Run]struct{}
+	// Heard says that it has answered since this leader came to lead.
+	Heard bool
+	// FirstSeen is when this leader first knew of it.
+	FirstSeen time.Time
+	// AnsweredAt is when its last answer came, SilentSince when calls began to
+	// fail; zero while they don't.
+	AnsweredAt  time.Time
+	SilentSince time.Time
+	// LookSentAt is when the last look was sent; Looking while it is out.
+	LookSentAt time.Time
+	Looking    bool
+	LookAt     time.Time
+	// Seen is the newest end that was taken in, Recorded the newest that is
+	// durable, and Told the newest that the worker was told of.
+	Seen, Recorded int64
+	Health         Health
+	// Gone says that this life is surely over.
+	Gone bool
+
+	clock      time.Duration
+	clockAt    time.Time
+	leaseUntil time.Duration
+	granted    bool
+	foreign    ledger.Size
+}
+
+// New returns a worker that has not been heard yet.
+func New(r Record, now time.Time) *Worker {
+	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, FirstSeen: now}
+}
+
+// TakeClock takes in a reading of the worker's clock that came in an answer.
+// The clock stood there or later when the answer arrived.
+func (w *Worker) TakeClock(now time.Time, clock time.Duration) {
+	if clock > w.ClockAtLeast(now) || w.clockAt.IsZero() {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// Clocked says whether the worker's clock is known at all.
+func (w *Worker) Clocked() bool { return !w.clockAt.IsZero() }
+
+// ClockAtLeast is the least that the worker's clock can show now.
+func (w *Worker) ClockAtLeast(now time.Time) time.Duration {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	return w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-clockError))
+}
+
+// Grant returns the moment, by the worker's clock, until which it is to hold
+// what runs on it, and remembers the longest that was ever granted.
+func (w *Worker) Grant(now time.Time, span time.Duration) time.Duration {
+	until := w.ClockAtLeast(now) + span
+	w.leaseUntil = max(w.leaseUntil, until)
+	w.granted = true
+	return until
+}
+
+// LeaseOver says whether the worker has surely ended everything by itself, if
+// nobody but this leader has granted it time since.
+func (w *Worker) LeaseOver(now time.Time) bool {
+	if !w.Clocked() || !w.granted {
+		return false
+	}
+	return w.ClockAtLeast(now) > w.leaseUntil+clockSlack
+}
+
+// ClockPassed says whether the worker's clock is surely past a moment.
+func (w *Worker) ClockPassed(now time.Time, moment time.Duration) bool {
+	return w.Clocked() && w.ClockAtLeast(now) > moment+clockSlack
+}
+
+// Add counts a run as running there.
+func (w *Worker) Add(r *jobs.Run) { w.Runs[r] = struct{}{} }
+
+// Remove takes a run off.
+func (w *Worker) Remove(r *jobs.Run) { delete(w.Runs, r) }
+
+// SetForeign sets the room taken by runs that belong to no job of this cell:
+// listed by the worker, and being stopped.
+func (w *Worker) SetForeign(size ledger.Size) { w.foreign = size }
+
+// Free is the room that is not reserved. A filler's processors aren't counted.
+func (w *Worker) Free() ledger.Size {
+	free := w.Capacity.Minus(w.foreign)
+	for r := range w.Runs {
+		free = free.Minus(Reserved(r.Task.Unit))
+	}
+	return free
+}
+
+// Reserved is the room that one task of a unit takes.
+func Reserved(u *jobs.Unit) ledger.Size {
+	size := u.Size
+	if u.Spec.GetFiller() {
+		size.Millicores = 0
+	}
+	return size
+}
+
+// CountOf is how many tasks of a unit are there.
+func (w *Worker) CountOf(u *jobs.Unit) int {
+	n := 0
+	for r := range w.Runs {
+		if r.Task.Unit == u {
+			n++
+		}
+	}
+	return n
+}
+
+// servingLoad is the share of their reserved processors that lasting tasks use
+// on average, while workers do not tell it (the reading that they give for
+// those is a latency). 0.5: half of what is reserved, as for most services.
+const servingLoad = 0.5
+
+// Unused estimates the processors that fillers could take, after what those
+// that are there ask for.
+func (w *Worker) Unused() int64 {
+	unused := w.Capacity.Millicores
+	for r := range w.Runs {
+		size := r.Task.Unit.Size.Millicores
+		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
+			size = int64(float64(size) * servingLoad)
+		}
+		unused -= size
+	}
+	return unused
+}
+
+// Serving says whether a task runs there whose users' latency has a target.
+func (w *Worker) Serving() bool {
+	for r := range w.Runs {
+		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Usable says whether new work may go there: listed, not leaving, heard within
+// the given span, not put aside.
+func (w *Worker) Usable(now time.Time, span time.Duration) bool {
+	if w.Gone || !w.Listed || !w.Ready || w.Leaving || !w.Heard || !w.Clocked() {
+		return false
+	}
+	return now.Sub(w.AnsweredAt) <= span && w.SilentSince.IsZero()
+}
--- /dev/null
+++ b/pkg/request/intake/intake.go
@@ -0,0 +1,320 @@
+// Package intake is what an entry host does for one call about a job: take it
+// in, tell its state, cancel it, count a queue.
+//
+// A job is accepted by one transaction that inserts its anchor if the id is
+// free, so a second hand-in at any host is the same job. What surely was not
+// written is refused as not run; what may have been written is never called so.
+// The cell that gets the job is chosen here: the own hall's, unless another has
+// clearly less work waiting. The cell's leader is told at once; it would also
+// find the job in the table.
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wrenferry/wrenferry/pkg/connection/store"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	// peerTimeout bounds a question to a cell's leader.
+	peerTimeout = 300 * time.Millisecond
+	// anchorsKept and endsKept bound what is remembered of jobs: some minutes'
+	// worth at the rates of the largest known deployment.
+	anchorsKept = 8192
+	endsKept    = 8192
+)
+
+// Leaders tells who leads which cell, and answers for those led here.
+type Leaders interface {
+	View() *fleet.View
+	Accepted(spec *wire.JobSpec)
+	Cancelled(cell, id string)
+	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
+	Load(ctx context.Context, cell string) *wire.CellLoad
+}
+
+// Peers connects to other hosts.
+type Peers interface {
+	To(address string) (wire.FleetClient, error)
+}
+
+// Intake serves calls about jobs. It is safe for many goroutines.
+type Intake struct {
+	hall    string
+	store   *store.Client
+	leaders Leaders
+	peers   Peers
+	log     *logrus.Entry
+	metrics metrics.Registry
+
+	anchors *lru.Cache[string, string]
+	ends    *lru.Cache[string, wire.JobPhase]
+
+	mu    sync.Mutex
+	loads map[string]load
+}
+
+// load is a cell's load, as it was told.
+type load struct {
+	*wire.CellLoad
+	at     time.Time
+	asking bool
+}
+
+// New returns the intake of a host in the given hall.
+func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry) *Intake {
+	anchors, _ := lru.New[string, string](anchorsKept)  // fails for a negative size only
+	ends, _ := lru.New[string, wire.JobPhase](endsKept) // likewise
+	return &Intake{
+		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
+		anchors: anchors, ends: ends, loads: map[string]load{},
+	}
+}
+
+// Submit takes a job in. It returns when the table holds the job, or with what
+// is known: fault.NotRun if it surely does not, else fault.Unknown.
+func (i *Intake) Submit(ctx context.Context, now time.Time, q manifest.Queue, spec *wire.JobSpec) error {
+	if _, known := i.anchors.Get(spec.GetId()); known {
+		i.logJob("job-accepted-again", spec, now, nil)
+		return nil
+	}
+	spec.Queue, spec.Service = q.Name, q.Service
+	spec.Cell = i.choose(now)
+	spec.AcceptedStoreMs = i.store.Now(now).Milliseconds()
+	err := i.insert(ctx, spec)
+	if err != nil {
+		i.count("refused." + string(fault.CodeOf(err)))
+		i.logJob("job-refused", spec, now, err)
+		return err
+	}
+	i.count("accepted")
+	i.logJob("job-accepted", spec, now, nil)
+	return nil
+}
+
+func (i *Intake) insert(ctx context.Context, spec *wire.JobSpec) error {
+	anchor := rows.AnchorKey(spec.GetId())
+	done, err := i.store.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: anchor}},
+		Puts: []table.Row{
+			rows.Row(anchor, &wire.JobAnchor{Cell: spec.GetCell(), Queue: spec.GetQueue()}),
+			rows.Row(rows.SpecKey(spec.GetCell(), spec.GetId()), spec),
+		},
+	})
+	switch {
+	case err != nil && fault.CodeOf(err) == fault.NotRun:
+		return err
+	case err != nil:
+		return i.settleUnknown(ctx, spec, err)
+	case done.Conflict:
+		i.learnAnchor(spec.GetId(), done.Found)
+		return nil // the id stands for a job already: it is this one
+	}
+	i.anchors.Add(spec.GetId(), spec.GetCell())
+	i.tell(spec)
+	return nil
+}
+
+// settleUnknown finds out whether a transaction without an answer took effect.
+// If the job isn't there now it may still come.
+func (i *Intake) settleUnknown(ctx context.Context, spec *wire.JobSpec, cause error) error {
+	cell, found, err := i.anchor(ctx, spec.GetId())
+	if err == nil && found {
+		if cell == spec.GetCell() {
+			i.tell(spec)
+		}
+		return nil
+	}
+	return fault.New(fault.Unknown, spec.GetId(), "the table did not say whether it took the job", "ask again with the same id").WithCause(cause)
+}
+
+func (i *Intake) learnAnchor(id string, found []table.Row) {
+	for _, r := range found {
+		anchor := &wire.JobAnchor{}
+		if r.Version != 0 && r.Table == rows.AnchorTable && rows.Read(r, anchor) == nil {
+			i.anchors.Add(id, anchor.GetCell())
+		}
+	}
+}
+
+// tell hands a job to its cell's leader, without waiting.
+func (i *Intake) tell(spec *wire.JobSpec) {
+	view := i.leaders.View().Cells[spec.GetCell()]
+	if view.Mine {
+		i.leaders.Accepted(spec)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		defer cancel()
+		p, err := i.peers.To(view.Address)
+		if err != nil || view.Address == "" {
+			return // the leader follows the table
+		}
+		reply, err := p.Accepted(ctx, &wire.AcceptedJob{Spec: spec})
+		if err != nil {
+			i.count("tell-failed")
+			return
+		}
+		i.takeLoad(time.Now(), reply)
+	}()
+}
+
+// ----------------------------------------------------------------- states
+
+// State tells a job's phase: UNSPECIFIED if there is no such job.
+func (i *Intake) State(ctx context.Context, id string) (wire.JobPhase, error) {
+	if phase, ok := i.ends.Get(id); ok {
+		return phase, nil
+	}
+	cell, found, err := i.anchor(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	if !found {
+		return wire.JobPhase_JOB_PHASE_UNSPECIFIED, nil
+	}
+	phase, known := i.askLeader(ctx, cell, id)
+	if !known {
+		if phase, err = i.readPhase(ctx, cell, id); err != nil {
+			return 0, err
+		}
+	}
+	if jobs.Last(phase) {
+		i.ends.Add(id, phase)
+	}
+	return phase, nil
+}
+
+// anchor finds the cell that a job went to.
+func (i *Intake) anchor(ctx context.Context, id string) (cell string, found bool, err error) {
+	if cell, ok := i.anchors.Get(id); ok {
+		return cell, true, nil
+	}
+	key := rows.AnchorKey(id)
+	page, err := i.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
+	if err != nil {
+		return "", false, err
+	}
+	if len(page.Rows) == 0 {
+		return "", false, nil
+	}
+	anchor := &wire.JobAnchor{}
+	if err := rows.Read(page.Rows[0], anchor); err != nil {
+		return "", false, err
+	}
+	i.anchors.Add(id, anchor.GetCell())
+	return anchor.GetCell(), true, nil
+}
+
+func (i *Intake) askLeader(ctx context.Context, cell, id string) (wire.JobPhase, bool) {
+	view := i.leaders.View().Cells[cell]
+	if view.Mine {
+		return i.leaders.Phase(ctx, cell, id)
+	}
+	if view.Address == "" || !view.Fresh {
+		return 0, false
+	}
+	p, err := i.peers.To(view.Address)
+	if err != nil {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := p.State(ctx, &wire.JobRef{Cell: cell, Id: id})
+	if err != nil || !reply.GetKnown() {
+		return 0, false
+	}
+	return reply.GetPhase(), true
+}
+
+// readPhase reads a job's phase from the table, where its leader does not
+// answer.
+func (i *Intake) readPhase(ctx context.Context, cell, id string) (wire.JobPhase, error) {
+	key := rows.ProgressKey(cell, id)
+	page, err := i.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
+	if err != nil {
+		return 0, err
+	}
+	if len(page.Rows) == 0 {
+		return wire.JobPhase_JOB_PHASE_QUEUED, nil
+	}
+	p := &wire.JobProgress{}
+	if err := rows.Read(page.Rows[0], p); err != nil {
+		return 0, err
+	}
+	if !jobs.Last(p.GetPhase()) {
+		return wire.JobPhase_JOB_PHASE_RUNNING, nil
+	}
+	return p.GetPhase(), nil
+}
+
+// Cancel puts a cancel into the table; false: there is no such job.
+func (i *Intake) Cancel(ctx context.Context, now time.Time, id string) (bool, error) {
+	if phase, ok := i.ends.Get(id); ok {
+		i.log.WithFields(logrus.Fields{"job": id, "phase": phase.String()}).Info("job-cancel-late")
+		return true, nil
+	}
+	cell, found, err := i.anchor(ctx, id)
+	if err != nil || !found {
+		return found, err
+	}
+	row := rows.Row(rows.CancelKey(cell, id), &wire.JobRef{Cell: cell, Id: id})
+	if _, err = i.store.Commit(ctx, table.Transaction{Puts: []table.Row{row}}); err != nil {
+		i.log.WithFields(logrus.Fields{"job": id, "why": err.Error()}).Warn("job-cancel-failed")
+		return true, err
+	}
+	i.count("cancelled")
+	i.log.WithFields(logrus.Fields{"job": id, "cell": cell, "ms": time.Since(now).Milliseconds()}).Info("job-cancel")
+	i.tellCancel(cell, id)
+	return true, nil
+}
+
+func (i *Intake) tellCancel(cell, id string) {
+	view := i.leaders.View().Cells[cell]
+	if view.Mine {
+		i.leaders.Cancelled(cell, id)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		defer cancel()
+		p, err := i.peers.To(view.Address)
+		if err != nil || view.Address == "" {
+			return // the leader follows the table
+		}
+		if _, err := p.Cancelled(ctx, &wire.JobRef{Cell: cell, Id: id}); err != nil {
+			i.count("tell-failed")
+		}
+	}()
+}
+
+func (i *Intake) count(what string) {
+	metrics.GetOrRegisterCounter("jobs."+what, i.metrics).Inc(1)
+}
+
+func (i *Intake) logJob(event string, spec *wire.JobSpec, began time.Time, err error) {
+	fields := logrus.Fields{
+		"job": spec.GetId(), "queue": spec.GetQueue(), "cell": spec.GetCell(), "ms": time.Since(began).Milliseconds(),
+	}
+	if err != nil {
+		fields["why"] = err.Error()
+		fields["outcome"] = string(fault.CodeOf(err))
+		i.log.WithFields(fields).Warn(event)
+		return
+	}
+	i.log.WithFields(fields).Info(event)
+}
--- /dev/null
+++ b/pkg/request/intake/loads.go
@@ -0,0 +1,137 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	// loadGoodFor is how old a cell's load may be for choosing; it is asked for
+	// in the background when it is older than loadAsk.
+	loadGoodFor = 3 * time.Second
+	loadAsk     = 500 * time.Millisecond
+	// awayCost is how much more work, in ms of the whole cell, must wait in the
+	// own hall's cell before a job goes to another: a job's data and results
+	// cross halls then, and its callers' host is a hop away from its leader.
+	awayCost = 60.0
+)
+
+// choose picks the cell for a new job.
+func (i *Intake) choose(now time.Time) string {
+	view := i.leaders.View()
+	best, bestCost := "", 0.0
+	for name, c := range view.Cells {
+		cost := i.cost(now, name, c)
+		if best == "" || cost < bestCost || (cost == bestCost && name < best) {
+			best, bestCost = name, cost
+		}
+	}
+	return best
+}
+
+// noLeaderCost puts a cell without a leader behind any with one.
+const noLeaderCost = 1e9
+
+// cost is how many ms of the cell's whole room wait there, and what the way
+// costs.
+func (i *Intake) cost(now time.Time, name string, c fleet.CellView) float64 {
+	cost := 0.0
+	if c.Hall != i.hall {
+		cost += awayCost
+	}
+	if !c.Fresh && !c.Mine {
+		cost += noLeaderCost
+	}
+	l := i.load(now, name, c)
+	if l == nil || l.GetCapacityMillicores() == 0 {
+		return cost
+	}
+	return cost + float64(l.GetBacklogCoreMs())*1000/float64(l.GetCapacityMillicores())
+}
+
+// load returns a cell's load if it is known well enough, and sees to it that
+// it is asked for.
+func (i *Intake) load(now time.Time, name string, c fleet.CellView) *wire.CellLoad {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	l := i.loads[name]
+	if now.Sub(l.at) > loadAsk && !l.asking {
+		l.asking = true
+		i.loads[name] = l
+		go i.askLoad(name, c)
+	}
+	if l.CellLoad == nil || now.Sub(l.at) > loadGoodFor {
+		return nil
+	}
+	return l.CellLoad
+}
+
+func (i *Intake) askLoad(name string, c fleet.CellView) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	reply := i.fetchLoad(ctx, name, c)
+	i.takeLoad(time.Now(), reply)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	l := i.loads[name]
+	l.asking = false
+	i.loads[name] = l
+}
+
+func (i *Intake) fetchLoad(ctx context.Context, name string, c fleet.CellView) *wire.CellLoad {
+	if c.Mine {
+		return i.leaders.Load(ctx, name)
+	}
+	if c.Address == "" {
+		return nil
+	}
+	p, err := i.peers.To(c.Address)
+	if err != nil {
+		return nil
+	}
+	reply, err := p.Load(ctx, &wire.CellRef{Cell: name})
+	if err != nil {
+		i.count("load-unanswered")
+		return nil
+	}
+	return reply
+}
+
+// takeLoad remembers a load that a leader told.
+func (i *Intake) takeLoad(now time.Time, l *wire.CellLoad) {
+	if !l.GetLeading() {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	known := i.loads[l.GetCell()]
+	known.CellLoad, known.at = l, now
+	i.loads[l.GetCell()] = known
+}
+
+// pendingFresh is how old a count may be; callers are promised two seconds.
+const pendingFresh = time.Second
+
+// Pending counts a queue's accepted jobs of which no task has begun. A cell
+// whose leader does not answer counts as it last did.
+func (i *Intake) Pending(ctx context.Context, now time.Time, queue string) int {
+	sum := 0
+	for name, c := range i.leaders.View().Cells {
+		i.mu.Lock()
+		l := i.loads[name]
+		i.mu.Unlock()
+		if l.CellLoad == nil || now.Sub(l.at) > pendingFresh {
+			askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+			i.takeLoad(now, i.fetchLoad(askCtx, name, c))
+			cancel()
+			i.mu.Lock()
+			l = i.loads[name]
+			i.mu.Unlock()
+		}
+		sum += int(l.GetPending()[queue])
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/rows/fleet.go
@@ -0,0 +1,104 @@
+package rows
+
+import (
+	"hash/fnv"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/table"
+)
+
+// The tables of the fleet's own rows. A job's rows share one part, so that one
+// transaction can hold them; the part follows from the job's id alone.
+//
+//	anchor            PART ID    where the job went: what makes an id unique
+//	spec.CELL         PART ID    the job as it was sent, until it has ended
+//	progress.CELL     PART ID    what became of it; its cell's leader writes it
+//	cancel.CELL       PART ID    a cancel that the leader has not carried out
+//	fence             PART CELL  the epoch that may write a cell's progress
+//	lead              -    CELL  who leads a cell
+//	host              -    NAME  entry hosts
+const (
+	AnchorTable    = "anchor"
+	specPrefix     = "spec."
+	progressPrefix = "progress."
+	cancelPrefix   = "cancel."
+	FenceTable     = "fence"
+	LeadTable      = "lead"
+	HostTable      = "host"
+)
+
+// JobParts is over how many parts jobs are spread. A part takes some hundred
+// writes a second in turn (part_writes_per_s of the settings pages); four parts
+// carry the writes of the largest known deployment twice over, and a leader
+// that takes over reads no more than four ranges a table.
+const JobParts = 4
+
+// JobPart is the part that all rows of a job share.
+func JobPart(id string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash never fails
+	return PartName(int(h.Sum32() % JobParts))
+}
+
+// PartName names the part with the given number.
+func PartName(n int) string { return "p" + strconv.Itoa(n) }
+
+// SpecTable, ProgressTable and CancelTable are a cell's tables.
+func SpecTable(cell string) string { return specPrefix + cell }
+
+// ProgressTable is where a cell's leader records what became of its jobs.
+func ProgressTable(cell string) string { return progressPrefix + cell }
+
+// CancelTable is where cancels wait for a cell's leader.
+func CancelTable(cell string) string { return cancelPrefix + cell }
+
+// AnchorKey is the key of a job's anchor.
+func AnchorKey(id string) table.Key {
+	return table.Key{Table: AnchorTable, Part: JobPart(id), Key: id}
+}
+
+// SpecKey is the key of a job's specification.
+func SpecKey(cell, id string) table.Key {
+	return table.Key{Table: SpecTable(cell), Part: JobPart(id), Key: id}
+}
+
+// ProgressKey is the key of a job's progress.
+func ProgressKey(cell, id string) table.Key {
+	return table.Key{Table: ProgressTable(cell), Part: JobPart(id), Key: id}
+}
+
+// CancelKey is the key of a job's cancel.
+func CancelKey(cell, id string) table.Key {
+	return table.Key{Table: CancelTable(cell), Part: JobPart(id), Key: id}
+}
+
+// FenceKey is the key of a cell's fence in one part.
+func FenceKey(cell, part string) table.Key {
+	return table.Key{Table: FenceTable, Part: part, Key: cell}
+}
+
+// LeadKey is the key of a cell's leadership.
+func LeadKey(cell string) table.Key { return table.Key{Table: LeadTable, Key: cell} }
+
+// HostKey is the key of an entry host.
+func HostKey(name string) table.Key { return table.Key{Table: HostTable, Key: name} }
+
+// Row encodes a message as a row to write.
+func Row(key table.Key, m proto.Message) table.Row {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		value = nil // a message of ours always encodes; an empty row fails where it is read
+	}
+	return table.Row{Key: key, Value: value}
+}
+
+// Read decodes a row into a message.
+func Read(r table.Row, m proto.Message) error {
+	if err := proto.Unmarshal(r.Value, m); err != nil {
+		return fault.New(fault.Internal, r.Table+"/"+r.Key.Key, "the row can't be read", "was it written by another version?").WithCause(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/serve/fleet.go
@@ -0,0 +1,98 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/wrenferry/wrenferry/pkg/eventlog"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/request/intake"
+	"github.com/wrenferry/wrenferry/platform"
+)
+
+const (
+	// gcPercent lets the heap grow to this much above what lives, in percent.
+	// Processor time is dearer than memory on small hosts, up to the limit.
+	gcPercent = 400
+	// memoryShare is the share of a process's memory that the runtime keeps
+	// within; the rest is for what it does not count.
+	memoryShare = 0.6
+)
+
+// newFleetCommand runs an entry host on the users' platform.
+func newFleetCommand(out io.Writer) *cobra.Command {
+	var config string
+	cmd := &cobra.Command{
+		Use:     "fleet",
+		Short:   "Run an entry host that schedules jobs on the platform's table service",
+		Long:    fleetLong(),
+		Example: "  wrenferryd fleet --config /etc/wrenferry/settings.yaml",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return runFleet(cmd.Context(), config, out) },
+	}
+	cmd.Flags().StringVarP(&config, "config", "c", os.Getenv("WRENFERRY_SETTINGS"), "the process's settings file, JSON with comments")
+	return cmd
+}
+
+func fleetLong() string {
+	var b strings.Builder
+	b.WriteString("Settings of the process (JSON with comments):\n")
+	for _, f := range fleet.Fields {
+		required := ""
+		if f.Required {
+			required = " (required)"
+		}
+		fmt.Fprintf(&b, "  %-11s %s%s\n              example: %q: %s\n", f.Name, f.Help, required, f.Name, f.Example)
+	}
+	return b.String()
+}
+
+func runFleet(ctx context.Context, file string, out io.Writer) error {
+	if file == "" {
+		return fault.New(fault.BadInput, "--config", "no settings file was named", "wrenferryd fleet --help shows what stands in one")
+	}
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return fault.New(fault.BadInput, file, "can't be read", "check the path").WithCause(err)
+	}
+	config, err := fleet.ParseConfig(file, source)
+	if err != nil {
+		return err
+	}
+	level, err := logrus.ParseLevel(config.LogLevel)
+	if err != nil {
+		return fault.New(fault.BadInput, "logLevel", fmt.Sprintf("%q is not a level", config.LogLevel), "use debug, info, warning or error")
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(config.MemoryMB * memoryShare * (1 << 20)))
+	host, err := fleet.New(config, onPlatform(config), eventlog.New(out, level))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return host.Run(ctx)
+}
+
+// onPlatform joins a host to the platform's adapters.
+func onPlatform(config fleet.Config) fleet.Outside {
+	return fleet.Outside{
+		Table: platform.NewTable(config.Table), Caller: platform.NewWorkers(), Source: platform.Source{}, Dial: platform.Dial,
+		Callers: func(h *fleet.Host) http.Handler {
+			return &platform.Callers{
+				Jobs: intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics), Manifest: h.Manifest, Log: h.Log,
+			}
+		},
+	}
+}
--- a/pkg/serve/serve.go
+++ b/pkg/serve/serve.go
@@ -67,6 +67,7 @@
 	root.Flags().StringVarP(&f.config, "config", "c", "", "the process's settings file, JSON with comments")
 	root.Flags().BoolVar(&f.embedded, "embedded-standins", false, "run a platform, workers and runners inside this process; NOTHING IS KEPT when it ends")
 	root.Flags().StringSliceVar(&f.unsafe, "unsafe-without", nil, "take a fence out, for tests only: "+strings.Join(fenceNames(), ", "))
+	root.AddCommand(newFleetCommand(out))
 	root.AddCommand(&cobra.Command{
 		Use:   "try",
 		Short: "Start an embedded instance, use it as callers and operators do, and end",
