--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -22,8 +22,9 @@
 	linesPerSecond = 2000
 	// flushEvery is how long lines may wait, so that many share one write.
 	flushEvery = 200 * time.Millisecond
-	// flushBytes is how much is written at once at most.
-	flushBytes = 64 << 10
+	// flushBytes is about how much is written at once: a pipe takes so much
+	// whole (PIPE_BUF), so that no line is torn.
+	flushBytes = 4 << 10
 )
 
 // Log is the process's log. It is safe for many goroutines.
@@ -112,16 +113,21 @@
 	for {
 		select {
 		case line := <-l.lines:
-			batch = append(batch, line...)
-			if len(batch) < flushBytes {
-				continue
+			if len(batch)+len(line) > flushBytes {
+				l.write(batch)
+				batch = batch[:0]
 			}
+			batch = append(batch, line...)
 		default:
-			if len(batch) == 0 {
-				return
-			}
+			l.write(batch)
+			return
 		}
-		_, _ = l.out.Write(batch) // a log that can't be written has nobody to be told
-		batch = batch[:0]
+	}
+}
+
+// write writes whole lines; a log that can't be written has nobody to be told.
+func (l *Log) write(batch []byte) {
+	if len(batch) > 0 {
+		_, _ = l.out.Write(batch)
 	}
 }
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
@@ -179,7 +180,7 @@
 	}
 	s.note(Note{
 		What: NoteJobQueued, Job: id, AgeMs: age.Milliseconds(),
-		Detail: fmt.Sprintf("queue %s, %d steps, %d tasks", e.Spec.GetQueue(), len(e.Spec.GetSteps()), tasks),
+		Detail: fmt.Sprintf("queue %s, %d tasks: %s", e.Spec.GetQueue(), tasks, stepsInWords(e.Spec.GetSteps())),
 	})
 	if _, asked := s.cancels[id]; asked {
 		s.takeCancel(now, CancelAsked{ID: id})
@@ -187,6 +188,33 @@
 	s.touch(j)
 }
 
+// stepsInWords is what the log tells of a job's steps: count x processors x
+// estimated time, and what is special about them.
+func stepsInWords(steps []*wire.StepSpec) string {
+	var b strings.Builder
+	for _, step := range steps {
+		fmt.Fprintf(&b, "[%d x %d mc x %d ms", step.GetCount(), step.GetMillicores(), step.GetEstimateMs())
+		for _, word := range []struct {
+			say  bool
+			what string
+		}{
+			{step.GetFiller(), "filler"},
+			{step.GetLasting(), "lasting"},
+			{step.GetGang(), "gang"},
+			{step.GetCopies(), "copies"},
+			{step.GetSpread() > 0, "spread"},
+			{step.GetRack() != "", "near"},
+			{step.GetLabel() != "", "label"},
+		} {
+			if word.say {
+				b.WriteString(" " + word.what)
+			}
+		}
+		b.WriteString("]")
+	}
+	return b.String()
+}
+
 func (s *State) takeCancel(now time.Time, e CancelAsked) {
 	j := s.jobs[e.ID]
 	if j == nil || s.phase == loading {
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -149,6 +149,9 @@
 	if !workers.Reserved(u).Fits(w.Free()) {
 		return false
 	}
+	if u.Spec.GetFiller() && !s.fillerFits(now, u, w) {
+		return false
+	}
 	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
 		return false
 	}
@@ -156,15 +159,31 @@
 	return !w.Health.Aside(now, len(w.Runs))
 }
 
+// fillerFits says whether a filler would get enough of a worker's unused
+// processors, and disturb nobody who could be spared it.
+func (s *State) fillerFits(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
+	if float64(w.Unused()) < fillerShare*float64(u.Size.Millicores) {
+		return false
+	}
+	return !w.Serving() || now.Sub(u.Job.AcceptedAt) >= besideAfter
+}
+
 const (
 	// farPenalty weighs a worker away from the data against room left: more
 	// than any room can make up for.
 	farPenalty = 10.0
 	// avoidPenalty is for the worker where the task failed last.
 	avoidPenalty = 20.0
-	// servingPenalty is for a filler beside tasks with a target: worth two
-	// tenths of a worker's processors.
-	servingPenalty = 0.2
+	// apartWeight keeps fillers and the tasks that serve users on workers of
+	// their own, as far as there is room: more than any room can make up for.
+	apartWeight = 2.0
+	// fillerShare is the least share of its processors that must be unused for
+	// a filler to start: fewer that run at full speed end sooner, one after the
+	// other, than many that share.
+	fillerShare = 0.7
+	// besideAfter is how long a filler waits before it may go beside tasks that
+	// serve users.
+	besideAfter = time.Second
 )
 
 // score ranks the workers that a task fits on; the highest is taken.
@@ -172,12 +191,21 @@
 	score := 0.0
 	u := t.Unit
 	total := float64(max(1, w.Capacity.Millicores))
-	if u.Spec.GetFiller() {
+	switch {
+	case u.Spec.GetFiller():
 		score = float64(w.Unused()) / total
 		if w.Serving() {
-			score -= servingPenalty
+			score -= apartWeight
+		}
+	case u.Spec.GetTailTargetMs() > 0:
+		score = -float64(w.Free().Millicores) / total
+		if w.Serving() {
+			score += apartWeight
+		}
+		if w.Filling() {
+			score -= apartWeight
 		}
-	} else {
+	default:
 		score = -float64(w.Free().Millicores) / total
 	}
 	if rack := u.Spec.GetRack(); rack != "" && w.Rack != rack && !w.HasLabel(rack) {
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -200,6 +200,16 @@
 	return false
 }
 
+// Filling says whether a filler runs there.
+func (w *Worker) Filling() bool {
+	for r := range w.Runs {
+		if r.Task.Unit.Spec.GetFiller() {
+			return true
+		}
+	}
+	return false
+}
+
 // Usable says whether new work may go there: listed, not leaving, heard within
 // the given span, not put aside.
 func (w *Worker) Usable(now time.Time, span time.Duration) bool {
