--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -10,21 +10,32 @@
 
 // Pace. Fillers disturb the tasks beside them that serve users, by amounts that
 // differ by pair and change within seconds; all that is seen of it is the tail
-// that a serving task lists, rough and half a second old. Each worker has a
-// controller from the worst tail, relative to its target, to one share of work
-// for all fillers there: cut at once and hard, give back slowly.
+// that a serving task lists, rough and half a second old. Each worker has one
+// share of work for all its fillers. A tail is taken as a part that is there
+// without fillers (learned while they stand still) and a part that grows with
+// their share; the share is set so that the sum stays below the target. It is
+// cut at once, and given back in steps.
 
 const (
-	// paceCutAt and paceBackAt bound the band of tail over target in which the
-	// share stays as it is.
-	paceCutAt  = 0.85
-	paceBackAt = 0.6
-	// paceHalf and paceStop are the shares after a first and a second cut.
-	paceBackStep = 15
-	// paceEvery is the least time between two changes: a change shows in the
-	// readings after the pace's own delay and the half second they look back.
-	paceCutEvery  = 600 * time.Millisecond
-	paceBackEvery = 700 * time.Millisecond
+	// tailGoal is the tail over target that the share is set for. The rest is
+	// for what the reading doesn't show yet.
+	tailGoal = 0.8
+	// tailCut is where a cut is due at once, tailBack below which some is
+	// given back.
+	tailCut  = 0.9
+	tailBack = 0.7
+	// aloneRate is how fast a reading without fillers changes what is taken for
+	// the tail without them.
+	aloneRate = 0.3
+	// backStep is the most that is given back at once, in points, and
+	// shareGrain the least change that is worth an order.
+	backStep   = 25
+	shareGrain = 10
+	// paceCutEvery and paceBackEvery are the least times between two changes: a
+	// change shows after the pace's own delay (0.1 s) in readings that look half
+	// a second back.
+	paceCutEvery  = 550 * time.Millisecond
+	paceBackEvery = 600 * time.Millisecond
 )
 
 // pace decides the share of each worker's fillers and sends what has changed.
@@ -33,69 +44,72 @@
 		if !w.SilentSince.IsZero() {
 			continue
 		}
-		fillers := runsOf(w, func(r *jobs.Run) bool { return r.Task.Unit.Spec.GetFiller() && r.State == jobs.Running })
-		if len(fillers) == 0 {
+		worst, serving := worstTail(w)
+		if !serving && w.Share == 100 {
 			continue
 		}
-		s.paceWorker(now, w, fillers)
-		for _, r := range fillers {
-			s.sendPace(now, w, r)
+		s.setShare(now, w, worst)
+		for r := range w.Runs {
+			if r.Task.Unit.Spec.GetFiller() && r.State == jobs.Running {
+				s.sendPace(now, w, r)
+			}
 		}
 	}
 }
 
-// worstTail is the highest tail over target of the serving tasks of a worker;
-// 0: there is none.
-func worstTail(w *workers.Worker) float64 {
-	worst := 0.0
+// worstTail is the highest tail over target of a worker's serving tasks.
+func worstTail(w *workers.Worker) (worst float64, serving bool) {
 	for r := range w.Runs {
 		if goal := r.Task.Unit.Spec.GetTailTargetMs(); goal > 0 && r.State == jobs.Running {
-			worst = max(worst, float64(r.Tail.Milliseconds())/float64(goal))
+			worst, serving = max(worst, float64(r.Tail.Milliseconds())/float64(goal)), true
 		}
 	}
-	return worst
+	return worst, serving
 }
 
-func (s *State) paceWorker(now time.Time, w *workers.Worker, fillers []*jobs.Run) {
-	worst := worstTail(w)
-	share := 100
-	last := time.Time{}
-	for _, r := range fillers {
-		if !r.PacedAt.IsZero() || r.PaceWanted < 100 {
-			share = min(share, r.PaceWanted)
-		}
-		if r.PacedAt.After(last) {
-			last = r.PacedAt
+func (s *State) setShare(now time.Time, w *workers.Worker, worst float64) {
+	since := now.Sub(w.ShareAt)
+	if !w.Filling() || w.Share == 0 {
+		if since > paceBackEvery && w.LookSentAt.After(w.ShareAt) {
+			w.Alone += aloneRate * (worst - w.Alone)
 		}
 	}
-	want := share
+	share := w.Share
 	switch {
-	case worst >= paceCutAt && now.Sub(last) >= paceCutEvery:
-		want = cutShare(share, worst)
-	case worst < paceBackAt && share < 100 && now.Sub(last) >= paceBackEvery:
-		want = min(100, share+paceBackStep)
+	case worst >= tailCut && since >= paceCutEvery:
+		share = min(share, shareFor(share, worst, w.Alone))
+	case worst < tailBack && share < 100 && since >= paceBackEvery:
+		share = min(100, share+backStep, max(share, shareFor(max(share, backStep), worst, w.Alone)))
 	}
-	for _, r := range fillers {
-		if r.PaceWanted == want {
-			continue
-		}
-		r.PaceWanted = want
-		s.note(Note{
-			What: NotePace, Job: r.Task.Unit.Job.Spec.GetId(), Task: r.Task.Name(), Run: r.Number, Worker: w.ID, AgeMs: now.Sub(w.AnsweredAt).Milliseconds(),
-			Detail: fmt.Sprintf("%d%%, worst tail %.2f of its target", want, worst),
-		})
+	if share == w.Share || (share > w.Share && share < 100 && share-w.Share < shareGrain) {
+		return
 	}
+	w.Share, w.ShareAt = share, now
+	s.note(Note{
+		What: NotePace, Worker: w.ID, AgeMs: now.Sub(w.AnsweredAt).Milliseconds(),
+		Detail: fmt.Sprintf("%d%%, worst tail %.2f of its target, %.2f without fillers", share, worst, w.Alone),
+	})
 }
 
-// cutShare is the next lower share for a tail over target.
-func cutShare(share int, worst float64) int {
-	if worst >= 1.5 || share <= 20 {
+// shareFor is the share at which the tail would be at its goal.
+func shareFor(share int, worst, alone float64) int {
+	room := tailGoal - alone
+	pressed := worst - alone
+	switch {
+	case room <= 0:
+		return 0
+	case pressed <= 0:
+		return 100
+	}
+	want := int(float64(share) * room / pressed)
+	if want < shareGrain {
 		return 0
 	}
-	return share / 2
+	return min(100, want)
 }
 
 func (s *State) sendPace(now time.Time, w *workers.Worker, r *jobs.Run) {
+	r.PaceWanted = w.Share
 	if r.PaceSending || r.PaceWanted == r.Pace {
 		return
 	}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -162,7 +162,7 @@
 // fillerFits says whether a filler would get enough of a worker's unused
 // processors, and disturb nobody who could be spared it.
 func (s *State) fillerFits(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
-	if float64(w.Unused()) < fillerShare*float64(u.Size.Millicores) {
+	if float64(w.Unused()) < fillerShare*float64(u.Size.Millicores) || w.Share < shareToJoin {
 		return false
 	}
 	return !w.Serving() || now.Sub(u.Job.AcceptedAt) >= besideAfter
@@ -181,6 +181,9 @@
 	// a filler to start: fewer that run at full speed end sooner, one after the
 	// other, than many that share.
 	fillerShare = 0.7
+	// shareToJoin is the least share of work at which a worker's fillers must
+	// run for another one to join them, in percent.
+	shareToJoin = 60
 	// besideAfter is how long a filler waits before it may go beside tasks that
 	// serve users.
 	besideAfter = time.Second
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -306,25 +306,27 @@
 		if !j.Begun {
 			l.Pending[j.Spec.GetQueue()]++
 		}
-		l.BacklogCoreMs += backlog(j)
+		for _, u := range j.Units {
+			addLoad(l, u)
+		}
 	}
 	return l
 }
 
-// backlog is the work of a job that has not started, in core ms.
-func backlog(j *jobs.Job) int64 {
-	sum := int64(0)
-	for _, u := range j.Units {
-		if u.Lasting() || u.Spec.GetFiller() {
-			continue
-		}
-		for _, t := range u.Tasks {
-			if !t.Done && len(t.Runs) == 0 {
-				sum += u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
-			}
+// addLoad adds what a unit still asks for.
+func addLoad(l *wire.CellLoad, u *jobs.Unit) {
+	work := u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
+	for _, t := range u.Tasks {
+		switch {
+		case t.Done:
+		case u.Lasting():
+			l.LastingMillicores += u.Size.Millicores
+		case u.Spec.GetFiller():
+			l.FillerCoreMs += work
+		case len(t.Runs) == 0:
+			l.BacklogCoreMs += work
 		}
 	}
-	return sum
 }
 
 // Roster lists the workers that may hold runs, for the leadership row. A
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -49,6 +49,10 @@
 	clockSlack = 20 * time.Millisecond
 )
 
+// aloneAtFirst is the tail over target of serving tasks without fillers, while
+// none has been seen: about half, as on the platform's sites.
+const aloneAtFirst = 0.45
+
 // Worker is one incarnation, as its cell's leader knows it.
 type Worker struct {
 	Record
@@ -75,6 +79,12 @@
 	// durable, and Told the newest that the worker was told of.
 	Seen, Recorded int64
 	Health         Health
+	// Share is at what share of work, in percent, its fillers are to run, and
+	// ShareAt when that was last changed. Alone is the worst tail over target
+	// of its serving tasks while no filler works.
+	Share   int
+	ShareAt time.Time
+	Alone   float64
 	// Gone says that this life is surely over.
 	Gone bool
 
@@ -87,7 +97,7 @@
 
 // New returns a worker that has not been heard yet.
 func New(r Record, now time.Time) *Worker {
-	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, FirstSeen: now}
+	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, FirstSeen: now, Share: 100, Alone: aloneAtFirst}
 }
 
 // TakeClock takes in a reading of the worker's clock that came in an answer.
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	spec.Queue, spec.Service = q.Name, q.Service
-	spec.Cell = i.choose(now)
+	spec.Cell = i.choose(now, spec)
 	spec.AcceptedStoreMs = i.store.Now(now).Milliseconds()
 	err := i.insert(ctx, spec)
 	if err != nil {
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -19,25 +21,57 @@
 	awayCost = 60.0
 )
 
-// choose picks the cell for a new job.
-func (i *Intake) choose(now time.Time) string {
-	view := i.leaders.View()
+const (
+	// lastingCost is what a cell that is full of lasting tasks costs, in the
+	// same ms: they stay, so they are spread before short work is.
+	lastingCost = 3000.0
+	// servingUse is the share of their reserved processors that lasting tasks
+	// use: fillers get the rest.
+	servingUse = 0.5
+	// leastRoom keeps the estimate of a full cell finite, as a share of it.
+	leastRoom = 0.05
+	// noLeaderCost puts a cell without a leader behind any with one.
+	noLeaderCost = 1e9
+)
+
+// demand is what a job asks for: millicores for lasting tasks, core ms for
+// others.
+type demand struct{ lasting, plain, filler int64 }
+
+func demandOf(spec *wire.JobSpec) demand {
+	d := demand{}
+	for _, step := range spec.GetSteps() {
+		each := step.GetMillicores() * int64(step.GetCount())
+		work := each * step.GetEstimateMs() / 1000
+		switch {
+		case step.GetLasting():
+			d.lasting += each
+		case step.GetFiller():
+			d.filler += work
+		default:
+			d.plain += work
+		}
+	}
+	return d
+}
+
+// choose picks the cell for a new job, and counts the job to it until the next
+// word of its leader.
+func (i *Intake) choose(now time.Time, spec *wire.JobSpec) string {
+	d := demandOf(spec)
 	best, bestCost := "", 0.0
-	for name, c := range view.Cells {
-		cost := i.cost(now, name, c)
+	for name, c := range i.leaders.View().Cells {
+		cost := i.cost(now, name, c, d)
 		if best == "" || cost < bestCost || (cost == bestCost && name < best) {
 			best, bestCost = name, cost
 		}
 	}
+	i.addDemand(best, d)
 	return best
 }
 
-// noLeaderCost puts a cell without a leader behind any with one.
-const noLeaderCost = 1e9
-
-// cost is how many ms of the cell's whole room wait there, and what the way
-// costs.
-func (i *Intake) cost(now time.Time, name string, c fleet.CellView) float64 {
+// cost is how many ms the job would wait in a cell, and what the way costs.
+func (i *Intake) cost(now time.Time, name string, c fleet.CellView, d demand) float64 {
 	cost := 0.0
 	if c.Hall != i.hall {
 		cost += awayCost
@@ -49,7 +83,36 @@
 	if l == nil || l.GetCapacityMillicores() == 0 {
 		return cost
 	}
-	return cost + float64(l.GetBacklogCoreMs())*1000/float64(l.GetCapacityMillicores())
+	all := float64(l.GetCapacityMillicores())
+	lasting := float64(l.GetLastingMillicores())
+	if d.lasting > 0 {
+		cost += lastingCost * (lasting + float64(d.lasting)) / all
+	}
+	if d.plain > 0 {
+		cost += float64(l.GetBacklogCoreMs()) * 1000 / max(leastRoom*all, all-lasting)
+	}
+	if d.filler > 0 {
+		cost += float64(l.GetFillerCoreMs()) * 1000 / max(leastRoom*all, all-servingUse*lasting)
+	}
+	return cost
+}
+
+func (i *Intake) addDemand(name string, d demand) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	l := i.loads[name]
+	if l.CellLoad == nil {
+		return
+	}
+	next, ok := proto.Clone(l.CellLoad).(*wire.CellLoad)
+	if !ok {
+		return // a clone has the type of what it is a clone of
+	}
+	next.LastingMillicores += d.lasting
+	next.BacklogCoreMs += d.plain
+	next.FillerCoreMs += d.filler
+	l.CellLoad = next
+	i.loads[name] = l
 }
 
 // load returns a cell's load if it is known well enough, and sees to it that
