--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -153,6 +153,7 @@
 		s.takeEnd(now, w, end)
 	}
 	s.takeActive(now, w, e)
+	s.learnPress(now, w)
 	switch {
 	case s.phase == releasing:
 		w.LookAt = now.Add(lookAgain)
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -160,12 +160,12 @@
 }
 
 // fillerFits says whether a filler would get enough of a worker's unused
-// processors, and disturb nobody who could be spared it.
+// processors without harm to the tasks that serve users there.
 func (s *State) fillerFits(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
-	if float64(w.Unused()) < fillerShare*float64(u.Size.Millicores) || w.Share < shareToJoin {
+	if float64(w.Unused()) < fillerShare*float64(u.Size.Millicores) {
 		return false
 	}
-	return !w.Serving() || now.Sub(u.Job.AcceptedAt) >= besideAfter
+	return s.fillerHarm(u, w) <= tailGoal
 }
 
 const (
@@ -174,19 +174,19 @@
 	farPenalty = 10.0
 	// avoidPenalty is for the worker where the task failed last.
 	avoidPenalty = 20.0
-	// apartWeight keeps fillers and the tasks that serve users on workers of
-	// their own, as far as there is room: more than any room can make up for.
+	// apartWeight draws serving tasks to workers where others serve, so that
+	// the rest stay free for fillers.
 	apartWeight = 2.0
 	// fillerShare is the least share of its processors that must be unused for
 	// a filler to start: fewer that run at full speed end sooner, one after the
 	// other, than many that share.
 	fillerShare = 0.7
-	// shareToJoin is the least share of work at which a worker's fillers must
-	// run for another one to join them, in percent.
-	shareToJoin = 60
-	// besideAfter is how long a filler waits before it may go beside tasks that
-	// serve users.
-	besideAfter = time.Second
+	// harmWeight weighs the tail that a filler brings about against unused
+	// processors.
+	harmWeight = 1.0
+	// alikeWeight draws serving tasks to others of their image: fillers that do
+	// no harm to one do none to the others.
+	alikeWeight = 0.5
 )
 
 // score ranks the workers that a task fits on; the highest is taken.
@@ -196,18 +196,13 @@
 	total := float64(max(1, w.Capacity.Millicores))
 	switch {
 	case u.Spec.GetFiller():
-		score = float64(w.Unused()) / total
-		if w.Serving() {
-			score -= apartWeight
-		}
+		score = float64(w.Unused())/total - harmWeight*s.fillerHarm(u, w)
 	case u.Spec.GetTailTargetMs() > 0:
 		score = -float64(w.Free().Millicores) / total
 		if w.Serving() {
 			score += apartWeight
 		}
-		if w.Filling() {
-			score -= apartWeight
-		}
+		score += alikeWeight * alike(u, w)
 	default:
 		score = -float64(w.Free().Millicores) / total
 	}
@@ -220,6 +215,23 @@
 	return score
 }
 
+// alike is the share of a worker's serving tasks that run a unit's image.
+func alike(u *jobs.Unit, w *workers.Worker) float64 {
+	same, all := 0, 0
+	for r := range w.Runs {
+		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
+			all++
+			if imageOf(r.Task.Unit) == imageOf(u) {
+				same++
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(same) / float64(all)
+}
+
 // placeGang starts all tasks of a gang as one run, or none.
 func (s *State) placeGang(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
 	waiting := u.Waiting(now)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -19,6 +19,7 @@
 	"sort"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/interference"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/rows"
@@ -92,6 +93,9 @@
 	settled   bool
 	settleBy  time.Time
 
+	// press is what was learned of fillers beside serving tasks. It outlives a
+	// leadership: it is about images.
+	press    *interference.Press
 	placeNow bool
 	outbox   []Effect
 }
@@ -104,7 +108,7 @@
 
 // New returns the state of a process that does not lead the cell.
 func New(name string, bounds Bounds, options ...Option) *State {
-	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}}
+	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress()}
 	s.forget()
 	for _, o := range options {
 		o(s)
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -53,6 +53,8 @@
 	PacedAt          time.Time
 	// OverSince is since when the tail is above its target; zero: it is not.
 	OverSince time.Time
+	// HeldSince is since when it is paced below half; zero: it is not.
+	HeldSince time.Time
 	// StopSentAt is when it was last asked to stop, and Why.
 	StopSentAt time.Time
 	Why        string
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -9,6 +9,7 @@
 package workers
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -49,10 +50,6 @@
 	clockSlack = 20 * time.Millisecond
 )
 
-// aloneAtFirst is the tail over target of serving tasks without fillers, while
-// none has been seen: about half, as on the platform's sites.
-const aloneAtFirst = 0.45
-
 // Worker is one incarnation, as its cell's leader knows it.
 type Worker struct {
 	Record
@@ -79,12 +76,10 @@
 	// durable, and Told the newest that the worker was told of.
 	Seen, Recorded int64
 	Health         Health
-	// Share is at what share of work, in percent, its fillers are to run, and
-	// ShareAt when that was last changed. Alone is the worst tail over target
-	// of its serving tasks while no filler works.
-	Share   int
-	ShareAt time.Time
-	Alone   float64
+	// Pressures are the shares of its processors that fillers may use, by
+	// image, averaged over as long as readings look back.
+	Pressures   map[string]float64
+	pressuresAt time.Time
 	// Gone says that this life is surely over.
 	Gone bool
 
@@ -97,7 +92,7 @@
 
 // New returns a worker that has not been heard yet.
 func New(r Record, now time.Time) *Worker {
-	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, FirstSeen: now, Share: 100, Alone: aloneAtFirst}
+	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, FirstSeen: now}
 }
 
 // TakeClock takes in a reading of the worker's clock that came in an answer.
@@ -210,6 +205,29 @@
 	return false
 }
 
+// AveragePressures moves the averages towards what is there now.
+func (w *Worker) AveragePressures(now time.Time, at map[string]float64, span time.Duration) {
+	weight := 1 - math.Exp(-float64(now.Sub(w.pressuresAt))/float64(span))
+	if w.Pressures == nil || w.pressuresAt.IsZero() {
+		w.Pressures, weight = map[string]float64{}, 1
+	}
+	w.pressuresAt = now
+	for image := range at {
+		w.Pressures[image] += 0
+	}
+	for image, p := range w.Pressures {
+		next := p + weight*(at[image]-p)
+		if next < negligible {
+			delete(w.Pressures, image)
+			continue
+		}
+		w.Pressures[image] = next
+	}
+}
+
+// negligible is a pressure that is no longer kept.
+const negligible = 0.002
+
 // Filling says whether a filler runs there.
 func (w *Worker) Filling() bool {
 	for r := range w.Runs {
