--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -54,8 +54,8 @@
 	Caller workers.Caller
 	Source Source
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	// Callers makes the handler of callers' calls.
-	Callers func(h *Host) http.Handler
+	// Callers makes the handler of callers' calls, and what runs beside it.
+	Callers func(h *Host) (http.Handler, suture.Service)
 }
 
 // Host is one entry host.
@@ -74,6 +74,7 @@
 	outside  Outside
 	self     election.Self
 
+	beside                  suture.Service
 	callers, ready, figures *http.Server
 	listeners               map[*http.Server]net.Listener
 	grpc                    *grpc.Server
@@ -119,7 +120,9 @@
 	figuresMux.HandleFunc("GET /metrics", h.serveMetrics)
 	figuresMux.HandleFunc("GET /status", h.serveStatus)
 	var err error
-	if h.callers, err = h.server(h.Config.Callers, h.outside.Callers(h)); err != nil {
+	handler, beside := h.outside.Callers(h)
+	h.beside = beside
+	if h.callers, err = h.server(h.Config.Callers, handler); err != nil {
 		return err
 	}
 	if h.ready, err = h.server(h.Config.Ready, readyMux); err != nil {
@@ -184,7 +187,7 @@
 
 func (h *Host) parts() []suture.Service {
 	list := []suture.Service{
-		h.eventLog, h.Control, h.Hosts,
+		h.eventLog, h.Control, h.Hosts, h.beside,
 		&ManifestFollower{Store: h.Store, Source: h.outside.Source, Log: h.Log, Changed: h.takeManifest},
 		&WorkersFollower{Store: h.Store, Source: h.outside.Source, Control: h.Control, Log: h.Log},
 		&LeadsFollower{Store: h.Store, Control: h.Control},
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -10,6 +10,34 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
+// loadsEvery is how often the loads of all cells are asked for in any case, so
+// that the first jobs after a quiet time are spread too.
+const loadsEvery = 2 * time.Second
+
+// String names the part for the supervisor.
+func (i *Intake) String() string { return "loads follower" }
+
+// Serve keeps the loads of all cells known until the context ends.
+func (i *Intake) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(loadsEvery / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			for name, c := range i.leaders.View().Cells {
+				i.mu.Lock()
+				stale := now.Sub(i.loads[name].at) > loadsEvery
+				i.mu.Unlock()
+				if stale && (c.Fresh || c.Mine) {
+					i.load(now, name, c)
+				}
+			}
+		}
+	}
+}
+
 const (
 	// loadGoodFor is how old a cell's load may be for choosing; it is asked for
 	// in the background when it is older than loadAsk.
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
 	"github.com/wrenferry/wrenferry/pkg/fault"
@@ -89,10 +90,9 @@
 func onPlatform(config fleet.Config) fleet.Outside {
 	return fleet.Outside{
 		Table: platform.NewTable(config.Table), Caller: platform.NewWorkers(), Source: platform.Source{}, Dial: platform.Dial,
-		Callers: func(h *fleet.Host) http.Handler {
-			return &platform.Callers{
-				Jobs: intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics), Manifest: h.Manifest, Log: h.Log,
-			}
+		Callers: func(h *fleet.Host) (http.Handler, suture.Service) {
+			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics)
+			return &platform.Callers{Jobs: jobs, Manifest: h.Manifest, Log: h.Log}, jobs
 		},
 	}
 }
