Fillers start where they cost least and are cut only against lasting harm

Levels are in logarithms now (a pair's coefficient is then the same at any load); a place is scored by the rise of the chance to be over target; a cut comes after 2 s over target and lasts until the tail dips.

--- /dev/null
+++ b/pkg/process/cell/bench_test.go
@@ -0,0 +1,124 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// busyCell is a cell as on a busy day: 16 workers full of serving tasks and
+// fillers, more fillers waiting.
+type busyCell struct {
+	state   *cell.State
+	now     time.Time
+	clock   time.Duration
+	reports map[string]*workers.Report
+	looks   []cell.SendLook
+	version int64
+}
+
+var theManifest = manifest.New(1, []manifest.Queue{
+	{Name: "offers", Service: "quotes", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+	{Name: "watches", Service: "quotes", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+}, []manifest.Service{{Name: "quotes", Guards: true}}, manifest.Limits{})
+
+func newBusyCell() *busyCell {
+	b := &busyCell{
+		state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
+		reports: map[string]*workers.Report{},
+	}
+	records := make([]workers.Record, 16)
+	ids := make([]string, 16)
+	for i := range records {
+		ids[i] = fmt.Sprintf("w%02d", i)
+		records[i] = workers.Record{
+			ID: ids[i], Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: ids[i],
+			Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+		}
+		b.reports[ids[i]] = &workers.Report{}
+	}
+	b.state.Take(b.now, cell.ManifestChanged{Manifest: theManifest})
+	b.state.Take(b.now, cell.WorkersListed{Records: records})
+	b.state.Take(b.now, cell.Led{Epoch: 1, RosterUntil: b.now})
+	b.state.Take(b.now, cell.Loaded{Epoch: 1, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1}, Wall: b.now})
+	b.state.Take(b.now, cell.RosterRecorded{IDs: ids})
+	b.step(0)
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{
+			Count: 5, Millicores: 6000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: fmt.Sprintf("s%d", i%5),
+		})
+	}
+	for i := range 60 {
+		b.offer(100 + i)
+	}
+	for range 100 {
+		b.step(20 * time.Millisecond)
+	}
+	return b
+}
+
+func (b *busyCell) offer(i int) {
+	b.accept(fmt.Sprintf("%016x", i), "offers", &wire.StepSpec{
+		Count: 8, Millicores: 3500, MemoryMb: 6000, Filler: true, EstimateMs: 2700, Image: fmt.Sprintf("f%d", i%9), Checkpointing: true,
+	})
+}
+
+func (b *busyCell) accept(id, queue string, steps ...*wire.StepSpec) {
+	b.state.Take(b.now, cell.Accepted{Spec: &wire.JobSpec{Id: id, Queue: queue, Service: "quotes", Cell: "hall", Steps: steps}})
+}
+
+// step lets time pass, answers every call, and decides.
+func (b *busyCell) step(span time.Duration) {
+	b.now = b.now.Add(span)
+	b.clock += span
+	b.state.Take(b.now, cell.Tick{})
+	looks := b.looks
+	b.looks = nil
+	for _, l := range looks {
+		report := *b.reports[l.To.ID]
+		report.Clock = b.clock
+		b.state.Take(b.now, cell.Looked{Worker: l.To.ID, SentAt: b.now, Report: report})
+	}
+	for _, e := range b.state.Decide(b.now, b.now) {
+		switch e := e.(type) {
+		case cell.SendLook:
+			b.looks = append(b.looks, e)
+			b.state.Take(b.now, cell.Looked{Worker: e.To.ID, SentAt: b.now, Report: b.report(e.To.ID)})
+		case cell.SendStart:
+			r := b.reports[e.To.ID]
+			r.Active = append(r.Active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1, Reading: 40})
+			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}})
+		case cell.Record:
+			b.version++
+			b.state.Take(b.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: b.version}})
+		}
+	}
+}
+
+func (b *busyCell) report(id string) workers.Report {
+	r := *b.reports[id]
+	r.Clock = b.clock
+	return r
+}
+
+// BenchmarkBusyDecide is one decision of a busy cell after one worker's look;
+// a leader makes some hundred a second.
+func BenchmarkBusyDecide(b *testing.B) {
+	c := newBusyCell()
+	counts := c.state.Counts(c.now)
+	b.ReportMetric(float64(counts.Waiting), "waiting")
+	b.ReportMetric(float64(counts.Running), "running")
+	for b.Loop() {
+		c.now = c.now.Add(5 * time.Millisecond)
+		c.clock += 5 * time.Millisecond
+		c.state.Take(c.now, cell.Tick{})
+		c.state.Decide(c.now, c.now)
+	}
+}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -147,7 +147,7 @@
 	s.forget()
 	s.workers, s.listed = workersKnown, listed
 	for _, w := range s.workers {
-		w.Runs = map[*jobs.Run]struct{}{}
+		w.RemoveAll()
 	}
 }
 
@@ -238,6 +238,7 @@
 		return
 	}
 	j.End(p, reason, now)
+	s.scanNow = true
 	s.markDirty(j, true)
 	s.touch(j)
 	s.note(Note{
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -40,6 +40,12 @@
 	}
 	t.Runs = append(t.Runs, r)
 	w.Add(r)
+	delete(s.neighbours, w)
+	for at := range s.harms {
+		if at.worker == w {
+			delete(s.harms, at)
+		}
+	}
 	j := t.Unit.Job
 	s.note(Note{
 		What: NoteStart, Job: j.Spec.GetId(), Task: t.Name(), Run: number, Worker: w.ID, AgeMs: now.Sub(w.AnsweredAt).Milliseconds(),
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/interference"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
@@ -11,41 +13,31 @@
 // Pace. Fillers disturb the tasks beside them that serve users, by amounts that
 // differ by pair of images and change within seconds; all that is seen of it is
 // the tail that a serving task lists, rough and half a second old. Which pairs
-// press is learned (package interference), so that fillers are placed where
-// they do no harm (place.go). What is here is for what that misses: a tail near
-// its target cuts the fillers that press on it, one that stays over it cuts all
-// fillers of its worker, and a filler that is held down for long is moved.
+// press is learned (package interference), and fillers are placed where that
+// costs less than it brings (harm.go). What is here is for what that misses: a
+// tail near its target cuts the fillers that press on it, one that stays over it
+// cuts all fillers of its worker. Levels are logarithms of tails over their targets.
 
 const (
-	// tailGoal is the tail over target that a cut aims at, and that a new filler
-	// must not bring about: the rest is for what readings don't show yet.
-	tailGoal = 0.75
-	// tailCut is where a cut is due.
-	tailCut = 0.9
-	// tailBack is below which some is given back.
-	tailBack = 0.75
-	// overLong is how long a tail may be over its target before all fillers of
-	// its worker stand still, known to press or not; four seconds are harm.
-	overLong = 1200 * time.Millisecond
-	// pressesFrom is the least part of a tail, over target, that makes a filler
-	// one of those that press on it.
-	pressesFrom = 0.08
-	// backStep is what is given back at once, in points of share, and
-	// shareGrain the least share that is worth running at.
-	backStep   = 30
-	shareGrain = 10
-	// paceCutEvery and paceBackEvery are the least times between two changes: a
-	// change shows after the pace's own delay (0.1 s) in readings that look half
-	// a second back.
-	paceCutEvery  = 550 * time.Millisecond
-	paceBackEvery = 700 * time.Millisecond
+	// overShort is how long a tail may be over its target before what is known
+	// to press on it stands still, and overLong before all fillers of its worker
+	// do. Four seconds without a break are harm (harm_ms of the platform's
+	// bounds); a break of one reading is enough.
+	overShort = 2000 * time.Millisecond
+	overLong  = 2500 * time.Millisecond
+	// pressesFrom is the least part of a level that makes a filler one of those
+	// that press on it.
+	pressesFrom = 0.1
+	// cutLeast is how long a filler stands still at least: so long until a
+	// reading shows it. cutMost is the longest, and cutAgain the least time until
+	// the next cut: who is over its target without fillers is not their matter.
+	cutLeast = 600 * time.Millisecond
+	cutMost  = 1300 * time.Millisecond
+	cutAgain = 700 * time.Millisecond
 	// pressureSpan is over how long pressures are averaged: as readings are.
 	pressureSpan = 350 * time.Millisecond
 	// tellPressEvery is how often the log says what is believed of images.
 	tellPressEvery = 10 * time.Second
-	// heldDown is how long a filler may run below half its share before it is
-	// moved.
-	heldDown = 1200 * time.Millisecond
 )
 
 // imageOf names what a unit's tasks run: tasks of one image behave alike.
@@ -64,9 +56,9 @@
 	return r.Task.Unit.Spec.GetFiller() && r.State == jobs.Running
 }
 
-// tailOf is a serving run's tail over its target.
-func tailOf(r *jobs.Run) float64 {
-	return float64(r.Tail.Milliseconds()) / float64(r.Task.Unit.Spec.GetTailTargetMs())
+// levelOf is the level of a serving run's last reading.
+func levelOf(r *jobs.Run) float64 {
+	return interference.Level(float64(r.Tail.Milliseconds()), float64(r.Task.Unit.Spec.GetTailTargetMs()))
 }
 
 // pressure is the share of a worker's processors that a filler may use.
@@ -85,7 +77,9 @@
 	w.AveragePressures(now, at, pressureSpan)
 	for r := range w.Runs {
 		if serving(r) && now.Sub(r.BeganAt) > time.Second {
-			s.press.Learn(now, imageOf(r.Task.Unit), tailOf(r), w.Pressures)
+			image, level := imageOf(r.Task.Unit), levelOf(r)
+			s.press.Learn(now, image, level, w.Pressures)
+			r.OwnLoad += ownLoadRate * (level - s.press.Predict(image, w.Pressures) - r.OwnLoad)
 		}
 	}
 }
@@ -106,85 +100,67 @@
 		for r := range w.Runs {
 			if filling(r) {
 				s.sendPace(now, w, r)
-				s.moveHeldDown(now, w, r)
 			}
 		}
 	}
 }
 
 func (s *State) setPaces(now time.Time, w *workers.Worker) {
-	worst, all := 0.0, false
 	for r := range w.Runs {
 		if !serving(r) {
 			continue
 		}
-		tail := tailOf(r)
-		worst = max(worst, tail)
-		if tail < 1 {
+		level := levelOf(r)
+		switch over := now.Sub(r.OverSince); {
+		case level < 0:
 			r.OverSince = time.Time{}
-		} else if r.OverSince.IsZero() {
+		case r.OverSince.IsZero():
 			r.OverSince = now
-		}
-		if !r.OverSince.IsZero() && now.Sub(r.OverSince) > overLong {
-			all = true
-		}
-		if tail >= tailCut {
-			s.cutPressing(now, w, r, tail)
+		case over > overShort:
+			s.cutPressing(now, w, r, level, over > overLong)
 		}
 	}
 	for r := range w.Runs {
-		switch {
-		case !filling(r):
-		case all:
-			s.setPace(now, w, r, 0, worst)
-		case worst < tailBack && r.PaceWanted < 100 && now.Sub(r.PacedAt) >= paceBackEvery:
-			s.setPace(now, w, r, min(100, r.PaceWanted+backStep), worst)
+		if filling(r) && r.PaceWanted < 100 && s.mayGoOn(now, r) {
+			s.setPace(now, w, r, 100, 0)
 		}
 	}
 }
 
-// cutPressing cuts the fillers that press on one serving run.
-func (s *State) cutPressing(now time.Time, w *workers.Worker, over *jobs.Run, tail float64) {
+// mayGoOn says whether a filler that was cut may work again: what it was cut
+// for is below its target, or was held down for long enough to show that it is
+// not the filler's doing.
+func (s *State) mayGoOn(now time.Time, r *jobs.Run) bool {
+	since := now.Sub(r.CutAt)
+	if since < cutLeast {
+		return false
+	}
+	return since > cutMost || r.CutFor == nil || r.CutFor.OverSince.IsZero()
+}
+
+// cutPressing stops the fillers that press on one serving run, or all.
+func (s *State) cutPressing(now time.Time, w *workers.Worker, over *jobs.Run, level float64, all bool) {
 	image := imageOf(over.Task.Unit)
 	for r := range w.Runs {
-		if !filling(r) || now.Sub(r.PacedAt) < paceCutEvery {
+		if !filling(r) || r.PaceWanted == 0 || now.Sub(r.PacedAt) < cutAgain {
 			continue
 		}
 		part := s.press.Coefficient(image, imageOf(r.Task.Unit)) * pressure(w, r.Task.Unit, r.Pace)
-		if part < pressesFrom {
-			continue
+		if part >= pressesFrom || all {
+			r.CutFor, r.CutAt = over, now
+			s.setPace(now, w, r, 0, level)
 		}
-		s.setPace(now, w, r, min(r.PaceWanted, shareFor(r.PaceWanted, tail, s.press.Alone(image))), tail)
 	}
 }
 
-// shareFor is the share at which a tail would be at its goal.
-func shareFor(share int, tail, alone float64) int {
-	room, pressed := tailGoal-alone, tail-alone
-	if room <= 0 || pressed <= 0 {
-		return 0
-	}
-	want := int(float64(share) * room / pressed)
-	if want < shareGrain {
-		return 0
-	}
-	return min(share, want)
-}
-
-func (s *State) setPace(now time.Time, w *workers.Worker, r *jobs.Run, share int, tail float64) {
+func (s *State) setPace(now time.Time, w *workers.Worker, r *jobs.Run, share int, level float64) {
 	if r.PaceWanted == share {
 		return
 	}
-	if share < 50 && r.HeldSince.IsZero() {
-		r.HeldSince = now
-	}
-	if share >= 50 {
-		r.HeldSince = time.Time{}
-	}
 	r.PaceWanted = share
 	s.note(Note{
 		What: NotePace, Job: r.Task.Unit.Job.Spec.GetId(), Task: r.Task.Name(), Run: r.Number, Worker: w.ID,
-		AgeMs: now.Sub(w.AnsweredAt).Milliseconds(), Detail: fmt.Sprintf("%d%%, tail %.2f of its target", share, tail),
+		AgeMs: now.Sub(w.AnsweredAt).Milliseconds(), Detail: fmt.Sprintf("%d%%, tail %.2f of its target", share, math.Exp(level)),
 	})
 }
 
@@ -195,37 +171,3 @@
 	r.PaceSending, r.PacedAt = true, now
 	s.emit(SendPace{To: target(w), Pace: workers.Pace{Fence: s.epoch, Task: r.Task.Name(), Run: r.Number, Percent: r.PaceWanted}})
 }
-
-// moveHeldDown takes a filler that is held down to where it can work, if there
-// is such a place and it does not lose much.
-func (s *State) moveHeldDown(now time.Time, w *workers.Worker, r *jobs.Run) {
-	if r.HeldSince.IsZero() || now.Sub(r.HeldSince) < heldDown || !r.Task.Unit.Spec.GetCheckpointing() {
-		return
-	}
-	u := r.Task.Unit
-	for _, other := range s.workers {
-		if other != w && s.usable(now, other) && s.fits(now, u, s.service(u.Job), other) {
-			s.stop(now, w, r, "held down beside what it disturbs")
-			return
-		}
-	}
-}
-
-// fillerHarm is the worst tail over target that a filler would bring about at a
-// worker, beside what is there; 0: nobody serves users there.
-func (s *State) fillerHarm(u *jobs.Unit, w *workers.Worker) float64 {
-	worst := 0.0
-	there := map[string]float64{}
-	for r := range w.Runs {
-		if r.Task.Unit.Spec.GetFiller() {
-			there[imageOf(r.Task.Unit)] += pressure(w, r.Task.Unit, 100)
-		}
-	}
-	there[imageOf(u)] += pressure(w, u, 100)
-	for r := range w.Runs {
-		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
-			worst = max(worst, s.press.Predict(imageOf(r.Task.Unit), there))
-		}
-	}
-	return worst
-}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -10,8 +10,9 @@
 )
 
 // Placement. Units that have tasks to start are taken in the order of what
-// their jobs still earn: first those of a higher priority, among equals the
-// nearest objective, and jobs that are past all credit last. Each task goes to
+// their jobs still earn: first those of a higher priority, among equals those
+// that can still meet their objective (else, under overload, all that is started
+// ends late), the nearest first; jobs that are past all credit last. Each task goes to
 // the usable worker where it leaves the least room (so that large holes stay
 // for large tasks), or, for a filler, where most processors are unused.
 
@@ -28,17 +29,31 @@
 // candidate is a unit with its place in the order.
 type candidate struct {
 	unit     *jobs.Unit
-	hopeless bool
+	outlook  outlook
 	priority int
 	due      time.Time
 }
 
+// outlook is what a job can still earn.
+type outlook int
+
+const (
+	// onTime: it can still meet its objective.
+	onTime outlook = iota
+	// late: it earns the little that late jobs earn.
+	late
+	// hopeless: it earns nothing, and runs in what room is left.
+	hopeless
+)
+
 // place starts what may start and has room.
 func (s *State) place(now time.Time) {
 	if !s.placeNow || s.manifest == nil || len(s.workers) == 0 {
 		return
 	}
 	s.placeNow = false
+	clear(s.neighbours)
+	clear(s.harms)
 	usable := s.usableWorkers(now)
 	for _, c := range s.order(now) {
 		if len(usable) == 0 {
@@ -69,18 +84,25 @@
 	if j.Spec.GetRepeats() > 0 {
 		since = now.Add(-s.wall.Sub(j.DueAt(u.Time)))
 	}
-	return candidate{
-		unit: u, priority: q.Priority, due: since.Add(objective),
-		hopeless: !u.Lasting() && now.Sub(since) > time.Duration(hopelessAfter*float64(objective)),
+	c := candidate{unit: u, priority: q.Priority, due: since.Add(objective)}
+	switch {
+	case u.Lasting():
+	case now.Sub(since) > time.Duration(hopelessAfter*float64(objective)):
+		c.outlook = hopeless
+	case now.Add(j.Chain(u.Step)).After(c.due):
+		c.outlook = late
 	}
+	return c
 }
 
 func (c candidate) before(d candidate) bool {
 	switch {
-	case c.hopeless != d.hopeless:
-		return d.hopeless
+	case (c.outlook == hopeless) != (d.outlook == hopeless):
+		return d.outlook == hopeless
 	case c.priority != d.priority:
 		return c.priority < d.priority
+	case c.outlook != d.outlook:
+		return c.outlook < d.outlook
 	case !c.due.Equal(d.due):
 		return c.due.Before(d.due)
 	}
@@ -149,7 +171,7 @@
 	if !workers.Reserved(u).Fits(w.Free()) {
 		return false
 	}
-	if u.Spec.GetFiller() && !s.fillerFits(now, u, w) {
+	if u.Spec.GetFiller() && !fillerFits(u, w) {
 		return false
 	}
 	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
@@ -160,12 +182,9 @@
 }
 
 // fillerFits says whether a filler would get enough of a worker's unused
-// processors without harm to the tasks that serve users there.
-func (s *State) fillerFits(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
-	if float64(w.Unused()) < fillerShare*float64(u.Size.Millicores) {
-		return false
-	}
-	return s.fillerHarm(u, w) <= tailGoal
+// processors.
+func fillerFits(u *jobs.Unit, w *workers.Worker) bool {
+	return float64(w.Unused()) >= fillerShare*float64(u.Size.Millicores)
 }
 
 const (
@@ -181,7 +200,7 @@
 	// a filler to start: fewer that run at full speed end sooner, one after the
 	// other, than many that share.
 	fillerShare = 0.7
-	// harmWeight weighs the tail that a filler brings about against unused
+	// harmWeight weighs what a filler costs its neighbours against unused
 	// processors.
 	harmWeight = 1.0
 	// alikeWeight draws serving tasks to others of their image: fillers that do
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -97,8 +97,12 @@
 	// leadership: it is about images.
 	press       *interference.Press
 	pressToldAt time.Time
-	placeNow    bool
-	outbox      []Effect
+	// neighbours is what fillers would meet at each worker, for one placing.
+	neighbours map[*workers.Worker]neighbours
+	harms      map[place]float64
+	placeNow   bool
+	scanNow    bool
+	outbox     []Effect
 }
 
 // Option changes how a State is made.
@@ -109,7 +113,9 @@
 
 // New returns the state of a process that does not lead the cell.
 func New(name string, bounds Bounds, options ...Option) *State {
-	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress()}
+	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(),
+		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{},
+	}
 	s.forget()
 	for _, o := range options {
 		o(s)
@@ -135,6 +141,7 @@
 func (s *State) Take(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Tick:
+		s.scanNow = true
 		s.placeNow = s.placeNow || len(s.waiting) > 0
 	case ManifestChanged:
 		s.manifest = e.Manifest
@@ -173,19 +180,11 @@
 func (s *State) Decide(now, wall time.Time) []Effect {
 	s.wall = wall
 	if s.phase == leading || s.phase == releasing {
-		s.checkRuns(now)
-		s.settle(now)
-	}
-	if s.phase == leading {
-		s.openTimes()
-		s.leave(now)
-		s.place(now)
-		s.pace(now)
-	}
-	if s.phase == leading || s.phase == releasing {
-		s.stopUnwanted(now)
+		s.decideScans(now)
+		if s.phase == leading {
+			s.place(now)
+		}
 		s.record(now)
-		s.forgetEnded(now)
 	}
 	if s.phase != following {
 		s.look(now)
@@ -195,6 +194,24 @@
 	return out
 }
 
+// decideScans does what looks at every run. It follows from time, from looks
+// and from jobs that ended, not from each answer.
+func (s *State) decideScans(now time.Time) {
+	if !s.scanNow {
+		return
+	}
+	s.scanNow = false
+	s.checkRuns(now)
+	s.settle(now)
+	if s.phase == leading {
+		s.openTimes()
+		s.leave(now)
+		s.pace(now)
+	}
+	s.stopUnwanted(now)
+	s.forgetEnded(now)
+}
+
 func (s *State) emit(e Effect) { s.outbox = append(s.outbox, e) }
 
 func (s *State) note(n Note) {
--- a/pkg/process/interference/press.go
+++ b/pkg/process/interference/press.go
@@ -13,10 +13,11 @@
 //
 // A reading, tail over target, is explained as
 //
-//	alone + sum over fillers of coefficient x pressure
+//	ln(reading) = alone + sum over fillers of coefficient x pressure
 //
 // where a filler's pressure is the share of the worker's processors that it may
-// use. Most pairs don't meet at all, a few press hard, and several fillers run
+// use. (In logarithms, since the tail grows by a factor with the serving task's
+// own load, and the same pair then has the same coefficient at any load.) Most pairs don't meet at all, a few press hard, and several fillers run
 // side by side: so each serving image has a Kalman filter over its coefficients,
 // which knows how sure it is of each, and gives a miss to those that it is
 // least sure of. What is not seen for a while becomes less sure again. (Least
@@ -26,21 +27,30 @@
 	images map[string]*filter
 }
 
-// The filter's figures come from a day of readings without any pace: alone
-// 0.3 to 0.4 at the median and 0.7 at the 95th percentile; coefficients between
-// 5 and 10 for pairs that press, below 1 for the others.
+// The filter's figures come from a day of readings without any pace, in
+// logarithms: alone -1.05 (0.35 of the target), with a deviation of 0.45, most
+// of it the task's own load, which lasts for seconds; coefficients of 5 to 9 for
+// pairs that press, between -1 and 1.5 for the others.
 const (
-	firstAlone   = 0.42
-	firstAloneSD = 0.1
+	firstAlone   = -1.05
+	firstAloneSD = 0.2
 	firstPress   = 1.0
 	firstPressSD = 3.0
-	readingSD    = 0.25
+	readingSD    = 0.45
 	aloneDriftSD = 0.05 // per square root of a second
-	pressDriftSD = 0.4  // likewise
-	missMost     = 1.2  // a reading far off says no more than this
+	pressDriftSD = 0.15 // likewise
 	longestDrift = 5 * time.Second
+	// missMost bounds what one reading can say.
+	missMost = 1.5
+	// leastTail stands in for a tail that is rounded to nothing.
+	leastTail = 0.05
 )
 
+// Level is the logarithm of a tail over its target.
+func Level(tail, target float64) float64 {
+	return math.Log(max(leastTail, tail/max(target, 1)))
+}
+
 // filter is what is believed of one serving image. Index 0 is alone, the others
 // are fillers.
 type filter struct {
@@ -86,7 +96,7 @@
 }
 
 // Coefficient is how much the filler's whole use of a worker's processors
-// would add to the serving image's tail, as a share of its target.
+// would add to the serving image's level.
 func (p *Press) Coefficient(serving, filler string) float64 {
 	f := p.images[serving]
 	if f == nil {
@@ -99,7 +109,7 @@
 	return f.mean[i]
 }
 
-// Alone is the tail over target of a serving image without fillers.
+// Alone is the level of a serving image without fillers.
 func (p *Press) Alone(serving string) float64 {
 	if f := p.images[serving]; f != nil {
 		return f.mean[0]
@@ -107,7 +117,7 @@
 	return firstAlone
 }
 
-// Predict is the tail over target to expect beside the given pressures.
+// Predict is the level to expect beside the given pressures.
 func (p *Press) Predict(serving string, pressures map[string]float64) float64 {
 	level := p.Alone(serving)
 	for filler, pressure := range pressures {
@@ -116,9 +126,9 @@
 	return level
 }
 
-// Learn takes in one reading: the tail over target, and the pressures that
-// were there during it.
-func (p *Press) Learn(now time.Time, serving string, ratio float64, pressures map[string]float64) {
+// Learn takes in one reading: the level, and the pressures that were there
+// during it.
+func (p *Press) Learn(now time.Time, serving string, level float64, pressures map[string]float64) {
 	f := p.image(serving)
 	f.drift(now)
 	weights := make([]float64, len(f.mean), len(f.mean)+len(pressures))
@@ -130,7 +140,7 @@
 		}
 		weights[i] = pressure
 	}
-	f.update(ratio, weights)
+	f.update(level, weights)
 }
 
 // drift lets time make the beliefs less sure.
@@ -168,7 +178,10 @@
 	}
 	miss := math.Min(missMost, math.Max(-missMost, reading-expected))
 	for i := range n {
-		f.mean[i] = math.Max(0, f.mean[i]+gain[i]*miss/variance)
+		f.mean[i] += gain[i] * miss / variance
+		if i > 0 {
+			f.mean[i] = math.Max(0, f.mean[i]) // nothing makes a neighbour faster
+		}
 	}
 	for i := range n {
 		for j := range n {
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -35,6 +35,8 @@
 	Units []*Unit
 
 	times int
+	// chains are the longest chains of estimated work from each step on.
+	chains []time.Duration
 }
 
 // Unit is one step at one of the job's times.
@@ -50,6 +52,7 @@
 	FailedAt map[string]bool
 
 	done int
+	name string
 	// gangFailures are run numbers of a gang that ended in failure.
 	gangFailures map[int64]bool
 }
@@ -73,11 +76,14 @@
 	// AvoidWorker is where its last run failed: the next one goes elsewhere, if
 	// it can.
 	AvoidWorker string
+
+	name string
 }
 
 // New returns a job that nobody has worked on yet.
 func New(spec *wire.JobSpec, acceptedAt time.Time) *Job {
 	j := &Job{Spec: spec, Phase: wire.JobPhase_JOB_PHASE_QUEUED, AcceptedAt: acceptedAt}
+	j.chains = chains(spec.GetSteps())
 	if spec.GetRepeats() == 0 {
 		j.openTime(0)
 	}
@@ -93,8 +99,9 @@
 			Job: j, Time: time, Step: i, Spec: step,
 			Size: ledger.Size{Millicores: step.GetMillicores(), MemoryMB: step.GetMemoryMb(), Accelerators: step.GetAccelerators()},
 		}
+		u.name = j.Spec.GetId() + "." + strconv.Itoa(time) + "." + strconv.Itoa(i)
 		for n := range int(step.GetCount()) {
-			u.Tasks = append(u.Tasks, &Task{Unit: u, Index: n, Settled: true})
+			u.Tasks = append(u.Tasks, &Task{Unit: u, Index: n, Settled: true, name: u.name + "." + strconv.Itoa(n)})
 		}
 		j.Units = append(j.Units, u)
 	}
@@ -170,34 +177,30 @@
 
 // Chain is the longest chain of estimated work from a step to the job's end,
 // the step included.
-func (j *Job) Chain(step int) time.Duration {
-	longest := time.Duration(0)
-	for i := step + 1; i < len(j.Spec.GetSteps()); i++ {
-		if comesAfter(j.Spec.GetSteps()[i], step) {
-			longest = max(longest, j.Chain(i))
-		}
-	}
-	return longest + time.Duration(j.Spec.GetSteps()[step].GetEstimateMs())*time.Millisecond
-}
-
-func comesAfter(s *wire.StepSpec, step int) bool {
-	for _, a := range s.GetAfter() {
-		if int(a) == step {
-			return true
-		}
-	}
-	return false
-}
+func (j *Job) Chain(step int) time.Duration { return j.chains[step] }
 
 // WholeChain is the longest chain of estimated work of the whole job.
 func (j *Job) WholeChain() time.Duration {
 	longest := time.Duration(0)
-	for i := range j.Spec.GetSteps() {
-		longest = max(longest, j.Chain(i))
+	for _, c := range j.chains {
+		longest = max(longest, c)
 	}
 	return longest
 }
 
+// chains works the chains out from the last step back: steps only come after
+// earlier ones.
+func chains(steps []*wire.StepSpec) []time.Duration {
+	list := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		list[i] += time.Duration(steps[i].GetEstimateMs()) * time.Millisecond
+		for _, before := range steps[i].GetAfter() {
+			list[before] = max(list[before], list[i])
+		}
+	}
+	return list
+}
+
 // ------------------------------------------------------------------ units
 
 // Done says whether all tasks of the unit have ended well.
@@ -230,14 +233,12 @@
 }
 
 // Name is the unit's name in advice and logs: ID.TIME.STEP.
-func (u *Unit) Name() string {
-	return u.Job.Spec.GetId() + "." + strconv.Itoa(u.Time) + "." + strconv.Itoa(u.Step)
-}
+func (u *Unit) Name() string { return u.name }
 
 // ------------------------------------------------------------------ tasks
 
 // Name is the task's name at workers: ID.TIME.STEP.INDEX.
-func (t *Task) Name() string { return t.Unit.Name() + "." + strconv.Itoa(t.Index) }
+func (t *Task) Name() string { return t.name }
 
 // Waiting says whether the task wants a start.
 func (t *Task) Waiting(now time.Time) bool {
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -53,8 +53,13 @@
 	PacedAt          time.Time
 	// OverSince is since when the tail is above its target; zero: it is not.
 	OverSince time.Time
-	// HeldSince is since when it is paced below half; zero: it is not.
-	HeldSince time.Time
+	// CutFor is the serving run that it was last made to stand still for,
+	// and CutAt when.
+	CutFor *Run
+	CutAt  time.Time
+	// OwnLoad is how far its level has lately been from what its neighbours
+	// explain.
+	OwnLoad float64
 	// StopSentAt is when it was last asked to stop, and Why.
 	StopSentAt time.Time
 	Why        string
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -88,11 +88,17 @@
 	leaseUntil time.Duration
 	granted    bool
 	foreign    ledger.Size
+	// What Add and Remove keep: the room taken, the processors asked for, how
+	// many serve and fill, and how many there are of each unit.
+	taken            ledger.Size
+	asked            int64
+	serving, fillers int64
+	units            map[*jobs.Unit]int64
 }
 
 // New returns a worker that has not been heard yet.
 func New(r Record, now time.Time) *Worker {
-	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, FirstSeen: now}
+	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, units: map[*jobs.Unit]int64{}, FirstSeen: now}
 }
 
 // TakeClock takes in a reading of the worker's clock that came in an answer.
@@ -138,23 +144,55 @@
 }
 
 // Add counts a run as running there.
-func (w *Worker) Add(r *jobs.Run) { w.Runs[r] = struct{}{} }
+func (w *Worker) Add(r *jobs.Run) {
+	if _, there := w.Runs[r]; !there {
+		w.Runs[r] = struct{}{}
+		w.count(r.Task.Unit, 1)
+	}
+}
 
 // Remove takes a run off.
-func (w *Worker) Remove(r *jobs.Run) { delete(w.Runs, r) }
+func (w *Worker) Remove(r *jobs.Run) {
+	if _, there := w.Runs[r]; there {
+		delete(w.Runs, r)
+		w.count(r.Task.Unit, -1)
+	}
+}
+
+// RemoveAll takes all runs off.
+func (w *Worker) RemoveAll() {
+	for r := range w.Runs {
+		w.Remove(r)
+	}
+}
+
+// count keeps the sums that placing asks for many times a second.
+func (w *Worker) count(u *jobs.Unit, by int64) {
+	size := Reserved(u)
+	w.taken.Millicores += by * size.Millicores
+	w.taken.MemoryMB += by * size.MemoryMB
+	w.taken.Accelerators += by * size.Accelerators
+	asks := u.Size.Millicores
+	if u.Spec.GetTailTargetMs() > 0 {
+		w.serving += by
+		asks = int64(float64(asks) * servingLoad)
+	}
+	if u.Spec.GetFiller() {
+		w.fillers += by
+	}
+	w.asked += by * asks
+	w.units[u] += by
+	if w.units[u] == 0 {
+		delete(w.units, u)
+	}
+}
 
 // SetForeign sets the room taken by runs that belong to no job of this cell:
 // listed by the worker, and being stopped.
 func (w *Worker) SetForeign(size ledger.Size) { w.foreign = size }
 
 // Free is the room that is not reserved. A filler's processors aren't counted.
-func (w *Worker) Free() ledger.Size {
-	free := w.Capacity.Minus(w.foreign)
-	for r := range w.Runs {
-		free = free.Minus(Reserved(r.Task.Unit))
-	}
-	return free
-}
+func (w *Worker) Free() ledger.Size { return w.Capacity.Minus(w.foreign).Minus(w.taken) }
 
 // Reserved is the room that one task of a unit takes.
 func Reserved(u *jobs.Unit) ledger.Size {
@@ -166,15 +204,7 @@
 }
 
 // CountOf is how many tasks of a unit are there.
-func (w *Worker) CountOf(u *jobs.Unit) int {
-	n := 0
-	for r := range w.Runs {
-		if r.Task.Unit == u {
-			n++
-		}
-	}
-	return n
-}
+func (w *Worker) CountOf(u *jobs.Unit) int { return int(w.units[u]) }
 
 // servingLoad is the share of their reserved processors that lasting tasks use
 // on average, while workers do not tell it (the reading that they give for
@@ -183,27 +213,10 @@
 
 // Unused estimates the processors that fillers could take, after what those
 // that are there ask for.
-func (w *Worker) Unused() int64 {
-	unused := w.Capacity.Millicores
-	for r := range w.Runs {
-		size := r.Task.Unit.Size.Millicores
-		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
-			size = int64(float64(size) * servingLoad)
-		}
-		unused -= size
-	}
-	return unused
-}
+func (w *Worker) Unused() int64 { return w.Capacity.Millicores - w.asked }
 
 // Serving says whether a task runs there whose users' latency has a target.
-func (w *Worker) Serving() bool {
-	for r := range w.Runs {
-		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (w *Worker) Serving() bool { return w.serving > 0 }
 
 // AveragePressures moves the averages towards what is there now.
 func (w *Worker) AveragePressures(now time.Time, at map[string]float64, span time.Duration) {
@@ -229,14 +242,7 @@
 const negligible = 0.002
 
 // Filling says whether a filler runs there.
-func (w *Worker) Filling() bool {
-	for r := range w.Runs {
-		if r.Task.Unit.Spec.GetFiller() {
-			return true
-		}
-	}
-	return false
-}
+func (w *Worker) Filling() bool { return w.fillers > 0 }
 
 // Usable says whether new work may go there: listed, not leaving, heard within
 // the given span, not put aside.
