Fillers wait for a place that costs their neighbours less than they earn; own load of serving tasks is a state

Cause: readings of a task alone are correlated over seconds (0.56 after 0.5 s), which the filter took for fresh evidence and blamed on fillers; now each task's own load is a state.

--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -20,13 +20,10 @@
 	// a core and second.
 	overCost  = 4.0
 	workEarns = 0.42
-	// levelSD is how far a level strays from what is expected of it, where the
-	// task's own load is followed.
-	levelSD = 0.35
-	// ownLoadRate is how fast a task's own load is followed, a reading; of
-	// which half is taken to last as long as a filler runs.
-	ownLoadRate = 0.4
-	ownLoadKept = 0.6
+	// levelSD is how far a level strays from what is expected of it while a
+	// filler runs, and ownKept how much of a task's own load lasts as long.
+	levelSD = 0.55
+	ownKept = 0.3
 )
 
 // overChance is how likely a level is over its target, given what is expected.
@@ -58,7 +55,7 @@
 	for r := range w.Runs {
 		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
 			image := imageOf(r.Task.Unit)
-			n.serving = append(n.serving, neighbour{image, s.press.Predict(image, n.there) + ownLoadKept*r.OwnLoad})
+			n.serving = append(n.serving, neighbour{image, s.press.Predict(image, n.there) + ownKept*r.OwnLoad.Mean})
 		}
 	}
 	return n
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -34,8 +34,6 @@
 	cutLeast = 600 * time.Millisecond
 	cutMost  = 1300 * time.Millisecond
 	cutAgain = 700 * time.Millisecond
-	// pressureSpan is over how long pressures are averaged: as readings are.
-	pressureSpan = 350 * time.Millisecond
 	// tellPressEvery is how often the log says what is believed of images.
 	tellPressEvery = 10 * time.Second
 )
@@ -66,20 +64,21 @@
 	return float64(u.Size.Millicores) / float64(max(1, w.Capacity.Millicores)) * float64(share) / 100
 }
 
-// learnPress takes in a worker's fresh readings.
+// learnPress takes in a worker's fresh readings. What a filler has used in the
+// last half second is what its neighbours' tails show.
 func (s *State) learnPress(now time.Time, w *workers.Worker) {
+	if !w.Serving() {
+		return
+	}
 	at := map[string]float64{}
 	for r := range w.Runs {
 		if filling(r) {
-			at[imageOf(r.Task.Unit)] += pressure(w, r.Task.Unit, r.Pace)
+			at[imageOf(r.Task.Unit)] += float64(r.UsedMillicores) / float64(max(1, w.Capacity.Millicores))
 		}
 	}
-	w.AveragePressures(now, at, pressureSpan)
 	for r := range w.Runs {
 		if serving(r) && now.Sub(r.BeganAt) > time.Second {
-			image, level := imageOf(r.Task.Unit), levelOf(r)
-			s.press.Learn(now, image, level, w.Pressures)
-			r.OwnLoad += ownLoadRate * (level - s.press.Predict(image, w.Pressures) - r.OwnLoad)
+			s.press.Learn(now, imageOf(r.Task.Unit), levelOf(r), at, &r.OwnLoad)
 		}
 	}
 }
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -171,7 +171,7 @@
 	if !workers.Reserved(u).Fits(w.Free()) {
 		return false
 	}
-	if u.Spec.GetFiller() && !fillerFits(u, w) {
+	if u.Spec.GetFiller() && (!fillerFits(u, w) || s.fillerHarm(u, w) > 0) {
 		return false
 	}
 	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
@@ -193,9 +193,6 @@
 	farPenalty = 10.0
 	// avoidPenalty is for the worker where the task failed last.
 	avoidPenalty = 20.0
-	// apartWeight draws serving tasks to workers where others serve, so that
-	// the rest stay free for fillers.
-	apartWeight = 2.0
 	// fillerShare is the least share of its processors that must be unused for
 	// a filler to start: fewer that run at full speed end sooner, one after the
 	// other, than many that share.
@@ -203,9 +200,9 @@
 	// harmWeight weighs what a filler costs its neighbours against unused
 	// processors.
 	harmWeight = 1.0
-	// alikeWeight draws serving tasks to others of their image: fillers that do
-	// no harm to one do none to the others.
-	alikeWeight = 0.5
+	// alikeWeight is for serving tasks beside others of their image: more than
+	// any room can make up for.
+	alikeWeight = 2.0
 )
 
 // score ranks the workers that a task fits on; the highest is taken.
@@ -217,11 +214,7 @@
 	case u.Spec.GetFiller():
 		score = float64(w.Unused())/total - harmWeight*s.fillerHarm(u, w)
 	case u.Spec.GetTailTargetMs() > 0:
-		score = -float64(w.Free().Millicores) / total
-		if w.Serving() {
-			score += apartWeight
-		}
-		score += alikeWeight * alike(u, w)
+		score = -float64(w.Free().Millicores)/total + alikeScore(u, w)
 	default:
 		score = -float64(w.Free().Millicores) / total
 	}
@@ -234,8 +227,13 @@
 	return score
 }
 
-// alike is the share of a worker's serving tasks that run a unit's image.
-func alike(u *jobs.Unit, w *workers.Worker) float64 {
+// alikeScore draws a serving task to others of its image, else to a worker
+// where nobody serves: fillers that do no harm to one image may harm another, so
+// that workers of one image each leave every filler a place.
+func alikeScore(u *jobs.Unit, w *workers.Worker) float64 {
+	if !w.Serving() {
+		return 0
+	}
 	same, all := 0, 0
 	for r := range w.Runs {
 		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
@@ -245,10 +243,7 @@
 			}
 		}
 	}
-	if all == 0 {
-		return 0
-	}
-	return float64(same) / float64(all)
+	return alikeWeight * (2*float64(same)/float64(all) - 1)
 }
 
 // placeGang starts all tasks of a gang as one run, or none.
--- a/pkg/process/interference/press.go
+++ b/pkg/process/interference/press.go
@@ -36,7 +36,12 @@
 	firstAloneSD = 0.2
 	firstPress   = 1.0
 	firstPressSD = 3.0
-	readingSD    = 0.45
+	readingSD    = 0.4
+	// A task's own load strays from its image's mean by ownSD, and half of that
+	// is forgotten in about a second (ownMemory): measured from readings alone,
+	// correlated 0.56 after half a second and 0.25 after one and a half.
+	ownSD        = 0.45
+	ownMemory    = 1500 * time.Millisecond
 	aloneDriftSD = 0.05 // per square root of a second
 	pressDriftSD = 0.15 // likewise
 	longestDrift = 5 * time.Second
@@ -126,9 +131,30 @@
 	return level
 }
 
-// Learn takes in one reading: the level, and the pressures that were there
-// during it.
-func (p *Press) Learn(now time.Time, serving string, level float64, pressures map[string]float64) {
+// OwnLoad is what is believed of one serving task: how far its level is from
+// what its image and its neighbours explain. It lasts for a second or two; a
+// miss that it can explain is not blamed on neighbours.
+type OwnLoad struct {
+	Mean     float64
+	variance float64
+	at       time.Time
+}
+
+// drift lets the own load go back to the mean.
+func (o *OwnLoad) drift(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(o.at)) / float64(ownMemory))
+	if o.at.IsZero() {
+		keep = 0
+	}
+	o.at = now
+	o.Mean *= keep
+	o.variance = ownSD*ownSD + keep*keep*(o.variance-ownSD*ownSD)
+}
+
+// Learn takes in one reading of a task: the level, and the pressures that were
+// there during it.
+func (p *Press) Learn(now time.Time, serving string, level float64, pressures map[string]float64, own *OwnLoad) {
+	own.drift(now)
 	f := p.image(serving)
 	f.drift(now)
 	weights := make([]float64, len(f.mean), len(f.mean)+len(pressures))
@@ -140,7 +166,7 @@
 		}
 		weights[i] = pressure
 	}
-	f.update(level, weights)
+	f.update(level, weights, own)
 }
 
 // drift lets time make the beliefs less sure.
@@ -163,10 +189,10 @@
 }
 
 // update is the filter's step for one reading.
-func (f *filter) update(reading float64, weights []float64) {
+func (f *filter) update(reading float64, weights []float64, own *OwnLoad) {
 	n := len(f.mean)
 	gain := make([]float64, n)
-	expected, variance := 0.0, readingSD*readingSD
+	expected, variance := own.Mean, readingSD*readingSD+own.variance
 	for i := range n {
 		expected += weights[i] * f.mean[i]
 		for j := range n {
@@ -183,6 +209,9 @@
 			f.mean[i] = math.Max(0, f.mean[i]) // nothing makes a neighbour faster
 		}
 	}
+	gained := own.variance / variance
+	own.Mean += gained * miss
+	own.variance *= 1 - gained
 	for i := range n {
 		for j := range n {
 			f.cov[i][j] -= gain[i] * gain[j] / variance
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/interference"
 )
 
 // RunState is how much is known of a run.
@@ -57,9 +59,8 @@
 	// and CutAt when.
 	CutFor *Run
 	CutAt  time.Time
-	// OwnLoad is how far its level has lately been from what its neighbours
-	// explain.
-	OwnLoad float64
+	// OwnLoad is what is believed of a serving task's own load.
+	OwnLoad interference.OwnLoad
 	// StopSentAt is when it was last asked to stop, and Why.
 	StopSentAt time.Time
 	Why        string
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -9,7 +9,6 @@
 package workers
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -76,10 +75,6 @@
 	// durable, and Told the newest that the worker was told of.
 	Seen, Recorded int64
 	Health         Health
-	// Pressures are the shares of its processors that fillers may use, by
-	// image, averaged over as long as readings look back.
-	Pressures   map[string]float64
-	pressuresAt time.Time
 	// Gone says that this life is surely over.
 	Gone bool
 
@@ -218,29 +213,6 @@
 // Serving says whether a task runs there whose users' latency has a target.
 func (w *Worker) Serving() bool { return w.serving > 0 }
 
-// AveragePressures moves the averages towards what is there now.
-func (w *Worker) AveragePressures(now time.Time, at map[string]float64, span time.Duration) {
-	weight := 1 - math.Exp(-float64(now.Sub(w.pressuresAt))/float64(span))
-	if w.Pressures == nil || w.pressuresAt.IsZero() {
-		w.Pressures, weight = map[string]float64{}, 1
-	}
-	w.pressuresAt = now
-	for image := range at {
-		w.Pressures[image] += 0
-	}
-	for image, p := range w.Pressures {
-		next := p + weight*(at[image]-p)
-		if next < negligible {
-			delete(w.Pressures, image)
-			continue
-		}
-		w.Pressures[image] = next
-	}
-}
-
-// negligible is a pressure that is no longer kept.
-const negligible = 0.002
-
 // Filling says whether a filler runs there.
 func (w *Worker) Filling() bool { return w.fillers > 0 }
 
