--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -30,6 +30,7 @@
 	if r != nil {
 		w.Remove(r)
 		t.Drop(r)
+		t.WaitsSince = now
 	}
 	if e.Checkpoint != "" && !t.Done {
 		t.Checkpoint = e.Checkpoint
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -338,6 +338,7 @@
 	t := r.Task
 	w.Remove(r)
 	t.Drop(r)
+	t.WaitsSince = now
 	s.note(Note{
 		What: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: w.ID, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -54,6 +54,7 @@
 	s.placeNow = false
 	clear(s.neighbours)
 	clear(s.harms)
+	clear(s.held)
 	usable := s.usableWorkers(now)
 	for _, c := range s.order(now) {
 		if len(usable) == 0 {
@@ -138,6 +139,7 @@
 	for _, t := range u.Waiting(now) {
 		w := s.choose(now, t, service, usable)
 		if w == nil {
+			s.holdFor(now, t, service, usable)
 			return
 		}
 		s.start(now, w, t, s.nextRun(), "")
@@ -147,6 +149,39 @@
 	}
 }
 
+// holdAfter is how long a lasting task waits before room is held for it: one or
+// two short tasks' time.
+const holdAfter = 700 * time.Millisecond
+
+// holdFor keeps the worker that is nearest to having room for a lasting task
+// free of short ones. Those come and go, and each takes a little of the room
+// that a large task waits for.
+func (s *State) holdFor(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
+	u := t.Unit
+	since := t.WaitsSince
+	if since.IsZero() {
+		since = u.Job.AcceptedAt
+	}
+	if !u.Lasting() || now.Sub(since) < holdAfter {
+		return
+	}
+	var best *workers.Worker
+	for _, w := range usable {
+		if s.held[w] || w.Service != service || !w.HasLabel(u.Spec.GetLabel()) || !u.Size.Fits(w.Capacity.Minus(w.Lasting())) {
+			continue
+		}
+		if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
+			continue
+		}
+		if best == nil || w.Free().Millicores > best.Free().Millicores {
+			best = w
+		}
+	}
+	if best != nil {
+		s.held[best] = true
+	}
+}
+
 // choose picks the worker for a task; nil: none has room.
 func (s *State) choose(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
 	var best *workers.Worker
@@ -168,7 +203,7 @@
 	if w.Service != service || !w.HasLabel(u.Spec.GetLabel()) {
 		return false
 	}
-	if !workers.Reserved(u).Fits(w.Free()) {
+	if !workers.Reserved(u).Fits(w.Free()) || (s.held[w] && !u.Lasting()) {
 		return false
 	}
 	if u.Spec.GetFiller() && (!fillerFits(u, w) || s.fillerHarm(u, w) > 0) {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -100,9 +100,11 @@
 	// neighbours is what fillers would meet at each worker, for one placing.
 	neighbours map[*workers.Worker]neighbours
 	harms      map[place]float64
-	placeNow   bool
-	scanNow    bool
-	outbox     []Effect
+	// held are workers whose room is kept for lasting tasks, likewise.
+	held     map[*workers.Worker]bool
+	placeNow bool
+	scanNow  bool
+	outbox   []Effect
 }
 
 // Option changes how a State is made.
@@ -114,7 +116,7 @@
 // New returns the state of a process that does not lead the cell.
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(),
-		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{},
+		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{},
 	}
 	s.forget()
 	for _, o := range options {
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -38,8 +38,9 @@
 	stopMargin = 500 * time.Millisecond
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 3 * time.Second
-	// idleTimeout is how long a caller's unused connection is kept.
-	idleTimeout = 15 * time.Second
+	// idleTimeout is how long a caller's unused connection is kept: longer than
+	// callers keep theirs, so that none is closed under a call just sent.
+	idleTimeout = 2 * time.Minute
 	// maxHeader bounds the headers of a call.
 	maxHeader = 16 << 10
 	// streamWindow keeps the memory of peers' connections small.
@@ -122,7 +123,7 @@
 	var err error
 	handler, beside := h.outside.Callers(h)
 	h.beside = beside
-	if h.callers, err = h.server(h.Config.Callers, handler); err != nil {
+	if h.callers, err = h.server(h.Config.Callers, h.lastCalls(handler)); err != nil {
 		return err
 	}
 	if h.ready, err = h.server(h.Config.Ready, readyMux); err != nil {
@@ -140,6 +141,18 @@
 	return err
 }
 
+// lastCalls tells callers, once this host is stopping, that each answer is the
+// last on its connection. Closing the connections that look unused would cut
+// calls that have been sent and not read yet.
+func (h *Host) lastCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *Host) server(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := openPort(address)
 	if err != nil {
@@ -211,7 +224,6 @@
 	h.Log.Info("host-stopping")
 	h.leaving.Store(true)
 	h.Hosts.Leave()
-	h.callers.SetKeepAlivesEnabled(false)
 	h.handOver()
 	time.Sleep(time.Until(began.Add(balancerWait)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.Config.Grace-stopMargin))
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -76,6 +76,8 @@
 	// AvoidWorker is where its last run failed: the next one goes elsewhere, if
 	// it can.
 	AvoidWorker string
+	// WaitsSince is when it last lost a run; zero: it never had one.
+	WaitsSince time.Time
 
 	name string
 }
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -85,7 +85,7 @@
 	foreign    ledger.Size
 	// What Add and Remove keep: the room taken, the processors asked for, how
 	// many serve and fill, and how many there are of each unit.
-	taken            ledger.Size
+	taken, lasting   ledger.Size
 	asked            int64
 	serving, fillers int64
 	units            map[*jobs.Unit]int64
@@ -175,6 +175,11 @@
 	if u.Spec.GetFiller() {
 		w.fillers += by
 	}
+	if u.Lasting() {
+		w.lasting.Millicores += by * size.Millicores
+		w.lasting.MemoryMB += by * size.MemoryMB
+		w.lasting.Accelerators += by * size.Accelerators
+	}
 	w.asked += by * asks
 	w.units[u] += by
 	if w.units[u] == 0 {
@@ -182,6 +187,9 @@
 	}
 }
 
+// Lasting is the room that lasting tasks have reserved.
+func (w *Worker) Lasting() ledger.Size { return w.lasting }
+
 // SetForeign sets the room taken by runs that belong to no job of this cell:
 // listed by the worker, and being stopped.
 func (w *Worker) SetForeign(size ledger.Size) { w.foreign = size }
