--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -66,10 +66,9 @@
 }
 
 func (s *State) endedDone(now time.Time, w *workers.Worker, t *jobs.Task) {
-	if _, aside := w.Health.IsAside(); aside {
-		s.note(Note{What: NoteWorkerBack, Worker: w.ID, AgeMs: -1})
+	if w.Health.Worked() {
+		s.note(Note{What: NoteWorkerBack, Worker: w.ID, Detail: "a run ended well", AgeMs: -1})
 	}
-	w.Health.Worked()
 	if t.Unit.Lasting() {
 		return // it is to be started again however it ends
 	}
@@ -94,7 +93,7 @@
 	u.FailedAt[w.ID] = true
 	t.AvoidWorker = w.ID
 	if len(u.FailedAt) < 2 && w.Health.Failed(u.Name(), now) {
-		s.note(Note{What: NoteWorkerAside, Worker: w.ID, Detail: "fails what it starts", AgeMs: -1})
+		s.noteAside(w)
 	}
 	if u.Lasting() {
 		return
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -303,8 +303,8 @@
 
 func (s *State) takeReading(now time.Time, w *workers.Worker, r *jobs.Run, a workers.Active) {
 	if a.Percent != r.Percent {
-		if a.Percent > r.Percent && r.AckedAt.Before(now.Add(-lookWait)) {
-			w.Health.Worked()
+		if a.Percent > r.Percent && (w.Health.Moved() || (r.Task.Unit.Lasting() && a.Percent >= 100 && w.Health.Worked())) {
+			s.note(Note{What: NoteWorkerBack, Worker: w.ID, Detail: "a run moves on", AgeMs: -1})
 		}
 		r.Percent, r.ProgressAt = a.Percent, now
 	}
@@ -394,11 +394,12 @@
 	if now.Sub(r.ProgressAt) < limit || now.Sub(r.BeganAt) < limit {
 		return
 	}
-	s.aside(now, w, "a run stands still")
+	w.Health.StoodStill(now)
+	s.noteAside(w)
 	s.stop(now, w, r, "stands still")
 }
 
-func (s *State) aside(now time.Time, w *workers.Worker, why string) {
-	w.Health.Suspect(why, now)
+func (s *State) noteAside(w *workers.Worker) {
+	why, _ := w.Health.IsAside()
 	s.note(Note{What: NoteWorkerAside, Worker: w.ID, Detail: why, AgeMs: -1})
 }
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -40,6 +40,7 @@
 	}
 	t.Runs = append(t.Runs, r)
 	w.Add(r)
+	w.Health.TrialGiven(now)
 	delete(s.neighbours, w)
 	for at := range s.harms {
 		if at.worker == w {
@@ -108,7 +109,8 @@
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
 	})
 	if why == string(workers.RefusedRoom) || why == string(workers.RefusedBusy) {
-		s.aside(now, w, "refused a start: "+why)
+		w.Health.Refused(why, now)
+		s.noteAside(w)
 	}
 	s.touch(t.Unit.Job)
 }
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -147,6 +147,7 @@
 		part := s.press.Coefficient(image, imageOf(r.Task.Unit)) * pressure(w, r.Task.Unit, r.Pace)
 		if part >= pressesFrom || all {
 			r.CutFor, r.CutAt = over, now
+			w.NoFillersUntil = now.Add(cutMost)
 			s.setPace(now, w, r, 0, level)
 		}
 	}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -120,7 +120,7 @@
 
 // usable says whether a worker takes new work now.
 func (s *State) usable(now time.Time, w *workers.Worker) bool {
-	return w.Usable(now, heardWithin) && s.roster[w.ID] && !w.Health.Aside(now, len(w.Runs))
+	return w.Usable(now, heardWithin) && s.roster[w.ID] && !w.Health.Aside(now)
 }
 
 func (s *State) usableWorkers(now time.Time) []*workers.Worker {
@@ -206,20 +206,20 @@
 	if !workers.Reserved(u).Fits(w.Free()) || (s.held[w] && !u.Lasting()) {
 		return false
 	}
-	if u.Spec.GetFiller() && (!fillerFits(u, w) || s.fillerHarm(u, w) > 0) {
+	if u.Spec.GetFiller() && (!fillerFits(now, u, w) || s.fillerHarm(u, w) > 0) {
 		return false
 	}
 	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
 		return false
 	}
 	// A worker that was put aside gets one run as a trial.
-	return !w.Health.Aside(now, len(w.Runs))
+	return !w.Health.Aside(now)
 }
 
 // fillerFits says whether a filler would get enough of a worker's unused
 // processors.
-func fillerFits(u *jobs.Unit, w *workers.Worker) bool {
-	return float64(w.Unused()) >= fillerShare*float64(u.Size.Millicores)
+func fillerFits(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
+	return !now.Before(w.NoFillersUntil) && float64(w.Unused()) >= fillerShare*float64(u.Size.Millicores)
 }
 
 const (
@@ -235,9 +235,9 @@
 	// harmWeight weighs what a filler costs its neighbours against unused
 	// processors.
 	harmWeight = 1.0
-	// alikeWeight is for serving tasks beside others of their image: more than
-	// any room can make up for.
-	alikeWeight = 2.0
+	// alikeWeight is for serving tasks beside others of their image, against
+	// room left: holes that are too small for the next one cost more.
+	alikeWeight = 0.3
 )
 
 // score ranks the workers that a task fits on; the highest is taken.
--- a/pkg/process/workers/health.go
+++ b/pkg/process/workers/health.go
@@ -13,10 +13,14 @@
 // a while it gets one run as a trial; a good end lets it back in, a bad one
 // doubles the while.
 type Health struct {
-	aside    bool
-	trial    bool
-	until    time.Time
-	span     time.Duration
+	aside bool
+	// trialAt is when the trial run was given; zero: none is out.
+	trialAt time.Time
+	until   time.Time
+	span    time.Duration
+	// still says that runs stood still there: then one that moves is a good
+	// sign. Where runs fail, only a good end is.
+	still    bool
 	failures []string
 	reason   string
 }
@@ -29,6 +33,8 @@
 	// most: troubles of workers last some seconds to minutes.
 	firstAside   = 1500 * time.Millisecond
 	longestAside = 6 * time.Second
+	// trialLimit is how long a trial without an end keeps the next one back.
+	trialLimit = 4 * time.Second
 )
 
 // Failed takes in that a run of a unit failed there. Units that failed at other
@@ -36,7 +42,7 @@
 // the worker is put aside by it.
 func (h *Health) Failed(unit string, now time.Time) bool {
 	if h.aside {
-		h.putAside("its trial failed", now)
+		h.putAside("its trial failed", false, now)
 		return true
 	}
 	for _, f := range h.failures {
@@ -48,41 +54,59 @@
 	if len(h.failures) < failuresToPutAside {
 		return false
 	}
-	h.putAside("runs of several steps failed in a row", now)
+	h.putAside("runs of several steps failed in a row", false, now)
 	return true
 }
 
-// Suspect puts the worker aside for another cause.
-func (h *Health) Suspect(reason string, now time.Time) {
-	if h.aside && now.Before(h.until) {
-		return
+// StoodStill puts the worker aside since a run does not move on there.
+func (h *Health) StoodStill(now time.Time) {
+	if !h.aside || !now.Before(h.until) {
+		h.putAside("a run stands still", true, now)
 	}
-	h.putAside(reason, now)
 }
 
-// Worked takes in that a run ended well or moved on as it should.
-func (h *Health) Worked() {
+// Refused puts the worker aside since it refuses work that should fit.
+func (h *Health) Refused(why string, now time.Time) {
+	if !h.aside || !now.Before(h.until) {
+		h.putAside("refused a start: "+why, true, now)
+	}
+}
+
+// Worked takes in that a run ended well. It says whether the worker was aside.
+func (h *Health) Worked() bool {
+	was := h.aside
 	*h = Health{}
+	return was
+}
+
+// Moved takes in that a run moves on.
+func (h *Health) Moved() bool { return h.aside && h.still && h.Worked() }
+
+// TrialGiven takes in that a run was started there.
+func (h *Health) TrialGiven(now time.Time) {
+	if h.aside {
+		h.trialAt = now
+	}
 }
 
-func (h *Health) putAside(reason string, now time.Time) {
+func (h *Health) putAside(reason string, still bool, now time.Time) {
 	if h.span == 0 {
 		h.span = firstAside
 	} else {
 		h.span = min(h.span*2, longestAside)
 	}
-	h.aside, h.trial, h.reason = true, false, reason
+	h.aside, h.still, h.reason, h.trialAt = true, still, reason, time.Time{}
 	h.until = now.Add(h.span)
 	h.failures = nil
 }
 
-// Aside says whether the worker gets no work at present; while on trial, it
-// gets one run.
-func (h *Health) Aside(now time.Time, running int) bool {
+// Aside says whether the worker gets no work at present: it is left alone, or
+// its trial run is out.
+func (h *Health) Aside(now time.Time) bool {
 	if !h.aside {
 		return false
 	}
-	return now.Before(h.until) || running > 0
+	return now.Before(h.until) || (!h.trialAt.IsZero() && now.Sub(h.trialAt) < trialLimit)
 }
 
 // IsAside says whether the worker is put aside or on trial, and why.
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -75,6 +75,9 @@
 	// durable, and Told the newest that the worker was told of.
 	Seen, Recorded int64
 	Health         Health
+	// NoFillersUntil is until when no filler may join: those that are there have
+	// just been cut.
+	NoFillersUntil time.Time
 	// Gone says that this life is surely over.
 	Gone bool
 
