--- /dev/null
+++ b/pkg/emulator/checker.go
@@ -0,0 +1,222 @@
+package emulator
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// checker keeps what workers did and says which rules that breaks:
+//
+//	TWICE    two runs of a task at the same time, or one after a done end that
+//	         was taken note of
+//	ORDER    a start before the tasks that it comes after have ended well
+//	SPREAD   more tasks of a step on one worker than it may hold
+//	BUDGET   a start after the last attempt's failure was taken note of
+//	UNASKED  a start of what nobody sent, or long after its cancel
+//	MIXED    a job recorded as completed with a task that has not ended well,
+//	         or as failed or cancelled without cause
+//	LOST     an accepted job without a last state at the end of the day
+type checker struct {
+	world    *World
+	broken   []string
+	taken    map[string]bool
+	asked    map[string]bool
+	cancels  map[string]time.Time
+	running  map[string]map[string]*worker // by task: runs, as worker id and number
+	done     map[string]bool
+	doneSeen map[string]bool // done ends that were taken note of
+	failed   map[string]map[string]bool
+	phases   map[string]wire.JobPhase
+}
+
+func newChecker(w *World) *checker {
+	return &checker{
+		world: w, taken: map[string]bool{}, asked: map[string]bool{}, cancels: map[string]time.Time{}, running: map[string]map[string]*worker{},
+		done: map[string]bool{}, doneSeen: map[string]bool{}, failed: map[string]map[string]bool{}, phases: map[string]wire.JobPhase{},
+	}
+}
+
+func (c *checker) breakRule(rule, format string, args ...any) {
+	c.broken = append(c.broken, rule+": "+fmt.Sprintf(format, args...))
+	c.world.logf("BROKEN %s: %s", rule, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) accepted(spec *wire.JobSpec) { c.taken[spec.GetId()] = true }
+
+func (c *checker) isAccepted(id string) bool { return c.taken[id] }
+
+func (c *checker) cancelled(id string) {
+	if _, known := c.cancels[id]; !known {
+		c.cancels[id] = c.world.now
+	}
+}
+
+// parts takes a task's name apart, in its own way.
+func parts(task string) (job string, step, index int) {
+	f := strings.Split(task, ".")
+	step, _ = strconv.Atoi(f[2])
+	index, _ = strconv.Atoi(f[3])
+	return f[0], step, index
+}
+
+func name(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
+
+const (
+	// cancelGrace is how long after a cancel a task may still be started.
+	cancelGrace = 3 * time.Second
+)
+
+func (c *checker) started(k *worker, s workers.Start) {
+	job, step, _ := parts(s.Task)
+	spec := c.world.jobs[job].GetSteps()[step]
+	c.world.logf("%s starts %s run %d (fence %d)", k.id(), s.Task, s.Run, s.Fence)
+	if len(c.running[s.Task]) > 0 && !spec.GetCopies() {
+		c.breakRule("TWICE", "%s runs already when %s starts it", s.Task, k.id())
+	}
+	if c.doneSeen[s.Task] {
+		c.breakRule("TWICE", "%s was done when %s starts it", s.Task, k.id())
+	}
+	if c.running[s.Task] == nil {
+		c.running[s.Task] = map[string]*worker{}
+	}
+	c.running[s.Task][fmt.Sprintf("%s#%d", k.id(), s.Run)] = k
+	for _, before := range spec.GetAfter() {
+		for i := range int(c.world.jobs[job].GetSteps()[before].GetCount()) {
+			if !c.unitDone(job, int(before), i) {
+				c.breakRule("ORDER", "%s starts before step %d is done", s.Task, before)
+				return
+			}
+		}
+	}
+	c.checkSpread(k, s.Task, spec)
+	if len(c.failed[s.Task]) >= maxAttempts {
+		c.breakRule("BUDGET", "%s starts after %d failures", s.Task, len(c.failed[s.Task]))
+	}
+	if at, ok := c.cancels[job]; ok && c.world.now.Sub(at) > cancelGrace && c.calm() {
+		c.breakRule("UNASKED", "%s starts long after its cancel", s.Task)
+	}
+	if s.Checkpoint != "" && s.Checkpoint != "save of "+taskOf(s.Task) {
+		c.breakRule("UNASKED", "%s starts from %q", s.Task, s.Checkpoint)
+	}
+	if s.Body != c.world.jobs[job].GetBody() {
+		c.breakRule("UNASKED", "%s starts with another body", s.Task)
+	}
+}
+
+// calm says whether faults have been over for a while: rules with a bound in
+// time hold only then.
+func (c *checker) calm() bool {
+	return c.world.now.Sub(c.world.start) > c.world.plan.Trouble+15*time.Second
+}
+
+// unitDone says whether a task has ended well; for a gang one end is enough.
+func (c *checker) unitDone(job string, step, index int) bool {
+	spec := c.world.jobs[job].GetSteps()[step]
+	if !spec.GetGang() {
+		return c.done[name(job, step, index)]
+	}
+	for i := range int(spec.GetCount()) {
+		if c.done[name(job, step, i)] {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) checkSpread(k *worker, task string, spec *wire.StepSpec) {
+	if spec.GetSpread() == 0 {
+		return
+	}
+	n := 0
+	for other := range k.runs {
+		if taskOf(other) == taskOf(task) {
+			n++
+		}
+	}
+	if n > int(spec.GetSpread()) {
+		c.breakRule("SPREAD", "%d tasks of %s on %s", n, taskOf(task), k.id())
+	}
+}
+
+func (c *checker) ended(k *worker, r *workerRun, how workers.How) {
+	c.world.logf("%s ends %s run %d: %s", k.id(), r.task, r.number, how)
+	delete(c.running[r.task], fmt.Sprintf("%s#%d", k.id(), r.number))
+	if how == workers.EndedDone {
+		c.done[r.task] = true
+	}
+}
+
+// noted takes in that an end was acknowledged.
+func (c *checker) noted(k *worker, e workers.End) {
+	switch e.How {
+	case workers.EndedDone:
+		c.doneSeen[e.Task] = true
+	case workers.EndedFailed:
+		if c.failed[e.Task] == nil {
+			c.failed[e.Task] = map[string]bool{}
+		}
+		c.failed[e.Task][fmt.Sprintf("%s#%d", k.id(), e.Run)] = true
+	default:
+	}
+}
+
+func (c *checker) unasked(k *worker, s workers.Start) {
+	c.breakRule("UNASKED", "%s is told to start %s, which nobody sent", k.id(), s.Task)
+}
+
+// wrote looks at each row that is put: callers are told what it says.
+func (c *checker) wrote(r table.Row) {
+	if r.Table != rows.ProgressTable(cellName) {
+		return
+	}
+	p := &wire.JobProgress{}
+	if rows.Read(r, p) != nil {
+		c.breakRule("MIXED", "the progress of %s can't be read", r.Key.Key)
+		return
+	}
+	id := p.GetId()
+	before := c.phases[id]
+	c.phases[id] = p.GetPhase()
+	if before >= wire.JobPhase_JOB_PHASE_COMPLETED && before != p.GetPhase() {
+		c.breakRule("MIXED", "%s was %s and is %s", id, before, p.GetPhase())
+	}
+	switch p.GetPhase() {
+	case wire.JobPhase_JOB_PHASE_COMPLETED:
+		for step, spec := range c.world.jobs[id].GetSteps() {
+			for i := range int(spec.GetCount()) {
+				if !c.unitDone(id, step, i) {
+					c.breakRule("MIXED", "%s is completed, %s is not done", id, name(id, step, i))
+				}
+			}
+		}
+	case wire.JobPhase_JOB_PHASE_CANCELLED:
+		if !c.cancelSent(id) {
+			c.breakRule("MIXED", "%s is cancelled, nobody asked", id)
+		}
+	default:
+	}
+}
+
+func (c *checker) cancelSent(id string) bool {
+	if c.asked[id] {
+		return true
+	}
+	_, sent := c.cancels[id]
+	_, row := c.world.table.rows[rows.CancelKey(cellName, id)]
+	return sent || row
+}
+
+func (c *checker) atEnd() {
+	for id := range c.taken {
+		if c.phases[id] < wire.JobPhase_JOB_PHASE_COMPLETED {
+			c.breakRule("LOST", "%s was accepted and is %s at the end", id, c.phases[id])
+		}
+	}
+}
--- /dev/null
+++ b/pkg/emulator/emulator.go
@@ -0,0 +1,281 @@
+// Package emulator plays a deployment in virtual time, from a seed, in one
+// goroutine: hosts with their seats and cells, a table, workers and a network,
+// all with faults. It finds broken rules without a bench, and the same seed
+// gives the same day.
+//
+// The files: emulator.go the clock and a day's plan; table.go the table;
+// worker.go the workers; host.go the hosts, which drive the product's own
+// election.Seat and cell.State; checker.go the rules, over what workers did and
+// what the table holds. The checker shares no code with the product.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Plan says what a day is made of.
+type Plan struct {
+	Seed    uint64
+	Hosts   int
+	Workers int
+	Jobs    int
+	// Traffic is how long jobs come, Trouble how long faults strike, End when
+	// the day is over.
+	Traffic, Trouble, End time.Duration
+	// Faults is how many strike.
+	Faults int
+	Unsafe cell.Unsafe
+}
+
+// DefaultPlan is a small day with all kinds of faults.
+func DefaultPlan(seed uint64) Plan {
+	return Plan{
+		Seed: seed, Hosts: 3, Workers: 5, Jobs: 24, Faults: 10,
+		Traffic: 15 * time.Second, Trouble: 20 * time.Second, End: 75 * time.Second,
+	}
+}
+
+const (
+	cellName    = "hall"
+	queueName   = "queue"
+	serviceName = "service"
+	maxAttempts = 3
+)
+
+// World is one day.
+type World struct {
+	plan    Plan
+	rand    *rand.Rand
+	now     time.Time
+	start   time.Time
+	events  eventHeap
+	serial  int
+	table   *tableService
+	workers []*worker
+	hosts   []*host
+	jobs    map[string]*wire.JobSpec
+	checker *checker
+	cuts    map[[2]string]time.Time // until when two ends don't reach each other
+	// Log is the story of the day, for a seed that failed.
+	Log []string
+}
+
+// Play plays a day and returns the rules that were broken.
+func Play(plan Plan) (*World, []string) {
+	w := &World{
+		plan: plan, rand: rand.New(rand.NewPCG(plan.Seed, 7)), start: time.Unix(1_000_000, 0),
+		jobs: map[string]*wire.JobSpec{}, cuts: map[[2]string]time.Time{},
+	}
+	w.now = w.start
+	w.checker = newChecker(w)
+	w.table = newTable(w)
+	for i := range plan.Workers {
+		w.workers = append(w.workers, newWorker(w, i))
+	}
+	for i := range plan.Hosts {
+		w.hosts = append(w.hosts, newHost(w, fmt.Sprintf("host-%d", i)))
+	}
+	w.planTraffic()
+	w.planFaults()
+	for len(w.events) > 0 {
+		e, ok := heap.Pop(&w.events).(*event)
+		if !ok || e.at.Sub(w.start) > plan.End {
+			break
+		}
+		w.now = e.at
+		e.do()
+	}
+	w.checker.atEnd()
+	return w, w.checker.broken
+}
+
+// ---------------------------------------------------------------- events
+
+type event struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type eventHeap []*event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].serial < h[j].serial
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is for container/heap.
+func (h *eventHeap) Push(x any) {
+	if e, ok := x.(*event); ok {
+		*h = append(*h, e)
+	}
+}
+
+// Pop is for container/heap.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func (w *World) after(span time.Duration, do func()) {
+	w.serial++
+	heap.Push(&w.events, &event{at: w.now.Add(span), serial: w.serial, do: do})
+}
+
+func (w *World) logf(format string, args ...any) {
+	w.Log = append(w.Log, fmt.Sprintf("%8.3f ", w.now.Sub(w.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (w *World) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(w.rand.Int64N(int64(b-a)+1))
+}
+
+// hop is the way of one message.
+func (w *World) hop() time.Duration { return w.between(200*time.Microsecond, 3*time.Millisecond) }
+
+func (w *World) cut(a, b string) bool {
+	return w.now.Before(w.cuts[[2]string{a, b}]) || w.now.Before(w.cuts[[2]string{b, a}])
+}
+
+// --------------------------------------------------------------- traffic
+
+func (w *World) planTraffic() {
+	for i := range w.plan.Jobs {
+		id := fmt.Sprintf("%016x", i+1)
+		spec := w.newJob(id)
+		at := w.between(2*time.Second, w.plan.Traffic)
+		w.after(at, func() { w.submit(spec, 0) })
+		if w.rand.IntN(8) == 0 {
+			w.after(at+w.between(100*time.Millisecond, 4*time.Second), func() { w.cancel(id) })
+		}
+	}
+}
+
+func (w *World) newJob(id string) *wire.JobSpec {
+	spec := &wire.JobSpec{Id: id, Queue: queueName, Service: serviceName, Cell: cellName, Body: "body of " + id}
+	for i := range 1 + w.rand.IntN(3) {
+		step := &wire.StepSpec{
+			Count: int32(1 + w.rand.IntN(4)), Millicores: int64(500 * (1 + w.rand.IntN(6))), MemoryMb: 1000,
+			EstimateMs: int64(200 + w.rand.IntN(2000)), Checkpointing: w.rand.IntN(2) == 0,
+		}
+		if i > 0 && w.rand.IntN(4) > 0 {
+			step.After = []int32{int32(w.rand.IntN(i))}
+		}
+		if w.rand.IntN(6) == 0 {
+			step.Spread = 1
+		}
+		if w.rand.IntN(8) == 0 {
+			step.Gang = true
+			step.Spread = 0
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec
+}
+
+// submit hands a job in at some host; a caller that gets no answer asks again.
+func (w *World) submit(spec *wire.JobSpec, tries int) {
+	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	h.submit(spec, func(taken bool) {
+		if taken {
+			w.checker.accepted(spec)
+			return
+		}
+		if tries < 40 {
+			w.after(w.between(100*time.Millisecond, 600*time.Millisecond), func() { w.submit(spec, tries+1) })
+		}
+	})
+}
+
+func (w *World) cancel(id string) {
+	if !w.checker.isAccepted(id) {
+		return
+	}
+	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	w.checker.asked[id] = true
+	h.cancel(id, func(taken bool) {
+		if taken {
+			w.checker.cancelled(id)
+			return
+		}
+		w.after(300*time.Millisecond, func() { w.cancel(id) })
+	})
+}
+
+// ---------------------------------------------------------------- faults
+
+func (w *World) planFaults() {
+	for range w.plan.Faults {
+		w.after(w.between(2*time.Second, w.plan.Trouble), w.strike)
+	}
+}
+
+// strike brings one fault about.
+func (w *World) strike() {
+	span := w.between(300*time.Millisecond, 6*time.Second)
+	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	if leader := w.leader(); leader != nil && w.rand.IntN(2) == 0 {
+		h = leader
+	}
+	k := w.workers[w.rand.IntN(len(w.workers))]
+	switch w.rand.IntN(12) {
+	case 0:
+		h.kill(span)
+	case 1:
+		h.freeze(span)
+	case 2:
+		for _, each := range w.hosts {
+			each.kill(w.between(500*time.Millisecond, 1500*time.Millisecond))
+		}
+	case 3:
+		w.table.downUntil = w.now.Add(span)
+	case 4:
+		w.table.losesUntil = w.now.Add(span)
+	case 5:
+		w.table.slowUntil = w.now.Add(span)
+	case 6:
+		w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
+	case 7:
+		w.cuts[[2]string{h.name, k.name}] = w.now.Add(span)
+	case 8:
+		for _, each := range w.hosts {
+			w.cuts[[2]string{each.name, k.name}] = w.now.Add(span)
+		}
+	case 9:
+		k.lateUntil = w.now.Add(span)
+	case 10:
+		k.crash(span)
+	case 11:
+		k.sickUntil = w.now.Add(span)
+		k.sickHow = w.rand.IntN(2)
+	}
+	w.logf("FAULT near %s and %s for %s", h.name, k.name, span)
+}
+
+func (w *World) leader() *host {
+	for _, h := range w.hosts {
+		if h.up && h.state.Leading() {
+			return h
+		}
+	}
+	return nil
+}
+
+func theManifest() *manifest.Manifest {
+	return manifest.New(1, []manifest.Queue{{
+		Name: queueName, Service: serviceName, MaxAttempts: maxAttempts, Stretch: 2, Slack: time.Second,
+	}}, []manifest.Service{{Name: serviceName, Guards: true}}, manifest.Limits{})
+}
--- /dev/null
+++ b/pkg/emulator/emulator_test.go
@@ -0,0 +1,88 @@
+package emulator_test
+
+import (
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+)
+
+// seeds is how many days a run plays: a fixed number, or that of SEEDS.
+func seeds(t *testing.T, usual int) int {
+	t.Helper()
+	text := os.Getenv("SEEDS")
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	must.NoError(t, err)
+	return n
+}
+
+func TestNoRuleBreaksUnderFaults(t *testing.T) {
+	t.Parallel()
+	one, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	if err == nil {
+		w, broken := emulator.Play(emulator.DefaultPlan(one))
+		t.Log("\n" + strings.Join(w.Log, "\n"))
+		must.SliceEmpty(t, broken)
+		return
+	}
+	days := make(chan uint64)
+	var wait sync.WaitGroup
+	for range runtime.NumCPU() {
+		wait.Go(func() {
+			for seed := range days {
+				if _, broken := emulator.Play(emulator.DefaultPlan(seed)); len(broken) > 0 {
+					t.Errorf("seed %d: %s", seed, strings.Join(broken, "; "))
+				}
+			}
+		})
+	}
+	for seed := range uint64(seeds(t, 150)) {
+		days <- seed
+	}
+	close(days)
+	wait.Wait()
+}
+
+func TestTheSameSeedGivesTheSameDay(t *testing.T) {
+	t.Parallel()
+	a, _ := emulator.Play(emulator.DefaultPlan(3))
+	b, _ := emulator.Play(emulator.DefaultPlan(3))
+	must.Eq(t, a.Log, b.Log)
+}
+
+// Each fence is needed: without it, some day breaks the rule that it is for.
+func TestEachFenceIsNeeded(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		unsafe cell.Unsafe
+		rule   string
+	}{
+		{"settling", cell.Unsafe{NoSettling: true}, "TWICE"},
+		{"lease wait", cell.Unsafe{NoLeaseWait: true}, "TWICE"},
+		{"ends recorded first", cell.Unsafe{NoRecorded: true}, "TWICE"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(400) {
+				plan := emulator.DefaultPlan(seed)
+				plan.Unsafe = c.unsafe
+				if _, broken := emulator.Play(plan); len(broken) > 0 && strings.Contains(strings.Join(broken, ";"), c.rule) {
+					t.Logf("seed %d: %s", seed, broken[0])
+					return
+				}
+			}
+			t.Error("no day broke a rule without this fence")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/emulator/table.go
@@ -0,0 +1,115 @@
+package emulator
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/table"
+)
+
+// tableService is the table: linearizable, with answers that may be lost or
+// late, and transactions that may be done seconds after they were sent.
+type tableService struct {
+	world   *World
+	rows    map[table.Key]table.Row
+	version int64
+
+	downUntil, losesUntil, slowUntil time.Time
+}
+
+func newTable(w *World) *tableService {
+	return &tableService{world: w, rows: map[table.Key]table.Row{}}
+}
+
+func (t *tableService) storeTime() time.Duration { return t.world.now.Sub(t.world.start) + time.Hour }
+
+// commit sends a transaction from a host; done gets ok false where there was no
+// answer.
+func (t *tableService) commit(from string, tx table.Transaction, done func(c table.Committed, ok bool)) {
+	w := t.world
+	if w.cut(from, "table") || w.now.Before(t.downUntil) {
+		w.after(900*time.Millisecond, func() { done(table.Committed{}, false) })
+		return
+	}
+	way := w.hop() + 4*time.Millisecond
+	if w.now.Before(t.slowUntil) {
+		way = w.between(200*time.Millisecond, 1200*time.Millisecond)
+	}
+	lost := w.now.Before(t.losesUntil) && w.rand.IntN(3) == 0
+	if lost && w.rand.IntN(2) == 0 {
+		way = w.between(time.Second, 6*time.Second) // done late, too
+	}
+	answered := false
+	w.after(way, func() {
+		c := t.apply(tx)
+		if lost {
+			return
+		}
+		w.after(w.hop(), func() {
+			if !answered {
+				answered = true
+				done(c, true)
+			}
+		})
+	})
+	w.after(900*time.Millisecond, func() {
+		if !answered {
+			answered = true
+			done(table.Committed{}, false)
+		}
+	})
+}
+
+func (t *tableService) apply(tx table.Transaction) table.Committed {
+	for _, c := range tx.Conditions {
+		if t.rows[c.Key].Version != c.Version {
+			return t.conflict(tx)
+		}
+	}
+	t.version++
+	for _, r := range tx.Puts {
+		r.Version = t.version
+		t.rows[r.Key] = r
+		t.world.checker.wrote(r)
+	}
+	for _, k := range tx.Removes {
+		delete(t.rows, k)
+	}
+	return table.Committed{Version: t.version, StoreTime: t.storeTime()}
+}
+
+func (t *tableService) conflict(tx table.Transaction) table.Committed {
+	c := table.Committed{Conflict: true, Version: t.version, StoreTime: t.storeTime()}
+	for _, cond := range tx.Conditions {
+		if r, ok := t.rows[cond.Key]; ok {
+			c.Found = append(c.Found, r)
+		} else {
+			c.Found = append(c.Found, table.Row{Key: cond.Key})
+		}
+	}
+	return c
+}
+
+// scan reads a whole table.
+func (t *tableService) scan(from, name string, done func(rows []table.Row, at time.Duration, ok bool)) {
+	w := t.world
+	if w.cut(from, "table") || w.now.Before(t.downUntil) {
+		w.after(900*time.Millisecond, func() { done(nil, 0, false) })
+		return
+	}
+	way := w.hop() + 4*time.Millisecond
+	if w.now.Before(t.slowUntil) {
+		way = w.between(200*time.Millisecond, 800*time.Millisecond)
+	}
+	w.after(way, func() {
+		var list []table.Row
+		for _, r := range t.rows {
+			if r.Table == name {
+				list = append(list, r)
+			}
+		}
+		sort.Slice(list, func(a, b int) bool { return list[a].Key.Part+list[a].Key.Key < list[b].Key.Part+list[b].Key.Key })
+		at := t.storeTime()
+		w.after(w.hop(), func() { done(list, at, true) })
+	})
+}
--- /dev/null
+++ b/pkg/emulator/worker.go
@@ -0,0 +1,326 @@
+package emulator
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// worker is a machine of workers' lives, one after the other. Its clock may be
+// 2% wrong; when its lease is over it ends all that runs.
+type worker struct {
+	world *World
+	name  string
+	life  int
+	up    bool
+
+	rate    float64
+	offset  time.Duration
+	bornAt  time.Time
+	fence   int64
+	until   time.Duration
+	runs    map[string]*workerRun
+	highest map[string]int64 // per task, the highest run that ended there
+	ended   []workers.End
+	number  int64
+	serial  int
+
+	lateUntil time.Time
+	sickUntil time.Time
+	sickHow   int
+}
+
+type workerRun struct {
+	task       string
+	number     int64
+	startedAt  time.Time
+	span       time.Duration
+	stuck      bool
+	fails      bool
+	checkpoint string
+}
+
+const (
+	workerCores  = 8000
+	workerMemory = 32000
+	maxHold      = 10 * time.Second
+	stopTakes    = 300 * time.Millisecond
+)
+
+func newWorker(w *World, n int) *worker {
+	k := &worker{world: w, name: fmt.Sprintf("worker-%d", n)}
+	k.begin()
+	return k
+}
+
+func (k *worker) begin() {
+	w := k.world
+	k.life++
+	k.up, k.fence, k.until, k.number = true, 0, 0, 0
+	k.rate = 0.98 + 0.04*w.rand.Float64()
+	k.offset = w.between(0, time.Hour)
+	k.bornAt = w.now
+	k.runs, k.highest, k.ended = map[string]*workerRun{}, map[string]int64{}, nil
+}
+
+func (k *worker) id() string { return fmt.Sprintf("%s/%d", k.name, k.life) }
+
+func (k *worker) clock() time.Duration {
+	return k.offset + time.Duration(float64(k.world.now.Sub(k.bornAt))*k.rate)
+}
+
+func (k *worker) record() workers.Record {
+	return workers.Record{
+		ID: k.id(), Host: k.name, Service: serviceName, Address: k.name, Hall: cellName, Ready: true,
+		Capacity: ledger.Size{Millicores: workerCores, MemoryMB: workerMemory},
+	}
+}
+
+// crash ends a life; another begins after a while.
+func (k *worker) crash(span time.Duration) {
+	if !k.up {
+		return
+	}
+	k.world.logf("%s crashes", k.id())
+	k.up = false
+	for _, r := range k.runs {
+		k.world.checker.ended(k, r, "lost")
+	}
+	k.runs = map[string]*workerRun{}
+	k.world.after(span, k.begin)
+}
+
+// call carries a call of a host; then runs at the worker, and its answer goes
+// back. ok is false where there was no answer.
+func call[T any](w *World, from string, k *worker, life string, limit, wait time.Duration, then func() (T, workers.Refusal), done func(T, workers.Refusal, bool)) {
+	var none T
+	answered := false
+	answer := func(v T, r workers.Refusal, ok bool) {
+		if !answered {
+			answered = true
+			done(v, r, ok)
+		}
+	}
+	w.after(limit, func() { answer(none, workers.RefusedNot, false) })
+	if w.cut(from, k.name) {
+		return
+	}
+	way := w.hop()
+	late := w.now.Before(k.lateUntil) && w.rand.IntN(4) == 0
+	if late {
+		way = w.between(2*time.Second, 12*time.Second)
+	}
+	w.after(way, func() {
+		if !k.up {
+			return
+		}
+		if k.id() != life {
+			w.after(w.hop(), func() { answer(none, workers.RefusedLife, true) })
+			return
+		}
+		k.lapse()
+		v, refusal := then()
+		k.await(life, wait, func() {
+			if wait > 0 {
+				v, refusal = then()
+			}
+			if !late && !w.cut(from, k.name) {
+				w.after(w.hop(), func() { answer(v, refusal, true) })
+			}
+		})
+	})
+}
+
+// awaitStep is how closely a waiting look watches for an end.
+const awaitStep = 20 * time.Millisecond
+
+// await does something when there is an end to list, or after a wait.
+func (k *worker) await(life string, wait time.Duration, do func()) {
+	if wait <= 0 || len(k.ended) > 0 {
+		do()
+		return
+	}
+	k.world.after(awaitStep, func() {
+		if k.up && k.id() == life {
+			k.await(life, wait-awaitStep, do)
+		}
+	})
+}
+
+// lapse ends everything when the lease is over.
+func (k *worker) lapse() {
+	if len(k.runs) == 0 || k.clock() <= k.until {
+		return
+	}
+	for _, r := range k.sorted() {
+		k.end(r, workers.EndedLapsed)
+	}
+}
+
+func (k *worker) sorted() []*workerRun {
+	list := make([]*workerRun, 0, len(k.runs))
+	for _, r := range k.runs {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].task < list[b].task })
+	return list
+}
+
+func (k *worker) extend(until time.Duration) {
+	k.until = max(k.until, min(until, k.clock()+maxHold))
+	k.serial++
+	serial, life := k.serial, k.life
+	left := time.Duration(float64(k.until-k.clock())/k.rate) + time.Millisecond
+	k.world.after(max(left, 0), func() {
+		if k.up && k.life == life && k.serial == serial {
+			k.lapse()
+		}
+	})
+}
+
+func (k *worker) look(l workers.Look) (workers.Report, workers.Refusal) {
+	if l.Fence < k.fence {
+		return workers.Report{}, workers.RefusedFence
+	}
+	k.fence = l.Fence
+	if l.Until > 0 {
+		k.extend(l.Until)
+	}
+	keep := k.ended[:0:0]
+	for _, e := range k.ended {
+		if e.Number > l.Recorded {
+			keep = append(keep, e)
+		} else {
+			k.world.checker.noted(k, e)
+		}
+	}
+	k.ended = keep
+	report := workers.Report{Clock: k.clock(), Ended: append([]workers.End(nil), keep...)}
+	for _, r := range k.sorted() {
+		report.Active = append(report.Active, workers.Active{Task: r.task, Run: r.number, Checkpoint: k.saved(r), Percent: k.percent(r)})
+	}
+	return report, workers.RefusedNot
+}
+
+func (k *worker) percent(r *workerRun) int {
+	if r.stuck {
+		return 0
+	}
+	return min(99, int(100*k.world.now.Sub(r.startedAt)/max(r.span, 1)))
+}
+
+func (k *worker) saved(r *workerRun) string {
+	if k.percent(r) > 50 {
+		return "save of " + taskOf(r.task)
+	}
+	return r.checkpoint
+}
+
+// taskOf is what checkpoints belong to: any member's is good for its gang.
+func taskOf(task string) string { return task[:strings.LastIndex(task, ".")] }
+
+func (k *worker) start(s workers.Start) (time.Duration, workers.Refusal) {
+	if s.Fence < k.fence {
+		return k.clock(), workers.RefusedFence
+	}
+	k.fence = s.Fence
+	if r := k.runs[s.Task]; r != nil && r.number == s.Run {
+		return k.clock(), workers.RefusedNot
+	}
+	if s.Until < k.clock() {
+		return k.clock(), workers.RefusedLate
+	}
+	k.extend(s.Until)
+	if r := k.runs[s.Task]; r != nil || k.highest[s.Task] >= s.Run {
+		return k.clock(), workers.RefusedOld
+	}
+	size, known := k.world.sizeOf(s.Task)
+	if !known {
+		k.world.checker.unasked(k, s)
+		return k.clock(), workers.RefusedMalformed
+	}
+	if !size.Fits(k.free()) {
+		return k.clock(), workers.RefusedRoom
+	}
+	w := k.world
+	r := &workerRun{task: s.Task, number: s.Run, startedAt: w.now, checkpoint: s.Checkpoint, span: w.between(100*time.Millisecond, 2500*time.Millisecond)}
+	if w.now.Before(k.sickUntil) {
+		r.stuck, r.fails = k.sickHow == 0, k.sickHow == 1
+	} else {
+		r.fails = w.rand.IntN(40) == 0
+	}
+	k.runs[s.Task] = r
+	w.checker.started(k, s)
+	life := k.life
+	if !r.stuck {
+		w.after(r.span, func() {
+			if k.up && k.life == life && k.runs[r.task] == r {
+				k.lapse()
+				k.finish(r)
+			}
+		})
+	}
+	return k.clock(), workers.RefusedNot
+}
+
+func (k *worker) finish(r *workerRun) {
+	if k.runs[r.task] != r {
+		return // its lease was over
+	}
+	if r.fails {
+		k.end(r, workers.EndedFailed)
+		return
+	}
+	k.end(r, workers.EndedDone)
+}
+
+func (k *worker) free() ledger.Size {
+	free := ledger.Size{Millicores: workerCores, MemoryMB: workerMemory}
+	for _, r := range k.runs {
+		size, _ := k.world.sizeOf(r.task)
+		free = free.Minus(size)
+	}
+	return free
+}
+
+func (k *worker) end(r *workerRun, how workers.How) {
+	saved := k.saved(r)
+	delete(k.runs, r.task)
+	k.highest[r.task] = max(k.highest[r.task], r.number)
+	k.number++
+	k.ended = append(k.ended, workers.End{Number: k.number, Task: r.task, Run: r.number, How: how, Checkpoint: saved})
+	k.world.checker.ended(k, r, how)
+}
+
+func (k *worker) stop(s workers.Stop) (time.Duration, workers.Refusal) {
+	if s.Fence < k.fence {
+		return k.clock(), workers.RefusedFence
+	}
+	k.fence = s.Fence
+	r := k.runs[s.Task]
+	if r == nil || r.number != s.Run {
+		return k.clock(), workers.RefusedMissing
+	}
+	life := k.life
+	k.world.after(stopTakes, func() {
+		if k.up && k.life == life && k.runs[s.Task] == r {
+			k.end(r, workers.EndedStopped)
+		}
+	})
+	return k.clock(), workers.RefusedNot
+}
+
+// sizeOf is what a task takes.
+func (w *World) sizeOf(task string) (ledger.Size, bool) {
+	id, ok := jobs.ParseTask(task)
+	if !ok || w.jobs[id.Job] == nil || id.Step >= len(w.jobs[id.Job].GetSteps()) {
+		return ledger.Size{}, false
+	}
+	step := w.jobs[id.Job].GetSteps()[id.Step]
+	return ledger.Size{Millicores: step.GetMillicores(), MemoryMB: step.GetMemoryMb()}, true
+}
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -155,11 +155,11 @@
 // stopUnwanted asks for the end of runs whose job has ended or whose task is
 // done, and repeats stops that brought nothing.
 func (s *State) stopUnwanted(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if !w.SilentSince.IsZero() {
 			continue
 		}
-		for r := range w.Runs {
+		for _, r := range w.Runs {
 			switch {
 			case r.State == jobs.Stopping:
 				s.stop(now, w, r, r.Why)
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -47,12 +47,12 @@
 
 func (s *State) neighboursOf(w *workers.Worker) neighbours {
 	n := neighbours{there: map[string]float64{}}
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetFiller() {
 			n.there[imageOf(r.Task.Unit)] += pressure(w, r.Task.Unit, 100)
 		}
 	}
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
 			image := imageOf(r.Task.Unit)
 			n.serving = append(n.serving, neighbour{image, s.press.Predict(image, n.there) + ownKept*r.OwnLoad.Mean})
--- a/pkg/process/cell/leaving.go
+++ b/pkg/process/cell/leaving.go
@@ -15,12 +15,12 @@
 // can end there stays; the rest is stopped with a checkpoint and goes on
 // elsewhere.
 func (s *State) leave(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if !w.Leaving || !w.SilentSince.IsZero() {
 			continue
 		}
 		left := w.Remaining - now.Sub(w.LeavingAt)
-		for r := range w.Runs {
+		for _, r := range w.Runs {
 			if r.State != jobs.Running || !s.moveAway(now, r, left) {
 				continue
 			}
@@ -51,7 +51,7 @@
 // runsOf lists a worker's runs of a kind.
 func runsOf(w *workers.Worker, want func(*jobs.Run) bool) []*jobs.Run {
 	var list []*jobs.Run
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if want(r) {
 			list = append(list, r)
 		}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -27,6 +27,7 @@
 	for id, w := range known {
 		if w.Listed {
 			s.workers[id] = workers.New(w.Record, now)
+			s.reorder = true
 		}
 	}
 	for _, r := range e.Roster {
@@ -34,6 +35,7 @@
 			w := workers.New(workers.Record{ID: r.GetId(), Address: r.GetAddress(), Host: r.GetHost(), Service: r.GetService()}, now)
 			w.Listed, w.UnlistedAt = false, now
 			s.workers[r.GetId()] = w
+			s.reorder = true
 		}
 		s.unsettled[r.GetId()] = true
 	}
@@ -145,8 +147,8 @@
 	s.note(Note{What: NoteDeposed, Detail: why, AgeMs: -1})
 	workersKnown, listed := s.workers, s.listed
 	s.forget()
-	s.workers, s.listed = workersKnown, listed
-	for _, w := range s.workers {
+	s.workers, s.listed, s.reorder = workersKnown, listed, true
+	for _, w := range s.sorted() {
 		w.RemoveAll()
 	}
 }
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -58,11 +58,13 @@
 		if w == nil {
 			w = workers.New(r, now)
 			s.workers[r.ID] = w
+			s.reorder = true
 			s.note(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v", r.Service, r.Address, r.Capacity), AgeMs: -1})
 		}
 		s.takeRecord(now, w, r)
 	}
-	for id, w := range s.workers {
+	for _, w := range s.sorted() {
+		id := w.ID
 		if named[id] {
 			continue
 		}
@@ -94,7 +96,7 @@
 
 // look sends the looks that are due.
 func (s *State) look(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if w.Gone || w.Looking || now.Before(w.LookAt) || w.Address == "" {
 			continue
 		}
@@ -214,7 +216,7 @@
 		s.takeReading(now, w, r, a)
 	}
 	w.SetForeign(foreign)
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if listed[r] {
 			continue
 		}
@@ -325,10 +327,11 @@
 	}
 	w.Gone = true
 	s.note(Note{What: NoteWorkerGone, Worker: w.ID, Detail: why, AgeMs: -1})
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		s.loseRun(now, w, r, why)
 	}
 	delete(s.workers, w.ID)
+	s.reorder = true
 	delete(s.unsettled, w.ID)
 	s.placeNow = true
 }
@@ -349,12 +352,12 @@
 // checkRuns sees to workers that are silent, to orders without an answer, and
 // to runs that stand still.
 func (s *State) checkRuns(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if !w.SilentSince.IsZero() {
 			s.checkSilent(now, w)
 			continue
 		}
-		for r := range w.Runs {
+		for _, r := range w.Runs {
 			s.checkRun(now, w, r)
 		}
 	}
@@ -363,7 +366,7 @@
 func (s *State) checkSilent(now time.Time, w *workers.Worker) {
 	over := w.LeaseOver(now) || s.unsafe.NoLeaseWait
 	if over {
-		for r := range w.Runs {
+		for _, r := range w.Runs {
 			s.loseRun(now, w, r, "its worker's lease is over")
 		}
 	}
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -26,9 +26,6 @@
 // nextRun is a run number above all that this cell has used.
 func (s *State) nextRun() int64 {
 	s.runs++
-	if s.unsafe.NoRunEpoch {
-		return s.runs
-	}
 	return s.epoch*runsPerEpoch + s.runs
 }
 
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -71,12 +71,12 @@
 		return
 	}
 	at := map[string]float64{}
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if filling(r) {
 			at[imageOf(r.Task.Unit)] += float64(r.UsedMillicores) / float64(max(1, w.Capacity.Millicores))
 		}
 	}
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if serving(r) && now.Sub(r.BeganAt) > time.Second {
 			s.press.Learn(now, imageOf(r.Task.Unit), levelOf(r), at, &r.OwnLoad)
 		}
@@ -91,12 +91,12 @@
 			s.note(Note{What: NotePress, Detail: words, AgeMs: -1})
 		}
 	}
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if !w.SilentSince.IsZero() || !w.Filling() {
 			continue
 		}
 		s.setPaces(now, w)
-		for r := range w.Runs {
+		for _, r := range w.Runs {
 			if filling(r) {
 				s.sendPace(now, w, r)
 			}
@@ -105,7 +105,7 @@
 }
 
 func (s *State) setPaces(now time.Time, w *workers.Worker) {
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if !serving(r) {
 			continue
 		}
@@ -119,7 +119,7 @@
 			s.cutPressing(now, w, r, level, over > overLong)
 		}
 	}
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if filling(r) && r.PaceWanted < 100 && s.mayGoOn(now, r) {
 			s.setPace(now, w, r, 100, 0)
 		}
@@ -140,7 +140,7 @@
 // cutPressing stops the fillers that press on one serving run, or all.
 func (s *State) cutPressing(now time.Time, w *workers.Worker, over *jobs.Run, level float64, all bool) {
 	image := imageOf(over.Task.Unit)
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if !filling(r) || r.PaceWanted == 0 || now.Sub(r.PacedAt) < cutAgain {
 			continue
 		}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -56,7 +58,7 @@
 	clear(s.harms)
 	clear(s.held)
 	usable := s.usableWorkers(now)
-	for _, c := range s.order(now) {
+	for _, c := range s.queueOrder(now) {
 		if len(usable) == 0 {
 			return
 		}
@@ -68,7 +70,7 @@
 	}
 }
 
-func (s *State) order(now time.Time) []candidate {
+func (s *State) queueOrder(now time.Time) []candidate {
 	list := make([]candidate, 0, len(s.waiting))
 	for u := range s.waiting {
 		list = append(list, s.candidate(now, u))
@@ -125,12 +127,11 @@
 
 func (s *State) usableWorkers(now time.Time) []*workers.Worker {
 	list := make([]*workers.Worker, 0, len(s.workers))
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if s.usable(now, w) {
 			list = append(list, w)
 		}
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
 	return list
 }
 
@@ -270,7 +271,7 @@
 		return 0
 	}
 	same, all := 0, 0
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
 			all++
 			if imageOf(r.Task.Unit) == imageOf(u) {
@@ -349,7 +350,8 @@
 	}
 	var best []*workers.Worker
 	bestFree := int64(-1)
-	for rack, list := range racks {
+	for _, rack := range slices.Sorted(maps.Keys(racks)) {
+		list := racks[rack]
 		free := int64(0)
 		for _, w := range list {
 			free += w.Free().Millicores
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/fault"
@@ -109,7 +111,8 @@
 
 // record sends what is dirty and due.
 func (s *State) record(now time.Time) {
-	for _, p := range s.parts {
+	for _, name := range slices.Sorted(maps.Keys(s.parts)) {
+		p := s.parts[name]
 		if p.sending || len(p.dirty)+len(p.expired) == 0 || p.fence == 0 {
 			continue
 		}
@@ -123,18 +126,18 @@
 func (s *State) send(now time.Time, p *part) {
 	p.sent = map[string]sentJob{}
 	tx := table.Transaction{Conditions: []table.Condition{{Key: rows.FenceKey(s.name, p.name), Version: p.fence}}}
-	for id, j := range p.dirty {
+	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
 		if len(p.sent) >= recordMost {
 			break
 		}
-		p.sent[id] = s.addRow(&tx, j)
+		p.sent[id] = s.addRow(&tx, p.dirty[id])
 		delete(p.dirty, id)
 	}
-	for id, j := range p.expired {
+	for _, id := range slices.Sorted(maps.Keys(p.expired)) {
 		if len(p.sent) >= recordMost {
 			break
 		}
-		p.sent[id] = s.removeRows(&tx, j)
+		p.sent[id] = s.removeRows(&tx, p.expired[id])
 		delete(p.expired, id)
 	}
 	p.urgent = false
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -58,8 +58,6 @@
 	NoSettling bool
 	// NoRecorded acknowledges ends before they are recorded.
 	NoRecorded bool
-	// NoRunEpoch lets run numbers begin at 1 in each epoch.
-	NoRunEpoch bool
 	// NoLeaseWait takes runs of a silent worker for over at once.
 	NoLeaseWait bool
 }
@@ -78,6 +76,9 @@
 
 	jobs    map[string]*jobs.Job
 	workers map[string]*workers.Worker
+	// order are the workers by id, made anew when reorder is set.
+	order   []*workers.Worker
+	reorder bool
 	roster  map[string]bool
 	// cancels are asked for, of jobs that have not been seen yet.
 	cancels map[string]time.Time
@@ -135,6 +136,7 @@
 	s.settled = false
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
+	s.reorder = true
 	s.listed = false
 }
 
@@ -214,6 +216,20 @@
 	s.forgetEnded(now)
 }
 
+// sorted lists the workers by id. The order of a map would make the same events
+// lead to other decisions the next time.
+func (s *State) sorted() []*workers.Worker {
+	if len(s.order) != len(s.workers) || s.reorder {
+		s.order = s.order[:0:0]
+		for _, w := range s.workers {
+			s.order = append(s.order, w)
+		}
+		sort.Slice(s.order, func(a, b int) bool { return s.order[a].ID < s.order[b].ID })
+		s.reorder = false
+	}
+	return s.order
+}
+
 func (s *State) emit(e Effect) { s.outbox = append(s.outbox, e) }
 
 func (s *State) note(n Note) {
@@ -288,8 +304,8 @@
 			return false
 		}
 	}
-	for _, w := range s.workers {
-		for r := range w.Runs {
+	for _, w := range s.sorted() {
+		for _, r := range w.Runs {
 			if r.State == jobs.Sent {
 				return false
 			}
@@ -316,7 +332,7 @@
 // Load sums the cell up for those who choose where a job goes.
 func (s *State) Load() *wire.CellLoad {
 	l := &wire.CellLoad{Leading: s.Leading(), Cell: s.name, Pending: map[string]int32{}}
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if w.Gone || !w.Listed || w.Leaving {
 			continue
 		}
@@ -357,7 +373,7 @@
 // worker that is not in the row gets no work.
 func (s *State) Roster() []*wire.RosterEntry {
 	var list []*wire.RosterEntry
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		if !w.Gone {
 			list = append(list, &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service})
 		}
@@ -383,7 +399,7 @@
 	for u := range s.waiting {
 		c.Waiting += len(u.Waiting(now))
 	}
-	for _, w := range s.workers {
+	for _, w := range s.sorted() {
 		c.Workers++
 		c.Running += len(w.Runs)
 		if s.usable(now, w) {
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -83,6 +83,11 @@
 	sent      *wire.CellLead
 	release   bool
 	wanted    bool
+	// stale says that the last write did not take effect, or may not have: the
+	// row has to be read before the next one. (Else candidates that lost would
+	// write over the version they knew, again and again, and each write would
+	// make the readings that are under way too old to be used.)
+	stale bool
 }
 
 // New returns the seat of a cell that belongs to a hall.
@@ -133,6 +138,7 @@
 	if s.sending || askedAt.Before(s.sentAt) || version < s.version {
 		return Change{}
 	}
+	s.stale = false
 	before, beforeAge := s.row, s.Age(now)
 	s.row, s.version, s.readAt, s.storeAt = row, version, now, store
 	mine := row != nil && row.GetHolder() == s.self.Life && !row.GetReleased()
@@ -174,7 +180,7 @@
 // Next returns the write that is due, or nil. roster is what the leader names
 // in its renewals; held is how many other seats this process holds.
 func (s *Seat) Next(now time.Time, roster []*wire.RosterEntry, held int, leaving bool) *Write {
-	if s.sending || s.readAt.IsZero() {
+	if s.sending || s.stale || s.readAt.IsZero() {
 		return nil
 	}
 	if s.role == Leader {
@@ -255,6 +261,7 @@
 func (s *Seat) TakeWritten(now time.Time, version int64) Change {
 	s.sending = false
 	if version == 0 {
+		s.stale = true
 		return Change{}
 	}
 	before, beforeAge := s.row, s.Age(s.sentAt)
--- /dev/null
+++ b/pkg/process/election/election_test.go
@@ -0,0 +1,95 @@
+package election_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+func storeAt(ms int) time.Duration { return time.Hour + time.Duration(ms)*time.Millisecond }
+
+func newSeat(host string) *election.Seat {
+	return election.New("cell", "hall", election.Self{Life: host + "/1", Host: host, Hall: "hall", Address: host, Since: t0})
+}
+
+// lead makes a seat win an empty row.
+func lead(t *testing.T, s *election.Seat) {
+	t.Helper()
+	s.TakeRead(at(0), at(0), nil, 0, storeAt(0))
+	must.NotNil(t, s.Next(at(0), nil, 0, false))
+	change := s.TakeWritten(at(5), 1)
+	must.True(t, change.Led)
+	must.Eq(t, election.Leader, s.Role())
+}
+
+// Found by the emulator (seed 104 of its first days): candidates that had lost
+// wrote over the version that they knew again and again, and never read the row.
+func TestACandidateThatLostReadsTheRowBeforeItTriesAgain(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	s.TakeRead(at(0), at(0), nil, 0, storeAt(0))
+	must.NotNil(t, s.Next(at(0), nil, 0, false))
+	s.TakeWritten(at(10), 0)
+	must.Nil(t, s.Next(at(20), nil, 0, false))
+	other := &wire.CellLead{Cell: "cell", Epoch: 1, Holder: "b/1", Host: "b", Hall: "hall", RenewedStoreMs: storeAt(5).Milliseconds()}
+	s.TakeRead(at(300), at(290), other, 7, storeAt(300))
+	must.Eq(t, election.Follower, s.Role())
+	must.Nil(t, s.Next(at(310), nil, 0, false))
+	must.NotNil(t, s.Next(at(1500), nil, 0, false))
+}
+
+func TestAWonSeatWhoseAnswerWasLostIsSeenInTheRow(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	s.TakeRead(at(0), at(0), nil, 0, storeAt(0))
+	w := s.Next(at(0), nil, 0, false)
+	must.NotNil(t, w)
+	s.TakeWritten(at(900), 0)
+	change := s.TakeRead(at(1200), at(1190), w.Row, 3, storeAt(1200))
+	must.True(t, change.Led)
+}
+
+func TestALeaderGoesOnForItsTenureAndNoLonger(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	must.False(t, s.Expire(t0.Add(election.Tenure)).Lost)
+	must.True(t, s.Expire(t0.Add(election.Tenure+time.Millisecond)).Lost)
+}
+
+func TestAnotherHostTakesOverWhenRenewalsAreOverdue(t *testing.T) {
+	t.Parallel()
+	s := newSeat("b")
+	row := &wire.CellLead{Cell: "cell", Epoch: 4, Holder: "a/1", Host: "a", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds()}
+	s.TakeRead(at(100), at(100), row, 9, storeAt(100))
+	must.Nil(t, s.Next(at(1000), nil, 0, false))
+	w := s.Next(at(1250), nil, 0, false)
+	must.NotNil(t, w)
+	must.Eq(t, 5, w.Row.GetEpoch())
+	must.Eq(t, 9, w.Version)
+}
+
+func TestAnEarlierLifeOfTheSameHostIsOver(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	row := &wire.CellLead{Cell: "cell", Epoch: 4, Holder: "a/0", Host: "a", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds()}
+	s.TakeRead(at(10), at(5), row, 9, storeAt(10))
+	must.NotNil(t, s.Next(at(11), nil, 0, false))
+}
+
+func TestAReleasedSeatIsTakenAtOnceByWhoWasAsked(t *testing.T) {
+	t.Parallel()
+	s := newSeat("b")
+	row := &wire.CellLead{Cell: "cell", Epoch: 4, Holder: "a/1", Host: "a", Hall: "elsewhere", Released: true, RenewedStoreMs: storeAt(0).Milliseconds()}
+	s.Want()
+	s.TakeRead(at(10), at(5), row, 9, storeAt(10))
+	must.NotNil(t, s.Next(at(11), nil, 0, false))
+}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -58,7 +58,7 @@
 	// LeavingAt is when it was first seen to be leaving.
 	LeavingAt time.Time
 	// Runs are those that may be running there.
-	Runs map[*jobs.Run]struct{}
+	Runs []*jobs.Run
 	// Heard says that it has answered since this leader came to lead.
 	Heard bool
 	// FirstSeen is when this leader first knew of it.
@@ -96,7 +96,7 @@
 
 // New returns a worker that has not been heard yet.
 func New(r Record, now time.Time) *Worker {
-	return &Worker{Record: r, Listed: true, Runs: map[*jobs.Run]struct{}{}, units: map[*jobs.Unit]int64{}, FirstSeen: now}
+	return &Worker{Record: r, Listed: true, units: map[*jobs.Unit]int64{}, FirstSeen: now}
 }
 
 // TakeClock takes in a reading of the worker's clock that came in an answer.
@@ -143,23 +143,23 @@
 
 // Add counts a run as running there.
 func (w *Worker) Add(r *jobs.Run) {
-	if _, there := w.Runs[r]; !there {
-		w.Runs[r] = struct{}{}
+	if !slices.Contains(w.Runs, r) {
+		w.Runs = append(w.Runs, r)
 		w.count(r.Task.Unit, 1)
 	}
 }
 
-// Remove takes a run off.
+// Remove takes a run off. The list is made anew: it may be walked meanwhile.
 func (w *Worker) Remove(r *jobs.Run) {
-	if _, there := w.Runs[r]; there {
-		delete(w.Runs, r)
+	if i := slices.Index(w.Runs, r); i >= 0 {
+		w.Runs = append(slices.Clone(w.Runs[:i]), w.Runs[i+1:]...)
 		w.count(r.Task.Unit, -1)
 	}
 }
 
 // RemoveAll takes all runs off.
 func (w *Worker) RemoveAll() {
-	for r := range w.Runs {
+	for _, r := range w.Runs {
 		w.Remove(r)
 	}
 }
