--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO      ?= go
 BIN     := bin
 TOOLBIN := $(CURDIR)/bin/tools
-PKGS    := ./cmd/... ./pkg/... ./standins/... ./examples/... ./test/...
+PKGS    := ./cmd/... ./pkg/... ./platform/... ./standins/... ./examples/... ./test/...
 
 .PHONY: help build tools fmt lint try serve check test model bench docs docs-check generate
 
@@ -20,10 +20,10 @@
 	cd tools && $(GO) build -o $(TOOLBIN)/ tool
 
 fmt: tools ## format the code
-	$(TOOLBIN)/gofumpt -w cmd pkg standins test examples tools
+	$(TOOLBIN)/gofumpt -w cmd pkg platform standins test examples tools
 
 lint: tools ## formatter and linter, which must find nothing
-	@out=$$($(TOOLBIN)/gofumpt -l cmd pkg standins test examples tools); if [ -n "$$out" ]; then echo "gofumpt: not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$($(TOOLBIN)/gofumpt -l cmd pkg platform standins test examples tools); if [ -n "$$out" ]; then echo "gofumpt: not formatted:"; echo "$$out"; exit 1; fi
 	$(TOOLBIN)/revive -config revive.toml -set_exit_status $(PKGS)
 	$(GO) vet $(PKGS)
 
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -219,7 +219,7 @@
 	if !h.state.Leading() {
 		return
 	}
-	h.world.table.scan(h.name, rows.SpecTable(cellName), func(list []table.Row, at time.Duration, ok bool) {
+	h.world.table.scan(h.name, rows.SpecTable(cellName), func(list []table.Row, at time.Duration, _ bool) {
 		h.back(func() {
 			for _, r := range list {
 				spec := &wire.JobSpec{}
@@ -307,7 +307,7 @@
 		return
 	}
 	if part == rows.JobParts {
-		h.readCell(epoch, loaded, again)
+		h.readCell(loaded, again)
 		return
 	}
 	key := rows.FenceKey(cellName, rows.PartName(part))
@@ -335,7 +335,7 @@
 	})
 }
 
-func (h *host) readCell(epoch int64, loaded cell.Loaded, again func()) {
+func (h *host) readCell(loaded cell.Loaded, again func()) {
 	t := h.world.table
 	t.scan(h.name, rows.SpecTable(cellName), func(specs []table.Row, _ time.Duration, ok1 bool) {
 		t.scan(h.name, rows.ProgressTable(cellName), func(progress []table.Row, _ time.Duration, ok2 bool) {
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -246,7 +246,7 @@
 		}
 		return r
 	}
-	if t.Done || t.Unit.Job.Ended() || !s.mayAdopt(t, a.Run) {
+	if t.Done || t.Unit.Job.Ended() || !mayAdopt(t) {
 		return nil
 	}
 	r := &jobs.Run{
@@ -262,13 +262,8 @@
 }
 
 // mayAdopt says whether a run that a worker lists may go on: not beside
-// another run of its task, unless copies may, and a gang only as one run.
-func (s *State) mayAdopt(t *jobs.Task, run int64) bool {
-	if len(t.Runs) == 0 || t.Unit.Spec.GetCopies() {
-		return true
-	}
-	return false
-}
+// another run of its task, unless copies may.
+func mayAdopt(t *jobs.Task) bool { return len(t.Runs) == 0 || t.Unit.Spec.GetCopies() }
 
 func (s *State) began(now time.Time, r *jobs.Run) {
 	r.State = jobs.Running
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -116,7 +116,8 @@
 
 // New returns the state of a process that does not lead the cell.
 func New(name string, bounds Bounds, options ...Option) *State {
-	s := &State{name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(),
+	s := &State{
+		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(),
 		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{},
 	}
 	s.forget()
--- a/pkg/rows/fleet.go
+++ b/pkg/rows/fleet.go
@@ -46,7 +46,7 @@
 // PartName names the part with the given number.
 func PartName(n int) string { return "p" + strconv.Itoa(n) }
 
-// SpecTable, ProgressTable and CancelTable are a cell's tables.
+// SpecTable is where a cell's jobs stand as they were sent, until they end.
 func SpecTable(cell string) string { return specPrefix + cell }
 
 // ProgressTable is where a cell's leader records what became of its jobs.
