Lasting tasks without room are lent to a cell with room

Ruled out: fragmentation alone (room was held for it). One transaction records that the task is lent and gives the other cell a specification with just that task; cancels are passed on likewise.

--- a/pkg/process/cell/bench_test.go
+++ b/pkg/process/cell/bench_test.go
@@ -22,6 +22,7 @@
 	reports map[string]*workers.Report
 	looks   []cell.SendLook
 	version int64
+	records []cell.Record
 }
 
 var theManifest = manifest.New(1, []manifest.Queue{
@@ -96,6 +97,7 @@
 			r.Active = append(r.Active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1, Reading: 40})
 			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}})
 		case cell.Record:
+			b.records = append(b.records, e)
 			b.version++
 			b.state.Take(b.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: b.version}})
 		}
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -110,6 +110,9 @@
 	Err       error
 }
 
+// OtherLoad is what the leader of another cell tells of it.
+type OtherLoad struct{ Load *wire.CellLoad }
+
 // Release asks the leader to hand the cell over: it starts nothing more.
 type Release struct{}
 
@@ -128,6 +131,7 @@
 func (PaceAnswered) event()    {}
 func (RecordAnswered) event()  {}
 func (Release) event()         {}
+func (OtherLoad) event()       {}
 
 // Effect is something that a State wants done.
 type Effect interface{ effect() }
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -165,7 +165,13 @@
 
 func (s *State) takeAccepted(now time.Time, e Accepted) {
 	id := e.Spec.GetId()
-	if s.phase == following || s.phase == releasing || s.jobs[id] != nil {
+	if s.phase == following || s.phase == releasing {
+		return
+	}
+	if known := s.jobs[id]; known != nil {
+		if known.MoreGuests(e.Spec) {
+			s.touch(known)
+		}
 		return
 	}
 	age := e.StoreNow - time.Duration(e.Spec.GetAcceptedStoreMs())*time.Millisecond
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -159,11 +159,7 @@
 // that a large task waits for.
 func (s *State) holdFor(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
 	u := t.Unit
-	since := t.WaitsSince
-	if since.IsZero() {
-		since = u.Job.AcceptedAt
-	}
-	if !u.Lasting() || now.Sub(since) < holdAfter {
+	if !u.Lasting() || now.Sub(waitsSince(t)) < holdAfter {
 		return
 	}
 	var best *workers.Worker
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -12,6 +12,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // Recording. Progress is written in groups, one transaction at a time for each
@@ -61,6 +62,8 @@
 	last  bool
 	// expired says that the job's rows were removed.
 	expired bool
+	// lent is how many specifications for other cells went with it.
+	lent int
 }
 
 // pendingEnd is an end that may be acknowledged when its change is durable.
@@ -157,10 +160,16 @@
 	row := rows.Row(key, j.Progress())
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.Recorded})
 	tx.Puts = append(tx.Puts, row)
+	for _, spec := range s.lent[j] {
+		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
+	}
 	if j.Ended() {
 		tx.Removes = append(tx.Removes, rows.SpecKey(s.name, id), rows.CancelKey(s.name, id))
+		for _, other := range j.LentCells() {
+			tx.Puts = append(tx.Puts, rows.Row(rows.CancelKey(other, id), &wire.JobRef{Cell: other, Id: id}))
+		}
 	}
-	return sentJob{job: j, value: row.Value, last: j.Ended()}
+	return sentJob{job: j, value: row.Value, last: j.Ended(), lent: len(s.lent[j])}
 }
 
 // removeRows takes away what is left of a job. Its id may then be used anew.
@@ -168,7 +177,10 @@
 	id := j.Spec.GetId()
 	key := rows.ProgressKey(s.name, id)
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.Recorded})
-	tx.Removes = append(tx.Removes, key, rows.AnchorKey(id))
+	tx.Removes = append(tx.Removes, key)
+	if !j.Guest() {
+		tx.Removes = append(tx.Removes, rows.AnchorKey(id))
+	}
 	return sentJob{job: j, expired: true}
 }
 
@@ -273,6 +285,11 @@
 func (s *State) jobDurable(sent sentJob, version int64) {
 	j := sent.job
 	j.Recorded = version
+	if rest := s.lent[j]; sent.lent < len(rest) {
+		s.lent[j] = rest[sent.lent:]
+	} else {
+		delete(s.lent, j)
+	}
 	if sent.last && j.Durable != j.Phase {
 		j.Durable = j.Phase
 		s.note(Note{What: NoteJobRecorded, Job: j.Spec.GetId(), Detail: j.Phase.String(), AgeMs: -1})
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -87,6 +87,10 @@
 	parts   map[string]*part
 	seq     int64
 	runs    int64
+	// others is what the leaders of other cells told of theirs.
+	others map[string]otherLoad
+	// lent are specifications for other cells that are not recorded yet.
+	lent map[*jobs.Job][]*wire.JobSpec
 
 	// unsettled are the workers that must be heard before tasks which were
 	// found nowhere may start; settleBy is when waiting ends anyway.
@@ -117,7 +121,7 @@
 // New returns the state of a process that does not lead the cell.
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{
-		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(),
+		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(), others: map[string]otherLoad{},
 		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{},
 	}
 	s.forget()
@@ -133,6 +137,7 @@
 	s.waiting = map[*jobs.Unit]struct{}{}
 	s.roster = map[string]bool{}
 	s.parts = map[string]*part{}
+	s.lent = map[*jobs.Job][]*wire.JobSpec{}
 	s.unsettled = map[string]bool{}
 	s.settled = false
 	s.phase = following
@@ -177,6 +182,8 @@
 		s.takeRecorded(now, e)
 	case Release:
 		s.takeRelease()
+	case OtherLoad:
+		s.others[e.Load.GetCell()] = otherLoad{load: e.Load, at: now}
 	}
 }
 
@@ -211,6 +218,7 @@
 	if s.phase == leading {
 		s.openTimes()
 		s.leave(now)
+		s.lend(now)
 		s.pace(now)
 	}
 	s.stopUnwanted(now)
@@ -256,7 +264,7 @@
 
 func wantsStart(u *jobs.Unit) bool {
 	for _, t := range u.Tasks {
-		if !t.Done && t.Settled && len(t.Runs) == 0 {
+		if !t.Done && t.LentTo == "" && t.Settled && len(t.Runs) == 0 {
 			return true
 		}
 	}
@@ -318,7 +326,7 @@
 // Phase tells a job's phase as far as the table holds it.
 func (s *State) Phase(id string) (wire.JobPhase, bool) {
 	j := s.jobs[id]
-	if j == nil || !s.Leading() {
+	if j == nil || !s.Leading() || j.Guest() {
 		return wire.JobPhase_JOB_PHASE_UNSPECIFIED, false
 	}
 	if jobs.Last(j.Durable) {
@@ -339,12 +347,15 @@
 		}
 		l.CapacityMillicores += w.Capacity.Millicores
 		l.FreeMillicores += max(0, w.Free().Millicores)
+		if w.SilentSince.IsZero() && s.roster[w.ID] {
+			l.LargestFreeMillicores = max(l.LargestFreeMillicores, w.Free().Millicores)
+		}
 	}
 	for _, j := range s.jobs {
 		if j.Ended() {
 			continue
 		}
-		if !j.Begun {
+		if !j.Begun && !j.Guest() {
 			l.Pending[j.Spec.GetQueue()]++
 		}
 		for _, u := range j.Units {
@@ -359,7 +370,7 @@
 	work := u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
 	for _, t := range u.Tasks {
 		switch {
-		case t.Done:
+		case t.Done || t.LentTo != "":
 		case u.Lasting():
 			l.LastingMillicores += u.Size.Millicores
 		case u.Spec.GetFiller():
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -57,6 +57,13 @@
 	return <-out
 }
 
+// OtherLoad takes in what the leader of a cell tells of it.
+func (c *Control) OtherLoad(l *wire.CellLoad) {
+	for _, name := range c.Held() {
+		c.tell(cellEvent{cell: name, event: cell.OtherLoad{Load: l}})
+	}
+}
+
 // TakeOver asks for a seat that is being released.
 func (c *Control) TakeOver(cellName string) { c.tell(takeOver{cell: cellName}) }
 
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -9,9 +9,12 @@
 package jobs
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -76,6 +79,9 @@
 	// AvoidWorker is where its last run failed: the next one goes elsewhere, if
 	// it can.
 	AvoidWorker string
+	// LentTo is the cell that runs the task instead of this one; for a guest's
+	// other tasks, the cell that keeps the job.
+	LentTo string
 	// WaitsSince is when it last lost a run; zero: it never had one.
 	WaitsSince time.Time
 
@@ -89,9 +95,80 @@
 	if spec.GetRepeats() == 0 {
 		j.openTime(0)
 	}
+	j.markGuest()
 	return j
 }
 
+// elsewhere stands for the cell that keeps a guest's job.
+const elsewhere = "elsewhere"
+
+// Guest says whether another cell keeps the job and has lent some tasks here.
+func (j *Job) Guest() bool { return len(j.Spec.GetGuest()) > 0 }
+
+// markGuest leaves a guest's other tasks to the cell that keeps the job.
+func (j *Job) markGuest() {
+	if !j.Guest() {
+		return
+	}
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			t.LentTo = elsewhere
+		}
+	}
+	for _, r := range j.Spec.GetGuest() {
+		if t := j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex())); t != nil {
+			t.LentTo = ""
+		}
+	}
+}
+
+// MoreGuests takes in that more of the job's tasks are lent to this cell. It
+// says whether that is so.
+func (j *Job) MoreGuests(spec *wire.JobSpec) bool {
+	if !j.Guest() || len(spec.GetGuest()) <= len(j.Spec.GetGuest()) {
+		return false
+	}
+	j.Spec = spec
+	for _, r := range spec.GetGuest() {
+		if t := j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex())); t != nil {
+			t.LentTo = ""
+		}
+	}
+	return true
+}
+
+// Lend leaves a task to another cell for good, and returns the specification
+// that this cell is to have. Tasks lent to it before stay with it.
+func (j *Job) Lend(t *Task, cell string) *wire.JobSpec {
+	t.LentTo = cell
+	spec, ok := proto.Clone(j.Spec).(*wire.JobSpec)
+	if !ok {
+		return nil // a clone has the type of what it is a clone of
+	}
+	spec.Cell, spec.Guest = cell, nil
+	for _, u := range j.Units {
+		for _, other := range u.Tasks {
+			if other.LentTo == cell {
+				spec.Guest = append(spec.Guest, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(other.Index)})
+			}
+		}
+	}
+	return spec
+}
+
+// LentCells lists the cells that run tasks of the job.
+func (j *Job) LentCells() []string {
+	var list []string
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			if t.LentTo != "" && t.LentTo != elsewhere && !slices.Contains(list, t.LentTo) {
+				list = append(list, t.LentTo)
+			}
+		}
+	}
+	return list
+}
+
 // Repeats is how many times the steps run in all.
 func (j *Job) Repeats() int { return max(1, int(j.Spec.GetRepeats())) }
 
@@ -244,7 +321,7 @@
 
 // Waiting says whether the task wants a start.
 func (t *Task) Waiting(now time.Time) bool {
-	return !t.Done && t.Settled && len(t.Runs) == 0 && !now.Before(t.RetryAt)
+	return !t.Done && t.LentTo == "" && t.Settled && len(t.Runs) == 0 && !now.Before(t.RetryAt)
 }
 
 // MarkDone records that a run of the task ended well. It says whether that was
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -31,8 +31,12 @@
 			up.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		if len(t.FailedRuns) > 0 || t.Checkpoint != "" {
-			up.Notes = append(up.Notes, &wire.TaskNote{Index: int32(i), FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint})
+		lent := t.LentTo
+		if lent == elsewhere {
+			lent = "" // the specification says so already
+		}
+		if len(t.FailedRuns) > 0 || t.Checkpoint != "" || lent != "" {
+			up.Notes = append(up.Notes, &wire.TaskNote{Index: int32(i), FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, LentTo: lent})
 		}
 	}
 	if up.Done == nil && up.Notes == nil {
@@ -81,6 +85,9 @@
 		}
 		t := u.Tasks[n.GetIndex()]
 		t.Checkpoint = n.GetCheckpoint()
+		if n.GetLentTo() != "" {
+			t.LentTo = n.GetLentTo()
+		}
 		for _, r := range n.GetFailedRuns() {
 			t.MarkFailed(r)
 		}
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -44,6 +44,7 @@
 	Cancelled(cell, id string)
 	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
 	Load(ctx context.Context, cell string) *wire.CellLoad
+	OtherLoad(l *wire.CellLoad)
 }
 
 // Peers connects to other hosts.
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -198,6 +198,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.leaders.OtherLoad(l)
 	known := i.loads[l.GetCell()]
 	known.CellLoad, known.at = l, now
 	i.loads[l.GetCell()] = known
