--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -77,7 +77,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(config.MemoryMB * memoryShare * (1 << 20)))
-	host, err := fleet.New(config, onPlatform(config), eventlog.New(out, level))
+	host, err := fleet.New(config, OnPlatform(config), eventlog.New(out, level))
 	if err != nil {
 		return err
 	}
@@ -86,8 +86,8 @@
 	return host.Run(ctx)
 }
 
-// onPlatform joins a host to the platform's adapters.
-func onPlatform(config fleet.Config) fleet.Outside {
+// OnPlatform joins a host to the platform's adapters.
+func OnPlatform(config fleet.Config) fleet.Outside {
 	return fleet.Outside{
 		Table: platform.NewTable(config.Table), Caller: platform.NewWorkers(), Source: platform.Source{}, Dial: platform.Dial,
 		Callers: func(h *fleet.Host) (http.Handler, suture.Service) {
