A successor asks its forerunner whether it is over, and waits a lease instead of a tenure

Now it is asked; an earlier life of the same host is over at once; workers that left are kept in the leadership row for a second, not ten.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -167,11 +167,39 @@
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
 		h.state.Take(now, cell.Led{Epoch: h.seat.Row().GetEpoch(), Roster: c.Before.GetRoster(), RosterUntil: rosterUntil(now, c)})
 		h.state.Take(now, cell.RosterRecorded{IDs: rosterIDs(h.seat.Row().GetRoster())})
+		h.awaitForerunner(h.seat.Row().GetEpoch(), c.Before)
 	case c.Lost:
 		h.state.Take(now, cell.Deposed{Why: c.Why})
 	}
 }
 
+// awaitForerunner asks the host that led before until it says that it does not.
+func (h *host) awaitForerunner(epoch int64, before *wire.CellLead) {
+	if before == nil {
+		return
+	}
+	if before.GetHost() == h.name {
+		h.state.Take(h.world.now, cell.ForerunnerOver{Epoch: epoch})
+		return
+	}
+	for _, other := range h.world.hosts {
+		if other.name != before.GetHost() {
+			continue
+		}
+		h.world.after(300*time.Millisecond, h.back(func() {
+			w := h.world
+			answers := other.up && !w.now.Before(other.frozenUntil) && !w.cut(h.name, other.name)
+			if answers && !other.state.Holds() {
+				h.state.Take(w.now, cell.ForerunnerOver{Epoch: epoch})
+				return
+			}
+			if h.state.Holds() {
+				h.awaitForerunner(epoch, before)
+			}
+		}))
+	}
+}
+
 func rosterUntil(now time.Time, c election.Change) time.Time {
 	if c.Before == nil {
 		return now
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -31,6 +31,10 @@
 	RosterUntil time.Time
 }
 
+// ForerunnerOver says that the leader before this epoch grants nothing more:
+// it has said so, or its process is over.
+type ForerunnerOver struct{ Epoch int64 }
+
 // Deposed says that it no longer does.
 type Deposed struct{ Why string }
 
@@ -121,6 +125,7 @@
 func (WorkersListed) event()   {}
 func (Led) event()             {}
 func (Deposed) event()         {}
+func (ForerunnerOver) event()  {}
 func (RosterRecorded) event()  {}
 func (Loaded) event()          {}
 func (Accepted) event()        {}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -43,6 +43,21 @@
 	s.emit(Load{Epoch: e.Epoch})
 }
 
+// orderTail is how long after its end a forerunner's last orders may still be
+// on their way.
+const orderTail = 500 * time.Millisecond
+
+// takeForerunnerOver shortens the wait for workers that are not heard: what the
+// forerunner granted is over after one lease.
+func (s *State) takeForerunnerOver(now time.Time, e ForerunnerOver) {
+	until := now.Add(LongestLease + LongestLease/10 + orderTail)
+	if e.Epoch != s.epoch || s.settled || !until.Before(s.settleBy) {
+		return
+	}
+	s.settleBy = until
+	s.note(Note{What: NoteForerunner, Detail: fmt.Sprintf("%d workers not heard", len(s.unsettled)), AgeMs: -1})
+}
+
 func (s *State) takeLoaded(now time.Time, e Loaded) {
 	if e.Epoch != s.epoch || s.phase != loading {
 		return
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -27,9 +27,10 @@
 	ackPause = 150 * time.Millisecond
 	// heardWithin is how fresh a worker's last answer must be for new work.
 	heardWithin = idleWait + time.Second
-	// unlistedFor is how long a worker that no list names and that does not
-	// answer is kept in mind.
-	unlistedFor = 10 * time.Second
+	// unlistedFor is how long a worker that no list names, that does not answer
+	// and whose lease is over is kept in mind. A successor has to wait for each
+	// worker that the leadership row names.
+	unlistedFor = time.Second
 	// LongestLease bounds what any leader grants.
 	LongestLease = lease + leaseSlack
 	// leaseSlack covers a forerunner's grant that was counted from a fresher
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -9,6 +9,7 @@
 	NoteLed          What = "cell-led"
 	NoteDeposed      What = "cell-deposed"
 	NoteLoaded       What = "cell-loaded"
+	NoteForerunner   What = "cell-forerunner-over"
 	NoteSettled      What = "cell-settled"
 	NoteReleased     What = "cell-released"
 	NoteManifest     What = "manifest-in-force"
@@ -48,6 +49,7 @@
 	{NoteLed, "this process leads a cell from now on; detail: epoch"},
 	{NoteDeposed, "this process no longer leads the cell; detail: why"},
 	{NoteLoaded, "the cell's jobs were read from the table; detail: how many"},
+	{NoteForerunner, "the leader before grants nothing more: what it granted ends with a lease"},
 	{NoteSettled, "what earlier leaders started is known or surely over; detail: how many tasks were found nowhere"},
 	{NoteReleased, "the cell is given up on purpose"},
 	{NoteManifest, "a newer manifest is in force; detail: version"},
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -162,6 +162,8 @@
 		s.takeLed(now, e)
 	case Deposed:
 		s.stepDown(e.Why)
+	case ForerunnerOver:
+		s.takeForerunnerOver(now, e)
 	case RosterRecorded:
 		s.takeRoster(e)
 	case Loaded:
@@ -302,6 +304,10 @@
 // Leading says whether this process leads the cell and has loaded its jobs.
 func (s *State) Leading() bool { return s.phase == leading || s.phase == releasing }
 
+// Holds says whether this process may order anything in the cell, now or once
+// it has loaded its jobs.
+func (s *State) Holds() bool { return s.phase != following }
+
 // Quiet says whether a planned stop may give the cell up now: nothing is on
 // its way to the table or to workers.
 func (s *State) Quiet() bool {
@@ -340,7 +346,7 @@
 
 // Load sums the cell up for those who choose where a job goes.
 func (s *State) Load() *wire.CellLoad {
-	l := &wire.CellLoad{Leading: s.Leading(), Cell: s.name, Pending: map[string]int32{}}
+	l := &wire.CellLoad{Leading: s.Leading(), Holds: s.Holds(), Cell: s.name, Pending: map[string]int32{}}
 	for _, w := range s.sorted() {
 		if w.Gone || !w.Listed || w.Leaving {
 			continue
--- /dev/null
+++ b/pkg/process/cell/takeover_test.go
@@ -0,0 +1,92 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// takeover is a successor that hears one of the two workers that its forerunner
+// could have used, and has one job that may run at the other.
+type takeover struct {
+	state  *cell.State
+	now    time.Time
+	starts []cell.SendStart
+}
+
+func newTakeover(until time.Duration) *takeover {
+	v := &takeover{now: time.Unix(1000, 0)}
+	v.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	heard := workers.Record{
+		ID: "heard", Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: "h",
+		Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+	}
+	v.state.Take(v.now, cell.ManifestChanged{Manifest: theManifest})
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{heard}})
+	v.state.Take(v.now, cell.Led{
+		Epoch: 2, RosterUntil: v.now.Add(until),
+		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
+	})
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	v.state.Take(v.now, cell.Loaded{
+		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1},
+	})
+	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"heard", "dark"}})
+	return v
+}
+
+// run lets time pass until something starts, and returns when.
+func (v *takeover) run(most time.Duration) (time.Duration, bool) {
+	begin := v.now
+	for v.now.Sub(begin) < most {
+		v.now = v.now.Add(50 * time.Millisecond)
+		v.state.Take(v.now, cell.Tick{})
+		for _, e := range v.state.Decide(v.now, v.now) {
+			switch e := e.(type) {
+			case cell.SendLook:
+				if e.To.ID == "heard" {
+					v.state.Take(v.now, cell.Looked{Worker: "heard", SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(begin) + time.Hour}})
+				}
+			case cell.SendStart:
+				v.starts = append(v.starts, e)
+				return v.now.Sub(begin), true
+			}
+		}
+	}
+	return 0, false
+}
+
+func TestWhatMayRunAtAWorkerThatIsNotHeardWaits(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	_, started := v.run(14 * time.Second)
+	must.False(t, started)
+	_, started = v.run(2 * time.Second)
+	must.True(t, started)
+}
+
+// Found by a hunt (kadraj mix seed 408536729638, LOST 14): a cell started
+// nothing for eleven seconds after a takeover, though its forerunner had said at
+// once that it was over.
+func TestAForerunnerThatSaysSoShortensTheWaitToALease(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 2})
+	after, started := v.run(6 * time.Second)
+	must.True(t, started)
+	must.Greater(t, cell.LongestLease, after)
+}
+
+func TestWordOfAnotherEpochsForerunnerChangesNothing(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 1})
+	_, started := v.run(10 * time.Second)
+	must.False(t, started)
+}
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -52,7 +52,7 @@
 		out <- &wire.CellLoad{}
 	})
 	if !ok {
-		return &wire.CellLoad{Cell: cellName}
+		return &wire.CellLoad{} // without the cell's name: it is not known
 	}
 	return <-out
 }
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -53,6 +53,9 @@
 	// yieldTo asks a leader of another hall for a seat of this one.
 	yieldTo func(cell, address string)
 	asked   map[string]time.Time
+	// leads asks the process at an address whether it leads a cell; ok is false
+	// where it does not answer.
+	leads func(address, cell string) (leading, ok bool)
 }
 
 // seat is one cell in this process.
@@ -88,7 +91,7 @@
 	c := &Control{
 		self: self, store: st, caller: caller, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), seats: map[string]*seat{}, asked: map[string]time.Time{},
-		yieldTo: func(string, string) {},
+		yieldTo: func(string, string) {}, leads: func(string, string) (bool, bool) { return false, false },
 	}
 	for name, hall := range cells {
 		c.seats[name] = &seat{
@@ -191,6 +194,7 @@
 		}
 		s.state.Take(now, cell.RosterRecorded{IDs: ids(s.seat.Row().GetRoster())})
 		s.touched = true
+		c.awaitForerunner(s.name, epoch, change.Before)
 	case change.Lost:
 		s.state.Take(now, cell.Deposed{Why: change.Why})
 		s.touched = true
@@ -198,6 +202,34 @@
 	c.publish(now)
 }
 
+const (
+	// forerunnerEvery is the time between two questions to a forerunner.
+	forerunnerEvery = 300 * time.Millisecond
+)
+
+// awaitForerunner finds out when the leader before has come to its end: it was
+// an earlier life of this very host, or the process at its address says that
+// it does not lead (it was told by a worker or by the table, or is a new one).
+func (c *Control) awaitForerunner(name string, epoch int64, before *wire.CellLead) {
+	if before == nil || before.GetReleased() {
+		return
+	}
+	over := cellEvent{cell: name, event: cell.ForerunnerOver{Epoch: epoch}}
+	if before.GetHost() == c.self.Host {
+		over.apply(c, time.Now())
+		return
+	}
+	go func() {
+		for range int(election.Tenure / forerunnerEvery) {
+			time.Sleep(forerunnerEvery)
+			if leading, ok := c.leads(before.GetAddress(), name); ok && !leading {
+				c.tell(over)
+				return
+			}
+		}
+	}()
+}
+
 // rosterUntil is when the last lease that a forerunner could have granted is
 // over: it grants none after its tenure, nor after it has released the seat.
 func rosterUntil(now time.Time, change election.Change) time.Time {
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -105,6 +105,7 @@
 	}
 	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, h.Log, h.Metrics, options...)
 	h.Control.yieldTo = h.yieldTo
+	h.Control.leads = h.leads
 	return h, h.listen()
 }
 
@@ -262,6 +263,21 @@
 // peerWord bounds a word to a peer that needs no answer.
 const peerWord = 300 * time.Millisecond
 
+// leads asks the process at an address whether it leads a cell.
+func (h *Host) leads(address, cellName string) (leading, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerWord)
+	defer cancel()
+	p, err := h.peers.To(address)
+	if err != nil {
+		return false, false
+	}
+	load, err := p.Load(ctx, &wire.CellRef{Cell: cellName})
+	if err != nil {
+		return false, false
+	}
+	return load.GetHolds(), load.GetCell() == cellName
+}
+
 // yieldTo asks a leader of another hall for a seat of ours.
 func (h *Host) yieldTo(cellName, address string) {
 	go func() {
