--- /dev/null
+++ b/pkg/cli/logs.go
@@ -0,0 +1,169 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+)
+
+// logs tells the story of one job from the logs that were collected of many
+// hosts. Data flows one way: files -> lines that matter -> sorted -> a table.
+// It needs no running process.
+
+var logsVerb = verb{
+	path: "logs", args: "JOB FILE...", min: 2, max: 1000,
+	short:   "Tell the story of one job from collected logs, with no process running",
+	long:    "logs reads JSON lines of many hosts (- is standard input), takes those about the\njob, those about its cell and those about the workers of its runs, and orders them by\ntime. Lines that a host had to drop are shown where they are missing.",
+	example: "  wrenferry logs 5c0e7a21d94b36f8 host-1.log host-2.log\n  cat *.log | wrenferry logs 5c0e7a21d94b36f8 -",
+	run:     runLogs,
+}
+
+// logLine is one line of a host's log.
+type logLine struct {
+	At     time.Time `json:"at"`
+	Event  string    `json:"event"`
+	Host   string    `json:"host"`
+	Life   string    `json:"life"`
+	Cell   string    `json:"cell,omitempty"`
+	Job    string    `json:"job,omitempty"`
+	Task   string    `json:"task,omitempty"`
+	Worker string    `json:"worker,omitempty"`
+	Run    int64     `json:"run,omitempty"`
+	AgeMs  *int64    `json:"age_ms,omitempty"`
+	Ms     *int64    `json:"ms,omitempty"`
+	Detail string    `json:"detail,omitempty"`
+	Why    string    `json:"why,omitempty"`
+	Path   string    `json:"path,omitempty"`
+	Status int       `json:"status,omitempty"`
+	Lines  int64     `json:"lines,omitempty"`
+}
+
+// cellEvents are about a cell as a whole: they matter to each of its jobs.
+const cellEvents = "cell-"
+
+// droppedEvent says that lines are missing.
+const droppedEvent = "log-lines-dropped"
+
+func runLogs(_ context.Context, s *session) error {
+	var all []logLine
+	for _, file := range s.args[1:] {
+		lines, err := s.readLog(file)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	story := storyOf(s.args[0], all)
+	if len(story) == 0 {
+		return fault.New(fault.NotFound, s.args[0], "no line of these logs is about the job", "collect the logs of all hosts, from before it was sent")
+	}
+	return show(s, story, "TIME HOST EVENT RUN WORKER WHAT", storyLines)
+}
+
+// readLog reads the lines of one file that are JSON; what stands before a
+// line's object (a collector's prefix) is passed over.
+func (s *session) readLog(path string) ([]logLine, error) {
+	in := s.in
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, fault.New(fault.BadInput, path, "can't be read", "check the path").WithCause(err)
+		}
+		defer file.Close()
+		in = file
+	}
+	var list []logLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		text := scanner.Text()
+		begin := strings.IndexByte(text, '{')
+		if begin < 0 {
+			continue
+		}
+		line := logLine{}
+		if json.Unmarshal([]byte(text[begin:]), &line) == nil && line.Event != "" {
+			list = append(list, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fault.New(fault.BadInput, path, "can't be read whole", "is it a log?").WithCause(err)
+	}
+	return list, nil
+}
+
+// storyOf picks the lines that matter to a job, in the order of time.
+func storyOf(job string, all []logLine) []logLine {
+	cells, workers := map[string]bool{}, map[string]bool{}
+	var own, story []logLine
+	for _, l := range all {
+		if l.Job == job || strings.HasPrefix(l.Task, job+".") || strings.HasSuffix(l.Path, "/"+job) {
+			own = append(own, l)
+			cells[l.Cell] = l.Cell != ""
+			workers[l.Worker] = l.Worker != ""
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	byTime := func(list []logLine) {
+		sort.SliceStable(list, func(a, b int) bool { return list[a].At.Before(list[b].At) })
+	}
+	byTime(own)
+	first, last := own[0].At, own[len(own)-1].At
+	for _, l := range all {
+		about := l.Job == "" && l.Task == "" && l.Path == "" &&
+			((strings.HasPrefix(l.Event, cellEvents) && cells[l.Cell]) || workers[l.Worker] || l.Event == droppedEvent)
+		if about && !l.At.Before(first) && !l.At.After(last) {
+			story = append(story, l)
+		}
+	}
+	story = append(story, own...)
+	byTime(story)
+	return story
+}
+
+func storyLines(story []logLine) [][]any {
+	lines := make([][]any, 0, len(story))
+	for _, l := range story {
+		run := "-"
+		if l.Run != 0 {
+			run = fmt.Sprintf("%s#%d", shortTask(l), l.Run)
+		}
+		lines = append(lines, []any{l.At.UTC().Format("15:04:05.000"), l.Host, l.Event, run, dash(l.Worker), l.what()})
+	}
+	return lines
+}
+
+// shortTask is a task's name without its job.
+func shortTask(l logLine) string {
+	_, rest, _ := strings.Cut(l.Task, ".")
+	return rest
+}
+
+func (l logLine) what() string {
+	var words []string
+	add := func(say bool, format string, args ...any) {
+		if say {
+			words = append(words, fmt.Sprintf(format, args...))
+		}
+	}
+	add(l.Detail != "", "%s", l.Detail)
+	add(l.Why != "", "%s", l.Why)
+	add(l.Status != 0, "status %d", l.Status)
+	add(l.Lines != 0, "%d lines are missing here", l.Lines)
+	if l.AgeMs != nil {
+		add(true, "(%d ms)", *l.AgeMs)
+	}
+	if l.Ms != nil {
+		add(true, "(took %d ms)", *l.Ms)
+	}
+	return dash(strings.Join(words, " "))
+}
--- a/pkg/cli/verbs.go
+++ b/pkg/cli/verbs.go
@@ -12,6 +12,8 @@
 	statusVerb,
 	hostsVerb,
 	explainVerb,
+	logsVerb,
+	eventsVerb,
 	auditVerb,
 	settingsCheck,
 	settingsShow,
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -60,7 +60,7 @@
 			w = workers.New(r, now)
 			s.workers[r.ID] = w
 			s.reorder = true
-			s.note(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v", r.Service, r.Address, r.Capacity), AgeMs: -1})
+			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v", r.Service, r.Address, r.Capacity), AgeMs: -1})
 		}
 		s.takeRecord(now, w, r)
 	}
@@ -82,7 +82,7 @@
 func (s *State) takeRecord(now time.Time, w *workers.Worker, r workers.Record) {
 	if r.Leaving && !w.Leaving {
 		w.LeavingAt = now
-		s.note(Note{What: NoteWorkerLeaves, Worker: r.ID, Detail: r.Remaining.String(), AgeMs: -1})
+		s.noteIfHeld(Note{What: NoteWorkerLeaves, Worker: r.ID, Detail: r.Remaining.String(), AgeMs: -1})
 	}
 	if r.Ready != w.Ready || r.Leaving != w.Leaving || !w.Listed {
 		s.placeNow = true
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -247,6 +247,13 @@
 	s.emit(n)
 }
 
+// noteIfHeld is for what every process is told, and only the leader acts on.
+func (s *State) noteIfHeld(n Note) {
+	if s.Holds() {
+		s.note(n)
+	}
+}
+
 func target(w *workers.Worker) workers.Target {
 	return workers.Target{ID: w.ID, Address: w.Address}
 }
