Advice before starts: tickets for queues that need them

Cause: PROTOCOL.md's advise call had no path; a start on such a queue was turned away. One call is out at a time, for the first step without a ticket, naming where it would go.

--- /dev/null
+++ b/pkg/process/cell/advice_test.go
@@ -0,0 +1,110 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// advisedCell is a cell of two workers whose queue needs advice.
+type advisedCell struct {
+	state *cell.State
+	now   time.Time
+	asked []cell.SendAdvice
+	sent  []cell.SendStart
+}
+
+func newAdvisedCell() *advisedCell {
+	a := &advisedCell{now: time.Unix(1000, 0), state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})}
+	a.state.Take(a.now, cell.ManifestChanged{Manifest: manifest.New(1, []manifest.Queue{{
+		Name: "queue", Service: "pool", MaxAttempts: 2, Stretch: 2, Slack: time.Second, Advice: &manifest.Advice{Valid: 3 * time.Second},
+	}}, nil, manifest.Limits{})})
+	var records []workers.Record
+	for _, id := range []string{"w1", "w2"} {
+		records = append(records, workers.Record{
+			ID: id, Service: "pool", Address: id, Hall: "hall", Ready: true, Host: id, Capacity: ledger.Size{Millicores: 8000, MemoryMB: 8000},
+		})
+	}
+	a.state.Take(a.now, cell.WorkersListed{Records: records})
+	a.state.Take(a.now, cell.Led{Epoch: 1, RosterUntil: a.now})
+	a.state.Take(a.now, cell.Loaded{Epoch: 1, Wall: a.now, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1}})
+	a.state.Take(a.now, cell.RosterRecorded{IDs: []string{"w1", "w2"}})
+	return a
+}
+
+func (a *advisedCell) step() {
+	a.now = a.now.Add(50 * time.Millisecond)
+	a.state.Take(a.now, cell.Tick{})
+	for _, e := range a.state.Decide(a.now, a.now) {
+		switch e := e.(type) {
+		case cell.SendLook:
+			a.state.Take(a.now, cell.Looked{Worker: e.To.ID, SentAt: a.now, Report: workers.Report{Clock: a.now.Sub(time.Unix(0, 0))}})
+		case cell.SendAdvice:
+			a.asked = append(a.asked, e)
+		case cell.SendStart:
+			a.sent = append(a.sent, e)
+		}
+	}
+}
+
+func TestAStartOfAnAdvisedQueueBringsTheTicketOfItsWorker(t *testing.T) {
+	t.Parallel()
+	a := newAdvisedCell()
+	a.state.Take(a.now, cell.Accepted{Spec: &wire.JobSpec{
+		Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Millicores: 1000}},
+	}})
+	for range 10 {
+		a.step()
+	}
+	must.Len(t, 1, a.asked, must.Sprint("one call at a time"))
+	must.SliceEmpty(t, a.sent)
+	a.state.Take(a.now, cell.Advised{Unit: a.asked[0].Unit, Tickets: map[string]string{"w2": "the ticket"}})
+	a.step()
+	must.Len(t, 2, a.sent)
+	for _, s := range a.sent {
+		must.Eq(t, "w2", s.To.ID)
+		must.Eq(t, "the ticket", s.Start.Ticket)
+	}
+}
+
+func TestAdviceThatFailsIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	a := newAdvisedCell()
+	a.state.Take(a.now, cell.Accepted{Spec: &wire.JobSpec{
+		Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}},
+	}})
+	for range 5 {
+		a.step()
+	}
+	must.Len(t, 1, a.asked)
+	a.state.Take(a.now, cell.Advised{Unit: a.asked[0].Unit, Err: fault.New(fault.Unavailable, "", "status 429", "")})
+	for range 10 {
+		a.step()
+	}
+	must.Len(t, 2, a.asked)
+	must.SliceEmpty(t, a.sent)
+}
+
+func TestATicketEndsWithItsTime(t *testing.T) {
+	t.Parallel()
+	a := newAdvisedCell()
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	a.state.Take(a.now, cell.Accepted{Spec: spec})
+	for range 5 {
+		a.step()
+	}
+	a.state.Take(a.now, cell.Advised{Unit: a.asked[0].Unit, Tickets: map[string]string{"w1": "t"}})
+	a.now = a.now.Add(4 * time.Second)
+	a.step()
+	a.step()
+	must.SliceEmpty(t, a.sent)
+	must.Len(t, 2, a.asked)
+}
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -105,6 +105,9 @@
 		What: NoteStartRefused, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: w.ID, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
 	})
+	if why == string(workers.RefusedTicket) {
+		s.dropTicket(t.Unit, w)
+	}
 	if why == string(workers.RefusedRoom) || why == string(workers.RefusedBusy) {
 		w.Health.Refused(why, now)
 		s.noteAside(w)
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -62,11 +62,15 @@
 		if len(usable) == 0 {
 			return
 		}
+		pool := usable
+		if _, needs := s.advised(c.unit); needs {
+			pool = s.ticketed(now, c.unit, usable)
+		}
 		if c.unit.Spec.GetGang() {
-			s.placeGang(now, c.unit, usable)
+			s.placeGang(now, c.unit, pool)
 			continue
 		}
-		s.placeTasks(now, c.unit, usable)
+		s.placeTasks(now, c.unit, pool)
 	}
 }
 
@@ -143,7 +147,7 @@
 			s.holdFor(now, t, service, usable)
 			return
 		}
-		s.start(now, w, t, s.nextRun(), "")
+		s.start(now, w, t, s.nextRun(), s.ticket(u, w))
 	}
 	if !wantsStart(u) {
 		delete(s.waiting, u)
@@ -319,7 +323,7 @@
 	checkpoint := gangCheckpoint(u)
 	for i, t := range u.Tasks {
 		t.Checkpoint = checkpoint
-		s.start(now, chosen[i], t, number, "")
+		s.start(now, chosen[i], t, number, s.ticket(u, chosen[i]))
 	}
 	delete(s.waiting, u)
 	return true
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -87,6 +87,9 @@
 	parts   map[string]*part
 	seq     int64
 	runs    int64
+	// advices are tickets by unit; adviceOut is the unit that is being asked for.
+	advices   map[string]*advice
+	adviceOut string
 	// others is what the leaders of other cells told of theirs.
 	others map[string]otherLoad
 	// lent are specifications for other cells that are not recorded yet.
@@ -138,6 +141,8 @@
 	s.roster = map[string]bool{}
 	s.parts = map[string]*part{}
 	s.lent = map[*jobs.Job][]*wire.JobSpec{}
+	s.advices = map[string]*advice{}
+	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.settled = false
 	s.phase = following
@@ -184,6 +189,8 @@
 		s.takeRecorded(now, e)
 	case Release:
 		s.takeRelease()
+	case Advised:
+		s.takeAdvised(now, e)
 	case OtherLoad:
 		s.others[e.Load.GetCell()] = otherLoad{load: e.Load, at: now}
 	}
@@ -303,6 +310,11 @@
 			s.part(rows.JobPart(id)).expired[id] = j
 			delete(s.jobs, id)
 		}
+		if j.Ended() {
+			for _, u := range j.Units {
+				delete(s.advices, u.Name())
+			}
+		}
 	}
 }
 
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -17,6 +17,7 @@
 	Control string
 	Metrics string
 	Table   string
+	Advice  string
 
 	MaxLease  time.Duration
 	StopLimit time.Duration
@@ -47,6 +48,7 @@
 	{Name: "control", Example: `"10.0.0.1:8082"`, Required: true, Help: "Where other entry hosts are served over gRPC.", Set: configfile.Address(func(c *Config) *string { return &c.Control })},
 	{Name: "metrics", Example: `"10.0.0.1:8083"`, Required: true, Help: "Where metrics and the state of this process are told over HTTP.", Set: configfile.Address(func(c *Config) *string { return &c.Metrics })},
 	{Name: "table", Example: `"10.0.0.9:7000"`, Required: true, Help: "Where the table service is.", Set: configfile.Address(func(c *Config) *string { return &c.Table })},
+	{Name: "advice", Example: `"10.0.0.9:7001"`, Help: "Where the service is that says which workers may run a step; empty: there is none.", Set: configfile.Value(func(c *Config) *string { return &c.Advice })},
 	{Name: "maxLease", Example: `"10s"`, Help: "The longest that a worker holds what runs without renewal (default 10s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.MaxLease })},
 	{Name: "stopLimit", Example: `"900ms"`, Help: "How long the stop of a task may take (default 900ms).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.StopLimit })},
 	{Name: "gangWait", Example: `"3s"`, Help: "How long members of a gang wait for each other (default 3s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.GangWait })},
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -41,6 +41,7 @@
 	self    election.Self
 	store   *store.Client
 	caller  workers.Caller
+	advisor workers.Advisor
 	log     *logrus.Entry
 	metrics metrics.Registry
 	wall    func() time.Time
@@ -87,9 +88,9 @@
 
 // NewControl returns the control thread of a process for the given cells, each
 // with the hall that it stands in.
-func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
+func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, advisor workers.Advisor, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
 	c := &Control{
-		self: self, store: st, caller: caller, log: log, metrics: registry, wall: time.Now,
+		self: self, store: st, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), seats: map[string]*seat{}, asked: map[string]time.Time{},
 		yieldTo: func(string, string) {}, leads: func(string, string) (bool, bool) { return false, false },
 	}
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -20,6 +20,8 @@
 	orderTimeout = 400 * time.Millisecond
 	// lookSlack is what a look may take beyond the wait that it asks for.
 	lookSlack = 600 * time.Millisecond
+	// adviceTimeout bounds a call for advice, which takes some ms a worker.
+	adviceTimeout = 3 * time.Second
 )
 
 func tableWrite(key table.Key, w election.Write) table.Transaction {
@@ -50,6 +52,8 @@
 		go c.sendPace(ctx, name, e)
 	case cell.Record:
 		go c.record(ctx, name, e)
+	case cell.SendAdvice:
+		go c.sendAdvice(ctx, name, e)
 	}
 }
 
@@ -87,6 +91,14 @@
 	}})
 }
 
+func (c *Control) sendAdvice(ctx context.Context, name string, e cell.SendAdvice) {
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	tickets, err := c.advisor.Advise(ctx, e.Unit, e.Workers)
+	c.countCall("advise", workers.RefusedNot, err)
+	c.tell(cellEvent{name, cell.Advised{Unit: e.Unit, Tickets: tickets, Err: err}})
+}
+
 func (c *Control) record(ctx context.Context, name string, e cell.Record) {
 	began := time.Now()
 	done, err := c.store.Commit(ctx, e.Transaction)
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -53,8 +53,10 @@
 type Outside struct {
 	Table  store.Direct
 	Caller workers.Caller
-	Source Source
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Advisor is asked for the queues that need advice.
+	Advisor workers.Advisor
+	Source  Source
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	// Callers makes the handler of callers' calls, and what runs beside it.
 	Callers func(h *Host) (http.Handler, suture.Service)
 }
@@ -103,7 +105,7 @@
 	for _, hall := range config.Halls {
 		cells[hall] = hall
 	}
-	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, h.Log, h.Metrics, options...)
+	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, outside.Advisor, h.Log, h.Metrics, options...)
 	h.Control.yieldTo = h.yieldTo
 	h.Control.leads = h.leads
 	return h, h.listen()
--- a/pkg/process/workers/report.go
+++ b/pkg/process/workers/report.go
@@ -120,3 +120,9 @@
 	Stop(ctx context.Context, to Target, s Stop) (Reply, error)
 	Pace(ctx context.Context, to Target, p Pace) (Reply, error)
 }
+
+// Advisor asks the outside service that knows which workers may run a step. It
+// returns a ticket for each one that may.
+type Advisor interface {
+	Advise(ctx context.Context, step string, ids []string) (map[string]string, error)
+}
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -89,7 +89,7 @@
 // OnPlatform joins a host to the platform's adapters.
 func OnPlatform(config fleet.Config) fleet.Outside {
 	return fleet.Outside{
-		Table: platform.NewTable(config.Table), Caller: platform.NewWorkers(), Source: platform.Source{}, Dial: platform.Dial,
+		Table: platform.NewTable(config.Table), Caller: platform.NewWorkers(), Advisor: platform.NewAdvisor(config.Advice), Source: platform.Source{}, Dial: platform.Dial,
 		Callers: func(h *fleet.Host) (http.Handler, suture.Service) {
 			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics)
 			return &platform.Callers{Jobs: jobs, Manifest: h.Manifest, Log: h.Log}, jobs
