What is taken for over without its worker's word is confirmed by a renewal after it

Cause: found by a new model of starts without a write (model/cell.pml), in three forms: a leader cut off from the table and from a worker took a lease for over that a later leader had renewed; took a crashed worker's task for lost whose good end a later leader had acknowledged; settled on workers whose lives had ended likewise. Each is a double start at a worker that the later leader has not reached. Now a renewal sent after that moment must have taken effect. The test fails without the fence.

--- a/model/run.sh
+++ b/model/run.sh
@@ -57,6 +57,16 @@
 check lease/no-registration   lease fault 2500 -DREBOOTS=1 -DATTEMPTS=2 -DNO_REGISTRATION
 check lease/no-incarnation    lease fault 2500 -DREBOOTS=1 -DATTEMPTS=2 -DNO_INCARNATION
 
+check cell/all                cell none  2500 -DEPOCHS=2 -DRUNS=2
+check cell/more               cell none  2000
+check cell/no-fence           cell fault 1500 -DNO_FENCE
+check cell/no-settling        cell fault 1500 -DNO_SETTLING
+check cell/no-lease-wait      cell fault 1500 -DNO_LEASE_WAIT
+check cell/no-confirmation    cell fault 1500 -DNO_CONFIRMATION
+check cell/no-recorded        cell fault 1500 -DNO_RECORDED
+check cell/no-roster          cell fault 1500 -DNO_ROSTER
+check cell/no-incarnation     cell fault 1500 -DNO_INCARNATION
+
 check request/all             request none  2500
 check request/no-ask          request fault 2500 -DNO_ASK
 check request/no-promise      request fault 2500 -DNO_PROMISE
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -121,6 +121,9 @@
 
 func (h *host) act() {
 	w := h.world
+	if h.seat.Role() == election.Leader {
+		h.state.Take(w.now, cell.Confirmed{At: h.seat.RenewedAt()})
+	}
 	for _, e := range h.state.Decide(w.now, w.now) {
 		h.carryOut(e)
 	}
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -31,6 +31,10 @@
 	RosterUntil time.Time
 }
 
+// Confirmed says that this process still led the cell when it sent a renewal
+// that took effect. Nobody else can have granted anything before that moment.
+type Confirmed struct{ At time.Time }
+
 // ForerunnerOver says that the leader before this epoch grants nothing more:
 // it has said so, or its process is over.
 type ForerunnerOver struct{ Epoch int64 }
@@ -126,6 +130,7 @@
 func (Led) event()             {}
 func (Deposed) event()         {}
 func (ForerunnerOver) event()  {}
+func (Confirmed) event()       {}
 func (RosterRecorded) event()  {}
 func (Loaded) event()          {}
 func (Accepted) event()        {}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -23,7 +23,7 @@
 	s.forget()
 	s.listed = listed
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
-	s.settleBy = e.RosterUntil
+	s.settleBy, s.confirmedAt = e.RosterUntil, time.Time{}
 	for id, w := range known {
 		if w.Listed {
 			s.workers[id] = workers.New(w.Record, now)
@@ -108,11 +108,11 @@
 	}
 	for id := range s.unsettled {
 		w := s.workers[id]
-		if w == nil || w.Heard || w.Gone {
+		if w == nil || w.Heard {
 			delete(s.unsettled, id)
 		}
 	}
-	if len(s.unsettled) > 0 && now.Before(s.settleBy) {
+	if len(s.unsettled) > 0 && s.confirmed(now).Before(s.settleBy) {
 		return
 	}
 	s.settled = true
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -316,20 +316,40 @@
 	}
 }
 
-// workerGone ends a worker's life in our books.
+// workerGone says that a worker's life is over. What ran there is taken for
+// lost when that is confirmed (buryGone).
 func (s *State) workerGone(now time.Time, w *workers.Worker, why string) {
 	if w.Gone {
 		return
 	}
-	w.Gone = true
-	s.note(Note{What: NoteWorkerGone, Worker: w.ID, Detail: why, AgeMs: -1})
-	for _, r := range w.Runs {
-		s.loseRun(now, w, r, why)
+	w.Gone, w.GoneAt, w.GoneWhy = true, now, why
+	s.noteIfHeld(Note{What: NoteWorkerGone, Worker: w.ID, Detail: why, AgeMs: -1})
+	s.scanNow = true
+}
+
+// buryGone drops the workers whose lives are over, and takes for lost what ran
+// there, once this process is known to have led the cell after that: a later
+// leader may have heard of a good end before.
+func (s *State) buryGone(now time.Time) {
+	for _, w := range s.sorted() {
+		if !w.Gone || s.confirmed(now).Before(w.GoneAt) {
+			continue
+		}
+		for _, r := range w.Runs {
+			s.loseRun(now, w, r, w.GoneWhy)
+		}
+		delete(s.workers, w.ID)
+		s.reorder = true
+		s.placeNow = true
 	}
-	delete(s.workers, w.ID)
-	s.reorder = true
-	delete(s.unsettled, w.ID)
-	s.placeNow = true
+}
+
+// confirmed is when this process surely led the cell last.
+func (s *State) confirmed(now time.Time) time.Time {
+	if s.unsafe.NoConfirmation {
+		return now
+	}
+	return s.confirmedAt
 }
 
 // loseRun takes a run for over whose end will not be seen.
@@ -349,6 +369,9 @@
 // to runs that stand still.
 func (s *State) checkRuns(now time.Time) {
 	for _, w := range s.sorted() {
+		if w.Gone {
+			continue
+		}
 		if !w.SilentSince.IsZero() {
 			s.checkSilent(now, w)
 			continue
@@ -360,7 +383,7 @@
 }
 
 func (s *State) checkSilent(now time.Time, w *workers.Worker) {
-	over := w.LeaseOver(now) || s.unsafe.NoLeaseWait
+	over := w.LeaseOver(s.confirmed(now)) || s.unsafe.NoLeaseWait
 	if over {
 		for _, r := range w.Runs {
 			s.loseRun(now, w, r, "its worker's lease is over")
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -25,6 +25,8 @@
 	// bounds); a break of one reading is enough.
 	overShort = 2000 * time.Millisecond
 	overLong  = 2500 * time.Millisecond
+	// overJoin is how long it may be before no more fillers come.
+	overJoin = 900 * time.Millisecond
 	// pressesFrom is the least part of a level that makes a filler one of those
 	// that press on it.
 	pressesFrom = 0.1
@@ -110,12 +112,18 @@
 			continue
 		}
 		level := levelOf(r)
-		switch over := now.Sub(r.OverSince); {
-		case level < 0:
+		if level < 0 {
 			r.OverSince = time.Time{}
-		case r.OverSince.IsZero():
+			continue
+		}
+		if r.OverSince.IsZero() {
 			r.OverSince = now
-		case over > overShort:
+		}
+		over := now.Sub(r.OverSince)
+		if over > overJoin {
+			w.NoFillersUntil = now.Add(cutLeast)
+		}
+		if over > overShort {
 			s.cutPressing(now, w, r, level, over > overLong)
 		}
 	}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -60,6 +60,8 @@
 	NoRecorded bool
 	// NoLeaseWait takes runs of a silent worker for over at once.
 	NoLeaseWait bool
+	// NoConfirmation takes runs for over though another may lead by now.
+	NoConfirmation bool
 }
 
 // State is what the leader of a cell knows.
@@ -109,7 +111,12 @@
 	neighbours map[*workers.Worker]neighbours
 	harms      map[place]float64
 	// held are workers whose room is kept for lasting tasks, likewise.
-	held     map[*workers.Worker]bool
+	held map[*workers.Worker]bool
+	// confirmedAt is when this process surely led the cell last. What is taken
+	// for over without its worker having said so must be over by then: else a
+	// later leader may have renewed it, or acknowledged its end.
+	confirmedAt time.Time
+
 	placeNow bool
 	scanNow  bool
 	outbox   []Effect
@@ -167,6 +174,8 @@
 		s.takeLed(now, e)
 	case Deposed:
 		s.stepDown(e.Why)
+	case Confirmed:
+		s.confirmedAt = e.At
 	case ForerunnerOver:
 		s.takeForerunnerOver(now, e)
 	case RosterRecorded:
@@ -223,6 +232,7 @@
 	}
 	s.scanNow = false
 	s.checkRuns(now)
+	s.buryGone(now)
 	s.settle(now)
 	if s.phase == leading {
 		s.openTimes()
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -18,6 +19,14 @@
 	state  *cell.State
 	now    time.Time
 	starts []cell.SendStart
+	// active is what the worker that is heard lists.
+	active []workers.Active
+	// unconfirmed says that no renewal takes effect any more.
+	unconfirmed bool
+	// silent says that the worker that was heard answers no more; answers names
+	// another one that does.
+	silent  bool
+	answers string
 }
 
 func newTakeover(until time.Duration) *takeover {
@@ -47,11 +56,16 @@
 	for v.now.Sub(begin) < most {
 		v.now = v.now.Add(50 * time.Millisecond)
 		v.state.Take(v.now, cell.Tick{})
+		if !v.unconfirmed {
+			v.state.Take(v.now, cell.Confirmed{At: v.now})
+		}
 		for _, e := range v.state.Decide(v.now, v.now) {
 			switch e := e.(type) {
 			case cell.SendLook:
-				if e.To.ID == "heard" {
-					v.state.Take(v.now, cell.Looked{Worker: "heard", SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(begin) + time.Hour}})
+				if (e.To.ID == "heard" && !v.silent) || e.To.ID == v.answers {
+					v.state.Take(v.now, cell.Looked{Worker: e.To.ID, SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(time.Unix(0, 0)), Active: v.active}})
+				} else {
+					v.state.Take(v.now, cell.Looked{Worker: e.To.ID, SentAt: v.now, Err: fault.New(fault.Unknown, e.To.ID, "no answer", "")})
 				}
 			case cell.SendStart:
 				v.starts = append(v.starts, e)
@@ -90,3 +104,29 @@
 	_, started := v.run(10 * time.Second)
 	must.False(t, started)
 }
+
+// Found by the model (cell.pml): a leader that is cut off from the table and
+// from a worker takes what ran there for over, while a later leader has renewed
+// it; it then starts it again at a worker that the later one has not reached.
+func TestARunIsLostOnlyIfThisProcessStillLedAfterItsLease(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(0)
+	v.active = []workers.Active{{Task: "00000000000000aa.0.0.0", Run: 7, Percent: 10}}
+	_, started := v.run(time.Second)
+	must.False(t, started)
+	second := workers.Record{
+		ID: "second", Service: "quotes", Address: "z", Hall: "hall", Ready: true, Host: "z",
+		Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+	}
+	v.silent, v.unconfirmed = true, true
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{second}})
+	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"second"}})
+	v.answers = "second"
+	v.active = nil
+	_, started = v.run(10 * time.Second)
+	must.False(t, started)
+	v.unconfirmed = false
+	_, started = v.run(time.Second)
+	must.True(t, started)
+	must.Eq(t, "second", v.starts[0].To.ID)
+}
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -114,6 +114,10 @@
 // Role returns the present role.
 func (s *Seat) Role() Role { return s.role }
 
+// RenewedAt is when the last write that took effect was sent: this process led
+// the cell then.
+func (s *Seat) RenewedAt() time.Time { return s.renewedAt }
+
 // Row returns the row as last read, or nil.
 func (s *Seat) Row() *wire.CellLead { return s.row }
 
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -65,6 +65,8 @@
 	seat       *election.Seat
 	state      *cell.State
 	touched    bool
+	// confirmed is the renewal that the state was last told of.
+	confirmed time.Time
 	// storeAge of the last row decides how long a successor waits.
 }
 
@@ -146,6 +148,11 @@
 func (c *Control) act(ctx context.Context, now time.Time) {
 	wall := c.wall()
 	for _, s := range c.seats {
+		if at := s.seat.RenewedAt(); s.seat.Role() == election.Leader && at.After(s.confirmed) {
+			s.confirmed = at
+			s.state.Take(now, cell.Confirmed{At: at})
+			s.touched = true
+		}
 		if s.touched {
 			s.touched = false
 			for _, e := range s.state.Decide(now, wall) {
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -78,8 +78,10 @@
 	// NoFillersUntil is until when no filler may join: those that are there have
 	// just been cut.
 	NoFillersUntil time.Time
-	// Gone says that this life is surely over.
-	Gone bool
+	// Gone says that this life is surely over, since when and why.
+	Gone    bool
+	GoneAt  time.Time
+	GoneWhy string
 
 	clock      time.Duration
 	clockAt    time.Time
@@ -130,7 +132,7 @@
 // LeaseOver says whether the worker has surely ended everything by itself, if
 // nobody but this leader has granted it time since.
 func (w *Worker) LeaseOver(now time.Time) bool {
-	if !w.Clocked() || !w.granted {
+	if !w.Clocked() || !w.granted || now.Before(w.clockAt) {
 		return false
 	}
 	return w.ClockAtLeast(now) > w.leaseUntil+clockSlack
