--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLBIN := $(CURDIR)/bin/tools
 PKGS    := ./cmd/... ./pkg/... ./platform/... ./standins/... ./examples/... ./test/...
 
-.PHONY: help build tools fmt lint try serve check test model bench docs docs-check generate
+.PHONY: help build tools fmt lint try serve check test fuzz model bench docs docs-check generate
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
@@ -44,6 +44,7 @@
 
 bench: ## measure the decisions and the capacity slopes
 	$(GO) test ./pkg/process/hall -run xxx -bench LeaderSecond -benchtime 20x
+	$(GO) test ./pkg/process/cell -run xxx -bench BusyDecide
 	$(GO) test ./pkg/process/hall -run xxx -bench PlacementPolicies -benchtime 1x
 	$(GO) test ./pkg/process/placement ./pkg/request/route ./pkg/version/settings -run xxx -bench .
 	$(GO) test ./test/promises -run xxx -bench . -benchtime 1x -timeout 30m
@@ -54,6 +55,10 @@
 docs-check: build
 	$(GO) run ./tools/docs
 
+SEEDS ?= 500
+fuzz: ## play SEEDS days with faults in virtual time
+	SEEDS=$(SEEDS) $(GO) test ./pkg/emulator -run NoRule -count 1 -timeout 60m
+
 test: ## all tests, with the race detector
 	$(GO) test -race -parallel 4 -timeout 30m ./...
 
