--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -225,7 +225,9 @@
 		case r.State == jobs.Sent:
 			// The order may still be on its way.
 		case r.State == jobs.Unsure:
-			if w.ClockPassed(now, r.ValidUntil) {
+			// By the clock in this very answer, not by what the clock must show
+			// now: the answer may have waited here, and the order come meanwhile.
+			if workers.Passed(e.Report.Clock, r.ValidUntil) {
 				s.loseRun(now, w, r, "never begun, and its order is too old now")
 			}
 		case r.AckedAt.Before(e.SentAt):
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -19,6 +19,8 @@
 	state  *cell.State
 	now    time.Time
 	starts []cell.SendStart
+	// lookAt is when the last look was sent.
+	lookAt time.Time
 	// active is what the worker that is heard lists.
 	active []workers.Active
 	// unconfirmed says that no renewal takes effect any more.
@@ -62,6 +64,7 @@
 		for _, e := range v.state.Decide(v.now, v.now) {
 			switch e := e.(type) {
 			case cell.SendLook:
+				v.lookAt = v.now
 				if (e.To.ID == "heard" && !v.silent) || e.To.ID == v.answers {
 					v.state.Take(v.now, cell.Looked{Worker: e.To.ID, SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(time.Unix(0, 0)), Active: v.active}})
 				} else {
@@ -69,9 +72,11 @@
 				}
 			case cell.SendStart:
 				v.starts = append(v.starts, e)
-				return v.now.Sub(begin), true
 			}
 		}
+		if len(v.starts) > 0 {
+			return v.now.Sub(begin), true
+		}
 	}
 	return 0, false
 }
@@ -130,3 +135,36 @@
 	must.True(t, started)
 	must.Eq(t, "second", v.starts[0].To.ID)
 }
+
+// Found on a grown site (kadraj grown quiet-1, TWICE 2): a host that was out of
+// processor time took in a look's answer a second after it was given, found an
+// unanswered start missing in it, and took the start's limit for over by now.
+func TestAnOldListDoesNotSayThatAnOrderWasNeverCarriedOut(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(0)
+	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 2})
+	_, started := v.run(2 * time.Second)
+	must.True(t, started)
+	first := v.starts[0].Start
+	fail := cell.Started{Worker: "heard", Task: first.Task, Run: first.Run, Err: fault.New(fault.Unknown, "heard", "no answer", "")}
+	for range 3 {
+		v.state.Take(v.now, fail)
+	}
+	given := v.now.Sub(time.Unix(0, 0))
+	v.lookAt = v.now
+	v.state.Take(v.now, cell.Tick{})
+	v.state.Decide(v.now, v.now) // sends a look
+	v.now = v.now.Add(10 * time.Second)
+	v.state.Take(v.now, cell.Looked{Worker: "heard", SentAt: v.lookAt, Report: workers.Report{Clock: given}})
+	v.state.Take(v.now, cell.Tick{})
+	for _, e := range v.state.Decide(v.now, v.now) {
+		_, start := e.(cell.SendStart)
+		must.False(t, start, must.Sprint("the list is older than the order's limit"))
+		if look, ok := e.(cell.SendLook); ok && look.To.ID == "heard" {
+			v.state.Take(v.now, cell.Looked{Worker: "heard", SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(time.Unix(0, 0))}})
+		}
+	}
+	v.starts = nil
+	_, again := v.run(2 * time.Second)
+	must.True(t, again, must.Sprint("a list after the limit settles it"))
+}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -138,10 +138,8 @@
 	return w.ClockAtLeast(now) > w.leaseUntil+clockSlack
 }
 
-// ClockPassed says whether the worker's clock is surely past a moment.
-func (w *Worker) ClockPassed(now time.Time, moment time.Duration) bool {
-	return w.Clocked() && w.ClockAtLeast(now) > moment+clockSlack
-}
+// Passed says whether a reading of a worker's clock is surely past a moment.
+func Passed(clock, moment time.Duration) bool { return clock > moment+clockSlack }
 
 // Add counts a run as running there.
 func (w *Worker) Add(r *jobs.Run) {
