--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -25,6 +25,9 @@
 	// bounds); a break of one reading is enough.
 	overShort = 2000 * time.Millisecond
 	overLong  = 2500 * time.Millisecond
+	// overLevel is the level that counts as over the target: readings are rough,
+	// and one a little below it is no break in what the platform sees.
+	overLevel = -0.1
 	// overJoin is how long it may be before no more fillers come.
 	overJoin = 900 * time.Millisecond
 	// pressesFrom is the least part of a level that makes a filler one of those
@@ -112,7 +115,7 @@
 			continue
 		}
 		level := levelOf(r)
-		if level < 0 {
+		if level < overLevel {
 			r.OverSince = time.Time{}
 			continue
 		}
