--- a/pkg/process/cell/bench_test.go
+++ b/pkg/process/cell/bench_test.go
@@ -23,6 +23,7 @@
 	looks   []cell.SendLook
 	version int64
 	records []cell.Record
+	started map[string]bool
 }
 
 var theManifest = manifest.New(1, []manifest.Queue{
@@ -30,9 +31,11 @@
 	{Name: "watches", Service: "quotes", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
 }, []manifest.Service{{Name: "quotes", Guards: true}}, manifest.Limits{})
 
-func newBusyCell() *busyCell {
+// newEmptyCell is its 16 workers with nothing on them.
+func newEmptyCell() *busyCell {
 	b := &busyCell{
-		state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
+		started: map[string]bool{},
+		state:   cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
 		reports: map[string]*workers.Report{},
 	}
 	records := make([]workers.Record, 16)
@@ -51,6 +54,11 @@
 	b.state.Take(b.now, cell.Loaded{Epoch: 1, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1}, Wall: b.now})
 	b.state.Take(b.now, cell.RosterRecorded{IDs: ids})
 	b.step(0)
+	return b
+}
+
+func newBusyCell() *busyCell {
+	b := newEmptyCell()
 	for i := range 16 {
 		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{
 			Count: 5, Millicores: 6000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: fmt.Sprintf("s%d", i%5),
@@ -93,6 +101,7 @@
 			b.looks = append(b.looks, e)
 			b.state.Take(b.now, cell.Looked{Worker: e.To.ID, SentAt: b.now, Report: b.report(e.To.ID)})
 		case cell.SendStart:
+			b.started[e.Start.Task] = true
 			r := b.reports[e.To.ID]
 			r.Active = append(r.Active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1, Reading: 40})
 			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}})
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -54,6 +54,7 @@
 		return
 	}
 	s.placeNow = false
+	s.roomy = s.isRoomy()
 	clear(s.neighbours)
 	clear(s.harms)
 	clear(s.held)
@@ -207,7 +208,7 @@
 	if !workers.Reserved(u).Fits(w.Free()) || (s.held[w] && !u.Lasting()) {
 		return false
 	}
-	if u.Spec.GetFiller() && (!fillerFits(now, u, w) || s.fillerHarm(u, w) > 0) {
+	if u.Spec.GetFiller() && (!fillerFits(now, u, w) || (s.fillerHarm(u, w) > 0 && !s.mayDisturb(now, u))) {
 		return false
 	}
 	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
@@ -217,6 +218,31 @@
 	return !w.Health.Aside(now)
 }
 
+const (
+	// disturbAfter is how long a filler waits for a harmless place in a cell with
+	// room, and roomyBelow the share of its room in use below which it has some:
+	// there, work that stands still for three seconds counts as lost.
+	disturbAfter = 1500 * time.Millisecond
+	roomyBelow   = 0.6
+)
+
+// mayDisturb says whether a filler may go where it costs more than it earns.
+func (s *State) mayDisturb(now time.Time, u *jobs.Unit) bool {
+	return s.roomy && now.Sub(u.Job.AcceptedAt) >= disturbAfter
+}
+
+// isRoomy says whether much of the cell's room is free.
+func (s *State) isRoomy() bool {
+	taken, all := int64(0), int64(0)
+	for _, w := range s.sorted() {
+		if !w.Gone {
+			all += w.Capacity.Millicores
+			taken += w.Capacity.Millicores - w.Free().Millicores
+		}
+	}
+	return float64(taken) < roomyBelow*float64(all)
+}
+
 // fillerFits says whether a filler would get enough of a worker's unused
 // processors.
 func fillerFits(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -110,6 +110,8 @@
 	// neighbours is what fillers would meet at each worker, for one placing.
 	neighbours map[*workers.Worker]neighbours
 	harms      map[place]float64
+	// roomy says that much of the cell's room is free, likewise.
+	roomy bool
 	// held are workers whose room is kept for lasting tasks, likewise.
 	held map[*workers.Worker]bool
 	// confirmedAt is when this process surely led the cell last. What is taken
