--- a/pkg/process/cell/place_test.go
+++ b/pkg/process/cell/place_test.go
@@ -15,8 +15,8 @@
 func TestAFillerDoesNotWaitForeverInACellWithRoom(t *testing.T) {
 	t.Parallel()
 	b := newEmptyCell()
-	for i := range 16 {
-		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{Count: 14, Millicores: 1000, Lasting: true, TailTargetMs: 100, Image: "s", Spread: 1})
+	for i := range 18 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{Count: 16, Millicores: 1000, Lasting: true, TailTargetMs: 100, Image: "s", Spread: 1})
 	}
 	b.accept("00000000000000ff", "offers", &wire.StepSpec{Count: 1, Millicores: 15000, Filler: true, EstimateMs: 2000, Image: "f"})
 	first := time.Duration(-1)
