--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -44,7 +44,7 @@
 	}
 	h.seat = election.New(cellName, cellName, self)
 	h.state = cell.New(cellName, cell.Bounds{
-		MaxLease: maxHold, StopLimit: stopTakes, GangWait: 3 * time.Second, Retention: 2 * time.Minute,
+		MaxLease: maxHold, Retention: 2 * time.Minute,
 	}, cell.WithUnsafe(w.plan.Unsafe))
 	h.state.Take(w.now, cell.ManifestChanged{Manifest: theManifest()})
 	h.every(100*time.Millisecond, h.tick)
--- a/pkg/process/cell/leaving.go
+++ b/pkg/process/cell/leaving.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
-	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
 // leaveMargin is what must be left of a leaving worker's time after the end of
@@ -47,14 +46,3 @@
 	whole := time.Duration(float64(ran) * 100 / float64(r.Percent))
 	return max(0, whole-now.Sub(r.BeganAt))
 }
-
-// runsOf lists a worker's runs of a kind.
-func runsOf(w *workers.Worker, want func(*jobs.Run) bool) []*jobs.Run {
-	var list []*jobs.Run
-	for _, r := range w.Runs {
-		if want(r) {
-			list = append(list, r)
-		}
-	}
-	return list
-}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -26,13 +26,13 @@
 	s.settleBy, s.confirmedAt = e.RosterUntil, time.Time{}
 	for id, w := range known {
 		if w.Listed {
-			s.workers[id] = workers.New(w.Record, now)
+			s.workers[id] = workers.New(w.Record)
 			s.reorder = true
 		}
 	}
 	for _, r := range e.Roster {
 		if s.workers[r.GetId()] == nil {
-			w := workers.New(workers.Record{ID: r.GetId(), Address: r.GetAddress(), Host: r.GetHost(), Service: r.GetService()}, now)
+			w := workers.New(workers.Record{ID: r.GetId(), Address: r.GetAddress(), Host: r.GetHost(), Service: r.GetService()})
 			w.Listed, w.UnlistedAt = false, now
 			s.workers[r.GetId()] = w
 			s.reorder = true
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -57,7 +57,7 @@
 		hosts[r.Host] = r.ID
 		w := s.workers[r.ID]
 		if w == nil {
-			w = workers.New(r, now)
+			w = workers.New(r)
 			s.workers[r.ID] = w
 			s.reorder = true
 			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v", r.Service, r.Address, r.Capacity), AgeMs: -1})
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -40,16 +40,8 @@
 type Bounds struct {
 	// MaxLease is the longest that a worker holds what runs without renewal.
 	MaxLease time.Duration
-	// StopLimit is how long a stop may take.
-	StopLimit time.Duration
-	// GangWait is how long members of a gang wait for each other.
-	GangWait time.Duration
-	// SaveEvery is how much work lies between two checkpoints.
-	SaveEvery time.Duration
 	// Retention is how long an ended job's state is told.
 	Retention time.Duration
-	// FarFactor is how much longer work takes away from its data.
-	FarFactor float64
 }
 
 // Unsafe takes out one fence each, so that a test can show what it is for.
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -20,12 +20,8 @@
 	Advice  string
 
 	MaxLease  time.Duration
-	StopLimit time.Duration
-	GangWait  time.Duration
-	SaveEvery time.Duration
 	Retention time.Duration
 	Grace     time.Duration
-	FarFactor float64
 	MemoryMB  float64
 	LogLevel  string
 }
@@ -33,8 +29,7 @@
 // Bounds are those of the settings that decide in a cell.
 func (c Config) Bounds() cell.Bounds {
 	return cell.Bounds{
-		MaxLease: c.MaxLease, StopLimit: c.StopLimit, GangWait: c.GangWait, SaveEvery: c.SaveEvery,
-		Retention: c.Retention, FarFactor: c.FarFactor,
+		MaxLease: c.MaxLease, Retention: c.Retention,
 	}
 }
 
@@ -50,12 +45,8 @@
 	{Name: "table", Example: `"10.0.0.9:7000"`, Required: true, Help: "Where the table service is.", Set: configfile.Address(func(c *Config) *string { return &c.Table })},
 	{Name: "advice", Example: `"10.0.0.9:7001"`, Help: "Where the service is that says which workers may run a step; empty: there is none.", Set: configfile.Value(func(c *Config) *string { return &c.Advice })},
 	{Name: "maxLease", Example: `"10s"`, Help: "The longest that a worker holds what runs without renewal (default 10s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.MaxLease })},
-	{Name: "stopLimit", Example: `"900ms"`, Help: "How long the stop of a task may take (default 900ms).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.StopLimit })},
-	{Name: "gangWait", Example: `"3s"`, Help: "How long members of a gang wait for each other (default 3s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.GangWait })},
-	{Name: "saveEvery", Example: `"500ms"`, Help: "How much work lies between two checkpoints (default 500ms).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.SaveEvery })},
 	{Name: "retention", Example: `"2m"`, Help: "How long the state of an ended job is told (default 2m).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.Retention })},
 	{Name: "grace", Example: `"6s"`, Help: "How long a planned stop may take (default 6s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.Grace })},
-	{Name: "farFactor", Example: `1.5`, Help: "How much longer work takes away from its data, 1 to 100 (default 1.5).", Set: configfile.Count(1, 100, func(c *Config) *float64 { return &c.FarFactor })},
 	{Name: "memoryMB", Example: `284`, Help: "The memory that the process may take, 32 to 65536 MB (default 256).", Set: configfile.Count(32, 65536, func(c *Config) *float64 { return &c.MemoryMB })},
 	{Name: "logLevel", Example: `"info"`, Help: "debug, info, warning or error (default info).", Set: configfile.Value(func(c *Config) *string { return &c.LogLevel })},
 }
@@ -63,8 +54,7 @@
 // ParseConfig reads a settings file, whole, and reports all that is wrong.
 func ParseConfig(file string, source []byte) (Config, error) {
 	c := Config{
-		MaxLease: 10 * time.Second, StopLimit: 900 * time.Millisecond, GangWait: 3 * time.Second, SaveEvery: 500 * time.Millisecond,
-		Retention: 2 * time.Minute, Grace: 6 * time.Second, FarFactor: 1.5, MemoryMB: 256, LogLevel: "info",
+		MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Grace: 6 * time.Second, MemoryMB: 256, LogLevel: "info",
 	}
 	return c, configfile.Parse(file, source, &c, Fields)
 }
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -61,8 +61,6 @@
 	Runs []*jobs.Run
 	// Heard says that it has answered since this leader came to lead.
 	Heard bool
-	// FirstSeen is when this leader first knew of it.
-	FirstSeen time.Time
 	// AnsweredAt is when its last answer came, SilentSince when calls began to
 	// fail; zero while they don't.
 	AnsweredAt  time.Time
@@ -71,8 +69,8 @@
 	LookSentAt time.Time
 	Looking    bool
 	LookAt     time.Time
-	// Seen is the newest end that was taken in, Recorded the newest that is
-	// durable, and Told the newest that the worker was told of.
+	// Seen is the newest end that was taken in, and Recorded the newest that is
+	// durable.
 	Seen, Recorded int64
 	Health         Health
 	// NoFillersUntil is until when no filler may join: those that are there have
@@ -97,8 +95,8 @@
 }
 
 // New returns a worker that has not been heard yet.
-func New(r Record, now time.Time) *Worker {
-	return &Worker{Record: r, Listed: true, units: map[*jobs.Unit]int64{}, FirstSeen: now}
+func New(r Record) *Worker {
+	return &Worker{Record: r, Listed: true, units: map[*jobs.Unit]int64{}}
 }
 
 // TakeClock takes in a reading of the worker's clock that came in an answer.
