A load that lasts longer than the forerunner's time settles nothing by itself

Ruled out: the row's list of workers (all 16 named), confirmation (renewals had not failed before). The test fails without the mend.

--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -101,6 +101,18 @@
 	return j
 }
 
+// surelyOver says whether what earlier leaders started at a worker that has not
+// been heard is over. One that never answered was granted time by forerunners
+// only, until settleBy; one that has answered, while the jobs were being read,
+// was granted time by this leader too, and its list is still to come.
+func (s *State) surelyOver(now time.Time, w *workers.Worker) bool {
+	confirmed := s.confirmed(now)
+	if confirmed.Before(s.settleBy) {
+		return false
+	}
+	return !w.Clocked() || (!w.SilentSince.IsZero() && w.LeaseOver(confirmed))
+}
+
 // settle ends the waiting for workers that have not been heard.
 func (s *State) settle(now time.Time) {
 	if s.settled {
@@ -112,8 +124,10 @@
 			delete(s.unsettled, id)
 		}
 	}
-	if len(s.unsettled) > 0 && s.confirmed(now).Before(s.settleBy) {
-		return
+	for id := range s.unsettled {
+		if !s.surelyOver(now, s.workers[id]) {
+			return
+		}
 	}
 	s.settled = true
 	nowhere := 0
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -168,3 +168,55 @@
 	_, again := v.run(2 * time.Second)
 	must.True(t, again, must.Sprint("a list after the limit settles it"))
 }
+
+// Found by a hunt (kadraj scale-1 seed 1091486659843, TWICE 2): a cut kept the
+// new leader from the table for longer than its forerunner's tenure. Its workers
+// answered all the while, and it renewed them; but when the jobs were read at
+// last, their time counted as over.
+func TestALongLoadSettlesNothing(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	s := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	s.Take(now, cell.ManifestChanged{Manifest: theManifest})
+	var records []workers.Record
+	for _, id := range []string{"w", "quick"} {
+		records = append(records, workers.Record{
+			ID: id, Service: "quotes", Address: id, Hall: "hall", Ready: true, Host: id, Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+		})
+	}
+	s.Take(now, cell.WorkersListed{Records: records})
+	s.Take(now, cell.Led{Epoch: 2, RosterUntil: now.Add(5 * time.Second), Roster: []*wire.RosterEntry{{Id: "quick", Address: "quick"}, {Id: "w", Address: "w"}}})
+	active := []workers.Active{{Task: "00000000000000aa.0.0.0", Run: 7, Percent: 10}}
+	loaded := false
+	var answer *cell.Looked // of w: it comes half a second after it was asked for
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		s.Take(now, cell.Tick{})
+		s.Take(now, cell.Confirmed{At: now})
+		if answer != nil && now.Sub(answer.SentAt) >= 500*time.Millisecond {
+			s.Take(now, *answer)
+			answer = nil
+		}
+		if !loaded && now.Sub(time.Unix(1000, 0)) > 8*time.Second {
+			loaded = true
+			spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+			s.Take(now, cell.Loaded{
+				Epoch: 2, Wall: now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1},
+			})
+			s.Take(now, cell.RosterRecorded{IDs: []string{"w", "quick"}})
+		}
+		for _, e := range s.Decide(now, now) {
+			_, start := e.(cell.SendStart)
+			must.False(t, start, must.Sprint("its run goes on at w"))
+			look, ok := e.(cell.SendLook)
+			switch {
+			case !ok:
+			case look.To.ID == "w":
+				answer = &cell.Looked{Worker: "w", SentAt: now, Report: workers.Report{Clock: now.Sub(time.Unix(0, 0)), Active: active}}
+			default:
+				s.Take(now, cell.Looked{Worker: look.To.ID, SentAt: now, Report: workers.Report{Clock: now.Sub(time.Unix(0, 0))}})
+			}
+		}
+	}
+	must.Eq(t, 1, s.Counts(now).Running)
+}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -67,7 +67,6 @@
 	touched    bool
 	// confirmed is the renewal that the state was last told of.
 	confirmed time.Time
-	// storeAge of the last row decides how long a successor waits.
 }
 
 // View is what the control thread lets others see of the cells.
