--- /dev/null
+++ b/pkg/emulator/effects.go
@@ -0,0 +1,161 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// What a host's cell wants done, carried out in the emulated world.
+
+func (h *host) carryOut(e cell.Effect) {
+	w := h.world
+	switch e := e.(type) {
+	case cell.StepDown:
+		h.state.Take(w.now, cell.Deposed{Why: e.Why})
+	case cell.Load:
+		h.load(e.Epoch, 0, cell.Loaded{Epoch: e.Epoch, Fences: map[string]int64{}, Wall: w.now})
+	case cell.Record:
+		h.commit(e.Transaction, func(c table.Committed, ok bool) {
+			answered := cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: c}
+			if !ok {
+				answered.Err = fault.New(fault.Unknown, "table", "no answer", "")
+			}
+			h.state.Take(w.now, answered)
+			h.act()
+		})
+	case cell.SendLook:
+		sentAt := w.now
+		h.toWorker(e.To, e.Look.Wait+600*time.Millisecond, e.Look.Wait, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(e.Look)) },
+			func(v any, refusal workers.Refusal, err error) {
+				report, _ := v.(workers.Report)
+				h.state.Take(w.now, cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
+			})
+	case cell.SendStart:
+		h.toWorker(e.To, 400*time.Millisecond, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.start(e.Start)) },
+			func(v any, refusal workers.Refusal, err error) {
+				clock, _ := v.(time.Duration)
+				h.state.Take(w.now, cell.Started{
+					Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
+				})
+			})
+	case cell.SendStop:
+		h.toWorker(e.To, 400*time.Millisecond, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) },
+			func(v any, refusal workers.Refusal, err error) {
+				clock, _ := v.(time.Duration)
+				h.state.Take(w.now, cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
+			})
+	}
+}
+
+func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
+
+func (h *host) toWorker(to workers.Target, limit, wait time.Duration, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
+	for _, k := range h.world.workers {
+		if k.name != to.Address {
+			continue
+		}
+		call(h.world, h.name, k, to.ID, limit, wait, func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
+			h.back(func() {
+				var err error
+				if !ok {
+					err = fault.New(fault.Unknown, to.ID, "no answer", "")
+				}
+				done(v, refusal, err)
+				h.act()
+			})()
+		})
+	}
+}
+
+// load puts the fences part by part, and then reads the cell's tables.
+func (h *host) load(epoch int64, part int, loaded cell.Loaded) {
+	again := func() { h.world.after(100*time.Millisecond, h.back(func() { h.load(epoch, part, loaded) })) }
+	if h.seat.Role() != election.Leader || h.seat.Row().GetEpoch() != epoch {
+		return
+	}
+	if part == rows.JobParts {
+		h.readCell(loaded, again)
+		return
+	}
+	key := rows.FenceKey(cellName, rows.PartName(part))
+	before := h.world.table.rows[key] // the reading of one row, at once
+	fence := &wire.CellFence{}
+	if before.Version != 0 && rows.Read(before, fence) == nil && fence.GetEpoch() >= epoch {
+		if fence.GetEpoch() > epoch {
+			h.state.Take(h.world.now, cell.Deposed{Why: "a later fence"})
+			return
+		}
+		loaded.Fences[rows.PartName(part)] = before.Version
+		h.load(epoch, part+1, loaded)
+		return
+	}
+	h.commit(table.Transaction{
+		Conditions: []table.Condition{{Key: key, Version: before.Version}},
+		Puts:       []table.Row{rows.Row(key, &wire.CellFence{Epoch: epoch})},
+	}, func(c table.Committed, ok bool) {
+		if !ok || c.Conflict {
+			again()
+			return
+		}
+		loaded.Fences[rows.PartName(part)] = c.Version
+		h.load(epoch, part+1, loaded)
+	})
+}
+
+func (h *host) readCell(loaded cell.Loaded, again func()) {
+	t := h.world.table
+	t.scan(h.name, rows.SpecTable(cellName), func(specs []table.Row, _ time.Duration, ok1 bool) {
+		t.scan(h.name, rows.ProgressTable(cellName), func(progress []table.Row, _ time.Duration, ok2 bool) {
+			t.scan(h.name, rows.CancelTable(cellName), func(cancels []table.Row, at time.Duration, ok3 bool) {
+				h.back(func() {
+					if !ok1 || !ok2 || !ok3 {
+						again()
+						return
+					}
+					loaded.Jobs = joinRows(specs, progress)
+					for _, r := range cancels {
+						loaded.Cancels = append(loaded.Cancels, r.Key.Key)
+					}
+					loaded.Wall, loaded.StoreNow = h.world.now, at
+					h.state.Take(h.world.now, loaded)
+					h.act()
+				})()
+			})
+		})
+	})
+}
+
+func joinRows(specs, progress []table.Row) []cell.LoadedJob {
+	known := map[string]*cell.LoadedJob{}
+	var order []string
+	for _, r := range specs {
+		spec := &wire.JobSpec{}
+		if rows.Read(r, spec) == nil {
+			known[spec.GetId()] = &cell.LoadedJob{Spec: spec}
+			order = append(order, spec.GetId())
+		}
+	}
+	for _, r := range progress {
+		p := &wire.JobProgress{}
+		if rows.Read(r, p) != nil {
+			continue
+		}
+		if known[r.Key.Key] == nil {
+			known[r.Key.Key] = &cell.LoadedJob{Spec: &wire.JobSpec{Id: r.Key.Key}}
+			order = append(order, r.Key.Key)
+		}
+		known[r.Key.Key].Progress, known[r.Key.Key].Recorded = p, r.Version
+	}
+	list := make([]cell.LoadedJob, 0, len(order))
+	for _, id := range order {
+		list = append(list, *known[id])
+	}
+	return list
+}
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -1,10 +1,10 @@
 // Package emulator plays a deployment in virtual time, from a seed, in one
 // goroutine: hosts with their seats and cells, a table, workers and a network,
-// all with faults. It finds broken rules without a bench, and the same seed
+// all with faults. It finds broken rules with nothing outside, and the same seed
 // gives the same day.
 //
 // The files: emulator.go the clock and a day's plan; table.go the table;
-// worker.go the workers; host.go the hosts, which drive the product's own
+// worker.go the workers; host.go and effects.go the hosts, which drive the product's own
 // election.Seat and cell.State; checker.go the rules, over what workers did and
 // what the table holds. The checker shares no code with the product.
 package emulator
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -156,7 +156,7 @@
 // done, and repeats stops that brought nothing.
 func (s *State) stopUnwanted(now time.Time) {
 	for _, w := range s.sorted() {
-		if !w.SilentSince.IsZero() {
+		if w.Gone || !w.SilentSince.IsZero() {
 			continue
 		}
 		for _, r := range w.Runs {
--- a/pkg/process/cell/leaving.go
+++ b/pkg/process/cell/leaving.go
@@ -7,7 +7,7 @@
 )
 
 // leaveMargin is what must be left of a leaving worker's time after the end of
-// a run, for it to be let run on: a stop takes up to stop_ms of it.
+// a run, for it to be let run on: a stop takes some of it.
 const leaveMargin = 300 * time.Millisecond
 
 // leave moves what a leaving worker can't end in the time it has left. What
@@ -15,7 +15,7 @@
 // elsewhere.
 func (s *State) leave(now time.Time) {
 	for _, w := range s.sorted() {
-		if !w.Leaving || !w.SilentSince.IsZero() {
+		if !w.Leaving || w.Gone || !w.SilentSince.IsZero() {
 			continue
 		}
 		left := w.Remaining - now.Sub(w.LeavingAt)
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -19,9 +19,7 @@
 
 func (s *State) takeLed(now time.Time, e Led) {
 	known := s.workers
-	listed := s.listed
 	s.forget()
-	s.listed = listed
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
 	s.settleBy, s.confirmedAt = e.RosterUntil, time.Time{}
 	for id, w := range known {
@@ -174,9 +172,9 @@
 		return
 	}
 	s.note(Note{What: NoteDeposed, Detail: why, AgeMs: -1})
-	workersKnown, listed := s.workers, s.listed
+	workersKnown := s.workers
 	s.forget()
-	s.workers, s.listed, s.reorder = workersKnown, listed, true
+	s.workers, s.reorder = workersKnown, true
 	for _, w := range s.sorted() {
 		w.RemoveAll()
 	}
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -25,7 +25,6 @@
 	NoteEnd          What = "task-end"
 	NoteLost         What = "task-lost"
 	NotePace         What = "task-pace"
-	NoteCopy         What = "task-copy"
 	NoteAdvice       What = "step-advised"
 	NoteLent         What = "task-lent"
 	NotePress        What = "press-learned"
@@ -66,7 +65,6 @@
 	{NoteEnd, "a run ended; detail: how, percent"},
 	{NoteLost, "a run is surely over without its end having been seen; detail: why"},
 	{NotePace, "a filler's share of work is changed; detail: share, the tail that decided"},
-	{NoteCopy, "a second run of a straggling task is ordered"},
 	{NoteAdvice, "the advising service said which workers may run a step; detail: how many, or why not"},
 	{NoteLent, "a lasting task without room is left to another cell; detail: which, its room, the wait"},
 	{NotePress, "which fillers press on which serving images, as now believed; detail: serving image alone, and each filler's coefficient"},
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -21,8 +21,8 @@
 const (
 	// overShort is how long a tail may be over its target before what is known
 	// to press on it stands still, and overLong before all fillers of its worker
-	// do. Four seconds without a break are harm (harm_ms of the platform's
-	// bounds); a break of one reading is enough.
+	// do. Users count four seconds without a break as harm; a break of one
+	// reading is enough.
 	overShort = 2000 * time.Millisecond
 	overLong  = 2500 * time.Millisecond
 	// overLevel is the level that counts as over the target: readings are rough,
@@ -97,7 +97,7 @@
 		}
 	}
 	for _, w := range s.sorted() {
-		if !w.SilentSince.IsZero() || !w.Filling() {
+		if w.Gone || !w.SilentSince.IsZero() || !w.Filling() {
 			continue
 		}
 		s.setPaces(now, w)
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -23,8 +23,8 @@
 	// names any more.
 	defaultStretch = 2.0
 	defaultSlack   = time.Second
-	// hopelessAfter times its objective a job earns nothing any more (the
-	// platform's page on credit).
+	// hopelessAfter times its objective a job earns nothing any more (as users
+	// count it).
 	hopelessAfter = 3.0
 )
 
--- /dev/null
+++ b/pkg/process/cell/readings.go
@@ -0,0 +1,140 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// What others may ask of a State. Nothing here changes it.
+
+// Leading says whether this process leads the cell and has loaded its jobs.
+func (s *State) Leading() bool { return s.phase == leading || s.phase == releasing }
+
+// Holds says whether this process may order anything in the cell, now or once
+// it has loaded its jobs.
+func (s *State) Holds() bool { return s.phase != following }
+
+// Quiet says whether a planned stop may give the cell up now: nothing is on
+// its way to the table or to workers.
+func (s *State) Quiet() bool {
+	if s.phase != releasing {
+		return s.phase == following
+	}
+	for _, p := range s.parts {
+		if p.sending || len(p.dirty) > 0 {
+			return false
+		}
+	}
+	for _, w := range s.sorted() {
+		for _, r := range w.Runs {
+			if r.State == jobs.Sent {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Phase tells a job's phase as far as the table holds it.
+func (s *State) Phase(id string) (wire.JobPhase, bool) {
+	j := s.jobs[id]
+	if j == nil || !s.Leading() || j.Guest() {
+		return wire.JobPhase_JOB_PHASE_UNSPECIFIED, false
+	}
+	if jobs.Last(j.Durable) {
+		return j.Durable, true
+	}
+	if j.Begun {
+		return wire.JobPhase_JOB_PHASE_RUNNING, true
+	}
+	return wire.JobPhase_JOB_PHASE_QUEUED, true
+}
+
+// Load sums the cell up for those who choose where a job goes.
+func (s *State) Load() *wire.CellLoad {
+	l := &wire.CellLoad{Leading: s.Leading(), Holds: s.Holds(), Cell: s.name, Pending: map[string]int32{}}
+	for _, w := range s.sorted() {
+		if w.Gone || !w.Listed || w.Leaving {
+			continue
+		}
+		l.CapacityMillicores += w.Capacity.Millicores
+		l.FreeMillicores += max(0, w.Free().Millicores)
+		if w.SilentSince.IsZero() && s.roster[w.ID] {
+			l.LargestFreeMillicores = max(l.LargestFreeMillicores, w.Free().Millicores)
+		}
+	}
+	for _, j := range s.jobs {
+		if j.Ended() {
+			continue
+		}
+		if !j.Begun && !j.Guest() {
+			l.Pending[j.Spec.GetQueue()]++
+		}
+		for _, u := range j.Units {
+			addLoad(l, u)
+		}
+	}
+	return l
+}
+
+// addLoad adds what a unit still asks for.
+func addLoad(l *wire.CellLoad, u *jobs.Unit) {
+	work := u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
+	for _, t := range u.Tasks {
+		switch {
+		case t.Done || t.LentTo != "":
+		case u.Lasting():
+			l.LastingMillicores += u.Size.Millicores
+		case u.Spec.GetFiller():
+			l.FillerCoreMs += work
+		case len(t.Runs) == 0:
+			l.BacklogCoreMs += work
+		}
+	}
+}
+
+// Roster lists the workers that may hold runs, for the leadership row. A
+// worker that is not in the row gets no work.
+func (s *State) Roster() []*wire.RosterEntry {
+	var list []*wire.RosterEntry
+	for _, w := range s.sorted() {
+		if !w.Gone {
+			list = append(list, &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service})
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].GetId() < list[b].GetId() })
+	return list
+}
+
+// Counts is a summary for the status page and the metrics.
+type Counts struct {
+	Jobs, Waiting, Running, Workers, Usable, Aside int
+	Settled                                        bool
+}
+
+// Counts returns the summary.
+func (s *State) Counts(now time.Time) Counts {
+	c := Counts{Settled: s.settled}
+	for _, j := range s.jobs {
+		if !j.Ended() {
+			c.Jobs++
+		}
+	}
+	for u := range s.waiting {
+		c.Waiting += len(u.Waiting(now))
+	}
+	for _, w := range s.sorted() {
+		c.Workers++
+		c.Running += len(w.Runs)
+		if s.usable(now, w) {
+			c.Usable++
+		}
+		if _, aside := w.Health.IsAside(); aside {
+			c.Aside++
+		}
+	}
+	return c
+}
--- a/pkg/process/daemon/daemon.go
+++ b/pkg/process/daemon/daemon.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -24,11 +22,11 @@
 	"github.com/wrenferry/wrenferry/pkg/connection/peer"
 	"github.com/wrenferry/wrenferry/pkg/connection/platform"
 	"github.com/wrenferry/wrenferry/pkg/connection/worker"
-	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/control"
 	"github.com/wrenferry/wrenferry/pkg/process/current"
 	"github.com/wrenferry/wrenferry/pkg/process/hall"
 	"github.com/wrenferry/wrenferry/pkg/process/operators"
+	"github.com/wrenferry/wrenferry/pkg/process/parts"
 	"github.com/wrenferry/wrenferry/pkg/request/binding"
 	"github.com/wrenferry/wrenferry/pkg/request/gateway"
 	"github.com/wrenferry/wrenferry/pkg/version/settings"
@@ -61,9 +59,9 @@
 	operators *operators.Server
 	hosts     atomic.Pointer[[]*wire.Host]
 
-	callers *server
-	admin   *server
-	control *grpcServer
+	callers *parts.HTTP
+	admin   *parts.HTTP
+	control *parts.GRPC
 }
 
 // Option changes how a Daemon is made.
@@ -150,19 +148,19 @@
 	if d.admin, err = newServer("operators", d.config.Operators, admin); err != nil {
 		return err
 	}
-	listener, err := listen("control", d.config.Control)
+	listener, err := parts.Listen("control", d.config.Control)
 	if err != nil {
 		return err
 	}
-	d.control = &grpcServer{server: peers, listener: listener}
+	d.control = &parts.GRPC{Server: peers, Listener: listener}
 	return nil
 }
 
 // CallersAddress is where callers are served.
-func (d *Daemon) CallersAddress() string { return d.callers.listener.Addr().String() }
+func (d *Daemon) CallersAddress() string { return d.callers.Listener.Addr().String() }
 
 // OperatorsAddress is where operators are served.
-func (d *Daemon) OperatorsAddress() string { return d.admin.listener.Addr().String() }
+func (d *Daemon) OperatorsAddress() string { return d.admin.Listener.Addr().String() }
 
 // Run runs the entry host until the context ends, and then stops it as planned.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -208,7 +206,7 @@
 	d.gateway.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), d.config.DrainLimit)
 	defer cancel()
-	if err := d.callers.http.Shutdown(ctx); err != nil {
+	if err := d.callers.Server.Shutdown(ctx); err != nil {
 		d.log.WithError(err).Warn("the drain limit passed with calls in flight")
 	}
 	deadline := time.Now().Add(releaseLimit)
@@ -217,65 +215,17 @@
 	}
 }
 
-// ---------------------------------------------------------------- servers
-
-func listen(name, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fault.New(fault.Unavailable, name+" "+address, "can't listen there", "is the address this host's, and free?").WithCause(err)
-	}
-	return listener, nil
-}
-
-// server is an HTTP server as a supervised part.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
-func newServer(name, address string, handler http.Handler) (*server, error) {
-	listener, err := listen(name, address)
+// newServer opens a port for a handler.
+func newServer(name, address string, handler http.Handler) (*parts.HTTP, error) {
+	listener, err := parts.Listen(name, address)
 	if err != nil {
 		return nil, err
 	}
-	return &server{listener: listener, http: &http.Server{
+	return &parts.HTTP{Listener: listener, Server: &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
 	}}, nil
 }
 
-// String names the part for the supervisor.
-func (s *server) String() string { return "server on " + s.listener.Addr().String() }
-
-// Serve serves until the context ends or the server is shut down.
-func (s *server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
-	}
-	return err
-}
-
-// grpcServer is the peers' server as a supervised part.
-type grpcServer struct {
-	server   *grpc.Server
-	listener net.Listener
-}
-
-// String names the part for the supervisor.
-func (s *grpcServer) String() string { return "peers' server" }
-
-// Serve serves until the context ends.
-func (s *grpcServer) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.server.Stop)
-	defer stop()
-	if err := s.server.Serve(s.listener); err != nil {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
-
 // ------------------------------------------------------------------ hosts
 
 // hostsEvery is how often the host list is read.
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,9 +16,9 @@
 	"github.com/wrenferry/wrenferry/pkg/connection/fleetpeer"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
-	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/parts"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -126,13 +125,13 @@
 	var err error
 	handler, beside := h.outside.Callers(h)
 	h.beside = beside
-	if h.callers, err = h.server(h.Config.Callers, h.lastCalls(handler)); err != nil {
+	if h.callers, err = h.server("callers", h.Config.Callers, h.lastCalls(handler)); err != nil {
 		return err
 	}
-	if h.ready, err = h.server(h.Config.Ready, readyMux); err != nil {
+	if h.ready, err = h.server("ready", h.Config.Ready, readyMux); err != nil {
 		return err
 	}
-	if h.figures, err = h.server(h.Config.Metrics, figuresMux); err != nil {
+	if h.figures, err = h.server("metrics", h.Config.Metrics, figuresMux); err != nil {
 		return err
 	}
 	h.grpc = grpc.NewServer(
@@ -140,7 +139,7 @@
 		grpc.ReadBufferSize(8<<10), grpc.WriteBufferSize(8<<10),
 	)
 	wire.RegisterFleetServer(h.grpc, &fleetpeer.Server{Control: h.Control, Table: h.outside.Table})
-	h.grpcListener, err = openPort(h.Config.Control)
+	h.grpcListener, err = parts.Listen("control", h.Config.Control)
 	return err
 }
 
@@ -156,8 +155,8 @@
 	})
 }
 
-func (h *Host) server(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := openPort(address)
+func (h *Host) server(name, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := parts.Listen(name, address)
 	if err != nil {
 		return nil, err
 	}
@@ -166,14 +165,6 @@
 	return s, nil
 }
 
-func openPort(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fault.New(fault.Unavailable, address, "can't listen there", "is the address this host's, and free?").WithCause(err)
-	}
-	return listener, nil
-}
-
 // Run runs the host until the context ends, and then stops it as planned.
 func (h *Host) Run(ctx context.Context) error {
 	// A panic ends the process: a control state that was left half changed must
@@ -207,10 +198,10 @@
 		&ManifestFollower{Store: h.Store, Source: h.outside.Source, Log: h.Log, Changed: h.takeManifest},
 		&WorkersFollower{Store: h.Store, Source: h.outside.Source, Control: h.Control, Log: h.Log},
 		&LeadsFollower{Store: h.Store, Control: h.Control},
-		&grpcPart{server: h.grpc, listener: h.grpcListener},
+		&parts.GRPC{Server: h.grpc, Listener: h.grpcListener},
 	}
 	for s, l := range h.listeners {
-		list = append(list, &httpPart{server: s, listener: l})
+		list = append(list, &parts.HTTP{Server: s, Listener: l})
 	}
 	return list
 }
@@ -315,43 +306,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// ------------------------------------------------------------------ parts
-
-// httpPart is an HTTP server as a supervised part.
-type httpPart struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-// String names the part for the supervisor.
-func (p *httpPart) String() string { return "server on " + p.listener.Addr().String() }
-
-// Serve serves until the context ends or the server is shut down.
-func (p *httpPart) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = p.server.Close() })
-	defer stop()
-	if err := p.server.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
-
-// grpcPart is the peers' server as a supervised part.
-type grpcPart struct {
-	server   *grpc.Server
-	listener net.Listener
-}
-
-// String names the part for the supervisor.
-func (p *grpcPart) String() string { return "peers' server" }
-
-// Serve serves until the context ends.
-func (p *grpcPart) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, p.server.Stop)
-	defer stop()
-	if err := p.server.Serve(p.listener); err != nil {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
--- /dev/null
+++ b/pkg/process/parts/parts.go
@@ -0,0 +1,62 @@
+// Package parts wraps servers as parts that a supervisor runs: each serves
+// until the context ends or it is shut down, and is not started again then.
+package parts
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/thejerf/suture/v4"
+	"google.golang.org/grpc"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+)
+
+// Listen opens a port for what is named.
+func Listen(name, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, name+" "+address, "can't listen there", "is the address this host's, and free?").WithCause(err)
+	}
+	return listener, nil
+}
+
+// HTTP is an HTTP server as a supervised part.
+type HTTP struct {
+	Server   *http.Server
+	Listener net.Listener
+}
+
+// String names the part for the supervisor.
+func (p *HTTP) String() string { return "server on " + p.Listener.Addr().String() }
+
+// Serve serves until the context ends or the server is shut down.
+func (p *HTTP) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.Server.Close() })
+	defer stop()
+	if err := p.Server.Serve(p.Listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
+
+// GRPC is the peers' server as a supervised part.
+type GRPC struct {
+	Server   *grpc.Server
+	Listener net.Listener
+}
+
+// String names the part for the supervisor.
+func (p *GRPC) String() string { return "peers' server" }
+
+// Serve serves until the context ends.
+func (p *GRPC) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, p.Server.Stop)
+	defer stop()
+	if err := p.Server.Serve(p.Listener); err != nil {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -43,7 +43,7 @@
 
 const (
 	// clockError is how much faster or slower a worker's clock may run than
-	// ours (2% on the pages of the platform; 1% more for our own).
+	// ours (2% as its makers say; 1% more for our own).
 	clockError = 0.03
 	// clockSlack covers rounding to milliseconds on both sides.
 	clockSlack = 20 * time.Millisecond
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -153,24 +153,34 @@
 
 // tell hands a job to its cell's leader, without waiting.
 func (i *Intake) tell(spec *wire.JobSpec) {
-	view := i.leaders.View().Cells[spec.GetCell()]
+	i.toLeader(spec.GetCell(), func() { i.leaders.Accepted(spec) }, func(ctx context.Context, p wire.FleetClient) error {
+		reply, err := p.Accepted(ctx, &wire.AcceptedJob{Spec: spec})
+		if err == nil {
+			i.takeLoad(time.Now(), reply)
+		}
+		return err
+	})
+}
+
+// toLeader tells a cell's leader something, without waiting: here, if this
+// process leads the cell. A word that does not arrive is only counted, since
+// the leader follows the table.
+func (i *Intake) toLeader(cell string, here func(), there func(ctx context.Context, p wire.FleetClient) error) {
+	view := i.leaders.View().Cells[cell]
 	if view.Mine {
-		i.leaders.Accepted(spec)
+		here()
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
 		p, err := i.peers.To(view.Address)
-		if err != nil || view.Address == "" {
-			return // the leader follows the table
+		if err == nil {
+			err = there(ctx, p)
 		}
-		reply, err := p.Accepted(ctx, &wire.AcceptedJob{Spec: spec})
 		if err != nil {
 			i.count("tell-failed")
-			return
 		}
-		i.takeLoad(time.Now(), reply)
 	}()
 }
 
@@ -285,22 +295,10 @@
 }
 
 func (i *Intake) tellCancel(cell, id string) {
-	view := i.leaders.View().Cells[cell]
-	if view.Mine {
-		i.leaders.Cancelled(cell, id)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-		defer cancel()
-		p, err := i.peers.To(view.Address)
-		if err != nil || view.Address == "" {
-			return // the leader follows the table
-		}
-		if _, err := p.Cancelled(ctx, &wire.JobRef{Cell: cell, Id: id}); err != nil {
-			i.count("tell-failed")
-		}
-	}()
+	i.toLeader(cell, func() { i.leaders.Cancelled(cell, id) }, func(ctx context.Context, p wire.FleetClient) error {
+		_, err := p.Cancelled(ctx, &wire.JobRef{Cell: cell, Id: id})
+		return err
+	})
 }
 
 func (i *Intake) count(what string) {
--- a/pkg/rows/fleet.go
+++ b/pkg/rows/fleet.go
@@ -31,7 +31,7 @@
 )
 
 // JobParts is over how many parts jobs are spread. A part takes some hundred
-// writes a second in turn (part_writes_per_s of the settings pages); four parts
+// writes a second in turn (125 at 8 ms each, on the known sites); four parts
 // carry the writes of the largest known deployment twice over, and a leader
 // that takes over reads no more than four ranges a table.
 const JobParts = 4
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -60,12 +60,9 @@
 }
 
 func runFleet(ctx context.Context, file string, out io.Writer) error {
-	if file == "" {
-		return fault.New(fault.BadInput, "--config", "no settings file was named", "wrenferryd fleet --help shows what stands in one")
-	}
-	source, err := os.ReadFile(file)
+	source, err := readSettings(file, "wrenferryd fleet --help shows what stands in one")
 	if err != nil {
-		return fault.New(fault.BadInput, file, "can't be read", "check the path").WithCause(err)
+		return err
 	}
 	config, err := fleet.ParseConfig(file, source)
 	if err != nil {
--- a/pkg/serve/serve.go
+++ b/pkg/serve/serve.go
@@ -139,16 +139,25 @@
 		}
 		return tryout.Config(standins, "127.0.0.1:8080", "127.0.0.1:8081"), nil
 	}
-	if f.config == "" {
-		return daemon.Config{}, fault.New(fault.BadInput, "--config", "no settings file was named", "wrenferryd --help shows what stands in one; wrenferryd try needs none")
-	}
-	source, err := os.ReadFile(f.config)
+	source, err := readSettings(f.config, "wrenferryd --help shows what stands in one; wrenferryd try needs none")
 	if err != nil {
-		return daemon.Config{}, fault.New(fault.BadInput, f.config, "can't be read", "check the path").WithCause(err)
+		return daemon.Config{}, err
 	}
 	return daemon.ParseConfig(f.config, source)
 }
 
+// readSettings reads a process's settings file.
+func readSettings(file, remedy string) ([]byte, error) {
+	if file == "" {
+		return nil, fault.New(fault.BadInput, "--config", "no settings file was named", remedy)
+	}
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.New(fault.BadInput, file, "can't be read", "check the path").WithCause(err)
+	}
+	return source, nil
+}
+
 // ----------------------------------------------------------------- fences
 
 // fence is one row of the table of fences that a test may take out.
