--- a/test/promises/fleet_test.go
+++ b/test/promises/fleet_test.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -210,8 +211,12 @@
 	}
 }
 
-// dumpLogs shows the last lines of every process of a failed test.
+// dumpLogs shows the last lines of every process of a failed test, and the
+// figures of the entry hosts that still answer.
 func (f *fleet) dumpLogs() {
+	for name, e := range f.entries {
+		f.t.Logf("figures of %s:\n%s", name, e.figures())
+	}
 	for _, p := range f.all {
 		text, err := os.ReadFile(p.log.Name())
 		if err != nil || !strings.HasPrefix(p.name, "entry") {
@@ -222,6 +227,21 @@
 	}
 }
 
+// figures are an entry host's metrics, or why there are none.
+func (e *entry) figures() string {
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Get("http://" + e.operators + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
 func (f *fleet) awaitPort(address string) {
 	f.until("port "+address, func() bool {
 		c, err := net.DialTimeout("tcp", address, time.Second)
