Room made for an urgent task is kept for it

Cause: evictions free room piece by piece (workers stop one run at a time), and each piece went to smaller tasks that wait behind the urgent one; these were evicted again, for ever. Ruled out: the ledger (nothing is overcommitted) and the order of the queue (the urgent task is first, and does not fit yet). Change: what was asked to be freed is counted at its worker for a round, and others see the room without it. Before: the new test ends with 'it never came about: the urgent task is done' in both forms; after: passes, six evictions.

--- a/pkg/process/hall/driver_test.go
+++ b/pkg/process/hall/driver_test.go
@@ -55,6 +55,7 @@
 	outage  bool
 	busy    time.Duration // processor time of the steps
 	work    func(task string) time.Duration
+	oneStop bool // workers stop one attempt at a time
 }
 
 func newDriver(t testing.TB, workers int, tree string) *driver {
@@ -278,9 +279,13 @@
 		w.until[name] = d.now.Add(span)
 	}
 	for _, s := range req.GetStops() {
-		if r := w.runs[fmt.Sprintf("%s#%d", s.GetTaskId(), s.GetAttempt())]; r != nil {
+		r := w.runs[fmt.Sprintf("%s#%d", s.GetTaskId(), s.GetAttempt())]
+		if r != nil && r.GetState() == wire.RunState_RUN_STATE_RUNNING {
 			r.State = wire.RunState_RUN_STATE_STOPPED
 			r.Checkpoint = "checkpoint"
+			if d.oneStop {
+				break
+			}
 		}
 	}
 	for _, s := range req.GetThrottles() {
--- a/pkg/process/hall/evict.go
+++ b/pkg/process/hall/evict.go
@@ -15,9 +15,9 @@
 	var best []*task
 	var on *worker
 	for _, w := range r.workers {
-		free := w.account.Free().Plus(s.stopping(w)).Minus(r.coming[w])
+		free := w.account.Free().Plus(s.stopping(w)).Minus(w.made)
 		if size.Fits(free) {
-			r.coming[w] = r.coming[w].Plus(size)
+			w.made = w.made.Plus(size)
 			return
 		}
 		victims := s.victims(t, w, free)
@@ -29,7 +29,7 @@
 		s.note(r.now, t.object(), TaskNoRoom, "nothing of lower priority to evict")
 		return
 	}
-	r.coming[on] = r.coming[on].Plus(size)
+	on.made = on.made.Plus(size)
 	for _, v := range best {
 		s.note(r.now, v.object(), TaskMakingRoom, "for "+t.row.GetId())
 		s.askStop(r.now, v, evicted)
--- a/pkg/process/hall/hall_test.go
+++ b/pkg/process/hall/hall_test.go
@@ -25,6 +25,32 @@
 	must.Positive(t, d.reasons[hall.TaskMoved])
 }
 
+// Room that is made for a large urgent task goes to that task, and not to the
+// smaller ones that wait behind it, as it comes free piece by piece.
+func TestRoomMadeForUrgentWorkIsKeptForIt(t *testing.T) {
+	tree := strings.Replace(capacityTree, `"ingest"`, `"urgent": {"type": "job", "repeatable": true, "priority": 9, "millicores": 12000}, "ingest"`, 1)
+	for _, when := range []string{"before the first ones started", "while they run"} {
+		t.Run(when, func(t *testing.T) {
+			d := newDriver(t, 1, tree)
+			d.oneStop = true
+			d.work = func(task string) time.Duration {
+				if strings.HasPrefix(task, "rush") {
+					return time.Second
+				}
+				return time.Hour
+			}
+			d.submit("flood", "ingest", 40, taskSize) // 16 fit
+			d.until(t, "it is placed", func() bool { return d.reasons[hall.TaskPlaced] == 16 })
+			if when == "while they run" {
+				d.until(t, "it runs", func() bool { return d.state.Counts().Running == 16 })
+			}
+			d.submit("rush", "urgent", 1, &wire.Size{Millicores: 12000, MemoryMb: 4000})
+			d.until(t, "the urgent task is done", func() bool { return d.jobState("rush") == wire.JobState_JOB_STATE_DONE })
+			must.LessEq(t, 6, d.reasons[hall.TaskEvicted], must.Sprint("six make the room"))
+		})
+	}
+}
+
 // A worker that fails everything is put aside; the jobs are done elsewhere. A
 // kind that fails everywhere is given up on, and no worker is blamed.
 func TestWorkerThatFailsEverything(t *testing.T) {
--- a/pkg/process/hall/place.go
+++ b/pkg/process/hall/place.go
@@ -28,7 +28,6 @@
 	candidates map[*worker]*placement.Worker
 	usage      quota.Usage
 	full       []ledger.Size // sizes that found no room in this round
-	coming     map[*worker]ledger.Size
 	placed     int
 }
 
@@ -36,6 +35,9 @@
 	if s.drain || s.pending != nil {
 		return // the next round sees what this commit brings
 	}
+	for _, w := range s.workers {
+		w.made = ledger.Size{}
+	}
 	queue, usage := s.queue()
 	if len(queue) == 0 {
 		return
@@ -60,7 +62,7 @@
 // moveAhead takes back a task that was committed ahead to one worker when another
 // has room now. It never started, so the next attempt may be placed at once.
 func (s *State) moveAhead(r *round, t *task) {
-	if t.size().Fits(s.workers[t.row.GetWorker()].account.Free()) || !s.roomFor(r, t) {
+	if t.size().Fits(s.open(s.workers[t.row.GetWorker()])) || !s.roomFor(r, t) {
 		return
 	}
 	s.requeue(r.now, t, "", TaskMoved, "room elsewhere")
@@ -69,7 +71,15 @@
 
 // roomFor says whether any usable worker has room for a task.
 func (s *State) roomFor(r *round, t *task) bool {
-	return slices.ContainsFunc(r.workers, func(w *worker) bool { return t.size().Fits(w.account.Free()) })
+	return slices.ContainsFunc(r.workers, func(w *worker) bool { return t.size().Fits(s.open(w)) })
+}
+
+// open is the room of a worker that anyone may have: what is free, less what was
+// made for urgent work that still waits. Without the latter, smaller tasks take
+// that room piece by piece and are evicted again, for ever.
+func (s *State) open(w *worker) ledger.Size {
+	free := w.account.Free()
+	return free.Min(free.Plus(s.stopping(w)).Minus(w.made))
 }
 
 // queue lists what waits, there or on a worker without room, and sums what each
@@ -105,7 +115,6 @@
 		policy:     placement.PolicyNamed(s.fleet().PlacePolicy),
 		usage:      usage,
 		candidates: map[*worker]*placement.Worker{},
-		coming:     map[*worker]ledger.Size{},
 	}
 	for _, w := range s.workers {
 		if s.usable(now, w) {
@@ -164,7 +173,7 @@
 	}
 	fitting := make([]placement.Worker, 0, len(r.workers))
 	for _, w := range r.workers {
-		if s.unsafe.NoLedger || size.Fits(w.account.Free()) {
+		if s.unsafe.NoLedger || size.Fits(s.open(w)) {
 			fitting = append(fitting, s.candidate(r, w, t))
 		}
 	}
@@ -207,7 +216,7 @@
 		}
 		r.candidates[w] = c
 	}
-	c.Free = w.account.Free()
+	c.Free = s.open(w)
 	out := *c
 	if len(t.job.tasks) > 1 {
 		out.JobTasksInRack = s.inRack(t.job, w.rack)
--- a/pkg/process/hall/sync.go
+++ b/pkg/process/hall/sync.go
@@ -79,6 +79,9 @@
 		return
 	}
 	for _, t := range s.startable(w) {
+		if !w.account.Holds(t.name()) && !t.size().Fits(s.open(w)) && !s.unsafe.NoLedger {
+			continue // the room was made for urgent work
+		}
 		if !s.reserve(w, t) {
 			continue
 		}
--- a/pkg/process/hall/workers.go
+++ b/pkg/process/hall/workers.go
@@ -37,6 +37,7 @@
 
 	whole    ledger.Size
 	account  *ledger.Worker
+	made     ledger.Size // room made for urgent tasks that still wait, as of the last round
 	runs     map[string]*wire.Run
 	tasks    map[string]*task
 	services []string
