The answer time of an idle server loses weight with age

Ruled out: quarantine (the server has no failures). Change: an idle server's answer time halves every two seconds, so that one request at a time tests it. Before: the new test's server is never tried; after 20 s it is now, with nothing there, and not while a request is there.

--- a/pkg/connection/runner/pool.go
+++ b/pkg/connection/runner/pool.go
@@ -38,6 +38,7 @@
 	others     int
 	reportedAt time.Time
 	latency    time.Duration
+	latencyAt  time.Time // of the newest answer, or when it was first open
 	sent       int64
 
 	failures int
@@ -170,6 +171,9 @@
 	open := p.open(now, except)
 	list := make([]route.Candidate, len(open))
 	for i, s := range open {
+		if s.latencyAt.IsZero() {
+			s.latencyAt = now
+		}
 		list[i] = s.candidate()
 	}
 	i := p.picker.Pick(now, list, p.random)
@@ -241,7 +245,7 @@
 func (s *server) candidate() route.Candidate {
 	return route.Candidate{
 		Name: s.name, Local: s.local, Slots: s.slots, Own: s.own, Others: s.others,
-		ReportedAt: s.reportedAt, Latency: s.latency, Sent: s.sent,
+		ReportedAt: s.reportedAt, Latency: s.latency, LatencyAt: s.latencyAt, Sent: s.sent,
 	}
 }
 
@@ -311,6 +315,7 @@
 	case Worked:
 		s.failures = 0
 		s.latency += time.Duration(latencyShare * float64(took-s.latency))
+		s.latencyAt = now
 	case Failed:
 		s.failures++
 		if s.failures >= failuresOut {
--- a/pkg/request/route/route.go
+++ b/pkg/request/route/route.go
@@ -25,8 +25,9 @@
 	// Others is what the server reported beyond that, at ReportedAt.
 	Others     int
 	ReportedAt time.Time
-	// Latency is the server's recent answer time.
-	Latency time.Duration
+	// Latency is the server's recent answer time, as of LatencyAt.
+	Latency   time.Duration
+	LatencyAt time.Time
 	// Sent counts what this host ever sent there.
 	Sent int64
 }
@@ -72,6 +73,12 @@
 // back.
 const spillCost = 3 * time.Millisecond
 
+// latencyHalfLife is how fast the answer time of an idle server loses weight. A
+// server ten times as slow as the rest is tried again after about seven seconds,
+// which costs each entry host one slow request in that time; without it, one that
+// answered slowly once would be left alone for good.
+const latencyHalfLife = 2 * time.Second
+
 type twoChoices struct{}
 
 // Load estimates how many requests a server has.
@@ -88,10 +95,20 @@
 	return c.Load(now) > float64(c.Slots)-0.5
 }
 
+// latency is what the answer time counts for. Only an idle server's fades, so that
+// one request at a time tests it.
+func (c Candidate) latency(now time.Time) float64 {
+	if c.Own > 0 {
+		return float64(c.Latency)
+	}
+	halves := float64(now.Sub(c.LatencyAt)) / float64(latencyHalfLife)
+	return float64(c.Latency) * math.Exp2(-max(0, halves))
+}
+
 // expected is the answer time to expect. The share of slots taken stretches it,
 // since a fuller server is likelier to be found full on arrival.
 func (c Candidate) expected(now time.Time) float64 {
-	e := float64(c.Latency) * (1 + c.Load(now)/float64(c.Slots))
+	e := c.latency(now) * (1 + c.Load(now)/float64(c.Slots))
 	if !c.Local {
 		e += float64(spillCost)
 	}
--- a/pkg/request/route/route_test.go
+++ b/pkg/request/route/route_test.go
@@ -15,8 +15,8 @@
 func TestTwoChoicesAreDifferent(t *testing.T) {
 	now := time.Unix(1, 0)
 	list := []route.Candidate{
-		{Name: "slow", Local: true, Slots: 8, Latency: 200 * time.Millisecond},
-		{Name: "fast", Local: true, Slots: 8, Latency: 40 * time.Millisecond},
+		{Name: "slow", Local: true, Slots: 8, Latency: 200 * time.Millisecond, LatencyAt: now},
+		{Name: "fast", Local: true, Slots: 8, Latency: 40 * time.Millisecond, LatencyAt: now},
 	}
 	picker := route.New("two-choices")
 	random := rand.New(rand.NewPCG(1, 2))
@@ -25,6 +25,36 @@
 	}
 }
 
+// A server that was slow, or has not answered yet, is tried again some time: who
+// is never chosen is never measured.
+func TestOldAnswerTimesLoseWeight(t *testing.T) {
+	begin := time.Unix(1, 0)
+	list := []route.Candidate{
+		{Name: "was slow", Local: true, Slots: 8, Latency: 20 * time.Millisecond, LatencyAt: begin},
+		{Name: "fast", Local: true, Slots: 8, Latency: 500 * time.Microsecond},
+		{Name: "fast too", Local: true, Slots: 8, Latency: 500 * time.Microsecond},
+	}
+	for _, c := range []struct {
+		after time.Duration
+		own   int
+		tried bool
+	}{
+		{after: time.Second, tried: false},
+		{after: 20 * time.Second, tried: true},
+		{after: 20 * time.Second, own: 1, tried: false}, // one request at a time tests it
+	} {
+		now := begin.Add(c.after)
+		list[0].Own, list[1].LatencyAt, list[2].LatencyAt = c.own, now, now
+		picker := route.New("two-choices")
+		random := rand.New(rand.NewPCG(1, 2))
+		tried := false
+		for range 100 {
+			tried = tried || picker.Pick(now, list, random) == 0
+		}
+		must.Eq(t, c.tried, tried, must.Sprintf("after %v with %d there", c.after, c.own))
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	now := time.Unix(1, 0)
 	random := rand.New(rand.NewPCG(1, 2))
