Levels are linear in load; serving tasks stand by image, fillers go where their image has room

Workers answer several times a reading and each was learned again; a tail of 0 (no reading yet) was learned as one. Ruled out: coefficients that change within seconds (the same from 0 to 25 s and from 35 to 60 s); images that press alike (two groups, each pressed on by other fillers). Change: package interference learns 1 - target/tail, and each task's own load as a spring (load and trend); what is told twice is learned once. Serving tasks go beside those that the same fillers press on; jobs of one serving image go to one cell first, fillers' jobs to cells with room for their image, short jobs to cells with room. Fillers that a cut made stand still are moved where others take them. The learned image of a step has one function.

--- a/pkg/process/cell/bench_test.go
+++ b/pkg/process/cell/bench_test.go
@@ -24,6 +24,10 @@
 	version int64
 	records []cell.Record
 	started map[string]bool
+	// at is the worker of each task that was started.
+	at    map[string]string
+	paces []cell.SendPace
+	stops []cell.SendStop
 }
 
 var theManifest = manifest.New(1, []manifest.Queue{
@@ -34,8 +38,8 @@
 // newEmptyCell is its 16 workers with nothing on them.
 func newEmptyCell() *busyCell {
 	b := &busyCell{
-		started: map[string]bool{},
-		state:   cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
+		started: map[string]bool{}, at: map[string]string{},
+		state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
 		reports: map[string]*workers.Report{},
 	}
 	records := make([]workers.Record, 16)
@@ -102,9 +106,17 @@
 			b.state.Take(b.now, cell.Looked{Worker: e.To.ID, SentAt: b.now, Report: b.report(e.To.ID)})
 		case cell.SendStart:
 			b.started[e.Start.Task] = true
+			b.at[e.Start.Task] = e.To.ID
 			r := b.reports[e.To.ID]
 			r.Active = append(r.Active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1, Reading: 40})
 			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}})
+		case cell.SendPace:
+			b.paces = append(b.paces, e)
+			b.state.Take(b.now, cell.PaceAnswered{
+				Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent, Reply: workers.Reply{Clock: b.clock},
+			})
+		case cell.SendStop:
+			b.stops = append(b.stops, e)
 		case cell.Record:
 			b.records = append(b.records, e)
 			b.version++
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -19,16 +20,19 @@
 	// makes 0.042 a task and second; 2.65 a job of 150 core-seconds makes 0.018
 	// a core and second.
 	overCost  = 4.0
-	workEarns = 0.42
-	// levelSD is how far a level strays from what is expected of it while a
-	// filler runs, and ownKept how much of a task's own load lasts as long.
-	levelSD = 0.55
-	ownKept = 0.3
+	workEarns = 0.2
+	// placeAhead is how far ahead levels are looked at for a place, and placeSD
+	// how far they stray from what is expected then: half of a filler's run.
+	placeAhead = 1500 * time.Millisecond
+	placeSD    = 0.8
+	// usualSD is how far the level of a serving task strays over a whole wave.
+	usualSD = 1.0
 )
 
-// overChance is how likely a level is over its target, given what is expected.
-func overChance(expected float64) float64 {
-	return 0.5 * math.Erfc(-expected/levelSD/math.Sqrt2)
+// overChance is how likely a level is over its target, given what is expected
+// and how far it strays from that.
+func overChance(expected, deviation float64) float64 {
+	return 0.5 * math.Erfc(-expected/deviation/math.Sqrt2)
 }
 
 // neighbours is what a filler would meet at a worker.
@@ -47,15 +51,16 @@
 
 func (s *State) neighboursOf(w *workers.Worker) neighbours {
 	n := neighbours{there: map[string]float64{}}
+	scale := fillerScale(w, 0)
 	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetFiller() {
-			n.there[imageOf(r.Task.Unit)] += pressure(w, r.Task.Unit, 100)
+			n.there[r.Task.Unit.Image()] += pressure(w, r.Task.Unit, 100) * scale
 		}
 	}
 	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
-			image := imageOf(r.Task.Unit)
-			n.serving = append(n.serving, neighbour{image, s.press.Predict(image, n.there) + ownKept*r.OwnLoad.Mean})
+			image := r.Task.Unit.Image()
+			n.serving = append(n.serving, neighbour{image, s.press.Predict(image, n.there) + r.OwnLoad.Expect(placeAhead)})
 		}
 	}
 	return n
@@ -79,14 +84,53 @@
 		n = s.neighboursOf(w)
 		s.neighbours[w] = n
 	}
-	more := pressure(w, u, 100)
-	image := imageOf(u)
+	more := pressure(w, u, 100) * fillerScale(w, u.Size.Millicores)
+	image := u.Image()
 	cost := 0.0
 	for _, t := range n.serving {
 		rise := s.press.Coefficient(t.image, image) * more
-		cost += overChance(t.level+rise) - overChance(t.level)
+		cost += overChance(t.level+rise, placeSD) - overChance(t.level, placeSD)
 	}
-	harm := overCost*cost - workEarns*float64(u.Size.Millicores)/1000
+	harm := overCost*cost - earns(u)
 	s.harms[place{w, u}] = harm
 	return harm
 }
+
+// typicalFiller is the size in millicores that room for fillers is counted for, and
+// harmlessPart the most of what it earns that it may cost its neighbours there.
+const (
+	typicalFiller = 4000
+	harmlessPart  = 0.5
+)
+
+// fillerRoom sums up, for each filler image that was seen, what is unused at the
+// workers where it does little harm at their neighbours' usual load.
+func (s *State) fillerRoom() map[string]int64 {
+	room := map[string]int64{}
+	for _, image := range s.press.Fillers() {
+		for _, w := range s.sorted() {
+			if unused := w.Unused(); w.Listed && !w.Leaving && !w.Gone && s.harmless(image, w) {
+				room[image] += max(0, unused+w.FillersAsk())
+			}
+		}
+	}
+	return room
+}
+
+// harmless says whether a filler of usual size may run beside a worker's serving
+// tasks at their usual load.
+func (s *State) harmless(image string, w *workers.Worker) bool {
+	more := float64(typicalFiller) / float64(max(1, w.Capacity.Millicores))
+	cost := 0.0
+	for _, r := range w.Runs {
+		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
+			alone := s.press.Alone(r.Task.Unit.Image())
+			rise := more * s.press.Coefficient(r.Task.Unit.Image(), image)
+			cost += overChance(alone+rise, usualSD) - overChance(alone, usualSD)
+		}
+	}
+	return overCost*cost <= harmlessPart*workEarns*typicalFiller/1000
+}
+
+// earns is what a filler's work earns a second at full pace.
+func earns(u *jobs.Unit) float64 { return workEarns * float64(u.Size.Millicores) / 1000 }
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -11,46 +11,39 @@
 )
 
 // Pace. Fillers disturb the tasks beside them that serve users, by amounts that
-// differ by pair of images and change within seconds; all that is seen of it is
-// the tail that a serving task lists, rough and half a second old. Which pairs
-// press is learned (package interference), and fillers are placed where that
-// costs less than it brings (harm.go). What is here is for what that misses: a
-// tail near its target cuts the fillers that press on it, one that stays over it
-// cuts all fillers of its worker. Levels are logarithms of tails over their targets.
+// differ by pair of images; all that is seen of it is the tail that a serving task
+// lists, rough and half a second old. Which pairs press, and how busy each task is
+// by its own load, is learned (package interference), and fillers are placed where
+// they cost less than they earn (harm.go). What is here is for what that misses: a
+// tail that stays over its target makes all fillers of its worker stand still for
+// a while, and those that other workers would take are moved there. Levels are
+// those of package interference: 0 at the target, below 0 while there is room.
+//
+// (Tried and reverted: shares of work worked out from the levels to expect, those
+// held back first that press most. Serving tasks were over their targets for less
+// time, and more was lost by jobs that waited for one task held back.)
 
 const (
-	// overShort is how long a tail may be over its target before what is known
-	// to press on it stands still, and overLong before all fillers of its worker
-	// do. Users count four seconds without a break as harm; a break of one
-	// reading is enough.
-	overShort = 2000 * time.Millisecond
-	overLong  = 2500 * time.Millisecond
+	// overLong is how long a tail may be over its target before all fillers of
+	// its worker stand still. Users count four seconds without a break as harm; a
+	// break of one reading is enough.
+	overLong = 2000 * time.Millisecond
 	// overLevel is the level that counts as over the target: readings are rough,
 	// and one a little below it is no break in what the platform sees.
 	overLevel = -0.1
 	// overJoin is how long it may be before no more fillers come.
 	overJoin = 900 * time.Millisecond
-	// pressesFrom is the least part of a level that makes a filler one of those
-	// that press on it.
-	pressesFrom = 0.1
-	// cutLeast is how long a filler stands still at least: so long until a
-	// reading shows it. cutMost is the longest, and cutAgain the least time until
-	// the next cut: who is over its target without fillers is not their matter.
-	cutLeast = 600 * time.Millisecond
-	cutMost  = 1300 * time.Millisecond
+	// cutFor is how long fillers stand still, and cutAgain the least time until the
+	// next cut: who is over its target without fillers is not their matter.
+	cutFor   = 1300 * time.Millisecond
 	cutAgain = 700 * time.Millisecond
+	// sameFor is for how long an unchanged reading counts as the same one: workers
+	// renew them every half second, and answer more often.
+	sameFor = 600 * time.Millisecond
 	// tellPressEvery is how often the log says what is believed of images.
 	tellPressEvery = 10 * time.Second
 )
 
-// imageOf names what a unit's tasks run: tasks of one image behave alike.
-func imageOf(u *jobs.Unit) string {
-	if u.Spec.GetImage() != "" {
-		return u.Spec.GetImage()
-	}
-	return u.Job.Spec.GetQueue()
-}
-
 func serving(r *jobs.Run) bool {
 	return r.Task.Unit.Spec.GetTailTargetMs() > 0 && r.State == jobs.Running
 }
@@ -59,9 +52,9 @@
 	return r.Task.Unit.Spec.GetFiller() && r.State == jobs.Running
 }
 
-// levelOf is the level of a serving run's last reading.
-func levelOf(r *jobs.Run) float64 {
-	return interference.Level(float64(r.Tail.Milliseconds()), float64(r.Task.Unit.Spec.GetTailTargetMs()))
+// readingOf is a serving run's last reading.
+func readingOf(r *jobs.Run) interference.Reading {
+	return interference.NewReading(r.Tail, time.Duration(r.Task.Unit.Spec.GetTailTargetMs())*time.Millisecond)
 }
 
 // pressure is the share of a worker's processors that a filler may use.
@@ -78,12 +71,13 @@
 	at := map[string]float64{}
 	for _, r := range w.Runs {
 		if filling(r) {
-			at[imageOf(r.Task.Unit)] += float64(r.UsedMillicores) / float64(max(1, w.Capacity.Millicores))
+			at[r.Task.Unit.Image()] += float64(r.UsedMillicores) / float64(max(1, w.Capacity.Millicores))
 		}
 	}
 	for _, r := range w.Runs {
-		if serving(r) && now.Sub(r.BeganAt) > time.Second {
-			s.press.Learn(now, imageOf(r.Task.Unit), levelOf(r), at, &r.OwnLoad)
+		if serving(r) && r.Tail > 0 && (r.Tail != r.LearnedTail || now.Sub(r.LearnedAt) > sameFor) {
+			r.LearnedTail, r.LearnedAt = r.Tail, now
+			s.press.Learn(now, r.Task.Unit.Image(), readingOf(r), at, &r.OwnLoad)
 		}
 	}
 }
@@ -107,15 +101,82 @@
 			}
 		}
 	}
+	s.moveHeld(now)
 }
 
+// setPaces decides which fillers of a worker stand still, once for each of its
+// answers.
 func (s *State) setPaces(now time.Time, w *workers.Worker) {
+	if !w.AnsweredAt.After(w.PacedAt) {
+		return
+	}
+	w.PacedAt = w.AnsweredAt
+	s.watchTails(now, w)
+	for _, r := range w.Runs {
+		switch {
+		case !filling(r):
+		case now.Sub(r.CutAt) < cutFor:
+			s.setPace(now, w, r, 0)
+		default:
+			s.setPace(now, w, r, 100)
+		}
+	}
+}
+
+const (
+	// moveAfter is how long a filler stands still before it is moved, and
+	// moveAgain the least time of a run before it is: a move takes about a second.
+	moveAfter = 300 * time.Millisecond
+	moveAgain = 700 * time.Millisecond
+	// moveGain is the least part of what it earns that it must keep elsewhere.
+	moveGain = 0.7
+	// movesAtOnce bounds the moves of one round: each sees the places of before.
+	movesAtOnce = 3
+)
+
+// moveHeld stops fillers that stand still for their neighbours' sake, where others
+// would take them: they go on there from their checkpoints.
+func (s *State) moveHeld(now time.Time) {
+	clear(s.neighbours)
+	clear(s.harms)
+	moves := 0
+	var usable []*workers.Worker
+	for _, w := range s.sorted() {
+		if w.Gone || !w.SilentSince.IsZero() || !w.Filling() {
+			continue
+		}
+		for _, r := range w.Runs {
+			if !held(now, r) || moves >= movesAtOnce {
+				continue
+			}
+			if usable == nil {
+				usable = s.usableWorkers(now)
+			}
+			u := r.Task.Unit
+			to := s.choose(now, r.Task, s.service(u.Job), usable)
+			if to == nil || to == w || s.fillerHarm(u, to) > -moveGain*earns(u) {
+				continue
+			}
+			moves++
+			s.stop(now, w, r, "held back beside serving tasks, room at "+to.ID)
+		}
+	}
+}
+
+// held says whether a filler has stood still for long enough to be moved, and can
+// be without losing its work.
+func held(now time.Time, r *jobs.Run) bool {
+	return filling(r) && !r.Task.Unit.Spec.GetGang() && r.Pace == 0 && r.PaceWanted == 0 && r.Task.Unit.Spec.GetCheckpointing() &&
+		now.Sub(r.PacedAt) > moveAfter && now.Sub(r.BeganAt) > moveAgain
+}
+
+// watchTails sees to tails that are over their targets.
+func (s *State) watchTails(now time.Time, w *workers.Worker) {
 	for _, r := range w.Runs {
 		if !serving(r) {
 			continue
 		}
-		level := levelOf(r)
-		if level < overLevel {
+		if r.Tail <= 0 || readingOf(r).Level < overLevel {
 			r.OverSince = time.Time{}
 			continue
 		}
@@ -124,54 +185,50 @@
 		}
 		over := now.Sub(r.OverSince)
 		if over > overJoin {
-			w.NoFillersUntil = now.Add(cutLeast)
+			w.NoFillersUntil = now.Add(cutFor)
 		}
-		if over > overShort {
-			s.cutPressing(now, w, r, level, over > overLong)
-		}
-	}
-	for _, r := range w.Runs {
-		if filling(r) && r.PaceWanted < 100 && s.mayGoOn(now, r) {
-			s.setPace(now, w, r, 100, 0)
+		if over > overLong {
+			cutAll(now, w)
 		}
 	}
 }
 
-// mayGoOn says whether a filler that was cut may work again: what it was cut
-// for is below its target, or was held down for long enough to show that it is
-// not the filler's doing.
-func (s *State) mayGoOn(now time.Time, r *jobs.Run) bool {
-	since := now.Sub(r.CutAt)
-	if since < cutLeast {
-		return false
+// cutAll makes all fillers of a worker stand still for a while.
+func cutAll(now time.Time, w *workers.Worker) {
+	for _, r := range w.Runs {
+		if filling(r) && r.PaceWanted > 0 && now.Sub(r.PacedAt) >= cutAgain {
+			r.CutAt = now
+		}
 	}
-	return since > cutMost || r.CutFor == nil || r.CutFor.OverSince.IsZero()
 }
 
-// cutPressing stops the fillers that press on one serving run, or all.
-func (s *State) cutPressing(now time.Time, w *workers.Worker, over *jobs.Run, level float64, all bool) {
-	image := imageOf(over.Task.Unit)
+// worstLevel is the highest level among a worker's serving tasks, for the log.
+func worstLevel(w *workers.Worker) float64 {
+	worst := math.Inf(-1)
 	for _, r := range w.Runs {
-		if !filling(r) || r.PaceWanted == 0 || now.Sub(r.PacedAt) < cutAgain {
-			continue
-		}
-		part := s.press.Coefficient(image, imageOf(r.Task.Unit)) * pressure(w, r.Task.Unit, r.Pace)
-		if part >= pressesFrom || all {
-			r.CutFor, r.CutAt = over, now
-			w.NoFillersUntil = now.Add(cutMost)
-			s.setPace(now, w, r, 0, level)
+		if serving(r) && r.Tail > 0 {
+			worst = max(worst, readingOf(r).Level)
 		}
 	}
+	return worst
+}
+
+// fillerScale is the part of what they ask for that a worker's fillers get, with
+// some more millicores asked for: they share what others leave.
+func fillerScale(w *workers.Worker, more int64) float64 {
+	asked := w.FillersAsk() + more
+	left := w.Unused() + w.FillersAsk()
+	return min(1, max(0, float64(left))/float64(max(1, asked)))
 }
 
-func (s *State) setPace(now time.Time, w *workers.Worker, r *jobs.Run, share int, level float64) {
-	if r.PaceWanted == share {
+func (s *State) setPace(now time.Time, w *workers.Worker, r *jobs.Run, percent int) {
+	if r.PaceWanted == percent {
 		return
 	}
-	r.PaceWanted = share
+	r.PaceWanted = percent
 	s.note(Note{
 		What: NotePace, Job: r.Task.Unit.Job.Spec.GetId(), Task: r.Task.Name(), Run: r.Number, Worker: w.ID,
-		AgeMs: now.Sub(w.AnsweredAt).Milliseconds(), Detail: fmt.Sprintf("%d%%, tail %.2f of its target", share, math.Exp(level)),
+		AgeMs: now.Sub(w.AnsweredAt).Milliseconds(), Detail: fmt.Sprintf("%d%%, the worst level beside it was %.2f", percent, worstLevel(w)),
 	})
 }
 
--- /dev/null
+++ b/pkg/process/cell/pace_test.go
@@ -0,0 +1,90 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	fillerID = "00000000000000bb"
+)
+
+// tell sets the readings of what runs at a worker.
+func (b *busyCell) tell(worker string, reading func(workers.Active) int64) {
+	r := b.reports[worker]
+	for i := range r.Active {
+		r.Active[i].Reading = reading(r.Active[i])
+		r.Active[i].Percent = 100
+	}
+}
+
+func (b *busyCell) tellAll(reading func(workers.Active) int64) {
+	for id := range b.reports {
+		b.tell(id, reading)
+	}
+}
+
+// A tail over its target for two seconds makes the fillers beside it stand still,
+// well before the four seconds that count as harm; the one that others would take
+// goes there.
+func TestATailThatStaysOverItsTargetCutsTheFillersBesideIt(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{Count: 1, Millicores: 20000, Lasting: true, TailTargetMs: 100, Image: "s"})
+	}
+	b.accept(fillerID, "offers", &wire.StepSpec{Count: 1, Millicores: 4000, Filler: true, EstimateMs: 9000, Image: "f", Checkpointing: true})
+	for range 20 {
+		b.step(20 * time.Millisecond)
+	}
+	worker := b.at[fillerID+".0.0.0"]
+	must.NotEq(t, "", worker)
+	begin := b.now
+	for range 150 {
+		b.tellAll(func(workers.Active) int64 { return 30 })
+		b.tell(worker, func(a workers.Active) int64 {
+			if a.Task == fillerID+".0.0.0" {
+				return 4000
+			}
+			return 300
+		})
+		b.step(20 * time.Millisecond)
+		if len(b.paces) > 0 {
+			break
+		}
+	}
+	must.SliceNotEmpty(t, b.paces)
+	must.Eq(t, 0, b.paces[0].Pace.Percent)
+	must.Between(t, 1500*time.Millisecond, b.now.Sub(begin), 2600*time.Millisecond)
+}
+
+// Fillers that press on one image may leave another alone: workers of one image
+// each leave every filler a place.
+func TestServingTasksOfOneImageGoTogether(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	for i := range 8 {
+		image := fmt.Sprintf("s%d", i%2)
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{Count: 4, Millicores: 7000, Lasting: true, TailTargetMs: 100, Image: image})
+		b.step(20 * time.Millisecond)
+	}
+	images := map[string]map[int]bool{}
+	for task, worker := range b.at {
+		var job int
+		_, err := fmt.Sscanf(task, "%x.0.0.", &job)
+		must.NoError(t, err)
+		if images[worker] == nil {
+			images[worker] = map[int]bool{}
+		}
+		images[worker][job%2] = true
+	}
+	for worker, there := range images {
+		must.MapLen(t, 1, there, must.Sprint(worker))
+	}
+}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -264,7 +264,7 @@
 	harmWeight = 1.0
 	// alikeWeight is for serving tasks beside others of their image, against
 	// room left: holes that are too small for the next one cost more.
-	alikeWeight = 0.3
+	alikeWeight = 3.0
 )
 
 // score ranks the workers that a task fits on; the highest is taken.
@@ -276,7 +276,7 @@
 	case u.Spec.GetFiller():
 		score = float64(w.Unused())/total - harmWeight*s.fillerHarm(u, w)
 	case u.Spec.GetTailTargetMs() > 0:
-		score = -float64(w.Free().Millicores)/total + alikeScore(u, w)
+		score = -float64(w.Free().Millicores)/total + s.alikeScore(u, w)
 	default:
 		score = -float64(w.Free().Millicores) / total
 	}
@@ -289,23 +289,21 @@
 	return score
 }
 
-// alikeScore draws a serving task to others of its image, else to a worker
-// where nobody serves: fillers that do no harm to one image may harm another, so
-// that workers of one image each leave every filler a place.
-func alikeScore(u *jobs.Unit, w *workers.Worker) float64 {
+// alikeScore draws a serving task to others that the same fillers press on, else to
+// a worker where nobody serves: fillers that do no harm to one image may harm
+// another, so that workers of one kind each leave every filler a place.
+func (s *State) alikeScore(u *jobs.Unit, w *workers.Worker) float64 {
 	if !w.Serving() {
 		return 0
 	}
-	same, all := 0, 0
+	sum, all := 0.0, 0
 	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
 			all++
-			if imageOf(r.Task.Unit) == imageOf(u) {
-				same++
-			}
+			sum += s.press.Alike(r.Task.Unit.Image(), u.Image())
 		}
 	}
-	return alikeWeight * (2*float64(same)/float64(all) - 1)
+	return alikeWeight * (2*sum/float64(all) - 1)
 }
 
 // placeGang starts all tasks of a gang as one run, or none.
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -66,6 +66,7 @@
 			l.LargestFreeMillicores = max(l.LargestFreeMillicores, w.Free().Millicores)
 		}
 	}
+	l.FillerRoomMillicores = s.fillerRoom()
 	for _, j := range s.jobs {
 		if j.Ended() {
 			continue
--- a/pkg/process/interference/press.go
+++ b/pkg/process/interference/press.go
@@ -2,58 +2,78 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 )
 
-// Press learns how much fillers of one image raise the tail of serving tasks
-// of another: one coefficient a pair, beside what the tail is alone.
+// Press learns how much fillers of one image keep serving tasks of another from
+// their users: one coefficient a pair, beside what the task's own load does.
 //
-// A reading, tail over target, is explained as
+// A serving task is a queue: the tail of its answers grows as
 //
-//	ln(reading) = alone + sum over fillers of coefficient x pressure
+//	tail = unloaded / (1 - busy)
 //
-// where a filler's pressure is the share of the worker's processors that it may
-// use. (In logarithms, since the tail grows by a factor with the serving task's
-// own load, and the same pair then has the same coefficient at any load.) Most pairs don't meet at all, a few press hard, and several fillers run
-// side by side: so each serving image has a Kalman filter over its coefficients,
-// which knows how sure it is of each, and gives a miss to those that it is
-// least sure of. What is not seen for a while becomes less sure again. (Least
-// mean squares, tried before, blamed all that was there alike, and never tried
-// again what it had blamed wrongly.)
+// so that 1/tail, and not the tail or its logarithm, is linear in what keeps it
+// busy. A reading's Level is therefore 1 - target/tail: 0 at the target, below 0
+// while there is room, 1 for a tail without bound; the unloaded tail need not be
+// known. It is explained as
+//
+//	level = alone + own + sum over fillers of coefficient x pressure
+//
+// where a filler's pressure is the share of the worker's processors that it
+// uses, and own the task's own load, which swings over some seconds. Most pairs
+// don't meet at all, a few press hard, and several fillers run side by side: so
+// each serving image has a Kalman filter over its coefficients, which knows how
+// sure it is of each, and gives a miss to those that it is least sure of. What
+// is not seen for a while becomes less sure again.
+//
+// (Tried before: least mean squares, which blamed all that was there alike; and
+// logarithms of tails, in which the same pair has another coefficient at each
+// load, so that readings missed by 0.4 of what they told.)
 type Press struct {
 	images map[string]*filter
 }
 
-// The filter's figures come from a day of readings without any pace, in
-// logarithms: alone -1.05 (0.35 of the target), with a deviation of 0.45, most
-// of it the task's own load, which lasts for seconds; coefficients of 5 to 9 for
-// pairs that press, between -1 and 1.5 for the others.
+// The filter's figures come from a played day of readings (7,000 looks at 48
+// workers): alone -2.1 (half busy, at a target of six times the unloaded tail),
+// own load a wave of 1.4 over 10 to 20 s, coefficients of 10 to 13 for pairs that
+// press and 0 to 1.5 for the others, a miss of 0.15 in the median.
 const (
-	firstAlone   = -1.05
-	firstAloneSD = 0.2
-	firstPress   = 1.0
-	firstPressSD = 3.0
-	readingSD    = 0.4
-	// A task's own load strays from its image's mean by ownSD, and half of that
-	// is forgotten in about a second (ownMemory): measured from readings alone,
-	// correlated 0.56 after half a second and 0.25 after one and a half.
-	ownSD        = 0.45
-	ownMemory    = 1500 * time.Millisecond
-	aloneDriftSD = 0.05 // per square root of a second
-	pressDriftSD = 0.15 // likewise
+	firstAlone   = -2.1
+	firstAloneSD = 0.5
+	firstPress   = 3.0
+	firstPressSD = 6.0
+	readingSD    = 0.3
+	aloneDriftSD = 0.02 // per square root of a second
+	pressDriftSD = 0.1  // likewise
 	longestDrift = 5 * time.Second
 	// missMost bounds what one reading can say.
-	missMost = 1.5
-	// leastTail stands in for a tail that is rounded to nothing.
-	leastTail = 0.05
+	missMost = 2.5
+	// saturated is the level (five times the target) from which readings only
+	// say that it is at least so high.
+	saturated = 0.8
+	// surePress is the deviation below which a coefficient counts as known, and
+	// leastKnown how many must be, of both, to compare two images.
+	surePress  = 2.0
+	leastKnown = 3
+	// rounding is the deviation of a tail that is told in whole milliseconds.
+	rounding = 0.29
 )
 
-// Level is the logarithm of a tail over its target.
-func Level(tail, target float64) float64 {
-	return math.Log(max(leastTail, tail/max(target, 1)))
+// Reading is one reading of a serving task: how high, and how rough.
+type Reading struct {
+	Level, SD float64
+}
+
+// NewReading makes a reading of a tail and its target, both above 0.
+func NewReading(tail, target time.Duration) Reading {
+	headroom := float64(target) / float64(tail)
+	rough := headroom * rounding * float64(time.Millisecond) / float64(tail)
+	return Reading{Level: 1 - headroom, SD: math.Hypot(readingSD, rough)}
 }
 
 // filter is what is believed of one serving image. Index 0 is alone, the others
@@ -122,6 +142,35 @@
 	return firstAlone
 }
 
+// unknownAlike stands in for how alike two images are while little is known of one.
+const unknownAlike = 0.3
+
+// Alike says how alike two serving images are in what presses on them: 1 for the
+// same, 0 for two that share nothing.
+func (p *Press) Alike(one, other string) float64 {
+	if one == other {
+		return 1
+	}
+	f, g := p.images[one], p.images[other]
+	if f == nil || g == nil {
+		return unknownAlike
+	}
+	least, most, known := 0.0, 0.0, 0
+	for filler, i := range f.index {
+		j, ok := g.index[filler]
+		if !ok || f.cov[i][i] > surePress*surePress || g.cov[j][j] > surePress*surePress {
+			continue
+		}
+		known++
+		least += math.Min(f.mean[i], g.mean[j])
+		most += math.Max(f.mean[i], g.mean[j])
+	}
+	if known < leastKnown || most == 0 {
+		return unknownAlike
+	}
+	return least / most
+}
+
 // Predict is the level to expect beside the given pressures.
 func (p *Press) Predict(serving string, pressures map[string]float64) float64 {
 	level := p.Alone(serving)
@@ -131,42 +180,22 @@
 	return level
 }
 
-// OwnLoad is what is believed of one serving task: how far its level is from
-// what its image and its neighbours explain. It lasts for a second or two; a
-// miss that it can explain is not blamed on neighbours.
-type OwnLoad struct {
-	Mean     float64
-	variance float64
-	at       time.Time
-}
-
-// drift lets the own load go back to the mean.
-func (o *OwnLoad) drift(now time.Time) {
-	keep := math.Exp(-float64(now.Sub(o.at)) / float64(ownMemory))
-	if o.at.IsZero() {
-		keep = 0
-	}
-	o.at = now
-	o.Mean *= keep
-	o.variance = ownSD*ownSD + keep*keep*(o.variance-ownSD*ownSD)
-}
-
-// Learn takes in one reading of a task: the level, and the pressures that were
-// there during it.
-func (p *Press) Learn(now time.Time, serving string, level float64, pressures map[string]float64, own *OwnLoad) {
+// Learn takes in one reading of a task, and the pressures that were there during
+// it.
+func (p *Press) Learn(now time.Time, serving string, reading Reading, pressures map[string]float64, own *OwnLoad) {
 	own.drift(now)
 	f := p.image(serving)
 	f.drift(now)
 	weights := make([]float64, len(f.mean), len(f.mean)+len(pressures))
 	weights[0] = 1
-	for filler, pressure := range pressures {
+	for _, filler := range slices.Sorted(maps.Keys(pressures)) {
 		i := f.filler(filler)
 		for len(weights) < len(f.mean) {
 			weights = append(weights, 0)
 		}
-		weights[i] = pressure
+		weights[i] = pressures[filler]
 	}
-	f.update(level, weights, own)
+	f.update(reading, weights, own)
 }
 
 // drift lets time make the beliefs less sure.
@@ -189,10 +218,10 @@
 }
 
 // update is the filter's step for one reading.
-func (f *filter) update(reading float64, weights []float64, own *OwnLoad) {
+func (f *filter) update(reading Reading, weights []float64, own *OwnLoad) {
 	n := len(f.mean)
 	gain := make([]float64, n)
-	expected, variance := own.Mean, readingSD*readingSD+own.variance
+	expected, variance := own.load, reading.SD*reading.SD+own.loadVar
 	for i := range n {
 		expected += weights[i] * f.mean[i]
 		for j := range n {
@@ -202,21 +231,33 @@
 	for i := range n {
 		variance += weights[i] * gain[i]
 	}
-	miss := math.Min(missMost, math.Max(-missMost, reading-expected))
+	if reading.Level > saturated && expected > reading.Level {
+		return
+	}
+	miss := math.Min(missMost, math.Max(-missMost, reading.Level-expected))
 	for i := range n {
 		f.mean[i] += gain[i] * miss / variance
 		if i > 0 {
 			f.mean[i] = math.Max(0, f.mean[i]) // nothing makes a neighbour faster
 		}
 	}
-	gained := own.variance / variance
-	own.Mean += gained * miss
-	own.variance *= 1 - gained
 	for i := range n {
 		for j := range n {
 			f.cov[i][j] -= gain[i] * gain[j] / variance
 		}
 	}
+	own.update(miss, variance)
+}
+
+// Fillers lists the filler images that were seen beside any serving image.
+func (p *Press) Fillers() []string {
+	seen := map[string]bool{}
+	for _, f := range p.images {
+		for name := range f.index {
+			seen[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
 }
 
 // Words tells what is believed of each serving image, for the log.
--- /dev/null
+++ b/pkg/process/interference/press_test.go
@@ -0,0 +1,109 @@
+package interference_test
+
+import (
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/interference"
+)
+
+// queueTail is the tail of a queue whose unloaded tail is a sixth of its target.
+func queueTail(target time.Duration, busy float64) time.Duration {
+	return time.Duration(float64(target) / 6 / (1 - min(busy, 0.99)))
+}
+
+// readings plays a serving task for a minute: its own load swings by half in 20 s,
+// the fillers in busyBy press on it by so much at full use. Each filler comes and
+// goes at times that a seed draws.
+func readings(press *interference.Press, image string, busyBy map[string]float64, rough float64) {
+	const target = 150 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 2))
+	begin := time.Unix(0, 0)
+	own := interference.OwnLoad{}
+	used := map[string]float64{}
+	for i := range 120 {
+		now := begin.Add(time.Duration(i) * 500 * time.Millisecond)
+		if i%4 == 0 {
+			clear(used)
+			for _, filler := range slices.Sorted(maps.Keys(busyBy)) {
+				if random.IntN(2) == 0 {
+					used[filler] = 0.1
+				}
+			}
+		}
+		busy := 0.48 * (1 + 0.5*math.Sin(2*math.Pi*float64(i)/40))
+		for filler, share := range used {
+			busy += busyBy[filler] * share
+		}
+		tail := time.Duration(float64(queueTail(target, busy)) * (1 + rough*random.NormFloat64()))
+		press.Learn(now, image, interference.NewReading(tail, target), used, &own)
+	}
+}
+
+// Found on played days: in logarithms of tails a pair had another coefficient at
+// each load, and what presses could not be told from what does not.
+func TestWhatPressesIsToldFromWhatDoesNot(t *testing.T) {
+	t.Parallel()
+	press := interference.NewPress()
+	readings(press, "quotes", map[string]float64{"hard": 2, "harder": 3, "mild": 0.15, "none": 0}, 0.04)
+	must.Between(t, 8.0, press.Coefficient("quotes", "hard"), 16.0, must.Sprint("6 x 2"))
+	must.Between(t, 12.0, press.Coefficient("quotes", "harder"), 24.0, must.Sprint("6 x 3"))
+	must.Between(t, 0.0, press.Coefficient("quotes", "mild"), 4.0, must.Sprint("6 x 0.15"))
+	must.Between(t, 0.0, press.Coefficient("quotes", "none"), 4.0)
+	must.Between(t, -2.6, press.Alone("quotes"), -1.6, must.Sprint("1 - 6 x 0.52"))
+}
+
+func TestImagesThatTheSameFillersPressOnAreAlike(t *testing.T) {
+	t.Parallel()
+	press := interference.NewPress()
+	readings(press, "quotes", map[string]float64{"a": 2, "b": 0.1, "c": 0.1, "d": 2}, 0.04)
+	readings(press, "sheets", map[string]float64{"a": 2, "b": 0.1, "c": 0.1, "d": 2}, 0.04)
+	readings(press, "rates", map[string]float64{"a": 0.1, "b": 2, "c": 2, "d": 0.1}, 0.04)
+	must.Greater(t, 0.6, press.Alike("quotes", "sheets"))
+	must.Less(t, 0.25, press.Alike("quotes", "rates"))
+	must.Eq(t, 1, press.Alike("rates", "rates"))
+	must.Between(t, 0.1, press.Alike("rates", "unseen"), 0.5)
+}
+
+// The own load's next second is told from its last ones.
+func TestAnOwnLoadIsFollowed(t *testing.T) {
+	t.Parallel()
+	press := interference.NewPress()
+	const target = 150 * time.Millisecond
+	own := interference.OwnLoad{}
+	begin := time.Unix(0, 0)
+	level := func(at time.Duration) float64 {
+		busy := 0.48 * (1 + 0.5*math.Sin(2*math.Pi*at.Seconds()/20))
+		return 1 - 6*(1-busy)
+	}
+	worst := 0.0
+	for at := time.Duration(0); at < time.Minute; at += 500 * time.Millisecond {
+		tail := queueTail(target, 1-(1-level(at))/6)
+		press.Learn(begin.Add(at), "quotes", interference.NewReading(tail, target), nil, &own)
+		if at > 10*time.Second {
+			expected := press.Alone("quotes") + own.Expect(time.Second)
+			worst = max(worst, math.Abs(expected-level(at+time.Second)))
+		}
+	}
+	must.Less(t, 0.5, worst, must.Sprint("a second ahead; the wave is 1.4 high"))
+}
+
+func TestAReadingFarOverItsTargetOnlySaysAtLeast(t *testing.T) {
+	t.Parallel()
+	press := interference.NewPress()
+	const target = 150 * time.Millisecond
+	own := interference.OwnLoad{}
+	begin := time.Unix(0, 0)
+	for i := range 40 {
+		now := begin.Add(time.Duration(i) * 500 * time.Millisecond)
+		press.Learn(now, "quotes", interference.NewReading(100*target, target), map[string]float64{"hard": 0.5}, &own)
+	}
+	before := press.Predict("quotes", map[string]float64{"hard": 0.5})
+	must.Greater(t, 0.8, before+own.Expect(0))
+}
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -48,6 +48,9 @@
 	// another one uses. Both are rough and late.
 	Tail           time.Duration
 	UsedMillicores int64
+	// LearnedTail is the tail that was last learned from, and LearnedAt when.
+	LearnedTail time.Duration
+	LearnedAt   time.Time
 	// Pace is the share in percent at which the run works, as it was last told,
 	// PaceWanted what it should be.
 	Pace, PaceWanted int
@@ -55,10 +58,9 @@
 	PacedAt          time.Time
 	// OverSince is since when the tail is above its target; zero: it is not.
 	OverSince time.Time
-	// CutFor is the serving run that it was last made to stand still for,
-	// and CutAt when.
-	CutFor *Run
-	CutAt  time.Time
+	// CutAt is when it was last made to stand still for a tail that stayed over
+	// its target.
+	CutAt time.Time
 	// OwnLoad is what is believed of a serving task's own load.
 	OwnLoad interference.OwnLoad
 	// StopSentAt is when it was last asked to stop, and Why.
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -76,6 +76,8 @@
 	// NoFillersUntil is until when no filler may join: those that are there have
 	// just been cut.
 	NoFillersUntil time.Time
+	// PacedAt is the answer after which the shares of its fillers were decided.
+	PacedAt time.Time
 	// Gone says that this life is surely over, since when and why.
 	Gone    bool
 	GoneAt  time.Time
@@ -88,10 +90,10 @@
 	foreign    ledger.Size
 	// What Add and Remove keep: the room taken, the processors asked for, how
 	// many serve and fill, and how many there are of each unit.
-	taken, lasting   ledger.Size
-	asked            int64
-	serving, fillers int64
-	units            map[*jobs.Unit]int64
+	taken, lasting    ledger.Size
+	asked, fillersAsk int64
+	serving, fillers  int64
+	units             map[*jobs.Unit]int64
 }
 
 // New returns a worker that has not been heard yet.
@@ -175,6 +177,7 @@
 	}
 	if u.Spec.GetFiller() {
 		w.fillers += by
+		w.fillersAsk += by * u.Size.Millicores
 	}
 	if u.Lasting() {
 		w.lasting.Millicores += by * size.Millicores
@@ -219,6 +222,9 @@
 // that are there ask for.
 func (w *Worker) Unused() int64 { return w.Capacity.Millicores - w.asked }
 
+// FillersAsk is the processors that the fillers there ask for.
+func (w *Worker) FillersAsk() int64 { return w.fillersAsk }
+
 // Serving says whether a task runs there whose users' latency has a target.
 func (w *Worker) Serving() bool { return w.serving > 0 }
 
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -64,18 +66,25 @@
 
 // demand is what a job asks for: millicores for lasting tasks, core ms for
 // others.
-type demand struct{ lasting, plain, filler int64 }
+type demand struct {
+	lasting, plain, filler int64
+	// serving is the image of the lasting tasks, fillers the work by image.
+	serving string
+	fillers map[string]int64
+}
 
 func demandOf(spec *wire.JobSpec) demand {
-	d := demand{}
+	d := demand{fillers: map[string]int64{}}
 	for _, step := range spec.GetSteps() {
 		each := step.GetMillicores() * int64(step.GetCount())
 		work := each * step.GetEstimateMs() / 1000
 		switch {
 		case step.GetLasting():
 			d.lasting += each
+			d.serving = jobs.ImageOf(spec, step)
 		case step.GetFiller():
 			d.filler += work
+			d.fillers[jobs.ImageOf(spec, step)] += work
 		default:
 			d.plain += work
 		}
@@ -114,13 +123,50 @@
 	all := float64(l.GetCapacityMillicores())
 	lasting := float64(l.GetLastingMillicores())
 	if d.lasting > 0 {
-		cost += lastingCost * (lasting + float64(d.lasting)) / all
+		cost += lastingCost*(lasting+float64(d.lasting))/all + i.imageCost(name, d.serving)
 	}
 	if d.plain > 0 {
-		cost += float64(l.GetBacklogCoreMs()) * 1000 / max(leastRoom*all, all-lasting)
+		cost += float64(l.GetBacklogCoreMs()+d.plain) * 1000 / max(leastRoom*all, all-lasting)
 	}
 	if d.filler > 0 {
-		cost += float64(l.GetFillerCoreMs()) * 1000 / max(leastRoom*all, all-servingUse*lasting)
+		cost += fillerCost(l, d, max(leastRoom*all, all-servingUse*lasting))
+	}
+	return cost
+}
+
+// imageRankCost is what a step down in an image's order of cells costs a lasting
+// job: as much as a cell that is a sixth fuller.
+const imageRankCost = 500.0
+
+// imageCost draws lasting jobs of one image to the same cell, whoever accepts them:
+// the fewer images a cell serves, the more kinds of fillers find a place there
+// where they do no harm. Each image has an order of cells of its own, by a hash.
+func (i *Intake) imageCost(name, image string) float64 {
+	own, before := imageHash(image, name), 0
+	for other := range i.leaders.View().Cells {
+		if other != name && imageHash(image, other) < own {
+			before++
+		}
+	}
+	return imageRankCost * float64(before)
+}
+
+func imageHash(image, cell string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(image + "/" + cell)) // a hash takes anything
+	return h.Sum64()
+}
+
+// fillerCost is how long a job's fillers would wait in a cell, by the room that it
+// has for each of their images; unseen ones are taken to find the usual room.
+func fillerCost(l *wire.CellLoad, d demand, usual float64) float64 {
+	cost := 0.0
+	for image, work := range d.fillers {
+		room := usual
+		if known, ok := l.GetFillerRoomMillicores()[image]; ok {
+			room = max(leastRoom*float64(l.GetCapacityMillicores()), float64(known))
+		}
+		cost += float64(l.GetFillerCoreMs()+d.filler) * 1000 / room * float64(work) / float64(d.filler)
 	}
 	return cost
 }
