A lent task that finds no room is given back and lent to another cell

Ruled out: the feed (the row was read at the takeover) and unsettled workers (none). Change: a cell that has waited 1.5 s with a guest, while another tells of room, gives it back in a row among the keeping cell's cancels, in the transaction that records it; the keeping cell takes it back and lends it to none that has refused it. The row goes with the job. Before: the three new tests have nothing to call; after: they pass.

--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -58,6 +58,8 @@
 	Epoch   int64
 	Jobs    []LoadedJob
 	Cancels []string
+	// Returned are the tasks that other cells have given back.
+	Returned []*wire.ReturnedTasks
 	// Fences are the versions of the fence rows by part.
 	Fences map[string]int64
 	// Wall is the time of day, for jobs with times.
@@ -75,6 +77,9 @@
 // CancelAsked brings a cancel that stands in the table.
 type CancelAsked struct{ ID string }
 
+// Returned brings tasks that another cell gives back; they stand in the table.
+type Returned struct{ Tasks *wire.ReturnedTasks }
+
 // Looked is the outcome of a look at a worker.
 type Looked struct {
 	Worker  string
@@ -135,6 +140,7 @@
 func (Loaded) event()          {}
 func (Accepted) event()        {}
 func (CancelAsked) event()     {}
+func (Returned) event()        {}
 func (Looked) event()          {}
 func (Started) event()         {}
 func (StopAnswered) event()    {}
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -16,11 +16,17 @@
 // with just that task. The job stays here: its state is told, and its cancel is
 // carried out, by this cell, which passes the cancel on in the transaction that
 // records it. Short tasks are not lent: room comes before the word would.
+//
+// A cell that has filled up meanwhile gives a lent task back, once another cell tells
+// of room, in a row that the keeping cell's leader follows: from then on that one
+// alone may start it, or lend it to a cell that has not given it back.
 
 const (
 	// lendAfter is how long a lasting task waits before it is lent. After six
 	// seconds without a run it is late by the platform's rules.
 	lendAfter = 1000 * time.Millisecond
+	// returnAfter is how long a lent task waits before it is given back.
+	returnAfter = 1500 * time.Millisecond
 	// giveShare is the part of another cell's free room that may be filled on one
 	// word of it: others lend to it too, and its room is in pieces.
 	giveShare = 2
@@ -40,7 +46,7 @@
 func (s *State) lend(now time.Time) {
 	var units []*jobs.Unit
 	for u := range s.waiting {
-		if u.Lasting() && !u.Job.Guest() {
+		if u.Lasting() {
 			units = append(units, u)
 		}
 	}
@@ -52,7 +58,11 @@
 	})
 	for _, u := range units {
 		for _, t := range u.Waiting(now) {
-			if now.Sub(waitsSince(t)) >= lendAfter {
+			waited := now.Sub(waitsSince(t))
+			switch {
+			case u.Job.Guest() && waited >= returnAfter:
+				s.giveBack(now, t)
+			case !u.Job.Guest() && waited >= lendAfter:
 				s.lendTask(now, t)
 			}
 		}
@@ -69,7 +79,7 @@
 
 func (s *State) lendTask(now time.Time, t *jobs.Task) {
 	size := t.Unit.Size.Millicores
-	name := s.lender(now, size)
+	name := s.borrower(now, size, t.RefusedBy)
 	if name == "" {
 		return
 	}
@@ -89,12 +99,41 @@
 	})
 }
 
-// lender is the cell with the most room left for a task of the given size.
-func (s *State) lender(now time.Time, size int64) string {
+// giveBack leaves a lent task to the cell that keeps its job, if any other cell tells
+// of room for it.
+func (s *State) giveBack(now time.Time, t *jobs.Task) {
+	j := t.Unit.Job
+	name := s.borrower(now, t.Unit.Size.Millicores, nil)
+	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 {
+		return
+	}
+	j.GiveBack(t)
+	s.markDirty(j, true)
+	s.touch(j)
+	s.note(Note{
+		What: NoteGivenBack, Job: j.Spec.GetId(), Task: t.Name(), AgeMs: now.Sub(s.others[name].at).Milliseconds(),
+		Detail: fmt.Sprintf("to %s, room at %s, after %s", j.Spec.GetHome(), name, now.Sub(waitsSince(t)).Round(time.Millisecond)),
+	})
+}
+
+// takeReturned takes in tasks that another cell gives back.
+func (s *State) takeReturned(now time.Time, r *wire.ReturnedTasks) {
+	j := s.jobs[r.GetId()]
+	if j == nil || s.phase != leading || j.Ended() || !j.TakeBack(r, now) {
+		return
+	}
+	s.markDirty(j, true)
+	s.touch(j)
+	s.note(Note{What: NoteTakenBack, Job: r.GetId(), AgeMs: -1, Detail: fmt.Sprintf("%d tasks, from %s", len(r.GetTasks()), r.GetFrom())})
+}
+
+// borrower is the cell with the most room left for a task of the given size, but for
+// those that refused it.
+func (s *State) borrower(now time.Time, size int64, refused []string) string {
 	best, most := "", int64(-1)
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
 		o := s.others[name]
-		if name == s.name || now.Sub(o.at) > othersFresh || o.load.GetLargestFreeMillicores() < size {
+		if name == s.name || slices.Contains(refused, name) || now.Sub(o.at) > othersFresh || o.load.GetLargestFreeMillicores() < size {
 			continue
 		}
 		left := o.load.GetFreeMillicores()/giveShare - o.given
--- a/pkg/process/cell/lend_test.go
+++ b/pkg/process/cell/lend_test.go
@@ -9,6 +9,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -70,6 +71,114 @@
 	must.Eq(t, 5, most, must.Sprint("half of the room that was told"))
 }
 
+// putsOf decodes what was put into a row of the given key, the newest last.
+func (b *busyCell) putsOf(t *testing.T, key table.Key, read func(table.Row)) {
+	t.Helper()
+	for _, r := range b.records {
+		for _, put := range r.Transaction.Puts {
+			if put.Key == key {
+				read(put)
+			}
+		}
+	}
+}
+
+const lentJob = "00000000000000ff"
+
+func roomAt(name string) cell.OtherLoad {
+	return cell.OtherLoad{Load: &wire.CellLoad{Leading: true, Cell: name, LargestFreeMillicores: 32000, FreeMillicores: 300_000}}
+}
+
+// Found on a played day (kadraj trouble-2, LOST 1): a task was lent to a cell that had
+// filled up when it came, or when its first run there had failed, and waited there
+// for half a minute while a third cell had 142 free processors.
+func TestALentTaskWithoutRoomIsGivenBack(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	step := &wire.StepSpec{Count: 3, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"}
+	spec := &wire.JobSpec{
+		Id: lentJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{step}, Guest: []*wire.TaskRef{{Index: 1}},
+	}
+	b.state.Take(b.now, cell.Accepted{Spec: spec})
+	for range 60 {
+		b.state.Take(b.now, roomAt("third"))
+		b.step(50 * time.Millisecond)
+	}
+	back := &wire.ReturnedTasks{}
+	b.putsOf(t, rows.ReturnKey("home", lentJob, "hall"), func(r table.Row) { must.NoError(t, rows.Read(r, back)) })
+	must.Eq(t, "hall", back.GetFrom())
+	must.Len(t, 1, back.GetTasks())
+	must.Eq(t, 1, back.GetTasks()[0].GetIndex())
+
+	// Whoever leads this cell next doesn't start it either.
+	progress := &wire.JobProgress{}
+	b.putsOf(t, rows.ProgressKey("hall", lentJob), func(r table.Row) { must.NoError(t, rows.Read(r, progress)) })
+	again := jobs.Restore(spec, progress, 1, time.Unix(0, 0), time.Unix(0, 0))
+	must.Eq(t, "home", again.Task(0, 0, 1).LentTo)
+	must.Len(t, 1, again.GivenBack().GetTasks())
+}
+
+func TestATaskThatIsGivenBackIsLentToAThirdCell(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	lentTo := func(name string) bool {
+		found := false
+		b.putsOf(t, rows.SpecKey(name, lentJob), func(table.Row) { found = true })
+		return found
+	}
+	for range 40 {
+		b.state.Take(b.now, roomAt("full"))
+		b.step(50 * time.Millisecond)
+	}
+	must.True(t, lentTo("full"))
+	back := &wire.ReturnedTasks{Id: lentJob, From: "full", Tasks: []*wire.TaskRef{{}}}
+	b.state.Take(b.now, cell.Returned{Tasks: back})
+	b.records = nil
+	for range 40 {
+		b.state.Take(b.now, roomAt("full"))
+		b.step(50 * time.Millisecond)
+	}
+	must.False(t, lentTo("full"), must.Sprint("it has given the task back"))
+	for range 40 {
+		b.state.Take(b.now, roomAt("third"))
+		b.state.Take(b.now, cell.Returned{Tasks: back}) // readings repeat
+		b.step(50 * time.Millisecond)
+	}
+	must.True(t, lentTo("third"))
+
+	// Its end is told to all who had a part of it, and the row that gave it back goes.
+	b.records = nil
+	b.state.Take(b.now, cell.CancelAsked{ID: lentJob})
+	b.step(50 * time.Millisecond)
+	removed := false
+	for _, r := range b.records {
+		for _, key := range r.Transaction.Removes {
+			removed = removed || key == rows.ReturnKey("hall", lentJob, "full")
+		}
+	}
+	must.True(t, removed)
+	for _, name := range []string{"full", "third"} {
+		told := false
+		b.putsOf(t, rows.CancelKey(name, lentJob), func(table.Row) { told = true })
+		must.True(t, told, must.Sprint(name))
+	}
+}
+
+func TestWhatIsReturnedIsFoundByASuccessor(t *testing.T) {
+	t.Parallel()
+	spec := &wire.JobSpec{Id: lentJob, Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Lasting: true}}}
+	j := jobs.New(spec, time.Unix(0, 0))
+	must.NotNil(t, j.Lend(j.Task(0, 0, 1), "full"))
+	again := jobs.Restore(spec, j.Progress(), 1, time.Unix(0, 0), time.Unix(0, 0))
+	back := &wire.ReturnedTasks{Id: lentJob, From: "full", Tasks: []*wire.TaskRef{{Index: 1}}}
+	must.True(t, again.TakeBack(back, time.Unix(1, 0)))
+	must.False(t, again.TakeBack(back, time.Unix(2, 0)))
+	must.Eq(t, "", again.Task(0, 0, 1).LentTo)
+	must.Eq(t, []string{"full"}, again.RefusingCells())
+}
+
 func TestAGuestRunsOnlyTheTasksThatAreLent(t *testing.T) {
 	t.Parallel()
 	spec := &wire.JobSpec{Id: "00000000000000ff", Steps: []*wire.StepSpec{{Count: 3, Lasting: true}}, Guest: []*wire.TaskRef{{Index: 1}}}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -77,6 +77,9 @@
 	for _, id := range e.Cancels {
 		s.takeCancel(now, CancelAsked{ID: id})
 	}
+	for _, r := range e.Returned {
+		s.takeReturned(now, r)
+	}
 	for _, j := range s.jobs {
 		s.touch(j)
 	}
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -27,6 +27,8 @@
 	NotePace         What = "task-pace"
 	NoteAdvice       What = "step-advised"
 	NoteLent         What = "task-lent"
+	NoteGivenBack    What = "task-given-back"
+	NoteTakenBack    What = "task-taken-back"
 	NotePress        What = "press-learned"
 	NoteWorkerNew    What = "worker-new"
 	NoteWorkerGone   What = "worker-gone"
@@ -67,6 +69,8 @@
 	{NotePace, "a filler's share of work is changed; detail: share, the tail that decided"},
 	{NoteAdvice, "the advising service said which workers may run a step; detail: how many, or why not"},
 	{NoteLent, "a lasting task without room is left to another cell; detail: which, its room, the wait"},
+	{NoteGivenBack, "a task that another cell lent to this one finds no room and is left to it again; detail: where room is, the wait"},
+	{NoteTakenBack, "another cell gives tasks back that it was lent; detail: how many, and which cell"},
 	{NotePress, "which fillers press on which serving images, as now believed; detail: serving image alone, and each filler's coefficient"},
 	{NoteWorkerNew, "a worker came to be known"},
 	{NoteWorkerGone, "a worker's life is over; detail: why"},
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -163,8 +163,14 @@
 	for _, spec := range s.lent[j] {
 		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
 	}
+	if back := j.GivenBack(); back != nil && !j.Ended() {
+		tx.Puts = append(tx.Puts, rows.Row(rows.ReturnKey(j.Spec.GetHome(), id, s.name), back))
+	}
 	if j.Ended() {
 		tx.Removes = append(tx.Removes, rows.SpecKey(s.name, id), rows.CancelKey(s.name, id))
+		for _, other := range j.RefusingCells() {
+			tx.Removes = append(tx.Removes, rows.ReturnKey(s.name, id, other))
+		}
 		for _, other := range j.LentCells() {
 			tx.Puts = append(tx.Puts, rows.Row(rows.CancelKey(other, id), &wire.JobRef{Cell: other, Id: id}))
 		}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -179,6 +179,8 @@
 		s.takeAccepted(now, e)
 	case CancelAsked:
 		s.takeCancel(now, e)
+	case Returned:
+		s.takeReturned(now, e.Tasks)
 	case Looked:
 		s.takeLooked(now, e)
 	case Started:
--- a/pkg/process/fleet/load.go
+++ b/pkg/process/fleet/load.go
@@ -50,6 +50,7 @@
 	fence    int64
 	jobs     []cell.LoadedJob
 	cancels  []string
+	returned []*wire.ReturnedTasks
 	versions followFrom
 	err      error
 }
@@ -71,6 +72,7 @@
 		event.Fences[rows.PartName(i)] = p.fence
 		event.Jobs = append(event.Jobs, p.jobs...)
 		event.Cancels = append(event.Cancels, p.cancels...)
+		event.Returned = append(event.Returned, p.returned...)
 		versions.specs = min(versions.specs, p.versions.specs)
 		versions.cancels = min(versions.cancels, p.versions.cancels)
 	}
@@ -100,7 +102,11 @@
 	p.versions = followFrom{specs: specs.Version, cancels: cancels.Version}
 	p.jobs = c.joinRows(specs.Rows, progress.Rows)
 	for _, r := range cancels.Rows {
-		p.cancels = append(p.cancels, r.Key.Key)
+		if !rows.IsReturn(r.Key) {
+			p.cancels = append(p.cancels, r.Key.Key)
+		} else if back := c.readReturned(r); back != nil {
+			p.returned = append(p.returned, back)
+		}
 	}
 	return p
 }
--- a/pkg/process/fleet/watch.go
+++ b/pkg/process/fleet/watch.go
@@ -244,11 +244,27 @@
 			c.Accepted(spec)
 		})
 		from.cancels = c.followTable(ctx, rows.CancelTable(name), from.cancels, func(r table.Row) {
-			c.Cancelled(name, r.Key.Key)
+			if !rows.IsReturn(r.Key) {
+				c.Cancelled(name, r.Key.Key)
+				return
+			}
+			if back := c.readReturned(r); back != nil {
+				c.tell(cellEvent{cell: name, event: cell.Returned{Tasks: back}})
+			}
 		})
 	}
 }
 
+// readReturned decodes tasks that another cell gives back; nil: it can't be read.
+func (c *Control) readReturned(r table.Row) *wire.ReturnedTasks {
+	back := &wire.ReturnedTasks{}
+	if err := rows.Read(r, back); err != nil {
+		c.unreadable(r, err)
+		return nil
+	}
+	return back
+}
+
 // followTable hands on what changed in a table, and returns as of when. When
 // the history is gone, the whole table is handed on.
 func (c *Control) followTable(ctx context.Context, name string, after int64, take func(table.Row)) int64 {
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -82,6 +82,8 @@
 	// LentTo is the cell that runs the task instead of this one; for a guest's
 	// other tasks, the cell that keeps the job.
 	LentTo string
+	// RefusedBy are cells that gave the task back, for want of room.
+	RefusedBy []string
 	// WaitsSince is when it last lost a run; zero: it never had one.
 	WaitsSince time.Time
 
@@ -116,7 +118,7 @@
 		}
 	}
 	for _, r := range j.Spec.GetGuest() {
-		if t := j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex())); t != nil {
+		if t := j.at(r); t != nil {
 			t.LentTo = ""
 		}
 	}
@@ -125,16 +127,70 @@
 // MoreGuests takes in that more of the job's tasks are lent to this cell. It
 // says whether that is so.
 func (j *Job) MoreGuests(spec *wire.JobSpec) bool {
-	if !j.Guest() || len(spec.GetGuest()) <= len(j.Spec.GetGuest()) {
+	if !j.Guest() {
 		return false
 	}
-	j.Spec = spec
+	more := false
 	for _, r := range spec.GetGuest() {
-		if t := j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex())); t != nil {
-			t.LentTo = ""
+		if t := j.at(r); t != nil && t.LentTo == elsewhere {
+			t.LentTo, more = "", true
 		}
 	}
-	return true
+	if more {
+		j.Spec = spec
+	}
+	return more
+}
+
+func (j *Job) at(r *wire.TaskRef) *Task {
+	return j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex()))
+}
+
+// GiveBack leaves a guest's task to the cell that keeps its job, for good.
+func (j *Job) GiveBack(t *Task) { t.LentTo = j.Spec.GetHome() }
+
+// GivenBack lists the tasks that a guest's cell has given back; nil: none.
+func (j *Job) GivenBack() *wire.ReturnedTasks {
+	if !j.Guest() || j.Spec.GetHome() == "" {
+		return nil
+	}
+	refs := j.refsTo(j.Spec.GetHome())
+	if len(refs) == 0 {
+		return nil
+	}
+	return &wire.ReturnedTasks{Id: j.Spec.GetId(), From: j.Spec.GetCell(), Tasks: refs}
+}
+
+// TakeBack takes in what another cell gives back. It says whether a task was lent
+// there until now.
+func (j *Job) TakeBack(r *wire.ReturnedTasks, now time.Time) bool {
+	news := false
+	for _, ref := range r.GetTasks() {
+		t := j.at(ref)
+		if t == nil {
+			continue
+		}
+		if !slices.Contains(t.RefusedBy, r.GetFrom()) {
+			t.RefusedBy = append(t.RefusedBy, r.GetFrom())
+		}
+		if t.LentTo == r.GetFrom() {
+			t.LentTo, t.Settled, t.WaitsSince, news = "", true, now, true
+		}
+	}
+	return news
+}
+
+// refsTo lists the tasks that are left to a cell.
+func (j *Job) refsTo(cell string) []*wire.TaskRef {
+	var refs []*wire.TaskRef
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			if t.LentTo == cell {
+				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index)})
+			}
+		}
+	}
+	return refs
 }
 
 // Lend leaves a task to another cell for good, and returns the specification
@@ -145,24 +201,36 @@
 	if !ok {
 		return nil // a clone has the type of what it is a clone of
 	}
-	spec.Cell, spec.Guest = cell, nil
+	spec.Cell, spec.Home, spec.Guest = cell, j.Spec.GetCell(), j.refsTo(cell)
+	return spec
+}
+
+// LentCells lists the cells that were lent tasks of the job, also those that gave
+// them back.
+func (j *Job) LentCells() []string {
+	if j.Guest() {
+		return nil
+	}
+	list := j.RefusingCells()
 	for _, u := range j.Units {
-		for _, other := range u.Tasks {
-			if other.LentTo == cell {
-				spec.Guest = append(spec.Guest, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(other.Index)})
+		for _, t := range u.Tasks {
+			if t.LentTo != "" && !slices.Contains(list, t.LentTo) {
+				list = append(list, t.LentTo)
 			}
 		}
 	}
-	return spec
+	return list
 }
 
-// LentCells lists the cells that run tasks of the job.
-func (j *Job) LentCells() []string {
+// RefusingCells lists the cells that gave tasks of the job back.
+func (j *Job) RefusingCells() []string {
 	var list []string
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
-			if t.LentTo != "" && t.LentTo != elsewhere && !slices.Contains(list, t.LentTo) {
-				list = append(list, t.LentTo)
+			for _, cell := range t.RefusedBy {
+				if !slices.Contains(list, cell) {
+					list = append(list, cell)
+				}
 			}
 		}
 	}
--- a/pkg/rows/fleet.go
+++ b/pkg/rows/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -17,6 +18,7 @@
 //	spec.CELL         PART ID    the job as it was sent, until it has ended
 //	progress.CELL     PART ID    what became of it; its cell's leader writes it
 //	cancel.CELL       PART ID    a cancel that the leader has not carried out
+//	cancel.CELL       PART ID.C  tasks that cell C gives back, until the job's end
 //	fence             PART CELL  the epoch that may write a cell's progress
 //	lead              -    CELL  who leads a cell
 //	host              -    NAME  entry hosts
@@ -25,9 +27,11 @@
 	specPrefix     = "spec."
 	progressPrefix = "progress."
 	cancelPrefix   = "cancel."
-	FenceTable     = "fence"
-	LeadTable      = "lead"
-	HostTable      = "host"
+	// returnMark stands in no job's id, which is 16 hex digits.
+	returnMark = "."
+	FenceTable = "fence"
+	LeadTable  = "lead"
+	HostTable  = "host"
 )
 
 // JobParts is over how many parts jobs are spread. A part takes some hundred
@@ -75,6 +79,15 @@
 	return table.Key{Table: CancelTable(cell), Part: JobPart(id), Key: id}
 }
 
+// ReturnKey is the key of what a cell gives back of a job to the cell that keeps it.
+// It stands among the cancels, which that cell's leader follows anyway.
+func ReturnKey(home, id, from string) table.Key {
+	return table.Key{Table: CancelTable(home), Part: JobPart(id), Key: id + returnMark + from}
+}
+
+// IsReturn says whether a row among the cancels is one that gives tasks back.
+func IsReturn(k table.Key) bool { return strings.Contains(k.Key, returnMark) }
+
 // FenceKey is the key of a cell's fence in one part.
 func FenceKey(cell, part string) table.Key {
 	return table.Key{Table: FenceTable, Part: part, Key: cell}
