Settings are read again at SIGHUP and when their file changes

Cause: nothing took SIGHUP, whose default ends a Go process. Change: a supervised part reads the file at a signal and every three seconds, checks it whole, applies lease bound, retention, grace, memory and log level, and says which settings wait for a restart; what is wrong changes nothing. One check of the log level.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -55,6 +55,9 @@
 // With returns an entry with fields that all its lines carry.
 func (l *Log) With(fields logrus.Fields) *logrus.Entry { return l.logger.WithFields(fields) }
 
+// SetLevel sets from which level on lines are written.
+func (l *Log) SetLevel(level logrus.Level) { l.logger.SetLevel(level) }
+
 // Dropped is how many lines were dropped so far.
 func (l *Log) Dropped() int64 { return l.total.Load() }
 
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -19,6 +19,9 @@
 // ManifestChanged brings a newer manifest.
 type ManifestChanged struct{ Manifest *manifest.Manifest }
 
+// BoundsChanged brings other bounds from the settings.
+type BoundsChanged struct{ Bounds Bounds }
+
 // WorkersListed brings all workers of the cell that the list holds.
 type WorkersListed struct{ Records []workers.Record }
 
@@ -131,6 +134,7 @@
 
 func (Tick) event()            {}
 func (ManifestChanged) event() {}
+func (BoundsChanged) event()   {}
 func (WorkersListed) event()   {}
 func (Led) event()             {}
 func (Deposed) event()         {}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -161,6 +161,8 @@
 	case ManifestChanged:
 		s.manifest = e.Manifest
 		s.placeNow = true
+	case BoundsChanged:
+		s.bounds = e.Bounds
 	case WorkersListed:
 		s.takeListed(now, e)
 	case Led:
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -1,9 +1,13 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wrenferry/wrenferry/pkg/configfile"
+	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 )
 
@@ -56,5 +60,18 @@
 	c := Config{
 		MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Grace: 6 * time.Second, MemoryMB: 256, LogLevel: "info",
 	}
-	return c, configfile.Parse(file, source, &c, Fields)
+	if err := configfile.Parse(file, source, &c, Fields); err != nil {
+		return c, err
+	}
+	_, err := c.Level()
+	return c, err
+}
+
+// Level is how much is logged.
+func (c Config) Level() (logrus.Level, error) {
+	level, err := logrus.ParseLevel(c.LogLevel)
+	if err != nil {
+		return level, fault.New(fault.BadInput, "logLevel", fmt.Sprintf("%q is not a level", c.LogLevel), "use debug, info, warning or error").WithCause(err)
+	}
+	return level, nil
 }
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -73,6 +73,7 @@
 	peers    *fleetpeer.Clients
 	manifest atomic.Pointer[manifest.Manifest]
 	leaving  atomic.Bool
+	grace    atomic.Int64 // of a planned stop, in ns
 	outside  Outside
 	self     election.Self
 
@@ -97,6 +98,7 @@
 		peers:     fleetpeer.NewClients(outside.Dial),
 		listeners: map[*http.Server]net.Listener{},
 	}
+	h.grace.Store(int64(config.Grace))
 	h.Hosts = &Hosts{Self: self, Peers: h.peers}
 	h.Store = store.New(outside.Table, h.Hosts.ForTable, h.Metrics, now)
 	h.Hosts.Store = h.Store
@@ -166,13 +168,14 @@
 }
 
 // Run runs the host until the context ends, and then stops it as planned.
-func (h *Host) Run(ctx context.Context) error {
+// What else is given runs beside it.
+func (h *Host) Run(ctx context.Context, beside ...suture.Service) error {
 	// A panic ends the process: a control state that was left half changed must
 	// not go on, and another host takes over.
 	supervisor := suture.New("wrenferryd", suture.Spec{PassThroughPanics: true, EventHook: func(e suture.Event) {
 		h.Log.WithField("detail", e.String()).Warn("part-ended")
 	}})
-	for _, part := range h.parts() {
+	for _, part := range append(h.parts(), beside...) {
 		supervisor.Add(part)
 	}
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -206,6 +209,15 @@
 	return list
 }
 
+// Reconfigure applies the settings that may change while the host runs.
+func (h *Host) Reconfigure(c Config) {
+	h.grace.Store(int64(c.Grace))
+	if level, err := c.Level(); err == nil { // ParseConfig has checked it
+		h.eventLog.SetLevel(level)
+	}
+	h.Control.tell(boundsChanged{bounds: c.Bounds()})
+}
+
 func (h *Host) takeManifest(m *manifest.Manifest) {
 	h.manifest.Store(m)
 	h.Control.tell(manifestCame{manifest: m})
@@ -220,7 +232,7 @@
 	h.Hosts.Leave()
 	h.handOver()
 	time.Sleep(time.Until(began.Add(balancerWait)))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.Config.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(h.grace.Load())-stopMargin))
 	defer cancel()
 	if err := h.callers.Shutdown(ctx); err != nil {
 		h.Log.WithField("why", err.Error()).Warn("stop-cut-calls")
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// boundsChanged brings new bounds from the settings.
+type boundsChanged struct{ bounds cell.Bounds }
+
+func (m boundsChanged) apply(c *Control, now time.Time) {
+	for _, s := range c.seats {
+		s.state.Take(now, cell.BoundsChanged{Bounds: m.bounds})
+	}
+}
+
 // workersCame brings the whole list of workers.
 type workersCame struct{ records []workers.Record }
 
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -11,12 +11,10 @@
 	"strings"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
-	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/platform"
@@ -68,19 +66,32 @@
 	if err != nil {
 		return err
 	}
-	level, err := logrus.ParseLevel(config.LogLevel)
+	level, err := config.Level()
 	if err != nil {
-		return fault.New(fault.BadInput, "logLevel", fmt.Sprintf("%q is not a level", config.LogLevel), "use debug, info, warning or error")
+		return err
 	}
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGHUP)
+	defer signal.Stop(asked)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(config.MemoryMB * memoryShare * (1 << 20)))
+	limitMemory(config)
 	host, err := fleet.New(config, OnPlatform(config), eventlog.New(out, level))
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return host.Run(ctx)
+	return host.Run(ctx, &fleet.Reload{
+		File: file, Source: source, Config: config, Asked: asked, Log: host.Log,
+		Apply: func(c fleet.Config) {
+			limitMemory(c)
+			host.Reconfigure(c)
+		},
+	})
+}
+
+func limitMemory(config fleet.Config) {
+	debug.SetMemoryLimit(int64(config.MemoryMB * memoryShare * (1 << 20)))
 }
 
 // OnPlatform joins a host to the platform's adapters.
