Lendings are numbered, so that a task which all cells gave back is lent again

By the logs: both other cells had given the task back, its own stayed full, and a cell that had given back was never asked again. A guest's wait also counted from its job's beginning, so it was given back after 0.2 s. Ruled out: lost rows (each word was taken in, both ways). Change: each lending has a number; what is given back names it, and a later lending to the same cell counts. A cell that gave back is passed over for 4 s. A guest waits from its arrival. Of several lendings in one transaction only the newest row is put.

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -19,7 +19,8 @@
 //
 // A cell that has filled up meanwhile gives a lent task back, once another cell tells
 // of room, in a row that the keeping cell's leader follows: from then on that one
-// alone may start it, or lend it to a cell that has not given it back.
+// alone may start it, or lend it again, elsewhere first. Lendings are numbered, so that
+// what is said of an earlier one counts no more.
 
 const (
 	// lendAfter is how long a lasting task waits before it is lent. After six
@@ -27,6 +28,9 @@
 	lendAfter = 1000 * time.Millisecond
 	// returnAfter is how long a lent task waits before it is given back.
 	returnAfter = 1500 * time.Millisecond
+	// refusedFor is how long a cell that gave a task back is not lent it again: its
+	// room was in pieces too small, and it takes a task or two to end to change that.
+	refusedFor = 4 * time.Second
 	// giveShare is the part of another cell's free room that may be filled on one
 	// word of it: others lend to it too, and its room is in pieces.
 	giveShare = 2
@@ -79,7 +83,7 @@
 
 func (s *State) lendTask(now time.Time, t *jobs.Task) {
 	size := t.Unit.Size.Millicores
-	name := s.borrower(now, size, t.RefusedBy)
+	name := s.borrower(now, size, t.RefusedAt)
 	if name == "" {
 		return
 	}
@@ -128,12 +132,12 @@
 }
 
 // borrower is the cell with the most room left for a task of the given size, but for
-// those that refused it.
-func (s *State) borrower(now time.Time, size int64, refused []string) string {
+// those that have just refused it.
+func (s *State) borrower(now time.Time, size int64, refused map[string]time.Time) string {
 	best, most := "", int64(-1)
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
 		o := s.others[name]
-		if name == s.name || slices.Contains(refused, name) || now.Sub(o.at) > othersFresh || o.load.GetLargestFreeMillicores() < size {
+		if name == s.name || now.Sub(refused[name]) < refusedFor || now.Sub(o.at) > othersFresh || o.load.GetLargestFreeMillicores() < size {
 			continue
 		}
 		left := o.load.GetFreeMillicores()/giveShare - o.given
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -89,6 +89,7 @@
 func (s *State) restore(now time.Time, e Loaded, l LoadedJob) *jobs.Job {
 	age := e.StoreNow - time.Duration(l.Spec.GetAcceptedStoreMs())*time.Millisecond
 	j := jobs.Restore(l.Spec, l.Progress, l.Recorded, now.Add(-max(0, age)), e.Wall)
+	j.Arrived(now)
 	if j.Ended() {
 		j.EndedAt = now
 	}
@@ -199,13 +200,14 @@
 		return
 	}
 	if known := s.jobs[id]; known != nil {
-		if known.MoreGuests(e.Spec) {
+		if known.MoreGuests(e.Spec, now) {
 			s.touch(known)
 		}
 		return
 	}
 	age := e.StoreNow - time.Duration(e.Spec.GetAcceptedStoreMs())*time.Millisecond
 	j := jobs.New(e.Spec, now.Add(-max(0, age)))
+	j.Arrived(now)
 	s.jobs[id] = j
 	if !s.settled && !s.unsafe.NoSettling {
 		// A forerunner that does not know of its end yet may have been told of
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -160,7 +160,7 @@
 	row := rows.Row(key, j.Progress())
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.Recorded})
 	tx.Puts = append(tx.Puts, row)
-	for _, spec := range s.lent[j] {
+	for _, spec := range newestByCell(s.lent[j]) {
 		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
 	}
 	if back := j.GivenBack(); back != nil && !j.Ended() {
@@ -178,6 +178,19 @@
 	return sentJob{job: j, value: row.Value, last: j.Ended(), lent: len(s.lent[j])}
 }
 
+// newestByCell leaves the last specification for each cell: it names all tasks that
+// were lent there, and a transaction puts a row once.
+func newestByCell(specs []*wire.JobSpec) []*wire.JobSpec {
+	list := make([]*wire.JobSpec, 0, len(specs))
+	for i, spec := range specs {
+		later := slices.ContainsFunc(specs[i+1:], func(other *wire.JobSpec) bool { return other.GetCell() == spec.GetCell() })
+		if !later {
+			list = append(list, spec)
+		}
+	}
+	return list
+}
+
 // removeRows takes away what is left of a job. Its id may then be used anew.
 func (s *State) removeRows(tx *table.Transaction, j *jobs.Job) sentJob {
 	id := j.Spec.GetId()
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -9,6 +9,7 @@
 package jobs
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -82,8 +83,11 @@
 	// LentTo is the cell that runs the task instead of this one; for a guest's
 	// other tasks, the cell that keeps the job.
 	LentTo string
-	// RefusedBy are cells that gave the task back, for want of room.
-	RefusedBy []string
+	// Lending is how often the task has been lent: word of an earlier time is old.
+	Lending int32
+	// RefusedAt is when cells gave the task back, for want of room; the zero time:
+	// before this process came to know of it.
+	RefusedAt map[string]time.Time
 	// WaitsSince is when it last lost a run; zero: it never had one.
 	WaitsSince time.Time
 
@@ -119,22 +123,33 @@
 	}
 	for _, r := range j.Spec.GetGuest() {
 		if t := j.at(r); t != nil {
-			t.LentTo = ""
+			t.LentTo, t.Lending = "", r.GetLending()
+		}
+	}
+}
+
+// Arrived says when a guest's tasks came to this cell: they wait since then.
+func (j *Job) Arrived(now time.Time) {
+	for _, r := range j.Spec.GetGuest() {
+		if t := j.at(r); t != nil && t.LentTo == "" {
+			t.WaitsSince = now
 		}
 	}
 }
 
 // MoreGuests takes in that more of the job's tasks are lent to this cell. It
 // says whether that is so.
-func (j *Job) MoreGuests(spec *wire.JobSpec) bool {
+func (j *Job) MoreGuests(spec *wire.JobSpec, now time.Time) bool {
 	if !j.Guest() {
 		return false
 	}
 	more := false
 	for _, r := range spec.GetGuest() {
-		if t := j.at(r); t != nil && t.LentTo == elsewhere {
-			t.LentTo, more = "", true
+		t := j.at(r)
+		if t == nil || (t.LentTo != elsewhere && (t.LentTo == "" || r.GetLending() <= t.Lending)) {
+			continue
 		}
+		t.LentTo, t.Lending, t.WaitsSince, more = "", r.GetLending(), now, true
 	}
 	if more {
 		j.Spec = spec
@@ -146,7 +161,8 @@
 	return j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex()))
 }
 
-// GiveBack leaves a guest's task to the cell that keeps its job, for good.
+// GiveBack leaves a guest's task to the cell that keeps its job, until that lends it
+// again.
 func (j *Job) GiveBack(t *Task) { t.LentTo = j.Spec.GetHome() }
 
 // GivenBack lists the tasks that a guest's cell has given back; nil: none.
@@ -170,11 +186,14 @@
 		if t == nil {
 			continue
 		}
-		if !slices.Contains(t.RefusedBy, r.GetFrom()) {
-			t.RefusedBy = append(t.RefusedBy, r.GetFrom())
+		if t.RefusedAt == nil {
+			t.RefusedAt = map[string]time.Time{}
 		}
-		if t.LentTo == r.GetFrom() {
+		if t.LentTo == r.GetFrom() && t.Lending == ref.GetLending() {
 			t.LentTo, t.Settled, t.WaitsSince, news = "", true, now, true
+			t.RefusedAt[r.GetFrom()] = now
+		} else if _, known := t.RefusedAt[r.GetFrom()]; !known {
+			t.RefusedAt[r.GetFrom()] = time.Time{}
 		}
 	}
 	return news
@@ -186,17 +205,18 @@
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
 			if t.LentTo == cell {
-				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index)})
+				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index), Lending: t.Lending})
 			}
 		}
 	}
 	return refs
 }
 
-// Lend leaves a task to another cell for good, and returns the specification
+// Lend leaves a task to another cell, and returns the specification
 // that this cell is to have. Tasks lent to it before stay with it.
 func (j *Job) Lend(t *Task, cell string) *wire.JobSpec {
 	t.LentTo = cell
+	t.Lending++
 	spec, ok := proto.Clone(j.Spec).(*wire.JobSpec)
 	if !ok {
 		return nil // a clone has the type of what it is a clone of
@@ -227,7 +247,7 @@
 	var list []string
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
-			for _, cell := range t.RefusedBy {
+			for _, cell := range slices.Sorted(maps.Keys(t.RefusedAt)) {
 				if !slices.Contains(list, cell) {
 					list = append(list, cell)
 				}
