A filler's wait for a harmless place ends

Ruled out: the job's rows (accepted, queued, its first tasks ran), workers put aside (none). Change: a filler may cost the more, the longer it waits (as much again after 8 s), and room is looked at over all cells of which this process has heard; with room, 1.5 s are the limit. Before: both new tests fail (no start in five minutes); after: 1.5 s among empty cells, and later in a full fleet.

--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -48,7 +48,7 @@
 	}
 	s.markDirty(j, false)
 	s.pendEnd(w, e.Number, j.Spec.GetId())
-	s.touch(j)
+	s.touch(now, j)
 }
 
 func endDetail(how workers.How, r *jobs.Run) string {
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -93,7 +93,7 @@
 	j := t.Unit.Job
 	s.lent[j] = append(s.lent[j], j.Lend(t, name))
 	s.markDirty(j, true)
-	s.touch(j)
+	s.touch(now, j)
 	s.note(Note{
 		What: NoteLent, Job: j.Spec.GetId(), Task: t.Name(), AgeMs: now.Sub(o.at).Milliseconds(),
 		Detail: fmt.Sprintf(
@@ -113,7 +113,7 @@
 	}
 	j.GiveBack(t)
 	s.markDirty(j, true)
-	s.touch(j)
+	s.touch(now, j)
 	s.note(Note{
 		What: NoteGivenBack, Job: j.Spec.GetId(), Task: t.Name(), AgeMs: now.Sub(s.others[name].at).Milliseconds(),
 		Detail: fmt.Sprintf("to %s, room at %s, after %s", j.Spec.GetHome(), name, now.Sub(waitsSince(t)).Round(time.Millisecond)),
@@ -127,7 +127,7 @@
 		return
 	}
 	s.markDirty(j, true)
-	s.touch(j)
+	s.touch(now, j)
 	s.note(Note{What: NoteTakenBack, Job: r.GetId(), AgeMs: -1, Detail: fmt.Sprintf("%d tasks, from %s", len(r.GetTasks()), r.GetFrom())})
 }
 
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -70,7 +70,7 @@
 	w.Add(r)
 	s.began(now, r)
 	s.note(Note{What: NoteAdopted, Job: t.Unit.Job.Spec.GetId(), Task: a.Task, Run: a.Run, Worker: w.ID, AgeMs: -1})
-	s.touch(t.Unit.Job)
+	s.touch(now, t.Unit.Job)
 	return r
 }
 
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -81,7 +81,7 @@
 		s.takeReturned(now, r)
 	}
 	for _, j := range s.jobs {
-		s.touch(j)
+		s.touch(now, j)
 	}
 	s.note(Note{What: NoteLoaded, Detail: fmt.Sprintf("%d jobs, %d cancels", len(s.jobs), len(e.Cancels)), AgeMs: -1})
 }
@@ -146,7 +146,7 @@
 			}
 		}
 		if changed {
-			s.touch(j)
+			s.touch(now, j)
 		}
 	}
 	s.note(Note{What: NoteSettled, Detail: fmt.Sprintf("%d tasks found nowhere, %d workers not heard", nowhere, len(s.unsettled)), AgeMs: -1})
@@ -201,7 +201,7 @@
 	}
 	if known := s.jobs[id]; known != nil {
 		if known.MoreGuests(e.Spec, now) {
-			s.touch(known)
+			s.touch(now, known)
 		}
 		return
 	}
@@ -225,7 +225,7 @@
 	if _, asked := s.cancels[id]; asked {
 		s.takeCancel(now, CancelAsked{ID: id})
 	}
-	s.touch(j)
+	s.touch(now, j)
 }
 
 // stepsInWords is what the log tells of a job's steps: count x processors x
@@ -280,7 +280,7 @@
 	j.End(p, reason, now)
 	s.scanNow = true
 	s.markDirty(j, true)
-	s.touch(j)
+	s.touch(now, j)
 	s.note(Note{
 		What: NoteJobEnded, Job: j.Spec.GetId(), AgeMs: now.Sub(j.AcceptedAt).Milliseconds(),
 		Detail: fmt.Sprintf("%s: %s", p, reason),
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -57,7 +57,7 @@
 		What: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: w.ID, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
 	})
-	s.touch(t.Unit.Job)
+	s.touch(now, t.Unit.Job)
 }
 
 // checkRuns sees to workers that are silent, to orders without an answer, and
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -112,7 +112,7 @@
 		w.Health.Refused(why, now)
 		s.noteAside(w)
 	}
-	s.touch(t.Unit.Job)
+	s.touch(now, t.Unit.Job)
 }
 
 // startUnanswered sends the same run again: a worker that has begun it says so.
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -54,7 +55,7 @@
 		return
 	}
 	s.placeNow = false
-	s.roomy = s.isRoomy()
+	s.roomy = s.isRoomy(now)
 	clear(s.neighbours)
 	clear(s.harms)
 	clear(s.held)
@@ -208,7 +209,7 @@
 	if !workers.Reserved(u).Fits(w.Free()) || (s.held[w] && !u.Lasting()) {
 		return false
 	}
-	if u.Spec.GetFiller() && (!fillerFits(now, u, w) || (s.fillerHarm(u, w) > 0 && !s.mayDisturb(now, u))) {
+	if u.Spec.GetFiller() && (!fillerFits(now, u, w) || s.fillerHarm(u, w) > s.mayCost(now, u)) {
 		return false
 	}
 	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
@@ -219,20 +220,30 @@
 }
 
 const (
-	// disturbAfter is how long a filler waits for a harmless place in a cell with
-	// room, and roomyBelow the share of its room in use below which it has some:
-	// there, work that stands still for three seconds counts as lost.
+	// disturbAfter is how long a filler waits for a harmless place in a cell, or
+	// among cells, with room, and roomyBelow the share of their room in use below
+	// which there is some: there, work that stands still for three seconds counts as
+	// lost.
 	disturbAfter = 1500 * time.Millisecond
 	roomyBelow   = 0.6
+	// patience is the wait after which a filler may cost as much more than it earns
+	// as it earns: who waits on costs its job ever more.
+	patience = 8 * time.Second
 )
 
-// mayDisturb says whether a filler may go where it costs more than it earns.
-func (s *State) mayDisturb(now time.Time, u *jobs.Unit) bool {
-	return s.roomy && now.Sub(u.Job.AcceptedAt) >= disturbAfter
+// mayCost is how much more a filler may cost its neighbours than it earns. That
+// grows with its wait: it does not wait forever.
+func (s *State) mayCost(now time.Time, u *jobs.Unit) float64 {
+	waits := now.Sub(u.ReadyAt)
+	if s.roomy && waits >= disturbAfter {
+		return math.Inf(1)
+	}
+	return earns(u) * waits.Seconds() / patience.Seconds()
 }
 
-// isRoomy says whether much of the cell's room is free.
-func (s *State) isRoomy() bool {
+// isRoomy says whether much of the room is free: in this cell, or in all of which
+// this process has heard lately.
+func (s *State) isRoomy(now time.Time) bool {
 	taken, all := int64(0), int64(0)
 	for _, w := range s.sorted() {
 		if !w.Gone {
@@ -240,6 +251,15 @@
 			taken += w.Capacity.Millicores - w.Free().Millicores
 		}
 	}
+	if float64(taken) < roomyBelow*float64(all) {
+		return true
+	}
+	for name, o := range s.others {
+		if name != s.name && now.Sub(o.at) <= othersFresh {
+			all += o.load.GetCapacityMillicores()
+			taken += o.load.GetCapacityMillicores() - o.load.GetFreeMillicores()
+		}
+	}
 	return float64(taken) < roomyBelow*float64(all)
 }
 
--- a/pkg/process/cell/place_test.go
+++ b/pkg/process/cell/place_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -29,3 +33,53 @@
 	}
 	must.Between(t, time.Second, first, 3*time.Second)
 }
+
+// waitsInAFullCell plays a cell that is mostly taken by serving tasks which every
+// filler presses on, and tells how long three fillers' starts take.
+func waitsInAFullCell(t *testing.T, others ...cell.OtherLoad) []time.Duration {
+	t.Helper()
+	b := newEmptyCell()
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{Count: 31, Millicores: 1000, Spread: 31, Lasting: true, TailTargetMs: 100, Image: "s"})
+	}
+	for range 40 {
+		b.tellAll(func(workers.Active) int64 { return 90 })
+		b.step(100 * time.Millisecond)
+	}
+	b.accept("00000000000000ff", "offers", &wire.StepSpec{Count: 3, Millicores: 15000, Filler: true, EstimateMs: 2000, Image: "f"})
+	begin := b.now
+	waits := map[string]time.Duration{}
+	for b.now.Sub(begin) < 5*time.Minute && len(waits) < 3 {
+		for _, o := range others {
+			b.state.Take(b.now, o)
+		}
+		b.tellAll(func(workers.Active) int64 { return 90 })
+		b.step(100 * time.Millisecond)
+		for i := range 3 {
+			task := fmt.Sprintf("00000000000000ff.0.0.%d", i)
+			if _, known := waits[task]; b.started[task] && !known {
+				waits[task] = b.now.Sub(begin)
+			}
+		}
+	}
+	return slices.Sorted(maps.Values(waits))
+}
+
+// Found by a hunt (bcb trouble-3, seed 490979701877, LOST 1 and 7): in a cell whose
+// room was mostly taken by serving tasks, fillers waited for a place without harm
+// until the end of the day, while other cells were empty.
+func TestAFillerInAFullCellDoesNotWaitLongAmongEmptyCells(t *testing.T) {
+	t.Parallel()
+	empty := cell.OtherLoad{Load: &wire.CellLoad{Leading: true, Cell: "other", CapacityMillicores: 2_000_000, FreeMillicores: 1_800_000}}
+	waits := waitsInAFullCell(t, empty)
+	must.Len(t, 3, waits)
+	must.Between(t, time.Second, waits[0], 3*time.Second)
+}
+
+func TestAFillerInAFullFleetDoesNotWaitForever(t *testing.T) {
+	t.Parallel()
+	full := cell.OtherLoad{Load: &wire.CellLoad{Leading: true, Cell: "other", CapacityMillicores: 2_000_000, FreeMillicores: 100_000}}
+	waits := waitsInAFullCell(t, full)
+	must.Len(t, 3, waits)
+	must.Greater(t, 3*time.Second, waits[0])
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -232,7 +232,7 @@
 	s.buryGone(now)
 	s.settle(now)
 	if s.phase == leading {
-		s.openTimes()
+		s.openTimes(now)
 		s.leave(now)
 		s.lend(now)
 		s.pace(now)
@@ -274,10 +274,12 @@
 
 // touch looks anew at which units of a job have tasks to start, and marks its
 // progress for recording.
-func (s *State) touch(j *jobs.Job) {
+func (s *State) touch(now time.Time, j *jobs.Job) {
 	for _, u := range j.Units {
 		if !j.Ended() && !u.Done() && u.Ready() && wantsStart(u) {
-			s.waiting[u] = struct{}{}
+			if _, waits := s.waiting[u]; !waits {
+				s.waiting[u], u.ReadyAt = struct{}{}, now
+			}
 		} else {
 			delete(s.waiting, u)
 		}
@@ -294,13 +296,13 @@
 	return false
 }
 
-func (s *State) openTimes() {
+func (s *State) openTimes(now time.Time) {
 	for _, j := range s.jobs {
 		if j.Spec.GetRepeats() == 0 || j.Ended() {
 			continue
 		}
 		if len(j.OpenDue(s.wall)) > 0 {
-			s.touch(j)
+			s.touch(now, j)
 		}
 	}
 }
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -55,6 +55,9 @@
 	// them speak against the unit, not the workers.
 	FailedAt map[string]bool
 
+	// ReadyAt is since when tasks of it want a start.
+	ReadyAt time.Time
+
 	done int
 	name string
 	// gangFailures are run numbers of a gang that ended in failure.
