A commit that can't have reached a peer is known not to have run

Ruled out: the straight call (unknown when it was sent, and skipped for a second after two). Before: the two new cases give 'unknown'; after: 'not run', and a peer that was asked stays 'unknown'.

--- a/pkg/connection/fleetpeer/client.go
+++ b/pkg/connection/fleetpeer/client.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/wrenferry/wrenferry/pkg/connection/sent"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -49,6 +50,7 @@
 				MinConnectTimeout: 500 * time.Millisecond,
 			}),
 			grpc.WithDisableServiceConfig(),
+			grpc.WithStatsHandler(sent.Handler{}),
 			grpc.WithNoProxy(),
 			grpc.WithReadBufferSize(bufferSize),
 			grpc.WithWriteBufferSize(bufferSize),
@@ -83,9 +85,14 @@
 	address string
 }
 
-// CommitFor asks the peer to commit a transaction in our stead.
+// CommitFor asks the peer to commit a transaction in our stead. The error has the
+// code NotRun if the peer can't have been asked.
 func (p *Peer) CommitFor(ctx context.Context, t table.Transaction) (table.Committed, error) {
+	ctx, mark := sent.WatchRPC(ctx)
 	reply, err := p.Commit(ctx, encodeTransaction(t))
+	if err != nil && !mark.Maybe() {
+		return table.Committed{}, fault.New(fault.NotRun, p.address, "no connection to the peer", "").WithCause(err)
+	}
 	if err != nil {
 		return table.Committed{}, fault.New(fault.Unknown, p.address, "the peer did not answer", "").WithCause(err)
 	}
--- /dev/null
+++ b/pkg/connection/fleetpeer/client_test.go
@@ -0,0 +1,79 @@
+package fleetpeer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/wrenferry/wrenferry/pkg/connection/fleetpeer"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// silent is a peer that takes a call in and never answers it.
+type silent struct {
+	wire.UnimplementedFleetServer
+	asked chan struct{}
+}
+
+func (s silent) Commit(ctx context.Context, _ *wire.TableCommit) (*wire.TableCommitReply, error) {
+	s.asked <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func commit(t *testing.T, address string, span time.Duration) error {
+	t.Helper()
+	clients := fleetpeer.NewClients((&net.Dialer{}).DialContext)
+	defer clients.Keep(nil)
+	p, err := clients.To(address)
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	_, err = p.CommitFor(ctx, table.Transaction{})
+	must.Error(t, err)
+	return err
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// Found in an incident (bcb inc-7cca): a hall was cut off from the table and from the
+// other halls; calls that can't have reached a peer were answered "may have run", and
+// their callers did not ask elsewhere.
+func TestACommitThatReachedNoPeerIsNotRun(t *testing.T) {
+	t.Parallel()
+	t.Run("nobody listens", func(t *testing.T) {
+		t.Parallel()
+		l := listen(t)
+		address := l.Addr().String()
+		must.NoError(t, l.Close())
+		must.Eq(t, fault.NotRun, fault.CodeOf(commit(t, address, 5*time.Second)))
+	})
+	t.Run("nobody answers the connection", func(t *testing.T) {
+		t.Parallel()
+		l := listen(t) // it is accepted by the kernel, and no server speaks
+		must.Eq(t, fault.NotRun, fault.CodeOf(commit(t, l.Addr().String(), 300*time.Millisecond)))
+	})
+	t.Run("the peer was asked", func(t *testing.T) {
+		t.Parallel()
+		l := listen(t)
+		server := grpc.NewServer()
+		s := silent{asked: make(chan struct{}, 1)}
+		wire.RegisterFleetServer(server, s)
+		go func() { _ = server.Serve(l) }()
+		defer server.Stop()
+		must.Eq(t, fault.Unknown, fault.CodeOf(commit(t, l.Addr().String(), 2*time.Second)))
+		<-s.asked
+	})
+}
