Progress is recorded at most every 120 ms a part

Ruled out as dear: waiting; dependent steps don't wait for the record, and a job's last state is not held up. Change: 120 ms instead of 40 between two transactions of a part.

--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -25,7 +25,7 @@
 const (
 	// recordPause is the least time between two transactions of a part, so that
 	// several ends share one; a job's last state does not wait for it.
-	recordPause = 40 * time.Millisecond
+	recordPause = 120 * time.Millisecond
 	// recordAgain is the pause after a transaction that failed.
 	recordAgain = 150 * time.Millisecond
 	// recordMost bounds the jobs of a transaction: each takes up to two
