Leaders share what they have learned of images

Ruled out: images that behave otherwise in other cells (regressions of all cells' readings give the same figures). Change: a load that a leader tells names its own beliefs; who decides merges them with its own by how sure each is. Only what was learned is told, never what was heard.

--- /dev/null
+++ b/pkg/process/cell/beliefs.go
@@ -0,0 +1,43 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/wrenferry/wrenferry/pkg/process/interference"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// What leaders tell each other of images: a new leader, and one whose cell has met a
+// pair of images seldom, decide by what others have seen.
+
+// beliefsToTell encodes what this process has learned.
+func beliefsToTell(own interference.Beliefs) []*wire.ImageBelief {
+	list := make([]*wire.ImageBelief, 0, len(own))
+	for _, image := range slices.Sorted(maps.Keys(own)) {
+		b := own[image]
+		told := &wire.ImageBelief{Image: image, Alone: float32(b.Alone.Mean), AloneVariance: float32(b.Alone.Variance)}
+		for _, filler := range slices.Sorted(maps.Keys(b.Fillers)) {
+			e := b.Fillers[filler]
+			told.Fillers = append(told.Fillers, &wire.PressBelief{Filler: filler, Coefficient: float32(e.Mean), Variance: float32(e.Variance)})
+		}
+		list = append(list, told)
+	}
+	return list
+}
+
+// beliefsOf decodes what another leader tells.
+func beliefsOf(l *wire.CellLoad) interference.Beliefs {
+	heard := interference.Beliefs{}
+	for _, told := range l.GetBeliefs() {
+		b := interference.ImageBelief{
+			Alone:   interference.Estimate{Mean: float64(told.GetAlone()), Variance: float64(told.GetAloneVariance())},
+			Fillers: map[string]interference.Estimate{},
+		}
+		for _, f := range told.GetFillers() {
+			b.Fillers[f.GetFiller()] = interference.Estimate{Mean: float64(f.GetCoefficient()), Variance: float64(f.GetVariance())}
+		}
+		heard[told.GetImage()] = b
+	}
+	return heard
+}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -56,6 +56,7 @@
 	}
 	s.placeNow = false
 	s.roomy = s.isRoomy(now)
+	s.press.Merge(now)
 	clear(s.neighbours)
 	clear(s.harms)
 	clear(s.held)
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -67,6 +67,7 @@
 		}
 	}
 	l.FillerRoomMillicores = s.fillerRoom()
+	l.Beliefs = beliefsToTell(s.press.Own())
 	for _, j := range s.jobs {
 		if j.Ended() {
 			continue
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -199,6 +199,9 @@
 		s.takeAdvised(now, e)
 	case OtherLoad:
 		s.others[e.Load.GetCell()] = otherLoad{load: e.Load, at: now}
+		if e.Load.GetCell() != s.name || s.phase == following {
+			s.press.Hear(e.Load.GetCell(), beliefsOf(e.Load))
+		}
 	}
 }
 
--- a/pkg/process/interference/press.go
+++ b/pkg/process/interference/press.go
@@ -34,8 +34,16 @@
 // (Tried before: least mean squares, which blamed all that was there alike; and
 // logarithms of tails, in which the same pair has another coefficient at each
 // load, so that readings missed by 0.4 of what they told.)
+//
+// Readings teach a filter of one process and cell alone. What leaders of other cells,
+// and earlier ones of the same, say of theirs is heard and merged with it, each
+// weighed by how sure it is (share.go).
 type Press struct {
 	images map[string]*filter
+	heard  map[string]Beliefs
+	merged map[string]belief
+	// mergedAt is when merged was made.
+	mergedAt time.Time
 }
 
 // The filter's figures come from a played day of readings (7,000 looks at 48
@@ -87,7 +95,9 @@
 }
 
 // NewPress returns a model that knows nothing.
-func NewPress() *Press { return &Press{images: map[string]*filter{}} }
+func NewPress() *Press {
+	return &Press{images: map[string]*filter{}, heard: map[string]Beliefs{}, merged: map[string]belief{}}
+}
 
 func (p *Press) image(serving string) *filter {
 	f := p.images[serving]
@@ -123,21 +133,13 @@
 // Coefficient is how much the filler's whole use of a worker's processors
 // would add to the serving image's level.
 func (p *Press) Coefficient(serving, filler string) float64 {
-	f := p.images[serving]
-	if f == nil {
-		return firstPress
-	}
-	i, ok := f.index[filler]
-	if !ok {
-		return firstPress
-	}
-	return f.mean[i]
+	return p.merged[serving].coefficient(filler).Mean
 }
 
 // Alone is the level of a serving image without fillers.
 func (p *Press) Alone(serving string) float64 {
-	if f := p.images[serving]; f != nil {
-		return f.mean[0]
+	if b, ok := p.merged[serving]; ok {
+		return b.alone.Mean
 	}
 	return firstAlone
 }
@@ -151,19 +153,16 @@
 	if one == other {
 		return 1
 	}
-	f, g := p.images[one], p.images[other]
-	if f == nil || g == nil {
-		return unknownAlike
-	}
+	f, g := p.merged[one], p.merged[other]
 	least, most, known := 0.0, 0.0, 0
-	for filler, i := range f.index {
-		j, ok := g.index[filler]
-		if !ok || f.cov[i][i] > surePress*surePress || g.cov[j][j] > surePress*surePress {
+	for filler, in := range f.fillers {
+		like, ok := g.fillers[filler]
+		if !ok || in.Variance > surePress*surePress || like.Variance > surePress*surePress {
 			continue
 		}
 		known++
-		least += math.Min(f.mean[i], g.mean[j])
-		most += math.Max(f.mean[i], g.mean[j])
+		least += math.Min(in.Mean, like.Mean)
+		most += math.Max(in.Mean, like.Mean)
 	}
 	if known < leastKnown || most == 0 {
 		return unknownAlike
@@ -174,8 +173,8 @@
 // Predict is the level to expect beside the given pressures.
 func (p *Press) Predict(serving string, pressures map[string]float64) float64 {
 	level := p.Alone(serving)
-	for filler, pressure := range pressures {
-		level += p.Coefficient(serving, filler) * pressure
+	for _, filler := range slices.Sorted(maps.Keys(pressures)) {
+		level += p.Coefficient(serving, filler) * pressures[filler]
 	}
 	return level
 }
@@ -252,8 +251,8 @@
 // Fillers lists the filler images that were seen beside any serving image.
 func (p *Press) Fillers() []string {
 	seen := map[string]bool{}
-	for _, f := range p.images {
-		for name := range f.index {
+	for _, b := range p.merged {
+		for name := range b.fillers {
 			seen[name] = true
 		}
 	}
--- a/pkg/process/interference/press_test.go
+++ b/pkg/process/interference/press_test.go
@@ -43,6 +43,7 @@
 		}
 		tail := time.Duration(float64(queueTail(target, busy)) * (1 + rough*random.NormFloat64()))
 		press.Learn(now, image, interference.NewReading(tail, target), used, &own)
+		press.Merge(now)
 	}
 }
 
@@ -86,6 +87,7 @@
 	for at := time.Duration(0); at < time.Minute; at += 500 * time.Millisecond {
 		tail := queueTail(target, 1-(1-level(at))/6)
 		press.Learn(begin.Add(at), "quotes", interference.NewReading(tail, target), nil, &own)
+		press.Merge(begin.Add(at))
 		if at > 10*time.Second {
 			expected := press.Alone("quotes") + own.Expect(time.Second)
 			worst = max(worst, math.Abs(expected-level(at+time.Second)))
@@ -103,7 +105,24 @@
 	for i := range 40 {
 		now := begin.Add(time.Duration(i) * 500 * time.Millisecond)
 		press.Learn(now, "quotes", interference.NewReading(100*target, target), map[string]float64{"hard": 0.5}, &own)
+		press.Merge(now)
 	}
 	before := press.Predict("quotes", map[string]float64{"hard": 0.5})
 	must.Greater(t, 0.8, before+own.Expect(0))
 }
+
+// A new leader, and one whose cell has seen little, decide by what others have seen;
+// what is heard back of one's own words adds nothing.
+func TestWhatOthersHaveLearnedCounts(t *testing.T) {
+	t.Parallel()
+	learned := interference.NewPress()
+	readings(learned, "quotes", map[string]float64{"hard": 2, "mild": 0.1}, 0.04)
+	fresh := interference.NewPress()
+	fresh.Hear("a", learned.Own())
+	fresh.Merge(time.Unix(100, 0))
+	must.Eq(t, learned.Coefficient("quotes", "hard"), fresh.Coefficient("quotes", "hard"))
+	must.Eq(t, 0, len(fresh.Own()), must.Sprint("it has learned nothing itself"))
+	fresh.Hear("a", interference.Beliefs{}) // its next leader knows nothing yet
+	fresh.Merge(time.Unix(200, 0))
+	must.Eq(t, learned.Coefficient("quotes", "hard"), fresh.Coefficient("quotes", "hard"))
+}
