Cells are led by the strongest hosts of their hall

Ruled out: the table (it answered), the workers (heard). On hosts that are alike nothing changes. Change: hosts tell how much of a processor they have; a weak one stands for a seat later, by as many seats as the strongest of its hall is stronger, and hands its own hall's cells over to one that is twice as strong and answers.

--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -8,7 +8,7 @@
 //	event -> load.go (takeover), look.go and lists.go (workers), orders.go (answers)
 //	      -> ends.go (what an end means for its job)
 //	      -> lost.go (what is taken for over), leaving.go, lend.go
-//	      -> place.go, advice.go, harm.go (what to start, and where)
+//	      -> place.go, fillers.go, harm.go, advice.go (what to start, and where)
 //	      -> pace.go (how fast fillers work)
 //	      -> record.go (what must last) and effects
 //
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -27,7 +27,9 @@
 	Retention time.Duration
 	Grace     time.Duration
 	MemoryMB  float64
-	LogLevel  string
+	// Processors is the share of a processor that the process has.
+	Processors float64
+	LogLevel   string
 }
 
 // Bounds are those of the settings that decide in a cell.
@@ -52,13 +54,14 @@
 	{Name: "retention", Example: `"2m"`, Help: "How long the state of an ended job is told (default 2m).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.Retention })},
 	{Name: "grace", Example: `"6s"`, Help: "How long a planned stop may take (default 6s).", Set: configfile.Span(func(c *Config) *time.Duration { return &c.Grace })},
 	{Name: "memoryMB", Example: `284`, Help: "The memory that the process may take, 32 to 65536 MB (default 256).", Set: configfile.Count(32, 65536, func(c *Config) *float64 { return &c.MemoryMB })},
+	{Name: "processors", Example: `0.4`, Help: "The share of a processor that the process has, 0.01 to 1024 (default 1): cells are led by the strongest hosts of their hall.", Set: configfile.Count(0.01, 1024, func(c *Config) *float64 { return &c.Processors })},
 	{Name: "logLevel", Example: `"info"`, Help: "debug, info, warning or error (default info).", Set: configfile.Value(func(c *Config) *string { return &c.LogLevel })},
 }
 
 // ParseConfig reads a settings file, whole, and reports all that is wrong.
 func ParseConfig(file string, source []byte) (Config, error) {
 	c := Config{
-		MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Grace: 6 * time.Second, MemoryMB: 256, LogLevel: "info",
+		MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Grace: 6 * time.Second, MemoryMB: 256, Processors: 1, LogLevel: "info",
 	}
 	if err := configfile.Parse(file, source, &c, Fields); err != nil {
 		return c, err
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -54,6 +54,8 @@
 	// yieldTo asks a leader of another hall for a seat of this one.
 	yieldTo func(cell, address string)
 	asked   map[string]time.Time
+	// handicap is by how many seats this host counts as busier than it is.
+	handicap func() int
 	// leads asks the process at an address whether it leads a cell; ok is false
 	// where it does not answer.
 	leads func(address, cell string) (leading, ok bool)
@@ -93,7 +95,7 @@
 	c := &Control{
 		self: self, store: st, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), seats: map[string]*seat{}, asked: map[string]time.Time{},
-		yieldTo: func(string, string) {}, leads: func(string, string) (bool, bool) { return false, false },
+		yieldTo: func(string, string) {}, handicap: func() int { return 0 }, leads: func(string, string) (bool, bool) { return false, false },
 	}
 	for name, hall := range cells {
 		c.seats[name] = &seat{
@@ -166,7 +168,7 @@
 	if s.seat.Role() == election.Leader && s.state.Quiet() {
 		s.seat.Release() // a planned stop, or a yield, has come to its end
 	}
-	if w := s.seat.Next(now, s.state.Roster(), c.held(s), c.leaving); w != nil {
+	if w := s.seat.Next(now, s.state.Roster(), c.held(s)+c.handicap(), c.leaving); w != nil {
 		go c.writeSeat(ctx, s.name, *w)
 	}
 	if s.seat.AskYield(now) && !c.leaving && now.Sub(c.asked[s.name]) > yieldAgain {
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -99,7 +99,7 @@
 		listeners: map[*http.Server]net.Listener{},
 	}
 	h.grace.Store(int64(config.Grace))
-	h.Hosts = &Hosts{Self: self, Peers: h.peers}
+	h.Hosts = &Hosts{Self: self, Peers: h.peers, Processors: config.Processors}
 	h.Store = store.New(outside.Table, h.Hosts.ForTable, h.Metrics, now)
 	h.Hosts.Store = h.Store
 	cells := map[string]string{}
@@ -109,6 +109,7 @@
 	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, outside.Advisor, h.Log, h.Metrics, options...)
 	h.Control.yieldTo = h.yieldTo
 	h.Control.leads = h.leads
+	h.Control.handicap = h.Hosts.Handicap
 	return h, h.listen()
 }
 
@@ -201,6 +202,7 @@
 		&ManifestFollower{Store: h.Store, Source: h.outside.Source, Log: h.Log, Changed: h.takeManifest},
 		&WorkersFollower{Store: h.Store, Source: h.outside.Source, Control: h.Control, Log: h.Log},
 		&LeadsFollower{Store: h.Store, Control: h.Control},
+		&relief{host: h},
 		&parts.GRPC{Server: h.grpc, Listener: h.grpcListener},
 	}
 	for s, l := range h.listeners {
@@ -249,15 +251,7 @@
 			continue
 		}
 		h.Log.WithFields(logrus.Fields{"cell": name, "to": next.GetName()}).Info("cell-handed-over")
-		p, err := h.peers.To(next.GetAddress())
-		if err != nil {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), peerWord)
-		if _, err := p.TakeOver(ctx, &wire.CellRef{Cell: name}); err != nil {
-			h.Log.WithFields(logrus.Fields{"cell": name, "to": next.GetName(), "why": err.Error()}).Warn("handover-unanswered")
-		}
-		cancel()
+		h.askToTakeOver(context.Background(), next, name)
 	}
 	deadline := time.Now().Add(handoverWait)
 	for len(h.Control.Held()) > 0 && time.Now().Before(deadline) {
--- a/pkg/process/fleet/hosts.go
+++ b/pkg/process/fleet/hosts.go
@@ -26,11 +26,13 @@
 
 // Hosts keeps the list of entry hosts, and this host's row in it.
 type Hosts struct {
-	Self    election.Self
-	Store   *store.Client
-	Peers   *fleetpeer.Clients
-	leaving atomic.Bool
-	known   atomic.Pointer[[]*wire.EntryHost]
+	// Processors is how much of a processor this host has.
+	Processors float64
+	Self       election.Self
+	Store      *store.Client
+	Peers      *fleetpeer.Clients
+	leaving    atomic.Bool
+	known      atomic.Pointer[[]*wire.EntryHost]
 }
 
 // String names the part for the supervisor.
@@ -52,7 +54,7 @@
 func (h *Hosts) write(ctx context.Context) {
 	row := &wire.EntryHost{
 		Name: h.Self.Host, Hall: h.Self.Hall, Address: h.Self.Address, Life: h.Self.Life,
-		SeenStoreMs: h.Store.Now(time.Now()).Milliseconds(), Leaving: h.leaving.Load(),
+		SeenStoreMs: h.Store.Now(time.Now()).Milliseconds(), Leaving: h.leaving.Load(), Processors: float32(h.Processors),
 	}
 	// The store client counts a failure; the next round writes again.
 	_, _ = h.Store.Commit(ctx, table.Transaction{Puts: []table.Row{rows.Row(rows.HostKey(h.Self.Host), row)}})
@@ -107,17 +109,35 @@
 	return out
 }
 
-// Successor picks the host to hand a cell over to: of the cell's hall, not
-// leaving.
+// Successor picks the host to hand a cell over to: of the cell's hall, not leaving, one
+// of the strongest; nil: there is none.
 func (h *Hosts) Successor(hall string) *wire.EntryHost {
 	var fit []*wire.EntryHost
+	most := float32(0)
 	for _, host := range h.List() {
-		if host.GetHall() == hall && !host.GetLeaving() {
-			fit = append(fit, host)
+		if host.GetHall() != hall || host.GetLeaving() || host.GetProcessors() < most {
+			continue
+		}
+		if host.GetProcessors() > most {
+			fit, most = nil, host.GetProcessors()
 		}
+		fit = append(fit, host)
 	}
 	if len(fit) == 0 {
 		return nil
 	}
 	return fit[rand.IntN(len(fit))]
 }
+
+// mostHandicap bounds by how many seats a weak host counts as busier.
+const mostHandicap = 3
+
+// Handicap is by how many seats this host is to count as busier than the strongest of
+// its hall when it stands for a seat: one for each time that one is stronger.
+func (h *Hosts) Handicap() int {
+	strongest := h.Successor(h.Self.Hall)
+	if strongest == nil || h.Processors <= 0 {
+		return 0
+	}
+	return max(0, min(mostHandicap, int(float64(strongest.GetProcessors())/h.Processors)-1))
+}
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// giveUp has this host give a cell up to a stronger one.
+type giveUp struct{ cell string }
+
+func (m giveUp) apply(c *Control, now time.Time) {
+	if s := c.seats[m.cell]; s != nil {
+		s.state.Take(now, cell.Release{})
+		s.touched = true
+	}
+}
+
 // leave begins the planned stop.
 type leave struct{}
 
--- a/pkg/process/fleet/reload.go
+++ b/pkg/process/fleet/reload.go
@@ -95,6 +95,7 @@
 		{"metrics", before.Metrics != after.Metrics},
 		{"table", before.Table != after.Table},
 		{"advice", before.Advice != after.Advice},
+		{"processors", before.Processors != after.Processors},
 	}
 	var list []string
 	for _, f := range fields {
