--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -18,7 +18,9 @@
 	// workEarns what a filler's core earns a second, both as shares of what a
 	// serving task earns. On the platform's sites: 0.5 a job of 6 tasks and 2 s
 	// makes 0.042 a task and second; 2.65 a job of 150 core-seconds makes 0.018
-	// a core and second.
+	// a core and second, 0.42 of that. Half of it is used: a job has some slack, and
+	// played days earned most with it (0.42: serving tasks lose more than fillers
+	// gain; 0.1: the other way round; see MEASUREMENTS).
 	overCost  = 4.0
 	workEarns = 0.2
 	// placeAhead is how far ahead levels are looked at for a place, and placeSD
@@ -54,7 +56,7 @@
 	scale := fillerScale(w, 0)
 	for _, r := range w.Runs {
 		if r.Task.Unit.Spec.GetFiller() {
-			n.there[r.Task.Unit.Image()] += pressure(w, r.Task.Unit, 100) * scale
+			n.there[r.Task.Unit.Image()] += pressure(w, r.Task.Unit) * scale
 		}
 	}
 	for _, r := range w.Runs {
@@ -84,7 +86,7 @@
 		n = s.neighboursOf(w)
 		s.neighbours[w] = n
 	}
-	more := pressure(w, u, 100) * fillerScale(w, u.Size.Millicores)
+	more := pressure(w, u) * fillerScale(w, u.Size.Millicores)
 	image := u.Image()
 	cost := 0.0
 	for _, t := range n.serving {
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -10,8 +10,7 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// Lending. A lasting task that finds no room in its cell is left to another one
-// for good. All rows of a job share one part of the table, so one transaction
+// Lending. A lasting task that finds no room in its cell is left to another one. All rows of a job share one part of the table, so one transaction
 // records here that the task is lent and gives the other cell a specification
 // with just that task. The job stays here: its state is told, and its cancel is
 // carried out, by this cell, which passes the cancel on in the transaction that
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -57,9 +57,9 @@
 	return interference.NewReading(r.Tail, time.Duration(r.Task.Unit.Spec.GetTailTargetMs())*time.Millisecond)
 }
 
-// pressure is the share of a worker's processors that a filler may use.
-func pressure(w *workers.Worker, u *jobs.Unit, share int) float64 {
-	return float64(u.Size.Millicores) / float64(max(1, w.Capacity.Millicores)) * float64(share) / 100
+// pressure is the share of a worker's processors that a filler asks for.
+func pressure(w *workers.Worker, u *jobs.Unit) float64 {
+	return float64(u.Size.Millicores) / float64(max(1, w.Capacity.Millicores))
 }
 
 // learnPress takes in a worker's fresh readings. What a filler has used in the
