Beliefs are told when they are asked for, and heard by all who may lead

Change: who asks for a load asks for beliefs every 3 s, and hands them to every cell that it may come to lead. A load without beliefs no longer replaces unsure ones. Before: a load names beliefs always; after: the new test.

--- a/pkg/connection/fleetpeer/server.go
+++ b/pkg/connection/fleetpeer/server.go
@@ -14,7 +14,7 @@
 	Accepted(spec *wire.JobSpec)
 	Cancelled(cell, id string)
 	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
-	Load(ctx context.Context, cell string) *wire.CellLoad
+	Load(ctx context.Context, cell string, withBeliefs bool) *wire.CellLoad
 	TakeOver(cell string)
 	Yield(cell string)
 }
@@ -35,7 +35,7 @@
 // Accepted takes a job that another host put into the table.
 func (s *Server) Accepted(ctx context.Context, m *wire.AcceptedJob) (*wire.CellLoad, error) {
 	s.Control.Accepted(m.GetSpec())
-	return s.Control.Load(ctx, m.GetSpec().GetCell()), nil
+	return s.Control.Load(ctx, m.GetSpec().GetCell(), false), nil
 }
 
 // Cancelled takes word of a cancel that stands in the table.
@@ -52,7 +52,7 @@
 
 // Load tells a cell's load, if this host leads it.
 func (s *Server) Load(ctx context.Context, m *wire.CellRef) (*wire.CellLoad, error) {
-	return s.Control.Load(ctx, m.GetCell()), nil
+	return s.Control.Load(ctx, m.GetCell(), m.GetWithBeliefs()), nil
 }
 
 // TakeOver asks this host to take a seat that is being released.
--- /dev/null
+++ b/pkg/process/cell/beliefs_test.go
@@ -0,0 +1,29 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// A process that comes to lead a cell decides by what its forerunner has told, and
+// tells only what it has learned itself.
+func TestBeliefsAreToldHeardAndNotRepeated(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	for range 30 {
+		b.step(600 * time.Millisecond)
+	}
+	must.SliceEmpty(t, b.state.Load(false).GetBeliefs())
+	told := b.state.Load(true)
+	must.Len(t, 5, told.GetBeliefs(), must.Sprint("the serving images of the busy cell"))
+
+	next := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	next.Take(b.now, cell.OtherLoad{Load: told})
+	next.Take(b.now, cell.OtherLoad{Load: &wire.CellLoad{Leading: true, Cell: "hall"}})
+	must.SliceEmpty(t, next.Load(true).GetBeliefs())
+}
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -54,7 +54,7 @@
 }
 
 // Load sums the cell up for those who choose where a job goes.
-func (s *State) Load() *wire.CellLoad {
+func (s *State) Load(withBeliefs bool) *wire.CellLoad {
 	l := &wire.CellLoad{Leading: s.Leading(), Holds: s.Holds(), Cell: s.name, Pending: map[string]int32{}}
 	for _, w := range s.sorted() {
 		if w.Gone || !w.Listed || w.Leaving {
@@ -67,7 +67,9 @@
 		}
 	}
 	l.FillerRoomMillicores = s.fillerRoom()
-	l.Beliefs = beliefsToTell(s.press.Own())
+	if withBeliefs {
+		l.Beliefs = beliefsToTell(s.press.Own())
+	}
 	for _, j := range s.jobs {
 		if j.Ended() {
 			continue
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -199,7 +199,7 @@
 		s.takeAdvised(now, e)
 	case OtherLoad:
 		s.others[e.Load.GetCell()] = otherLoad{load: e.Load, at: now}
-		if e.Load.GetCell() != s.name || s.phase == following {
+		if len(e.Load.GetBeliefs()) > 0 && (e.Load.GetCell() != s.name || s.phase == following) {
 			s.press.Hear(e.Load.GetCell(), beliefsOf(e.Load))
 		}
 	}
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
@@ -41,12 +42,12 @@
 	return a.phase, a.known
 }
 
-// Load tells a cell's load.
-func (c *Control) Load(ctx context.Context, cellName string) *wire.CellLoad {
+// Load tells a cell's load, and what its leader believes if that is asked for.
+func (c *Control) Load(ctx context.Context, cellName string, withBeliefs bool) *wire.CellLoad {
 	out := make(chan *wire.CellLoad, 1)
 	ok := c.ask(ctx, func(c *Control, _ time.Time) {
 		if s := c.seats[cellName]; s != nil {
-			out <- s.state.Load()
+			out <- s.state.Load(withBeliefs)
 			return
 		}
 		out <- &wire.CellLoad{}
@@ -57,10 +58,14 @@
 	return <-out
 }
 
-// OtherLoad takes in what the leader of a cell tells of it.
+// OtherLoad takes in what the leader of a cell tells of it. Beliefs are for every cell
+// that this process may come to lead.
 func (c *Control) OtherLoad(l *wire.CellLoad) {
-	for _, name := range c.Held() {
-		c.tell(cellEvent{cell: name, event: cell.OtherLoad{Load: l}})
+	held := c.Held()
+	for name := range c.View().Cells {
+		if len(l.GetBeliefs()) > 0 || slices.Contains(held, name) {
+			c.tell(cellEvent{cell: name, event: cell.OtherLoad{Load: l}})
+		}
 	}
 }
 
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -43,7 +43,7 @@
 	Accepted(spec *wire.JobSpec)
 	Cancelled(cell, id string)
 	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
-	Load(ctx context.Context, cell string) *wire.CellLoad
+	Load(ctx context.Context, cell string, withBeliefs bool) *wire.CellLoad
 	OtherLoad(l *wire.CellLoad)
 }
 
@@ -73,6 +73,8 @@
 	*wire.CellLoad
 	at     time.Time
 	asking bool
+	// beliefsAt is when its leader's beliefs were last asked for.
+	beliefsAt time.Time
 }
 
 // New returns the intake of a host in the given hall.
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -209,7 +209,7 @@
 func (i *Intake) askLoad(name string, c fleet.CellView) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	reply := i.fetchLoad(ctx, name, c)
+	reply := i.fetchLoad(ctx, name, c, i.wantsBeliefs(time.Now(), name))
 	i.takeLoad(time.Now(), reply)
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -218,9 +218,26 @@
 	i.loads[name] = l
 }
 
-func (i *Intake) fetchLoad(ctx context.Context, name string, c fleet.CellView) *wire.CellLoad {
+// beliefsEvery is how often a leader's beliefs are asked for: they are the bulk of a
+// load (1 KB for 5 serving and 9 filler images), and change slowly.
+const beliefsEvery = 3 * time.Second
+
+// wantsBeliefs says whether it is time to ask for a leader's beliefs.
+func (i *Intake) wantsBeliefs(now time.Time, name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	l := i.loads[name]
+	if now.Sub(l.beliefsAt) < beliefsEvery {
+		return false
+	}
+	l.beliefsAt = now
+	i.loads[name] = l
+	return true
+}
+
+func (i *Intake) fetchLoad(ctx context.Context, name string, c fleet.CellView, withBeliefs bool) *wire.CellLoad {
 	if c.Mine {
-		return i.leaders.Load(ctx, name)
+		return i.leaders.Load(ctx, name, withBeliefs)
 	}
 	if c.Address == "" {
 		return nil
@@ -229,7 +246,7 @@
 	if err != nil {
 		return nil
 	}
-	reply, err := p.Load(ctx, &wire.CellRef{Cell: name})
+	reply, err := p.Load(ctx, &wire.CellRef{Cell: name, WithBeliefs: withBeliefs})
 	if err != nil {
 		i.count("load-unanswered")
 		return nil
@@ -263,7 +280,7 @@
 		i.mu.Unlock()
 		if l.CellLoad == nil || now.Sub(l.at) > pendingFresh {
 			askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-			i.takeLoad(now, i.fetchLoad(askCtx, name, c))
+			i.takeLoad(now, i.fetchLoad(askCtx, name, c, false))
 			cancel()
 			i.mu.Lock()
 			l = i.loads[name]
