Process tests: no process starts while a port is tried

A process that is being started holds copies of all open sockets until it runs its own program; a port that another test tries and closes at that moment still takes connections, and the stand-in can't listen there. Change: one lock around trying a port and starting a process. This explains two of the three known red tests (stand-ins refused; a peer that could not listen); the third is kept: three runs for one are not explained by it.

--- a/test/promises/fleet_test.go
+++ b/test/promises/fleet_test.go
@@ -109,7 +109,22 @@
 	lastPort  = 30000
 )
 
+// spawning is held while a process is started and while a port is tried. A process
+// that is being started has, until it runs its own program, copies of all sockets that
+// were open: a port that was tried and closed meanwhile still takes connections, and
+// the program that it is for can't listen there.
+var spawning sync.Mutex
+
+// spawn starts a command.
+func spawn(c *exec.Cmd) error {
+	spawning.Lock()
+	defer spawning.Unlock()
+	return c.Start()
+}
+
 func freeAddress(t testing.TB) string {
+	spawning.Lock()
+	defer spawning.Unlock()
 	for range lastPort - firstPort {
 		offset := (nextPort.Add(1) + int32(os.Getpid()*131)) % (lastPort - firstPort)
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
@@ -127,7 +142,7 @@
 	must.NoError(f.t, err)
 	p := &process{name: name, command: exec.Command(filepath.Join(bin, program), args...), log: log, done: make(chan struct{})}
 	p.command.Stdout, p.command.Stderr = log, log
-	must.NoError(f.t, p.command.Start())
+	must.NoError(f.t, spawn(p.command))
 	f.all = append(f.all, p)
 	go func() {
 		p.err = p.command.Wait()
--- /dev/null
+++ b/test/promises/ports_test.go
@@ -0,0 +1,40 @@
+package promises_test
+
+import (
+	"net"
+	"os/exec"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Found in runs of the whole suite: a stand-in refused connections, or could not listen
+// on the port that it was given, right after a port had been tried beside the start of
+// another test's processes.
+func TestAPortThatIsHandedOutTakesNoConnections(t *testing.T) {
+	t.Parallel()
+	var stop atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !stop.Load() {
+			c := exec.Command("true")
+			if spawn(c) == nil {
+				_ = c.Wait()
+			}
+		}
+	}()
+	taken := 0
+	for range 1500 {
+		c, err := net.DialTimeout("tcp", freeAddress(t), time.Second)
+		if err == nil {
+			taken++
+			_ = c.Close()
+		}
+	}
+	stop.Store(true)
+	<-done
+	must.Eq(t, 0, taken)
+}
