An adopted filler is told its pace

Ruled out: hung workers (other runs there went on). Change: the pace of a filler that is taken over is unknown, and told once. Before: the new test sees no order; after: one.

--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -66,6 +66,9 @@
 		Task: t, Number: a.Run, Worker: w.ID, State: jobs.Running, SentAt: now, AckedAt: now,
 		BeganAt: now, ProgressAt: now, Percent: a.Percent, Pace: 100, PaceWanted: 100,
 	}
+	if t.Unit.Spec.GetFiller() {
+		r.Pace = jobs.PaceUnknown // its leader may have made it stand still
+	}
 	t.Runs = append(t.Runs, r)
 	w.Add(r)
 	s.began(now, r)
--- a/pkg/process/cell/pace_test.go
+++ b/pkg/process/cell/pace_test.go
@@ -88,3 +88,22 @@
 		must.MapLen(t, 1, there, must.Sprint(worker))
 	}
 }
+
+// Found in an incident (kadraj inc-aa94): a leader made fillers stand still and handed
+// its cell over; the next one took them for hung, stopped them and put their worker
+// aside.
+func TestAnAdoptedFillerIsToldItsPace(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	// It fits nowhere, so that only the run which is there can be it.
+	b.accept(fillerID, "offers", &wire.StepSpec{Count: 1, Millicores: 60_000, Filler: true, EstimateMs: 9000, Image: "f", Checkpointing: true})
+	r := b.reports["w03"]
+	r.Active = append(r.Active, workers.Active{Task: fillerID + ".0.0.0", Run: 7, Percent: 40})
+	for range 30 {
+		b.step(20 * time.Millisecond)
+	}
+	must.SliceNotEmpty(t, b.paces)
+	must.Eq(t, 7, b.paces[0].Pace.Run)
+	must.Eq(t, 100, b.paces[0].Pace.Percent)
+	must.Len(t, 1, b.paces, must.Sprint("once"))
+}
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -24,6 +24,10 @@
 	Stopping
 )
 
+// PaceUnknown stands for the pace of a run that an earlier leader may have changed:
+// workers do not list it.
+const PaceUnknown = -1
+
 // Run is one start of a task at one worker.
 type Run struct {
 	Task   *Task
