The log tells why a task waits and why a job went to its cell

Ruled out: room and unused processors (0 to 5 of 16 workers lack them).

Change: task-waits after 2 s, then every 5 s: how many usable workers lack what. job-accepted tells each cell's estimated wait and the age of the load behind it. The lines name racks and labels.

Before: no line.

--- a/pkg/process/cell/bench_test.go
+++ b/pkg/process/cell/bench_test.go
@@ -28,6 +28,7 @@
 	at    map[string]string
 	paces []cell.SendPace
 	stops []cell.SendStop
+	notes []cell.Note
 }
 
 var theManifest = manifest.New(1, []manifest.Queue{
@@ -117,6 +118,8 @@
 			})
 		case cell.SendStop:
 			b.stops = append(b.stops, e)
+		case cell.Note:
+			b.notes = append(b.notes, e)
 		case cell.Record:
 			b.records = append(b.records, e)
 			b.version++
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -243,8 +243,8 @@
 			{step.GetGang(), "gang"},
 			{step.GetCopies(), "copies"},
 			{step.GetSpread() > 0, "spread"},
-			{step.GetRack() != "", "near"},
-			{step.GetLabel() != "", "label"},
+			{step.GetRack() != "", "near " + step.GetRack()},
+			{step.GetLabel() != "", "label " + step.GetLabel()},
 		} {
 			if word.say {
 				b.WriteString(" " + word.what)
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -53,7 +53,7 @@
 			w = workers.New(r)
 			s.workers[r.ID] = w
 			s.reorder = true
-			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v", r.Service, r.Address, r.Capacity), AgeMs: -1})
+			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v, labels %v", r.Service, r.Address, r.Capacity, r.Labels), AgeMs: -1})
 		}
 		s.takeRecord(now, w, r)
 	}
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -17,6 +17,7 @@
 	NoteJobEnded     What = "job-ended"
 	NoteJobRecorded  What = "job-recorded"
 	NoteRecordFailed What = "record-failed"
+	NoteWaits        What = "task-waits"
 	NoteStart        What = "task-start"
 	NoteStartRefused What = "task-start-refused"
 	NoteStartUnsure  What = "task-start-unsure"
@@ -59,6 +60,7 @@
 	{NoteJobEnded, "a job's last state was decided; detail: state, reason, time since acceptance"},
 	{NoteJobRecorded, "the table holds a job's last state: callers are told from now on"},
 	{NoteRecordFailed, "progress could not be written, and is tried again"},
+	{NoteWaits, "a task that could start finds no place for long; detail: what each usable worker lacks, the wait"},
 	{NoteStart, "a task is ordered to start; detail: wait, room left, checkpoint"},
 	{NoteStartRefused, "the worker refused the start; detail: why"},
 	{NoteStartUnsure, "the start got no answer: it may run"},
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sort"
@@ -147,6 +148,7 @@
 		w := s.choose(now, t, service, usable)
 		if w == nil {
 			s.holdFor(now, t, service, usable)
+			s.tellWait(now, t, service, usable)
 			return
 		}
 		s.start(now, w, t, s.nextRun(), s.ticket(u, w))
@@ -203,20 +205,66 @@
 
 // fits says whether one more task of a unit may go to a worker.
 func (s *State) fits(now time.Time, u *jobs.Unit, service string, w *workers.Worker) bool {
-	if w.Service != service || !w.HasLabel(u.Spec.GetLabel()) {
-		return false
-	}
-	if !workers.Reserved(u).Fits(w.Free()) || (s.held[w] && !u.Lasting()) {
-		return false
-	}
-	if u.Spec.GetFiller() && (!fillerFits(now, u, w) || s.fillerHarm(u, w) > s.mayCost(now, u)) {
-		return false
+	return s.lacks(now, u, service, w) == lacksNothing
+}
+
+// lack is what keeps a task from a worker.
+type lack string
+
+const (
+	lacksNothing lack = ""
+	lacksLabel   lack = "label"
+	lacksRoom    lack = "room"
+	lacksHold    lack = "held for lasting tasks"
+	lacksUnused  lack = "unused processors"
+	lacksHarm    lack = "harm to neighbours"
+	lacksSpread  lack = "spread"
+	lacksHealth  lack = "put aside"
+)
+
+func (s *State) lacks(now time.Time, u *jobs.Unit, service string, w *workers.Worker) lack {
+	switch {
+	case w.Service != service || !w.HasLabel(u.Spec.GetLabel()):
+		return lacksLabel
+	case !workers.Reserved(u).Fits(w.Free()):
+		return lacksRoom
+	case s.held[w] && !u.Lasting():
+		return lacksHold
+	case u.Spec.GetFiller() && !fillerFits(now, u, w):
+		return lacksUnused
+	case u.Spec.GetFiller() && s.fillerHarm(u, w) > s.mayCost(now, u):
+		return lacksHarm
+	case u.Spec.GetSpread() > 0 && w.CountOf(u) >= int(u.Spec.GetSpread()):
+		return lacksSpread
+	case w.Health.Aside(now): // one that was put aside gets one run as a trial
+		return lacksHealth
+	}
+	return lacksNothing
+}
+
+const (
+	// waitTold is the wait after which the log says why a task waits, and
+	// waitToldAgain the time until it says so again.
+	waitTold      = 2 * time.Second
+	waitToldAgain = 5 * time.Second
+)
+
+// tellWait says in the log what keeps a task waiting.
+func (s *State) tellWait(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
+	u := t.Unit
+	waited := now.Sub(u.ReadyAt)
+	if waited < waitTold || now.Sub(u.WaitToldAt) < waitToldAgain {
+		return
 	}
-	if most := int(u.Spec.GetSpread()); most > 0 && w.CountOf(u) >= most {
-		return false
+	u.WaitToldAt = now
+	counts := map[lack]int{}
+	for _, w := range usable {
+		counts[s.lacks(now, u, service, w)]++
 	}
-	// A worker that was put aside gets one run as a trial.
-	return !w.Health.Aside(now)
+	s.note(Note{
+		What: NoteWaits, Job: u.Job.Spec.GetId(), Task: t.Name(), AgeMs: waited.Milliseconds(),
+		Detail: fmt.Sprintf("%d usable workers lack: %v", len(usable), counts),
+	})
 }
 
 const (
--- a/pkg/process/cell/place_test.go
+++ b/pkg/process/cell/place_test.go
@@ -83,3 +83,23 @@
 	must.Len(t, 3, waits)
 	must.Greater(t, 3*time.Second, waits[0])
 }
+
+// Nothing told why fillers waited for 20 s and more in one cell of a quiet day: a wait
+// is a decision too.
+func TestTheLogSaysWhatAWaitingTaskLacks(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept("00000000000000aa", "offers", &wire.StepSpec{Count: 1, Millicores: 33000})
+	for range 80 {
+		b.step(50 * time.Millisecond)
+	}
+	var told []cell.Note
+	for _, n := range b.notes {
+		if n.What == cell.NoteWaits {
+			told = append(told, n)
+		}
+	}
+	must.Len(t, 1, told, must.Sprint("once, after two seconds, not at each decision"))
+	must.Eq(t, "00000000000000aa.0.0.0", told[0].Task)
+	must.StrContains(t, told[0].Detail, "16 usable workers lack: map[room:16]")
+}
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -53,6 +53,8 @@
 
 	// ReadyAt is since when tasks of it want a start.
 	ReadyAt time.Time
+	// WaitToldAt is when the log last said why they wait.
+	WaitToldAt time.Time
 
 	done int
 	name string
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -91,20 +91,21 @@
 // is known: fault.NotRun if it surely does not, else fault.Unknown.
 func (i *Intake) Submit(ctx context.Context, now time.Time, q manifest.Queue, spec *wire.JobSpec) error {
 	if _, known := i.anchors.Get(spec.GetId()); known {
-		i.logJob("job-accepted-again", spec, now, nil)
+		i.logJob("job-accepted-again", spec, now, "", nil)
 		return nil
 	}
 	spec.Queue, spec.Service = q.Name, q.Service
-	spec.Cell = i.choose(now, spec)
+	chosen := i.choose(now, spec)
+	spec.Cell = chosen.cell
 	spec.AcceptedStoreMs = i.store.Now(now).Milliseconds()
 	err := i.insert(ctx, spec)
 	if err != nil {
 		i.count("refused." + string(fault.CodeOf(err)))
-		i.logJob("job-refused", spec, now, err)
+		i.logJob("job-refused", spec, now, chosen.why, err)
 		return err
 	}
 	i.count("accepted")
-	i.logJob("job-accepted", spec, now, nil)
+	i.logJob("job-accepted", spec, now, chosen.why, nil)
 	return nil
 }
 
@@ -307,10 +308,13 @@
 	metrics.GetOrRegisterCounter("jobs."+what, i.metrics).Inc(1)
 }
 
-func (i *Intake) logJob(event string, spec *wire.JobSpec, began time.Time, err error) {
+func (i *Intake) logJob(event string, spec *wire.JobSpec, began time.Time, detail string, err error) {
 	fields := logrus.Fields{
 		"job": spec.GetId(), "queue": spec.GetQueue(), "cell": spec.GetCell(), "ms": time.Since(began).Milliseconds(),
 	}
+	if detail != "" {
+		fields["detail"] = detail
+	}
 	if err != nil {
 		fields["why"] = err.Error()
 		fields["outcome"] = string(fault.CodeOf(err))
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -94,17 +98,34 @@
 
 // choose picks the cell for a new job, and counts the job to it until the next
 // word of its leader.
-func (i *Intake) choose(now time.Time, spec *wire.JobSpec) string {
+func (i *Intake) choose(now time.Time, spec *wire.JobSpec) choice {
 	d := demandOf(spec)
+	view := i.leaders.View()
+	var words []string
 	best, bestCost := "", 0.0
-	for name, c := range i.leaders.View().Cells {
-		cost := i.cost(now, name, c, d)
-		if best == "" || cost < bestCost || (cost == bestCost && name < best) {
+	for _, name := range slices.Sorted(maps.Keys(view.Cells)) {
+		cost := i.cost(now, name, view.Cells[name], d)
+		words = append(words, fmt.Sprintf("%s %.0f (%s)", name, cost, i.loadAge(now, name)))
+		if best == "" || cost < bestCost {
 			best, bestCost = name, cost
 		}
 	}
 	i.addDemand(best, d)
-	return best
+	return choice{cell: best, why: "ms of wait (load's age): " + strings.Join(words, ", ")}
+}
+
+// choice is the cell for a job, and what decided it.
+type choice struct{ cell, why string }
+
+// loadAge tells how old a cell's load is, for the log.
+func (i *Intake) loadAge(now time.Time, name string) string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	l := i.loads[name]
+	if l.CellLoad == nil {
+		return "unknown"
+	}
+	return now.Sub(l.at).Round(time.Millisecond).String()
 }
 
 // cost is how many ms the job would wait in a cell, and what the way costs.
