Fillers without a harmless place are lent to a cell that has one

Change: waiting fillers that were never tried are lent, many at once, to the cell that tells of room for their image (CellLoad.filler_free). The borrower reports what is done, or has failed for good, in the row in which it gives tasks back; leaders tell each other at once, and find it in the table otherwise. A guest ends by its home's word alone. A cancel or report that comes after a job's end is cleaned up. Transactions are bounded by their entries, as borrowing cells add some.

--- a/pkg/connection/fleetpeer/server.go
+++ b/pkg/connection/fleetpeer/server.go
@@ -13,6 +13,7 @@
 type Control interface {
 	Accepted(spec *wire.JobSpec)
 	Cancelled(cell, id string)
+	Returned(r *wire.ReturnedTasks)
 	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
 	Load(ctx context.Context, cell string, withBeliefs bool) *wire.CellLoad
 	TakeOver(cell string)
@@ -44,6 +45,12 @@
 	return &wire.Empty{}, nil
 }
 
+// Returned takes word of what became of tasks that this host's cell has lent.
+func (s *Server) Returned(_ context.Context, m *wire.ReturnedTasks) (*wire.Empty, error) {
+	s.Control.Returned(m)
+	return &wire.Empty{}, nil
+}
+
 // State tells a job's state, if this host leads its cell.
 func (s *Server) State(ctx context.Context, m *wire.JobRef) (*wire.JobStateReply, error) {
 	phase, known := s.Control.Phase(ctx, m.GetCell(), m.GetId())
--- a/pkg/process/cell/beliefs_test.go
+++ b/pkg/process/cell/beliefs_test.go
@@ -18,12 +18,12 @@
 	for range 30 {
 		b.step(600 * time.Millisecond)
 	}
-	must.SliceEmpty(t, b.state.Load(false).GetBeliefs())
-	told := b.state.Load(true)
+	must.SliceEmpty(t, b.state.Load(b.now, false).GetBeliefs())
+	told := b.state.Load(b.now, true)
 	must.Len(t, 5, told.GetBeliefs(), must.Sprint("the serving images of the busy cell"))
 
 	next := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
 	next.Take(b.now, cell.OtherLoad{Load: told})
 	next.Take(b.now, cell.OtherLoad{Load: &wire.CellLoad{Leading: true, Cell: "hall"}})
-	must.SliceEmpty(t, next.Load(true).GetBeliefs())
+	must.SliceEmpty(t, next.Load(b.now, true).GetBeliefs())
 }
--- /dev/null
+++ b/pkg/process/cell/busycell_test.go
@@ -0,0 +1,162 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// busyCell is a cell as on a busy day: 16 workers full of serving tasks and
+// fillers, more fillers waiting.
+type busyCell struct {
+	state   *cell.State
+	now     time.Time
+	clock   time.Duration
+	reports map[string]*workers.Report
+	looks   []cell.SendLook
+	version int64
+	records []cell.Record
+	started map[string]bool
+	// at is the worker of each task that was started.
+	at    map[string]string
+	paces []cell.SendPace
+	stops []cell.SendStop
+	notes []cell.Note
+	words []cell.Tell
+	ends  int64
+}
+
+var theManifest = manifest.New(1, []manifest.Queue{
+	{Name: "offers", Service: "quotes", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+	{Name: "watches", Service: "quotes", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+}, []manifest.Service{{Name: "quotes", Guards: true}}, manifest.Limits{})
+
+// newEmptyCell is its 16 workers with nothing on them.
+func newEmptyCell() *busyCell {
+	b := &busyCell{
+		started: map[string]bool{}, at: map[string]string{},
+		state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
+		reports: map[string]*workers.Report{},
+	}
+	records := make([]workers.Record, 16)
+	ids := make([]string, 16)
+	for i := range records {
+		ids[i] = fmt.Sprintf("w%02d", i)
+		records[i] = workers.Record{
+			ID: ids[i], Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: ids[i],
+			Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+		}
+		b.reports[ids[i]] = &workers.Report{}
+	}
+	b.state.Take(b.now, cell.ManifestChanged{Manifest: theManifest})
+	b.state.Take(b.now, cell.WorkersListed{Records: records})
+	b.state.Take(b.now, cell.Led{Epoch: 1, RosterUntil: b.now})
+	b.state.Take(b.now, cell.Loaded{Epoch: 1, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1}, Wall: b.now})
+	b.state.Take(b.now, cell.RosterRecorded{IDs: ids})
+	b.step(0)
+	return b
+}
+
+func newBusyCell() *busyCell {
+	b := newEmptyCell()
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{
+			Count: 5, Millicores: 6000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: fmt.Sprintf("s%d", i%5),
+		})
+	}
+	for i := range 60 {
+		b.offer(100 + i)
+	}
+	for range 100 {
+		b.step(20 * time.Millisecond)
+	}
+	return b
+}
+
+func (b *busyCell) offer(i int) {
+	b.accept(fmt.Sprintf("%016x", i), "offers", &wire.StepSpec{
+		Count: 8, Millicores: 3500, MemoryMb: 6000, Filler: true, EstimateMs: 2700, Image: fmt.Sprintf("f%d", i%9), Checkpointing: true,
+	})
+}
+
+func (b *busyCell) accept(id, queue string, steps ...*wire.StepSpec) {
+	b.state.Take(b.now, cell.Accepted{Spec: &wire.JobSpec{Id: id, Queue: queue, Service: "quotes", Cell: "hall", Steps: steps}})
+}
+
+// step lets time pass, answers every call, and decides.
+func (b *busyCell) step(span time.Duration) {
+	b.now = b.now.Add(span)
+	b.clock += span
+	b.state.Take(b.now, cell.Tick{})
+	looks := b.looks
+	b.looks = nil
+	for _, l := range looks {
+		report := *b.reports[l.To.ID]
+		report.Clock = b.clock
+		b.state.Take(b.now, cell.Looked{Worker: l.To.ID, SentAt: b.now, Report: report})
+	}
+	for _, e := range b.state.Decide(b.now, b.now) {
+		switch e := e.(type) {
+		case cell.SendLook:
+			b.looks = append(b.looks, e)
+			b.state.Take(b.now, cell.Looked{Worker: e.To.ID, SentAt: b.now, Report: b.report(e.To.ID)})
+		case cell.SendStart:
+			b.started[e.Start.Task] = true
+			b.at[e.Start.Task] = e.To.ID
+			r := b.reports[e.To.ID]
+			r.Active = append(r.Active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1, Reading: 40})
+			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}})
+		case cell.SendPace:
+			b.paces = append(b.paces, e)
+			b.state.Take(b.now, cell.PaceAnswered{
+				Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent, Reply: workers.Reply{Clock: b.clock},
+			})
+		case cell.SendStop:
+			b.stops = append(b.stops, e)
+		case cell.Tell:
+			b.words = append(b.words, e)
+		case cell.Note:
+			b.notes = append(b.notes, e)
+		case cell.Record:
+			b.records = append(b.records, e)
+			b.version++
+			b.state.Take(b.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: b.version}})
+		}
+	}
+}
+
+func (b *busyCell) report(id string) workers.Report {
+	r := *b.reports[id]
+	r.Clock = b.clock
+	return r
+}
+
+// finish ends a run as its worker lists it.
+func (b *busyCell) finish(task string, how workers.How) {
+	r := b.reports[b.at[task]]
+	for i, a := range r.Active {
+		if a.Task == task {
+			b.ends++
+			r.Active = append(r.Active[:i:i], r.Active[i+1:]...)
+			r.Ended = append(r.Ended, workers.End{Number: b.ends, Task: task, Run: a.Run, How: how})
+			return
+		}
+	}
+}
+
+// removed says whether a row was ever taken away.
+func (b *busyCell) removed(key table.Key) bool {
+	for _, r := range b.records {
+		if slices.Contains(r.Transaction.Removes, key) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -80,7 +80,18 @@
 	} else {
 		t.MarkDone()
 	}
-	if j := t.Unit.Job; j.AllDone() {
+	s.completeIfDone(now, t.Unit.Job)
+}
+
+// completeIfDone ends a job that has no more to do. A guest ends by the word of the
+// cell that keeps it, which is told at once.
+func (s *State) completeIfDone(now time.Time, j *jobs.Job) {
+	switch {
+	case j.Guest():
+		if j.LentDone() {
+			s.markDirty(j, true)
+		}
+	case j.AllDone():
 		s.endJob(now, j, wire.JobPhase_JOB_PHASE_COMPLETED, "all tasks are done")
 	}
 }
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -191,6 +191,16 @@
 	Transaction table.Transaction
 }
 
+// Tell asks for word to the leader of another cell of what stands in the table by now:
+// tasks that it is lent, what became of tasks that it has lent, or the end of a job of
+// which it has tasks. It is only faster than the table, which that leader follows.
+type Tell struct {
+	Cell      string
+	Lent      *wire.JobSpec
+	Returned  *wire.ReturnedTasks
+	Cancelled string
+}
+
 // StepDown says that another leader was found to be in charge.
 type StepDown struct{ Why string }
 
@@ -214,5 +224,6 @@
 func (SendStop) effect()  {}
 func (SendPace) effect()  {}
 func (Record) effect()    {}
+func (Tell) effect()      {}
 func (StepDown) effect()  {}
 func (Note) effect()      {}
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -119,6 +119,55 @@
 	return room
 }
 
+// fillerFreeMost bounds the fillers of one worker that fillerFree counts.
+const fillerFreeMost = 4
+
+// fillerFree sums up, for each filler image that was seen, what could start at once
+// without costing more than it earns, less what waits here already.
+func (s *State) fillerFree() map[string]int64 {
+	free := map[string]int64{}
+	images := s.press.Fillers()
+	for _, w := range s.sorted() {
+		if !w.Listed || w.Leaving || w.Gone || !w.SilentSince.IsZero() || !s.roster[w.ID] {
+			continue
+		}
+		n := s.neighboursOf(w)
+		for _, image := range images {
+			free[image] += typicalFiller * s.fillersThatFit(w, n, image)
+		}
+	}
+	for u := range s.waiting {
+		if !u.Spec.GetFiller() {
+			continue
+		}
+		for _, t := range u.Tasks {
+			if !t.Done && t.LentTo == "" && len(t.Runs) == 0 {
+				free[u.Image()] -= u.Size.Millicores
+			}
+		}
+	}
+	return free
+}
+
+// fillersThatFit is how many more fillers of usual size a worker takes.
+func (s *State) fillersThatFit(w *workers.Worker, n neighbours, image string) int64 {
+	fit := int64(0)
+	for fit < fillerFreeMost && w.Unused() >= (fit+1)*typicalFiller {
+		asks := (fit + 1) * typicalFiller
+		more := float64(asks) / float64(max(1, w.Capacity.Millicores)) * fillerScale(w, asks)
+		cost := 0.0
+		for _, t := range n.serving {
+			rise := s.press.Coefficient(t.image, image) * more
+			cost += overChance(t.level+rise, placeSD) - overChance(t.level, placeSD)
+		}
+		if overCost*cost > workEarns*float64(asks)/1000 {
+			break
+		}
+		fit++
+	}
+	return fit
+}
+
 // harmless says whether a filler of usual size may run beside a worker's serving
 // tasks at their usual load.
 func (s *State) harmless(image string, w *workers.Worker) bool {
--- a/pkg/process/cell/lend_test.go
+++ b/pkg/process/cell/lend_test.go
@@ -116,7 +116,7 @@
 	b.putsOf(t, rows.ProgressKey("hall", lentJob), func(r table.Row) { must.NoError(t, rows.Read(r, progress)) })
 	again := jobs.Restore(spec, progress, 1, time.Unix(0, 0), time.Unix(0, 0))
 	must.Eq(t, "home", again.Task(0, 0, 1).LentTo)
-	must.Len(t, 1, again.GivenBack().GetTasks())
+	must.Len(t, 1, again.Report().GetTasks())
 }
 
 func TestATaskThatIsGivenBackIsLentToAThirdCell(t *testing.T) {
@@ -170,13 +170,13 @@
 	t.Parallel()
 	spec := &wire.JobSpec{Id: lentJob, Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Lasting: true}}}
 	j := jobs.New(spec, time.Unix(0, 0))
-	must.NotNil(t, j.Lend(j.Task(0, 0, 1), "full"))
+	must.NotNil(t, j.Lend("full", j.Task(0, 0, 1)))
 	again := jobs.Restore(spec, j.Progress(), 1, time.Unix(0, 0), time.Unix(0, 0))
 	back := &wire.ReturnedTasks{Id: lentJob, From: "full", Tasks: []*wire.TaskRef{{Index: 1, Lending: 1}}}
 	must.True(t, again.TakeBack(back, time.Unix(1, 0)))
 	must.False(t, again.TakeBack(back, time.Unix(2, 0)))
 	must.Eq(t, "", again.Task(0, 0, 1).LentTo)
-	must.Eq(t, []string{"full"}, again.RefusingCells())
+	must.Eq(t, []string{"full"}, again.Borrowers())
 }
 
 // Found on an own day (kadraj, scale-in and failing workers, LOST 2): both other cells
@@ -210,7 +210,7 @@
 	j := jobs.New(spec(1), time.Unix(0, 0))
 	j.GiveBack(j.Task(0, 0, 1))
 	must.Len(t, 0, j.Units[0].Waiting(time.Unix(1, 0)))
-	must.Eq(t, 1, j.GivenBack().GetTasks()[0].GetLending())
+	must.Eq(t, 1, j.Report().GetTasks()[0].GetLending())
 	gaveBack := j.Progress()
 	must.False(t, j.MoreGuests(spec(1), time.Unix(1, 0)))
 	must.True(t, j.MoreGuests(spec(2), time.Unix(1, 0)))
@@ -255,8 +255,8 @@
 	t.Parallel()
 	spec := &wire.JobSpec{Id: "00000000000000ff", Steps: []*wire.StepSpec{{Count: 2, Lasting: true}}}
 	j := jobs.New(spec, time.Unix(0, 0))
-	must.NotNil(t, j.Lend(j.Task(0, 0, 1), "other"))
+	must.NotNil(t, j.Lend("other", j.Task(0, 0, 1)))
 	again := jobs.Restore(spec, j.Progress(), 1, time.Unix(0, 0), time.Unix(0, 0))
-	must.Eq(t, []string{"other"}, again.LentCells())
+	must.Eq(t, []string{"other"}, again.Borrowers())
 	must.Eq(t, "other", again.Task(0, 0, 1).LentTo)
 }
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -266,6 +266,7 @@
 	}
 	delete(s.cancels, e.ID)
 	if j.Ended() {
+		s.markDirty(j, false) // so that the cancel's row goes
 		return
 	}
 	s.endJob(now, j, wire.JobPhase_JOB_PHASE_CANCELLED, "cancelled by its caller")
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -8,7 +8,7 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// What others may ask of a State. Nothing here changes it.
+// What others may ask of a State. Nothing here changes what it decides.
 
 // Leading says whether this process leads the cell and has loaded its jobs.
 func (s *State) Leading() bool { return s.phase == leading || s.phase == releasing }
@@ -53,8 +53,15 @@
 	return wire.JobPhase_JOB_PHASE_QUEUED, true
 }
 
+// roomsGoodFor is how old the sums of room for fillers may be that a load tells: they
+// look at each worker's neighbours, and many hosts ask.
+const roomsGoodFor = 250 * time.Millisecond
+
 // Load sums the cell up for those who choose where a job goes.
-func (s *State) Load(withBeliefs bool) *wire.CellLoad {
+func (s *State) Load(now time.Time, withBeliefs bool) *wire.CellLoad {
+	if now.Sub(s.roomsAt) > roomsGoodFor {
+		s.fillerRooms, s.fillerFrees, s.roomsAt = s.fillerRoom(), s.fillerFree(), now
+	}
 	l := &wire.CellLoad{Leading: s.Leading(), Holds: s.Holds(), Cell: s.name, Pending: map[string]int32{}}
 	for _, w := range s.sorted() {
 		if w.Gone || !w.Listed || w.Leaving {
@@ -66,7 +73,7 @@
 			l.LargestFreeMillicores = max(l.LargestFreeMillicores, w.Free().Millicores)
 		}
 	}
-	l.FillerRoomMillicores = s.fillerRoom()
+	l.FillerRoomMillicores, l.FillerFreeMillicores = s.fillerRooms, s.fillerFrees
 	if withBeliefs {
 		l.Beliefs = beliefsToTell(s.press.Own())
 	}
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -28,9 +28,8 @@
 	recordPause = 120 * time.Millisecond
 	// recordAgain is the pause after a transaction that failed.
 	recordAgain = 150 * time.Millisecond
-	// recordMost bounds the jobs of a transaction: each takes up to two
-	// conditions, a row to put and two to remove, of 100 entries in all.
-	recordMost = 24
+	// recordMost bounds the entries of a transaction: the platform takes 100.
+	recordMost = 100
 )
 
 // part is the writing side of one part of the table.
@@ -64,6 +63,8 @@
 	expired bool
 	// lent is how many specifications for other cells went with it.
 	lent int
+	// words are for the leaders of other cells, once this is durable.
+	words []Tell
 }
 
 // pendingEnd is an end that may be acknowledged when its change is durable.
@@ -130,14 +131,14 @@
 	p.sent = map[string]sentJob{}
 	tx := table.Transaction{Conditions: []table.Condition{{Key: rows.FenceKey(s.name, p.name), Version: p.fence}}}
 	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
-		if len(p.sent) >= recordMost {
+		if tx.Entries()+s.entriesOf(p.dirty[id]) > recordMost {
 			break
 		}
 		p.sent[id] = s.addRow(&tx, p.dirty[id])
 		delete(p.dirty, id)
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.expired)) {
-		if len(p.sent) >= recordMost {
+		if tx.Entries()+entriesOfExpired > recordMost {
 			break
 		}
 		p.sent[id] = s.removeRows(&tx, p.expired[id])
@@ -160,24 +161,34 @@
 	row := rows.Row(key, j.Progress())
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.Recorded})
 	tx.Puts = append(tx.Puts, row)
+	sent := sentJob{job: j, value: row.Value, last: j.Ended(), lent: len(s.lent[j])}
 	for _, spec := range newestByCell(s.lent[j]) {
 		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
+		sent.words = append(sent.words, Tell{Cell: spec.GetCell(), Lent: spec})
 	}
-	if back := j.GivenBack(); back != nil && !j.Ended() {
-		tx.Puts = append(tx.Puts, rows.Row(rows.ReturnKey(j.Spec.GetHome(), id, s.name), back))
+	if report := j.Report(); report != nil {
+		tx.Puts = append(tx.Puts, rows.Row(rows.ReturnKey(report.GetHome(), id, s.name), report))
+		sent.words = append(sent.words, Tell{Cell: report.GetHome(), Returned: report})
 	}
 	if j.Ended() {
 		tx.Removes = append(tx.Removes, rows.SpecKey(s.name, id), rows.CancelKey(s.name, id))
-		for _, other := range j.RefusingCells() {
+		for _, other := range j.Borrowers() {
 			tx.Removes = append(tx.Removes, rows.ReturnKey(s.name, id, other))
-		}
-		for _, other := range j.LentCells() {
 			tx.Puts = append(tx.Puts, rows.Row(rows.CancelKey(other, id), &wire.JobRef{Cell: other, Id: id}))
+			sent.words = append(sent.words, Tell{Cell: other, Cancelled: id})
 		}
 	}
-	return sentJob{job: j, value: row.Value, last: j.Ended(), lent: len(s.lent[j])}
+	return sent
 }
 
+// entriesOf is how many entries of a transaction a job takes at most: the condition and
+// the row of its progress, its specification and cancel to remove, a report, two for
+// each cell that borrowed tasks, and what is lent.
+func (s *State) entriesOf(j *jobs.Job) int { return 5 + 2*len(j.Borrowers()) + len(s.lent[j]) }
+
+// entriesOfExpired is the same for a job whose rows go.
+const entriesOfExpired = 4
+
 // newestByCell leaves the last specification for each cell: it names all tasks that
 // were lent there, and a transaction puts a row once.
 func newestByCell(specs []*wire.JobSpec) []*wire.JobSpec {
@@ -197,7 +208,10 @@
 	key := rows.ProgressKey(s.name, id)
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.Recorded})
 	tx.Removes = append(tx.Removes, key)
-	if !j.Guest() {
+	if j.Guest() {
+		// Its home may have cancelled it after it had ended here.
+		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
+	} else {
 		tx.Removes = append(tx.Removes, rows.AnchorKey(id))
 	}
 	return sentJob{job: j, expired: true}
@@ -309,6 +323,9 @@
 	} else {
 		delete(s.lent, j)
 	}
+	for _, word := range sent.words {
+		s.emit(word)
+	}
 	if sent.last && j.Durable != j.Phase {
 		j.Durable = j.Phase
 		s.note(Note{What: NoteJobRecorded, Job: j.Spec.GetId(), Detail: j.Phase.String(), AgeMs: -1})
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -102,6 +102,10 @@
 	// neighbours is what fillers would meet at each worker, for one placing.
 	neighbours map[*workers.Worker]neighbours
 	harms      map[place]float64
+	// fillerRooms and fillerFrees are what loads tell of room for fillers, by image,
+	// as of roomsAt.
+	fillerRooms, fillerFrees map[string]int64
+	roomsAt                  time.Time
 	// roomy says that much of the cell's room is free, likewise.
 	roomy bool
 	// held are workers whose room is kept for lasting tasks, likewise.
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -21,6 +21,11 @@
 	c.tell(cellEvent{cell: cellName, event: cell.CancelAsked{ID: id}})
 }
 
+// Returned takes what became of tasks that a cell has lent; it stands in the table.
+func (c *Control) Returned(r *wire.ReturnedTasks) {
+	c.tell(cellEvent{cell: r.GetHome(), event: cell.Returned{Tasks: r}})
+}
+
 // Phase tells a job's phase, if this process leads its cell and knows it.
 func (c *Control) Phase(ctx context.Context, cellName, id string) (wire.JobPhase, bool) {
 	type answer struct {
@@ -45,9 +50,9 @@
 // Load tells a cell's load, and what its leader believes if that is asked for.
 func (c *Control) Load(ctx context.Context, cellName string, withBeliefs bool) *wire.CellLoad {
 	out := make(chan *wire.CellLoad, 1)
-	ok := c.ask(ctx, func(c *Control, _ time.Time) {
+	ok := c.ask(ctx, func(c *Control, now time.Time) {
 		if s := c.seats[cellName]; s != nil {
-			out <- s.state.Load(withBeliefs)
+			out <- s.state.Load(now, withBeliefs)
 			return
 		}
 		out <- &wire.CellLoad{}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -59,6 +59,8 @@
 	// leads asks the process at an address whether it leads a cell; ok is false
 	// where it does not answer.
 	leads func(address, cell string) (leading, ok bool)
+	// tellThere tells the process at an address what it is to know of its cell.
+	tellThere func(ctx context.Context, address string, e cell.Tell) error
 }
 
 // seat is one cell in this process.
@@ -96,6 +98,7 @@
 		self: self, store: st, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), seats: map[string]*seat{}, asked: map[string]time.Time{},
 		yieldTo: func(string, string) {}, handicap: func() int { return 0 }, leads: func(string, string) (bool, bool) { return false, false },
+		tellThere: func(context.Context, string, cell.Tell) error { return nil },
 	}
 	for name, hall := range cells {
 		c.seats[name] = &seat{
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -52,6 +52,8 @@
 		go c.sendPace(ctx, name, e)
 	case cell.Record:
 		go c.record(ctx, name, e)
+	case cell.Tell:
+		go c.tellCell(ctx, e)
 	case cell.SendAdvice:
 		go c.sendAdvice(ctx, name, e)
 	}
@@ -99,6 +101,39 @@
 	c.tell(cellEvent{name, cell.Advised{Unit: e.Unit, Tickets: tickets, Err: err}})
 }
 
+// tellWait bounds a word to another cell's leader.
+const tellWait = 300 * time.Millisecond
+
+// tellCell tells the leader of another cell what stands in the table.
+func (c *Control) tellCell(ctx context.Context, e cell.Tell) {
+	ctx, cancel := context.WithTimeout(ctx, tellWait)
+	defer cancel()
+	view := c.View().Cells[e.Cell]
+	var err error
+	switch {
+	case view.Mine:
+		c.tellHere(e)
+	default:
+		err = c.tellThere(ctx, view.Address, e)
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = "unanswered" // it will find it in the table
+	}
+	metrics.GetOrRegisterCounter("tell."+outcome, c.metrics).Inc(1)
+}
+
+func (c *Control) tellHere(e cell.Tell) {
+	switch {
+	case e.Lent != nil:
+		c.Accepted(e.Lent)
+	case e.Returned != nil:
+		c.Returned(e.Returned)
+	default:
+		c.Cancelled(e.Cell, e.Cancelled)
+	}
+}
+
 func (c *Control) record(ctx context.Context, name string, e cell.Record) {
 	began := time.Now()
 	done, err := c.store.Commit(ctx, e.Transaction)
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -109,6 +109,7 @@
 	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, outside.Advisor, h.Log, h.Metrics, options...)
 	h.Control.yieldTo = h.yieldTo
 	h.Control.leads = h.leads
+	h.Control.tellThere = h.tellThere
 	h.Control.handicap = h.Hosts.Handicap
 	return h, h.listen()
 }
@@ -277,6 +278,23 @@
 	return load.GetHolds(), load.GetCell() == cellName
 }
 
+// tellThere tells the process at an address what it is to know of its cell.
+func (h *Host) tellThere(ctx context.Context, address string, e cell.Tell) error {
+	p, err := h.peers.To(address)
+	if err != nil {
+		return err
+	}
+	switch {
+	case e.Lent != nil:
+		_, err = p.Accepted(ctx, &wire.AcceptedJob{Spec: e.Lent})
+	case e.Returned != nil:
+		_, err = p.Returned(ctx, e.Returned)
+	default:
+		_, err = p.Cancelled(ctx, &wire.JobRef{Cell: e.Cell, Id: e.Cancelled})
+	}
+	return err
+}
+
 // yieldTo asks a leader of another hall for a seat of ours.
 func (h *Host) yieldTo(cellName, address string) {
 	go func() {
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -35,6 +35,8 @@
 	Units []*Unit
 
 	times int
+	// borrowers are the cells that have had tasks of the job.
+	borrowers map[string]bool
 	// chains are the longest chains of estimated work from each step on.
 	chains []time.Duration
 }
@@ -223,8 +225,12 @@
 func (u *Unit) Done() bool { return u.done == len(u.Tasks) }
 
 // Ready says whether the unit's tasks may start: all tasks of the steps that it
-// comes after, at the same time, have ended well.
+// comes after, at the same time, have ended well. A guest's tasks were ready when
+// they were lent.
 func (u *Unit) Ready() bool {
+	if u.Job.Guest() {
+		return true
+	}
 	for _, a := range u.Spec.GetAfter() {
 		before := u.Job.unit(u.Time, int(a))
 		if before == nil || !before.Done() {
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -11,8 +11,9 @@
 )
 
 // Lending. A task may be left to another cell, where the job is a guest that has just
-// the tasks it was lent; that cell may give one back. Lendings of a task are numbered:
-// what is said of an earlier one counts no more.
+// the tasks it was lent; that cell may give one back, or report that it is done or has
+// failed. Lendings of a task are numbered: what is said of an earlier one counts no
+// more.
 
 // elsewhere stands for the cell that keeps a guest's job.
 const elsewhere = "elsewhere"
@@ -74,22 +75,37 @@
 // again.
 func (j *Job) GiveBack(t *Task) { t.LentTo = j.Spec.GetHome() }
 
-// GivenBack lists the tasks that a guest's cell has given back; nil: none.
-func (j *Job) GivenBack() *wire.ReturnedTasks {
-	if !j.Guest() || j.Spec.GetHome() == "" {
-		return nil
+// Report is what a guest's cell tells the one that keeps the job: the tasks that it
+// has given back, those that are done, and whether one has failed for good; nil:
+// nothing yet.
+func (j *Job) Report() *wire.ReturnedTasks {
+	if !j.Guest() || j.Spec.GetHome() == "" || j.Phase == wire.JobPhase_JOB_PHASE_CANCELLED {
+		return nil // a cancel is its home's own word
+	}
+	report := &wire.ReturnedTasks{
+		Id: j.Spec.GetId(), From: j.Spec.GetCell(), Home: j.Spec.GetHome(),
+		Tasks: j.refsTo(j.Spec.GetHome()), Done: j.refs(func(t *Task) bool { return t.Done }),
 	}
-	refs := j.refsTo(j.Spec.GetHome())
-	if len(refs) == 0 {
+	if j.Phase == wire.JobPhase_JOB_PHASE_FAILED {
+		report.Failed = j.Reason
+	}
+	if len(report.GetTasks())+len(report.GetDone()) == 0 && report.GetFailed() == "" {
 		return nil
 	}
-	return &wire.ReturnedTasks{Id: j.Spec.GetId(), From: j.Spec.GetCell(), Tasks: refs}
+	return report
+}
+
+// LentDone says whether all that was lent to a guest, and not given back, is done.
+func (j *Job) LentDone() bool {
+	open := j.refs(func(t *Task) bool { return t.LentTo == "" && !t.Done })
+	return j.Guest() && len(open) == 0
 }
 
-// TakeBack takes in what another cell gives back. It says whether a task was lent
-// there until now.
+// TakeBack takes in what another cell gives back or has done. It says whether a task
+// was lent there until now.
 func (j *Job) TakeBack(r *wire.ReturnedTasks, now time.Time) bool {
-	news := false
+	news := j.takeDone(r)
+	j.borrowed(r.GetFrom())
 	for _, ref := range r.GetTasks() {
 		t := j.at(ref)
 		if t == nil {
@@ -108,12 +124,38 @@
 	return news
 }
 
+func (j *Job) takeDone(r *wire.ReturnedTasks) bool {
+	news := false
+	for _, ref := range r.GetDone() {
+		t := j.at(ref)
+		if t == nil || t.LentTo != r.GetFrom() || t.Lending != ref.GetLending() {
+			continue
+		}
+		t.LentTo = ""
+		news = t.MarkDone() || news
+	}
+	j.Begun = j.Begun || news
+	return news
+}
+
+// borrowed remembers that a cell has had tasks of the job.
+func (j *Job) borrowed(cell string) {
+	if j.borrowers == nil {
+		j.borrowers = map[string]bool{}
+	}
+	j.borrowers[cell] = true
+}
+
 // refsTo lists the tasks that are left to a cell.
 func (j *Job) refsTo(cell string) []*wire.TaskRef {
+	return j.refs(func(t *Task) bool { return t.LentTo == cell })
+}
+
+func (j *Job) refs(which func(t *Task) bool) []*wire.TaskRef {
 	var refs []*wire.TaskRef
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
-			if t.LentTo == cell {
+			if which(t) {
 				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index), Lending: t.Lending})
 			}
 		}
@@ -121,11 +163,14 @@
 	return refs
 }
 
-// Lend leaves a task to another cell, and returns the specification
-// that this cell is to have. Tasks lent to it before stay with it.
-func (j *Job) Lend(t *Task, cell string) *wire.JobSpec {
-	t.LentTo = cell
-	t.Lending++
+// Lend leaves tasks to another cell, and returns the specification that this cell is
+// to have. Tasks lent to it before stay with it.
+func (j *Job) Lend(cell string, tasks ...*Task) *wire.JobSpec {
+	for _, t := range tasks {
+		t.LentTo = cell
+		t.Lending++
+	}
+	j.borrowed(cell)
 	spec, ok := proto.Clone(j.Spec).(*wire.JobSpec)
 	if !ok {
 		return nil // a clone has the type of what it is a clone of
@@ -134,34 +179,11 @@
 	return spec
 }
 
-// LentCells lists the cells that were lent tasks of the job, also those that gave
-// them back.
-func (j *Job) LentCells() []string {
+// Borrowers lists the cells that have had tasks of the job, also those that gave them
+// back or have done them: they are told when the job ends.
+func (j *Job) Borrowers() []string {
 	if j.Guest() {
 		return nil
 	}
-	list := j.RefusingCells()
-	for _, u := range j.Units {
-		for _, t := range u.Tasks {
-			if t.LentTo != "" && !slices.Contains(list, t.LentTo) {
-				list = append(list, t.LentTo)
-			}
-		}
-	}
-	return list
-}
-
-// RefusingCells lists the cells that gave tasks of the job back.
-func (j *Job) RefusingCells() []string {
-	var list []string
-	for _, u := range j.Units {
-		for _, t := range u.Tasks {
-			for _, cell := range slices.Sorted(maps.Keys(t.RefusedAt)) {
-				if !slices.Contains(list, cell) {
-					list = append(list, cell)
-				}
-			}
-		}
-	}
-	return list
+	return slices.Sorted(maps.Keys(j.borrowers))
 }
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -90,6 +90,7 @@
 		lentAgain := j.Guest() && t.Lending > n.GetLending() // after the note was made
 		if n.GetLentTo() != "" && !lentAgain {
 			t.LentTo = n.GetLentTo()
+			j.borrowed(t.LentTo)
 		}
 		t.Lending = max(t.Lending, n.GetLending())
 		for _, r := range n.GetFailedRuns() {
