A row of an earlier life says nothing of the life after it

Ruled out: lending (the first task was not lent), the takeover (no new leader in that cell).

Change: the list alone ends no life. A life is over when another life of its host answers a look that was sent after the first was known, or when another life answers at its address; what is over is not known anew, where its row stands.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -261,6 +261,7 @@
 	for _, k := range h.world.workers {
 		if k.up && k.hall == h.cell {
 			list = append(list, k.record())
+			list = append(list, k.staleRecords()...)
 		}
 	}
 	h.on(func() { h.state.Take(h.world.now, cell.WorkersListed{Records: list}) })
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -55,6 +55,9 @@
 	workerMemory = 32000
 	maxHold      = 10 * time.Second
 	stopTakes    = 300 * time.Millisecond
+	// staleFor is how long rows of an earlier life come and go, every staleGap.
+	staleFor = 12 * time.Second
+	staleGap = 2 * time.Second
 )
 
 func newWorker(w *World, n int, hall string) *worker {
@@ -87,6 +90,18 @@
 	}
 }
 
+// staleRecords is the row of the life before, which may come back into the list for a
+// while after the next one has begun.
+func (k *worker) staleRecords() []workers.Record {
+	age := k.world.now.Sub(k.bornAt)
+	if k.life == 1 || age > staleFor || age%(2*staleGap) < staleGap {
+		return nil
+	}
+	r := k.record()
+	r.ID = fmt.Sprintf("%s/%d", k.name, k.life-1)
+	return []workers.Record{r}
+}
+
 // crash ends a life; another begins after a while.
 func (k *worker) crash(span time.Duration) {
 	if !k.up {
@@ -94,7 +109,7 @@
 	}
 	k.world.logf("%s crashes", k.id())
 	k.up = false
-	for _, r := range k.runs {
+	for _, r := range k.sorted() {
 		k.world.checker.ended(k, r, "lost")
 	}
 	k.runs = map[string]*workerRun{}
--- a/pkg/process/cell/busycell_test.go
+++ b/pkg/process/cell/busycell_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -31,6 +32,8 @@
 	notes []cell.Note
 	words []cell.Tell
 	ends  int64
+	// silent are workers that do not answer.
+	silent map[string]bool
 }
 
 var theManifest = manifest.New(1, []manifest.Queue{
@@ -41,7 +44,7 @@
 // newEmptyCell is its 16 workers with nothing on them.
 func newEmptyCell() *busyCell {
 	b := &busyCell{
-		started: map[string]bool{}, at: map[string]string{},
+		started: map[string]bool{}, at: map[string]string{}, silent: map[string]bool{},
 		state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}), now: time.Unix(1000, 0),
 		reports: map[string]*workers.Report{},
 	}
@@ -98,15 +101,13 @@
 	looks := b.looks
 	b.looks = nil
 	for _, l := range looks {
-		report := *b.reports[l.To.ID]
-		report.Clock = b.clock
-		b.state.Take(b.now, cell.Looked{Worker: l.To.ID, SentAt: b.now, Report: report})
+		b.answerLook(l)
 	}
 	for _, e := range b.state.Decide(b.now, b.now) {
 		switch e := e.(type) {
 		case cell.SendLook:
 			b.looks = append(b.looks, e)
-			b.state.Take(b.now, cell.Looked{Worker: e.To.ID, SentAt: b.now, Report: b.report(e.To.ID)})
+			b.answerLook(e)
 		case cell.SendStart:
 			b.started[e.Start.Task] = true
 			b.at[e.Start.Task] = e.To.ID
@@ -132,6 +133,16 @@
 	}
 }
 
+func (b *busyCell) answerLook(l cell.SendLook) {
+	looked := cell.Looked{Worker: l.To.ID, SentAt: b.now}
+	if b.silent[l.To.ID] {
+		looked.Err = fault.New(fault.Unknown, l.To.ID, "no answer", "")
+	} else {
+		looked.Report = b.report(l.To.ID)
+	}
+	b.state.Take(b.now, looked)
+}
+
 func (b *busyCell) report(id string) workers.Report {
 	r := *b.reports[id]
 	r.Clock = b.clock
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -202,7 +202,7 @@
 	case workers.RefusedFence:
 		s.emit(StepDown{Why: "worker " + w.ID + " knows a higher epoch"})
 	case workers.RefusedLife:
-		s.workerGone(now, w, "another life answers at its address")
+		s.lifeOver(now, w, "another life answers at its address")
 	default:
 	}
 }
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -44,13 +44,15 @@
 // still run what it was given.
 func (s *State) takeListed(now time.Time, e WorkersListed) {
 	named := map[string]bool{}
-	hosts := map[string]string{}
 	for _, r := range e.Records {
+		if s.over[r.ID] {
+			continue // its row outlives it for a while, or comes back late
+		}
 		named[r.ID] = true
-		hosts[r.Host] = r.ID
 		w := s.workers[r.ID]
 		if w == nil {
 			w = workers.New(r)
+			w.KnownAt = now
 			s.workers[r.ID] = w
 			s.reorder = true
 			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v, labels %v", r.Service, r.Address, r.Capacity, r.Labels), AgeMs: -1})
@@ -58,17 +60,10 @@
 		s.takeRecord(now, w, r)
 	}
 	for _, w := range s.sorted() {
-		id := w.ID
-		if named[id] {
-			continue
-		}
-		if w.Listed {
+		if !named[w.ID] && w.Listed {
 			w.Listed, w.UnlistedAt = false, now
 			s.placeNow = true
 		}
-		if next := hosts[w.Host]; w.Host != "" && next != "" && next != id {
-			s.workerGone(now, w, "its host runs "+next)
-		}
 	}
 }
 
@@ -131,13 +126,14 @@
 		w.LookAt = now.Add(lookAgain)
 		return
 	case e.Refusal == workers.RefusedLife:
-		s.workerGone(now, w, "another life answers at its address")
+		s.lifeOver(now, w, "another life answers at its address")
 		return
 	case e.Refusal != workers.RefusedNot:
 		s.lookFailed(now, w, string(e.Refusal))
 		return
 	}
 	s.heard(now, w, e.Report.Clock)
+	s.otherLivesOver(now, w, e.SentAt)
 	if s.phase == loading || s.phase == following {
 		// Before the jobs are loaded, nothing can be said of the lists.
 		w.Heard = false
@@ -176,6 +172,20 @@
 	}
 }
 
+// otherLivesOver takes a host's other lives for over that were known before a look was
+// sent which this life answered. (The list alone does not tell: rows of lives that are
+// over come back late, written anew.)
+func (s *State) otherLivesOver(now time.Time, w *workers.Worker, sentAt time.Time) {
+	if w.Host == "" {
+		return
+	}
+	for _, other := range s.sorted() {
+		if other != w && other.Host == w.Host && other.KnownAt.Before(sentAt) && !other.Gone {
+			s.lifeOver(now, other, "its host runs "+w.ID)
+		}
+	}
+}
+
 func (s *State) lookFailed(now time.Time, w *workers.Worker, why string) {
 	if w.SilentSince.IsZero() {
 		w.SilentSince = now
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -11,6 +11,13 @@
 // that ran out, runs that stand still. All but the last is confirmed first: this
 // process must have led the cell after it was over (see model/cell.pml).
 
+// lifeOver says that a worker's life is over by what shows that a later one has begun:
+// whatever names it from now on is old.
+func (s *State) lifeOver(now time.Time, w *workers.Worker, why string) {
+	s.over[w.ID] = true
+	s.workerGone(now, w, why)
+}
+
 // workerGone says that a worker's life is over. What ran there is taken for
 // lost when that is confirmed (buryGone).
 func (s *State) workerGone(now time.Time, w *workers.Worker, why string) {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -74,6 +74,9 @@
 	order   []*workers.Worker
 	reorder bool
 	roster  map[string]bool
+	// over are lives of workers after which later ones have begun. They are few: one a
+	// restart that this process has seen.
+	over map[string]bool
 	// cancels are asked for, of jobs that have not been seen yet.
 	cancels map[string]time.Time
 	// waiting are the units that have tasks to start.
@@ -130,7 +133,7 @@
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{
 		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(), others: map[string]otherLoad{},
-		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{},
+		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{}, over: map[string]bool{},
 	}
 	s.forget()
 	for _, o := range options {
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -278,3 +278,37 @@
 	l.run(8 * time.Second)
 	must.Between(t, 2500*time.Millisecond, l.started, 5*time.Second)
 }
+
+// Found on an own day (kadraj, workers that crashed behind a cut and began anew, then a
+// hall cut off: TWICE on 6 of 25 plays): the row of a life that was over came back into
+// the list, and the life after it was taken for over, with all that it ran.
+func TestARowOfAnEarlierLifeSaysNothingOfTheLaterOne(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	record := func(id string, version int64) workers.Record {
+		return workers.Record{
+			ID: id, Service: "quotes", Address: id, Hall: "hall", Ready: true, Host: "m1", Version: version,
+			Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+		}
+	}
+	list := func(records ...workers.Record) (gone []string) {
+		b.state.Take(b.now, cell.WorkersListed{Records: records})
+		for range 3 {
+			b.step(300 * time.Millisecond)
+		}
+		for _, n := range b.notes {
+			if n.What == cell.NoteWorkerGone {
+				gone = append(gone, n.Worker)
+			}
+		}
+		b.notes = nil
+		return gone
+	}
+	b.reports["old"], b.reports["new"] = &workers.Report{}, &workers.Report{}
+	must.SliceEmpty(t, list(record("old", 5)))
+	b.silent["old"] = true
+	must.Eq(t, []string{"old"}, list(record("new", 9)), must.Sprint("another life of its host answers"))
+	must.SliceEmpty(t, list(record("old", 13)), must.Sprint("the later life is unlisted, the old one is written anew"))
+	must.SliceEmpty(t, list(record("old", 13), record("new", 15)), must.Sprint("what is over is not known anew"))
+	must.SliceEmpty(t, list(record("new", 15)))
+}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -52,6 +52,8 @@
 // Worker is one incarnation, as its cell's leader knows it.
 type Worker struct {
 	Record
+	// KnownAt is when this leader first came to know of this life.
+	KnownAt time.Time
 	// Listed says that the list of workers still holds it.
 	Listed     bool
 	UnlistedAt time.Time
