make try goes through the whole path on a table service too

"wrenferryd fleet try" runs three entry hosts in two halls on the embedded stand-in of the platform's table and runners, through the same client and adapter as a deployment: a job handed in twice stays one, the leader of a hall is stopped while a job runs and another host goes on with it, each task starts once.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,9 @@
 	PATH=$(TOOLBIN):$$PATH protoc --proto_path=pkg/wire --go_out=pkg/wire --go_opt=paths=source_relative \
 		--go-grpc_out=pkg/wire --go-grpc_opt=paths=source_relative wrenferry.proto fleet.proto
 
-try: build ## run the main job once on an embedded instance, and end
+try: build ## run the main jobs once on embedded instances, and end
 	$(BIN)/wrenferryd try
+	$(BIN)/wrenferryd fleet try
 
 serve: build ## leave an embedded instance running (nothing is kept)
 	$(BIN)/wrenferryd --embedded-standins
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -41,6 +41,7 @@
 		RunE:    func(cmd *cobra.Command, _ []string) error { return runFleet(cmd.Context(), config, out) },
 	}
 	cmd.Flags().StringVarP(&config, "config", "c", os.Getenv("WRENFERRY_SETTINGS"), "the process's settings file, JSON with comments")
+	cmd.AddCommand(newFleetTryCommand(out))
 	return cmd
 }
 
--- /dev/null
+++ b/pkg/serve/fleettry.go
@@ -0,0 +1,250 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/wrenferry/wrenferry/pkg/eventlog"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/platform/platformtest"
+)
+
+// "wrenferryd fleet try" runs entry hosts on an embedded table service and runners, uses
+// them as callers do, stops the leader of a cell, and tells what became of each job.
+
+const (
+	// tryLimit is how long the whole try-out may take.
+	tryLimit = 40 * time.Second
+	// tryLookEvery is how often it looks whether something has come about.
+	tryLookEvery = 30 * time.Millisecond
+	// tryTask is how long a task takes.
+	tryTask = 150 * time.Millisecond
+)
+
+func newFleetTryCommand(out io.Writer) *cobra.Command {
+	return &cobra.Command{
+		Use:     "try",
+		Short:   "Run jobs on three entry hosts, an embedded table service and runners, and end",
+		Example: "  wrenferryd fleet try",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), tryLimit)
+			defer cancel()
+			return tryFleet(ctx, out)
+		},
+	}
+}
+
+// fleetTry is one run of the try-out.
+type fleetTry struct {
+	out        io.Writer
+	deployment *platformtest.Deployment
+	hosts      []*triedHost
+}
+
+// triedHost is a host that runs, and how to stop it as planned.
+type triedHost struct {
+	*fleet.Host
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func tryFleet(ctx context.Context, out io.Writer) error {
+	halls := []string{"hall-a", "hall-b"}
+	t := &fleetTry{out: out, deployment: platformtest.NewDeployment(halls, 2, tryTask)}
+	defer t.deployment.Close()
+	defer t.stopAll()
+	fmt.Fprintln(out, "An embedded table service and four runners in two halls: nothing is kept.")
+	for i, hall := range []string{"hall-a", "hall-a", "hall-b"} {
+		if err := t.start(fmt.Sprintf("host-%d", i+1), hall, halls); err != nil {
+			return err
+		}
+	}
+	for _, step := range []struct {
+		title string
+		run   func(context.Context) error
+	}{
+		{"Three entry hosts are ready, and each hall's cell is led", t.ready},
+		{"A caller hands a job of two steps in, twice, at two hosts: it stays one job", t.runJob},
+		{"The leader of hall-a is stopped while a job runs: another host goes on with it", t.stopLeader},
+		{"A job that nobody handed in, and a path that is no queue", t.unknown},
+	} {
+		fmt.Fprintf(out, "\n== %s\n", step.title)
+		if err := step.run(ctx); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(out, "\nAll done.")
+	return nil
+}
+
+func (t *fleetTry) start(name, hall string, halls []string) error {
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return err
+	}
+	config := fleet.Config{
+		Name: name, Hall: hall, Halls: halls, Callers: addresses[0], Ready: addresses[1], Control: addresses[2], Metrics: addresses[3],
+		Table: t.deployment.Store.Address(), MaxLease: 10 * time.Second, Retention: time.Minute, Grace: 4 * time.Second, MemoryMB: 256, Processors: 1,
+	}
+	return t.run(config)
+}
+
+// freeAddresses finds loopback addresses; all are found before any is given back.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fault.New(fault.Unavailable, "127.0.0.1", "no free port", "").WithCause(err)
+		}
+		defer l.Close()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses, nil
+}
+
+func (t *fleetTry) run(config fleet.Config) error {
+	h, err := fleet.New(config, OnPlatform(config), eventlog.New(io.Discard, logrus.InfoLevel))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	tried := &triedHost{Host: h, stop: stop, ended: make(chan error, 1)}
+	go func() { tried.ended <- h.Run(ctx) }()
+	t.hosts = append(t.hosts, tried)
+	return nil
+}
+
+func (t *fleetTry) stopAll() {
+	for _, h := range t.hosts {
+		h.stop()
+	}
+	for _, h := range t.hosts {
+		<-h.ended
+	}
+}
+
+// until waits for something to come about.
+func (t *fleetTry) until(ctx context.Context, what string, ok func() bool) error {
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.Unavailable, what, "did not come about in time", "")
+		case <-time.After(tryLookEvery):
+		}
+	}
+	return nil
+}
+
+func (t *fleetTry) ready(ctx context.Context) error {
+	err := t.until(ctx, "all hosts ready, all cells led", func() bool {
+		for _, h := range t.hosts {
+			if ok, _ := h.Ready(time.Now()); !ok {
+				return false
+			}
+		}
+		return t.leader("hall-a") != nil && t.leader("hall-b") != nil
+	})
+	if err != nil {
+		return err
+	}
+	for _, cell := range []string{"hall-a", "hall-b"} {
+		h := t.leader(cell)
+		fmt.Fprintf(t.out, "%s is led by %s, epoch %d\n", cell, h.Config.Name, h.Control.View().Cells[cell].Epoch)
+	}
+	return nil
+}
+
+// leader is the host that leads a cell, with its jobs loaded.
+func (t *fleetTry) leader(cell string) *triedHost {
+	for _, h := range t.hosts {
+		if h.Control.View().Cells[cell].Mine && h.Control.Load(context.Background(), cell, false).GetLeading() {
+			return h
+		}
+	}
+	return nil
+}
+
+func (t *fleetTry) runJob(ctx context.Context) error {
+	const id = "00000000000000a1"
+	for _, h := range t.hosts[:2] {
+		if err := t.submit(ctx, h, id); err != nil {
+			return err
+		}
+	}
+	return t.completes(ctx, t.hosts[2], id)
+}
+
+func (t *fleetTry) submit(ctx context.Context, h *triedHost, id string) error {
+	status, _, err := platformtest.Call(ctx, h.Config.Callers, http.MethodPost, id, platformtest.TwoSteps)
+	if err != nil || status != http.StatusOK {
+		return fault.New(fault.Unavailable, id, fmt.Sprintf("handing it in at %s was answered %d", h.Config.Name, status), "").WithCause(err)
+	}
+	fmt.Fprintf(t.out, "%s takes job %s: %d\n", h.Config.Name, id, status)
+	return nil
+}
+
+// completes waits for a job's end, and tells how often its tasks were started.
+func (t *fleetTry) completes(ctx context.Context, at *triedHost, id string) error {
+	err := t.until(ctx, "job "+id+" completed", func() bool {
+		_, body, err := platformtest.Call(ctx, at.Config.Callers, http.MethodGet, id, "")
+		return err == nil && strings.Contains(body, "completed")
+	})
+	if err != nil {
+		return err
+	}
+	tasks := 0
+	for task, n := range t.deployment.Starts() {
+		if !strings.HasPrefix(task, id) {
+			continue
+		}
+		tasks++
+		if n != 1 {
+			return fault.New(fault.Internal, task, fmt.Sprintf("was started %d times", n), "")
+		}
+	}
+	fmt.Fprintf(t.out, "%s tells that job %s is completed: %d tasks, each started once\n", at.Config.Name, id, tasks)
+	return nil
+}
+
+func (t *fleetTry) stopLeader(ctx context.Context) error {
+	const id = "00000000000000a2"
+	old := t.leader("hall-a")
+	if err := t.submit(ctx, t.hosts[1], id); err != nil {
+		return err
+	}
+	old.stop()
+	err := t.until(ctx, "another leader of hall-a", func() bool {
+		next := t.leader("hall-a")
+		return next != nil && next != old
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s stops; hall-a is led by %s\n", old.Config.Name, t.leader("hall-a").Config.Name)
+	return t.completes(ctx, t.hosts[2], id)
+}
+
+func (t *fleetTry) unknown(ctx context.Context) error {
+	for _, c := range []struct {
+		job    string
+		status int
+	}{{"00000000000000ff", http.StatusGone}, {"no-id", http.StatusNotFound}} {
+		status, _, err := platformtest.Call(ctx, t.hosts[2].Config.Callers, http.MethodGet, c.job, "")
+		if err != nil || status != c.status {
+			return fault.New(fault.Internal, c.job, fmt.Sprintf("was answered %d, not %d", status, c.status), "").WithCause(err)
+		}
+		fmt.Fprintf(t.out, "%s: %d\n", c.job, status)
+	}
+	return nil
+}
--- a/tools/docs/main.go
+++ b/tools/docs/main.go
@@ -41,6 +41,7 @@
 			{"bin/wrenferry", "service", "drain", "quotes", "--dry-run"},
 			{"bin/wrenferry", "explain", "--help"},
 			{"bin/wrenferryd", "fleet", "--help"},
+			{"bin/wrenferryd", "fleet", "try", "--help"},
 			{"bin/wrenferry", "logs", "--help"},
 		},
 	},
