A guest of a repeating job has just the times that it was lent

The borrowing cell opened the job's times by its own clock, and took all their tasks for its own: only what stood open when the specification came was marked as another cell's.

Change: a guest opens just the times of tasks that it is lent, and leaves all else of them to the cell that keeps the job.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -61,14 +61,16 @@
 }
 
 // parts takes a task's name apart, in its own way.
-func parts(task string) (job string, step, index int) {
+func parts(task string) (job string, time, step int) {
 	f := strings.Split(task, ".")
+	time, _ = strconv.Atoi(f[1])
 	step, _ = strconv.Atoi(f[2])
-	index, _ = strconv.Atoi(f[3])
-	return f[0], step, index
+	return f[0], time, step
 }
 
-func name(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
+func name(job string, time, step, index int) string {
+	return fmt.Sprintf("%s.%d.%d.%d", job, time, step, index)
+}
 
 const (
 	// cancelGrace is how long after a cancel a task may still be started.
@@ -76,8 +78,11 @@
 )
 
 func (c *checker) started(k *worker, s workers.Start) {
-	job, step, _ := parts(s.Task)
+	job, time, step := parts(s.Task)
 	spec := c.world.jobs[job].GetSteps()[step]
+	if due := c.dueAt(job, time); c.world.now.Before(due) {
+		c.breakRule("ORDER", "%s starts %s ahead of its time", s.Task, due.Sub(c.world.now))
+	}
 	c.world.logf("%s starts %s run %d (fence %d)", k.id(), s.Task, s.Run, s.Fence)
 	if len(c.running[s.Task]) > 0 && !spec.GetCopies() {
 		c.breakRule("TWICE", "%s runs already when %s starts it", s.Task, k.id())
@@ -92,7 +97,7 @@
 	c.running[s.Task][fmt.Sprintf("%s#%d", k.id(), s.Run)] = k
 	for _, before := range spec.GetAfter() {
 		for i := range int(c.world.jobs[job].GetSteps()[before].GetCount()) {
-			if !c.unitDone(job, int(before), i) {
+			if !c.unitDone(job, time, int(before), i) {
 				c.breakRule("ORDER", "%s starts before step %d is done", s.Task, before)
 				return
 			}
@@ -120,13 +125,13 @@
 }
 
 // unitDone says whether a task has ended well; for a gang one end is enough.
-func (c *checker) unitDone(job string, step, index int) bool {
+func (c *checker) unitDone(job string, time, step, index int) bool {
 	spec := c.world.jobs[job].GetSteps()[step]
 	if !spec.GetGang() {
-		return c.done[name(job, step, index)]
+		return c.done[name(job, time, step, index)]
 	}
 	for i := range int(spec.GetCount()) {
-		if c.done[name(job, step, i)] {
+		if c.done[name(job, time, step, i)] {
 			return true
 		}
 	}
@@ -198,12 +203,8 @@
 	}
 	switch p.GetPhase() {
 	case wire.JobPhase_JOB_PHASE_COMPLETED:
-		for step, spec := range c.world.jobs[id].GetSteps() {
-			for i := range int(spec.GetCount()) {
-				if !c.unitDone(id, step, i) {
-					c.breakRule("MIXED", "%s is completed, %s is not done", id, name(id, step, i))
-				}
-			}
+		for time := range max(1, int(c.world.jobs[id].GetRepeats())) {
+			c.checkAllDone(id, time)
 		}
 	case wire.JobPhase_JOB_PHASE_CANCELLED:
 		if !c.cancelSent(id) {
@@ -213,6 +214,26 @@
 	}
 }
 
+// checkAllDone looks whether all tasks of a completed job's time have ended well.
+func (c *checker) checkAllDone(id string, time int) {
+	for step, spec := range c.world.jobs[id].GetSteps() {
+		for i := range int(spec.GetCount()) {
+			if !c.unitDone(id, time, step, i) {
+				c.breakRule("MIXED", "%s is completed, %s is not done", id, name(id, time, step, i))
+			}
+		}
+	}
+}
+
+// dueAt is when a time of a job falls due.
+func (c *checker) dueAt(job string, n int) time.Time {
+	spec := c.world.jobs[job]
+	if spec.GetRepeats() == 0 {
+		return c.world.start
+	}
+	return time.UnixMilli(spec.GetFirstUnixMs() + int64(n)*spec.GetIntervalMs())
+}
+
 func (c *checker) cancelSent(id string) bool {
 	if c.asked[id] {
 		return true
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -199,6 +199,11 @@
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
+	if len(w.cells) > 1 && w.rand.IntN(5) == 0 {
+		spec.Repeats = int32(1 + w.rand.IntN(3))
+		spec.FirstUnixMs = w.start.Add(w.between(2*time.Second, w.plan.Traffic)).UnixMilli()
+		spec.IntervalMs = w.between(200*time.Millisecond, 3*time.Second).Milliseconds()
+	}
 	return spec
 }
 
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -126,11 +126,18 @@
 		j.Units = append(j.Units, u)
 	}
 	j.times = max(j.times, time+1)
+	if j.Guest() {
+		j.leaveToHome(time)
+	}
 }
 
 // OpenDue opens the times that have fallen due by the time of day wall, and
 // returns the units that are new.
+// A guest's times are opened by what is lent of them.
 func (j *Job) OpenDue(wall time.Time) []*Unit {
+	if j.Guest() {
+		return nil
+	}
 	before := len(j.Units)
 	for j.times < int(j.Spec.GetRepeats()) && !wall.Before(j.DueAt(j.times)) {
 		j.openTime(j.times)
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -21,17 +21,30 @@
 // Guest says whether another cell keeps the job and has lent some tasks here.
 func (j *Job) Guest() bool { return len(j.Spec.GetGuest()) > 0 }
 
-// markGuest leaves a guest's other tasks to the cell that keeps the job.
-func (j *Job) markGuest() {
-	if !j.Guest() {
-		return
-	}
+// leaveToHome leaves the tasks of a guest's time to the cell that keeps the job.
+func (j *Job) leaveToHome(time int) {
 	for _, u := range j.Units {
+		if u.Time != time {
+			continue
+		}
 		for _, t := range u.Tasks {
 			t.LentTo = elsewhere
 		}
 	}
+}
+
+// openFor opens the times up to that of a task that is lent.
+func (j *Job) openFor(r *wire.TaskRef) {
+	for j.times <= int(r.GetTime()) && j.times < j.Repeats() {
+		j.openTime(j.times)
+	}
+}
+
+// markGuest takes in which tasks a guest was lent; the others are left to the cell that
+// keeps the job.
+func (j *Job) markGuest() {
 	for _, r := range j.Spec.GetGuest() {
+		j.openFor(r)
 		if t := j.at(r); t != nil {
 			t.LentTo, t.Lending = "", r.GetLending()
 		}
@@ -55,6 +68,7 @@
 	}
 	more := false
 	for _, r := range spec.GetGuest() {
+		j.openFor(r)
 		t := j.at(r)
 		if t == nil || (t.LentTo != elsewhere && (t.LentTo == "" || r.GetLending() <= t.Lending)) {
 			continue
