--- a/pkg/process/cell/advice_test.go
+++ b/pkg/process/cell/advice_test.go
@@ -35,7 +35,7 @@
 	}
 	a.state.Take(a.now, cell.WorkersListed{Records: records})
 	a.state.Take(a.now, cell.Led{Epoch: 1, RosterUntil: a.now})
-	a.state.Take(a.now, cell.Loaded{Epoch: 1, Wall: a.now, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1}})
+	a.state.Take(a.now, cell.Loaded{Epoch: 1, Wall: a.now, Fences: someFences()})
 	a.state.Take(a.now, cell.RosterRecorded{IDs: []string{"w1", "w2"}})
 	return a
 }
--- a/pkg/process/cell/busycell_test.go
+++ b/pkg/process/cell/busycell_test.go
@@ -9,6 +9,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -61,7 +62,7 @@
 	b.state.Take(b.now, cell.ManifestChanged{Manifest: theManifest})
 	b.state.Take(b.now, cell.WorkersListed{Records: records})
 	b.state.Take(b.now, cell.Led{Epoch: 1, RosterUntil: b.now})
-	b.state.Take(b.now, cell.Loaded{Epoch: 1, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1}, Wall: b.now})
+	b.state.Take(b.now, cell.Loaded{Epoch: 1, Fences: someFences(), Wall: b.now})
 	b.state.Take(b.now, cell.RosterRecorded{IDs: ids})
 	b.step(0)
 	return b
@@ -171,3 +172,12 @@
 	}
 	return false
 }
+
+// someFences are versions of the fence rows in all parts.
+func someFences() map[string]int64 {
+	fences := map[string]int64{}
+	for i := range rows.JobParts {
+		fences[rows.PartName(i)] = 1
+	}
+	return fences
+}
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -46,7 +46,7 @@
 	})
 	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
 	v.state.Take(v.now, cell.Loaded{
-		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1},
+		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
 	})
 	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"heard", "dark"}})
 	return v
@@ -204,7 +204,7 @@
 func (l *longLoad) load() {
 	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
 	l.state.Take(l.now, cell.Loaded{
-		Epoch: 2, Wall: l.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: map[string]int64{"p0": 1, "p1": 1, "p2": 1, "p3": 1},
+		Epoch: 2, Wall: l.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
 	})
 	l.state.Take(l.now, cell.RosterRecorded{IDs: []string{"w", "quick"}})
 }
