Work that earns little waits for a place that costs little

Change: a place is weighed by what the job's work still earns: 0.7 of it when it can't be on time any more, 0.2 past all credit. The wait ends as before.

--- a/pkg/process/cell/fillers.go
+++ b/pkg/process/cell/fillers.go
@@ -28,13 +28,13 @@
 )
 
 // mayCost is how much more a filler may cost its neighbours than it earns. That
-// grows with its wait: it does not wait forever.
+// grows with its wait: it does not wait forever, whatever its job still earns.
 func (s *State) mayCost(now time.Time, u *jobs.Unit) float64 {
 	waits := now.Sub(u.ReadyAt)
 	if s.roomy && waits >= disturbAfter {
 		return math.Inf(1)
 	}
-	return earns(u) * waits.Seconds() / patience.Seconds()
+	return fullEarns(u) * waits.Seconds() / patience.Seconds()
 }
 
 // isRoomy says whether much of the room is free: in this cell, or in all of which
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -183,5 +183,28 @@
 	return overCost*cost <= harmlessPart*workEarns*typicalFiller/1000
 }
 
-// earns is what a filler's work earns a second at full pace.
-func earns(u *jobs.Unit) float64 { return workEarns * float64(u.Size.Millicores) / 1000 }
+// lateEarns and hopelessEarns are the parts of it that work still earns whose job can't
+// meet its objective any more, or is past all credit: the users pay 15% for late jobs.
+// They are more than that: 0.4 for late ones took more from them than it gave to their
+// neighbours.
+const (
+	lateEarns     = 0.7
+	hopelessEarns = 0.2
+)
+
+// fullEarns is what a filler's work earns a second at full pace, while its job can meet
+// its objective.
+func fullEarns(u *jobs.Unit) float64 { return workEarns * float64(u.Size.Millicores) / 1000 }
+
+// earns is what a filler's work still earns a second at full pace.
+func earns(u *jobs.Unit) float64 {
+	full := fullEarns(u)
+	switch outlook(u.Outlook) {
+	case late:
+		return full * lateEarns
+	case hopeless:
+		return full * hopelessEarns
+	default:
+		return full
+	}
+}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -102,6 +102,7 @@
 	case now.Add(j.Chain(u.Step)).After(c.due):
 		c.outlook = late
 	}
+	u.Outlook = int(c.outlook)
 	return c
 }
 
--- a/pkg/process/cell/place_test.go
+++ b/pkg/process/cell/place_test.go
@@ -103,3 +103,29 @@
 	must.Eq(t, "00000000000000aa.0.0.0", told[0].Task)
 	must.StrContains(t, told[0].Detail, "16 usable workers lack: map[room:16]")
 }
+
+// On loaded days fillers of jobs past their objectives took places beside serving tasks as
+// dearly as others: tasks over their targets cost four times what such work still earned.
+func TestWorkThatEarnsLittleWaitsForAPlaceThatCostsLittle(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{
+			Count: 5, Millicores: 6000, Lasting: true, TailTargetMs: 100, Image: "s1",
+		})
+	}
+	b.step(50 * time.Millisecond)
+	step := &wire.StepSpec{Count: 1, Millicores: 3500, Filler: true, EstimateMs: 1000, Image: "f1"}
+	for id, age := range map[string]time.Duration{"00000000000000c1": 0, "00000000000000c2": time.Minute} {
+		b.state.Take(b.now, cell.Accepted{
+			Spec: &wire.JobSpec{Id: id, Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{step}}, StoreNow: age,
+		})
+	}
+	b.step(50 * time.Millisecond)
+	must.True(t, b.started["00000000000000c1.0.0.0"])
+	must.False(t, b.started["00000000000000c2.0.0.0"], must.Sprint("past all credit"))
+	for range 300 {
+		b.step(50 * time.Millisecond)
+	}
+	must.True(t, b.started["00000000000000c2.0.0.0"], must.Sprint("its wait ends, too"))
+}
