--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -4,9 +4,9 @@
 // gives the same day.
 //
 // The files: emulator.go the clock and a day's plan; table.go the table;
-// worker.go the workers; host.go and effects.go the hosts, which drive the product's own
-// election.Seat and cell.State; checker.go the rules, over what workers did and
-// what the table holds. The checker shares no code with the product.
+// worker.go the workers; host.go, effects.go and words.go the hosts, which drive the
+// product's own election.Seat and cell.State; checker.go the rules, over what workers did
+// and what the table holds. The checker shares no code with the product.
 package emulator
 
 import (
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -291,67 +291,6 @@
 	})
 }
 
-// takeCancelRow hands on a cancel, or what another cell reports of tasks lent to it.
-func (h *seat) takeCancelRow(r table.Row) {
-	if !rows.IsReturn(r.Key) {
-		h.state.Take(h.world.now, cell.CancelAsked{ID: r.Key.Key})
-		return
-	}
-	back := &wire.ReturnedTasks{}
-	if rows.Read(r, back) == nil {
-		h.state.Take(h.world.now, cell.Returned{Tasks: back})
-	}
-}
-
-// askLoads asks the leaders of the other cells for their loads.
-func (h *seat) askLoads() {
-	if !h.state.Leading() {
-		return
-	}
-	for _, name := range h.world.cells {
-		if name == h.cell {
-			continue
-		}
-		h.toLeader(name, func(other *seat) {
-			load := other.state.Load(h.world.now, true)
-			h.world.after(h.world.hop(), h.back(func() {
-				h.state.Take(h.world.now, cell.OtherLoad{Load: load})
-			}))
-		})
-	}
-}
-
-// toLeader brings word to the leader of a cell, if it is within reach.
-func (h *seat) toLeader(name string, do func(other *seat)) {
-	w := h.world
-	for _, each := range w.hosts {
-		other := each.leads(name)
-		if other == nil || w.cut(h.name, each.name) {
-			continue
-		}
-		w.after(w.hop(), each.back(func() {
-			if other.state.Leading() {
-				do(other)
-				other.act()
-			}
-		}))
-	}
-}
-
-// tell brings the word that a cell's state has for another cell's leader.
-func (h *seat) tell(e cell.Tell) {
-	h.toLeader(e.Cell, func(other *seat) {
-		switch {
-		case e.Lent != nil:
-			other.state.Take(h.world.now, cell.Accepted{Spec: e.Lent, StoreNow: other.storeNow()})
-		case e.Returned != nil:
-			other.state.Take(h.world.now, cell.Returned{Tasks: e.Returned})
-		default:
-			other.state.Take(h.world.now, cell.CancelAsked{ID: e.Cancelled})
-		}
-	})
-}
-
 // holds says whether this host may order anything in a cell.
 func (h *host) holds(name string) bool {
 	for _, s := range h.seats {
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -199,10 +199,10 @@
 // earns is what a filler's work still earns a second at full pace.
 func earns(u *jobs.Unit) float64 {
 	full := fullEarns(u)
-	switch outlook(u.Outlook) {
-	case late:
+	switch u.Outlook {
+	case jobs.Late:
 		return full * lateEarns
-	case hopeless:
+	case jobs.Hopeless:
 		return full * hopelessEarns
 	default:
 		return full
--- /dev/null
+++ b/pkg/process/cell/lacks.go
@@ -0,0 +1,81 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// What keeps a task from a worker, and what the log tells of it while the task waits.
+
+// lack is what keeps a task from a worker.
+type lack string
+
+const (
+	lacksNothing lack = ""
+	lacksLabel   lack = "label"
+	lacksRoom    lack = "room"
+	lacksMemory  lack = "memory"
+	lacksHold    lack = "held for lasting tasks"
+	lacksUnused  lack = "unused processors"
+	lacksHarm    lack = "harm to neighbours"
+	lacksSpread  lack = "spread"
+	lacksHealth  lack = "put aside"
+)
+
+func (s *State) lacks(now time.Time, u *jobs.Unit, service string, w *workers.Worker) lack {
+	switch {
+	case w.Service != service || !w.HasLabel(u.Spec.GetLabel()):
+		return lacksLabel
+	case !workers.Reserved(u).Fits(w.Free()):
+		return lacksWhich(u, w)
+	case s.held[w] && !u.Lasting():
+		return lacksHold
+	case u.Spec.GetFiller() && !fillerFits(now, u, w):
+		return lacksUnused
+	case u.Spec.GetFiller() && s.fillerHarm(u, w) > s.mayCost(now, u):
+		return lacksHarm
+	case u.Spec.GetSpread() > 0 && w.CountOf(u) >= int(u.Spec.GetSpread()):
+		return lacksSpread
+	case w.Health.Aside(now): // one that was put aside gets one run as a trial
+		return lacksHealth
+	}
+	return lacksNothing
+}
+
+// lacksWhich tells whether memory alone keeps a task from a worker, or more.
+func lacksWhich(u *jobs.Unit, w *workers.Worker) lack {
+	but := workers.Reserved(u)
+	but.MemoryMB = 0
+	if but.Fits(w.Free()) {
+		return lacksMemory
+	}
+	return lacksRoom
+}
+
+const (
+	// waitTold is the wait after which the log says why a task waits, and
+	// waitToldAgain the time until it says so again.
+	waitTold      = 2 * time.Second
+	waitToldAgain = 5 * time.Second
+)
+
+// tellWait says in the log what keeps a task waiting.
+func (s *State) tellWait(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
+	u := t.Unit
+	waited := now.Sub(u.ReadyAt)
+	if waited < waitTold || now.Sub(u.WaitToldAt) < waitToldAgain {
+		return
+	}
+	u.WaitToldAt = now
+	counts := map[lack]int{}
+	for _, w := range usable {
+		counts[s.lacks(now, u, service, w)]++
+	}
+	s.note(Note{
+		What: NoteWaits, Job: u.Job.Spec.GetId(), Task: t.Name(), AgeMs: waited.Milliseconds(),
+		Detail: fmt.Sprintf("%d usable workers lack: %v", len(usable), counts),
+	})
+}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"sort"
@@ -32,23 +31,11 @@
 // candidate is a unit with its place in the order.
 type candidate struct {
 	unit     *jobs.Unit
-	outlook  outlook
+	outlook  jobs.Outlook
 	priority int
 	due      time.Time
 }
 
-// outlook is what a job can still earn.
-type outlook int
-
-const (
-	// onTime: it can still meet its objective.
-	onTime outlook = iota
-	// late: it earns the little that late jobs earn.
-	late
-	// hopeless: it earns nothing, and runs in what room is left.
-	hopeless
-)
-
 // place starts what may start and has room.
 func (s *State) place(now time.Time) {
 	if !s.placeNow || s.manifest == nil || len(s.workers) == 0 {
@@ -98,18 +85,18 @@
 	switch {
 	case u.Lasting():
 	case now.Sub(since) > time.Duration(hopelessAfter*float64(objective)):
-		c.outlook = hopeless
+		c.outlook = jobs.Hopeless
 	case now.Add(j.Chain(u.Step)).After(c.due):
-		c.outlook = late
+		c.outlook = jobs.Late
 	}
-	u.Outlook = int(c.outlook)
+	u.Outlook = c.outlook
 	return c
 }
 
 func (c candidate) before(d candidate) bool {
 	switch {
-	case (c.outlook == hopeless) != (d.outlook == hopeless):
-		return d.outlook == hopeless
+	case (c.outlook == jobs.Hopeless) != (d.outlook == jobs.Hopeless):
+		return d.outlook == jobs.Hopeless
 	case c.priority != d.priority:
 		return c.priority < d.priority
 	case c.outlook != d.outlook:
@@ -209,76 +196,6 @@
 	return s.lacks(now, u, service, w) == lacksNothing
 }
 
-// lack is what keeps a task from a worker.
-type lack string
-
-const (
-	lacksNothing lack = ""
-	lacksLabel   lack = "label"
-	lacksRoom    lack = "room"
-	lacksMemory  lack = "memory"
-	lacksHold    lack = "held for lasting tasks"
-	lacksUnused  lack = "unused processors"
-	lacksHarm    lack = "harm to neighbours"
-	lacksSpread  lack = "spread"
-	lacksHealth  lack = "put aside"
-)
-
-func (s *State) lacks(now time.Time, u *jobs.Unit, service string, w *workers.Worker) lack {
-	switch {
-	case w.Service != service || !w.HasLabel(u.Spec.GetLabel()):
-		return lacksLabel
-	case !workers.Reserved(u).Fits(w.Free()):
-		return lacksWhich(u, w)
-	case s.held[w] && !u.Lasting():
-		return lacksHold
-	case u.Spec.GetFiller() && !fillerFits(now, u, w):
-		return lacksUnused
-	case u.Spec.GetFiller() && s.fillerHarm(u, w) > s.mayCost(now, u):
-		return lacksHarm
-	case u.Spec.GetSpread() > 0 && w.CountOf(u) >= int(u.Spec.GetSpread()):
-		return lacksSpread
-	case w.Health.Aside(now): // one that was put aside gets one run as a trial
-		return lacksHealth
-	}
-	return lacksNothing
-}
-
-// lacksWhich tells whether memory alone keeps a task from a worker, or more.
-func lacksWhich(u *jobs.Unit, w *workers.Worker) lack {
-	but := workers.Reserved(u)
-	but.MemoryMB = 0
-	if but.Fits(w.Free()) {
-		return lacksMemory
-	}
-	return lacksRoom
-}
-
-const (
-	// waitTold is the wait after which the log says why a task waits, and
-	// waitToldAgain the time until it says so again.
-	waitTold      = 2 * time.Second
-	waitToldAgain = 5 * time.Second
-)
-
-// tellWait says in the log what keeps a task waiting.
-func (s *State) tellWait(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
-	u := t.Unit
-	waited := now.Sub(u.ReadyAt)
-	if waited < waitTold || now.Sub(u.WaitToldAt) < waitToldAgain {
-		return
-	}
-	u.WaitToldAt = now
-	counts := map[lack]int{}
-	for _, w := range usable {
-		counts[s.lacks(now, u, service, w)]++
-	}
-	s.note(Note{
-		What: NoteWaits, Job: u.Job.Spec.GetId(), Task: t.Name(), AgeMs: waited.Milliseconds(),
-		Detail: fmt.Sprintf("%d usable workers lack: %v", len(usable), counts),
-	})
-}
-
 const (
 	// farPenalty weighs a worker away from the data against room left: more
 	// than any room can make up for.
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -56,7 +56,7 @@
 	// ReadyAt is since when tasks of it want a start.
 	ReadyAt time.Time
 	// Outlook is what the unit's job could still earn when it was last placed.
-	Outlook int
+	Outlook Outlook
 	// WaitToldAt is when the log last said why they wait.
 	WaitToldAt time.Time
 
