Nothing is lent while the table does not answer

Found by reading the change: what is lent starts in neither cell until the record of it is durable. In an outage of the table, waiting tasks would have been lent and stood still, also when room came in their own cell; and each lending adds a specification to the job's next record, so that after a long outage no transaction of 100 entries could have held it and its part would have recorded nothing more.

Change: lending waits while a record fails or the leadership was not renewed for a second; a job's entries count one specification a cell, as are written.

--- a/pkg/process/cell/busycell_test.go
+++ b/pkg/process/cell/busycell_test.go
@@ -33,6 +33,8 @@
 	notes []cell.Note
 	words []cell.Tell
 	ends  int64
+	// down says that the table does not answer.
+	down bool
 	// silent are workers that do not answer.
 	silent map[string]bool
 }
@@ -99,6 +101,9 @@
 	b.now = b.now.Add(span)
 	b.clock += span
 	b.state.Take(b.now, cell.Tick{})
+	if !b.down {
+		b.state.Take(b.now, cell.Confirmed{At: b.now})
+	}
 	looks := b.looks
 	b.looks = nil
 	for _, l := range looks {
@@ -128,6 +133,10 @@
 			b.notes = append(b.notes, e)
 		case cell.Record:
 			b.records = append(b.records, e)
+			if b.down {
+				b.state.Take(b.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Err: fault.New(fault.Unknown, "table", "no answer", "")})
+				continue
+			}
 			b.version++
 			b.state.Take(b.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: b.version}})
 		}
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -11,12 +11,13 @@
 )
 
 // Lending. A lasting task that finds no room in its cell is left to another one, and so
-// are short ones (lend_short.go). All rows of a
-// job share one part of the table, so one transaction records here that the task is
-// lent and gives the other cell a specification with just that task. The job stays
-// here: its state is told, and its cancel is carried out, by this cell, which passes
-// the cancel on in the transaction that records it. The other cell reports what is done,
-// or has failed for good, in a row among the cancels here.
+// are short ones (lend_short.go). All rows of a job share one part of the table, so one
+// transaction records here that the task is lent and gives the other cell a
+// specification with just that task. The job stays here: its state is told, and its
+// cancel is carried out, by this cell, which passes the cancel on in the transaction that
+// records it. The other cell reports what is done, or has failed for good, in a row among
+// the cancels here. While the table does not answer nothing is lent: it would start
+// neither there nor here.
 //
 // A cell that has filled up meanwhile gives a lent task back, once another cell tells
 // of room, in a row that the keeping cell's leader follows: from then on that one
@@ -41,6 +42,9 @@
 	lendToHoldAfter = 2 * time.Second
 	// othersFresh is how old another cell's load may be.
 	othersFresh = 3 * time.Second
+	// lendConfirmed is how old the last renewal of the leadership may be, for the table to
+	// count as answering: renewals come every 0.4 s.
+	lendConfirmed = time.Second
 )
 
 // otherLoad is what the leader of another cell told, and when.
@@ -52,8 +56,21 @@
 	given, givenFillers, givenShort int64
 }
 
-// lend leaves lasting tasks that have waited for long to cells with room.
+// tableAnswers says whether what is lent now is likely to be recorded soon.
+func (s *State) tableAnswers(now time.Time) bool {
+	for _, p := range s.parts {
+		if p.failing {
+			return false
+		}
+	}
+	return now.Sub(s.confirmedAt) <= lendConfirmed
+}
+
+// lend leaves tasks that have waited for long to cells with room.
 func (s *State) lend(now time.Time) {
+	if !s.tableAnswers(now) {
+		return
+	}
 	var units []*jobs.Unit
 	for u := range s.waiting {
 		if u.Lasting() || s.mayLendShort(u) {
--- a/pkg/process/cell/lend_short_test.go
+++ b/pkg/process/cell/lend_short_test.go
@@ -214,3 +214,30 @@
 		must.Nil(t, w.Lent)
 	}
 }
+
+// Read, not played: what was lent while the table was down could start in neither cell
+// until it was back, and specifications piled up until no transaction could hold them.
+func TestNothingIsLentWhileTheTableDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.fillWorkers()
+	b.down = true
+	for range 22 {
+		b.step(50 * time.Millisecond)
+	}
+	b.accept(lentJob, "offers", &wire.StepSpec{Count: 2, Millicores: 3000, EstimateMs: 500})
+	room := cell.OtherLoad{Load: &wire.CellLoad{Leading: true, Cell: "other", FreeEach: []int64{32000, 32000}}}
+	for range 16 {
+		b.state.Take(b.now, room)
+		b.step(50 * time.Millisecond)
+	}
+	b.finish("00000000000000aa.0.0.0", workers.EndedLapsed)
+	b.state.Take(b.now, cell.CancelAsked{ID: "00000000000000aa"})
+	for range 4 {
+		b.step(50 * time.Millisecond)
+	}
+	must.True(t, b.started[lentJob+".0.0.0"], must.Sprint("room in its own cell is taken"))
+	for _, n := range b.notes {
+		must.NotEq(t, cell.NoteLent, n.What)
+	}
+}
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -184,7 +184,9 @@
 // entriesOf is how many entries of a transaction a job takes at most: the condition and
 // the row of its progress, its specification and cancel to remove, a report, two for
 // each cell that borrowed tasks, and what is lent.
-func (s *State) entriesOf(j *jobs.Job) int { return 5 + 2*len(j.Borrowers()) + len(s.lent[j]) }
+func (s *State) entriesOf(j *jobs.Job) int {
+	return 5 + 2*len(j.Borrowers()) + len(newestByCell(s.lent[j]))
+}
 
 // entriesOfExpired is the same for a job whose rows go.
 const entriesOfExpired = 4
