A lost claim reads the row before the next one

It had read that there is no leader row; the other host's claim came first; and a process that has lost a claim went on from "there is no row", so that it claimed again at once, for ever, and never read what was there. So the failure is a fault of the older path, found by luck of timing, and not load as such.

Change: who has lost a claim or a leadership knows nothing of the row until it has read it.

The process tests of leaders pass.

--- a/pkg/process/hall/commit.go
+++ b/pkg/process/hall/commit.go
@@ -255,7 +255,7 @@
 		s.won(now, p, revision)
 	case releaseCommit:
 		s.note(now, s.hall, ReleasedLeadership, "planned stop")
-		s.lead = s.lead.WithRenewed(p.sentAt, p.row, revision).WithLost(now)
+		s.lead = s.lead.WithRenewed(p.sentAt, p.row, revision).WithLost()
 		s.phase = following
 		s.forget()
 	case workCommit:
--- a/pkg/process/hall/lead.go
+++ b/pkg/process/hall/lead.go
@@ -92,7 +92,7 @@
 	if s.lead.Role() == leadership.Leader {
 		s.note(now, s.hall, LostLeadership, why)
 	}
-	s.lead = s.lead.WithLost(now)
+	s.lead = s.lead.WithLost()
 	s.phase = following
 	s.pending = nil
 	s.reads.leaderAt = now
--- a/pkg/process/leadership/leadership.go
+++ b/pkg/process/leadership/leadership.go
@@ -154,11 +154,11 @@
 	return l
 }
 
-// WithLost makes this process a follower again, as if it had just seen the row
-// for the first time.
-func (l Leadership) WithLost(now time.Time) Leadership {
+// WithLost makes this process a follower again that has yet to read the row: what it
+// knew of it is old, and may be that there is none.
+func (l Leadership) WithLost() Leadership {
 	l.role = Follower
-	l.seenAt = now
+	l.seenAt = time.Time{}
 	return l
 }
 
