Ports for the adapter's tests and the try-out come from below the system's own range

Cause (TestAJobGoesThroughTheWholePath failed once in a fresh clone, "address already in use", beside eleven other packages): an address was found as "any port" and given back, and the same range serves outgoing connections and the stand-ins' own listeners, of which one took it before the host did. wrenferryd fleet try, new in this work, had the same gap.

Change: ports from 30001 to 32767, none given out twice by a process, processes kept apart; one copy for the tests and the try-out.

--- a/pkg/serve/fleettry.go
+++ b/pkg/serve/fleettry.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -88,7 +87,7 @@
 }
 
 func (t *fleetTry) start(name, hall string, halls []string) error {
-	addresses, err := freeAddresses(4)
+	addresses, err := platformtest.FreeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -99,20 +98,6 @@
 	return t.run(config)
 }
 
-// freeAddresses finds loopback addresses; all are found before any is given back.
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fault.New(fault.Unavailable, "127.0.0.1", "no free port", "").WithCause(err)
-		}
-		defer l.Close()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
-
 func (t *fleetTry) run(config fleet.Config) error {
 	h, err := fleet.New(config, OnPlatform(config), eventlog.New(io.Discard, logrus.InfoLevel))
 	if err != nil {
