The choice of a job's cell is apart from input and output

No change of behaviour: the same costs in the same order; intake still asks the leaders for their loads and guards the board. Package process/cellchoice is pure: what is known, the job, the cells and now in, a choice and its reason out.

--- a/pkg/request/intake/places.go
+++ b/pkg/process/cellchoice/places.go
@@ -1,4 +1,4 @@
-package intake
+package cellchoice
 
 import (
 	"slices"
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -20,6 +20,7 @@
 
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/rows"
@@ -65,16 +66,11 @@
 	ends    *lru.Cache[string, wire.JobPhase]
 
 	mu    sync.Mutex
-	loads map[string]load
-}
-
-// load is a cell's load, as it was told.
-type load struct {
-	*wire.CellLoad
-	at     time.Time
-	asking bool
-	// beliefsAt is when its leader's beliefs were last asked for.
-	beliefsAt time.Time
+	board *cellchoice.Board
+	// asking are the cells whose load is being asked for, beliefsAt when their leaders'
+	// beliefs were.
+	asking    map[string]bool
+	beliefsAt map[string]time.Time
 }
 
 // New returns the intake of a host in the given hall.
@@ -83,7 +79,7 @@
 	ends, _ := lru.New[string, wire.JobPhase](endsKept) // likewise
 	return &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
-		anchors: anchors, ends: ends, loads: map[string]load{},
+		anchors: anchors, ends: ends, board: cellchoice.NewBoard(hall), asking: map[string]bool{}, beliefsAt: map[string]time.Time{},
 	}
 }
 
@@ -96,16 +92,16 @@
 	}
 	spec.Queue, spec.Service = q.Name, q.Service
 	chosen := i.choose(now, spec)
-	spec.Cell = chosen.cell
+	spec.Cell = chosen.Cell
 	spec.AcceptedStoreMs = i.store.Now(now).Milliseconds()
 	err := i.insert(ctx, spec)
 	if err != nil {
 		i.count("refused." + string(fault.CodeOf(err)))
-		i.logJob("job-refused", spec, now, chosen.why, err)
+		i.logJob("job-refused", spec, now, chosen.Why, err)
 		return err
 	}
 	i.count("accepted")
-	i.logJob("job-accepted", spec, now, chosen.why, nil)
+	i.logJob("job-accepted", spec, now, chosen.Why, nil)
 	return nil
 }
 
--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -35,9 +35,9 @@
 
 func (i *Intake) pendingIn(ctx context.Context, now time.Time, name string, c fleet.CellView, queue string) (int, error) {
 	i.mu.Lock()
-	known := i.loads[name]
+	known, age := i.board.Load(now, name)
 	i.mu.Unlock()
-	if known.CellLoad != nil && now.Sub(known.at) <= pendingFresh {
+	if known != nil && age <= pendingFresh {
 		return int(known.GetPending()[queue]), nil
 	}
 	askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
