Each mechanism of a cell can be left out by itself

Cause: twelve ways in which a cell decides were believed in, and what each is worth could only be measured by editing the code. cell.Without names those left out; a table gives each a name and what it does. Nothing is left out unless asked.

--- a/pkg/process/cell/fillers.go
+++ b/pkg/process/cell/fillers.go
@@ -31,6 +31,9 @@
 // grows with its wait: it does not wait forever, whatever its job still earns.
 func (s *State) mayCost(now time.Time, u *jobs.Unit) float64 {
 	waits := now.Sub(u.ReadyAt)
+	if !s.has(WaitForCheapPlaces) {
+		return math.Inf(1)
+	}
 	if s.roomy && waits >= disturbAfter {
 		return math.Inf(1)
 	}
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -78,6 +78,9 @@
 // earns: above 0 it is better not there. It is worked out once for a unit and a
 // worker, until something starts there.
 func (s *State) fillerHarm(u *jobs.Unit, w *workers.Worker) float64 {
+	if !s.has(WeighedPlaces) {
+		return -earns(u)
+	}
 	if harm, ok := s.harms[place{w, u}]; ok {
 		return harm
 	}
--- a/pkg/process/cell/lacks.go
+++ b/pkg/process/cell/lacks.go
@@ -39,7 +39,7 @@
 		return lacksHarm
 	case u.Spec.GetSpread() > 0 && w.CountOf(u) >= int(u.Spec.GetSpread()):
 		return lacksSpread
-	case w.Health.Aside(now): // one that was put aside gets one run as a trial
+	case s.aside(now, w): // one that was put aside gets one run as a trial
 		return lacksHealth
 	}
 	return lacksNothing
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -73,7 +73,7 @@
 	}
 	var units []*jobs.Unit
 	for u := range s.waiting {
-		if u.Lasting() || s.mayLendShort(u) {
+		if (u.Lasting() && s.has(LendLasting)) || s.mayLendShort(u) {
 			units = append(units, u)
 		}
 	}
--- a/pkg/process/cell/lend_short.go
+++ b/pkg/process/cell/lend_short.go
@@ -25,6 +25,9 @@
 // mayLendShort says whether a unit's tasks are of a kind that may run in any cell, each
 // by itself.
 func (s *State) mayLendShort(u *jobs.Unit) bool {
+	if (u.Spec.GetFiller() && !s.has(LendFillers)) || (!u.Spec.GetFiller() && !s.has(LendPlain)) {
+		return false
+	}
 	_, advised := s.advised(u)
 	bound := u.Spec.GetGang() || u.Spec.GetLabel() != "" || u.Spec.GetRack() != ""
 	return !u.Lasting() && !bound && !advised && !u.Job.Guest()
--- /dev/null
+++ b/pkg/process/cell/mechanisms.go
@@ -0,0 +1,51 @@
+package cell
+
+// Mechanism is one of the ways in which a cell decides that can be left out by itself,
+// so that what it is worth can be measured: in the lab, and by operators who doubt it.
+type Mechanism uint32
+
+// The mechanisms. Several are named by their sum.
+const (
+	LendLasting Mechanism = 1 << iota
+	LendFillers
+	LendPlain
+	ServingByImage
+	WeighedPlaces
+	SharedBeliefs
+	CutFillers
+	MoveFillers
+	HeldRoom
+	OrderByOutlook
+	WaitForCheapPlaces
+	Quarantine
+)
+
+// MechanismHelp is one row of the table of mechanisms.
+type MechanismHelp struct {
+	Mechanism Mechanism
+	Name      string
+	// Says is what the mechanism does; without it that is not done.
+	Says string
+}
+
+// Mechanisms lists every mechanism.
+var Mechanisms = []MechanismHelp{
+	{LendLasting, "lend-lasting", "lasting tasks without room are lent to another cell"},
+	{LendFillers, "lend-fillers", "fillers without a harmless place are lent to another cell"},
+	{LendPlain, "lend-plain", "other short tasks without room are lent to another cell"},
+	{ServingByImage, "serving-by-image", "serving tasks stand beside those that the same fillers press on"},
+	{WeighedPlaces, "weighed-places", "a filler's place is weighed by what it costs its neighbours"},
+	{SharedBeliefs, "shared-beliefs", "leaders hear from others what presses on what"},
+	{CutFillers, "cut-fillers", "fillers stand still beside a tail that stays over its target"},
+	{MoveFillers, "move-fillers", "fillers that stand still are moved where they would be taken"},
+	{HeldRoom, "held-room", "room is kept free for a lasting task that waits"},
+	{OrderByOutlook, "order-by-outlook", "jobs that can still meet their objective go before those that can't"},
+	{WaitForCheapPlaces, "wait-for-cheap-places", "fillers wait for a place that costs no more than they earn"},
+	{Quarantine, "quarantine", "workers that fail what they start are put aside"},
+}
+
+// Without leaves mechanisms out.
+func Without(m Mechanism) Option { return func(s *State) { s.without = m } }
+
+// has says whether a mechanism is in use.
+func (s *State) has(m Mechanism) bool { return s.without&m == 0 }
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -137,6 +137,9 @@
 // moveHeld stops fillers that stand still for their neighbours' sake, where others
 // would take them: they go on there from their checkpoints.
 func (s *State) moveHeld(now time.Time) {
+	if !s.has(MoveFillers) {
+		return
+	}
 	clear(s.neighbours)
 	clear(s.harms)
 	moves := 0
@@ -187,7 +190,7 @@
 		if over > overJoin {
 			w.NoFillersUntil = now.Add(cutFor)
 		}
-		if over > overLong {
+		if over > overLong && s.has(CutFillers) {
 			cutAll(now, w)
 		}
 	}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -83,7 +83,7 @@
 	}
 	c := candidate{unit: u, priority: q.Priority, due: since.Add(objective)}
 	switch {
-	case u.Lasting():
+	case u.Lasting() || !s.has(OrderByOutlook):
 	case now.Sub(since) > time.Duration(hopelessAfter*float64(objective)):
 		c.outlook = jobs.Hopeless
 	case now.Add(j.Chain(u.Step)).After(c.due):
@@ -117,7 +117,12 @@
 
 // usable says whether a worker takes new work now.
 func (s *State) usable(now time.Time, w *workers.Worker) bool {
-	return w.Usable(now, heardWithin) && s.roster[w.ID] && !w.Health.Aside(now)
+	return w.Usable(now, heardWithin) && s.roster[w.ID] && !s.aside(now, w)
+}
+
+// aside says whether a worker is left alone for what became of its runs.
+func (s *State) aside(now time.Time, w *workers.Worker) bool {
+	return s.has(Quarantine) && w.Health.Aside(now)
 }
 
 func (s *State) usableWorkers(now time.Time) []*workers.Worker {
@@ -155,7 +160,7 @@
 // that a large task waits for.
 func (s *State) holdFor(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
 	u := t.Unit
-	if !u.Lasting() || now.Sub(waitsSince(t)) < holdAfter {
+	if !s.has(HeldRoom) || !u.Lasting() || now.Sub(waitsSince(t)) < holdAfter {
 		return
 	}
 	var best *workers.Worker
@@ -236,7 +241,7 @@
 // a worker where nobody serves: fillers that do no harm to one image may harm
 // another, so that workers of one kind each leave every filler a place.
 func (s *State) alikeScore(u *jobs.Unit, w *workers.Worker) float64 {
-	if !w.Serving() {
+	if !w.Serving() || !s.has(ServingByImage) {
 		return 0
 	}
 	sum, all := 0.0, 0
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -62,6 +62,8 @@
 	name   string
 	bounds Bounds
 	unsafe Unsafe
+	// without are the mechanisms that are left out.
+	without Mechanism
 
 	epoch    int64
 	phase    phase
@@ -206,7 +208,7 @@
 		s.takeAdvised(now, e)
 	case OtherLoad:
 		s.others[e.Load.GetCell()] = otherLoad{load: e.Load, at: now}
-		if len(e.Load.GetBeliefs()) > 0 && (e.Load.GetCell() != s.name || s.phase == following) {
+		if s.has(SharedBeliefs) && len(e.Load.GetBeliefs()) > 0 && (e.Load.GetCell() != s.name || s.phase == following) {
 			s.press.Hear(e.Load.GetCell(), beliefsOf(e.Load))
 		}
 	}
