--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -75,6 +75,8 @@
 	object  string
 	by      string
 	since   string
+	days    int
+	without string
 }
 
 // verb is one row of the look-up table.
--- a/pkg/cli/verbs.go
+++ b/pkg/cli/verbs.go
@@ -4,6 +4,7 @@
 var groupHelp = map[string]string{
 	"settings": "The tree of settings: check, show, compare, edit",
 	"service":  "Start, drain, stop and list services",
+	"lab":      "Ask what a policy is worth, in virtual time",
 	"job":      "Start, drain, stop, show and list jobs",
 }
 
@@ -25,6 +26,10 @@
 	serviceStart,
 	serviceDrain,
 	serviceStop,
+	labRun,
+	labCompare,
+	labAblate,
+	labMechanisms,
 	jobList,
 	jobShow,
 	jobStart,
--- a/pkg/configfile/configfile.go
+++ b/pkg/configfile/configfile.go
@@ -24,6 +24,14 @@
 	Required bool
 	Help     string
 	Set      func(c *T, literal []byte) error
+	// Rows, in place of Set, reads a list of objects and returns its problems.
+	Rows func(c *T, r *reader, v hujson.Value) []string
+}
+
+// reader is a file that is being read.
+type reader struct {
+	file   string
+	source []byte
 }
 
 // Parse reads a settings file into c.
@@ -32,9 +40,18 @@
 	if err != nil {
 		return fault.New(fault.BadInput, file, "not JSON with comments", "mend the syntax").WithCause(err)
 	}
-	object, ok := syntax.Value.(*hujson.Object)
+	r := &reader{file: file, source: source}
+	if problems := readObject(r, syntax, c, fields); len(problems) > 0 {
+		return fault.New(fault.BadInput, "", strings.Join(problems, "\n"), "")
+	}
+	return nil
+}
+
+// readObject reads one object by its table of fields, and returns what is wrong with it.
+func readObject[T any](r *reader, v hujson.Value, c *T, fields []Field[T]) []string {
+	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		return fault.New(fault.BadInput, file, "not an object", "write it as { ... }")
+		return []string{r.position(v) + "not an object; write it as { ... }"}
 	}
 	var problems []string
 	seen := map[string]bool{}
@@ -42,34 +59,56 @@
 		m := &object.Members[i]
 		name := m.Name.Value.(hujson.Literal).String()
 		seen[name] = true
-		if problem := set(c, fields, name, m); problem != "" {
-			problems = append(problems, position(file, source, m.Value.StartOffset)+problem)
-		}
+		problems = append(problems, set(r, c, fields, name, m)...)
 	}
 	for _, f := range fields {
 		if f.Required && !seen[f.Name] {
-			problems = append(problems, fmt.Sprintf("%s:1:1: %q is missing; write for example %q: %s", file, f.Name, f.Name, f.Example))
+			problems = append(problems, fmt.Sprintf("%s%q is missing; write for example %q: %s", r.position(v), f.Name, f.Name, f.Example))
 		}
 	}
-	if len(problems) > 0 {
-		return fault.New(fault.BadInput, "", strings.Join(problems, "\n"), "")
-	}
-	return nil
+	return problems
 }
 
-func set[T any](c *T, fields []Field[T], name string, m *hujson.ObjectMember) string {
+func set[T any](r *reader, c *T, fields []Field[T], name string, m *hujson.ObjectMember) []string {
 	value := m.Value.Clone()
 	value.Standardize()
+	known := make([]string, 0, len(fields))
 	for _, f := range fields {
+		known = append(known, f.Name)
 		if f.Name != name {
 			continue
 		}
+		if f.Rows != nil {
+			return f.Rows(c, r, m.Value)
+		}
 		if err := f.Set(c, []byte(value.String())); err != nil {
-			return fmt.Sprintf("%q can't be %s; write for example %s", name, strings.TrimSpace(value.String()), f.Example)
+			return []string{fmt.Sprintf("%s%q can't be %s; write for example %s", r.position(m.Value), name, strings.TrimSpace(value.String()), f.Example)}
+		}
+		return nil
+	}
+	return []string{fmt.Sprintf("%sunknown setting %q; there are %s", r.position(m.Value), name, strings.Join(known, ", "))}
+}
+
+// Rows reads a list of objects, each by the same table of fields, into the list that at
+// names.
+func Rows[T, E any](fields []Field[E], at func(*T) *[]E) func(*T, *reader, hujson.Value) []string {
+	return func(c *T, r *reader, v hujson.Value) []string {
+		list, ok := v.Value.(*hujson.Array)
+		if !ok {
+			return []string{r.position(v) + "not a list; write it as [ ... ]"}
+		}
+		var problems []string
+		for _, element := range list.Elements {
+			var e E
+			problems = append(problems, readObject(r, element, &e, fields)...)
+			*at(c) = append(*at(c), e)
 		}
-		return ""
+		return problems
 	}
-	return fmt.Sprintf("unknown setting %q; wrenferryd --help lists them", name)
+}
+
+func (r *reader) position(v hujson.Value) string {
+	return position(r.file, r.source, v.StartOffset)
 }
 
 func position(file string, source []byte, offset int) string {
--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -104,7 +104,7 @@
 		}
 	}
 	c.checkSpread(k, s.Task, spec)
-	if len(c.failed[s.Task]) >= maxAttempts {
+	if len(c.failed[s.Task]) >= c.world.attempts(job) && !spec.GetLasting() {
 		c.breakRule("BUDGET", "%s starts after %d failures", s.Task, len(c.failed[s.Task]))
 	}
 	if at, ok := c.cancels[job]; ok && c.world.now.Sub(at) > cancelGrace && c.calm() {
@@ -156,7 +156,7 @@
 func (c *checker) ended(k *worker, r *workerRun, how workers.How) {
 	c.world.logf("%s ends %s run %d: %s", k.id(), r.task, r.number, how)
 	delete(c.running[r.task], fmt.Sprintf("%s#%d", k.id(), r.number))
-	if how == workers.EndedDone {
+	if how == workers.EndedDone && !r.spec.GetLasting() {
 		c.done[r.task] = true
 	}
 }
@@ -198,6 +198,7 @@
 	}
 	before := c.phases[id]
 	c.phases[id] = p.GetPhase()
+	c.world.phaseTold(id, p.GetPhase())
 	if before >= wire.JobPhase_JOB_PHASE_COMPLETED && before != p.GetPhase() {
 		c.breakRule("MIXED", "%s was %s and is %s", id, before, p.GetPhase())
 	}
@@ -244,6 +245,9 @@
 }
 
 func (c *checker) atEnd() {
+	if c.world.plan.Load != nil {
+		return // a day of given jobs may end while some still run
+	}
 	for id := range c.taken {
 		if c.phases[id] < wire.JobPhase_JOB_PHASE_COMPLETED {
 			c.breakRule("LOST", "%s was accepted and is %s at the end", id, c.phases[id])
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -26,7 +26,13 @@
 			w.logf("%s at %s: %s %s %s", h.cell, h.name, e.What, e.Task, e.Detail)
 		}
 	case cell.SendPace:
-		h.state.Take(w.now, cell.PaceAnswered{Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent})
+		h.toWorker(e.To, 400*time.Millisecond, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) },
+			func(v any, refusal workers.Refusal, err error) {
+				clock, _ := v.(time.Duration)
+				h.state.Take(w.now, cell.PaceAnswered{
+					Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
+				})
+			})
 	case cell.Load:
 		h.load(e.Epoch, 0, cell.Loaded{Epoch: e.Epoch, Fences: map[string]int64{}, Wall: w.now})
 	case cell.Record:
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -3,10 +3,12 @@
 // all with faults. It finds broken rules with nothing outside, and the same seed
 // gives the same day.
 //
-// The files: emulator.go the clock and a day's plan; table.go the table;
-// worker.go the workers; host.go, effects.go and words.go the hosts, which drive the
-// product's own election.Seat and cell.State; checker.go the rules, over what workers did
-// and what the table holds. The checker shares no code with the product.
+// The files: emulator.go the clock and a day's plan; load.go a day of given jobs and
+// workers, and what became of them; table.go the table; worker.go the workers, and
+// machine.go how fast what runs there gets on and how it disturbs; host.go, effects.go,
+// words.go and intake.go the hosts, which drive the product's own election.Seat,
+// cell.State and cellchoice.Board; checker.go the rules, over what workers did and what
+// the table holds. The checker shares no code with the product.
 package emulator
 
 import (
@@ -34,6 +36,10 @@
 	// Faults is how many strike.
 	Faults int
 	Unsafe cell.Unsafe
+	// Without are mechanisms that are left out.
+	Without cell.Mechanism
+	// Load, where set, takes the place of the drawn cells, workers and jobs.
+	Load *Load
 }
 
 // DefaultPlan is a small day with all kinds of faults.
@@ -73,6 +79,9 @@
 	jobs    map[string]*wire.JobSpec
 	checker *checker
 	cuts    map[[2]string]time.Time // until when two ends don't reach each other
+	truths  map[string]*TaskTruth   // of a given load, by task
+	saved   map[string]time.Duration
+	results map[string]*JobResult
 	// Log is the story of the day, for a seed that failed.
 	Log []string
 }
@@ -82,20 +91,17 @@
 	w := &World{
 		plan: plan, rand: rand.New(rand.NewPCG(plan.Seed, 7)), start: time.Unix(1_000_000, 0),
 		jobs: map[string]*wire.JobSpec{}, cuts: map[[2]string]time.Time{},
+		truths: map[string]*TaskTruth{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
 	}
 	w.now = w.start
 	w.checker = newChecker(w)
 	w.table = newTable(w)
-	for i := range plan.Cells {
-		w.cells = append(w.cells, fmt.Sprintf("hall-%d", i))
+	w.planFleet()
+	if plan.Load == nil {
+		w.planTraffic()
+	} else {
+		w.planLoad()
 	}
-	for i := range plan.Workers {
-		w.workers = append(w.workers, newWorker(w, i, w.cells[i%plan.Cells]))
-	}
-	for i := range plan.Hosts {
-		w.hosts = append(w.hosts, newHost(w, fmt.Sprintf("host-%d", i), w.cells[i%plan.Cells]))
-	}
-	w.planTraffic()
 	w.planFaults()
 	for len(w.events) > 0 {
 		e, ok := heap.Pop(&w.events).(*event)
@@ -109,6 +115,25 @@
 	return w, w.checker.broken
 }
 
+func (w *World) planFleet() {
+	if w.plan.Load != nil {
+		w.cells = w.plan.Load.Halls
+		for i, m := range w.plan.Load.Machines {
+			w.workers = append(w.workers, newWorker(w, i, m))
+		}
+	} else {
+		for i := range w.plan.Cells {
+			w.cells = append(w.cells, fmt.Sprintf("hall-%d", i))
+		}
+		for i := range w.plan.Workers {
+			w.workers = append(w.workers, newWorker(w, i, Machine{Hall: w.cells[i%w.plan.Cells], Millicores: workerCores, MemoryMB: workerMemory}))
+		}
+	}
+	for i := range w.plan.Hosts {
+		w.hosts = append(w.hosts, newHost(w, fmt.Sprintf("host-%d", i), w.cells[i%len(w.cells)]))
+	}
+}
+
 // ---------------------------------------------------------------- events
 
 type event struct {
@@ -217,7 +242,7 @@
 
 // submit hands a job in at some host; a caller that gets no answer asks again.
 func (w *World) submit(spec *wire.JobSpec, tries int) {
-	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	h := w.hostFor(spec.GetId())
 	h.submit(spec, func(taken bool) {
 		if taken {
 			w.checker.accepted(spec)
@@ -233,7 +258,7 @@
 	if !w.checker.isAccepted(id) {
 		return
 	}
-	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	h := w.hostFor(id)
 	w.checker.asked[id] = true
 	h.cancel(id, func(taken bool) {
 		if taken {
@@ -305,7 +330,10 @@
 	return nil
 }
 
-func theManifest() *manifest.Manifest {
+func (w *World) manifest() *manifest.Manifest {
+	if w.plan.Load != nil {
+		return manifest.New(1, w.plan.Load.Queues, []manifest.Service{{Name: serviceName, Guards: true}}, manifest.Limits{})
+	}
 	return manifest.New(1, []manifest.Queue{{
 		Name: queueName, Service: serviceName, MaxAttempts: maxAttempts, Stretch: 2, Slack: time.Second,
 	}}, []manifest.Service{{Name: serviceName, Guards: true}}, manifest.Limits{})
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/rows"
@@ -22,6 +23,8 @@
 	up    bool
 
 	seats       []*seat
+	board       *cellchoice.Board
+	beliefsAt   map[string]time.Time
 	frozenUntil time.Time
 	storeAt     time.Duration
 	storeRead   time.Time
@@ -50,16 +53,20 @@
 		Delay: w.between(0, 150*time.Millisecond),
 	}
 	h.seats = nil
+	h.board, h.beliefsAt = cellchoice.NewBoard(h.hall), map[string]time.Time{}
+	if w.plan.Load != nil {
+		h.every(loadsEveryWaiting, h.askLoads)
+	}
 	for _, name := range w.cells {
 		s := &seat{host: h, cell: name, seat: election.New(name, name, self)}
-		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute}, cell.WithUnsafe(w.plan.Unsafe))
-		s.state.Take(w.now, cell.ManifestChanged{Manifest: theManifest()})
+		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute}, cell.WithUnsafe(w.plan.Unsafe), cell.Without(w.plan.Without))
+		s.state.Take(w.now, cell.ManifestChanged{Manifest: w.manifest()})
 		h.seats = append(h.seats, s)
 		h.every(100*time.Millisecond, s.tick)
 		h.every(300*time.Millisecond, s.readLeads)
 		h.every(300*time.Millisecond, s.listWorkers)
-		h.every(700*time.Millisecond, s.followCell)
-		if len(w.cells) > 1 {
+		h.every(w.followEvery(), s.followCell)
+		if len(w.cells) > 1 && w.plan.Load == nil {
 			h.every(250*time.Millisecond, s.askLoads)
 		}
 	}
@@ -259,7 +266,7 @@
 	}
 	var list []workers.Record
 	for _, k := range h.world.workers {
-		if k.up && k.hall == h.cell {
+		if k.up && k.Hall == h.cell {
 			list = append(list, k.record())
 			list = append(list, k.staleRecords()...)
 		}
@@ -309,6 +316,9 @@
 		return
 	}
 	w := h.world
+	if w.plan.Load != nil && w.jobs[spec.GetId()] == nil {
+		h.chooseCell(spec)
+	}
 	w.jobs[spec.GetId()] = spec
 	anchor := rows.AnchorKey(spec.GetId())
 	h.on(func() {
@@ -324,6 +334,7 @@
 					other.on(func() {
 						other.state.Take(w.now, cell.Accepted{Spec: spec, StoreNow: other.storeNow()})
 						other.act()
+						h.tellLoad(other, false)
 					})
 				}
 			}
--- /dev/null
+++ b/pkg/emulator/intake.go
@@ -0,0 +1,89 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// How hosts choose cells for the jobs of a given load: as package intake does, by the
+// product's own board, with the same ages.
+
+const (
+	loadsEvery        = 2 * time.Second
+	loadsEveryWaiting = 250 * time.Millisecond
+	loadAsk           = 500 * time.Millisecond
+	beliefsEvery      = 3 * time.Second
+)
+
+// askLoads asks the leaders for the loads that are older than they may be.
+func (h *host) askLoads() {
+	limit := loadsEvery
+	for _, s := range h.seats {
+		if s.state.Waits() {
+			limit = loadsEveryWaiting
+		}
+	}
+	h.askOlder(limit)
+}
+
+func (h *host) askOlder(limit time.Duration) {
+	for _, name := range h.world.cells {
+		if _, age := h.board.Load(h.world.now, name); age >= limit {
+			h.askLoad(name)
+		}
+	}
+}
+
+func (h *host) askLoad(name string) {
+	w := h.world
+	for _, each := range w.hosts {
+		other := each.leads(name)
+		if other == nil || w.cut(h.name, each.name) {
+			continue
+		}
+		withBeliefs := w.now.Sub(h.beliefsAt[name]) >= beliefsEvery
+		if withBeliefs {
+			h.beliefsAt[name] = w.now
+		}
+		w.after(w.hop(), each.back(func() { h.tellLoad(other, withBeliefs) }))
+	}
+}
+
+// tellLoad brings the load of a cell from its leader's host to this one.
+func (h *host) tellLoad(from *seat, withBeliefs bool) {
+	w := h.world
+	if !from.state.Leading() {
+		return
+	}
+	load := from.state.Load(w.now, withBeliefs)
+	w.after(w.hop(), h.back(func() {
+		h.board.Take(w.now, load)
+		for _, s := range h.seats {
+			if len(load.GetBeliefs()) > 0 || s.state.Leading() {
+				s.state.Take(w.now, cell.OtherLoad{Load: load})
+			}
+		}
+	}))
+}
+
+// chooseCell picks the cell for a job that is handed in here.
+func (h *host) chooseCell(spec *wire.JobSpec) {
+	cells := map[string]cellchoice.Cell{}
+	for _, name := range h.world.cells {
+		cells[name] = cellchoice.Cell{Hall: name, Led: h.world.led(name)}
+	}
+	h.askOlder(loadAsk)
+	spec.Cell = h.board.Choose(h.world.now, spec, cells).Cell
+}
+
+func (w *World) led(name string) bool {
+	for _, h := range w.hosts {
+		if h.leads(name) != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/emulator/table.go
+++ b/pkg/emulator/table.go
@@ -10,15 +10,17 @@
 // tableService is the table: linearizable, with answers that may be lost or
 // late, and transactions that may be done seconds after they were sent.
 type tableService struct {
-	world   *World
-	rows    map[table.Key]table.Row
+	world *World
+	rows  map[table.Key]table.Row
+	// tables are the rows' keys by table.
+	tables  map[string]map[table.Key]struct{}
 	version int64
 
 	downUntil, losesUntil, slowUntil time.Time
 }
 
 func newTable(w *World) *tableService {
-	return &tableService{world: w, rows: map[table.Key]table.Row{}}
+	return &tableService{world: w, rows: map[table.Key]table.Row{}, tables: map[string]map[table.Key]struct{}{}}
 }
 
 func (t *tableService) storeTime() time.Duration { return t.world.now.Sub(t.world.start) + time.Hour }
@@ -70,10 +72,15 @@
 	for _, r := range tx.Puts {
 		r.Version = t.version
 		t.rows[r.Key] = r
+		if t.tables[r.Table] == nil {
+			t.tables[r.Table] = map[table.Key]struct{}{}
+		}
+		t.tables[r.Table][r.Key] = struct{}{}
 		t.world.checker.wrote(r)
 	}
 	for _, k := range tx.Removes {
 		delete(t.rows, k)
+		delete(t.tables[k.Table], k)
 	}
 	return table.Committed{Version: t.version, StoreTime: t.storeTime()}
 }
@@ -103,10 +110,8 @@
 	}
 	w.after(way, func() {
 		var list []table.Row
-		for _, r := range t.rows {
-			if r.Table == name {
-				list = append(list, r)
-			}
+		for key := range t.tables[name] {
+			list = append(list, t.rows[key])
 		}
 		sort.Slice(list, func(a, b int) bool { return list[a].Key.Part+list[a].Key.Key < list[b].Key.Part+list[b].Key.Key })
 		at := t.storeTime()
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -9,16 +9,17 @@
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // worker is a machine of workers' lives, one after the other. Its clock may be
 // 2% wrong; when its lease is over it ends all that runs.
 type worker struct {
 	world *World
-	name  string
-	hall  string
-	life  int
-	up    bool
+	Machine
+	name string
+	life int
+	up   bool
 
 	rate    float64
 	offset  time.Duration
@@ -43,11 +44,19 @@
 type workerRun struct {
 	task       string
 	number     int64
-	startedAt  time.Time
-	span       time.Duration
+	spec       *wire.StepSpec
+	checkpoint string
 	stuck      bool
 	fails      bool
-	checkpoint string
+	// need is the work until its end (for a lasting one until it is at work), done as
+	// much of it as was done at settledAt, at the given speed since.
+	need, done time.Duration
+	settledAt  time.Time
+	speed      float64
+	pace       int
+	timer      int
+	truth      *TaskTruth
+	reading    reading
 }
 
 const (
@@ -60,9 +69,12 @@
 	staleGap = 2 * time.Second
 )
 
-func newWorker(w *World, n int, hall string) *worker {
-	k := &worker{world: w, name: fmt.Sprintf("worker-%d", n), hall: hall}
+func newWorker(w *World, n int, m Machine) *worker {
+	k := &worker{world: w, name: fmt.Sprintf("worker-%d", n), Machine: m}
 	k.begin()
+	if w.plan.Load != nil {
+		w.after(w.between(0, sampleEvery), k.sample)
+	}
 	return k
 }
 
@@ -85,8 +97,8 @@
 
 func (k *worker) record() workers.Record {
 	return workers.Record{
-		ID: k.id(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.hall, Ready: true,
-		Capacity: ledger.Size{Millicores: workerCores, MemoryMB: workerMemory},
+		ID: k.id(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.Hall, Ready: true, Rack: k.Rack,
+		Capacity: ledger.Size{Millicores: k.Millicores, MemoryMB: k.MemoryMB},
 	}
 }
 
@@ -224,7 +236,7 @@
 	k.ended = keep
 	report := workers.Report{Clock: k.clock(), Ended: append([]workers.End(nil), keep...)}
 	for _, r := range k.sorted() {
-		report.Active = append(report.Active, workers.Active{Task: r.task, Run: r.number, Checkpoint: k.saved(r), Percent: k.percent(r)})
+		report.Active = append(report.Active, workers.Active{Task: r.task, Run: r.number, Checkpoint: k.saved(r), Percent: k.percent(r), Reading: r.reading.told})
 	}
 	return report, workers.RefusedNot
 }
@@ -233,11 +245,18 @@
 	if r.stuck {
 		return 0
 	}
-	return min(99, int(100*k.world.now.Sub(r.startedAt)/max(r.span, 1)))
+	percent := max(0, int(100*r.work(k.world.now)/max(r.need, 1)))
+	if r.spec.GetLasting() {
+		return min(100, percent)
+	}
+	return min(99, percent)
 }
 
 func (k *worker) saved(r *workerRun) string {
-	if k.percent(r) > 50 {
+	if k.world.plan.Load != nil {
+		return k.savedWork(r)
+	}
+	if k.percent(r) > 50 && !r.spec.GetLasting() {
 		return "save of " + taskOf(r.task)
 	}
 	return r.checkpoint
@@ -261,8 +280,8 @@
 	if r := k.runs[s.Task]; r != nil || k.highest[s.Task] >= s.Run {
 		return k.clock(), workers.RefusedOld
 	}
-	size, known := k.world.sizeOf(s.Task)
-	if !known {
+	spec, size := k.world.stepOf(s.Task)
+	if spec == nil {
 		k.world.checker.unasked(k, s)
 		return k.clock(), workers.RefusedMalformed
 	}
@@ -270,26 +289,37 @@
 		return k.clock(), workers.RefusedRoom
 	}
 	w := k.world
-	r := &workerRun{task: s.Task, number: s.Run, startedAt: w.now, checkpoint: s.Checkpoint, span: w.between(100*time.Millisecond, 2500*time.Millisecond)}
+	r := &workerRun{task: s.Task, number: s.Run, spec: spec, settledAt: w.now, checkpoint: s.Checkpoint, pace: 100, speed: 1}
+	k.drawRun(r)
 	if w.now.Before(k.sickUntil) {
 		r.stuck, r.fails = k.sickHow == 0, k.sickHow == 1
-	} else {
+	} else if w.plan.Load == nil {
 		r.fails = w.rand.IntN(40) == 0
 	}
 	k.runs[s.Task] = r
 	w.checker.started(k, s)
-	life := k.life
 	if !r.stuck {
-		w.after(r.span, func() {
-			if k.up && k.life == life && k.runs[r.task] == r {
-				k.lapse()
-				k.finish(r)
-			}
-		})
+		k.endAfter(r)
 	}
+	k.settle()
 	return k.clock(), workers.RefusedNot
 }
 
+// endAfter brings a run's end about, at the speed that it has now.
+func (k *worker) endAfter(r *workerRun) {
+	r.timer++
+	if r.speed <= 0 || (r.spec.GetLasting() && !r.fails) {
+		return
+	}
+	life, timer := k.life, r.timer
+	k.world.after(time.Duration(float64(r.need-r.done)/r.speed), func() {
+		if k.up && k.life == life && k.runs[r.task] == r && r.timer == timer {
+			k.lapse()
+			k.finish(r)
+		}
+	})
+}
+
 func (k *worker) finish(r *workerRun) {
 	if k.runs[r.task] != r {
 		return // its lease was over
@@ -302,15 +332,16 @@
 }
 
 func (k *worker) free() ledger.Size {
-	free := ledger.Size{Millicores: workerCores, MemoryMB: workerMemory}
+	free := ledger.Size{Millicores: k.Millicores, MemoryMB: k.MemoryMB}
 	for _, r := range k.runs {
-		size, _ := k.world.sizeOf(r.task)
+		_, size := k.world.stepOf(r.task)
 		free = free.Minus(size)
 	}
 	return free
 }
 
 func (k *worker) end(r *workerRun, how workers.How) {
+	k.keepWork(r)
 	saved := k.saved(r)
 	delete(k.runs, r.task)
 	k.highest[r.task] = max(k.highest[r.task], r.number)
@@ -318,6 +349,7 @@
 	k.ended = append(k.ended, workers.End{Number: k.number, Task: r.task, Run: r.number, How: how, Checkpoint: saved})
 	k.endedAt[k.number] = k.world.now
 	k.world.checker.ended(k, r, how)
+	k.settle()
 }
 
 func (k *worker) stop(s workers.Stop) (time.Duration, workers.Refusal) {
@@ -338,12 +370,17 @@
 	return k.clock(), workers.RefusedNot
 }
 
-// sizeOf is what a task takes.
-func (w *World) sizeOf(task string) (ledger.Size, bool) {
+// stepOf is a task's step, nil if nobody sent it, and what the task takes: fillers get
+// what others leave.
+func (w *World) stepOf(task string) (*wire.StepSpec, ledger.Size) {
 	id, ok := jobs.ParseTask(task)
 	if !ok || w.jobs[id.Job] == nil || id.Step >= len(w.jobs[id.Job].GetSteps()) {
-		return ledger.Size{}, false
+		return nil, ledger.Size{}
 	}
 	step := w.jobs[id.Job].GetSteps()[id.Step]
-	return ledger.Size{Millicores: step.GetMillicores(), MemoryMB: step.GetMemoryMb()}, true
+	size := ledger.Size{Millicores: step.GetMillicores(), MemoryMB: step.GetMemoryMb()}
+	if step.GetFiller() {
+		size.Millicores = 0
+	}
+	return step, size
 }
