The last room is left to short tasks: lasting ones are lent later, and hold room later

Short tasks earn 0.008 there a core and second, lasting ones 0.002. The platform's rules want a lasting task to run within six seconds where there is room for it twice over.

Change: a lasting task is lent after 2 s, and only if it fits twice into the free room of the other cells together; to a cell that must make room after 10 s (was 2); its own cell holds a worker for it after 2.5 s (was 0.7).

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -26,8 +26,14 @@
 
 const (
 	// lendAfter is how long a lasting task waits before it is lent. After six
-	// seconds without a run it is late by the platform's rules.
-	lendAfter = 1000 * time.Millisecond
+	// seconds without a run it is late by the platform's rules; in the first two, room
+	// often comes up in its own cell.
+	lendAfter = 2 * time.Second
+	// fitsToLend is how often a lasting task must fit into the free room of the other
+	// cells together, for it to be lent: the platform's rules want it to run where there
+	// is room for it twice over. The last place is left to short tasks, which earn four
+	// times as much there a core and second (0.008 against 0.002 on the known sites).
+	fitsToLend = 2
 	// returnAfter is how long a lent task waits before it is given back.
 	returnAfter = 1500 * time.Millisecond
 	// refusedFor is how long a cell that gave a task back is not lent it again: its
@@ -39,7 +45,8 @@
 	// lendToHoldAfter is how long a lasting task waits before it is lent to a cell where
 	// room is yet to be made for it: there, short tasks are kept off a worker until it
 	// has room, which a cell full of lasting tasks can't do.
-	lendToHoldAfter = 2 * time.Second
+	// That takes from short ones, so it is for a wait that would have no end otherwise.
+	lendToHoldAfter = 10 * time.Second
 	// othersFresh is how old another cell's load may be.
 	othersFresh = 3 * time.Second
 	// lendConfirmed is how old the last renewal of the leadership may be, for the table to
@@ -183,9 +190,29 @@
 	return u.Spec.GetLabel() == "" || slices.Contains(o.load.GetLabels(), u.Spec.GetLabel())
 }
 
+// fitsElsewhere is how many tasks of a unit would find room in the other cells, by their
+// last words and what was lent to them since.
+func (s *State) fitsElsewhere(now time.Time, u *jobs.Unit) int64 {
+	size := max(1, u.Size.Millicores)
+	fits := int64(0)
+	for name, o := range s.others {
+		if name == s.name || now.Sub(o.at) > othersFresh || !o.carries(u) {
+			continue
+		}
+		for _, free := range o.load.GetFreeEach() {
+			fits += free / size
+		}
+		fits -= o.given / size
+	}
+	return fits
+}
+
 // borrower is the cell with the most room left for a task of a unit, but for those that
-// have just refused it.
+// have just refused it; none, if the others have too little room together.
 func (s *State) borrower(now time.Time, u *jobs.Unit, refused map[string]time.Time) string {
+	if s.fitsElsewhere(now, u) < fitsToLend {
+		return ""
+	}
 	size := u.Size.Millicores
 	best, most := "", int64(-1)
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -152,9 +152,11 @@
 	}
 }
 
-// holdAfter is how long a lasting task waits before room is held for it: one or
-// two short tasks' time.
-const holdAfter = 700 * time.Millisecond
+// holdAfter is how long a lasting task waits before room is held for it. A worker that is
+// held is lost to short tasks until it has room enough, and those earn more there
+// meanwhile: so first it is seen whether room comes up by itself, for some short tasks'
+// time.
+const holdAfter = 2500 * time.Millisecond
 
 // holdFor keeps the worker that is nearest to having room for a lasting task
 // free of short ones. Those come and go, and each takes a little of the room
