--- a/pkg/process/cell/mechanisms.go
+++ b/pkg/process/cell/mechanisms.go
@@ -13,7 +13,6 @@
 	WeighedPlaces
 	SharedBeliefs
 	CutFillers
-	MoveFillers
 	HeldRoom
 	OrderByOutlook
 	WaitForCheapPlaces
@@ -38,7 +37,6 @@
 	{WeighedPlaces, "weighed-places", "a filler's place is weighed by what it costs its neighbours"},
 	{SharedBeliefs, "shared-beliefs", "leaders hear from others what presses on what"},
 	{CutFillers, "cut-fillers", "fillers stand still beside a tail that stays over its target"},
-	{MoveFillers, "move-fillers", "fillers that stand still are moved where they would be taken"},
 	{HeldRoom, "held-room", "room is kept free for a lasting task that waits"},
 	{OrderByOutlook, "order-by-outlook", "jobs that can still meet their objective go before those that can't"},
 	{WaitForCheapPlaces, "wait-for-cheap-places", "fillers wait for a place that costs no more than they earn"},
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -16,12 +16,14 @@
 // by its own load, is learned (package interference), and fillers are placed where
 // they cost less than they earn (harm.go). What is here is for what that misses: a
 // tail that stays over its target makes all fillers of its worker stand still for
-// a while, and those that other workers would take are moved there. Levels are
-// those of package interference: 0 at the target, below 0 while there is room.
+// a while. Levels are those of package interference: 0 at the target, below 0 while
+// there is room.
 //
 // (Tried and reverted: shares of work worked out from the levels to expect, those
 // held back first that press most. Serving tasks were over their targets for less
-// time, and more was lost by jobs that waited for one task held back.)
+// time, and more was lost by jobs that waited for one task held back. Moving fillers
+// that stood still to workers that would take them: worth nothing, see
+// docs/design/decisions.md.)
 
 const (
 	// overLong is how long a tail may be over its target before all fillers of
@@ -101,7 +103,6 @@
 			}
 		}
 	}
-	s.moveHeld(now)
 }
 
 // setPaces decides which fillers of a worker stand still, once for each of its
@@ -123,56 +124,6 @@
 	}
 }
 
-const (
-	// moveAfter is how long a filler stands still before it is moved, and
-	// moveAgain the least time of a run before it is: a move takes about a second.
-	moveAfter = 300 * time.Millisecond
-	moveAgain = 700 * time.Millisecond
-	// moveGain is the least part of what it earns that it must keep elsewhere.
-	moveGain = 0.7
-	// movesAtOnce bounds the moves of one round: each sees the places of before.
-	movesAtOnce = 3
-)
-
-// moveHeld stops fillers that stand still for their neighbours' sake, where others
-// would take them: they go on there from their checkpoints.
-func (s *State) moveHeld(now time.Time) {
-	if !s.has(MoveFillers) {
-		return
-	}
-	clear(s.neighbours)
-	clear(s.harms)
-	moves := 0
-	var usable []*workers.Worker
-	for _, w := range s.sorted() {
-		if w.Gone || !w.SilentSince.IsZero() || !w.Filling() {
-			continue
-		}
-		for _, r := range w.Runs {
-			if !held(now, r) || moves >= movesAtOnce {
-				continue
-			}
-			if usable == nil {
-				usable = s.usableWorkers(now)
-			}
-			u := r.Task.Unit
-			to := s.choose(now, r.Task, s.service(u.Job), usable)
-			if to == nil || to == w || s.fillerHarm(u, to) > -moveGain*earns(u) {
-				continue
-			}
-			moves++
-			s.stop(now, w, r, "held back beside serving tasks, room at "+to.ID)
-		}
-	}
-}
-
-// held says whether a filler has stood still for long enough to be moved, and can
-// be without losing its work.
-func held(now time.Time, r *jobs.Run) bool {
-	return filling(r) && !r.Task.Unit.Spec.GetGang() && r.Pace == 0 && r.PaceWanted == 0 && r.Task.Unit.Spec.GetCheckpointing() &&
-		now.Sub(r.PacedAt) > moveAfter && now.Sub(r.BeganAt) > moveAgain
-}
-
 // watchTails sees to tails that are over their targets.
 func (s *State) watchTails(now time.Time, w *workers.Worker) {
 	for _, r := range w.Runs {
--- a/pkg/process/cell/pace_test.go
+++ b/pkg/process/cell/pace_test.go
@@ -31,8 +31,7 @@
 }
 
 // A tail over its target for two seconds makes the fillers beside it stand still,
-// well before the four seconds that count as harm; the one that others would take
-// goes there.
+// well before the four seconds that count as harm.
 func TestATailThatStaysOverItsTargetCutsTheFillersBesideIt(t *testing.T) {
 	t.Parallel()
 	b := newEmptyCell()
