One formula for what a filler costs; the lab's HARM holds in calm times

The rise of the chance to be over target, summed over serving tasks, stood three times in harm.go. One function now; no change of behaviour. In the lab, HARM was counted within faults too, where the platform's rule does not hold (fillers that a leader cut stay so until its successor leads): now it counts from 3 s after the last fault.

--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -33,7 +33,7 @@
 	// Traffic is how long jobs come, Trouble how long faults strike, End when
 	// the day is over.
 	Traffic, Trouble, End time.Duration
-	// Faults is how many strike.
+	// Faults is how many strike between 2 s and Trouble.
 	Faults int
 	Unsafe cell.Unsafe
 	// Without are mechanisms that are left out.
@@ -79,9 +79,11 @@
 	jobs    map[string]*wire.JobSpec
 	checker *checker
 	cuts    map[[2]string]time.Time // until when two ends don't reach each other
-	truths  map[string]*TaskTruth   // of a given load, by task
-	saved   map[string]time.Duration
-	results map[string]*JobResult
+	// troubleUntil is when the last fault that has struck is over.
+	troubleUntil time.Time
+	truths       map[string]*TaskTruth // of a given load, by task
+	saved        map[string]time.Duration
+	results      map[string]*JobResult
 	// Log is the story of the day, for a seed that failed.
 	Log []string
 }
@@ -316,6 +318,9 @@
 		k.sickUntil = w.now.Add(span)
 		k.sickHow = w.rand.IntN(2)
 	}
+	if until := w.now.Add(span); until.After(w.troubleUntil) {
+		w.troubleUntil = until
+	}
 	w.logf("FAULT near %s and %s for %s", h.name, k.name, span)
 }
 
--- a/pkg/emulator/machine.go
+++ b/pkg/emulator/machine.go
@@ -35,6 +35,8 @@
 	// harmMost is how long a serving task may be over its target without a break, by the
 	// doing of what fills beside it and works on: a rule of the platform's.
 	harmMost = 4 * time.Second
+	// contactSpan is how long after a fault the rule does not hold yet.
+	contactSpan = 3 * time.Second
 )
 
 // reading is what a worker lists of a run beside its progress.
@@ -181,7 +183,7 @@
 		if r.reading.overSince.IsZero() {
 			r.reading.overSince = w.now
 		}
-		if w.now.Sub(r.reading.overSince) >= harmMost {
+		if w.now.Sub(r.reading.overSince) >= harmMost && r.reading.overSince.After(w.troubleUntil.Add(contactSpan)) {
 			w.checker.breakRule("HARM", "%s at %s", r.task, k.id())
 			r.reading.overSince = w.now
 		}
--- a/pkg/process/cell/harm.go
+++ b/pkg/process/cell/harm.go
@@ -37,6 +37,17 @@
 	return 0.5 * math.Erfc(-expected/deviation/math.Sqrt2)
 }
 
+// riseCost is how much likelier it makes the serving tasks of some levels to be over
+// their targets, summed up, that so much more of a filler image is used beside them.
+func (s *State) riseCost(serving []neighbour, filler string, more, deviation float64) float64 {
+	cost := 0.0
+	for _, t := range serving {
+		rise := s.press.Coefficient(t.image, filler) * more
+		cost += overChance(t.level+rise, deviation) - overChance(t.level, deviation)
+	}
+	return cost
+}
+
 // neighbours is what a filler would meet at a worker.
 type neighbours struct {
 	// there are the pressures at full share, by image.
@@ -90,13 +101,7 @@
 		s.neighbours[w] = n
 	}
 	more := pressure(w, u) * fillerScale(w, u.Size.Millicores)
-	image := u.Image()
-	cost := 0.0
-	for _, t := range n.serving {
-		rise := s.press.Coefficient(t.image, image) * more
-		cost += overChance(t.level+rise, placeSD) - overChance(t.level, placeSD)
-	}
-	harm := overCost*cost - earns(u)
+	harm := overCost*s.riseCost(n.serving, u.Image(), more, placeSD) - earns(u)
 	s.harms[place{w, u}] = harm
 	return harm
 }
@@ -158,12 +163,7 @@
 	for fit < fillerFreeMost && w.Unused() >= (fit+1)*typicalFiller {
 		asks := (fit + 1) * typicalFiller
 		more := float64(asks) / float64(max(1, w.Capacity.Millicores)) * fillerScale(w, asks)
-		cost := 0.0
-		for _, t := range n.serving {
-			rise := s.press.Coefficient(t.image, image) * more
-			cost += overChance(t.level+rise, placeSD) - overChance(t.level, placeSD)
-		}
-		if overCost*cost > workEarns*float64(asks)/1000 {
+		if overCost*s.riseCost(n.serving, image, more, placeSD) > workEarns*float64(asks)/1000 {
 			break
 		}
 		fit++
@@ -175,15 +175,13 @@
 // tasks at their usual load.
 func (s *State) harmless(image string, w *workers.Worker) bool {
 	more := float64(typicalFiller) / float64(max(1, w.Capacity.Millicores))
-	cost := 0.0
+	var usual []neighbour
 	for _, r := range w.Runs {
-		if r.Task.Unit.Spec.GetTailTargetMs() > 0 {
-			alone := s.press.Alone(r.Task.Unit.Image())
-			rise := more * s.press.Coefficient(r.Task.Unit.Image(), image)
-			cost += overChance(alone+rise, usualSD) - overChance(alone, usualSD)
+		if serving := r.Task.Unit; serving.Spec.GetTailTargetMs() > 0 {
+			usual = append(usual, neighbour{serving.Image(), s.press.Alone(serving.Image())})
 		}
 	}
-	return overCost*cost <= harmlessPart*workEarns*typicalFiller/1000
+	return overCost*s.riseCost(usual, image, more, usualSD) <= harmlessPart*workEarns*typicalFiller/1000
 }
 
 // lateEarns and hopelessEarns are the parts of it that work still earns whose job can't
