wrenferry fleet status asks a running fleet

Cause: status, hosts and the other verbs speak to the older path alone; of a deployed fleet an operator had logs and nothing else. fleet status asks entry hosts at their metrics addresses and shows who takes calls, the manifest in force, how long ago the table answered and, of each cell that a host leads, jobs, waits, runs and workers; -o json for programs; exit code 5 if nobody answers. The status has one exported type, which the host writes and the command reads. The lab's verbs and this one are in COMMANDS; make lab runs an ablation.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLBIN := $(CURDIR)/bin/tools
 PKGS    := ./cmd/... ./pkg/... ./platform/... ./standins/... ./examples/... ./test/...
 
-.PHONY: help build tools fmt lint try serve check test fuzz model bench docs docs-check generate
+.PHONY: help build tools fmt lint try serve check test fuzz model bench lab docs docs-check generate
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
@@ -56,6 +56,11 @@
 docs-check: build
 	$(GO) run ./tools/docs
 
+lab: build ## ask the lab what each mechanism is worth on one workload
+	$(BIN)/wrenferry lab ablate examples/lab/$(LAB).jsonc --days $(DAYS)
+
+LAB ?= wide
+DAYS ?= 8
 SEEDS ?= 500
 fuzz: ## play SEEDS days with faults in virtual time
 	SEEDS=$(SEEDS) $(GO) test ./pkg/emulator -run NoRule -count 1 -timeout 60m
--- /dev/null
+++ b/pkg/cli/fleet_status_test.go
@@ -0,0 +1,59 @@
+package cli_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/cli"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+)
+
+// statusHost answers as a host does that leads one cell.
+func statusHost(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status" {
+			http.NotFound(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(fleet.Status{
+			Host: "entry-1", Hall: "hall-a", Ready: true, Manifest: 7, StoreAgeMs: 12,
+			Led: map[string]cell.Counts{"hall-a": {Jobs: 3, Waiting: 4, Running: 50, Workers: 22, Usable: 21, Aside: 1}},
+		})
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestAFleetsStatusIsShownForEachHost(t *testing.T) {
+	t.Parallel()
+	var out, errs bytes.Buffer
+	code := cli.Main([]string{"fleet", "status", statusHost(t), "127.0.0.1:1"}, nil, &out, &errs)
+	must.Eq(t, 0, code, must.Sprint(errs.String()))
+	must.StrContains(t, out.String(), "entry-1")
+	must.StrContains(t, out.String(), "22, 21 usable, 1 aside")
+	must.StrContains(t, out.String(), "no answer")
+}
+
+func TestAFleetOfWhichNobodyAnswersIsAnError(t *testing.T) {
+	t.Parallel()
+	var out, errs bytes.Buffer
+	must.Eq(t, 5, cli.Main([]string{"fleet", "status", "127.0.0.1:1"}, nil, &out, &errs))
+	must.StrContains(t, errs.String(), "no host answered")
+}
+
+func TestAFleetsStatusForPrograms(t *testing.T) {
+	t.Parallel()
+	var out, errs bytes.Buffer
+	must.Eq(t, 0, cli.Main([]string{"fleet", "status", statusHost(t), "-o", "json"}, nil, &out, &errs))
+	var list []struct{ Status fleet.Status }
+	must.NoError(t, json.Unmarshal(out.Bytes(), &list))
+	must.Eq(t, 50, list[0].Status.Led["hall-a"].Running)
+}
--- a/pkg/cli/lab.go
+++ b/pkg/cli/lab.go
@@ -64,13 +64,13 @@
 			lines = append(lines, []any{d.Arm.Name, fmt.Sprintf("%.3f", d.Worth), "-", "-", "-"})
 			continue
 		}
-		clear := "not clear"
+		sure := "not clear"
 		if d.Clear() {
-			clear = "clear"
+			sure = "clear"
 		}
 		lines = append(lines, []any{
 			d.Arm.Name, fmt.Sprintf("%.3f", d.Worth), fmt.Sprintf("%+.3f", d.Mean),
-			fmt.Sprintf("%+.3f..%+.3f (%s)", d.Below, d.Above, clear), fmt.Sprintf("%d/%d/%d", d.Better, d.Equal, d.Worse),
+			fmt.Sprintf("%+.3f..%+.3f (%s)", d.Below, d.Above, sure), fmt.Sprintf("%d/%d/%d", d.Better, d.Equal, d.Worse),
 		})
 	}
 	return lines
--- a/pkg/cli/verbs.go
+++ b/pkg/cli/verbs.go
@@ -4,6 +4,7 @@
 var groupHelp = map[string]string{
 	"settings": "The tree of settings: check, show, compare, edit",
 	"service":  "Start, drain, stop and list services",
+	"fleet":    "See a running fleet that schedules jobs on a table service",
 	"lab":      "Ask what a policy is worth, in virtual time",
 	"job":      "Start, drain, stop, show and list jobs",
 }
@@ -26,6 +27,7 @@
 	serviceStart,
 	serviceDrain,
 	serviceStop,
+	fleetStatus,
 	labRun,
 	labCompare,
 	labAblate,
--- a/pkg/process/fleet/figures.go
+++ b/pkg/process/fleet/figures.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
 )
 
 // serveMetrics tells counters and timers as text, a line each.
@@ -44,21 +46,26 @@
 	return nil
 }
 
-// status is what an operator asks first of a host.
-type status struct {
+// Status is what an operator asks first of a host.
+type Status struct {
 	Host, Hall string
-	Ready      bool
-	Why        string `json:",omitempty"`
-	Manifest   int64
+	// Ready says whether it takes calls, Why what keeps it from that.
+	Ready bool
+	Why   string `json:",omitempty"`
+	// Manifest is the version in force, 0 for none.
+	Manifest int64
+	// StoreAgeMs is how long ago the table last answered.
 	StoreAgeMs int64
-	Cells      map[string]CellView
-	Led        any
-	Hosts      []string
+	// Cells are all cells as this host sees them, Led sums up those that it leads.
+	Cells map[string]CellView
+	Led   map[string]cell.Counts
+	// Hosts are the other entry hosts that it knows of.
+	Hosts []string
 }
 
 func (h *Host) serveStatus(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	s := status{Host: h.Config.Name, Hall: h.Config.Hall, StoreAgeMs: h.Store.SinceWorked(now).Milliseconds(), Cells: h.Control.View().Cells, Led: h.Control.Summary(r.Context())}
+	s := Status{Host: h.Config.Name, Hall: h.Config.Hall, StoreAgeMs: h.Store.SinceWorked(now).Milliseconds(), Cells: h.Control.View().Cells, Led: h.Control.Summary(r.Context())}
 	s.Ready, s.Why = h.Ready(now)
 	if m := h.Manifest(); m != nil {
 		s.Manifest = m.Version()
--- a/tools/docs/main.go
+++ b/tools/docs/main.go
@@ -43,6 +43,11 @@
 			{"bin/wrenferryd", "fleet", "--help"},
 			{"bin/wrenferryd", "fleet", "try", "--help"},
 			{"bin/wrenferry", "logs", "--help"},
+			{"bin/wrenferry", "fleet", "status", "--help"},
+			{"bin/wrenferry", "lab", "run", "--help"},
+			{"bin/wrenferry", "lab", "compare", "--help"},
+			{"bin/wrenferry", "lab", "ablate", "--help"},
+			{"bin/wrenferry", "lab", "mechanisms"},
 		},
 	},
 	{
