--- a/pkg/cli/logs.go
+++ b/pkg/cli/logs.go
@@ -33,6 +33,7 @@
 	Life   string    `json:"life"`
 	Cell   string    `json:"cell,omitempty"`
 	Job    string    `json:"job,omitempty"`
+	Queue  string    `json:"queue,omitempty"`
 	Task   string    `json:"task,omitempty"`
 	Worker string    `json:"worker,omitempty"`
 	Run    int64     `json:"run,omitempty"`
--- a/pkg/cli/verbs.go
+++ b/pkg/cli/verbs.go
@@ -15,6 +15,7 @@
 	hostsVerb,
 	explainVerb,
 	logsVerb,
+	delaysVerb,
 	eventsVerb,
 	auditVerb,
 	settingsCheck,
--- a/tools/docs/main.go
+++ b/tools/docs/main.go
@@ -43,6 +43,7 @@
 			{"bin/wrenferryd", "fleet", "--help"},
 			{"bin/wrenferryd", "fleet", "try", "--help"},
 			{"bin/wrenferry", "logs", "--help"},
+			{"bin/wrenferry", "delays", "--help"},
 			{"bin/wrenferry", "fleet", "status", "--help"},
 			{"bin/wrenferry", "lab", "run", "--help"},
 			{"bin/wrenferry", "lab", "compare", "--help"},
