--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -25,9 +25,12 @@
 	objects  map[string][]byte
 	hosts    []*wire.Host
 	listed   []*wire.Host
-	listLag  time.Duration
-	commits  int
-	reads    int
+	// hostsSet counts the lists that were set, hostsListed is the number of the one
+	// that is told.
+	hostsSet, hostsListed int
+	listLag               time.Duration
+	commits               int
+	reads                 int
 }
 
 // SetHostsPath is where hosts are set, in the list's own format.
@@ -163,12 +166,16 @@
 func (p *Platform) SetHosts(hosts []*wire.Host) {
 	p.mu.Lock()
 	p.hosts = hosts
+	p.hostsSet++
+	serial := p.hostsSet
 	lag := p.listLag
 	p.mu.Unlock()
 	time.AfterFunc(lag, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.listed = hosts
+		if serial > p.hostsListed { // timers may pass each other
+			p.listed, p.hostsListed = hosts, serial
+		}
 	})
 }
 
