--- a/pkg/request/gateway/request.go
+++ b/pkg/request/gateway/request.go
@@ -145,6 +145,9 @@
 		if again && (asked.Unsure || young) {
 			return unknown("no-entry-host-can-vouch", "an entry host is away or too young to vouch for this key; look whether the work was done, or ask again later")
 		}
+		if asked.Unsure {
+			g.count("requests.first-try-unsure")
+		}
 	}
 	if !g.keys.Run(g.now(), key) {
 		return refused(admit.Refusal{Reason: admit.SeenElsewhere, RetryAfter: time.Second},
