--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -54,6 +54,11 @@
 
 func (c *checker) isAccepted(id string) bool { return c.taken[id] }
 
+func (c *checker) isCancelled(id string) bool {
+	_, known := c.cancels[id]
+	return known
+}
+
 func (c *checker) cancelled(id string) {
 	if _, known := c.cancels[id]; !known {
 		c.cancels[id] = c.world.now
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -51,7 +51,8 @@
 }
 
 // TwoCellPlan is a day of two cells that lend each other tasks: jobs go to one of them
-// by chance, so that it often has too little room.
+// by chance, so that it often has too little room. Some of them last until they are
+// cancelled.
 func TwoCellPlan(seed uint64) Plan {
 	plan := DefaultPlan(seed)
 	plan.Cells, plan.Hosts, plan.Workers, plan.Jobs = 2, 4, 6, 40
@@ -198,6 +199,10 @@
 		spec := w.newJob(id)
 		at := w.between(2*time.Second, w.plan.Traffic)
 		w.after(at, func() { w.submit(spec, 0) })
+		if spec.GetSteps()[0].GetLasting() {
+			w.after(at+w.between(time.Second, w.plan.Trouble), func() { w.cancelSurely(id) })
+			continue
+		}
 		if w.rand.IntN(8) == 0 {
 			w.after(at+w.between(100*time.Millisecond, 4*time.Second), func() { w.cancel(id) })
 		}
@@ -226,6 +231,13 @@
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
+	if len(w.cells) > 1 && w.rand.IntN(6) == 0 {
+		step := spec.GetSteps()[0]
+		step.Lasting, step.Gang, step.Filler, step.TailTargetMs = true, false, false, 100
+		step.Image = fmt.Sprintf("serving-%d", w.rand.IntN(2))
+		spec.Steps = spec.GetSteps()[:1]
+		return spec
+	}
 	if len(w.cells) > 1 && w.rand.IntN(5) == 0 {
 		spec.Repeats = int32(1 + w.rand.IntN(3))
 		spec.FirstUnixMs = w.start.Add(w.between(2*time.Second, w.plan.Traffic)).UnixMilli()
@@ -256,6 +268,16 @@
 	})
 }
 
+// cancelSurely cancels a job whose tasks last as soon as it is accepted, and again until
+// a host has taken the cancel: one that is killed while it stands still answers nothing.
+func (w *World) cancelSurely(id string) {
+	if w.checker.isCancelled(id) {
+		return
+	}
+	w.cancel(id)
+	w.after(2*time.Second, func() { w.cancelSurely(id) })
+}
+
 func (w *World) cancel(id string) {
 	if !w.checker.isAccepted(id) {
 		return
