--- a/pkg/lab/lab_test.go
+++ b/pkg/lab/lab_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -101,3 +102,18 @@
 	got := fmt.Sprintf("worth %.4f, earned %.4f of %.4f, late %d, never %d, over %.2f s", d.Worth, d.All.Earned, d.All.Owed, d.Late, d.Never, d.OverSeconds)
 	must.Eq(t, "worth 0.8944, earned 29.9595 of 32.1433, late 0, never 0, over 18.00 s", got)
 }
+
+// Found by playing examples/lab/full.jsonc twice: sums of floats, and words to other cells,
+// in the order of a map made one day two, where cells lend much and images tie.
+func TestAFullDayIsTheSameEachTime(t *testing.T) {
+	t.Parallel()
+	source, err := os.ReadFile("../../examples/lab/full.jsonc")
+	must.NoError(t, err)
+	w, err := lab.Parse("full.jsonc", source)
+	must.NoError(t, err)
+	w.Traffic, w.Finish = 16*time.Second, 2*time.Second
+	first := lab.Play(w, 2, 0)
+	for range 2 {
+		must.Eq(t, first, lab.Play(w, 2, 0))
+	}
+}
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -279,8 +279,8 @@
 		}
 		found[r.Key.Key] = r
 	}
-	for id, sent := range p.sent {
-		r := found[id]
+	for _, id := range slices.Sorted(maps.Keys(p.sent)) { // likewise, see recordDone
+		sent, r := p.sent[id], found[id]
 		if sent.expired && r.Version == 0 {
 			continue // its rows are gone
 		}
@@ -307,7 +307,8 @@
 }
 
 func (s *State) recordDone(now time.Time, p *part, version func(table.Key) int64) {
-	for id, sent := range p.sent {
+	for _, id := range slices.Sorted(maps.Keys(p.sent)) { // in order: words go out in it
+		sent := p.sent[id]
 		if sent.expired {
 			continue
 		}
--- a/pkg/process/cellchoice/cost.go
+++ b/pkg/process/cellchoice/cost.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
@@ -106,7 +108,8 @@
 // has for each of their images; unseen ones are taken to find the usual room.
 func fillerCost(l *wire.CellLoad, d demand, usual float64) float64 {
 	cost := 0.0
-	for image, work := range d.fillers {
+	for _, image := range slices.Sorted(maps.Keys(d.fillers)) { // in order: sums of floats depend on it
+		work := d.fillers[image]
 		room := usual
 		if known, ok := l.GetFillerRoomMillicores()[image]; ok {
 			room = max(leastRoom*float64(l.GetCapacityMillicores()), float64(known))
--- a/pkg/process/interference/press.go
+++ b/pkg/process/interference/press.go
@@ -155,7 +155,8 @@
 	}
 	f, g := p.merged[one], p.merged[other]
 	least, most, known := 0.0, 0.0, 0
-	for filler, in := range f.fillers {
+	for _, filler := range slices.Sorted(maps.Keys(f.fillers)) { // in order: sums of floats depend on it
+		in := f.fillers[filler]
 		like, ok := g.fillers[filler]
 		if !ok || in.Variance > surePress*surePress || like.Variance > surePress*surePress {
 			continue
