Orders to start are held back while the link is full; time-outs follow answers

Ruled out: processors (0.02 of 0.12 core in use), the table, the workers.

Change: a window on the bytes of starts on their way, sized by the delay of their answers (pkg/process/flow); what does not fit stays with the cell and is placed later, by its order. Time-outs of orders and looks follow what answers take, between 400 ms and 1.6 s.

--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -26,7 +26,7 @@
 			w.logf("%s at %s: %s %s %s", h.cell, h.name, e.What, e.Task, e.Detail)
 		}
 	case cell.SendPace:
-		h.toWorker(e.To, 400*time.Millisecond, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) },
+		h.toWorker(e.To, e.Timeout, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) },
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.PaceAnswered{
@@ -46,21 +46,23 @@
 		})
 	case cell.SendLook:
 		sentAt := w.now
-		h.toWorker(e.To, e.Look.Wait+600*time.Millisecond, e.Look.Wait, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(e.Look)) },
+		h.toWorker(e.To, e.Timeout, e.Look.Wait, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(e.Look)) },
 			func(v any, refusal workers.Refusal, err error) {
 				report, _ := v.(workers.Report)
 				h.state.Take(w.now, cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
 			})
 	case cell.SendStart:
-		h.toWorker(e.To, 400*time.Millisecond, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.start(e.Start)) },
+		sentAt := w.now
+		h.toWorker(e.To, e.Timeout, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.start(e.Start)) },
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.Started{
 					Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
+					Took: w.now.Sub(sentAt), Bytes: e.Bytes,
 				})
 			})
 	case cell.SendStop:
-		h.toWorker(e.To, 400*time.Millisecond, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) },
+		h.toWorker(e.To, e.Timeout, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) },
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
--- a/pkg/process/cell/busycell_test.go
+++ b/pkg/process/cell/busycell_test.go
@@ -119,7 +119,7 @@
 			b.at[e.Start.Task] = e.To.ID
 			r := b.reports[e.To.ID]
 			r.Active = append(r.Active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1, Reading: 40})
-			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}})
+			b.state.Take(b.now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}, Bytes: e.Bytes})
 		case cell.SendPace:
 			b.paces = append(b.paces, e)
 			b.state.Take(b.now, cell.PaceAnswered{
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -161,7 +161,7 @@
 		r.AckedAt = now
 	}
 	r.State, r.StopSentAt, r.Why = jobs.Stopping, now, why
-	s.emit(SendStop{To: target(w), Stop: workers.Stop{Fence: s.epoch, Task: r.Task.Name(), Run: r.Number}})
+	s.emit(SendStop{To: target(w), Stop: workers.Stop{Fence: s.epoch, Task: r.Task.Name(), Run: r.Number}, Timeout: s.orders.Timeout()})
 }
 
 // stopUnwanted asks for the end of runs whose job has ended or whose task is
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -99,6 +99,9 @@
 	Run    int64
 	Reply  workers.Reply
 	Err    error
+	// Took is how long the call took, Bytes what its order counted for.
+	Took  time.Duration
+	Bytes int
 }
 
 // StopAnswered is the outcome of an order to stop.
@@ -164,24 +167,31 @@
 type SendLook struct {
 	To   workers.Target
 	Look workers.Look
+	// Timeout is how long to wait for the answer, the look's own wait included.
+	Timeout time.Duration
 }
 
-// SendStart asks for an order to start; Started answers.
+// SendStart asks for an order to start; Started answers, in any case.
 type SendStart struct {
-	To    workers.Target
-	Start workers.Start
+	To      workers.Target
+	Start   workers.Start
+	Timeout time.Duration
+	// Bytes is what the order counts for on the way.
+	Bytes int
 }
 
 // SendStop asks for an order to stop; StopAnswered answers.
 type SendStop struct {
-	To   workers.Target
-	Stop workers.Stop
+	To      workers.Target
+	Stop    workers.Stop
+	Timeout time.Duration
 }
 
 // SendPace asks for an order to pace; PaceAnswered answers.
 type SendPace struct {
-	To   workers.Target
-	Pace workers.Pace
+	To      workers.Target
+	Pace    workers.Pace
+	Timeout time.Duration
 }
 
 // Record asks for progress to be written; RecordAnswered answers.
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -99,7 +99,7 @@
 // stopForeign asks for the end of a run that belongs to no job of this cell.
 func (s *State) stopForeign(w *workers.Worker, a workers.Active) {
 	s.note(Note{What: NoteStop, Task: a.Task, Run: a.Run, Worker: w.ID, Detail: "no task of this cell may run so", AgeMs: -1})
-	s.emit(SendStop{To: target(w), Stop: workers.Stop{Fence: s.epoch, Task: a.Task, Run: a.Run}})
+	s.emit(SendStop{To: target(w), Stop: workers.Stop{Fence: s.epoch, Task: a.Task, Run: a.Run}, Timeout: s.orders.Timeout()})
 }
 
 // task finds a task by its name at workers.
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -18,6 +18,8 @@
 	lookWait = 500 * time.Millisecond
 	// idleWait is the same where nothing runs.
 	idleWait = time.Second
+	// lookSlack is what a look may take beyond the wait that it asks for, at least.
+	lookSlack = 600 * time.Millisecond
 	// lookAgain is the pause after a look that failed.
 	lookAgain = 200 * time.Millisecond
 	// ackPause is how long a look that brought ends is followed by none, while
@@ -108,7 +110,7 @@
 		}
 	}
 	w.Looking, w.LookSentAt = true, now
-	s.emit(SendLook{To: target(w), Look: l})
+	s.emit(SendLook{To: target(w), Look: l, Timeout: l.Wait + max(lookSlack, s.orders.Timeout())})
 }
 
 func (s *State) takeLooked(now time.Time, e Looked) {
--- a/pkg/process/cell/mechanisms.go
+++ b/pkg/process/cell/mechanisms.go
@@ -18,6 +18,7 @@
 	WaitForCheapPlaces
 	Quarantine
 	LearnedTimes
+	OrderWindow
 )
 
 // MechanismHelp is one row of the table of mechanisms.
@@ -42,6 +43,7 @@
 	{WaitForCheapPlaces, "wait-for-cheap-places", "fillers wait for a place that costs no more than they earn"},
 	{Quarantine, "quarantine", "workers that fail what they start are put aside"},
 	{LearnedTimes, "learned-times", "run times that callers declare are corrected by those that were seen"},
+	{OrderWindow, "order-window", "orders are held back while those that are on their way wait for the link"},
 }
 
 // Without leaves mechanisms out.
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -13,6 +13,9 @@
 	// startValid is how long, by the worker's clock, an order to start may be
 	// carried out. Orders were seen to be carried out up to 12 s late.
 	startValid = 2 * time.Second
+	// orderOverhead is what an order takes beside its texts: its head, the task's name
+	// and the fields' names (counted on the wire).
+	orderOverhead = 330
 	// startTries is how often an order without an answer is sent, each time as
 	// the same run: a worker that has it says so.
 	startTries = 3
@@ -57,13 +60,30 @@
 	r.Tries++
 	until := w.Grant(now, startValid)
 	r.ValidUntil = max(r.ValidUntil, until)
-	s.emit(SendStart{To: target(w), Start: workers.Start{
+	order := workers.Start{
 		Fence: s.epoch, Task: r.Task.Name(), Run: r.Number, Body: r.Task.Unit.Job.Spec.GetBody(),
 		Until: until, Checkpoint: r.Task.Checkpoint, Ticket: r.Ticket,
-	}})
+	}
+	bytes := orderOverhead + len(order.Body) + len(order.Checkpoint) + len(order.Ticket)
+	s.orders.Sent(bytes)
+	s.emit(SendStart{To: target(w), Start: order, Timeout: s.orders.Timeout(), Bytes: bytes})
+}
+
+// mayOrder says whether one more order to start may be sent now.
+func (s *State) mayOrder() bool { return !s.has(OrderWindow) || s.orders.Room() }
+
+// takeOrderTime takes in what an order's answer, or its lack, tells of the way there.
+func (s *State) takeOrderTime(now time.Time, e Started) {
+	if e.Err != nil {
+		s.orders.Unanswered(now, e.Took, e.Bytes)
+	} else {
+		s.orders.Answered(now, e.Took, e.Bytes)
+	}
+	s.placeNow = s.placeNow || s.orders.Refilled()
 }
 
 func (s *State) takeStarted(now time.Time, e Started) {
+	s.takeOrderTime(now, e)
 	w := s.workers[e.Worker]
 	t := s.task(e.Task)
 	if w == nil || t == nil {
--- a/pkg/process/cell/pace.go
+++ b/pkg/process/cell/pace.go
@@ -191,5 +191,5 @@
 		return
 	}
 	r.PaceSending, r.PacedAt = true, now
-	s.emit(SendPace{To: target(w), Pace: workers.Pace{Fence: s.epoch, Task: r.Task.Name(), Run: r.Number, Percent: r.PaceWanted}})
+	s.emit(SendPace{To: target(w), Pace: workers.Pace{Fence: s.epoch, Task: r.Task.Name(), Run: r.Number, Percent: r.PaceWanted}, Timeout: s.orders.Timeout()})
 }
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -20,6 +20,7 @@
 	"sort"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/flow"
 	"github.com/wrenferry/wrenferry/pkg/process/interference"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/runtimes"
@@ -105,6 +106,9 @@
 	// leadership: it is about images.
 	press       *interference.Press
 	pressToldAt time.Time
+	// orders bounds the orders to start that are on their way. It is about this host's
+	// link and outlives a leadership.
+	orders *flow.Window
 	// runtimes is what was learned of how long tasks run. It outlives a leadership, too.
 	runtimes *runtimes.Estimates
 	// neighbours is what fillers would meet at each worker, for one placing.
@@ -137,7 +141,7 @@
 // New returns the state of a process that does not lead the cell.
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{
-		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(), runtimes: runtimes.New(), others: map[string]otherLoad{},
+		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(), orders: flow.NewWindow(), runtimes: runtimes.New(), others: map[string]otherLoad{},
 		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{}, over: map[string]bool{},
 	}
 	s.forget()
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -15,11 +15,6 @@
 )
 
 const (
-	// orderTimeout bounds an order to a worker: a hundred times an ordinary
-	// one. Orders without an answer are sent again.
-	orderTimeout = 400 * time.Millisecond
-	// lookSlack is what a look may take beyond the wait that it asks for.
-	lookSlack = 600 * time.Millisecond
 	// adviceTimeout bounds a call for advice, which takes some ms a worker.
 	adviceTimeout = 3 * time.Second
 )
@@ -60,7 +55,7 @@
 }
 
 func (c *Control) sendLook(ctx context.Context, name string, e cell.SendLook, sentAt time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, e.Look.Wait+lookSlack)
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	report, refusal, err := c.caller.Look(ctx, e.To, e.Look)
 	c.countCall("look", refusal, err)
@@ -68,15 +63,18 @@
 }
 
 func (c *Control) sendStart(ctx context.Context, name string, e cell.SendStart) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
+	began := time.Now()
 	reply, err := c.caller.Start(ctx, e.To, e.Start)
+	took := time.Since(began)
+	metrics.GetOrRegisterTimer("worker.start", c.metrics).Update(took)
 	c.countCall("start", reply.Refusal, err)
-	c.tell(cellEvent{name, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: reply, Err: err}})
+	c.tell(cellEvent{name, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: reply, Err: err, Took: took, Bytes: e.Bytes}})
 }
 
 func (c *Control) sendStop(ctx context.Context, name string, e cell.SendStop) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	reply, err := c.caller.Stop(ctx, e.To, e.Stop)
 	c.countCall("stop", reply.Refusal, err)
@@ -84,7 +82,7 @@
 }
 
 func (c *Control) sendPace(ctx context.Context, name string, e cell.SendPace) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	reply, err := c.caller.Pace(ctx, e.To, e.Pace)
 	c.countCall("pace", reply.Refusal, err)
--- /dev/null
+++ b/pkg/process/flow/window.go
@@ -0,0 +1,155 @@
+// Package flow decides how many bytes of orders a leader has on their way at once.
+//
+// Load pattern: jobs of 40 to 200 tasks, each an order of 1.2 kB, come together at a
+// host whose link carries 2 Mbit/s. Sent all at once they wait for one another in the
+// link for seconds, behind them the renewals of leases and of the leadership; what
+// waits longer than its time-out is sent again, so that load makes more load and stays
+// when its cause has gone. A Window keeps such orders with the leader instead, where
+// what is urgent still goes first and what has become needless is never sent.
+//
+// The rule is one of delay: as long as answers take hardly longer than the fastest of
+// late, the window grows by what was answered; once the difference (orders that wait
+// in the link, or for the processor) is above a target, it shrinks in proportion. So
+// it finds the rate of the link and of the host without being told either.
+//
+// A Window belongs to one thread. It makes no calls; times are arguments.
+package flow
+
+import "time"
+
+const (
+	// targetDelay is how long an order may wait for those before it: a twentieth of
+	// the shortest lease in use, a fifth of the shortest known objective of callers
+	// (250 ms and more beyond the work itself).
+	targetDelay = 60 * time.Millisecond
+	// firstSize is the window before anything was answered: 0.13 s of a link of
+	// 2 Mbit/s, 27 orders of 1.2 kB.
+	firstSize = 32 << 10
+	// leastSize is always allowed: 5 orders, so that one lost answer does not stop
+	// the rest.
+	leastSize = 6 << 10
+	// mostSize bounds what a fast link may be given: above it the window binds nothing.
+	mostSize = 1 << 20
+	// shrinkMost bounds how much one answer may take off the window.
+	shrinkMost = 0.5
+	// baseSpan is how long the fastest answer counts as what an answer takes by itself;
+	// between one and two spans are kept, so that a lasting change is believed in time.
+	baseSpan = 10 * time.Second
+	// refill is the share of the window that has to be free before orders are taken
+	// again: one decision for several orders costs the processor less than one for each.
+	refill = 0.25
+)
+
+const (
+	// LeastTimeout is the shortest time-out of an order: a hundred times what an
+	// answer takes on a link that is not full.
+	LeastTimeout = 400 * time.Millisecond
+	// MostTimeout is the longest: a worker carries an order out for 2 s at most.
+	MostTimeout = 1600 * time.Millisecond
+	// smoothing is the weight of the newest answer in the mean answer time and in its
+	// mean deviation; deviations is how many of these a time-out allows (both as in
+	// the retransmission timers of TCP).
+	smoothing  = 0.125
+	deviations = 4
+)
+
+// Window is one leader's.
+type Window struct {
+	size     float64
+	inFlight int
+	// limited says that the last order that was asked for was held back: a window that
+	// is not used up does not grow.
+	limited bool
+	// base and nextBase are the fastest answers of the present span and of the one
+	// before.
+	base, lastBase time.Duration
+	baseSince      time.Time
+	shrunkAt       time.Time
+	answeredAt     time.Time
+	mean, spread   time.Duration
+}
+
+// NewWindow returns one that has seen no answer.
+func NewWindow() *Window { return &Window{size: firstSize} }
+
+// Size is how many bytes may be on their way.
+func (w *Window) Size() int { return int(w.size) }
+
+// InFlight is how many bytes are on their way.
+func (w *Window) InFlight() int { return w.inFlight }
+
+// Room says whether one more order may be sent. One that is larger than the window is
+// sent when nothing else is on its way.
+func (w *Window) Room() bool {
+	w.limited = w.inFlight > 0 && float64(w.inFlight) >= w.size
+	return !w.limited
+}
+
+// Refilled says whether orders were held back and so much of the window is free by now
+// that taking them up pays.
+func (w *Window) Refilled() bool {
+	return w.limited && (w.inFlight == 0 || float64(w.inFlight) <= w.size*(1-refill))
+}
+
+// Sent counts an order as on its way.
+func (w *Window) Sent(bytes int) { w.inFlight += bytes }
+
+// Answered takes in that an order was answered so long after it was sent.
+func (w *Window) Answered(now time.Time, took time.Duration, bytes int) {
+	w.landed(bytes)
+	w.answeredAt = now
+	w.learn(now, took)
+	waited := took - min(w.base, w.lastBase)
+	if waited > targetDelay {
+		w.shrink(now, float64(targetDelay)/float64(waited))
+		return
+	}
+	if w.limited {
+		w.size = min(mostSize, w.size+float64(bytes)*(1-float64(waited)/float64(targetDelay)))
+	}
+}
+
+// Unanswered takes in that an order got no answer for so long. One sent before others
+// that were answered tells of its worker, and one that failed at once of a closed port:
+// only a silence on all sides tells of the link.
+func (w *Window) Unanswered(now time.Time, took time.Duration, bytes int) {
+	w.landed(bytes)
+	if took >= LeastTimeout && now.Sub(w.answeredAt) >= took {
+		w.shrink(now, shrinkMost)
+	}
+}
+
+func (w *Window) landed(bytes int) { w.inFlight = max(0, w.inFlight-bytes) }
+
+// learn keeps the fastest answers, and the mean with its deviation.
+func (w *Window) learn(now time.Time, took time.Duration) {
+	if w.baseSince.IsZero() {
+		w.base, w.lastBase, w.baseSince = took, took, now
+		w.mean, w.spread = took, took/2
+		return
+	}
+	if now.Sub(w.baseSince) > baseSpan {
+		w.lastBase, w.base, w.baseSince = w.base, took, now
+	}
+	w.base = min(w.base, took)
+	off := took - w.mean
+	w.mean += time.Duration(smoothing * float64(off))
+	w.spread += time.Duration(smoothing * float64(off.Abs()-w.spread))
+}
+
+// shrink takes at most one step in a mean answer time: the answers to what is on its
+// way already tell of the window as it was.
+func (w *Window) shrink(now time.Time, factor float64) {
+	if now.Sub(w.shrunkAt) < max(w.mean, targetDelay) {
+		return
+	}
+	w.shrunkAt = now
+	w.size = max(leastSize, w.size*max(shrinkMost, factor))
+}
+
+// Timeout is how long to wait for an answer: several times what answers vary by above
+// what they take. An order that is late is waited for; sent again it would wait behind
+// itself.
+func (w *Window) Timeout() time.Duration {
+	return min(MostTimeout, max(LeastTimeout, w.mean+deviations*w.spread))
+}
