Answers of the table that still come are waited for

Ruled out: the table (it answered), processors, orders (bounded before).

Change: a call is bounded by the table's silence (0.9 s) and by 8 s in all, not by its length (pkg/connection/patience); readings through a peer may take 2 s.

--- /dev/null
+++ b/pkg/connection/patience/patience_test.go
@@ -0,0 +1,32 @@
+package patience_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/connection/patience"
+)
+
+func TestACallThatIsHeardGoesOn(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := patience.WithSilence(context.Background(), 300*time.Millisecond, time.Minute)
+	defer cancel()
+	for range 10 {
+		time.Sleep(50 * time.Millisecond)
+		must.NoError(t, ctx.Err())
+		patience.Heard(ctx)
+	}
+	<-ctx.Done() // and silence ends it
+}
+
+func TestTheWholeIsBounded(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := patience.WithSilence(context.Background(), time.Minute, 20*time.Millisecond)
+	defer cancel()
+	<-ctx.Done()
+	must.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
+	patience.Heard(context.Background()) // is nothing
+}
--- a/pkg/connection/store/store.go
+++ b/pkg/connection/store/store.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/wrenferry/wrenferry/pkg/connection/patience"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/table"
 )
@@ -32,11 +33,17 @@
 }
 
 const (
-	// directTimeout bounds a call: fifty times an ordinary one, and above what
-	// a slow table takes (76 times, 0.6 s, on the platform's sites).
+	// directTimeout is how long the table may say nothing: fifty times what an ordinary
+	// call takes, and above what a slow table takes (76 times, 0.6 s, on the platform's
+	// sites).
 	directTimeout = 900 * time.Millisecond
-	// peerTimeout bounds a call through a peer.
-	peerTimeout = 700 * time.Millisecond
+	// directMost bounds a call whose answer still comes: eight times what the longest
+	// known row (a manifest of 1,000 queues, 250 kB) takes on a link of 2 Mbit/s.
+	directMost = 8 * time.Second
+	// peerTimeout bounds a transaction through a peer, and peerReadTimeout a reading:
+	// its answer may be as long as a manifest.
+	peerTimeout     = 700 * time.Millisecond
+	peerReadTimeout = 2 * time.Second
 	// failuresToAvoid straight calls in a row send the next ones to peers
 	// first, for avoidFor.
 	failuresToAvoid = 2
@@ -119,7 +126,7 @@
 // Commit asks for a transaction, straight or through a peer.
 func (c *Client) Commit(ctx context.Context, t table.Transaction) (table.Committed, error) {
 	var done table.Committed
-	err := c.either(ctx, "commit",
+	err := c.either(ctx, "commit", peerTimeout,
 		func(ctx context.Context) (time.Duration, error) {
 			var err error
 			done, err = c.direct.Commit(ctx, t)
@@ -136,7 +143,7 @@
 // Read reads a range, straight or through a peer.
 func (c *Client) Read(ctx context.Context, r table.Range) (table.Page, error) {
 	var page table.Page
-	err := c.either(ctx, "read",
+	err := c.either(ctx, "read", peerReadTimeout,
 		func(ctx context.Context) (time.Duration, error) {
 			var err error
 			page, err = c.direct.Read(ctx, r)
@@ -152,7 +159,7 @@
 
 // Changes reads what has changed; only straight, since it waits.
 func (c *Client) Changes(ctx context.Context, tableName string, after int64, wait time.Duration) (table.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+directTimeout)
+	ctx, cancel := patience.WithSilence(ctx, wait+directTimeout, wait+directMost)
 	defer cancel()
 	page, err := c.direct.Changes(ctx, tableName, after, wait)
 	c.count("changes", err)
@@ -164,7 +171,7 @@
 
 // either tries both ways. What is known of the outcome is the weaker of what
 // the tries tell: once one may have taken effect, nothing is "not run".
-func (c *Client) either(ctx context.Context, what string, straight func(context.Context) (time.Duration, error), through func(context.Context, Peer) (time.Duration, error)) error {
+func (c *Client) either(ctx context.Context, what string, peerLimit time.Duration, straight func(context.Context) (time.Duration, error), through func(context.Context, Peer) (time.Duration, error)) error {
 	var unknown, last error
 	keep := func(err error) {
 		last = err
@@ -173,7 +180,7 @@
 		}
 	}
 	if !c.avoid() {
-		err := c.timed(ctx, directTimeout, straight)
+		err := c.straight(ctx, straight)
 		c.directDone(err)
 		c.count(what, err)
 		if err == nil {
@@ -185,7 +192,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		err := c.timed(ctx, peerTimeout, func(ctx context.Context) (time.Duration, error) { return through(ctx, p) })
+		err := c.through(ctx, peerLimit, func(ctx context.Context) (time.Duration, error) { return through(ctx, p) })
 		c.count(what+".peer", err)
 		if err == nil {
 			return nil
@@ -201,10 +208,19 @@
 	return fault.New(fault.NotRun, "table", "it was not answering and no peer is known", "ask again")
 }
 
-func (c *Client) timed(ctx context.Context, limit time.Duration, call func(context.Context) (time.Duration, error)) error {
+func (c *Client) straight(ctx context.Context, call func(context.Context) (time.Duration, error)) error {
+	ctx, cancel := patience.WithSilence(ctx, directTimeout, directMost)
+	defer cancel()
+	return c.made(call(ctx))
+}
+
+func (c *Client) through(ctx context.Context, limit time.Duration, call func(context.Context) (time.Duration, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	store, err := call(ctx)
+	return c.made(call(ctx))
+}
+
+func (c *Client) made(store time.Duration, err error) error {
 	if err == nil {
 		c.worked(store)
 	}
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -22,11 +22,12 @@
 	case cell.Tell:
 		h.tell(e)
 	case cell.Note:
+		w.Noted[e.What]++
 		if e.What == cell.NoteLent || e.What == cell.NoteTakenBack || e.What == cell.NoteGivenBack {
 			w.logf("%s at %s: %s %s %s", h.cell, h.name, e.What, e.Task, e.Detail)
 		}
 	case cell.SendPace:
-		h.toWorker(e.To, e.Timeout, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) },
+		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) },
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.PaceAnswered{
@@ -46,14 +47,14 @@
 		})
 	case cell.SendLook:
 		sentAt := w.now
-		h.toWorker(e.To, e.Timeout, e.Look.Wait, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(e.Look)) },
+		h.toWorker(e.To, e.Timeout, e.Look.Wait, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(e.Look)) },
 			func(v any, refusal workers.Refusal, err error) {
 				report, _ := v.(workers.Report)
 				h.state.Take(w.now, cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
 			})
 	case cell.SendStart:
 		sentAt := w.now
-		h.toWorker(e.To, e.Timeout, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.start(e.Start)) },
+		h.toWorker(e.To, e.Timeout, 0, e.Bytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.start(e.Start)) },
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.Started{
@@ -62,7 +63,7 @@
 				})
 			})
 	case cell.SendStop:
-		h.toWorker(e.To, e.Timeout, 0, func(k *worker) (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) },
+		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) },
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
@@ -72,12 +73,12 @@
 
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
 
-func (h *seat) toWorker(to workers.Target, limit, wait time.Duration, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
+func (h *seat) toWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
 	for _, k := range h.world.workers {
 		if k.name != to.Address {
 			continue
 		}
-		call(h.world, h.name, k, to.ID, limit, wait, func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
+		call(h.world, h.name, k, to.ID, limit, wait, h.upload(bytes), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
 			h.back(func() {
 				var err error
 				if !ok {
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -36,6 +36,9 @@
 	// Faults is how many strike between 2 s and Trouble.
 	Faults int
 	Unsafe cell.Unsafe
+	// LinkRate is how many bytes a second each host's link carries away from it; 0: any
+	// number. What is sent waits for what was sent before.
+	LinkRate float64
 	// Without are mechanisms that are left out.
 	Without cell.Mechanism
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
@@ -85,6 +88,8 @@
 	truths       map[string]*TaskTruth // of a given load, by task
 	saved        map[string]time.Duration
 	results      map[string]*JobResult
+	// Noted counts the notes of all hosts by their kind.
+	Noted map[cell.What]int
 	// Log is the story of the day, for a seed that failed.
 	Log []string
 }
@@ -95,6 +100,7 @@
 		plan: plan, rand: rand.New(rand.NewPCG(plan.Seed, 7)), start: time.Unix(1_000_000, 0),
 		jobs: map[string]*wire.JobSpec{}, cuts: map[[2]string]time.Time{},
 		truths: map[string]*TaskTruth{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
+		Noted: map[cell.What]int{},
 	}
 	w.now = w.start
 	w.checker = newChecker(w)
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -26,8 +26,10 @@
 	board       *cellchoice.Board
 	beliefsAt   map[string]time.Time
 	frozenUntil time.Time
-	storeAt     time.Duration
-	storeRead   time.Time
+	// linkFreeAt is when all that was sent so far has left the host.
+	linkFreeAt time.Time
+	storeAt    time.Duration
+	storeRead  time.Time
 }
 
 // seat is one cell at a host: the product's seat and state of it.
@@ -189,7 +191,40 @@
 }
 
 func (h *host) commit(tx table.Transaction, done func(c table.Committed, ok bool)) {
-	h.world.table.commit(h.name, tx, func(c table.Committed, ok bool) { h.back(func() { done(c, ok) })() })
+	send := func() {
+		h.world.table.commit(h.name, tx, func(c table.Committed, ok bool) { h.back(func() { done(c, ok) })() })
+	}
+	queued := h.upload(transactionBytes(tx))
+	if queued == 0 {
+		send()
+		return
+	}
+	h.world.after(queued, send)
+}
+
+// messageBytes is what a call takes beside its texts.
+const messageBytes = 330
+
+func transactionBytes(tx table.Transaction) int {
+	bytes := messageBytes
+	for _, r := range tx.Puts {
+		bytes += len(r.Key.Key) + len(r.Value)*4/3 // in base64
+	}
+	return bytes
+}
+
+// upload is how long bytes that are sent now take to leave the host, behind those that
+// were sent before.
+func (h *host) upload(bytes int) time.Duration {
+	w := h.world
+	if w.plan.LinkRate == 0 {
+		return 0
+	}
+	if h.linkFreeAt.Before(w.now) {
+		h.linkFreeAt = w.now
+	}
+	h.linkFreeAt = h.linkFreeAt.Add(time.Duration(float64(bytes) / w.plan.LinkRate * float64(time.Second)))
+	return h.linkFreeAt.Sub(w.now)
 }
 
 func (h *seat) changed(c election.Change) {
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -130,7 +130,7 @@
 
 // call carries a call of a host; then runs at the worker, and its answer goes
 // back. ok is false where there was no answer.
-func call[T any](w *World, from string, k *worker, life string, limit, wait time.Duration, then func() (T, workers.Refusal), done func(T, workers.Refusal, bool)) {
+func call[T any](w *World, from string, k *worker, life string, limit, wait, queued time.Duration, then func() (T, workers.Refusal), done func(T, workers.Refusal, bool)) {
 	var none T
 	answered := false
 	answer := func(v T, r workers.Refusal, ok bool) {
@@ -143,7 +143,7 @@
 	if w.cut(from, k.name) {
 		return
 	}
-	way := w.hop()
+	way := queued + w.hop()
 	late := w.now.Before(k.lateUntil) && w.rand.IntN(4) == 0
 	if late {
 		way = w.between(2*time.Second, 12*time.Second)
