A cell's roster has a row of its own, which only successors read

At 1,100 workers a reading is some 90 kB. Ruled out: fewer readings alone (a takeover would be later).

Change: the roster stands in its own row of the same part, written in the transaction of a renewal where it has changed, over the leadership row's version; a successor reads it after its claim stands, so that nothing is added to it any more, and writes it only then.

--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -138,6 +138,7 @@
 					}
 					loaded.Jobs = joinRows(specs, progress)
 					addCancels(&loaded, cancels)
+					loaded.Roster = t.roster(h.cell)
 					loaded.Wall, loaded.StoreNow = h.world.now, at
 					h.state.Take(h.world.now, loaded)
 					h.act()
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -169,14 +169,17 @@
 		Conditions: []table.Condition{{Key: rows.LeadKey(h.cell), Version: write.Version}},
 		Puts:       []table.Row{rows.Row(rows.LeadKey(h.cell), write.Row)},
 	}
+	if write.Roster != nil {
+		tx.Puts = append(tx.Puts, rows.Row(rows.RosterKey(h.cell), write.Roster))
+	}
 	h.commit(tx, func(c table.Committed, ok bool) {
 		version := int64(0)
 		if ok && !c.Conflict {
 			version = c.Version
 		}
 		h.changed(h.seat.TakeWritten(w.now, version))
-		if version != 0 {
-			h.state.Take(w.now, cell.RosterRecorded{IDs: rosterIDs(write.Row.GetRoster())})
+		if version != 0 && write.Roster != nil {
+			h.state.Take(w.now, cell.RosterRecorded{IDs: rosterIDs(write.Roster.GetEntries())})
 		}
 		h.act()
 	})
@@ -232,8 +235,7 @@
 	switch {
 	case c.Led:
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
-		h.state.Take(now, cell.Led{Epoch: h.seat.Row().GetEpoch(), Roster: c.Before.GetRoster(), RosterUntil: rosterUntil(now, c)})
-		h.state.Take(now, cell.RosterRecorded{IDs: rosterIDs(h.seat.Row().GetRoster())})
+		h.state.Take(now, cell.Led{Epoch: h.seat.Row().GetEpoch(), RosterUntil: rosterUntil(now, c)})
 		h.awaitForerunner(h.seat.Row().GetEpoch(), c.Before)
 	case c.Lost:
 		h.state.Take(now, cell.Deposed{Why: c.Why})
--- a/pkg/emulator/table.go
+++ b/pkg/emulator/table.go
@@ -4,7 +4,9 @@
 	"sort"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // tableService is the table: linearizable, with answers that may be lost or
@@ -25,6 +27,15 @@
 
 func (t *tableService) storeTime() time.Duration { return t.world.now.Sub(t.world.start) + time.Hour }
 
+// roster is a cell's roster as it stands.
+func (t *tableService) roster(cell string) []*wire.RosterEntry {
+	roster := &wire.CellRoster{}
+	if rows.Read(t.rows[rows.RosterKey(cell)], roster) != nil {
+		return nil
+	}
+	return roster.GetEntries()
+}
+
 // commit sends a transaction from a host; done gets ok false where there was no
 // answer.
 func (t *tableService) commit(from string, tx table.Transaction, done func(c table.Committed, ok bool)) {
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -25,12 +25,10 @@
 // WorkersListed brings all workers of the cell that the list holds.
 type WorkersListed struct{ Records []workers.Record }
 
-// Led says that this process leads the cell from now on. Roster are the
-// workers that may hold runs of earlier leaders; RosterUntil is when the last
-// lease that any of them could have granted is over.
+// Led says that this process leads the cell from now on. RosterUntil is when the last
+// lease that an earlier leader could have granted is over.
 type Led struct {
 	Epoch       int64
-	Roster      []*wire.RosterEntry
 	RosterUntil time.Time
 }
 
@@ -45,7 +43,7 @@
 // Deposed says that it no longer does.
 type Deposed struct{ Why string }
 
-// RosterRecorded says which workers the table's leadership row now names.
+// RosterRecorded says which workers the cell's roster in the table now names.
 type RosterRecorded struct{ IDs []string }
 
 // LoadedJob is one job as it was read from the table.
@@ -58,7 +56,10 @@
 // Loaded brings what the table holds of the cell, read after its fences were
 // put in every part.
 type Loaded struct {
-	Epoch   int64
+	Epoch int64
+	// Roster are the workers that may hold runs of earlier leaders, read after this
+	// epoch began.
+	Roster  []*wire.RosterEntry
 	Jobs    []LoadedJob
 	Cancels []string
 	// Returned are the tasks that other cells have given back.
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -17,7 +17,7 @@
 // is found at none of them may start. A worker that does not answer holds this
 // up until the last lease that a forerunner could have granted is over.
 
-func (s *State) takeLed(now time.Time, e Led) {
+func (s *State) takeLed(e Led) {
 	known := s.workers
 	s.forget()
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
@@ -28,7 +28,14 @@
 			s.reorder = true
 		}
 	}
-	for _, r := range e.Roster {
+	s.note(Note{What: NoteLed, Detail: fmt.Sprintf("epoch %d", e.Epoch), AgeMs: -1})
+	s.emit(Load{Epoch: e.Epoch})
+}
+
+// takeEarlierRoster takes over the workers that earlier leaders could have used. The
+// table names them, so they may get work.
+func (s *State) takeEarlierRoster(now time.Time, roster []*wire.RosterEntry) {
+	for _, r := range roster {
 		if s.workers[r.GetId()] == nil {
 			w := workers.New(workers.Record{ID: r.GetId(), Address: r.GetAddress(), Host: r.GetHost(), Service: r.GetService()})
 			w.Listed, w.UnlistedAt = false, now
@@ -36,9 +43,8 @@
 			s.reorder = true
 		}
 		s.unsettled[r.GetId()] = true
+		s.roster[r.GetId()] = true
 	}
-	s.note(Note{What: NoteLed, Detail: fmt.Sprintf("epoch %d, %d workers to hear", e.Epoch, len(e.Roster)), AgeMs: -1})
-	s.emit(Load{Epoch: e.Epoch})
 }
 
 // orderTail is how long after its end a forerunner's last orders may still be
@@ -63,6 +69,7 @@
 	for name, version := range e.Fences {
 		s.part(name).fence = version
 	}
+	s.takeEarlierRoster(now, e.Roster)
 	early := s.jobs // came by word of peers while the table was read
 	s.jobs = map[string]*jobs.Job{}
 	for _, l := range e.Jobs {
@@ -83,7 +90,7 @@
 	for _, j := range s.jobs {
 		s.touch(now, j)
 	}
-	s.note(Note{What: NoteLoaded, Detail: fmt.Sprintf("%d jobs, %d cancels", len(s.jobs), len(e.Cancels)), AgeMs: -1})
+	s.note(Note{What: NoteLoaded, Detail: fmt.Sprintf("%d jobs, %d cancels, %d workers to hear", len(s.jobs), len(e.Cancels), len(e.Roster)), AgeMs: -1})
 }
 
 func (s *State) restore(now time.Time, e Loaded, l LoadedJob) *jobs.Job {
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -124,10 +124,13 @@
 	}
 }
 
-// Roster lists the workers that may hold runs, for the leadership row. A
-// worker that is not in the row gets no work.
+// Roster lists the workers that may hold runs, for the cell's row of them; nil while the
+// row of earlier leaders has not been read. A worker that is not in the row gets no work.
 func (s *State) Roster() []*wire.RosterEntry {
-	var list []*wire.RosterEntry
+	if s.phase != leading && s.phase != releasing {
+		return nil
+	}
+	list := make([]*wire.RosterEntry, 0, len(s.workers))
 	for _, w := range s.sorted() {
 		if !w.Gone {
 			list = append(list, &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service})
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -182,7 +182,7 @@
 	case WorkersListed:
 		s.takeListed(now, e)
 	case Led:
-		s.takeLed(now, e)
+		s.takeLed(e)
 	case Deposed:
 		s.stepDown(e.Why)
 	case Confirmed:
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -42,13 +42,12 @@
 	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{heard}})
 	v.state.Take(v.now, cell.Led{
 		Epoch: 2, RosterUntil: v.now.Add(until),
-		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
 	})
 	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
 	v.state.Take(v.now, cell.Loaded{
 		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
+		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
 	})
-	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"heard", "dark"}})
 	return v
 }
 
@@ -186,7 +185,6 @@
 	l.list("w", "quick")
 	l.state.Take(l.now, cell.Led{
 		Epoch: 2, RosterUntil: l.now.Add(5 * time.Second),
-		Roster: []*wire.RosterEntry{{Id: "quick", Address: "quick"}, {Id: "w", Address: "w"}},
 	})
 	return l
 }
@@ -205,8 +203,8 @@
 	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
 	l.state.Take(l.now, cell.Loaded{
 		Epoch: 2, Wall: l.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
+		Roster: []*wire.RosterEntry{{Id: "quick", Address: "quick"}, {Id: "w", Address: "w"}},
 	})
-	l.state.Take(l.now, cell.RosterRecorded{IDs: []string{"w", "quick"}})
 }
 
 // run lets time pass; it notes how long after its begin something started.
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -81,8 +81,12 @@
 	sending   bool
 	sentAt    time.Time
 	sent      *wire.CellLead
-	release   bool
-	wanted    bool
+	// sentRoster went with it, nil for none.
+	sentRoster *wire.CellRoster
+	release    bool
+	wanted     bool
+	// roster is what this process wrote last of it while leading.
+	roster []*wire.RosterEntry
 	// stale says that the last write did not take effect, or may not have: the
 	// row has to be read before the next one. (Else candidates that lost would
 	// write over the version they knew, again and again, and each write would
@@ -93,10 +97,12 @@
 // New returns the seat of a cell that belongs to a hall.
 func New(cell, hall string, self Self) *Seat { return &Seat{cell: cell, hall: hall, self: self} }
 
-// Write is a row to write over the version that was read.
+// Write is a row to write over the version that was read, and with it the cell's
+// roster, where that has changed.
 type Write struct {
 	Row     *wire.CellLead
 	Version int64
+	Roster  *wire.CellRoster
 }
 
 // Change is what became of the role.
@@ -161,7 +167,7 @@
 }
 
 func (s *Seat) won(at time.Time, before *wire.CellLead, age time.Duration) Change {
-	s.role, s.renewedAt, s.wanted = Leader, at, false
+	s.role, s.renewedAt, s.wanted, s.roster = Leader, at, false, nil
 	return Change{Led: true, Before: before, Age: age}
 }
 
@@ -181,8 +187,8 @@
 // Release asks for the seat to be given up with the next write.
 func (s *Seat) Release() { s.release = true }
 
-// Next returns the write that is due, or nil. roster is what the leader names
-// in its renewals; held is how many other seats this process holds.
+// Next returns the write that is due, or nil. roster are the workers that may hold runs,
+// nil while that is not known; held is how many other seats this process holds.
 func (s *Seat) Next(now time.Time, roster []*wire.RosterEntry, held int, leaving bool) *Write {
 	if s.sending || s.stale || s.readAt.IsZero() {
 		return nil
@@ -195,14 +201,15 @@
 	}
 	row := &wire.CellLead{
 		Cell: s.cell, Epoch: s.row.GetEpoch() + 1, Holder: s.self.Life, Host: s.self.Host, Hall: s.self.Hall,
-		Address: s.self.Address, RenewedStoreMs: s.storeNow(now).Milliseconds(), Roster: s.row.GetRoster(),
+		Address: s.self.Address, RenewedStoreMs: s.storeNow(now).Milliseconds(),
 	}
 	s.role = Candidate
-	return s.send(now, row)
+	return s.send(now, row, nil)
 }
 
 func (s *Seat) renewal(now time.Time, roster []*wire.RosterEntry) *Write {
-	if !s.release && now.Sub(s.sentAt) < renewEvery && sameRoster(s.row.GetRoster(), roster) {
+	changed := roster != nil && (s.roster == nil || !sameRoster(s.roster, roster))
+	if !s.release && !changed && now.Sub(s.sentAt) < renewEvery {
 		return nil
 	}
 	row, ok := proto.Clone(s.row).(*wire.CellLead)
@@ -210,9 +217,11 @@
 		return nil // a clone has the type of what it is a clone of
 	}
 	row.RenewedStoreMs = s.storeNow(now).Milliseconds()
-	row.Roster = roster
 	row.Released = s.release
-	return s.send(now, row)
+	if !changed {
+		return s.send(now, row, nil)
+	}
+	return s.send(now, row, &wire.CellRoster{Cell: s.cell, Entries: roster})
 }
 
 func sameRoster(a, b []*wire.RosterEntry) bool {
@@ -255,9 +264,9 @@
 		s.Fresh(now) && now.Sub(s.self.Since) > yieldWait
 }
 
-func (s *Seat) send(now time.Time, row *wire.CellLead) *Write {
-	s.sending, s.sentAt, s.sent = true, now, row
-	return &Write{Row: row, Version: s.version}
+func (s *Seat) send(now time.Time, row *wire.CellLead, roster *wire.CellRoster) *Write {
+	s.sending, s.sentAt, s.sent, s.sentRoster = true, now, row, roster
+	return &Write{Row: row, Version: s.version, Roster: roster}
 }
 
 // TakeWritten takes in the outcome of a write: its new version, or 0 when it
@@ -279,6 +288,9 @@
 		return s.won(s.sentAt, before, beforeAge)
 	default:
 		s.renewedAt = s.sentAt
+		if s.sentRoster != nil {
+			s.roster = s.sentRoster.GetEntries()
+		}
 		return Change{}
 	}
 }
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -93,3 +94,29 @@
 	s.TakeRead(at(10), at(5), row, 9, storeAt(10))
 	must.NotNil(t, s.Next(at(11), nil, 0, false))
 }
+
+// The roster is written with the first renewal that knows it, and then when it changes;
+// while earlier leaders' is not read it stays as it is. The table takes no empty row.
+func TestTheRosterIsWrittenWhenItIsKnownAndChanges(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	w := s.Next(at(500), nil, 0, false)
+	must.Nil(t, w.Roster)
+	s.TakeWritten(at(505), 2)
+	w = s.Next(at(510), []*wire.RosterEntry{}, 0, false)
+	must.NotNil(t, w)
+	must.SliceEmpty(t, w.Roster.GetEntries())
+	must.SliceNotEmpty(t, rows.Row(rows.RosterKey("cell"), w.Roster).Value)
+	s.TakeWritten(at(515), 3)
+	one := []*wire.RosterEntry{{Id: "w1"}}
+	w = s.Next(at(520), one, 0, false)
+	must.Eq(t, "w1", w.Roster.GetEntries()[0].GetId())
+	s.TakeWritten(at(525), 0) // unknown: it is written again
+	s.TakeRead(at(800), at(790), w.Row, 4, storeAt(800))
+	w = s.Next(at(1000), one, 0, false)
+	must.NotNil(t, w.Roster)
+	s.TakeWritten(at(1005), 5)
+	must.Nil(t, s.Next(at(1010), one, 0, false))
+	must.Nil(t, s.Next(at(1500), one, 0, false).Roster)
+}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -20,7 +20,6 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
-	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -201,12 +200,11 @@
 	case change.Led:
 		epoch := s.seat.Row().GetEpoch()
 		s.state.Take(now, cell.Led{
-			Epoch: epoch, Roster: change.Before.GetRoster(), RosterUntil: rosterUntil(now, change),
+			Epoch: epoch, RosterUntil: rosterUntil(now, change),
 		})
 		if c.manifest != nil {
 			s.state.Take(now, cell.ManifestChanged{Manifest: c.manifest})
 		}
-		s.state.Take(now, cell.RosterRecorded{IDs: ids(s.seat.Row().GetRoster())})
 		s.touched = true
 		c.awaitForerunner(s.name, epoch, change.Before)
 	case change.Lost:
@@ -266,7 +264,7 @@
 }
 
 func (c *Control) writeSeat(ctx context.Context, name string, w election.Write) {
-	done, err := c.store.Commit(ctx, tableWrite(rows.LeadKey(name), w))
+	done, err := c.store.Commit(ctx, seatTransaction(name, w))
 	version := int64(0)
 	switch {
 	case err != nil:
@@ -274,7 +272,7 @@
 	case !done.Conflict:
 		version = done.Version
 	}
-	c.tell(seatWritten{cell: name, version: version, roster: ids(w.Row.GetRoster())})
+	c.tell(seatWritten{cell: name, version: version, roster: w.Roster})
 }
 
 // publish lets traffic see who leads.
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -19,11 +19,17 @@
 	adviceTimeout = 3 * time.Second
 )
 
-func tableWrite(key table.Key, w election.Write) table.Transaction {
-	return table.Transaction{
+// seatTransaction is a write of a cell's leadership row, and of its roster with it.
+func seatTransaction(cellName string, w election.Write) table.Transaction {
+	key := rows.LeadKey(cellName)
+	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: key, Version: w.Version}},
 		Puts:       []table.Row{rows.Row(key, w.Row)},
 	}
+	if w.Roster != nil {
+		tx.Puts = append(tx.Puts, rows.Row(rows.RosterKey(cellName), w.Roster))
+	}
+	return tx
 }
 
 // carryOut starts an effect; its outcome comes back as a message.
--- a/pkg/process/fleet/load.go
+++ b/pkg/process/fleet/load.go
@@ -61,9 +61,13 @@
 	for i := range parts {
 		wait.Go(func() { parts[i] = c.loadPart(ctx, name, rows.PartName(i), epoch) })
 	}
+	roster, err := c.readRoster(ctx, name)
 	wait.Wait()
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
-	event := cell.Loaded{Epoch: epoch, Fences: map[string]int64{}, Wall: c.wall(), StoreNow: c.store.Now(now)}
+	event := cell.Loaded{Epoch: epoch, Roster: roster.GetEntries(), Fences: map[string]int64{}, Wall: c.wall(), StoreNow: c.store.Now(now)}
 	versions := parts[0].versions
 	for i, p := range parts {
 		if p.err != nil {
@@ -111,6 +115,21 @@
 	return p
 }
 
+// readRoster reads which workers earlier leaders could have used. They wrote that over
+// the leadership row's version, so nothing is added once this epoch's claim stands.
+func (c *Control) readRoster(ctx context.Context, name string) (*wire.CellRoster, error) {
+	key := rows.RosterKey(name)
+	page, err := c.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00", Limit: 1})
+	if err != nil {
+		return nil, err
+	}
+	roster := &wire.CellRoster{}
+	if len(page.Rows) == 0 {
+		return roster, nil
+	}
+	return roster, rows.Read(page.Rows[0], roster)
+}
+
 // joinRows puts jobs together from their rows. Jobs that have ended have
 // progress and no specification any more.
 func (c *Control) joinRows(specs, progress []table.Row) []cell.LoadedJob {
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -87,7 +87,8 @@
 type seatWritten struct {
 	cell    string
 	version int64
-	roster  []string
+	// roster went with it, nil for none.
+	roster *wire.CellRoster
 }
 
 func (m seatWritten) apply(c *Control, now time.Time) {
@@ -96,8 +97,8 @@
 		return
 	}
 	c.seatChanged(now, s, s.seat.TakeWritten(now, m.version))
-	if m.version != 0 {
-		s.state.Take(now, cell.RosterRecorded{IDs: m.roster})
+	if m.version != 0 && m.roster != nil {
+		s.state.Take(now, cell.RosterRecorded{IDs: ids(m.roster.GetEntries())})
 		s.touched = true
 	}
 	c.publish(now)
--- a/pkg/rows/fleet.go
+++ b/pkg/rows/fleet.go
@@ -21,6 +21,7 @@
 //	cancel.CELL       PART ID.C  tasks that cell C gives back, until the job's end
 //	fence             PART CELL  the epoch that may write a cell's progress
 //	lead              -    CELL  who leads a cell
+//	roster            -    CELL  the workers that may hold the cell's runs
 //	host              -    NAME  entry hosts
 const (
 	AnchorTable    = "anchor"
@@ -28,10 +29,11 @@
 	progressPrefix = "progress."
 	cancelPrefix   = "cancel."
 	// returnMark stands in no job's id, which is 16 hex digits.
-	returnMark = "."
-	FenceTable = "fence"
-	LeadTable  = "lead"
-	HostTable  = "host"
+	returnMark  = "."
+	FenceTable  = "fence"
+	LeadTable   = "lead"
+	RosterTable = "roster"
+	HostTable   = "host"
 )
 
 // JobParts is over how many parts jobs are spread. A part takes its writes in turn: some
@@ -97,6 +99,9 @@
 // LeadKey is the key of a cell's leadership.
 func LeadKey(cell string) table.Key { return table.Key{Table: LeadTable, Key: cell} }
 
+// RosterKey is the key of a cell's roster. It shares the part of the leadership row.
+func RosterKey(cell string) table.Key { return table.Key{Table: RosterTable, Key: cell} }
+
 // HostKey is the key of an entry host.
 func HostKey(name string) table.Key { return table.Key{Table: HostTable, Key: name} }
 
