--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
@@ -136,7 +135,6 @@
 			list = append(list, &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service})
 		}
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].GetId() < list[b].GetId() })
 	return list
 }
 
