The log says when orders to start are held back

With the order window, a task may wait while workers have room, and nothing in the log said why. A test holds 200 orders back until the first are answered, and counts the note. No change of what is decided.

--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -21,6 +21,7 @@
 	NoteStart        What = "task-start"
 	NoteStartRefused What = "task-start-refused"
 	NoteStartUnsure  What = "task-start-unsure"
+	NoteOrdersHeld   What = "orders-held"
 	NoteAdopted      What = "task-adopted"
 	NoteStop         What = "task-stop"
 	NoteEnd          What = "task-end"
@@ -64,6 +65,7 @@
 	{NoteStart, "a task is ordered to start; detail: wait, room left, checkpoint"},
 	{NoteStartRefused, "the worker refused the start; detail: why"},
 	{NoteStartUnsure, "the start got no answer: it may run"},
+	{NoteOrdersHeld, "orders to start are held back, once a second at most: tasks wait for the link, not for room; detail: bytes on their way, the window, how long answers take"},
 	{NoteAdopted, "a run of an earlier leader goes on"},
 	{NoteStop, "a run is ordered to stop; detail: why"},
 	{NoteEnd, "a run ended; detail: how, percent"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -16,6 +16,8 @@
 	// orderOverhead is what an order takes beside its texts: its head, the task's name
 	// and the fields' names (counted on the wire).
 	orderOverhead = 330
+	// heldNoteEvery bounds how often it is told that orders are held back.
+	heldNoteEvery = time.Second
 	// startTries is how often an order without an answer is sent, each time as
 	// the same run: a worker that has it says so.
 	startTries = 3
@@ -69,8 +71,21 @@
 	s.emit(SendStart{To: target(w), Start: order, Timeout: s.orders.Timeout(), Bytes: bytes})
 }
 
-// mayOrder says whether one more order to start may be sent now.
-func (s *State) mayOrder() bool { return !s.has(OrderWindow) || s.orders.Room() }
+// mayOrder says whether one more order to start may be sent now. That orders are held
+// back is told, once in a while: it is why tasks wait though workers have room.
+func (s *State) mayOrder(now time.Time) bool {
+	if !s.has(OrderWindow) || s.orders.Room() {
+		return true
+	}
+	if now.Sub(s.heldNotedAt) >= heldNoteEvery {
+		s.heldNotedAt = now
+		s.note(Note{
+			What: NoteOrdersHeld, AgeMs: -1,
+			Detail: fmt.Sprintf("%d of %d bytes on their way, answers take %s", s.orders.InFlight(), s.orders.Size(), s.orders.AnswerTime().Round(time.Millisecond)),
+		})
+	}
+	return false
+}
 
 // takeOrderTime takes in what an order's answer, or its lack, tells of the way there.
 func (s *State) takeOrderTime(now time.Time, e Started) {
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -49,7 +49,7 @@
 	clear(s.held)
 	usable := s.usableWorkers(now)
 	for _, c := range s.queueOrder(now) {
-		if len(usable) == 0 || !s.mayOrder() {
+		if len(usable) == 0 || !s.mayOrder(now) {
 			return
 		}
 		pool := usable
@@ -139,7 +139,7 @@
 func (s *State) placeTasks(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
 	service := s.service(u.Job)
 	for _, t := range u.Waiting(now) {
-		if !s.mayOrder() {
+		if !s.mayOrder(now) {
 			return
 		}
 		w := s.choose(now, t, service, usable)
--- a/pkg/process/cell/place_test.go
+++ b/pkg/process/cell/place_test.go
@@ -129,3 +129,42 @@
 	}
 	must.True(t, b.started["00000000000000c2.0.0.0"], must.Sprint("its wait ends, too"))
 }
+
+// A job of 200 tasks comes at once, and no order is answered yet: only what the window
+// allows is sent, the rest waits with the cell, and the log says why. With the answers
+// the rest follows.
+func TestOrdersAreHeldBackWhileNoneIsAnswered(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept("00000000000000f0", "offers", &wire.StepSpec{Count: 200, Millicores: 100, MemoryMb: 10})
+	var sent []cell.SendStart
+	held := 0
+	for range 10 {
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.state.Take(b.now, cell.Tick{})
+		for _, e := range b.state.Decide(b.now, b.now) {
+			switch e := e.(type) {
+			case cell.SendStart:
+				sent = append(sent, e)
+			case cell.Note:
+				if e.What == cell.NoteOrdersHeld {
+					held++
+				}
+			}
+		}
+	}
+	must.Between(t, 20, len(sent), 120)
+	must.Eq(t, 1, held)
+	for _, e := range sent {
+		b.state.Take(b.now, cell.Started{
+			Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: b.clock}, Took: 5 * time.Millisecond, Bytes: e.Bytes,
+		})
+	}
+	first := len(sent)
+	for _, e := range b.state.Decide(b.now, b.now) {
+		if start, ok := e.(cell.SendStart); ok {
+			sent = append(sent, start)
+		}
+	}
+	must.Greater(t, first, len(sent))
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -109,6 +109,8 @@
 	// orders bounds the orders to start that are on their way. It is about this host's
 	// link and outlives a leadership.
 	orders *flow.Window
+	// heldNotedAt is when it was last told that orders are held back.
+	heldNotedAt time.Time
 	// runtimes is what was learned of how long tasks run. It outlives a leadership, too.
 	runtimes *runtimes.Estimates
 	// neighbours is what fillers would meet at each worker, for one placing.
--- a/pkg/process/flow/window.go
+++ b/pkg/process/flow/window.go
@@ -78,6 +78,9 @@
 // InFlight is how many bytes are on their way.
 func (w *Window) InFlight() int { return w.inFlight }
 
+// AnswerTime is how long answers take, on the whole.
+func (w *Window) AnswerTime() time.Duration { return w.mean }
+
 // Room says whether one more order may be sent. One that is larger than the window is
 // sent when nothing else is on its way.
 func (w *Window) Room() bool {
