--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -83,7 +83,6 @@
 		{"settling", cell.Unsafe{NoSettling: true}, "TWICE"},
 		{"lease wait", cell.Unsafe{NoLeaseWait: true}, "TWICE"},
 		{"ends recorded first", cell.Unsafe{NoRecorded: true}, "TWICE"},
-		{"disputed ends", cell.Unsafe{NoDispute: true}, "TWICE"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -31,8 +31,7 @@
 	ended   []workers.End
 	number  int64
 	// endedAt is when the ends that are listed came, lapsed those after which the
-	// lease ran out and ended something: they never count as taken note of. A lease that
-	// runs out where nothing runs leaves no trace.
+	// lease ran out: they never count as taken note of.
 	endedAt map[int64]time.Time
 	lapsed  map[int64]bool
 	serial  int
@@ -191,9 +190,6 @@
 	if len(k.runs) == 0 || k.clock() <= k.until {
 		return
 	}
-	for _, e := range k.ended {
-		k.lapsed[e.Number] = true
-	}
 	for _, r := range k.sorted() {
 		k.end(r, workers.EndedLapsed)
 	}
@@ -209,6 +205,9 @@
 }
 
 func (k *worker) extend(until time.Duration) {
+	for _, e := range k.ended {
+		k.lapsed[e.Number] = k.lapsed[e.Number] || k.clock() > k.until
+	}
 	k.until = max(k.until, min(until, k.clock()+maxHold))
 	k.serial++
 	serial, life := k.serial, k.life
--- a/pkg/process/cell/busycell_test.go
+++ b/pkg/process/cell/busycell_test.go
@@ -23,8 +23,6 @@
 	clock   time.Duration
 	reports map[string]*workers.Report
 	looks   []cell.SendLook
-	// looked are all looks that were ever sent.
-	looked  []cell.SendLook
 	version int64
 	records []cell.Record
 	started map[string]bool
@@ -115,7 +113,6 @@
 		switch e := e.(type) {
 		case cell.SendLook:
 			b.looks = append(b.looks, e)
-			b.looked = append(b.looked, e)
 			b.answerLook(e)
 		case cell.SendStart:
 			b.started[e.Start.Task] = true
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -16,19 +16,11 @@
 		return
 	}
 	w.Seen = e.Number
-	switch {
-	case e.How == workers.EndedLapsed:
-		s.takeLapse(w, e.Number)
-	case e.How == workers.EndedDone && s.startedAgain(e.Task, e.Run):
-		s.dispute(w, e.Task, e.Run, e.Number)
-	}
 	t := s.task(e.Task)
 	if t == nil {
 		s.pendEnd(w, e.Number, "")
 		return
 	}
-	s.takeInherited(w, e)
-	s.disputeDone(t, e.Run)
 	j := t.Unit.Job
 	r := t.Run(e.Run, w.ID)
 	s.note(Note{
@@ -48,7 +40,6 @@
 	}
 	switch e.How {
 	case workers.EndedDone:
-		t.DoneBy = jobs.DoneBy{Worker: w.ID, Number: e.Number, Run: e.Run}
 		s.endedDone(now, w, t, r)
 	case workers.EndedFailed:
 		s.endedFailed(now, w, t, e.Run)
--- a/pkg/process/cell/lacks.go
+++ b/pkg/process/cell/lacks.go
@@ -31,8 +31,6 @@
 		return lacksLabel
 	case !workers.Reserved(u).Fits(w.Free()):
 		return lacksWhich(u, w)
-	case w.Disputed != 0 && !s.mayLapse(u, w):
-		return lacksDispute
 	case s.held[w] && !u.Lasting():
 		return lacksHold
 	case u.Spec.GetFiller() && !fillerFits(now, u, w):
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -53,7 +53,6 @@
 	if t == nil {
 		return nil
 	}
-	s.disputeDone(t, a.Run)
 	if r := t.Run(a.Run, w.ID); r != nil {
 		if r.State == jobs.Sent || r.State == jobs.Unsure {
 			s.began(now, r)
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -150,9 +150,6 @@
 					if len(t.Runs) == 0 && j.Begun {
 						nowhere++
 					}
-					if len(t.Runs) == 0 && len(s.unsettled) > 0 && !t.Unit.Lasting() {
-						s.noteLapse(t, s.epoch*runsPerEpoch)
-					}
 				}
 			}
 		}
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -98,7 +98,7 @@
 func (s *State) sendLook(now time.Time, w *workers.Worker) {
 	s.acknowledge(w)
 	l := workers.Look{Fence: s.epoch, Recorded: w.Recorded}
-	if renewable(w) {
+	if w.Clocked() && w.SilentSince.IsZero() {
 		// A silent worker gets no renewal, so that its lease runs out for sure.
 		l.Until = w.Grant(now, s.leaseSpan())
 		l.Wait = idleWait
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -88,7 +88,6 @@
 	over := w.LeaseOver(s.confirmed(now)) || s.unsafe.NoLeaseWait
 	if over {
 		for _, r := range w.Runs {
-			s.noteLapse(r.Task, r.Number)
 			s.loseRun(now, w, r, "its worker's lease is over")
 		}
 	}
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -26,7 +26,6 @@
 	NoteStop         What = "task-stop"
 	NoteEnd          What = "task-end"
 	NoteLost         What = "task-lost"
-	NoteDisputed     What = "end-disputed"
 	NotePace         What = "task-pace"
 	NoteAdvice       What = "step-advised"
 	NoteLent         What = "task-lent"
@@ -71,7 +70,6 @@
 	{NoteStop, "a run is ordered to stop; detail: why"},
 	{NoteEnd, "a run ended; detail: how, percent"},
 	{NoteLost, "a run is surely over without its end having been seen; detail: why"},
-	{NoteDisputed, "a worker lists a good end of a task that was started again; it is not acknowledged, nor the lease renewed, until a run there was ended by its lease; detail: the end and the later run"},
 	{NotePace, "a filler's share of work is changed; detail: share, the tail that decided"},
 	{NoteAdvice, "the advising service said which workers may run a step; detail: how many, or why not"},
 	{NoteLent, "tasks without room, or whose neighbours would suffer, are left to another cell; detail: which, its room, the wait"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -41,7 +41,7 @@
 		Pace: 100, PaceWanted: 100, Ticket: ticket, Resumed: t.Checkpoint != "",
 	}
 	t.Runs = append(t.Runs, r)
-	t.Tried, t.Newest = true, max(t.Newest, number)
+	t.Tried = true
 	w.Add(r)
 	w.Health.TrialGiven(now)
 	delete(s.neighbours, w)
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -102,7 +102,7 @@
 
 // recordedEnd is the newest end of a worker up to which all are durable.
 func (s *State) recordedEnd(w *workers.Worker) int64 {
-	upTo := s.mayAcknowledge(w)
+	upTo := w.Seen
 	for _, p := range s.parts {
 		for _, e := range p.ends {
 			if e.worker == w.ID && e.number <= upTo {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -57,8 +57,6 @@
 	NoLeaseWait bool
 	// NoConfirmation takes runs for over though another may lead by now.
 	NoConfirmation bool
-	// NoDispute acknowledges ends of tasks that were started again.
-	NoDispute bool
 }
 
 // State is what the leader of a cell knows.
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -33,10 +33,6 @@
 	// Begun says that a task has started at some time.
 	Begun bool
 	Units []*Unit
-	// Lapsed are runs of its tasks that were taken for over by their lease alone.
-	// The first ones, as many as inherited says, were noted by earlier leaders.
-	Lapsed    []*wire.LapsedRun
-	inherited int
 
 	times int
 	// borrowers are the cells that have had tasks of the job.
@@ -98,10 +94,6 @@
 	// RefusedAt is when cells gave the task back, for want of room; the zero time:
 	// before this process came to know of it.
 	RefusedAt map[string]time.Time
-	// Newest is the highest number of a run of it that is known to have been ordered.
-	Newest int64
-	// DoneBy is the end by which it counts as done, where its worker has listed it.
-	DoneBy DoneBy
 	// Tried says that it has had a run here, or may have had one.
 	Tried bool
 	// WaitsSince is when it last lost a run; zero: it never had one.
@@ -110,12 +102,6 @@
 	name string
 }
 
-// DoneBy is an end of a run as its worker lists it.
-type DoneBy struct {
-	Worker      string
-	Number, Run int64
-}
-
 // New returns a job that nobody has worked on yet.
 func New(spec *wire.JobSpec, acceptedAt time.Time) *Job {
 	j := &Job{Spec: spec, Phase: wire.JobPhase_JOB_PHASE_QUEUED, AcceptedAt: acceptedAt}
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -9,7 +9,7 @@
 // Progress encodes what must outlive the leader: what is done, which runs
 // failed, checkpoints, and the phase. Runs are not recorded: workers list them.
 func (j *Job) Progress() *wire.JobProgress {
-	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason, Lapsed: j.Lapsed}
+	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason}
 	if j.Ended() {
 		return p
 	}
@@ -55,7 +55,6 @@
 	j.OpenDue(wall)
 	if p != nil {
 		j.Phase, j.Durable, j.Reason = p.GetPhase(), p.GetPhase(), p.GetReason()
-		j.Lapsed, j.inherited = p.GetLapsed(), len(p.GetLapsed())
 		j.Begun = p.GetPhase() != wire.JobPhase_JOB_PHASE_QUEUED
 		for _, up := range p.GetUnits() {
 			j.restoreUnit(up)
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -1,13 +1,11 @@
 package jobs
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/interference"
-	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // RunState is how much is known of a run.
@@ -84,24 +82,6 @@
 	Time, Step, Index int
 }
 
-// NoteLapse has a task's runs up to a number remembered as taken for over by a lease alone.
-func (j *Job) NoteLapse(t *Task, run int64) {
-	for _, l := range j.Lapsed[j.inherited:] {
-		if int(l.GetTime()) == t.Unit.Time && int(l.GetStep()) == t.Unit.Step && int(l.GetIndex()) == t.Index {
-			l.Run = max(l.GetRun(), run)
-			return
-		}
-	}
-	j.Lapsed = append(j.Lapsed, &wire.LapsedRun{Time: int32(t.Unit.Time), Step: int32(t.Unit.Step), Index: int32(t.Index), Run: run})
-}
-
-// HasLapsed says whether an earlier leader took a run for over by a lease alone.
-func (j *Job) HasLapsed(id TaskID, run int64) bool {
-	return slices.ContainsFunc(j.Lapsed[:j.inherited], func(l *wire.LapsedRun) bool {
-		return l.GetRun() >= run && int(l.GetTime()) == id.Time && int(l.GetStep()) == id.Step && int(l.GetIndex()) == id.Index
-	})
-}
-
 // ParseTask reads a task's name as workers list it.
 func ParseTask(name string) (TaskID, bool) {
 	parts := strings.Split(name, ".")
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -74,11 +74,7 @@
 	// Seen is the newest end that was taken in, and Recorded the newest that is
 	// durable.
 	Seen, Recorded int64
-	// Disputed is the first end that must not be acknowledged before a run there was
-	// ended by its lease, Inherited the first of a run of an earlier leader, Lapsed the
-	// newest of a run that its lease has ended; 0: none.
-	Disputed, Inherited, Lapsed int64
-	Health                      Health
+	Health         Health
 	// NoFillersUntil is until when no filler may join: those that are there have
 	// just been cut.
 	NoFillersUntil time.Time
