An end is not acknowledged by a record that left its job out

Ends were acknowledged whose jobs were still to be written; the leader's end then lost them. Change: a transaction that leaves something over covers nothing new.

The test failed before ("acknowledged before its record") and passes now.

--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -148,6 +148,9 @@
 	for _, j := range p.dirty {
 		p.urgent = p.urgent || j.Ended()
 	}
+	// What is left over has changes that this transaction doesn't cover: neither do those
+	// before it that failed.
+	p.sentSeq = p.durable
 	if len(p.dirty) == 0 {
 		p.sentSeq = s.seq
 	}
--- /dev/null
+++ b/pkg/process/cell/record_test.go
@@ -0,0 +1,72 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// idsOfOnePart are ids of jobs that share a part of the table, in order.
+func idsOfOnePart(n int) []string {
+	part := rows.JobPart(fmt.Sprintf("%016x", 1))
+	var ids []string
+	for i := 1; len(ids) < n; i++ {
+		if id := fmt.Sprintf("%016x", i); rows.JobPart(id) == part {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// The table is silent for some seconds, and so many jobs of one part change that the first
+// transaction after it doesn't hold all. An end whose job is not among them was
+// acknowledged: a record of it had been sent before, and had failed. The leader's end then
+// lost it, and its task ran again.
+func TestAnEndWaitsForItsOwnRecordWhenAPartIsWrittenInPieces(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	ids := idsOfOnePart(60)
+	last := ids[len(ids)-1]
+	for _, id := range ids {
+		b.accept(id, "offers", &wire.StepSpec{Count: 2, Millicores: 100, MemoryMb: 10})
+	}
+	for range 20 {
+		b.step(20 * time.Millisecond)
+	}
+	b.down = true
+	worker := b.at[last+".0.0.0"]
+	b.finish(last+".0.0.0", workers.EndedDone)
+	end := b.ends
+	for range 10 {
+		b.step(50 * time.Millisecond)
+	}
+	for _, id := range ids[:len(ids)-1] {
+		b.finish(id+".0.0.0", workers.EndedDone)
+	}
+	for range 10 {
+		b.step(50 * time.Millisecond)
+	}
+	b.down = false
+	recorded := false
+	for range 40 {
+		before := len(b.records)
+		b.step(10 * time.Millisecond)
+		for _, r := range b.records[before:] {
+			for _, put := range r.Transaction.Puts {
+				recorded = recorded || put.Key.Key == last
+			}
+		}
+		for _, l := range b.looks {
+			if l.To.ID == worker && l.Look.Recorded >= end {
+				must.True(t, recorded, must.Sprint("acknowledged before its record"))
+			}
+		}
+	}
+	must.True(t, recorded)
+}
