The log tells which life of a worker answers, ends that are passed over, and what an unsure start waits for

Cause looked for: tasks that are started again after a good end, and a task that waits for ever, near workers that start again under their ids. The log could not tell the hypotheses apart. No decision changes: born is read from rows and lists, and only noted.

--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -13,6 +13,7 @@
 // worker is told that it is recorded, so each is taken in once by its number.
 func (s *State) takeEnd(now time.Time, w *workers.Worker, e workers.End) {
 	if e.Number <= w.Seen {
+		s.notePassed(w, e)
 		return
 	}
 	w.Seen = e.Number
@@ -51,6 +52,16 @@
 	s.touch(now, j)
 }
 
+// notePassed tells of an end that is passed over though its run is still taken to be there.
+func (s *State) notePassed(w *workers.Worker, e workers.End) {
+	if t := s.task(e.Task); t != nil && t.Run(e.Run, w.ID) != nil {
+		s.note(Note{
+			What: NoteEndPassed, Job: t.Unit.Job.Spec.GetId(), Task: e.Task, Run: e.Run, Worker: w.ID, AgeMs: -1,
+			Detail: fmt.Sprintf("%s, number %d; %d was the newest", e.How, e.Number, w.Seen),
+		})
+	}
+}
+
 func endDetail(how workers.How, r *jobs.Run) string {
 	if r == nil {
 		return string(how)
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -57,7 +57,7 @@
 			w.KnownAt = now
 			s.workers[r.ID] = w
 			s.reorder = true
-			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v, labels %v", r.Service, r.Address, r.Capacity, r.Labels), AgeMs: -1})
+			s.noteIfHeld(Note{What: NoteWorkerNew, Worker: r.ID, Detail: fmt.Sprintf("%s at %s, %+v, labels %v, born %d", r.Service, r.Address, r.Capacity, r.Labels, r.Born), AgeMs: -1})
 		}
 		s.takeRecord(now, w, r)
 	}
@@ -134,6 +134,7 @@
 		s.lookFailed(now, w, string(e.Refusal))
 		return
 	}
+	s.noteLife(now, w, e.Report)
 	s.heard(now, w, e.Report.Clock)
 	s.otherLivesOver(now, w, e.SentAt)
 	if s.phase == loading || s.phase == following {
@@ -158,6 +159,17 @@
 	}
 }
 
+// noteLife tells that an answer came from another life than the one that is known.
+func (s *State) noteLife(now time.Time, w *workers.Worker, r workers.Report) {
+	if r.Born != w.Born {
+		s.note(Note{
+			What: NoteWorkerLife, Worker: w.ID, AgeMs: now.Sub(w.AnsweredAt).Milliseconds(),
+			Detail: fmt.Sprintf("born %d, was %d; its clock shows %s, at least %s was due", r.Born, w.Born, r.Clock, w.ClockAtLeast(now).Round(time.Millisecond)),
+		})
+		w.Born = r.Born // told once
+	}
+}
+
 // heard takes in that a worker has answered.
 func (s *State) heard(now time.Time, w *workers.Worker, clock time.Duration) {
 	w.TakeClock(now, clock)
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -26,6 +26,7 @@
 	NoteStop         What = "task-stop"
 	NoteEnd          What = "task-end"
 	NoteLost         What = "task-lost"
+	NoteEndPassed    What = "task-end-passed-over"
 	NotePace         What = "task-pace"
 	NoteAdvice       What = "step-advised"
 	NoteLent         What = "task-lent"
@@ -33,6 +34,7 @@
 	NoteTakenBack    What = "task-taken-back"
 	NotePress        What = "press-learned"
 	NoteWorkerNew    What = "worker-new"
+	NoteWorkerLife   What = "worker-life"
 	NoteWorkerGone   What = "worker-gone"
 	NoteWorkerLeaves What = "worker-leaving"
 	NoteWorkerSilent What = "worker-silent"
@@ -70,6 +72,7 @@
 	{NoteStop, "a run is ordered to stop; detail: why"},
 	{NoteEnd, "a run ended; detail: how, percent"},
 	{NoteLost, "a run is surely over without its end having been seen; detail: why"},
+	{NoteEndPassed, "a worker lists an end with a number that was taken in before, though its run is still taken to be there; detail: how it ended, both numbers"},
 	{NotePace, "a filler's share of work is changed; detail: share, the tail that decided"},
 	{NoteAdvice, "the advising service said which workers may run a step; detail: how many, or why not"},
 	{NoteLent, "tasks without room, or whose neighbours would suffer, are left to another cell; detail: which, its room, the wait"},
@@ -77,6 +80,7 @@
 	{NoteTakenBack, "another cell gives back or reports on tasks that it was lent; detail: how many, which cell, a failure"},
 	{NotePress, "which fillers press on which serving images, as now believed; detail: serving image alone, and each filler's coefficient"},
 	{NoteWorkerNew, "a worker came to be known"},
+	{NoteWorkerLife, "another life of a worker answers than the one that is known; detail: when each began, and their clocks"},
 	{NoteWorkerGone, "a worker's life is over; detail: why"},
 	{NoteWorkerLeaves, "a worker takes no new work; detail: time left"},
 	{NoteWorkerSilent, "a worker does not answer; its lease runs out"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -157,7 +157,8 @@
 		r.State = jobs.Unsure
 		s.note(Note{
 			What: NoteStartUnsure, Job: r.Task.Unit.Job.Spec.GetId(), Task: r.Task.Name(), Run: r.Number, Worker: w.ID,
-			Detail: err.Error(), AgeMs: now.Sub(r.SentAt).Milliseconds(),
+			Detail: fmt.Sprintf("until the worker's clock shows %s, now at least %s: %s", r.ValidUntil.Round(time.Millisecond), w.ClockAtLeast(now).Round(time.Millisecond), err),
+			AgeMs:  now.Sub(r.SentAt).Milliseconds(),
 		})
 	}
 	if r.Tries < startTries && w.SilentSince.IsZero() && !r.Task.Unit.Job.Ended() && s.phase == leading {
--- a/pkg/process/workers/report.go
+++ b/pkg/process/workers/report.go
@@ -84,6 +84,8 @@
 
 // Report is a worker's answer to a look.
 type Report struct {
+	// Born is when the life that answers began, in Unix ms; 0: it does not say.
+	Born   int64
 	Clock  time.Duration
 	Active []Active
 	Ended  []End
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -19,7 +19,9 @@
 // Record is what the list of workers says of one incarnation.
 type Record struct {
 	// ID names the incarnation: another life of the same host has another.
-	ID       string
+	ID string
+	// Born is when the life began, as the worker says, in Unix ms; 0: it does not say.
+	Born     int64
 	Host     string
 	Service  string
 	Address  string
