Tests that fail: workers that start again under the ids that they had

The emulator's workers may keep their ids over a crash; messages come to the life that their connection reached. Two tests of the cell tell the two causes apart: ends by numbers that begin anew, and an unanswered order that waits for the clock of the life before.

--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -41,6 +41,10 @@
 	LinkRate float64
 	// Without are mechanisms that are left out.
 	Without cell.Mechanism
+	// SameIDs says that a worker that starts again has the id that it had.
+	SameIDs bool
+	// Crashes is how often half of the workers crash within a moment, each for a while.
+	Crashes int
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
 	Load *Load
 }
@@ -62,6 +66,14 @@
 	return plan
 }
 
+// SameIDsPlan is a day on which workers crash many at once and start again under the ids
+// that they had, from the first second of work on.
+func SameIDsPlan(seed uint64) Plan {
+	plan := DefaultPlan(seed)
+	plan.SameIDs, plan.Crashes = true, 5
+	return plan
+}
+
 const (
 	queueName   = "queue"
 	serviceName = "service"
@@ -305,6 +317,20 @@
 	for range w.plan.Faults {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.strike)
 	}
+	for range w.plan.Crashes {
+		w.after(w.between(2*time.Second, w.plan.Trouble), w.crashMany)
+	}
+}
+
+// crashMany ends the lives of about half of the workers within a moment.
+func (w *World) crashMany() {
+	for _, k := range w.workers {
+		if w.rand.IntN(2) == 0 {
+			span := w.between(50*time.Millisecond, 1500*time.Millisecond)
+			w.after(w.between(0, 300*time.Millisecond), func() { k.crash(span) })
+			w.troubleUntil = w.now.Add(span)
+		}
+	}
 }
 
 // strike brings one fault about.
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -65,6 +65,22 @@
 	playDays(t, emulator.TwoCellPlan)
 }
 
+// A worker that crashed may start again under the id that it had. The leader kept the newest
+// number of an end, the clock and its unanswered orders under that id. So it passed over good
+// ends of the next life, whose numbers begin at 1 again, acknowledged them with its next look,
+// and started their tasks again; and it let a task wait until the next life's clock showed a
+// moment of the clock before, which took minutes. In one list of the next life, a leader's log
+// has one run as ended and the other as lost:
+//
+//	task-end  ...0.0.5 run 1000386  done at 48%
+//	task-lost ...0.0.7 run 1000387  no longer listed by its worker
+//
+// and in the record of the runs, 0.0.7 had ended well before that, and is started again after.
+func TestNoRuleBreaksWhenWorkersStartAgainUnderTheirIDs(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.SameIDsPlan)
+}
+
 func TestTheSameSeedGivesTheSameDay(t *testing.T) {
 	t.Parallel()
 	a, _ := emulator.Play(emulator.DefaultPlan(3))
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -304,8 +304,7 @@
 	var list []workers.Record
 	for _, k := range h.world.workers {
 		if k.up && k.Hall == h.cell {
-			list = append(list, k.record())
-			list = append(list, k.staleRecords()...)
+			list = append(list, k.records()...)
 		}
 	}
 	h.on(func() { h.state.Take(h.world.now, cell.WorkersListed{Records: list}) })
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -21,15 +21,17 @@
 	life int
 	up   bool
 
-	rate    float64
-	offset  time.Duration
-	bornAt  time.Time
-	fence   int64
-	until   time.Duration
-	runs    map[string]*workerRun
-	highest map[string]int64 // per task, the highest run that ended there
-	ended   []workers.End
-	number  int64
+	rate   float64
+	offset time.Duration
+	bornAt time.Time
+	// bornBefore is when the life before began, in Unix ms.
+	bornBefore int64
+	fence      int64
+	until      time.Duration
+	runs       map[string]*workerRun
+	highest    map[string]int64 // per task, the highest run that ended there
+	ended      []workers.End
+	number     int64
 	// endedAt is when the ends that are listed came, lapsed those after which the
 	// lease ran out: they never count as taken note of.
 	endedAt map[int64]time.Time
@@ -64,6 +66,8 @@
 	workerMemory = 32000
 	maxHold      = 10 * time.Second
 	stopTakes    = 300 * time.Millisecond
+	// connectWait is how long a connection to a worker that is down may take to come about.
+	connectWait = 500 * time.Millisecond
 	// staleFor is how long rows of an earlier life come and go, every staleGap.
 	staleFor = 12 * time.Second
 	staleGap = 2 * time.Second
@@ -84,20 +88,37 @@
 	k.up, k.fence, k.until, k.number = true, 0, 0, 0
 	k.rate = 0.98 + 0.04*w.rand.Float64()
 	k.offset = w.between(0, time.Hour)
-	k.bornAt = w.now
+	k.bornBefore, k.bornAt = k.bornAt.UnixMilli(), w.now
 	k.runs, k.highest, k.ended = map[string]*workerRun{}, map[string]int64{}, nil
 	k.endedAt, k.lapsed = map[int64]time.Time{}, map[int64]bool{}
 }
 
+// id tells each life from the others.
 func (k *worker) id() string { return fmt.Sprintf("%s/%d", k.name, k.life) }
 
+// key is the id under which the list of workers has it.
+func (k *worker) key() string {
+	if k.world.plan.SameIDs {
+		return k.name
+	}
+	return k.id()
+}
+
+// born is what the worker says of its life's start.
+func (k *worker) born() int64 {
+	if k.world.plan.SameIDs {
+		return k.bornAt.UnixMilli()
+	}
+	return 0
+}
+
 func (k *worker) clock() time.Duration {
 	return k.offset + time.Duration(float64(k.world.now.Sub(k.bornAt))*k.rate)
 }
 
 func (k *worker) record() workers.Record {
 	return workers.Record{
-		ID: k.id(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.Hall, Ready: true, Rack: k.Rack,
+		ID: k.key(), Born: k.born(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.Hall, Ready: true, Rack: k.Rack,
 		Capacity: ledger.Size{Millicores: k.Millicores, MemoryMB: k.MemoryMB},
 	}
 }
@@ -114,6 +135,20 @@
 	return []workers.Record{r}
 }
 
+// records is what the list of workers holds: the newest row under each id, which may be one
+// of an earlier life that was written late.
+func (k *worker) records() []workers.Record {
+	stale := k.staleRecords()
+	if !k.world.plan.SameIDs {
+		return append([]workers.Record{k.record()}, stale...)
+	}
+	r := k.record()
+	if len(stale) > 0 {
+		r.Born = k.bornBefore
+	}
+	return []workers.Record{r}
+}
+
 // crash ends a life; another begins after a while.
 func (k *worker) crash(span time.Duration) {
 	if !k.up {
@@ -148,17 +183,18 @@
 	if late {
 		way = w.between(2*time.Second, 12*time.Second)
 	}
-	w.after(way, func() {
-		if !k.up {
-			return
-		}
-		if k.id() != life {
+	sentAt, reached := w.now, k.life
+	if !k.up {
+		reached++ // the connection may yet come about, to the next life
+	}
+	k.arrive(way, sentAt, reached, func() {
+		if k.key() != life {
 			w.after(w.hop(), func() { answer(none, workers.RefusedLife, true) })
 			return
 		}
 		k.lapse()
 		v, refusal := then()
-		k.await(life, wait, func() {
+		k.await(k.life, wait, func() {
 			if wait > 0 {
 				v, refusal = then()
 			}
@@ -169,17 +205,35 @@
 	})
 }
 
+// arrive carries a message to a worker. Under ids that stay, it comes to the life that its
+// connection reached when it was sent, or to none: connections end with the life.
+func (k *worker) arrive(way time.Duration, sentAt time.Time, reached int, do func()) {
+	w := k.world
+	w.after(way, func() {
+		switch {
+		case !w.plan.SameIDs:
+			if k.up {
+				do()
+			}
+		case k.up && k.life == reached:
+			do()
+		case !k.up && k.life < reached && w.now.Sub(sentAt) < connectWait:
+			k.arrive(awaitStep, sentAt, reached, do)
+		}
+	})
+}
+
 // awaitStep is how closely a waiting look watches for an end.
 const awaitStep = 20 * time.Millisecond
 
 // await does something when there is an end to list, or after a wait.
-func (k *worker) await(life string, wait time.Duration, do func()) {
+func (k *worker) await(life int, wait time.Duration, do func()) {
 	if wait <= 0 || len(k.ended) > 0 {
 		do()
 		return
 	}
 	k.world.after(awaitStep, func() {
-		if k.up && k.id() == life {
+		if k.up && k.life == life {
 			k.await(life, wait-awaitStep, do)
 		}
 	})
@@ -234,7 +288,7 @@
 		}
 	}
 	k.ended = keep
-	report := workers.Report{Clock: k.clock(), Ended: append([]workers.End(nil), keep...)}
+	report := workers.Report{Born: k.born(), Clock: k.clock(), Ended: append([]workers.End(nil), keep...)}
 	for _, r := range k.sorted() {
 		report.Active = append(report.Active, workers.Active{Task: r.task, Run: r.number, Checkpoint: k.saved(r), Percent: k.percent(r), Reading: r.reading.told})
 	}
--- /dev/null
+++ b/pkg/process/cell/lives_test.go
@@ -0,0 +1,181 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// lives is a leader with one worker, which starts again under the id that it has.
+type lives struct {
+	state *cell.State
+	now   time.Time
+	// What the life that is up says of itself.
+	born   int64
+	offset time.Duration
+	active []workers.Active
+	ended  []workers.End
+	// deaf says that its answers to orders to start are lost and the orders too.
+	deaf    bool
+	version int64
+	starts  []cell.SendStart
+	notes   []cell.Note
+	// recorded are the ends up to which looks at this life said that they are recorded.
+	recorded int64
+	lost     bool
+	// unconfirmed says that no renewal takes effect any more.
+	unconfirmed bool
+}
+
+const livesSpan = 50 * time.Millisecond
+
+func newLives() *lives {
+	v := &lives{now: time.Unix(1000, 0), born: 1, offset: time.Hour}
+	v.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	v.state.Take(v.now, cell.ManifestChanged{Manifest: theManifest})
+	v.list()
+	v.state.Take(v.now, cell.Led{Epoch: 1, RosterUntil: v.now})
+	v.state.Take(v.now, cell.Loaded{Epoch: 1, Fences: someFences(), Wall: v.now})
+	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"w"}})
+	v.run(time.Second)
+	return v
+}
+
+// list brings the worker's row.
+func (v *lives) list() {
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{{
+		ID: "w", Born: v.born, Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: "h",
+		Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+	}}})
+}
+
+// begin starts the worker again: it knows nothing of before.
+func (v *lives) begin(offset time.Duration) {
+	v.born++
+	v.offset, v.active, v.ended, v.recorded = offset, nil, nil, 0
+}
+
+func (v *lives) accept(i int) string {
+	id := fmt.Sprintf("%016x", i)
+	v.state.Take(v.now, cell.Accepted{Spec: &wire.JobSpec{
+		Id: id, Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, EstimateMs: 500}},
+	}})
+	return id + ".0.0.0"
+}
+
+func (v *lives) clock() time.Duration { return v.offset + v.now.Sub(time.Unix(1000, 0)) }
+
+// run lets time pass, with what the worker and the table answer.
+func (v *lives) run(span time.Duration) {
+	for until := v.now.Add(span); v.now.Before(until); {
+		v.now = v.now.Add(livesSpan)
+		v.state.Take(v.now, cell.Tick{})
+		if !v.unconfirmed {
+			v.state.Take(v.now, cell.Confirmed{At: v.now})
+		}
+		for _, e := range v.state.Decide(v.now, v.now) {
+			v.answer(e)
+		}
+	}
+}
+
+func (v *lives) answer(e cell.Effect) {
+	switch e := e.(type) {
+	case cell.Note:
+		v.notes = append(v.notes, e)
+	case cell.SendLook:
+		looked := cell.Looked{Worker: e.To.ID, SentAt: v.now}
+		if v.lost {
+			looked.Err = fault.New(fault.Unknown, "w", "no answer", "")
+		} else {
+			v.recorded = max(v.recorded, e.Look.Recorded)
+			looked.Report = workers.Report{Born: v.born, Clock: v.clock(), Active: v.active}
+			for _, end := range v.ended {
+				if end.Number > v.recorded {
+					looked.Report.Ended = append(looked.Report.Ended, end)
+				}
+			}
+		}
+		v.state.Take(v.now, looked)
+	case cell.SendStart:
+		v.starts = append(v.starts, e)
+		started := cell.Started{Worker: "w", Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: v.clock()}}
+		if v.deaf {
+			started.Reply, started.Err = workers.Reply{}, fault.New(fault.Unknown, "w", "no answer", "")
+		} else {
+			v.active = append(v.active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1})
+		}
+		v.state.Take(v.now, started)
+	case cell.Record:
+		v.version++
+		v.state.Take(v.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: v.version}})
+	}
+}
+
+// finish ends all that runs, well.
+func (v *lives) finish() {
+	for _, a := range v.active {
+		v.ended = append(v.ended, workers.End{Number: int64(len(v.ended)) + 1, Task: a.Task, Run: a.Run, How: workers.EndedDone})
+	}
+	v.active = nil
+}
+
+func (v *lives) startsOf(task string) int {
+	n := 0
+	for _, s := range v.starts {
+		if s.Start.Task == task {
+			n++
+		}
+	}
+	return n
+}
+
+// A worker crashed, started again under its id, and numbered its ends from 1 again. The leader
+// kept the newest number of the life before, took the next life's first ends for known ones,
+// and their runs for lost: "no longer listed by its worker". It started the tasks again, after
+// it had let the worker forget their ends.
+func TestEndsOfTheNextLifeAreNotTakenForKnownOnes(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	for i := range 3 {
+		v.accept(1 + i)
+	}
+	v.run(500 * time.Millisecond)
+	v.finish()
+	v.run(time.Second)
+	v.begin(time.Minute)
+	v.list()
+	v.run(time.Second)
+	task := v.accept(9)
+	v.run(500 * time.Millisecond)
+	v.finish()
+	v.run(3 * time.Second)
+	must.Eq(t, 1, v.startsOf(task))
+}
+
+// An order to start got no answer, and its worker started again under its id. The order holds
+// its task until the worker's clock is past the order's limit. The next life's clock showed an
+// hour less, so the task would have waited for an hour, with all of the worker's room free.
+func TestAnOrderToTheLifeBeforeDoesNotHoldItsTask(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	v.deaf = true
+	task := v.accept(1)
+	v.run(300 * time.Millisecond)
+	tries := v.startsOf(task)
+	must.Positive(t, tries)
+	v.begin(time.Minute)
+	v.list()
+	v.deaf = false
+	v.run(3 * time.Second)
+	must.Greater(t, tries, v.startsOf(task))
+}
