What is believed of a worker is believed of one life of it

Cause: a worker may start again under the id that it had, and everything was kept under the id: the newest number of an end (so good ends of the next life were passed over, acknowledged, and their tasks started again), its clock and the limit of an unanswered order by that clock (so a task waited for minutes), that it leaves, its health, its lease, tickets, what waits to be recorded. Change: born names the life. A call to a worker reaches the life that it is for, or none: who opens a connection asks on it which life is there, and a request for another is not sent. The first answer of the next life ends all beliefs of the one before; what ran there is lost when confirmed. A leader uses a new life only when a renewal sent after it came to be known took effect. Rows of other lives decide nothing, the answer does. In doubt, a look tells the worker to forget nothing.

--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -27,7 +27,9 @@
 			w.logf("%s at %s: %s %s %s", h.cell, h.name, e.What, e.Task, e.Detail)
 		}
 	case cell.SendPace:
-		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) },
+		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
+			return k.forLife(e.To, func() (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) })
+		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.PaceAnswered{
@@ -47,14 +49,16 @@
 		})
 	case cell.SendLook:
 		sentAt := w.now
-		h.toWorker(e.To, e.Timeout, e.Look.Wait, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(e.Look)) },
+		h.toWorker(e.To, e.Timeout, e.Look.Wait, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(k.lookOf(e.To, e.Look))) },
 			func(v any, refusal workers.Refusal, err error) {
 				report, _ := v.(workers.Report)
 				h.state.Take(w.now, cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
 			})
 	case cell.SendStart:
 		sentAt := w.now
-		h.toWorker(e.To, e.Timeout, 0, e.Bytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.start(e.Start)) },
+		h.toWorker(e.To, e.Timeout, 0, e.Bytes, func(k *worker) (any, workers.Refusal) {
+			return k.forLife(e.To, func() (any, workers.Refusal) { return anyOf(k.start(e.Start)) })
+		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.Started{
@@ -63,7 +67,9 @@
 				})
 			})
 	case cell.SendStop:
-		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) },
+		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
+			return k.forLife(e.To, func() (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) })
+		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(w.now, cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -43,6 +43,8 @@
 	Without cell.Mechanism
 	// SameIDs says that a worker that starts again has the id that it had.
 	SameIDs bool
+	// Unbound takes out the fence by which calls reach only the life that they are for.
+	Unbound bool
 	// Crashes is how often half of the workers crash within a moment, each for a while.
 	Crashes int
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -92,19 +92,25 @@
 func TestEachFenceIsNeeded(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
-		name   string
-		unsafe cell.Unsafe
-		rule   string
+		name    string
+		unsafe  cell.Unsafe
+		sameIDs bool
+		unbound bool
+		rule    string
 	}{
-		{"settling", cell.Unsafe{NoSettling: true}, "TWICE"},
-		{"lease wait", cell.Unsafe{NoLeaseWait: true}, "TWICE"},
-		{"ends recorded first", cell.Unsafe{NoRecorded: true}, "TWICE"},
+		{name: "settling", unsafe: cell.Unsafe{NoSettling: true}, rule: "TWICE"},
+		{name: "lease wait", unsafe: cell.Unsafe{NoLeaseWait: true}, rule: "TWICE"},
+		{name: "ends recorded first", unsafe: cell.Unsafe{NoRecorded: true}, rule: "TWICE"},
+		{name: "calls for one life", sameIDs: true, unbound: true, rule: "TWICE"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(400) {
 				plan := emulator.DefaultPlan(seed)
-				plan.Unsafe = c.unsafe
+				if c.sameIDs {
+					plan = emulator.SameIDsPlan(seed)
+				}
+				plan.Unsafe, plan.Unbound = c.unsafe, c.unbound
 				if _, broken := emulator.Play(plan); len(broken) > 0 && strings.Contains(strings.Join(broken, ";"), c.rule) {
 					t.Logf("seed %d: %s", seed, broken[0])
 					return
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -205,6 +205,29 @@
 	})
 }
 
+// meant says whether a call is for the life that is up.
+func (k *worker) meant(to workers.Target) bool {
+	return k.world.plan.Unbound || to.Born == 0 || to.Born == k.born()
+}
+
+// forLife does what an order says if it is for the life that is up: connections know which
+// life they reach.
+func (k *worker) forLife(to workers.Target, do func() (any, workers.Refusal)) (any, workers.Refusal) {
+	if !k.meant(to) {
+		return nil, workers.RefusedBegun
+	}
+	return do()
+}
+
+// lookOf is a look as it is sent: to another life than the one that it is for with no word
+// but the question.
+func (k *worker) lookOf(to workers.Target, l workers.Look) workers.Look {
+	if !k.meant(to) {
+		return workers.Look{Fence: l.Fence}
+	}
+	return l
+}
+
 // arrive carries a message to a worker. Under ids that stay, it comes to the life that its
 // connection reached when it was sent, or to none: connections end with the life.
 func (k *worker) arrive(way time.Duration, sentAt time.Time, reached int, do func()) {
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -215,6 +215,9 @@
 		s.emit(StepDown{Why: "worker " + w.ID + " knows a higher epoch"})
 	case workers.RefusedLife:
 		s.lifeOver(now, w, "another life answers at its address")
+	case workers.RefusedBegun:
+		s.lookFailed(now, w, "another life answers under its id")
+		w.LookAnew(now)
 	default:
 	}
 }
--- a/pkg/process/cell/lives_test.go
+++ b/pkg/process/cell/lives_test.go
@@ -179,3 +179,57 @@
 	v.run(3 * time.Second)
 	must.Greater(t, tries, v.startsOf(task))
 }
+
+// A worker that has just started again has seen no epoch yet, and would do what a deposed leader
+// says. So the leader uses it, and takes for lost what ran at the life before, only when a
+// renewal that was sent after it came to know of the new life took effect.
+func TestTheNextLifeIsUsedOnlyByWhoStillLeads(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	first := v.accept(1)
+	v.run(500 * time.Millisecond)
+	v.unconfirmed = true
+	v.begin(time.Minute)
+	v.list()
+	second := v.accept(2)
+	v.run(3 * time.Second)
+	must.Eq(t, 1, v.startsOf(first))
+	must.Eq(t, 0, v.startsOf(second))
+	v.unconfirmed = false
+	v.run(time.Second)
+	must.Eq(t, 2, v.startsOf(first))
+	must.Eq(t, 1, v.startsOf(second))
+}
+
+// A row of the life before came late and stands in the list: the life that answers is used
+// all the same, and the old row says nothing of it.
+func TestARowOfTheLifeBeforeSaysNothingOfTheNext(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	v.begin(time.Minute)
+	v.list()
+	v.run(time.Second)
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{{
+		ID: "w", Born: 1, Service: "quotes", Address: "x", Hall: "hall", Leaving: true, Host: "h",
+		Capacity: ledger.Size{Millicores: 1, MemoryMB: 1},
+	}}})
+	task := v.accept(1)
+	v.run(time.Second)
+	must.Eq(t, 1, v.startsOf(task))
+}
+
+// What a worker was told to leave for is over with its life: the next one takes work again.
+func TestTheNextLifeDoesNotLeave(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{{
+		ID: "w", Born: 1, Service: "quotes", Address: "x", Hall: "hall", Leaving: true, Host: "h",
+		Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+	}}})
+	v.run(time.Second)
+	v.begin(time.Minute)
+	v.list()
+	task := v.accept(1)
+	v.run(time.Second)
+	must.Eq(t, 1, v.startsOf(task))
+}
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -47,7 +47,7 @@
 func (s *State) takeListed(now time.Time, e WorkersListed) {
 	named := map[string]bool{}
 	for _, r := range e.Records {
-		if s.over[r.ID] {
+		if born, over := s.over[r.ID]; over && born == r.Born {
 			continue // its row outlives it for a while, or comes back late
 		}
 		named[r.ID] = true
@@ -63,17 +63,29 @@
 	}
 	for _, w := range s.sorted() {
 		if !named[w.ID] && w.Listed {
-			w.Listed, w.UnlistedAt = false, now
+			w.Unlist(now)
 			s.placeNow = true
 		}
 	}
 }
 
 func (s *State) takeRecord(now time.Time, w *workers.Worker, r workers.Record) {
+	if w.OtherLife(r) {
+		if s.Holds() {
+			if w.TakeOtherRow(now, r) {
+				w.LookAnew(now)
+			}
+			return
+		}
+		w.Leaving = false // that was the life before
+	}
 	if r.Leaving && !w.Leaving {
 		w.LeavingAt = now
 		s.noteIfHeld(Note{What: NoteWorkerLeaves, Worker: r.ID, Detail: r.Remaining.String(), AgeMs: -1})
 	}
+	if r.Born == 0 {
+		r.Born = w.Born
+	}
 	if r.Ready != w.Ready || r.Leaving != w.Leaving || !w.Listed {
 		s.placeNow = true
 	}
@@ -98,6 +110,9 @@
 func (s *State) sendLook(now time.Time, w *workers.Worker) {
 	s.acknowledge(w)
 	l := workers.Look{Fence: s.epoch, Recorded: w.Recorded}
+	if w.InDoubt() {
+		l.Recorded = 0 // another life would forget ends of its own that have these numbers
+	}
 	if w.Clocked() && w.SilentSince.IsZero() {
 		// A silent worker gets no renewal, so that its lease runs out for sure.
 		l.Until = w.Grant(now, s.leaseSpan())
@@ -110,7 +125,9 @@
 		}
 	}
 	w.Looking, w.LookSentAt = true, now
-	s.emit(SendLook{To: target(w), Look: l, Timeout: l.Wait + max(lookSlack, s.orders.Timeout())})
+	to := target(w)
+	to.Address = w.LookAddress()
+	s.emit(SendLook{To: to, Look: l, Timeout: l.Wait + max(lookSlack, s.orders.Timeout())})
 }
 
 func (s *State) takeLooked(now time.Time, e Looked) {
@@ -134,7 +151,7 @@
 		s.lookFailed(now, w, string(e.Refusal))
 		return
 	}
-	s.noteLife(now, w, e.Report)
+	s.takeLife(now, w, e)
 	s.heard(now, w, e.Report.Clock)
 	s.otherLivesOver(now, w, e.SentAt)
 	if s.phase == loading || s.phase == following {
@@ -159,17 +176,6 @@
 	}
 }
 
-// noteLife tells that an answer came from another life than the one that is known.
-func (s *State) noteLife(now time.Time, w *workers.Worker, r workers.Report) {
-	if r.Born != w.Born {
-		s.note(Note{
-			What: NoteWorkerLife, Worker: w.ID, AgeMs: now.Sub(w.AnsweredAt).Milliseconds(),
-			Detail: fmt.Sprintf("born %d, was %d; its clock shows %s, at least %s was due", r.Born, w.Born, r.Clock, w.ClockAtLeast(now).Round(time.Millisecond)),
-		})
-		w.Born = r.Born // told once
-	}
-}
-
 // heard takes in that a worker has answered.
 func (s *State) heard(now time.Time, w *workers.Worker, clock time.Duration) {
 	w.TakeClock(now, clock)
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -14,7 +14,7 @@
 // lifeOver says that a worker's life is over by what shows that a later one has begun:
 // whatever names it from now on is old.
 func (s *State) lifeOver(now time.Time, w *workers.Worker, why string) {
-	s.over[w.ID] = true
+	s.over[w.ID] = w.Born
 	s.workerGone(now, w, why)
 }
 
@@ -54,14 +54,17 @@
 	return s.confirmedAt
 }
 
-// loseRun takes a run for over whose end will not be seen.
+// loseRun takes a run for over whose end will not be seen. w is nil where its worker is no
+// longer known.
 func (s *State) loseRun(now time.Time, w *workers.Worker, r *jobs.Run, why string) {
 	t := r.Task
-	w.Remove(r)
+	if w != nil {
+		w.Remove(r)
+	}
 	t.Drop(r)
 	t.WaitsSince = now
 	s.note(Note{
-		What: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: w.ID, Detail: why,
+		What: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: r.Worker, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
 	})
 	s.touch(now, t.Unit.Job)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -5,7 +5,7 @@
 // makes no calls and reads no clock, so each failure can be brought about by
 // events alone. Data flows one way:
 //
-//	event -> load.go (takeover), look.go and lists.go (workers), orders.go (answers)
+//	event -> load.go (takeover), look.go, lives.go and lists.go (workers), orders.go (answers)
 //	      -> ends.go (what an end means for its job)
 //	      -> lost.go (what is taken for over), leaving.go, lend.go
 //	      -> place.go, fillers.go, harm.go, advice.go (what to start, and where)
@@ -78,9 +78,11 @@
 	order   []*workers.Worker
 	reorder bool
 	roster  map[string]bool
-	// over are lives of workers after which later ones have begun. They are few: one a
-	// restart that this process has seen.
-	over map[string]bool
+	// over are workers whose host runs another one by now, with the life that is over. They
+	// are few: one a restart that this process has seen.
+	over map[string]int64
+	// died are runs whose workers have started again, until that is confirmed.
+	died []diedRun
 	// cancels are asked for, of jobs that have not been seen yet.
 	cancels map[string]time.Time
 	// waiting are the units that have tasks to start.
@@ -144,7 +146,7 @@
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{
 		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, press: interference.NewPress(), orders: flow.NewWindow(), runtimes: runtimes.New(), others: map[string]otherLoad{},
-		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{}, over: map[string]bool{},
+		neighbours: map[*workers.Worker]neighbours{}, harms: map[place]float64{}, held: map[*workers.Worker]bool{}, over: map[string]int64{},
 	}
 	s.forget()
 	for _, o := range options {
@@ -164,6 +166,7 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.settled = false
+	s.died = nil
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.reorder = true
@@ -251,6 +254,7 @@
 	s.scanNow = false
 	s.checkRuns(now)
 	s.buryGone(now)
+	s.buryDied(now)
 	s.settle(now)
 	if s.phase == leading {
 		s.openTimes(now)
@@ -290,7 +294,7 @@
 }
 
 func target(w *workers.Worker) workers.Target {
-	return workers.Target{ID: w.ID, Address: w.Address}
+	return workers.Target{ID: w.ID, Born: w.Born, Address: w.Address}
 }
 
 // touch looks anew at which units of a job have tasks to start, and marks its
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -22,6 +22,9 @@
 	Running
 	// Stopping: we asked the worker to end it. It counts until its end is seen.
 	Stopping
+	// Died: its worker has started again since. It counts until this process is known to have
+	// led the cell after that: a later leader may have seen its end.
+	Died
 )
 
 // PaceUnknown stands for the pace of a run that an earlier leader may have changed:
@@ -32,7 +35,7 @@
 type Run struct {
 	Task   *Task
 	Number int64
-	// Worker is the id of the worker's incarnation.
+	// Worker is the worker's id.
 	Worker string
 	State  RunState
 	// SentAt is when the order was first sent, AckedAt when it was answered.
--- /dev/null
+++ b/pkg/process/workers/lives.go
@@ -0,0 +1,79 @@
+package workers
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+)
+
+// A worker may start again under the id that it has. The one that answers then holds and
+// knows nothing of before, and its counts and its clock begin anew: whatever is believed of a
+// worker is a belief about one life of it, which Born names.
+
+// OtherLife says whether a row is about another life than the one that is known.
+func (w *Worker) OtherLife(r Record) bool {
+	return r.Born != 0 && w.Born != 0 && r.Born != w.Born
+}
+
+// TakeOtherRow takes in a row of another life. It may be of a later one, or an old row that
+// came late: which one it is, the next answer says. Until then no new work goes there. It
+// says whether the row is news.
+func (w *Worker) TakeOtherRow(now time.Time, r Record) bool {
+	if r.Born == w.oldRow {
+		return false
+	}
+	news := w.next == nil || w.next.Born != r.Born
+	if news {
+		w.nextAt = now
+	}
+	w.next = &r
+	w.Unlist(now)
+	return news
+}
+
+// LookAnew makes a look due, though one may be out: that one is not waited for, since the life
+// that it was sent to may be over.
+func (w *Worker) LookAnew(now time.Time) { w.Looking, w.LookAt = false, now }
+
+// Unlist takes in that the list of workers does not hold this life.
+func (w *Worker) Unlist(now time.Time) {
+	if w.Listed {
+		w.Listed, w.UnlistedAt = false, now
+	}
+}
+
+// Answered takes in that this very life has answered a look that was sent at a given time: a
+// row of another one that was there before is an old one.
+func (w *Worker) Answered(sentAt time.Time) {
+	if w.next != nil && w.nextAt.Before(sentAt) {
+		w.oldRow, w.next, w.Listed = w.next.Born, nil, true
+	}
+}
+
+// InDoubt says whether another life may answer the next look.
+func (w *Worker) InDoubt() bool { return w.next != nil || !w.SilentSince.IsZero() }
+
+// LookAddress is where to look for the worker: if the life that is known is silent, where the
+// next one's row says.
+func (w *Worker) LookAddress() string {
+	if w.next != nil && !w.SilentSince.IsZero() {
+		return w.next.Address
+	}
+	return w.Address
+}
+
+// Begin makes this the worker's next life, which has just answered, and returns the runs of the
+// life before: nothing else that was believed holds.
+func (w *Worker) Begin(now time.Time, born int64) []*jobs.Run {
+	runs := w.Runs
+	begun := Worker{
+		Record:  Record{ID: w.ID, Host: w.Host, Service: w.Service, Address: w.Address, Hall: w.Hall},
+		KnownAt: now, LookSentAt: w.LookSentAt, UnlistedAt: now, units: map[*jobs.Unit]int64{},
+	}
+	if w.next != nil && w.next.Born == born {
+		begun.Record, begun.Listed = *w.next, true
+	}
+	begun.Born = born
+	*w = begun
+	return runs
+}
--- a/pkg/process/workers/report.go
+++ b/pkg/process/workers/report.go
@@ -7,7 +7,10 @@
 
 // Target names a worker for a call: the life that is meant, and where it is.
 type Target struct {
-	ID      string
+	ID string
+	// Born is the life; 0: any. Orders to one life never reach another, and neither does
+	// what a look has to say to it: then the other one's lists are the answer.
+	Born    int64
 	Address string
 }
 
@@ -103,6 +106,7 @@
 	RefusedRoom      Refusal = "room"      // it does not fit
 	RefusedTicket    Refusal = "ticket"    // not allowed there
 	RefusedLife      Refusal = "life"      // another incarnation lives there
+	RefusedBegun     Refusal = "begun"     // not sent: the worker has started again since
 	RefusedBusy      Refusal = "busy"      // unwell: it has done nothing
 	RefusedMalformed Refusal = "malformed" // it can't read the order
 	RefusedMissing   Refusal = "missing"   // no such run there
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -16,11 +16,12 @@
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 )
 
-// Record is what the list of workers says of one incarnation.
+// Record is what the list of workers says of one life of a worker.
 type Record struct {
-	// ID names the incarnation: another life of the same host has another.
+	// ID names the worker. It may start again under the same ID, at another address too.
 	ID string
-	// Born is when the life began, as the worker says, in Unix ms; 0: it does not say.
+	// Born is when its life began, as the worker says, in Unix ms; it tells lives apart and is
+	// compared with nothing else, since clocks are set. 0: it does not say.
 	Born     int64
 	Host     string
 	Service  string
@@ -51,7 +52,7 @@
 	clockSlack = 20 * time.Millisecond
 )
 
-// Worker is one incarnation, as its cell's leader knows it.
+// Worker is one life of a worker, as its cell's leader knows it; see lives.go.
 type Worker struct {
 	Record
 	// KnownAt is when this leader first came to know of this life.
@@ -87,6 +88,12 @@
 	GoneAt  time.Time
 	GoneWhy string
 
+	// next is the newest row under this ID that is of another life, first seen at nextAt;
+	// oldRow is the life of such a row that turned out to be an old one.
+	next   *Record
+	nextAt time.Time
+	oldRow int64
+
 	clock      time.Duration
 	clockAt    time.Time
 	leaseUntil time.Duration
