A row that is not understood names no worker to use

Cause: rows were taken for workers if they had an address and a service: of 16 bad rows four passed (no hall and capacity, no address, processors below nothing, an unknown service); a row that turned unreadable left its last good version in use; one odd line of a worker's lists, or one value that is no base64, lost all others of its answer or page. Change: one decision, workers.Judge, from a row, the manifest's services and the known halls, with a typed reason; the list is judged row by row, and anew with each manifest; lines and values are read one by one.

--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
@@ -27,6 +28,13 @@
 		s.takeReading(now, w, r, a)
 	}
 	w.SetForeign(foreign)
+	if e.Report.Odd != w.Odd {
+		w.Odd = e.Report.Odd
+		s.note(Note{What: NoteUnreadable, Worker: w.ID, Detail: fmt.Sprintf("%d lines of its lists", e.Report.Odd), AgeMs: -1})
+	}
+	if w.Odd > 0 {
+		return // a run that seems to be missing may be in one of these
+	}
 	for _, r := range w.Runs {
 		if listed[r] {
 			continue
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -201,7 +201,11 @@
 	list := []suture.Service{
 		h.eventLog, h.Control, h.Hosts, h.beside,
 		&ManifestFollower{Store: h.Store, Source: h.outside.Source, Log: h.Log, Changed: h.takeManifest},
-		&WorkersFollower{Store: h.Store, Source: h.outside.Source, Control: h.Control, Log: h.Log},
+		&WorkersFollower{
+			Store: h.Store, Source: h.outside.Source, Halls: h.Config.Halls, Manifest: h.Manifest, Log: h.Log, Metrics: h.Metrics,
+			Leads: func() bool { return len(h.Control.Held()) > 0 },
+			Tell:  func(list []workers.Record) { h.Control.tell(workersCame{records: list}) },
+		},
 		&LeadsFollower{Store: h.Store, Control: h.Control},
 		&relief{host: h},
 		&parts.GRPC{Server: h.grpc, Listener: h.grpcListener},
--- a/pkg/process/fleet/watch.go
+++ b/pkg/process/fleet/watch.go
@@ -27,9 +27,6 @@
 	followAgain = 200 * time.Millisecond
 	// leadsEvery is the pace of reading who leads.
 	leadsEvery = 300 * time.Millisecond
-	// workersEvery is the pace of reading what changed in the list of workers;
-	// workers renew their rows every 1.5 s.
-	workersEvery = 300 * time.Millisecond
 	// cellEvery is the pace of reading a led cell's new jobs and cancels. Hosts
 	// tell the leader of each; this is for words that were lost.
 	cellEvery = 700 * time.Millisecond
@@ -42,7 +39,8 @@
 	Manifest(value []byte) (*manifest.Manifest, error)
 	// WorkersTable is where workers keep their rows.
 	WorkersTable() string
-	Worker(r table.Row) (workers.Record, error)
+	// Worker says what a row of that table says; an error is a workers.Unusable.
+	Worker(r table.Row) (workers.Account, error)
 }
 
 // ManifestFollower keeps the newest manifest.
@@ -122,77 +120,6 @@
 	f.Changed(m)
 }
 
-// WorkersFollower keeps the list of workers while this process leads a cell.
-type WorkersFollower struct {
-	Store   *store.Client
-	Source  Source
-	Control *Control
-	Log     *logrus.Entry
-
-	known map[string]workers.Record
-	after int64
-}
-
-// String names the part for the supervisor.
-func (f *WorkersFollower) String() string { return "workers follower" }
-
-// Serve follows until the context ends.
-func (f *WorkersFollower) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if len(f.Control.Held()) == 0 {
-			f.known = nil
-			pause(ctx, workersEvery/6)
-			continue
-		}
-		f.step(ctx)
-		pause(ctx, workersEvery)
-	}
-	return ctx.Err()
-}
-
-func (f *WorkersFollower) step(ctx context.Context) {
-	var page table.Page
-	var err error
-	if f.known == nil {
-		page, err = table.ReadAll(ctx, f.Store, f.Source.WorkersTable(), "")
-	} else {
-		page, err = f.Store.Changes(ctx, f.Source.WorkersTable(), f.after, 0)
-	}
-	if err != nil {
-		if f.known != nil {
-			f.known = nil // read it anew, through a peer if need be
-			return
-		}
-		f.Log.WithField("why", err.Error()).Warn("workers-not-read")
-		return
-	}
-	if f.known == nil {
-		f.known = map[string]workers.Record{}
-	}
-	f.after = page.Version
-	f.take(page.Rows)
-}
-
-func (f *WorkersFollower) take(changed []table.Row) {
-	for _, r := range changed {
-		if r.Gone {
-			delete(f.known, r.Key.Key)
-			continue
-		}
-		record, err := f.Source.Worker(r)
-		if err != nil {
-			f.Log.WithFields(logrus.Fields{"key": r.Key.Key, "why": err.Error()}).Error(string(cell.NoteUnreadable))
-			continue
-		}
-		f.known[record.ID] = record
-	}
-	list := make([]workers.Record, 0, len(f.known))
-	for _, r := range f.known {
-		list = append(list, r)
-	}
-	f.Control.tell(workersCame{records: list})
-}
-
 // LeadsFollower reads who leads each cell.
 type LeadsFollower struct {
 	Store   *store.Client
--- a/pkg/process/workers/report.go
+++ b/pkg/process/workers/report.go
@@ -92,6 +92,8 @@
 	Clock  time.Duration
 	Active []Active
 	Ended  []End
+	// Odd is how many lines of both lists could not be read.
+	Odd int
 }
 
 // Refusal is why a worker did not do as it was told.
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -78,6 +78,8 @@
 	// durable.
 	Seen, Recorded int64
 	Health         Health
+	// Odd is how many lines of its last lists could not be read.
+	Odd int
 	// NoFillersUntil is until when no filler may join: those that are there have
 	// just been cut.
 	NoFillersUntil time.Time
