Runs and ends of tasks that are not known yet wait until the table was read

Cause: a successor that had just read its cell's table took what workers listed of jobs that came to the table after that for nobody's: it had the run stopped, acknowledged a good end, and started the task again when it was told of the job. Ruled out: that epochs at workers cover it: the forerunner's start came before the successor's first look there. Change: such runs and ends are kept until the table has been read from after they were listed; if their job becomes known, the run is taken over and the end counts.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -315,7 +315,8 @@
 	if !h.state.Leading() {
 		return
 	}
-	h.world.table.scan(h.name, rows.SpecTable(h.cell), func(list []table.Row, at time.Duration, _ bool) {
+	askedAt := h.world.now
+	h.world.table.scan(h.name, rows.SpecTable(h.cell), func(list []table.Row, at time.Duration, ok bool) {
 		h.back(func() {
 			for _, r := range list {
 				spec := &wire.JobSpec{}
@@ -323,6 +324,9 @@
 					h.state.Take(h.world.now, cell.Accepted{Spec: spec, StoreNow: at})
 				}
 			}
+			if ok {
+				h.state.Take(h.world.now, cell.Followed{At: askedAt})
+			}
 		})()
 	})
 	h.world.table.scan(h.name, rows.CancelTable(h.cell), func(list []table.Row, _ time.Duration, _ bool) {
--- a/pkg/process/cell/early_test.go
+++ b/pkg/process/cell/early_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
@@ -45,3 +46,20 @@
 	must.Eq(t, 0, v.startsOf(task))
 	must.Eq(t, 1, v.recorded)
 }
+
+// What no job in the table names is nobody's: its run is stopped and its end forgotten, once the
+// table has been read from after they were listed.
+func TestWhatNoJobNamesIsStoppedOnceTheTableWasRead(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	v.active = []workers.Active{{Task: "0000000000000001.0.0.0", Run: 7, Percent: 10}}
+	v.ended = []workers.End{{Number: 1, Task: "0000000000000002.0.0.0", Run: 8, How: workers.EndedDone}}
+	v.state.Take(v.now, cell.Followed{At: v.now})
+	v.run(time.Second)
+	must.SliceEmpty(t, v.stops)
+	must.Eq(t, 0, v.recorded)
+	v.state.Take(v.now, cell.Followed{At: v.now})
+	v.run(time.Second)
+	must.SliceNotEmpty(t, v.stops)
+	must.Eq(t, 1, v.recorded)
+}
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -17,11 +17,16 @@
 		return
 	}
 	w.Seen = e.Number
-	t := s.task(e.Task)
-	if t == nil {
-		s.pendEnd(w, e.Number, "")
+	if s.task(e.Task) == nil {
+		s.holdEnd(now, w, e)
 		return
 	}
+	s.countEnd(now, w, e)
+}
+
+// countEnd takes in an end of a task that is known.
+func (s *State) countEnd(now time.Time, w *workers.Worker, e workers.End) {
+	t := s.task(e.Task)
 	j := t.Unit.Job
 	r := t.Run(e.Run, w.ID)
 	s.note(Note{
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -15,19 +15,24 @@
 func (s *State) takeActive(now time.Time, w *workers.Worker, e Looked) {
 	listed := map[*jobs.Run]bool{}
 	foreign := ledger.Size{}
+	w.NewStrays = map[string]workers.Stray{}
 	for _, a := range e.Report.Active {
 		r := s.matchActive(now, w, a)
 		if r == nil {
-			if t := s.task(a.Task); t != nil {
+			t := s.task(a.Task)
+			if t != nil {
 				foreign = foreign.Plus(workers.Reserved(t.Unit))
 			}
-			s.stopForeign(w, a)
+			if t != nil || s.keepStray(now, w, a) {
+				s.stopForeign(w, a)
+			}
 			continue
 		}
 		listed[r] = true
 		s.takeReading(now, w, r, a)
 	}
 	w.SetForeign(foreign)
+	w.Strays, w.NewStrays = w.NewStrays, nil
 	if e.Report.Odd != w.Odd {
 		w.Odd = e.Report.Odd
 		s.note(Note{What: NoteUnreadable, Worker: w.ID, Detail: fmt.Sprintf("%d lines of its lists", e.Report.Odd), AgeMs: -1})
--- a/pkg/process/cell/lives_test.go
+++ b/pkg/process/cell/lives_test.go
@@ -28,6 +28,7 @@
 	deaf    bool
 	version int64
 	starts  []cell.SendStart
+	stops   []cell.SendStop
 	notes   []cell.Note
 	// recorded are the ends up to which looks at this life said that they are recorded.
 	recorded int64
@@ -115,6 +116,8 @@
 			v.active = append(v.active, workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 1})
 		}
 		v.state.Take(v.now, started)
+	case cell.SendStop:
+		v.stops = append(v.stops, e)
 	case cell.Record:
 		v.version++
 		v.state.Take(v.now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: v.version}})
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -222,6 +222,7 @@
 		// the job too, and have started it where we haven't been heard.
 		unsettle(j)
 	}
+	s.claimStrays(now, j)
 	tasks := 0
 	for _, step := range e.Spec.GetSteps() {
 		tasks += int(step.GetCount())
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -90,12 +90,8 @@
 	p.urgent = p.urgent || urgent
 }
 
-// pendEnd remembers that an end waits to be recorded; one without a job needs
-// no record.
+// pendEnd remembers that an end waits to be recorded.
 func (s *State) pendEnd(w *workers.Worker, number int64, job string) {
-	if job == "" {
-		return
-	}
 	p := s.part(rows.JobPart(job))
 	p.ends = append(p.ends, pendingEnd{worker: w.ID, number: number, seq: s.seq})
 }
@@ -103,6 +99,9 @@
 // recordedEnd is the newest end of a worker up to which all are durable.
 func (s *State) recordedEnd(w *workers.Worker) int64 {
 	upTo := w.Seen
+	for _, h := range w.HeldEnds {
+		upTo = min(upTo, h.Number-1)
+	}
 	for _, p := range s.parts {
 		for _, e := range p.ends {
 			if e.worker == w.ID && e.number <= upTo {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -81,6 +81,8 @@
 	// over are workers whose host runs another one by now, with the life that is over. They
 	// are few: one a restart that this process has seen.
 	over map[string]int64
+	// followedAt is as of when all jobs of the cell's table have been told.
+	followedAt time.Time
 	// died are runs whose workers have started again, until that is confirmed.
 	died []diedRun
 	// cancels are asked for, of jobs that have not been seen yet.
@@ -166,7 +168,7 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.settled = false
-	s.died = nil
+	s.died, s.followedAt = nil, time.Time{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.reorder = true
@@ -200,6 +202,8 @@
 		s.takeLoaded(now, e)
 	case Accepted:
 		s.takeAccepted(now, e)
+	case Followed:
+		s.takeFollowed(e)
 	case CancelAsked:
 		s.takeCancel(now, e)
 	case Returned:
@@ -327,6 +331,7 @@
 			continue
 		}
 		if len(j.OpenDue(s.wall)) > 0 {
+			s.claimStrays(now, j)
 			s.touch(now, j)
 		}
 	}
--- a/pkg/process/fleet/watch.go
+++ b/pkg/process/fleet/watch.go
@@ -162,7 +162,9 @@
 		if v := c.View().Cells[name]; !v.Mine || v.Epoch != epoch {
 			return
 		}
-		from.specs = c.followTable(ctx, rows.SpecTable(name), from.specs, func(r table.Row) {
+		askedAt := time.Now()
+		var followed bool
+		from.specs, followed = c.followTable(ctx, rows.SpecTable(name), from.specs, func(r table.Row) {
 			spec := &wire.JobSpec{}
 			if err := rows.Read(r, spec); err != nil {
 				c.unreadable(r, err)
@@ -170,7 +172,10 @@
 			}
 			c.Accepted(spec)
 		})
-		from.cancels = c.followTable(ctx, rows.CancelTable(name), from.cancels, func(r table.Row) {
+		if followed {
+			c.tell(cellEvent{cell: name, event: cell.Followed{At: askedAt}})
+		}
+		from.cancels, _ = c.followTable(ctx, rows.CancelTable(name), from.cancels, func(r table.Row) {
 			if !rows.IsReturn(r.Key) {
 				c.Cancelled(name, r.Key.Key)
 				return
@@ -192,15 +197,15 @@
 	return back
 }
 
-// followTable hands on what changed in a table, and returns as of when. When
-// the history is gone, the whole table is handed on.
-func (c *Control) followTable(ctx context.Context, name string, after int64, take func(table.Row)) int64 {
+// followTable hands on what changed in a table, and returns as of when, and whether that could
+// be read. When the history is gone, the whole table is handed on.
+func (c *Control) followTable(ctx context.Context, name string, after int64, take func(table.Row)) (int64, bool) {
 	page, err := c.store.Changes(ctx, name, after, 0)
 	if err != nil {
 		var failed bool
 		page, failed = c.readParts(ctx, name)
 		if failed {
-			return after
+			return after, false
 		}
 	}
 	for _, r := range page.Rows {
@@ -208,7 +213,7 @@
 			take(r)
 		}
 	}
-	return page.Version
+	return page.Version, true
 }
 
 func (c *Control) readParts(ctx context.Context, name string) (whole table.Page, failed bool) {
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -52,6 +52,18 @@
 	clockSlack = 20 * time.Millisecond
 )
 
+// Stray is a listed run of a task that is not known, and since when it is listed.
+type Stray struct {
+	Active
+	Since time.Time
+}
+
+// HeldEnd is an end of such a task, and when it was listed first.
+type HeldEnd struct {
+	End
+	At time.Time
+}
+
 // Worker is one life of a worker, as its cell's leader knows it; see lives.go.
 type Worker struct {
 	Record
@@ -78,6 +90,10 @@
 	// durable.
 	Seen, Recorded int64
 	Health         Health
+	// Strays are the runs that it last listed of tasks that are not known, by task; NewStrays
+	// those of the list that is being taken in. HeldEnds are ends of such tasks.
+	Strays, NewStrays map[string]Stray
+	HeldEnds          []HeldEnd
 	// Odd is how many lines of its last lists could not be read.
 	Odd int
 	// NoFillersUntil is until when no filler may join: those that are there have
