--- a/model/cell.pml
+++ b/model/cell.pml
@@ -9,6 +9,9 @@
  * What must hold:
  *   once    the task never runs at two workers at the same time;
  *   noted   it is not started after its end was acknowledged to a worker.
+ *
+ * With SAME_ID a worker that crashed begins anew under the id that it had: the rows that
+ * name it name its next life too.
  */
 
 #define HOSTS 2
@@ -40,6 +43,8 @@
 bit ended[HOSTS * WORKERS];/* a life that it may have to hear is over, not confirmed yet */
 bit over[HOSTS * WORKERS];/* what earlier leaders granted there is over */
 
+bit unsure[HOSTS * WORKERS];/* it has not led for sure since it heard this life */
+
 byte fence[WORKERS];      /* the highest epoch that the worker has seen */
 byte runs_at[WORKERS];    /* the run that it runs; 0: none */
 byte highest[WORKERS];    /* the highest run that ended there */
@@ -71,6 +76,11 @@
 #else
 #define CONFIRMED(h) (lead[h] == epoch)
 #endif
+#ifdef NO_LIFE_CONFIRMATION
+#define SURE(h, w) true
+#else
+#define SURE(h, w) !unsure[IX(h, w)]
+#endif
 #ifdef NO_RECORDED
 #define KEPT true
 #else
@@ -88,6 +98,7 @@
 		over[IX(h, 0)] = !roster[0];
 		over[IX(h, 1)] = !roster[1];
 		ended[IX(h, 0)] = 0; ended[IX(h, 1)] = 0;
+		unsure[IX(h, 0)] = 0; unsure[IX(h, 1)] = 0;
 		if
 		:: recorded -> task[h] = DONE
 		:: else -> task[h] = UNKNOWN
@@ -172,7 +183,7 @@
 
 inline start(h, w) {
 	atomic {
-		lead[h] > 0 && task[h] == FREE && heard[IX(h, w)] && order_epoch[w] == 0 && runs < RUNS && NAMED(h, w) ->
+		lead[h] > 0 && task[h] == FREE && heard[IX(h, w)] && order_epoch[w] == 0 && runs < RUNS && NAMED(h, w) && SURE(h, w) ->
 		runs++;
 		order_epoch[w] = lead[h];
 		order_run[w] = runs;
@@ -222,9 +233,14 @@
 	atomic {
 		crashes < CRASHES ->
 		crashes++;
-		runs_at[w] = 0; highest[w] = 0; fence[w] = 0; listed[w] = 0; roster[w] = 0;
+		runs_at[w] = 0; highest[w] = 0; fence[w] = 0; listed[w] = 0;
 		heard[IX(0, w)] = 0; heard[IX(1, w)] = 0;
+#ifdef SAME_ID
+		unsure[IX(0, w)] = 1; unsure[IX(1, w)] = 1;
+#else
+		roster[w] = 0;
 		named[IX(0, w)] = 0; named[IX(1, w)] = 0;
+#endif
 		ended[IX(0, w)] = 1; ended[IX(1, w)] = 1;
 #ifndef NO_INCARNATION
 		order_epoch[w] = 0;
@@ -234,6 +250,11 @@
 	}
 }
 
+/* A renewal that was sent after a next life was heard took effect. */
+inline confirm_life(h, w) {
+	atomic { lead[h] > 0 && lead[h] == epoch && heard[IX(h, w)] && unsure[IX(h, w)] -> unsure[IX(h, w)] = 0 }
+}
+
 /* That a life is over is seen in the list of workers. What ran there may have
  * ended well under a later leader before. */
 inline life_over(h, w) {
@@ -252,6 +273,7 @@
 	:: settle(h) \
 	:: wait_forerunners(h, 0) :: wait_forerunners(h, 1) \
 	:: wait_lease(h, 0) :: wait_lease(h, 1) \
+	:: confirm_life(h, 0) :: confirm_life(h, 1) \
 	:: life_over(h, 0) :: life_over(h, 1) \
 	:: life_heard_of(h, 0) :: life_heard_of(h, 1) \
 	:: start(h, 0) :: start(h, 1) \
--- a/model/run.sh
+++ b/model/run.sh
@@ -67,6 +67,11 @@
 check cell/no-roster          cell fault 1500 -DNO_ROSTER
 check cell/no-incarnation     cell fault 1500 -DNO_INCARNATION
 
+check cell/same-id-all        cell none  2500 -DSAME_ID -DEPOCHS=2 -DRUNS=2
+check cell/same-id            cell none  2000 -DSAME_ID
+check cell/same-id-unbound    cell fault 1500 -DSAME_ID -DNO_INCARNATION
+check cell/same-id-no-life    cell fault 1500 -DSAME_ID -DNO_LIFE_CONFIRMATION
+
 check request/all             request none  2500
 check request/no-ask          request fault 2500 -DNO_ASK
 check request/no-promise      request fault 2500 -DNO_PROMISE
