--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -23,6 +23,7 @@
 //	UNASKED  a start of what nobody sent, or long after its cancel
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause
+//	ROW      an order to start at a worker that no good row names, by a host that has read so
 //	LOST     an accepted job without a last state at the end of the day
 type checker struct {
 	world     *World
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -56,6 +56,9 @@
 			})
 	case cell.SendStart:
 		sentAt := w.now
+		if w.plan.OddRows && !w.rowNames(e.To.Address, h.listReadAt) {
+			w.checker.breakRule("ROW", "%s orders %s at %s, whose row is spoilt", h.name, e.Start.Task, e.To.ID)
+		}
 		h.toWorker(e.To, e.Timeout, 0, e.Bytes, func(k *worker) (any, workers.Refusal) {
 			return k.forLife(e.To, func() (any, workers.Refusal) { return anyOf(k.start(e.Start)) })
 		},
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -47,6 +47,8 @@
 	Unbound bool
 	// Crashes is how often half of the workers crash within a moment, each for a while.
 	Crashes int
+	// OddRows says that rows of the list of workers are spoilt, and that others wrote some.
+	OddRows bool
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
 	Load *Load
 }
@@ -76,6 +78,13 @@
 	return plan
 }
 
+// OddRowsPlan is such a day on which rows of the list of workers are spoilt, too.
+func OddRowsPlan(seed uint64) Plan {
+	plan := SameIDsPlan(seed)
+	plan.Crashes, plan.OddRows = 2, true
+	return plan
+}
+
 const (
 	queueName   = "queue"
 	serviceName = "service"
@@ -319,6 +328,9 @@
 	for range w.plan.Faults {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.strike)
 	}
+	if w.plan.OddRows {
+		w.planOddRows()
+	}
 	for range w.plan.Crashes {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.crashMany)
 	}
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -81,6 +81,13 @@
 	playDays(t, emulator.SameIDsPlan)
 }
 
+// Other writers spoil rows of the list of workers: no order goes where no good row names a
+// worker, and nothing else suffers from it.
+func TestNoRuleBreaksWhenRowsAreSpoilt(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.OddRowsPlan)
+}
+
 func TestTheSameSeedGivesTheSameDay(t *testing.T) {
 	t.Parallel()
 	a, _ := emulator.Play(emulator.DefaultPlan(3))
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -34,6 +34,8 @@
 
 // seat is one cell at a host: the product's seat and state of it.
 type seat struct {
+	// listReadAt is when the list of workers that the state was last told of was read.
+	listReadAt time.Time
 	*host
 	cell  string
 	seat  *election.Seat
@@ -307,7 +309,11 @@
 			list = append(list, k.records()...)
 		}
 	}
-	h.on(func() { h.state.Take(h.world.now, cell.WorkersListed{Records: list}) })
+	list, readAt := h.world.judged(list, h.cell), h.world.now
+	h.on(func() {
+		h.listReadAt = readAt
+		h.state.Take(h.world.now, cell.WorkersListed{Records: list})
+	})
 }
 
 // followCell hands the leader what stands in its tables.
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -38,6 +38,10 @@
 	lapsed  map[int64]bool
 	serial  int
 
+	// Its row is spoilt since and until then, in some way.
+	oddSince, oddUntil time.Time
+	spoil              func(a *workers.Account)
+
 	lateUntil time.Time
 	sickUntil time.Time
 	sickHow   int
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -15,7 +15,7 @@
 func (s *State) takeActive(now time.Time, w *workers.Worker, e Looked) {
 	listed := map[*jobs.Run]bool{}
 	foreign := ledger.Size{}
-	w.NewStrays = map[string]workers.Stray{}
+	w.NewStrays = nil
 	for _, a := range e.Report.Active {
 		r := s.matchActive(now, w, a)
 		if r == nil {
--- a/pkg/process/cell/lives_test.go
+++ b/pkg/process/cell/lives_test.go
@@ -236,3 +236,40 @@
 	v.run(time.Second)
 	must.Eq(t, 1, v.startsOf(task))
 }
+
+// An order got no answer, and its worker's row went, or turned into what nobody understands: the
+// order is not sent again, for the worker takes no new work.
+func TestAnOrderIsNotRepeatedWhereNoRowNamesAWorker(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	v.deaf = true
+	task := v.accept(1)
+	v.state.Take(v.now, cell.Tick{})
+	for _, e := range v.state.Decide(v.now, v.now) {
+		if start, ok := e.(cell.SendStart); ok {
+			v.starts = append(v.starts, start)
+			v.state.Take(v.now, cell.WorkersListed{})
+			v.state.Take(v.now, cell.Started{Worker: "w", Task: start.Start.Task, Run: start.Start.Run, Err: fault.New(fault.Unknown, "w", "no answer", "")})
+		}
+	}
+	v.run(time.Second)
+	must.Eq(t, 1, v.startsOf(task))
+}
+
+// A row of another life had put the worker in doubt, and went. The life that answers is not
+// thereby in the list again.
+func TestARowThatWentIsNotThereSinceItsLifeAnswers(t *testing.T) {
+	t.Parallel()
+	v := newLives()
+	v.lost = true
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{{
+		ID: "w", Born: 9, Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: "h",
+		Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+	}}})
+	v.run(200 * time.Millisecond)
+	v.state.Take(v.now, cell.WorkersListed{})
+	v.lost = false
+	task := v.accept(1)
+	v.run(2 * time.Second)
+	must.Eq(t, 0, v.startsOf(task))
+}
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -62,9 +62,9 @@
 		s.takeRecord(now, w, r)
 	}
 	for _, w := range s.sorted() {
-		if !named[w.ID] && w.Listed {
-			w.Unlist(now)
-			s.placeNow = true
+		if !named[w.ID] {
+			s.placeNow = s.placeNow || w.Listed
+			w.RowGone(now)
 		}
 	}
 }
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -151,7 +151,8 @@
 	s.touch(now, t.Unit.Job)
 }
 
-// startUnanswered sends the same run again: a worker that has begun it says so.
+// startUnanswered sends the same run again: a worker that has begun it says so. One that takes
+// no new work any more is not asked again.
 func (s *State) startUnanswered(now time.Time, w *workers.Worker, r *jobs.Run, err error) {
 	if r.State == jobs.Sent {
 		r.State = jobs.Unsure
@@ -161,7 +162,7 @@
 			AgeMs:  now.Sub(r.SentAt).Milliseconds(),
 		})
 	}
-	if r.Tries < startTries && w.SilentSince.IsZero() && !r.Task.Unit.Job.Ended() && s.phase == leading {
+	if r.Tries < startTries && w.SilentSince.IsZero() && w.Listed && !w.Leaving && !r.Task.Unit.Job.Ended() && s.phase == leading {
 		s.sendStart(now, w, r)
 	}
 }
--- a/pkg/process/cell/strays.go
+++ b/pkg/process/cell/strays.go
@@ -38,6 +38,9 @@
 	if before, seen := w.Strays[a.Task]; seen && before.Run == a.Run {
 		since = before.Since
 	}
+	if w.NewStrays == nil {
+		w.NewStrays = map[string]workers.Stray{}
+	}
 	w.NewStrays[a.Task] = workers.Stray{Active: a, Since: since}
 	return since.Before(s.followedAt)
 }
--- a/pkg/process/workers/lives.go
+++ b/pkg/process/workers/lives.go
@@ -42,6 +42,12 @@
 	}
 }
 
+// RowGone takes in that the list holds no row under this ID.
+func (w *Worker) RowGone(now time.Time) {
+	w.next = nil
+	w.Unlist(now)
+}
+
 // Answered takes in that this very life has answered a look that was sent at a given time: a
 // row of another one that was there before is an old one.
 func (w *Worker) Answered(sentAt time.Time) {
