A soak of the real programs, with a checker of its own

Daemons as processes against stand-ins: killed, paused, stopped, told to reload; store away, slow, losing answers, forgetting; connections reset, silent, cut; workers that start again under their ids, leave, are late, and write rows nobody understands.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLBIN := $(CURDIR)/bin/tools
 PKGS    := ./cmd/... ./pkg/... ./platform/... ./standins/... ./examples/... ./test/...
 
-.PHONY: help build tools fmt lint try serve check test fuzz model bench lab docs docs-check generate
+.PHONY: help build tools fmt lint try serve check test soak fuzz model bench lab docs docs-check generate
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
@@ -65,6 +65,9 @@
 fuzz: ## play SEEDS days with faults in virtual time
 	SEEDS=$(SEEDS) $(GO) test ./pkg/emulator -run NoRule -count 1 -timeout 60m
 
+soak: ## disturb the real programs on SEEDS days, or on the day SEED with its story
+	SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test ./test/soak -count 1 -v -parallel 4 -timeout 120m
+
 test: ## all tests, with the race detector
 	bash .ci/test.sh $(GO) test -race -parallel 4 -timeout 30m ./...
 
--- /dev/null
+++ b/test/soak/callers_test.go
@@ -0,0 +1,135 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	taskCPU = 1500
+	// askTimeout bounds one call of a caller.
+	askTimeout = 3 * time.Second
+	// askEvery is how often a caller asks for a job's state.
+	askEvery = 150 * time.Millisecond
+	// handInTries is how often a job is handed in: with the pauses between, over a minute.
+	handInTries = 400
+)
+
+// caller hands jobs in, asks for them, and cancels some. It keeps its connections open until
+// their process is gone.
+type caller struct {
+	hosts   []*host
+	checker *checker
+	clients []*http.Client
+}
+
+func newCaller(hosts []*host, c *checker) *caller {
+	all := &caller{hosts: hosts, checker: c}
+	for range hosts {
+		all.clients = append(all.clients, &http.Client{Timeout: askTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
+	}
+	return all
+}
+
+// call makes one call at a host.
+func (c *caller) call(at int, method, id, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+c.hosts[at].callers+"/jobs/"+id, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "queue.example"
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.clients[at].Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// life hands one job in, and stays with it until it has a last state.
+func (c *caller) life(id string, rnd *rand.Rand, until time.Time) {
+	j := &sentJob{text: "text of " + id}
+	var steps []map[string]any
+	for i := range 1 + rnd.IntN(3) {
+		count := 1 + rnd.IntN(5)
+		step := map[string]any{"count": count, "cpu": taskCPU, "mem-mb": 100, "estimate-ms": 200}
+		if i > 0 {
+			step["depends-on"] = []int{i - 1}
+		}
+		j.steps, steps = append(j.steps, count), append(steps, step)
+	}
+	body, err := json.Marshal(map[string]any{"spec": j.text, "steps": steps})
+	if err != nil {
+		panic(err) // a job of ours has JSON
+	}
+	c.checker.sent(id, j)
+	if !c.handIn(id, string(body), rnd) {
+		return
+	}
+	if rnd.IntN(8) == 0 {
+		time.Sleep(time.Duration(rnd.IntN(500)) * time.Millisecond)
+		c.checker.cancelAsked(id)
+		c.cancel(id, rnd)
+	}
+	state := ""
+	for time.Now().Before(until) {
+		time.Sleep(askEvery)
+		status, text, err := c.call(rnd.IntN(len(c.hosts)), http.MethodGet, id, "")
+		if err != nil {
+			continue
+		}
+		told := struct{ State string }{}
+		if status == http.StatusOK && json.Unmarshal([]byte(text), &told) == nil {
+			state = told.State
+		}
+		c.checker.shown(id, status, told.State)
+		if told.State == "completed" || told.State == "cancelled" || told.State == "failed" {
+			return
+		}
+	}
+	c.checker.lost(id, state)
+}
+
+// handIn hands a job in until it is taken; it says whether it was.
+func (c *caller) handIn(id, body string, rnd *rand.Rand) bool {
+	for range handInTries {
+		status, _, err := c.call(rnd.IntN(len(c.hosts)), http.MethodPost, id, body)
+		c.checker.answered(id, status, err)
+		if err == nil && status/100 == 2 {
+			return true
+		}
+		time.Sleep(time.Duration(100+rnd.IntN(200)) * time.Millisecond)
+	}
+	return false
+}
+
+func (c *caller) cancel(id string, rnd *rand.Rand) {
+	for range handInTries {
+		status, _, err := c.call(rnd.IntN(len(c.hosts)), http.MethodDelete, id, "")
+		if err == nil && (status/100 == 2 || status == http.StatusGone) {
+			return
+		}
+		time.Sleep(askEvery)
+	}
+}
+
+// traffic hands jobs in for a while, and waits for all of them.
+func (c *caller) traffic(rnd *rand.Rand, span, wait time.Duration, pause time.Duration) {
+	var all sync.WaitGroup
+	end := time.Now().Add(span)
+	for n := 1; time.Now().Before(end); n++ {
+		id, own := fmt.Sprintf("%016x", n), rand.New(rand.NewPCG(rnd.Uint64(), 1))
+		all.Go(func() { c.life(id, own, end.Add(wait)) })
+		time.Sleep(time.Duration(rnd.Int64N(int64(2 * pause))))
+	}
+	all.Wait()
+}
--- /dev/null
+++ b/test/soak/host_test.go
@@ -0,0 +1,77 @@
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// host is one entry host: a process after the other under one name.
+type host struct {
+	name, hall string
+	callers    string
+	file       string
+	log        *os.File
+	// way is the proxy between the host and the store.
+	way *proxy
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	// down is since when no process of it runs.
+	down time.Time
+}
+
+// settings are written to the host's file.
+func (h *host) settings(halls, ready, control, figures, table string) error {
+	text := fmt.Sprintf(`{"name": %q, "hall": %q, "halls": [%s], "callers": %q, "ready": %q, "control": %q, "metrics": %q, "table": %q,
+		"retention": "5m", "grace": "4s", "processors": 0.5, "memoryMB": 256}`, h.name, h.hall, halls, h.callers, ready, control, figures, table)
+	return os.WriteFile(h.file, []byte(text), 0o600)
+}
+
+// start runs the next process.
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process != nil {
+		return nil
+	}
+	c := exec.Command(filepath.Join(bin, "wrenferryd"), "fleet", "--config", h.file)
+	c.Stdout, c.Stderr = h.log, h.log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	h.process, h.ended = c, ended
+	go func() {
+		_ = c.Wait() // how it ended is in its log
+		h.mu.Lock()
+		if h.process == c {
+			h.process, h.down = nil, time.Now()
+		}
+		h.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that runs, if one does, and returns what says that it
+// has ended.
+func (h *host) signal(s syscall.Signal) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		gone := make(chan struct{})
+		close(gone)
+		return gone
+	}
+	_ = h.process.Process.Signal(s) // one that has just ended needs none
+	return h.ended
+}
+
+// kill ends the process at once.
+func (h *host) kill() { <-h.signal(syscall.SIGKILL) }
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,217 @@
+// Package soak_test runs the real daemons as processes of their own against small stand-ins of
+// the store, the workers and the callers, and strikes them with faults that come in series and
+// overlap: processes killed, paused, stopped as planned and told to read their settings; the
+// store away, slow, losing answers and forgetting its history; connections reset, silent for
+// good, or cut; workers that start again under their ids, leave, carry orders out late, and
+// write rows that nobody understands. A checker states the promises from what workers and
+// callers saw.
+//
+//	make soak SEEDS=50           days one after the other, from seed 0
+//	make soak SEED=17            one day again, with its story
+//
+// The same seed draws the same faults; processes on a machine don't keep exact time, so a day
+// is not the same to the millisecond.
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/platform/platformtest"
+)
+
+var bin string // the folder with the program under test
+
+func TestMain(m *testing.M) {
+	var err error
+	if bin, err = os.MkdirTemp("", "wrenferry-soak-"); err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", bin+"/", "../../cmd/wrenferryd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(bin)
+	os.Exit(code)
+}
+
+const (
+	// trouble is how long jobs come and faults strike, calm how long after that every
+	// accepted job may take to its last state: it is no verdict on speed.
+	trouble = 9 * time.Second
+	calm    = 60 * time.Second
+	// usualSeeds are played with the other tests.
+	usualSeeds = 2
+	jobPause   = 60 * time.Millisecond
+)
+
+func number(t *testing.T, name string, usual int) (int, bool) {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return usual, false
+	}
+	n, err := strconv.Atoi(text)
+	must.NoError(t, err)
+	return n, true
+}
+
+func TestNoPromiseBreaksOnRealProcesses(t *testing.T) {
+	t.Parallel()
+	if seed, one := number(t, "SEED", 0); one {
+		t.Log(strings.Join(play(t, uint64(seed)), "\n"))
+		return
+	}
+	n, _ := number(t, "SEEDS", usualSeeds)
+	for seed := range n {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, uint64(seed))
+		})
+	}
+}
+
+// play plays one day and returns its story.
+func play(t *testing.T, seed uint64) []string {
+	t.Helper()
+	d := newDay(t, seed)
+	defer d.end()
+	var faults sync.WaitGroup
+	faults.Go(d.strike)
+	d.caller.traffic(rand.New(rand.NewPCG(seed, 2)), trouble, calm, jobPause)
+	faults.Wait()
+	d.checker.refused()
+	broken, story := d.checker.result()
+	t.Log(d.checker.summary())
+	if len(broken) > 0 {
+		dir, err := os.MkdirTemp("", "wrenferry-soak-logs-")
+		must.NoError(t, err)
+		for _, h := range d.hosts {
+			_ = exec.Command("cp", h.log.Name(), dir).Run() // a log that is missing is seen there
+		}
+		_ = os.WriteFile(filepath.Join(dir, "story.txt"), []byte(strings.Join(story, "\n")), 0o600)
+		t.Errorf("seed %d: %d broken, first: %s\nagain: make soak SEED=%d\nlogs: %s\n%s",
+			seed, len(broken), broken[0], seed, dir, strings.Join(about(broken[0], story), "\n"))
+	}
+	return story
+}
+
+// about is the part of the story that is about the job of a broken promise, or a fault.
+func about(broken string, story []string) []string {
+	job := ""
+	for _, word := range strings.FieldsFunc(broken, func(r rune) bool { return strings.ContainsRune(" .,", r) }) {
+		if len(word) == 16 && job == "" {
+			job = word
+		}
+	}
+	var list []string
+	for _, line := range story {
+		if (job != "" && strings.Contains(line, job)) || strings.Contains(line, "FAULT") {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// day is one seeded day: its processes, and who disturbs them.
+type day struct {
+	t       *testing.T
+	mu      sync.Mutex // of rand
+	rand    *rand.Rand
+	store   *platformtest.Store
+	checker *checker
+	workers []*worker
+	fronts  []*proxy
+	hosts   []*host
+	caller  *caller
+	over    chan struct{}
+}
+
+func newDay(t *testing.T, seed uint64) *day {
+	t.Helper()
+	d := &day{
+		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
+	}
+	d.store.Put("op", "config", platformtest.Manifest(3))
+	halls := []string{"hall-a", "hall-b"}
+	for i := range 6 {
+		d.addWorker(i, halls[i%len(halls)])
+	}
+	for i := range 5 {
+		d.addHost(i, halls)
+	}
+	d.caller = newCaller(d.hosts, d.checker)
+	d.ready()
+	return d
+}
+
+func (d *day) addWorker(i int, hall string) {
+	free, err := platformtest.FreeAddresses(2)
+	must.NoError(d.t, err)
+	w := &worker{
+		id: fmt.Sprintf("i-%d", i), hall: hall, address: free[0], front: free[1], checker: d.checker,
+		rand: rand.New(rand.NewPCG(d.rand.Uint64(), 4)), over: d.over,
+		put:    func(key string, row any) { d.store.Put("servers", key, row) },
+		remove: func(key string) { d.store.Remove("servers", key) },
+	}
+	must.NoError(d.t, w.begin())
+	front, err := newProxy(w.front, w.address)
+	must.NoError(d.t, err)
+	d.workers, d.fronts = append(d.workers, w), append(d.fronts, front)
+	go w.beat()
+}
+
+func (d *day) addHost(i int, halls []string) {
+	free, err := platformtest.FreeAddresses(5)
+	must.NoError(d.t, err)
+	dir := d.t.TempDir()
+	h := &host{name: fmt.Sprintf("host-%d", i), hall: halls[i%len(halls)], callers: free[0], file: filepath.Join(dir, "settings.jsonc")}
+	h.way, err = newProxy(free[4], d.store.Address())
+	must.NoError(d.t, err)
+	h.log, err = os.Create(filepath.Join(dir, h.name+".log"))
+	must.NoError(d.t, err)
+	must.NoError(d.t, h.settings(`"`+strings.Join(halls, `", "`)+`"`, free[1], free[2], free[3], free[4]))
+	must.NoError(d.t, h.start())
+	d.hosts = append(d.hosts, h)
+}
+
+// ready waits until some host takes a call: faults may strike before the others do.
+func (d *day) ready() {
+	for range 400 {
+		if status, _, err := d.caller.call(0, "GET", "00000000000000ff", ""); err == nil && status == 410 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.t.Fatal("no host takes calls")
+}
+
+// end ends what the day has started, by its ids.
+func (d *day) end() {
+	close(d.over)
+	for _, h := range d.hosts {
+		h.signal(syscall.SIGCONT)
+		h.kill()
+		h.way.close()
+		_ = h.log.Close()
+	}
+	for i, w := range d.workers {
+		w.crash()
+		d.fronts[i].close()
+	}
+	d.store.CloseClientConnections()
+	d.store.Close()
+}
--- /dev/null
+++ b/test/soak/worker_test.go
@@ -0,0 +1,374 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	howDone     = "done"
+	workerCPU   = 8000
+	workerMemMB = 32000
+	// longestHold is the longest that a worker holds what runs without renewal.
+	longestHold = 10 * time.Second
+	stopTakes   = 100 * time.Millisecond
+	// failsOne of so many runs ends in failure.
+	failsOne = 60
+	// beatEvery is how often a worker writes its row; rowsKept is how long rows outlive it.
+	beatEvery = 400 * time.Millisecond
+	rowsKept  = 1200 * time.Millisecond
+)
+
+// worker is a host of workers' lives: one after the other, at one address, under one id.
+type worker struct {
+	id, hall string
+	// address is where its lives listen, front what its row says: a proxy before it.
+	address, front string
+	checker        *checker
+	put            func(key string, row any)
+	remove         func(key string)
+
+	mu   sync.Mutex
+	rand *rand.Rand
+	life *life
+	// lives counts them. late is until when some orders are carried out late and not answered,
+	// odd until when its row is nonsense, leaves until when it says that it leaves.
+	lives             int
+	late, odd, leaves time.Time
+	downSince         time.Time
+	over              chan struct{}
+}
+
+// life is one process of a worker.
+type life struct {
+	name     string
+	born     time.Time
+	offset   time.Duration
+	fence    int64
+	until    time.Duration
+	runs     map[string]*run
+	highest  map[string]int64
+	ended    []listedEnd
+	number   int64
+	changed  chan struct{}
+	server   *http.Server
+	watching *time.Timer
+}
+
+type run struct {
+	number int64
+	since  time.Time
+	takes  time.Duration
+	cpu    int64
+}
+
+type listedEnd struct {
+	number int64
+	task   string
+	run    int64
+	how    string
+	at     time.Time
+	// lapsed says that the lease ran out after the end.
+	lapsed bool
+}
+
+// order is any message to a worker.
+type order struct {
+	Task     string `json:"task"`
+	Run      int64  `json:"run-id"`
+	Spec     string `json:"spec"`
+	Expires  int64  `json:"expires-ms"`
+	Fence    int64  `json:"fencing-token"`
+	LastSeen int64  `json:"last-seen"`
+	WaitMs   int64  `json:"wait-ms"`
+}
+
+func (l *life) clock() time.Duration { return l.offset + time.Since(l.born) }
+
+// begin starts the next life.
+func (w *worker) begin() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.life != nil {
+		return nil // two faults have overlapped
+	}
+	listener, err := listen(w.address)
+	if err != nil {
+		return err
+	}
+	w.lives++
+	l := &life{
+		name: fmt.Sprintf("%s/%d", w.id, w.lives), born: time.Now(), offset: time.Duration(w.rand.IntN(3600)) * time.Second,
+		runs: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}),
+	}
+	l.server = &http.Server{Handler: w.handler(l), ReadHeaderTimeout: time.Minute}
+	w.life = l
+	w.checker.tell("%s begins", l.name)
+	go func() { _ = l.server.Serve(listener) }() // until it is closed
+	return nil
+}
+
+// crash ends a life at once.
+func (w *worker) crash() {
+	w.mu.Lock()
+	l := w.life
+	if l == nil {
+		w.mu.Unlock()
+		return
+	}
+	w.life, w.downSince = nil, time.Now()
+	w.checker.tell("%s crashes", l.name)
+	for task, r := range l.runs {
+		w.checker.ended(l.name, task, r.number, "crashed")
+	}
+	l.runs = map[string]*run{}
+	w.mu.Unlock()
+	_ = l.server.Close()
+}
+
+// beat writes the worker's row until the soak is over.
+func (w *worker) beat() {
+	for sequence := 1; ; sequence++ {
+		select {
+		case <-w.over:
+			return
+		case <-time.After(beatEvery):
+		}
+		w.mu.Lock()
+		l, now := w.life, time.Now()
+		state := "ready"
+		if now.Before(w.leaves) {
+			state = "draining"
+		}
+		odd, down := now.Before(w.odd), now.Sub(w.downSince)
+		w.mu.Unlock()
+		switch {
+		case l == nil && down > rowsKept:
+			w.remove(w.id)
+		case l == nil:
+		case odd:
+			w.put(w.id, map[string]any{"service": 7, "address": "nowhere"})
+		default:
+			w.put(w.id, map[string]any{
+				"service": "pool", "address": w.front, "zone": w.hall, "version": "v1", "slots": 8, "state": state, "sequence": sequence,
+				"capacity": map[string]any{"cpu": workerCPU, "mem-mb": workerMemMB, "gpu": 0}, "labels": []string{"a", "r1"},
+				"machine": "m-" + w.id, "born": l.born.UnixMilli(), "clock-ms": l.clock().Milliseconds(), "remaining-ms": 3000,
+			})
+		}
+	}
+}
+
+func (w *worker) handler(l *life) http.Handler {
+	mux := http.NewServeMux()
+	for path, do := range map[string]func(*life, order) (int, map[string]any){
+		"POST /run-start": w.start, "POST /run-stop": w.stop, "POST /pace": w.pace,
+	} {
+		mux.HandleFunc(path, func(out http.ResponseWriter, in *http.Request) {
+			o, ok := read(out, in)
+			if !ok {
+				return
+			}
+			if w.isLate() {
+				time.AfterFunc(time.Second+time.Duration(o.Run%4)*time.Second, func() { w.carryOut(l, o, do) })
+				<-in.Context().Done() // it is never answered
+				return
+			}
+			status, answer := w.carryOut(l, o, do)
+			reply(out, status, answer)
+		})
+	}
+	mux.HandleFunc("POST /hold", func(out http.ResponseWriter, in *http.Request) {
+		o, ok := read(out, in)
+		if !ok {
+			return
+		}
+		status, answer := w.carryOut(l, o, w.hold)
+		if ended, _ := answer["finished"].([][]any); status == http.StatusOK && len(ended) == 0 && o.WaitMs > 0 {
+			w.await(in, l, time.Duration(o.WaitMs)*time.Millisecond)
+			status, answer = w.carryOut(l, o, w.hold)
+		}
+		reply(out, status, answer)
+	})
+	return http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+		if want := in.Header.Get("Expect-Instance"); want != "" && want != w.id {
+			out.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		mux.ServeHTTP(out, in)
+	})
+}
+
+func read(out http.ResponseWriter, in *http.Request) (order, bool) {
+	var o order
+	if json.NewDecoder(in.Body).Decode(&o) != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return o, false
+	}
+	return o, true
+}
+
+func reply(out http.ResponseWriter, status int, answer map[string]any) {
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(status)
+	_ = json.NewEncoder(out).Encode(answer) // a caller that has left needs none
+}
+
+func (w *worker) isLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.late) && w.rand.IntN(3) == 0
+}
+
+func (w *worker) await(in *http.Request, l *life, span time.Duration) {
+	w.mu.Lock()
+	changed := l.changed
+	w.mu.Unlock()
+	select {
+	case <-changed:
+	case <-time.After(span):
+	case <-in.Context().Done():
+	}
+}
+
+// carryOut does what an order says, if its life and its fence allow it.
+func (w *worker) carryOut(l *life, o order, do func(*life, order) (int, map[string]any)) (int, map[string]any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.life != l {
+		return http.StatusServiceUnavailable, nil
+	}
+	w.lapse(l)
+	answer := map[string]any{"clock-ms": l.clock().Milliseconds(), "born": l.born.UnixMilli()}
+	if o.Fence < l.fence {
+		answer["reason"] = "fence"
+		return http.StatusConflict, answer
+	}
+	l.fence = o.Fence
+	status, more := do(l, o)
+	for k, v := range more {
+		answer[k] = v
+	}
+	return status, answer
+}
+
+func (w *worker) extend(l *life, ms int64) {
+	for i := range l.ended {
+		l.ended[i].lapsed = l.ended[i].lapsed || l.clock() > l.until
+	}
+	l.until = max(l.until, min(time.Duration(ms)*time.Millisecond, l.clock()+longestHold))
+	if l.watching != nil {
+		l.watching.Stop()
+	}
+	l.watching = time.AfterFunc(l.until-l.clock()+time.Millisecond, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.life == l {
+			w.lapse(l)
+		}
+	})
+}
+
+// lapse ends all that runs when the lease is over.
+func (w *worker) lapse(l *life) {
+	if l.clock() <= l.until {
+		return
+	}
+	for task := range l.runs {
+		w.end(l, task, "lapsed")
+	}
+}
+
+func (w *worker) end(l *life, task, how string) {
+	r := l.runs[task]
+	delete(l.runs, task)
+	l.highest[task] = max(l.highest[task], r.number)
+	l.number++
+	l.ended = append(l.ended, listedEnd{number: l.number, task: task, run: r.number, how: how, at: time.Now()})
+	w.checker.ended(l.name, task, r.number, how)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (w *worker) hold(l *life, o order) (int, map[string]any) {
+	if o.Expires > 0 {
+		w.extend(l, o.Expires)
+	}
+	keep := l.ended[:0:0]
+	for _, e := range l.ended {
+		if e.number > o.LastSeen {
+			keep = append(keep, e)
+			continue
+		}
+		w.checker.acknowledged(l.name, e)
+	}
+	l.ended = keep
+	active, finished := [][]any{}, [][]any{}
+	for task, r := range l.runs {
+		active = append(active, []any{task, r.number, "", min(99, int(100*time.Since(r.since)/r.takes)), r.cpu})
+	}
+	for _, e := range keep {
+		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	return http.StatusOK, map[string]any{"active": active, "finished": finished}
+}
+
+func (w *worker) start(l *life, o order) (int, map[string]any) {
+	refuse := func(reason string) (int, map[string]any) {
+		return http.StatusConflict, map[string]any{"reason": reason}
+	}
+	if r := l.runs[o.Task]; r != nil && r.number == o.Run {
+		return http.StatusOK, nil
+	}
+	if time.Duration(o.Expires)*time.Millisecond < l.clock() {
+		return refuse("late")
+	}
+	w.extend(l, o.Expires)
+	if l.runs[o.Task] != nil || l.highest[o.Task] >= o.Run {
+		return refuse("old")
+	}
+	taken := int64(0)
+	for _, r := range l.runs {
+		taken += r.cpu
+	}
+	if taken+taskCPU > workerCPU {
+		return refuse("room")
+	}
+	r := &run{number: o.Run, since: time.Now(), takes: time.Duration(30+w.rand.IntN(500)) * time.Millisecond, cpu: taskCPU}
+	l.runs[o.Task] = r
+	w.checker.started(l.name, o.Task, o.Run, o.Spec)
+	how := howDone
+	if w.rand.IntN(failsOne) == 0 {
+		how = "failed"
+	}
+	w.endAfter(l, o.Task, r, r.takes, how)
+	return http.StatusOK, nil
+}
+
+func (w *worker) endAfter(l *life, task string, r *run, span time.Duration, how string) {
+	time.AfterFunc(span, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.life != l {
+			return
+		}
+		w.lapse(l)
+		if l.runs[task] == r {
+			w.end(l, task, how)
+		}
+	})
+}
+
+func (w *worker) stop(l *life, o order) (int, map[string]any) {
+	r := l.runs[o.Task]
+	if r == nil || r.number != o.Run {
+		return http.StatusConflict, map[string]any{"reason": "missing"}
+	}
+	w.endAfter(l, o.Task, r, stopTakes, "stopped")
+	return http.StatusOK, nil
+}
+
+func (w *worker) pace(*life, order) (int, map[string]any) { return http.StatusOK, nil }
