--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -65,6 +65,16 @@
 	playDays(t, emulator.TwoCellPlan)
 }
 
+// On these days a cell is full of lasting tasks that nobody cancels, and one of its jobs has a
+// gang: no worker there has the room, the other cell stands empty, and the gang waits to the end.
+func TestAGangWhoseCellIsFullRunsInAnother(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{937, 2233, 2445, 2995} {
+		_, broken := emulator.Play(emulator.TwoCellPlan(seed))
+		must.SliceEmpty(t, broken, must.Sprintf("seed %d", seed))
+	}
+}
+
 // A worker that crashed may start again under the id that it had. The leader kept the newest
 // number of an end, the clock and its unanswered orders under that id. So it passed over good
 // ends of the next life, whose numbers begin at 1 again, acknowledged them with its next look,
--- a/pkg/process/workers/report.go
+++ b/pkg/process/workers/report.go
@@ -107,7 +107,7 @@
 	RefusedLate      Refusal = "late"      // the order's limit was over
 	RefusedRoom      Refusal = "room"      // it does not fit
 	RefusedTicket    Refusal = "ticket"    // not allowed there
-	RefusedLife      Refusal = "life"      // another incarnation lives there
+	RefusedLife      Refusal = "life"      // a worker of another id lives there
 	RefusedBegun     Refusal = "begun"     // not sent: the worker has started again since
 	RefusedBusy      Refusal = "busy"      // unwell: it has done nothing
 	RefusedMalformed Refusal = "malformed" // it can't read the order
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -1,5 +1,5 @@
 // Package workers keeps what a cell's leader knows of each worker: which
-// incarnation it is, how its clock stands, until when it holds what runs on it,
+// life of it answers, how its clock stands, until when it holds what runs on it,
 // what that is, what room is left, and whether it can be trusted.
 //
 // A worker lists what runs and what has ended until it is told that an end is
