--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -78,6 +78,13 @@
 	return plan
 }
 
+// TroubledCellsPlan is a day of two cells that lend, with all of that.
+func TroubledCellsPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.SameIDs, plan.Crashes, plan.OddRows = true, 4, true
+	return plan
+}
+
 // OddRowsPlan is such a day on which rows of the list of workers are spoilt, too.
 func OddRowsPlan(seed uint64) Plan {
 	plan := SameIDsPlan(seed)
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -91,6 +91,11 @@
 	playDays(t, emulator.SameIDsPlan)
 }
 
+func TestNoRuleBreaksWhenCellsLendAndWorkersStartAgain(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.TroubledCellsPlan)
+}
+
 // Other writers spoil rows of the list of workers: no order goes where no good row names a
 // worker, and nothing else suffers from it.
 func TestNoRuleBreaksWhenRowsAreSpoilt(t *testing.T) {
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -11,7 +11,7 @@
 )
 
 // Lending. A lasting task that finds no room in its cell is left to another one, and so
-// are short ones (lend_short.go). All rows of a job share one part of the table, so one
+// are short ones (lend_short.go) and gangs (lend_gang.go). All rows of a job share one part of the table, so one
 // transaction records here that the task is lent and gives the other cell a
 // specification with just that task. The job stays here: its state is told, and its
 // cancel is carried out, by this cell, which passes the cancel on in the transaction that
@@ -80,7 +80,7 @@
 	}
 	var units []*jobs.Unit
 	for u := range s.waiting {
-		if (u.Lasting() && s.has(LendLasting)) || s.mayLendShort(u) {
+		if (u.Lasting() && s.has(LendLasting)) || s.mayLendShort(u) || s.mayLendGang(u) {
 			units = append(units, u)
 		}
 	}
@@ -91,6 +91,10 @@
 		return 1
 	})
 	for _, u := range units {
+		if s.mayLendGang(u) {
+			s.lendGang(now, u)
+			continue
+		}
 		if !u.Lasting() {
 			s.lendShort(now, u)
 			continue
