--- a/pkg/connection/life/life.go
+++ b/pkg/connection/life/life.go
@@ -12,16 +12,17 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
 )
 
 // ErrOther says that a request was not sent, since another life than the one that it was
 // for is at the other end, or since that could not be found out.
-var ErrOther = errors.New("another life answers there")
+var ErrOther = fault.New(fault.NotRun, "", "another life answers there", "look anew")
 
 // Ask finds out on a new connection which life is at the other end; 0: it does not say.
 type Ask func(ctx context.Context, c net.Conn) (born int64, err error)
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -4,9 +4,10 @@
 // gives the same day.
 //
 // The files: emulator.go the clock and a day's plan; load.go a day of given jobs and
-// workers, and what became of them; table.go the table; worker.go the workers, and
-// machine.go how fast what runs there gets on and how it disturbs; host.go, effects.go,
-// words.go and intake.go the hosts, which drive the product's own election.Seat,
+// workers, and what became of them; table.go the table; faults.go what strikes; worker.go
+// the workers, lives.go their names and which life a call comes to, rows.go rows that others
+// spoil, and machine.go how fast what runs there gets on and how it disturbs; host.go,
+// effects.go, words.go and intake.go the hosts, which drive the product's own election.Seat,
 // cell.State and cellchoice.Board; checker.go the rules, over what workers did and what
 // the table holds. The checker shares no code with the product.
 package emulator
@@ -329,76 +330,6 @@
 	})
 }
 
-// ---------------------------------------------------------------- faults
-
-func (w *World) planFaults() {
-	for range w.plan.Faults {
-		w.after(w.between(2*time.Second, w.plan.Trouble), w.strike)
-	}
-	if w.plan.OddRows {
-		w.planOddRows()
-	}
-	for range w.plan.Crashes {
-		w.after(w.between(2*time.Second, w.plan.Trouble), w.crashMany)
-	}
-}
-
-// crashMany ends the lives of about half of the workers within a moment.
-func (w *World) crashMany() {
-	for _, k := range w.workers {
-		if w.rand.IntN(2) == 0 {
-			span := w.between(50*time.Millisecond, 1500*time.Millisecond)
-			w.after(w.between(0, 300*time.Millisecond), func() { k.crash(span) })
-			w.troubleUntil = w.now.Add(span)
-		}
-	}
-}
-
-// strike brings one fault about.
-func (w *World) strike() {
-	span := w.between(300*time.Millisecond, 6*time.Second)
-	h := w.hosts[w.rand.IntN(len(w.hosts))]
-	if leader := w.leader(); leader != nil && w.rand.IntN(2) == 0 {
-		h = leader
-	}
-	k := w.workers[w.rand.IntN(len(w.workers))]
-	switch w.rand.IntN(12) {
-	case 0:
-		h.kill(span)
-	case 1:
-		h.freeze(span)
-	case 2:
-		for _, each := range w.hosts {
-			each.kill(w.between(500*time.Millisecond, 1500*time.Millisecond))
-		}
-	case 3:
-		w.table.downUntil = w.now.Add(span)
-	case 4:
-		w.table.losesUntil = w.now.Add(span)
-	case 5:
-		w.table.slowUntil = w.now.Add(span)
-	case 6:
-		w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
-	case 7:
-		w.cuts[[2]string{h.name, k.name}] = w.now.Add(span)
-	case 8:
-		for _, each := range w.hosts {
-			w.cuts[[2]string{each.name, k.name}] = w.now.Add(span)
-		}
-	case 9:
-		k.lateUntil = w.now.Add(span)
-	case 10:
-		k.crash(span)
-	case 11:
-		k.sickUntil = w.now.Add(span)
-		k.sickHow = w.rand.IntN(2)
-	}
-	if until := w.now.Add(span); until.After(w.troubleUntil) {
-		w.troubleUntil = until
-	}
-	w.logf("FAULT near %s and %s for %s", h.name, k.name, span)
-}
-
 func (w *World) leader() *host {
 	for _, h := range w.hosts {
 		for _, name := range w.cells {
--- a/pkg/emulator/intake.go
+++ b/pkg/emulator/intake.go
@@ -5,11 +5,13 @@
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// How hosts choose cells for the jobs of a given load: as package intake does, by the
-// product's own board, with the same ages.
+// How hosts take jobs and cancels from callers, and choose cells for the jobs of a given load:
+// as package intake does, by the product's own board, with the same ages.
 
 const (
 	loadsEvery        = 2 * time.Second
@@ -87,3 +89,52 @@
 	}
 	return false
 }
+
+// ---------------------------------------------------------------- callers
+
+func (h *host) submit(spec *wire.JobSpec, done func(taken bool)) {
+	if !h.up {
+		done(false)
+		return
+	}
+	w := h.world
+	if w.plan.Load != nil && w.jobs[spec.GetId()] == nil {
+		h.chooseCell(spec)
+	}
+	if w.jobs[spec.GetId()] == nil {
+		spec.AcceptedStoreMs = h.world.table.storeTime().Milliseconds()
+	}
+	w.jobs[spec.GetId()] = spec
+	anchor := rows.AnchorKey(spec.GetId())
+	h.on(func() {
+		h.commit(table.Transaction{
+			Conditions: []table.Condition{{Key: anchor}},
+			Puts: []table.Row{
+				rows.Row(anchor, &wire.JobAnchor{Cell: spec.GetCell()}), rows.Row(rows.SpecKey(spec.GetCell(), spec.GetId()), spec),
+			},
+		}, func(_ table.Committed, ok bool) {
+			done(ok) // a conflict means that it is there
+			for _, each := range w.hosts {
+				if other := each.leads(spec.GetCell()); ok && other != nil && !w.cut(h.name, each.name) {
+					other.on(func() {
+						other.state.Take(w.now, cell.Accepted{Spec: spec, StoreNow: other.storeNow()})
+						other.act()
+						h.tellLoad(other, false)
+					})
+				}
+			}
+		})
+	})
+}
+
+func (h *host) cancel(id string, done func(taken bool)) {
+	if !h.up {
+		done(false)
+		return
+	}
+	h.on(func() {
+		home := h.world.jobs[id].GetCell()
+		h.commit(table.Transaction{Puts: []table.Row{rows.Row(rows.CancelKey(home, id), &wire.JobRef{Id: id})}},
+			func(_ table.Committed, ok bool) { done(ok) })
+	})
+}
--- /dev/null
+++ b/pkg/emulator/lives.go
@@ -0,0 +1,166 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// Lives of workers: their names, their rows in the list, and which life a call comes to.
+
+// id tells each life from the others.
+func (k *worker) id() string { return fmt.Sprintf("%s/%d", k.name, k.life) }
+
+// key is the id under which the list of workers has it.
+func (k *worker) key() string {
+	if k.world.plan.SameIDs {
+		return k.name
+	}
+	return k.id()
+}
+
+// born is what the worker says of its life's start.
+func (k *worker) born() int64 {
+	if k.world.plan.SameIDs {
+		return k.bornAt.UnixMilli()
+	}
+	return 0
+}
+
+func (k *worker) clock() time.Duration {
+	return k.offset + time.Duration(float64(k.world.now.Sub(k.bornAt))*k.rate)
+}
+
+func (k *worker) record() workers.Record {
+	return workers.Record{
+		ID: k.key(), Born: k.born(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.Hall, Ready: true, Rack: k.Rack,
+		Capacity: ledger.Size{Millicores: k.Millicores, MemoryMB: k.MemoryMB},
+	}
+}
+
+// staleRecords is the row of the life before, which may come back into the list for a
+// while after the next one has begun.
+func (k *worker) staleRecords() []workers.Record {
+	age := k.world.now.Sub(k.bornAt)
+	if k.life == 1 || age > staleFor || age%(2*staleGap) < staleGap {
+		return nil
+	}
+	r := k.record()
+	r.ID = fmt.Sprintf("%s/%d", k.name, k.life-1)
+	return []workers.Record{r}
+}
+
+// records is what the list of workers holds: the newest row under each id, which may be one
+// of an earlier life that was written late.
+func (k *worker) records() []workers.Record {
+	stale := k.staleRecords()
+	if !k.world.plan.SameIDs {
+		return append([]workers.Record{k.record()}, stale...)
+	}
+	r := k.record()
+	if len(stale) > 0 {
+		r.Born = k.bornBefore
+	}
+	return []workers.Record{r}
+}
+
+// call carries a call of a host; then runs at the worker, and its answer goes
+// back. ok is false where there was no answer.
+func call[T any](w *World, from string, k *worker, life string, limit, wait, queued time.Duration, then func() (T, workers.Refusal), done func(T, workers.Refusal, bool)) {
+	var none T
+	answered := false
+	answer := func(v T, r workers.Refusal, ok bool) {
+		if !answered {
+			answered = true
+			done(v, r, ok)
+		}
+	}
+	w.after(limit, func() { answer(none, workers.RefusedNot, false) })
+	if w.cut(from, k.name) {
+		return
+	}
+	way := queued + w.hop()
+	late := w.now.Before(k.lateUntil) && w.rand.IntN(4) == 0
+	if late {
+		way = w.between(2*time.Second, 12*time.Second)
+	}
+	sentAt, reached := w.now, k.life
+	if !k.up {
+		reached++ // the connection may yet come about, to the next life
+	}
+	k.arrive(way, sentAt, reached, func() {
+		if k.key() != life {
+			w.after(w.hop(), func() { answer(none, workers.RefusedLife, true) })
+			return
+		}
+		k.lapse()
+		v, refusal := then()
+		k.await(k.life, wait, func() {
+			if wait > 0 {
+				v, refusal = then()
+			}
+			if !late && !w.cut(from, k.name) {
+				w.after(w.hop(), func() { answer(v, refusal, true) })
+			}
+		})
+	})
+}
+
+// meant says whether a call is for the life that is up.
+func (k *worker) meant(to workers.Target) bool {
+	return k.world.plan.Unbound || to.Born == 0 || to.Born == k.born()
+}
+
+// forLife does what an order says if it is for the life that is up: connections know which
+// life they reach.
+func (k *worker) forLife(to workers.Target, do func() (any, workers.Refusal)) (any, workers.Refusal) {
+	if !k.meant(to) {
+		return nil, workers.RefusedBegun
+	}
+	return do()
+}
+
+// lookOf is a look as it is sent: to another life than the one that it is for with no word
+// but the question.
+func (k *worker) lookOf(to workers.Target, l workers.Look) workers.Look {
+	if !k.meant(to) {
+		return workers.Look{Fence: l.Fence}
+	}
+	return l
+}
+
+// arrive carries a message to a worker. Under ids that stay, it comes to the life that its
+// connection reached when it was sent, or to none: connections end with the life.
+func (k *worker) arrive(way time.Duration, sentAt time.Time, reached int, do func()) {
+	w := k.world
+	w.after(way, func() {
+		switch {
+		case !w.plan.SameIDs:
+			if k.up {
+				do()
+			}
+		case k.up && k.life == reached:
+			do()
+		case !k.up && k.life < reached && w.now.Sub(sentAt) < connectWait:
+			k.arrive(awaitStep, sentAt, reached, do)
+		}
+	})
+}
+
+// awaitStep is how closely a waiting look watches for an end.
+const awaitStep = 20 * time.Millisecond
+
+// await does something when there is an end to list, or after a wait.
+func (k *worker) await(life int, wait time.Duration, do func()) {
+	if wait <= 0 || len(k.ended) > 0 {
+		do()
+		return
+	}
+	k.world.after(awaitStep, func() {
+		if k.up && k.life == life {
+			k.await(life, wait-awaitStep, do)
+		}
+	})
+}
