The log tells which runs a worker's life ended with, how long each had run, and how many others fell silent then

Cause: of the hypotheses on tasks that crash their workers, the logs could not tell a task that ends its worker from its neighbours: task-lost has the age of the order, not of the run at the worker's end. Change: worker-crashed, one line a life that ended by itself with runs there. No decision follows from it. Ruled out: a line a run, ten times as many; the evidence belongs together.

--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -209,6 +209,7 @@
 func (s *State) lookFailed(now time.Time, w *workers.Worker, why string) {
 	if w.SilentSince.IsZero() {
 		w.SilentSince = now
+		s.fell(now, now)
 		s.note(Note{What: NoteWorkerSilent, Worker: w.ID, Detail: why, AgeMs: now.Sub(w.AnsweredAt).Milliseconds()})
 	}
 	w.LookAt = now.Add(lookAgain)
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -14,6 +14,9 @@
 // lifeOver says that a worker's life is over by what shows that a later one has begun:
 // whatever names it from now on is old.
 func (s *State) lifeOver(now time.Time, w *workers.Worker, why string) {
+	if !w.Gone {
+		s.noteCrash(now, w)
+	}
 	s.over[w.ID] = w.Born
 	s.workerGone(now, w, why)
 }
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -83,6 +83,8 @@
 	over map[string]int64
 	// followedAt is as of when all jobs of the cell's table have been told.
 	followedAt time.Time
+	// fellAt is when workers fell silent, the last few seconds.
+	fellAt []time.Time
 	// died are runs whose workers have started again, until that is confirmed.
 	died []diedRun
 	// cancels are asked for, of jobs that have not been seen yet.
@@ -168,7 +170,7 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.settled = false
-	s.died, s.followedAt = nil, time.Time{}
+	s.died, s.fellAt, s.followedAt = nil, nil, time.Time{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.reorder = true
