--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -19,7 +19,8 @@
 //	         between the two
 //	ORDER    a start before the tasks that it comes after have ended well
 //	SPREAD   more tasks of a step on one worker than it may hold
-//	BUDGET   a start after the last attempt's failure was taken note of
+//	BUDGET   a start after the last attempt's failure was taken note of; a third start of a task
+//	         after three workers have crashed under it
 //	UNASKED  a start of what nobody sent, or long after its cancel
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause
@@ -37,12 +38,18 @@
 	startedAt map[string]time.Time // the last start of each task
 	failed    map[string]map[string]bool
 	phases    map[string]wire.JobPhase
+	// crashes are those under tasks that crash their workers, startsMore the starts after too many.
+	crashes, startsMore map[string]int
+	// failures are the failed runs of each task, or of a gang, mostFailures the most of a job's.
+	failures     map[string]map[int64]bool
+	mostFailures map[string]int
 }
 
 func newChecker(w *World) *checker {
 	return &checker{
 		world: w, taken: map[string]bool{}, asked: map[string]bool{}, cancels: map[string]time.Time{}, running: map[string]map[string]*worker{},
 		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneSeen: map[string]bool{}, failed: map[string]map[string]bool{}, phases: map[string]wire.JobPhase{},
+		crashes: map[string]int{}, startsMore: map[string]int{}, failures: map[string]map[int64]bool{}, mostFailures: map[string]int{},
 	}
 }
 
@@ -96,6 +103,7 @@
 	if c.doneSeen[s.Task] {
 		c.breakRule("TWICE", "%s was done when %s starts it", s.Task, k.id())
 	}
+	c.checkCrasher(s.Task)
 	c.startedAt[s.Task] = c.world.now
 	if c.running[s.Task] == nil {
 		c.running[s.Task] = map[string]*worker{}
@@ -165,6 +173,22 @@
 	if how == workers.EndedDone && !r.spec.GetLasting() {
 		c.done[r.task] = true
 	}
+	if how == workers.EndedFailed {
+		c.countFailure(r)
+	}
+}
+
+// countFailure counts a failed run of a task, or of its gang.
+func (c *checker) countFailure(r *workerRun) {
+	of := r.task
+	if r.spec.GetGang() {
+		of = taskOf(r.task)
+	}
+	if c.failures[of] == nil {
+		c.failures[of] = map[int64]bool{}
+	}
+	c.failures[of][r.number] = true
+	c.mostFailures[jobOf(r.task)] = max(c.mostFailures[jobOf(r.task)], len(c.failures[of]))
 }
 
 // noted takes in that an end was acknowledged.
@@ -213,6 +237,10 @@
 		for time := range max(1, int(c.world.jobs[id].GetRepeats())) {
 			c.checkAllDone(id, time)
 		}
+	case wire.JobPhase_JOB_PHASE_FAILED:
+		if !c.mayFail(id) {
+			c.breakRule("MIXED", "%s is shown as failed without cause: %s", id, p.GetReason())
+		}
 	case wire.JobPhase_JOB_PHASE_CANCELLED:
 		if !c.cancelSent(id) {
 			c.breakRule("MIXED", "%s is cancelled, nobody asked", id)
--- /dev/null
+++ b/pkg/emulator/crashers.go
@@ -0,0 +1,89 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Tasks that crash each worker that starts them.
+
+const (
+	// crashSoon and crashLate bound how long after its start such a task crashes its worker,
+	// backSoon and backLate how long the worker is away then.
+	crashSoon, crashLate = 5 * time.Millisecond, 300 * time.Millisecond
+	backSoon, backLate   = time.Second, 5 * time.Second
+	// crashDraw keeps what is drawn for these tasks apart from all else of a day.
+	crashDraw = 11
+)
+
+// drawCrasher makes one task of a job such a task, at each of the job's times.
+func (w *World) drawCrasher(spec *wire.JobSpec) {
+	r := rand.New(rand.NewPCG(w.plan.Seed^uint64(len(w.crashers)), crashDraw))
+	step := r.IntN(len(spec.GetSteps()))
+	index := r.IntN(int(spec.GetSteps()[step].GetCount()))
+	after := crashSoon + time.Duration(r.Int64N(int64(crashLate-crashSoon)))
+	w.crashers[crasherName(name(spec.GetId(), 0, step, index))] = after
+	w.logf("%s crashes its worker after %s", name(spec.GetId(), 0, step, index), after)
+}
+
+// crasherName names a task at any of its job's times.
+func crasherName(task string) string {
+	job, _, step := parts(task)
+	return fmt.Sprintf("%s.%d%s", job, step, task[len(taskOf(task)):])
+}
+
+// crashAfter crashes the worker if a run is of such a task.
+func (k *worker) crashAfter(r *workerRun) {
+	w := k.world
+	after, crashes := w.crashers[crasherName(r.task)]
+	if !crashes {
+		return
+	}
+	span := backSoon + time.Duration(rand.New(rand.NewPCG(w.plan.Seed, uint64(r.number))).Int64N(int64(backLate-backSoon)))
+	w.after(after, func() {
+		if k.up && k.runs[r.task] == r {
+			k.crash(span)
+		}
+	})
+}
+
+// The rules about such tasks: none is started three times more after three workers have crashed
+// under it, and none but those is given up for crashes.
+const (
+	crashesEnough = 3
+	startsTooMany = 3
+	crashesToFail = 2
+)
+
+// crashed counts the crashes under each such task that runs there.
+func (c *checker) crashed(k *worker) {
+	for task := range k.runs {
+		if _, guilty := c.world.crashers[crasherName(task)]; guilty {
+			c.crashes[task]++
+		}
+	}
+}
+
+// checkCrasher looks at a start of such a task.
+func (c *checker) checkCrasher(task string) {
+	if c.crashes[task] < crashesEnough {
+		return
+	}
+	c.startsMore[task]++
+	if c.startsMore[task] >= startsTooMany {
+		c.breakRule("BUDGET", "%s is started %d times more after %d workers crashed under it", task, c.startsMore[task], crashesEnough)
+	}
+}
+
+// mayFail says whether a job has cause to be shown as failed.
+func (c *checker) mayFail(id string) bool {
+	for task, n := range c.crashes {
+		if jobOf(task) == id && n >= crashesToFail {
+			return true
+		}
+	}
+	return c.mostFailures[id] >= c.world.attempts(id)
+}
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -5,7 +5,7 @@
 //
 // The files: emulator.go the clock and a day's plan; load.go a day of given jobs and
 // workers, and what became of them; table.go the table; faults.go what strikes; worker.go
-// the workers, lives.go their names and which life a call comes to, rows.go rows that others
+// the workers, crashers.go tasks that crash them, lives.go their names and which life a call comes to, rows.go rows that others
 // spoil, and machine.go how fast what runs there gets on and how it disturbs; host.go,
 // effects.go, words.go and intake.go the hosts, which drive the product's own election.Seat,
 // cell.State and cellchoice.Board; checker.go the rules, over what workers did and what
@@ -48,6 +48,10 @@
 	Unbound bool
 	// Crashes is how often half of the workers crash within a moment, each for a while.
 	Crashes int
+	// Flaps is how often a single worker crashes for a short while, besides the faults.
+	Flaps int
+	// CrashTasks is how many jobs have a task that crashes each worker that starts it.
+	CrashTasks int
 	// OddRows says that rows of the list of workers are spoilt, and that others wrote some.
 	OddRows bool
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
@@ -93,6 +97,24 @@
 	return plan
 }
 
+// CrashTasksPlan is a day of two cells with some tasks that crash each worker that starts them,
+// among other troubles: on some days workers come back under their ids, on some many crash at once.
+func CrashTasksPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Workers, plan.CrashTasks = 12, 3
+	plan.SameIDs, plan.Crashes = seed%2 == 0, int(seed%3)
+	return plan
+}
+
+// CrashWavesPlan is a day on which workers crash often, many at once and one by one, and no task
+// is to blame.
+func CrashWavesPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Workers, plan.Crashes, plan.Flaps = 12, 4, 12
+	plan.SameIDs = seed%2 == 0
+	return plan
+}
+
 const (
 	queueName   = "queue"
 	serviceName = "service"
@@ -118,6 +140,7 @@
 	troubleUntil time.Time
 	truths       map[string]*TaskTruth // of a given load, by task
 	saved        map[string]time.Duration
+	crashers     map[string]time.Duration // after how long they crash their worker, by task of any time
 	results      map[string]*JobResult
 	// Noted counts the notes of all hosts by their kind.
 	Noted map[cell.What]int
@@ -131,7 +154,7 @@
 		plan: plan, rand: rand.New(rand.NewPCG(plan.Seed, 7)), start: time.Unix(1_000_000, 0),
 		jobs: map[string]*wire.JobSpec{}, cuts: map[[2]string]time.Time{},
 		truths: map[string]*TaskTruth{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
-		Noted: map[cell.What]int{},
+		crashers: map[string]time.Duration{}, Noted: map[cell.What]int{},
 	}
 	w.now = w.start
 	w.checker = newChecker(w)
@@ -234,6 +257,9 @@
 	for i := range w.plan.Jobs {
 		id := fmt.Sprintf("%016x", i+1)
 		spec := w.newJob(id)
+		if i < w.plan.CrashTasks {
+			w.drawCrasher(spec)
+		}
 		at := w.between(2*time.Second, w.plan.Traffic)
 		w.after(at, func() { w.submit(spec, 0) })
 		if spec.GetSteps()[0].GetLasting() {
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -103,6 +103,29 @@
 	playDays(t, emulator.OddRowsPlan)
 }
 
+// A task crashed each worker that started it, within 10 ms, and nothing was remembered of a run
+// that ended with its worker: only ends that a worker lists as failed counted against a task. So it
+// was started anew every 3.2 to 3.6 s, as soon as the worker's next life answered, again with what
+// had died beside it, without end, and after a takeover another cell was lent it as never tried. In
+// the record of the runs:
+//
+//	109.050 s to 109.060 s  ...0.1.0 run 4000374 on ...b1b56bef59: gone
+//	112.554 s to 112.564 s  ...0.1.0 run 4000398 on ...bd35798c12: gone
+//	115.850 s to 115.860 s  ...0.1.0 run 4000447 on ...4f58be3c1a: gone
+//
+// and three more; a leader's log has, each time, task-lost "its host runs ..." and task-start in
+// the same millisecond.
+func TestATaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.CrashTasksPlan)
+}
+
+// Workers crash, one by one and many at once, and no job is given up for it.
+func TestNoJobIsGivenUpForCrashesThatItDidNotCause(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.CrashWavesPlan)
+}
+
 func TestTheSameSeedGivesTheSameDay(t *testing.T) {
 	t.Parallel()
 	a, _ := emulator.Play(emulator.DefaultPlan(3))
--- a/pkg/emulator/faults.go
+++ b/pkg/emulator/faults.go
@@ -11,6 +11,9 @@
 	if w.plan.OddRows {
 		w.planOddRows()
 	}
+	for range w.plan.Flaps {
+		w.after(w.between(2*time.Second, w.plan.Trouble), w.flap)
+	}
 	for range w.plan.Crashes {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.crashMany)
 	}
@@ -27,6 +30,16 @@
 	}
 }
 
+// flap ends the life of one worker for a short while.
+func (w *World) flap() {
+	k := w.workers[w.rand.IntN(len(w.workers))]
+	span := w.between(50*time.Millisecond, 3*time.Second)
+	k.crash(span)
+	if until := w.now.Add(span); until.After(w.troubleUntil) {
+		w.troubleUntil = until
+	}
+}
+
 // strike brings one fault about.
 func (w *World) strike() {
 	span := w.between(300*time.Millisecond, 6*time.Second)
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -103,6 +103,7 @@
 		return
 	}
 	k.world.logf("%s crashes", k.id())
+	k.world.checker.crashed(k)
 	k.up = false
 	for _, r := range k.sorted() {
 		k.world.checker.ended(k, r, "lost")
@@ -227,6 +228,7 @@
 	if !r.stuck {
 		k.endAfter(r)
 	}
+	k.crashAfter(r)
 	k.settle()
 	return k.clock(), workers.RefusedNot
 }
