Crashes of workers are held against the tasks that ran there, and one that crashes them is given up

Cause: nothing was remembered of a run that ended with its worker; only ends that a worker lists as failed counted. So a task that crashes its worker 10 ms after its start was started without end, and each time some ten others died with it. Ruled out: a count of crashes under a task. Change: package blame, one pure decision from a life's end (what ran there, for how long, what else ended then) to how much each task is suspected. Suspects are kept apart, then tried alone, where all that runs has been there for a while; that is recorded before the start. What is held against a task stands in its job's row from when its worker falls silent, travels with a lending, and is taken back when the worker answers again or a run outlives its crashes. Given up: three crashes soon after a start, or four alike at four hosts, the last alone; five in any case.

--- a/pkg/emulator/crashers.go
+++ b/pkg/emulator/crashers.go
@@ -45,7 +45,7 @@
 	span := backSoon + time.Duration(rand.New(rand.NewPCG(w.plan.Seed, uint64(r.number))).Int64N(int64(backLate-backSoon)))
 	w.after(after, func() {
 		if k.up && k.runs[r.task] == r {
-			k.crash(span)
+			k.crashLoudly(span)
 		}
 	})
 }
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -23,8 +23,8 @@
 		h.tell(e)
 	case cell.Note:
 		w.Noted[e.What]++
-		if e.What == cell.NoteLent || e.What == cell.NoteTakenBack || e.What == cell.NoteGivenBack {
-			w.logf("%s at %s: %s %s %s", h.cell, h.name, e.What, e.Task, e.Detail)
+		if told[e.What] {
+			w.logf("%s at %s: %s %s %s %s", h.cell, h.name, e.What, e.Worker, e.Task, e.Detail)
 		}
 	case cell.SendPace:
 		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
@@ -80,6 +80,12 @@
 	}
 }
 
+// told are the notes that the story of a day holds.
+var told = map[cell.What]bool{
+	cell.NoteLent: true, cell.NoteTakenBack: true, cell.NoteGivenBack: true, cell.NoteWorkerCrashed: true, cell.NoteSuspected: true,
+	cell.NoteCleared: true, cell.NoteJobEnded: true, cell.NoteLost: true, cell.NoteWorkerGone: true, cell.NoteLed: true, cell.NoteSettled: true,
+}
+
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
 
 func (h *seat) toWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -141,12 +141,15 @@
 		unsafe  cell.Unsafe
 		sameIDs bool
 		unbound bool
+		plan    func(seed uint64) emulator.Plan
 		rule    string
 	}{
 		{name: "settling", unsafe: cell.Unsafe{NoSettling: true}, rule: "TWICE"},
 		{name: "lease wait", unsafe: cell.Unsafe{NoLeaseWait: true}, rule: "TWICE"},
 		{name: "ends recorded first", unsafe: cell.Unsafe{NoRecorded: true}, rule: "TWICE"},
 		{name: "calls for one life", sameIDs: true, unbound: true, rule: "TWICE"},
+		{name: "crashes held against tasks", unsafe: cell.Unsafe{NoBlame: true}, plan: emulator.CrashTasksPlan, rule: "BUDGET"},
+		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true}, plan: emulator.CrashTasksPlan, rule: "BUDGET"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -155,6 +158,9 @@
 				if c.sameIDs {
 					plan = emulator.SameIDsPlan(seed)
 				}
+				if c.plan != nil {
+					plan = c.plan(seed)
+				}
 				plan.Unsafe, plan.Unbound = c.unsafe, c.unbound
 				if _, broken := emulator.Play(plan); len(broken) > 0 && strings.Contains(strings.Join(broken, ";"), c.rule) {
 					t.Logf("seed %d: %s", seed, broken[0])
--- a/pkg/emulator/lives.go
+++ b/pkg/emulator/lives.go
@@ -81,6 +81,13 @@
 	if w.cut(from, k.name) {
 		return
 	}
+	if !k.up && k.loud {
+		w.after(w.hop(), func() { answer(none, workers.RefusedNot, false) })
+		return
+	}
+	if w.plan.CrashTasks > 0 {
+		k.broken = append(k.broken, func() { answer(none, workers.RefusedNot, false) })
+	}
 	way := queued + w.hop()
 	late := w.now.Before(k.lateUntil) && w.rand.IntN(4) == 0
 	if late {
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -42,6 +42,11 @@
 	oddSince, oddUntil time.Time
 	spoil              func(a *workers.Account)
 
+	// loud says that the last life ended as a process does: connections break, and new ones are
+	// refused. broken are the calls that are out.
+	loud   bool
+	broken []func()
+
 	lateUntil time.Time
 	sickUntil time.Time
 	sickHow   int
@@ -90,6 +95,7 @@
 	w := k.world
 	k.life++
 	k.up, k.fence, k.until, k.number = true, 0, 0, 0
+	k.broken = nil
 	k.rate = 0.98 + 0.04*w.rand.Float64()
 	k.offset = w.between(0, time.Hour)
 	k.bornBefore, k.bornAt = k.bornAt.UnixMilli(), w.now
@@ -109,9 +115,21 @@
 		k.world.checker.ended(k, r, "lost")
 	}
 	k.runs = map[string]*workerRun{}
+	k.loud = false
 	k.world.after(span, k.begin)
 }
 
+// crashLoudly ends a life as a process does that crashes: callers notice at once.
+func (k *worker) crashLoudly(span time.Duration) {
+	k.crash(span)
+	k.loud = true
+	broken := k.broken
+	k.broken = nil
+	for _, tell := range broken {
+		k.world.after(k.world.hop(), tell)
+	}
+}
+
 // lapse ends everything when the lease is over.
 func (k *worker) lapse() {
 	if len(k.runs) == 0 || k.clock() <= k.until {
--- /dev/null
+++ b/pkg/process/blame/blame_test.go
@@ -0,0 +1,110 @@
+package blame_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
+)
+
+// soon is a crash 10 ms after the start of a run that was alone, at a host of its own.
+func soon(run int64) blame.Crash {
+	return blame.Crash{Run: run, Began: true, Age: 10 * time.Millisecond, Lives: 1}
+}
+
+func with(c blame.Crash, change func(*blame.Crash)) blame.Crash {
+	change(&c)
+	return c
+}
+
+func TestHowMuchATaskIsSuspected(t *testing.T) {
+	t.Parallel()
+	beside := func(run int64) blame.Crash { return with(soon(run), func(c *blame.Crash) { c.Company = 8 }) }
+	late := func(run int64) blame.Crash {
+		return with(soon(run), func(c *blame.Crash) { c.Age = 3 * time.Second })
+	}
+	outside := func(run int64) blame.Crash { return with(soon(run), func(c *blame.Crash) { c.Outside = true }) }
+	silent := func(run int64) blame.Crash { return with(soon(run), func(c *blame.Crash) { c.Silent = true }) }
+	again := func(run int64) blame.Crash { return with(soon(run), func(c *blame.Crash) { c.Again = true }) }
+	unseen := blame.Crash{Company: 1}
+	for _, c := range []struct {
+		name    string
+		crashes []blame.Crash
+		want    blame.Level
+	}{
+		{"nothing", nil, blame.Trusted},
+		{"one crash among neighbours", []blame.Crash{beside(1)}, blame.Suspect},
+		{"one that came late", []blame.Crash{late(1)}, blame.Trusted},
+		{"one among many workers", []blame.Crash{outside(1)}, blame.Trusted},
+		{"two soon after the start", []blame.Crash{beside(1), beside(2)}, blame.OnTrial},
+		{"two among many workers", []blame.Crash{outside(1), outside(2)}, blame.OnTrial},
+		{"two silent workers accuse, and don't try", []blame.Crash{silent(1), silent(2)}, blame.Suspect},
+		{"a third, alone", []blame.Crash{beside(1), beside(2), soon(3)}, blame.Guilty},
+		{"a third, with company", []blame.Crash{beside(1), beside(2), beside(3)}, blame.OnTrial},
+		{"a third, alone, and only silent", []blame.Crash{beside(1), beside(2), silent(3)}, blame.OnTrial},
+		{"a third, alone, as many workers fall silent", []blame.Crash{beside(1), beside(2), outside(3)}, blame.OnTrial},
+		{"a fourth, whatever else may have done it", []blame.Crash{outside(1), outside(2), outside(3), outside(4)}, blame.Guilty},
+		{"three at one host", []blame.Crash{soon(1), again(2), again(3)}, blame.OnTrial},
+		{"ages that differ name nobody", []blame.Crash{late(1), late(2), late(3), soon(4)}, blame.OnTrial},
+		{"four late ones, the last alone", []blame.Crash{late(1), late(2), late(3), late(4)}, blame.Guilty},
+		{"five, with those that nobody saw", []blame.Crash{beside(1), unseen, beside(2), unseen, beside(3)}, blame.Guilty},
+		{"orders that may never have come", []blame.Crash{with(soon(1), func(c *blame.Crash) { c.Began = false }), with(soon(2), func(c *blame.Crash) { c.Began = false }), soon(3)}, blame.OnTrial},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			must.Eq(t, c.want.String(), blame.LevelOf(c.crashes).String())
+		})
+	}
+}
+
+func TestARunThatOutlivesItsCrashesClearsItsTask(t *testing.T) {
+	t.Parallel()
+	crashes := []blame.Crash{{Age: 10 * time.Millisecond}, {Age: time.Second}}
+	must.False(t, blame.Outlived(crashes, 3500*time.Millisecond))
+	must.True(t, blame.Outlived(crashes, 4*time.Second))
+	must.False(t, blame.EndedWell(crashes, 2*time.Second))
+	must.True(t, blame.EndedWell(crashes, 2500*time.Millisecond))
+}
+
+// Of what ran at a worker, that which had just begun is accused; not what had run for long.
+func TestTheEndOfALifeAccusesWhatHadJustBegun(t *testing.T) {
+	t.Parallel()
+	life := blame.Life{Worker: "w", Lives: 1, Workers: 16, Runs: []blame.Seen{
+		{Run: 1, Began: true, Age: 10 * time.Millisecond},
+		{Run: 2, Began: true, Age: 600 * time.Millisecond},
+		{Run: 3, Began: true, Age: 5 * time.Second},
+		{Run: 4, Began: true, Age: time.Minute},
+	}}
+	crashes := life.Accuse()
+	must.Eq(t, 1, crashes[0].Company)
+	must.False(t, crashes[0].Excused)
+	must.False(t, crashes[1].Excused)
+	must.True(t, crashes[2].Excused)
+	must.Nil(t, crashes[3])
+}
+
+// Many lives that end in one moment have a cause outside: only what had just begun is accused, and
+// for less; several tasks that crash their workers may be started together.
+func TestManyLivesThatEndInOneMomentAccuseLittle(t *testing.T) {
+	t.Parallel()
+	life := blame.Life{Worker: "w", Lives: blame.Many(16), Workers: 16, Runs: []blame.Seen{
+		{Run: 1, Began: true, Age: 10 * time.Millisecond},
+		{Run: 2, Began: true, Age: 600 * time.Millisecond},
+	}}
+	crashes := life.Accuse()
+	must.True(t, crashes[0].Outside)
+	must.Nil(t, crashes[1])
+	must.Eq(t, blame.Trusted, blame.LevelOf([]blame.Crash{*crashes[0]}))
+}
+
+// As many tasks are tried at a time as can crash their workers in one moment without seeming to have
+// a cause outside.
+func TestTrialsNeverLookLikeACauseOutside(t *testing.T) {
+	t.Parallel()
+	for workers := range 1200 {
+		must.Less(t, blame.Many(workers), blame.Trials(workers))
+		must.Positive(t, blame.Trials(workers))
+	}
+}
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -38,6 +38,7 @@
 		t.Drop(r)
 		t.WaitsSince = now
 	}
+	s.endedWithoutCrash(w, t, r)
 	if e.Checkpoint != "" && !t.Done {
 		t.Checkpoint = e.Checkpoint
 	}
--- a/pkg/process/cell/lacks.go
+++ b/pkg/process/cell/lacks.go
@@ -23,6 +23,7 @@
 	lacksHarm    lack = "harm to neighbours"
 	lacksSpread  lack = "spread"
 	lacksHealth  lack = "put aside"
+	lacksTrial   lack = "kept for a trial"
 )
 
 func (s *State) lacks(now time.Time, u *jobs.Unit, service string, w *workers.Worker) lack {
@@ -31,6 +32,8 @@
 		return lacksLabel
 	case !workers.Reserved(u).Fits(w.Free()):
 		return lacksWhich(u, w)
+	case s.closed[w]:
+		return lacksTrial
 	case s.held[w] && !u.Lasting():
 		return lacksHold
 	case u.Spec.GetFiller() && !fillerFits(now, u, w):
--- a/pkg/process/cell/lend_gang.go
+++ b/pkg/process/cell/lend_gang.go
@@ -55,7 +55,9 @@
 }
 
 // hasRun says whether a task has run here, or may have.
-func hasRun(t *jobs.Task) bool { return t.Tried || len(t.FailedRuns) > 0 || t.Checkpoint != "" }
+func hasRun(t *jobs.Task) bool {
+	return t.Tried || len(t.Crashes) > 0 || len(t.FailedRuns) > 0 || t.Checkpoint != ""
+}
 
 // gangBorrower is the cell with the most room for tasks of a gang, if all of it has room there,
 // and for how many.
--- a/pkg/process/cell/lives.go
+++ b/pkg/process/cell/lives.go
@@ -33,7 +33,7 @@
 		What: NoteWorkerLife, Worker: w.ID, AgeMs: now.Sub(w.AnsweredAt).Milliseconds(),
 		Detail: fmt.Sprintf("born %d, was %d; its clock shows %s, at least %s was due", e.Report.Born, w.Born, e.Report.Clock, w.ClockAtLeast(now).Round(time.Millisecond)),
 	})
-	s.noteCrash(now, w)
+	s.crashed(now, w)
 	for _, p := range s.parts {
 		p.ends = slices.DeleteFunc(p.ends, func(end pendingEnd) bool { return end.worker == w.ID })
 	}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -97,6 +97,7 @@
 	age := e.StoreNow - time.Duration(l.Spec.GetAcceptedStoreMs())*time.Millisecond
 	j := jobs.Restore(l.Spec, l.Progress, l.Recorded, now.Add(-max(0, age)), e.Wall)
 	j.Arrived(now)
+	s.recallSilent(now, j)
 	if j.Ended() {
 		j.EndedAt = now
 	}
@@ -147,6 +148,7 @@
 				if !t.Settled {
 					t.Settled, changed = true, true
 					t.Tried = t.Tried || len(s.unsettled) > 0
+					s.trialNowhere(now, t)
 					if len(t.Runs) == 0 && j.Begun {
 						nowhere++
 					}
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -91,6 +91,7 @@
 	}
 	leaving := w.Leaving
 	w.Record = r
+	w.RowGoneAt = time.Time{}
 	w.Leaving = leaving || r.Leaving // a life that leaves never comes back
 	w.Listed = true
 }
@@ -153,6 +154,7 @@
 	}
 	s.takeLife(now, w, e)
 	s.heard(now, w, e.Report.Clock)
+	s.resolveSilent(now, false, func(r silentRun) bool { return r.worker == w.ID && r.born == w.Born })
 	s.otherLivesOver(now, w, e.SentAt)
 	if s.phase == loading || s.phase == following {
 		// Before the jobs are loaded, nothing can be said of the lists.
@@ -179,7 +181,7 @@
 // heard takes in that a worker has answered.
 func (s *State) heard(now time.Time, w *workers.Worker, clock time.Duration) {
 	w.TakeClock(now, clock)
-	w.AnsweredAt = now
+	w.AnsweredAt, w.Failures = now, 0
 	if !w.Heard {
 		w.Heard = true
 		w.Grant(now, s.leaseSpan()+leaseSlack)
@@ -199,6 +201,9 @@
 	if w.Host == "" {
 		return
 	}
+	s.resolveSilent(now, true, func(r silentRun) bool {
+		return r.host == w.Host && (r.worker != w.ID || r.born != w.Born) && r.at.Before(sentAt)
+	})
 	for _, other := range s.sorted() {
 		if other != w && other.Host == w.Host && other.KnownAt.Before(sentAt) && !other.Gone {
 			s.lifeOver(now, other, "its host runs "+w.ID)
@@ -209,9 +214,13 @@
 func (s *State) lookFailed(now time.Time, w *workers.Worker, why string) {
 	if w.SilentSince.IsZero() {
 		w.SilentSince = now
-		s.fell(now, now)
+		s.fell(now, w, now)
 		s.note(Note{What: NoteWorkerSilent, Worker: w.ID, Detail: why, AgeMs: now.Sub(w.AnsweredAt).Milliseconds()})
 	}
+	w.Failures++
+	if w.Failures == failuresSilent {
+		s.fellSilent(now, w)
+	}
 	w.LookAt = now.Add(lookAgain)
 }
 
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -36,6 +36,8 @@
 	NoteWorkerNew     What = "worker-new"
 	NoteWorkerLife    What = "worker-life"
 	NoteWorkerGone    What = "worker-gone"
+	NoteSuspected     What = "task-suspected"
+	NoteCleared       What = "task-cleared"
 	NoteWorkerCrashed What = "worker-crashed"
 	NoteWorkerLeaves  What = "worker-leaving"
 	NoteWorkerSilent  What = "worker-silent"
@@ -83,7 +85,9 @@
 	{NoteWorkerNew, "a worker came to be known"},
 	{NoteWorkerLife, "another life of a worker answers than the one that is known; detail: when each began, and their clocks"},
 	{NoteWorkerGone, "a worker's life is over; detail: why"},
-	{NoteWorkerCrashed, "a worker's life ended by itself with runs there; detail: how many others fell silent in that moment, the runs and how long each had run at least"},
+	{NoteWorkerCrashed, "a worker's life ended by itself with runs there, or fell silent until they were surely over; detail: how many others fell silent in that moment, the runs and how long each had run at least"},
+	{NoteSuspected, "a task is suspected of crashing workers; detail: how much, after how many crashes, what this one says"},
+	{NoteCleared, "a task is no longer suspected; detail: why"},
 	{NoteWorkerLeaves, "a worker takes no new work; detail: time left"},
 	{NoteWorkerSilent, "a worker does not answer; its lease runs out"},
 	{NoteWorkerHeard, "a worker answers (again)"},
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
@@ -47,6 +48,7 @@
 	clear(s.neighbours)
 	clear(s.harms)
 	clear(s.held)
+	s.closeForTrials(now)
 	usable := s.usableWorkers(now)
 	for _, c := range s.queueOrder(now) {
 		if len(usable) == 0 || !s.mayOrder(now) {
@@ -145,6 +147,10 @@
 			return
 		}
 		w := s.choose(now, t, service, usable)
+		if w == nil && t.Suspected() {
+			s.tellWait(now, t, service, usable)
+			continue // the others of its step need no trial
+		}
 		if w == nil {
 			s.holdFor(now, t, service, usable)
 			s.tellWait(now, t, service, usable)
@@ -190,10 +196,16 @@
 
 // choose picks the worker for a task; nil: none has room.
 func (s *State) choose(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
+	if s.awaitsRecord(now, t) {
+		return nil
+	}
+	if t.Level() == blame.OnTrial {
+		return s.chooseForTrial(now, t, service, usable)
+	}
 	var best *workers.Worker
 	bestScore := 0.0
 	for _, w := range usable {
-		if !s.fits(now, t.Unit, service, w) {
+		if !s.fits(now, t.Unit, service, w) || (t.Suspected() && awaitsHost(now, t, w, usable, suspectHostFor)) {
 			continue
 		}
 		score := s.score(t, w)
@@ -213,7 +225,7 @@
 	// farPenalty weighs a worker away from the data against room left: more
 	// than any room can make up for.
 	farPenalty = 10.0
-	// avoidPenalty is for the worker where the task failed last.
+	// avoidPenalty is for the worker where the task failed last, and hosts that crashed under it.
 	avoidPenalty = 20.0
 	// harmWeight weighs what a filler costs its neighbours against unused
 	// processors.
@@ -229,6 +241,8 @@
 	u := t.Unit
 	total := float64(max(1, w.Capacity.Millicores))
 	switch {
+	case t.Suspected():
+		score = suspectScore(w)
 	case u.Spec.GetFiller():
 		score = float64(w.Unused())/total - harmWeight*s.fillerHarm(u, w)
 	case u.Spec.GetTailTargetMs() > 0:
@@ -239,7 +253,7 @@
 	if rack := u.Spec.GetRack(); rack != "" && w.Rack != rack && !w.HasLabel(rack) {
 		score -= farPenalty
 	}
-	if t.AvoidWorker == w.ID {
+	if t.AvoidWorker == w.ID || t.CrashedAt(w.Host) {
 		score -= avoidPenalty
 	}
 	return score
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -83,7 +83,7 @@
 		if w.SilentSince.IsZero() && s.roster[w.ID] {
 			l.LargestFreeMillicores = max(l.LargestFreeMillicores, w.Free().Millicores)
 			l.LargestLastingMillicores = max(l.LargestLastingMillicores, w.Capacity.Minus(w.Lasting()).Millicores)
-			if !s.held[w] && w.Free().Millicores > 0 {
+			if !s.held[w] && !s.closed[w] && w.Free().Millicores > 0 {
 				l.FreeEach = append(l.FreeEach, w.Free().Millicores)
 			}
 		}
--- a/pkg/process/cell/record.go
+++ b/pkg/process/cell/record.go
@@ -65,6 +65,8 @@
 	lent int
 	// words are for the leaders of other cells, once this is durable.
 	words []Tell
+	// trials are tasks of which it says that they may be tried alone.
+	trials []*jobs.Task
 }
 
 // pendingEnd is an end that may be acknowledged when its change is durable.
@@ -164,6 +166,7 @@
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.Recorded})
 	tx.Puts = append(tx.Puts, row)
 	sent := sentJob{job: j, value: row.Value, last: j.Ended(), lent: len(s.lent[j])}
+	sent.trials = j.TrialsWanted()
 	for _, spec := range newestByCell(s.lent[j]) {
 		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
 		sent.words = append(sent.words, Tell{Cell: spec.GetCell(), Lent: spec})
@@ -331,6 +334,12 @@
 	for _, word := range sent.words {
 		s.emit(word)
 	}
+	for _, t := range sent.trials {
+		if t.Trial == jobs.TrialWanted {
+			t.Trial = jobs.TrialRecorded
+			s.placeNow = true
+		}
+	}
 	if sent.last && j.Durable != j.Phase {
 		j.Durable = j.Phase
 		s.note(Note{What: NoteJobRecorded, Job: j.Spec.GetId(), Detail: j.Phase.String(), AgeMs: -1})
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -7,8 +7,9 @@
 //
 //	event -> load.go (takeover), look.go, lives.go and lists.go (workers), orders.go (answers)
 //	      -> ends.go (what an end means for its job)
+//	      -> crashes.go (what the end of a life means for what ran there)
 //	      -> lost.go (what is taken for over), leaving.go, lend.go
-//	      -> place.go, fillers.go, harm.go, advice.go (what to start, and where)
+//	      -> place.go, trials.go, fillers.go, harm.go, advice.go (what to start, and where)
 //	      -> pace.go (how fast fillers work)
 //	      -> record.go (what must last) and effects
 //
@@ -57,6 +58,10 @@
 	NoLeaseWait bool
 	// NoConfirmation takes runs for over though another may lead by now.
 	NoConfirmation bool
+	// NoBlame holds nothing against tasks under which workers crash.
+	NoBlame bool
+	// NoTrialRecord tries a task before it is recorded that it may be tried.
+	NoTrialRecord bool
 }
 
 // State is what the leader of a cell knows.
@@ -83,8 +88,17 @@
 	over map[string]int64
 	// followedAt is as of when all jobs of the cell's table have been told.
 	followedAt time.Time
-	// fellAt is when workers fell silent, the last few seconds.
-	fellAt []time.Time
+	// falls are when workers fell silent, the last few seconds.
+	falls []fall
+	// hostCrashes are the last crashes of each host.
+	hostCrashes map[string][]hostCrash
+	// silent are runs whose workers fell silent.
+	silent []silentRun
+	// closed are workers that nothing else may join, for a trial; kept those that are kept for one;
+	// trialsOut is how many are on. All as of one placing, but for kept.
+	closed    map[*workers.Worker]bool
+	kept      map[*jobs.Task]keptWorker
+	trialsOut int
 	// died are runs whose workers have started again, until that is confirmed.
 	died []diedRun
 	// cancels are asked for, of jobs that have not been seen yet.
@@ -170,7 +184,9 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.settled = false
-	s.died, s.fellAt, s.followedAt = nil, nil, time.Time{}
+	s.died, s.falls, s.silent, s.followedAt = nil, nil, nil, time.Time{}
+	s.hostCrashes = map[string][]hostCrash{}
+	s.closed, s.kept = map[*workers.Worker]bool{}, map[*jobs.Task]keptWorker{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.reorder = true
@@ -261,6 +277,8 @@
 	s.checkRuns(now)
 	s.buryGone(now)
 	s.buryDied(now)
+	s.clearSuspects()
+	s.forgetSilent(now)
 	s.settle(now)
 	if s.phase == leading {
 		s.openTimes(now)
--- /dev/null
+++ b/pkg/process/cell/trials.go
@@ -0,0 +1,184 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// Where suspects run. One that is merely suspected is kept apart from other suspects, and where
+// little would be lost, as far as that can be had without a wait. One that is on trial runs only at a
+// worker where all that is there has been there for a while, and nothing joins it until it has
+// outlived its crashes: so one more crash names it, and costs little else. That it may be tried is
+// recorded first, and few are tried at a time.
+
+const (
+	// apartPenalty is for each other suspect at a worker, against room: more than any room makes up for.
+	apartPenalty = 5.0
+	// keptFor is how long a worker may be kept from others for a trial before another one is
+	// considered. The runs there have to settle, which takes 1.3 s.
+	keptFor = 4 * time.Second
+)
+
+// keptWorker is a worker that is kept from others until a task is tried there.
+type keptWorker struct {
+	worker *workers.Worker
+	since  time.Time
+}
+
+// closeForTrials finds the workers that nothing else may join: a trial is on there, or about to be.
+func (s *State) closeForTrials(now time.Time) {
+	clear(s.closed)
+	s.trialsOut = 0
+	for _, w := range s.sorted() {
+		for _, r := range w.Runs {
+			if r.OnTrial {
+				s.closed[w] = true
+				s.trialsOut++
+			}
+		}
+	}
+	for t, kept := range s.kept {
+		if t.Level() != blame.OnTrial || !t.Waiting(now) || t.Unit.Job.Ended() || s.workers[kept.worker.ID] != kept.worker || now.Sub(kept.since) > keptFor {
+			delete(s.kept, t)
+			continue
+		}
+		s.closed[kept.worker] = true
+	}
+}
+
+// calmFor is how long no worker may have fallen silent for a trial to say something, calmWithin how
+// long a trial waits for that.
+const (
+	calmFor    = time.Second
+	calmWithin = 6 * time.Second
+)
+
+// otherHostFor is how long a trial waits for a host that has not crashed under the task, and
+// suspectHostFor how long one that is merely suspected does: most of these are innocent.
+const (
+	otherHostFor   = 10 * time.Second
+	suspectHostFor = 5 * time.Second
+)
+
+// recordHolds is how long a suspect waits for a table that is away: outages take longer, and most
+// suspects are innocent.
+const recordHolds = 3 * time.Second
+
+// mayTry says whether a task that is on trial may be tried now, if a worker can be had.
+func (s *State) mayTry(now time.Time, t *jobs.Task) bool {
+	out := s.trialsOut + len(s.kept)
+	if _, kept := s.kept[t]; kept {
+		out--
+	}
+	calm := len(s.falls) == 0 || now.Sub(s.falls[len(s.falls)-1].before) >= calmFor
+	return out < blame.Trials(len(s.workers)) && !s.awaitsWord(now, t) && (calm || now.Sub(t.WaitsSince) >= calmWithin)
+}
+
+// chooseForTrial picks the worker where a task is tried: the one with the least to lose. It is kept
+// for the task until all that runs there has settled and the trial is recorded.
+func (s *State) chooseForTrial(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
+	if !s.mayTry(now, t) {
+		return nil
+	}
+	if _, is := s.kept[t]; !is {
+		best := s.bestForTrial(now, t, service, usable)
+		if best == nil {
+			return nil
+		}
+		s.kept[t] = keptWorker{best, now}
+	}
+	w := s.kept[t].worker
+	delete(s.closed, w) // to others, not to this task
+	if s.usable(now, w) && settledAt(w) && suspectsAt(w) == 0 && s.fits(now, t.Unit, service, w) && s.trialRecorded(t) {
+		delete(s.kept, t)
+		return w
+	}
+	s.closed[w] = true
+	return nil
+}
+
+// trialRecorded says whether it is recorded that a task may be tried, and sees to that.
+func (s *State) trialRecorded(t *jobs.Task) bool {
+	if t.Trial == jobs.NoTrial {
+		t.Trial = jobs.TrialWanted
+		s.markDirty(t.Unit.Job, true)
+	}
+	return t.Trial == jobs.TrialRecorded || s.unsafe.NoTrialRecord
+}
+
+func (s *State) bestForTrial(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
+	var best *workers.Worker
+	for _, w := range usable {
+		if awaitsHost(now, t, w, usable, otherHostFor) {
+			continue
+		}
+		if s.fits(now, t.Unit, service, w) && suspectsAt(w) == 0 && (best == nil || s.trialScore(now, t, w) > s.trialScore(now, t, best)) {
+			best = w
+		}
+	}
+	return best
+}
+
+// awaitsHost says whether a suspect waits for a host that has not crashed under it: one more crash at
+// the same one would say little.
+func awaitsHost(now time.Time, t *jobs.Task, w *workers.Worker, usable []*workers.Worker, most time.Duration) bool {
+	return t.CrashedAt(w.Host) && now.Sub(t.WaitsSince) < most &&
+		slices.ContainsFunc(usable, func(other *workers.Worker) bool { return !t.CrashedAt(other.Host) })
+}
+
+// awaitsRecord says whether a suspect waits until what is held against it is recorded: a successor
+// has to know. That was asked for when its worker fell silent; a table that is away holds it up only so long.
+func (s *State) awaitsRecord(now time.Time, t *jobs.Task) bool {
+	return t.Level() == blame.Suspect && t.Trial == jobs.TrialWanted && now.Sub(t.WaitsSince) < recordHolds
+}
+
+// trialScore ranks workers for a trial: hosts where no crash is held against the task, and that did not
+// crash lately, say more; where less runs, less is lost.
+func (s *State) trialScore(now time.Time, t *jobs.Task, w *workers.Worker) float64 {
+	score := -float64(len(w.Runs))
+	if t.CrashedAt(w.Host) || s.hostFails(now, w, t) {
+		score -= apartPenalty * float64(1+len(s.workers))
+	}
+	return score
+}
+
+// takeKept returns the worker that is kept for a task once it is fit for the trial.
+func (s *State) takeKept(now time.Time, t *jobs.Task, service string, w *workers.Worker) *workers.Worker {
+	delete(s.closed, w) // to others, not to this one
+	if s.usable(now, w) && settledAt(w) && suspectsAt(w) == 0 && s.fits(now, t.Unit, service, w) {
+		delete(s.kept, t)
+		return w
+	}
+	s.closed[w] = true
+	return nil
+}
+
+// settledAt says whether all that runs at a worker has been there for a while.
+func settledAt(w *workers.Worker) bool {
+	for _, r := range w.Runs {
+		if !blame.Settled(ranFor(w, r)) {
+			return false
+		}
+	}
+	return true
+}
+
+// suspectsAt is how many suspects run at a worker.
+func suspectsAt(w *workers.Worker) int {
+	n := 0
+	for _, r := range w.Runs {
+		if r.Task.Suspected() {
+			n++
+		}
+	}
+	return n
+}
+
+// suspectScore ranks workers for a suspect: where nobody else is suspected, and much is free.
+func suspectScore(w *workers.Worker) float64 {
+	return float64(w.Free().Millicores)/float64(max(1, w.Capacity.Millicores)) - apartPenalty*float64(suspectsAt(w))
+}
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -79,6 +80,10 @@
 	// Checkpoint is the newest that is known; empty: from the start.
 	Checkpoint string
 	FailedRuns []int64
+	// Crashes are held against the task: workers crashed under it. Trial is how far the record is
+	// that it may be tried alone.
+	Crashes []blame.Crash
+	Trial   Trial
 	// Runs are those that may be running now.
 	Runs []*Run
 	// RetryAt holds back a task whose last start was refused.
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -47,6 +47,8 @@
 		j.openFor(r)
 		if t := j.at(r); t != nil {
 			t.LentTo, t.Lending = "", r.GetLending()
+			t.Crashes = crashesOf(r.GetCrashes())
+			t.Trial = NoTrial
 		}
 	}
 }
@@ -74,6 +76,8 @@
 			continue
 		}
 		t.LentTo, t.Lending, t.WaitsSince, more = "", r.GetLending(), now, true
+		t.Crashes = crashesOf(r.GetCrashes())
+		t.Trial = NoTrial
 	}
 	if more {
 		j.Spec = spec
@@ -131,6 +135,8 @@
 		if t.LentTo == r.GetFrom() && t.Lending == ref.GetLending() {
 			t.LentTo, t.Settled, t.WaitsSince, news = "", true, now, true
 			t.RefusedAt[r.GetFrom()] = now
+			t.Crashes = crashesOf(ref.GetCrashes())
+			t.Trial = NoTrial
 		} else if _, known := t.RefusedAt[r.GetFrom()]; !known {
 			t.RefusedAt[r.GetFrom()] = time.Time{}
 		}
@@ -170,7 +176,7 @@
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
 			if which(t) {
-				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index), Lending: t.Lending})
+				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index), Lending: t.Lending, Crashes: crashNotes(t.Crashes)})
 			}
 		}
 	}
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -35,9 +35,10 @@
 		if lent == elsewhere {
 			lent = "" // the specification says so already
 		}
-		if len(t.FailedRuns) > 0 || t.Checkpoint != "" || lent != "" || t.Lending > 0 {
+		if len(t.FailedRuns) > 0 || t.Checkpoint != "" || lent != "" || t.Lending > 0 || len(t.Crashes) > 0 {
 			up.Notes = append(up.Notes, &wire.TaskNote{
 				Index: int32(i), FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, LentTo: lent, Lending: t.Lending,
+				Crashes: crashNotes(t.Crashes), Trial: t.Trial != NoTrial,
 			})
 		}
 	}
@@ -88,6 +89,13 @@
 		t := u.Tasks[n.GetIndex()]
 		t.Checkpoint = n.GetCheckpoint()
 		lentAgain := j.Guest() && t.Lending > n.GetLending() // after the note was made
+		if !lentAgain {
+			t.Crashes = crashesOf(n.GetCrashes())
+			t.Trial = NoTrial
+			if n.GetTrial() {
+				t.Trial = TrialRecorded
+			}
+		}
 		if n.GetLentTo() != "" && !lentAgain {
 			t.LentTo = n.GetLentTo()
 			j.borrowed(t.LentTo)
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -77,6 +77,8 @@
 	Resumed bool
 	Why     string
 	Ticket  string
+	// OnTrial says that the run tries its task alone.
+	OnTrial bool
 }
 
 // TaskID is a task's name, taken apart.
--- /dev/null
+++ b/pkg/process/jobs/suspicion.go
@@ -0,0 +1,126 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// What crashes of workers say of a task: see the package blame.
+
+// Trial is how far the record is that a task may be tried alone. It must stand before the run is
+// ordered, and is made when there is a worker for it: a successor that finds the run nowhere then knows that it may have ended its worker.
+type Trial int
+
+// The states of a trial.
+const (
+	NoTrial Trial = iota
+	TrialWanted
+	TrialRecorded
+)
+
+// maxCrashes bounds what is kept of a task's crashes: more than it takes to give it up.
+const maxCrashes = 6
+
+// Level is how much the task is suspected of crashing workers.
+func (t *Task) Level() blame.Level { return blame.LevelOf(t.Crashes) }
+
+// Suspected says whether the task is suspected at all.
+func (t *Task) Suspected() bool { return t.Level() >= blame.Suspect }
+
+// Accuse holds a crash against the task. What was held against it when the worker fell silent is
+// the same one. It says whether that is news.
+func (t *Task) Accuse(c blame.Crash) bool {
+	if i := t.crash(c.Worker, c.Run); i >= 0 && c.Run != 0 {
+		if c.Silent || !t.Crashes[i].Silent {
+			return false
+		}
+		t.Resolve(c.Worker, c.Run, true)
+		return true
+	}
+	c.Again = t.CrashedAt(c.Host)
+	t.Crashes = append(slices.Clone(t.Crashes), c)
+	if len(t.Crashes) > maxCrashes {
+		t.Crashes = t.Crashes[1:]
+	}
+	t.Trial = NoTrial
+	return true
+}
+
+// CrashedAt says whether a crash at a host is held against the task.
+func (t *Task) CrashedAt(host string) bool {
+	return host != "" && slices.ContainsFunc(t.Crashes, func(c blame.Crash) bool { return c.Host == host })
+}
+
+func (t *Task) crash(worker string, run int64) int {
+	return slices.IndexFunc(t.Crashes, func(c blame.Crash) bool { return c.Worker == worker && c.Run == run })
+}
+
+// Resolve takes in whether a worker that had fallen silent under a run has crashed, or was only cut
+// off. It says whether that changes what is held against the task.
+func (t *Task) Resolve(worker string, run int64, crashed bool) bool {
+	i := t.crash(worker, run)
+	if i < 0 || !t.Crashes[i].Silent {
+		return false
+	}
+	t.Crashes = slices.Clone(t.Crashes)
+	if crashed {
+		t.Crashes[i].Silent = false
+	} else {
+		t.Crashes = slices.Delete(t.Crashes, i, i+1)
+	}
+	t.Trial = NoTrial
+	return true
+}
+
+// Clear takes all suspicion off the task.
+func (t *Task) Clear() { t.Crashes, t.Trial = nil, NoTrial }
+
+// TrialNowhere holds against the task that a forerunner may have tried it: no worker lists a run.
+func (t *Task) TrialNowhere(at time.Time) bool {
+	if t.Trial != TrialRecorded || len(t.Runs) > 0 || t.Done {
+		return false
+	}
+	t.Accuse(blame.Crash{Company: 1, Lives: 1, At: at})
+	return true
+}
+
+// TrialsWanted are the tasks that want to be tried alone, once that is recorded.
+func (j *Job) TrialsWanted() []*Task {
+	var list []*Task
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			if t.Trial == TrialWanted {
+				list = append(list, t)
+			}
+		}
+	}
+	return list
+}
+
+func crashNotes(crashes []blame.Crash) []*wire.CrashNote {
+	var list []*wire.CrashNote
+	for _, c := range crashes {
+		list = append(list, &wire.CrashNote{
+			Worker: c.Worker, Run: c.Run, AgeMs: c.Age.Milliseconds(), Company: int32(c.Company), Excused: c.Excused,
+			Lives: int32(c.Lives), Outside: c.Outside, Silent: c.Silent, UnixMs: c.At.UnixMilli(), Born: c.Born, Host: c.Host, Began: c.Began,
+		})
+	}
+	return list
+}
+
+func crashesOf(notes []*wire.CrashNote) []blame.Crash {
+	var list []blame.Crash
+	hosts := map[string]bool{}
+	for _, n := range notes {
+		list = append(list, blame.Crash{
+			Again:  n.GetHost() != "" && hosts[n.GetHost()],
+			Worker: n.GetWorker(), Run: n.GetRun(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond, Company: int(n.GetCompany()), Excused: n.GetExcused(),
+			Lives: int(n.GetLives()), Outside: n.GetOutside(), Silent: n.GetSilent(), At: time.UnixMilli(n.GetUnixMs()), Born: n.GetBorn(), Host: n.GetHost(), Began: n.GetBegan(),
+		})
+		hosts[n.GetHost()] = true
+	}
+	return list
+}
--- a/pkg/process/workers/lives.go
+++ b/pkg/process/workers/lives.go
@@ -44,10 +44,30 @@
 
 // RowGone takes in that the list holds no row under this ID.
 func (w *Worker) RowGone(now time.Time) {
+	if w.Listed {
+		w.RowGoneAt = now
+	}
 	w.next = nil
 	w.Unlist(now)
 }
 
+// Left says whether the worker leaves, or answered though its row had gone: such a life ends without
+// a crash. (Where the row goes after it fell silent, that is why.)
+func (w *Worker) Left() bool {
+	return w.Leaving || (!w.RowGoneAt.IsZero() && w.RowGoneAt.Before(w.AnsweredAt))
+}
+
+// EndedAt is when a life that is over by now ended at the latest.
+func (w *Worker) EndedAt(now time.Time) time.Time {
+	switch {
+	case !w.SilentSince.IsZero():
+		return w.SilentSince
+	case w.next != nil:
+		return w.nextAt
+	}
+	return now
+}
+
 // Answered takes in that this very life has answered a look that was sent at a given time: a
 // row of another one that was there before is an old one.
 func (w *Worker) Answered(sentAt time.Time) {
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -75,6 +75,8 @@
 	// Listed says that the list of workers still holds it.
 	Listed     bool
 	UnlistedAt time.Time
+	// RowGoneAt is when the list last stopped holding any row under its id; zero: it holds one.
+	RowGoneAt time.Time
 	// LeavingAt is when it was first seen to be leaving.
 	LeavingAt time.Time
 	// Runs are those that may be running there.
@@ -85,6 +87,8 @@
 	// fail; zero while they don't.
 	AnsweredAt  time.Time
 	SilentSince time.Time
+	// Failures is how many looks in a row have failed.
+	Failures int
 	// LookSentAt is when the last look was sent; Looking while it is out.
 	LookSentAt time.Time
 	Looking    bool
