A task under which a host crashed waits for another host; a lending waits for word of a silent worker

Change: the wait for another host (2 s, 5 s, 10 s by level), no lending while a worker's silence is open, what is held against a task is merged when it comes back.

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -104,6 +104,8 @@
 			switch {
 			case u.Job.Guest() && waited >= returnAfter:
 				s.giveBack(now, t)
+			case s.awaitsWord(now, t):
+				// It may be given up in a moment.
 			case !u.Job.Guest() && waited >= lendAfter:
 				s.lendTask(now, t)
 			}
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -147,7 +147,7 @@
 			return
 		}
 		w := s.choose(now, t, service, usable)
-		if w == nil && t.Suspected() {
+		if w == nil && len(t.Crashes) > 0 {
 			s.tellWait(now, t, service, usable)
 			continue // the others of its step need no trial
 		}
@@ -205,7 +205,7 @@
 	var best *workers.Worker
 	bestScore := 0.0
 	for _, w := range usable {
-		if !s.fits(now, t.Unit, service, w) || (t.Suspected() && awaitsHost(now, t, w, usable, suspectHostFor)) {
+		if !s.fits(now, t.Unit, service, w) || awaitsHost(now, t, w, usable) {
 			continue
 		}
 		score := s.score(t, w)
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -62,6 +62,9 @@
 const (
 	otherHostFor   = 10 * time.Second
 	suspectHostFor = 5 * time.Second
+	// trustedHostFor is the same for one that is not suspected: a host that has just crashed is empty,
+	// and so is mostly the one that would be taken.
+	trustedHostFor = 2 * time.Second
 )
 
 // recordHolds is how long a suspect waits for a table that is away: outages take longer, and most
@@ -113,7 +116,7 @@
 func (s *State) bestForTrial(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
 	var best *workers.Worker
 	for _, w := range usable {
-		if awaitsHost(now, t, w, usable, otherHostFor) {
+		if awaitsHost(now, t, w, usable) {
 			continue
 		}
 		if s.fits(now, t.Unit, service, w) && suspectsAt(w) == 0 && (best == nil || s.trialScore(now, t, w) > s.trialScore(now, t, best)) {
@@ -123,10 +126,22 @@
 	return best
 }
 
-// awaitsHost says whether a suspect waits for a host that has not crashed under it: one more crash at
-// the same one would say little.
-func awaitsHost(now time.Time, t *jobs.Task, w *workers.Worker, usable []*workers.Worker, most time.Duration) bool {
-	return t.CrashedAt(w.Host) && now.Sub(t.WaitsSince) < most &&
+// hostFor is how long a task waits for another host.
+func hostFor(t *jobs.Task) time.Duration {
+	switch t.Level() {
+	case blame.OnTrial:
+		return otherHostFor
+	case blame.Suspect:
+		return suspectHostFor
+	default:
+		return trustedHostFor
+	}
+}
+
+// awaitsHost says whether a task waits for a host that has not crashed under it: one more crash at
+// the same one would say little, and may be the host's own.
+func awaitsHost(now time.Time, t *jobs.Task, w *workers.Worker, usable []*workers.Worker) bool {
+	return t.CrashedAt(w.Host) && now.Sub(t.WaitsSince) < hostFor(t) &&
 		slices.ContainsFunc(usable, func(other *workers.Worker) bool { return !t.CrashedAt(other.Host) })
 }
 
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -135,8 +135,7 @@
 		if t.LentTo == r.GetFrom() && t.Lending == ref.GetLending() {
 			t.LentTo, t.Settled, t.WaitsSince, news = "", true, now, true
 			t.RefusedAt[r.GetFrom()] = now
-			t.Crashes = crashesOf(ref.GetCrashes())
-			t.Trial = NoTrial
+			t.takeBackCrashes(crashesOf(ref.GetCrashes()))
 		} else if _, known := t.RefusedAt[r.GetFrom()]; !known {
 			t.RefusedAt[r.GetFrom()] = time.Time{}
 		}
--- a/pkg/process/jobs/suspicion.go
+++ b/pkg/process/jobs/suspicion.go
@@ -75,6 +75,17 @@
 	return true
 }
 
+// takeBackCrashes takes over what is held against the task where it was lent to. What has come to be
+// known here of workers that had fallen silent before, that cell could not learn.
+func (t *Task) takeBackCrashes(crashes []blame.Crash) {
+	for i, c := range crashes {
+		if j := t.crash(c.Worker, c.Run); j >= 0 && !t.Crashes[j].Silent {
+			crashes[i].Silent = false
+		}
+	}
+	t.Crashes, t.Trial = crashes, NoTrial
+}
+
 // Clear takes all suspicion off the task.
 func (t *Task) Clear() { t.Crashes, t.Trial = nil, NoTrial }
 
