--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -32,6 +32,12 @@
 }
 
 func newTakeover(until time.Duration) *takeover {
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	return newTakeoverOf(until, cell.LoadedJob{Spec: spec})
+}
+
+// newTakeoverOf is one of a given job, and of what other cells have said of it.
+func newTakeoverOf(until time.Duration, job cell.LoadedJob, returned ...*wire.ReturnedTasks) *takeover {
 	v := &takeover{now: time.Unix(1000, 0)}
 	v.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
 	heard := workers.Record{
@@ -43,9 +49,8 @@
 	v.state.Take(v.now, cell.Led{
 		Epoch: 2, RosterUntil: v.now.Add(until),
 	})
-	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
 	v.state.Take(v.now, cell.Loaded{
-		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
+		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{job}, Fences: someFences(), Returned: returned,
 		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
 	})
 	return v
@@ -89,6 +94,24 @@
 	must.True(t, started)
 }
 
+// Another cell had given a task back, and a leader started it at once, at a worker that its successor
+// does not hear. The row that gave it back still stood, so the successor took it back once more, as
+// one that is surely nowhere, and started it beside the run:
+//
+//	17.598 hall-0 at host-2: task-taken-back, 17.600 worker-6 starts ...0.0.0 run 3000052
+//	19.839 hall-0 at host-0: task-taken-back, 19.854 worker-4 starts ...0.0.0 run 6000001
+func TestATaskThatWasGivenBackBeforeATakeoverMayRunAlready(t *testing.T) {
+	t.Parallel()
+	spec := &wire.JobSpec{Id: "00000000000000aa", Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	lent := &wire.JobProgress{Id: spec.GetId(), Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitProgress{{Notes: []*wire.TaskNote{{LentTo: "other", Lending: 1}}}}}
+	v := newTakeoverOf(15*time.Second, cell.LoadedJob{Spec: spec, Progress: lent, Recorded: 3},
+		&wire.ReturnedTasks{Id: spec.GetId(), From: "other", Home: "hall", Tasks: []*wire.TaskRef{{Lending: 1}}})
+	_, started := v.run(14 * time.Second)
+	must.False(t, started)
+	_, started = v.run(2 * time.Second)
+	must.True(t, started)
+}
+
 // Found by a hunt (kadraj mix seed 408536729638, LOST 14): a cell started
 // nothing for eleven seconds after a takeover, though its forerunner had said at
 // once that it was over.
