A task that another cell gave back may run already, until what forerunners started is known

Cause: the row by which a cell gives a task back stands until it is lent again or the job ends. A successor reads it together with a record that still says lent, takes the task back as its forerunner did before, and took it for surely nowhere; but the forerunner starts such a task at once, without a record. So it ran at two workers. Ruled out: recording the return before the start (a write's time more for each task given back); the other cell (it had stopped before it gave the task back). Change: a task that is taken back waits like all others until what forerunners started is known. Shown: TestATaskThatWasGivenBackBeforeATakeoverMayRunAlready, red before. The signature of TakeBack changed; two lines of a test follow it.

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -170,11 +170,11 @@
 		return
 	}
 	if j.Ended() {
-		j.TakeBack(r, now)
+		j.TakeBack(r, now, s.settled || s.unsafe.NoSettling)
 		s.markDirty(j, false) // so that the report's row goes
 		return
 	}
-	news := j.TakeBack(r, now)
+	news := j.TakeBack(r, now, s.settled || s.unsafe.NoSettling)
 	if !news && r.GetFailed() == "" {
 		return
 	}
--- a/pkg/process/cell/lend_test.go
+++ b/pkg/process/cell/lend_test.go
@@ -174,8 +174,8 @@
 	must.NotNil(t, j.Lend("full", j.Task(0, 0, 1)))
 	again := jobs.Restore(spec, j.Progress(), 1, time.Unix(0, 0), time.Unix(0, 0))
 	back := &wire.ReturnedTasks{Id: lentJob, From: "full", Tasks: []*wire.TaskRef{{Index: 1, Lending: 1}}}
-	must.True(t, again.TakeBack(back, time.Unix(1, 0)))
-	must.False(t, again.TakeBack(back, time.Unix(2, 0)))
+	must.True(t, again.TakeBack(back, time.Unix(1, 0), true))
+	must.False(t, again.TakeBack(back, time.Unix(2, 0), true))
 	must.Eq(t, "", again.Task(0, 0, 1).LentTo)
 	must.Eq(t, []string{"full"}, again.Borrowers())
 }
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -120,8 +120,9 @@
 }
 
 // TakeBack takes in what another cell gives back or has done. It says whether a task
-// was lent there until now.
-func (j *Job) TakeBack(r *wire.ReturnedTasks, now time.Time) bool {
+// was lent there until now. settled says that no forerunner may have taken it back, and started it,
+// already.
+func (j *Job) TakeBack(r *wire.ReturnedTasks, now time.Time, settled bool) bool {
 	news := j.takeDone(r)
 	j.borrowed(r.GetFrom())
 	for _, ref := range r.GetTasks() {
@@ -133,7 +134,7 @@
 			t.RefusedAt = map[string]time.Time{}
 		}
 		if t.LentTo == r.GetFrom() && t.Lending == ref.GetLending() {
-			t.LentTo, t.Settled, t.WaitsSince, news = "", true, now, true
+			t.LentTo, t.Settled, t.WaitsSince, news = "", settled, now, true
 			t.RefusedAt[r.GetFrom()] = now
 			t.takeBackCrashes(crashesOf(ref.GetCrashes()))
 		} else if _, known := t.RefusedAt[r.GetFrom()]; !known {
