Rooms that change: a room of nothing is a full worker, the newest word of a room counts, nothing starts beside unknown runs where rooms are not guarded

Ruled out: stopping what no longer fits (it costs its work, and the room comes back); standing still where the table is away (whoever has no way to it is not bound, and a service would stand). Change: workers.JudgeRoom for rows and answers; a row that was read before does not undo what an answer said since; worker-room in the log; a worker that lists unknown runs and does not guard its room gets nothing.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -21,6 +21,8 @@
 //	SPREAD   more tasks of a step on one worker than it may hold
 //	BUDGET   a start after the last attempt's failure was taken note of; a third start of a task
 //	         after three workers have crashed under it
+//	LIMIT    a start that brings a worker that starts whatever it is told over its room; what is
+//	         being stopped counts, a room that has shrunk does after a while
 //	UNASKED  a start of what nobody sent, or long after its cancel
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -60,7 +60,10 @@
 			w.checker.breakRule("ROW", "%s orders %s at %s, whose row is spoilt", h.name, e.Start.Task, e.To.ID)
 		}
 		h.toWorker(e.To, e.Timeout, 0, e.Bytes, func(k *worker) (any, workers.Refusal) {
-			return k.forLife(e.To, func() (any, workers.Refusal) { return anyOf(k.start(e.Start)) })
+			return k.forLife(e.To, func() (any, workers.Refusal) {
+				k.orderedBy = h
+				return anyOf(k.start(e.Start))
+			})
 		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -5,7 +5,7 @@
 //
 // The files: emulator.go the clock and a day's plan; load.go a day of given jobs and
 // workers, and what became of them; table.go the table; faults.go what strikes; worker.go
-// the workers, crashers.go tasks that crash them, lives.go their names and which life a call comes to, rows.go rows that others
+// the workers, crashers.go tasks that crash them, rooms.go how much room they have, lives.go their names and which life a call comes to, rows.go rows that others
 // spoil, and machine.go how fast what runs there gets on and how it disturbs; host.go,
 // effects.go, words.go and intake.go the hosts, which drive the product's own election.Seat,
 // cell.State and cellchoice.Board; checker.go the rules, over what workers did and what
@@ -52,6 +52,10 @@
 	Flaps int
 	// CrashTasks is how many jobs have a task that crashes each worker that starts it.
 	CrashTasks int
+	// Unguarded says that workers start whatever they are told, Rooms how often one's room shrinks for
+	// a while.
+	Unguarded bool
+	Rooms     int
 	// OddRows says that rows of the list of workers are spoilt, and that others wrote some.
 	OddRows bool
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
@@ -115,6 +119,15 @@
 	return plan
 }
 
+// RoomsPlan is a day of two cells whose workers start whatever they are told, and whose rooms shrink
+// and grow.
+func RoomsPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Unguarded, plan.Rooms = true, 12
+	plan.SameIDs = seed%2 == 0
+	return plan
+}
+
 const (
 	queueName   = "queue"
 	serviceName = "service"
@@ -373,5 +386,5 @@
 	}
 	return manifest.New(1, []manifest.Queue{{
 		Name: queueName, Service: serviceName, MaxAttempts: maxAttempts, Stretch: 2, Slack: time.Second,
-	}}, []manifest.Service{{Name: serviceName, Guards: true}}, manifest.Limits{})
+	}}, []manifest.Service{{Name: serviceName, Guards: !w.plan.Unguarded}}, manifest.Limits{})
 }
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -126,6 +126,12 @@
 	playDays(t, emulator.CrashWavesPlan)
 }
 
+// Workers start whatever they are told, and their rooms shrink and grow: no start goes beyond the room.
+func TestNoRuleBreaksWhereWorkersDoNotGuardTheirRooms(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.RoomsPlan)
+}
+
 func TestTheSameSeedGivesTheSameDay(t *testing.T) {
 	t.Parallel()
 	a, _ := emulator.Play(emulator.DefaultPlan(3))
@@ -149,6 +155,7 @@
 		{name: "ends recorded first", unsafe: cell.Unsafe{NoRecorded: true}, rule: "TWICE"},
 		{name: "calls for one life", sameIDs: true, unbound: true, rule: "TWICE"},
 		{name: "crashes held against tasks", unsafe: cell.Unsafe{NoBlame: true}, plan: emulator.CrashTasksPlan, rule: "BUDGET"},
+		{name: "room of unknown runs", unsafe: cell.Unsafe{NoStrayRoom: true}, plan: emulator.RoomsPlan, rule: "LIMIT"},
 		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true}, plan: emulator.CrashTasksPlan, rule: "BUDGET"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/emulator/faults.go
+++ b/pkg/emulator/faults.go
@@ -11,6 +11,9 @@
 	if w.plan.OddRows {
 		w.planOddRows()
 	}
+	for range w.plan.Rooms {
+		w.after(w.between(2*time.Second, w.plan.Trouble), w.shrinkRoom)
+	}
 	for range w.plan.Flaps {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.flap)
 	}
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -36,6 +36,8 @@
 type seat struct {
 	// listReadAt is when the list of workers that the state was last told of was read.
 	listReadAt time.Time
+	// listMissedAt is when it could not be read last.
+	listMissedAt time.Time
 	*host
 	cell  string
 	seat  *election.Seat
@@ -301,6 +303,7 @@
 
 func (h *seat) listWorkers() {
 	if h.world.cut(h.name, "table") || h.world.now.Before(h.world.table.downUntil) {
+		h.listMissedAt = h.world.now
 		return
 	}
 	var list []workers.Record
--- a/pkg/emulator/lives.go
+++ b/pkg/emulator/lives.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
@@ -36,7 +35,7 @@
 func (k *worker) record() workers.Record {
 	return workers.Record{
 		ID: k.key(), Born: k.born(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.Hall, Ready: true, Rack: k.Rack,
-		Capacity: ledger.Size{Millicores: k.Millicores, MemoryMB: k.MemoryMB},
+		Capacity: k.room(),
 	}
 }
 
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -47,6 +47,14 @@
 	loud   bool
 	broken []func()
 
+	// shrunk is the part of its room that is away, in quarters; rooms are the
+	// rooms that it had before, each until some moment.
+	shrunk int64
+	rooms  []pastRoom
+
+	// orderedBy is who gave the order that is being carried out.
+	orderedBy *seat
+
 	lateUntil time.Time
 	sickUntil time.Time
 	sickHow   int
@@ -230,10 +238,10 @@
 		k.world.checker.unasked(k, s)
 		return k.clock(), workers.RefusedMalformed
 	}
-	if !size.Fits(k.free()) {
+	w := k.world
+	if !w.plan.Unguarded && !size.Fits(k.free()) {
 		return k.clock(), workers.RefusedRoom
 	}
-	w := k.world
 	r := &workerRun{task: s.Task, number: s.Run, spec: spec, settledAt: w.now, checkpoint: s.Checkpoint, pace: 100, speed: 1}
 	k.drawRun(r)
 	if w.now.Before(k.sickUntil) {
@@ -243,6 +251,7 @@
 	}
 	k.runs[s.Task] = r
 	w.checker.started(k, s)
+	w.checker.checkRoom(k, s.Task)
 	if !r.stuck {
 		k.endAfter(r)
 	}
@@ -278,7 +287,11 @@
 }
 
 func (k *worker) free() ledger.Size {
-	free := ledger.Size{Millicores: k.Millicores, MemoryMB: k.MemoryMB}
+	return k.freeOf(k.room())
+}
+
+// freeOf is what is left of a room.
+func (k *worker) freeOf(free ledger.Size) ledger.Size {
 	for _, r := range k.runs {
 		_, size := k.world.stepOf(r.task)
 		free = free.Minus(size)
--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -158,6 +158,16 @@
 	return j.Spec.GetService()
 }
 
+// guards says whether a service's workers refuse what does not fit.
+func (s *State) guards(service string) bool {
+	if s.manifest != nil {
+		if v, ok := s.manifest.Service(service); ok {
+			return v.Guards
+		}
+	}
+	return false
+}
+
 // ------------------------------------------------------------------ stops
 
 // stopAgain is how long a stop may go unanswered before it is sent again.
--- a/pkg/process/cell/lacks.go
+++ b/pkg/process/cell/lacks.go
@@ -34,6 +34,8 @@
 		return lacksWhich(u, w)
 	case s.closed[w]:
 		return lacksTrial
+	case len(w.Strays) > 0 && !s.guards(service) && !s.unsafe.NoStrayRoom:
+		return lacksRoom // nobody knows how much of it those take
 	case s.held[w] && !u.Lasting():
 		return lacksHold
 	case u.Spec.GetFiller() && !fillerFits(now, u, w):
--- a/pkg/process/cell/lives_test.go
+++ b/pkg/process/cell/lives_test.go
@@ -33,6 +33,8 @@
 	// recorded are the ends up to which looks at this life said that they are recorded.
 	recorded int64
 	lost     bool
+	// room is what its answers say of its room.
+	room *ledger.Size
 	// unconfirmed says that no renewal takes effect any more.
 	unconfirmed bool
 }
@@ -99,7 +101,7 @@
 			looked.Err = fault.New(fault.Unknown, "w", "no answer", "")
 		} else {
 			v.recorded = max(v.recorded, e.Look.Recorded)
-			looked.Report = workers.Report{Born: v.born, Clock: v.clock(), Active: v.active}
+			looked.Report = workers.Report{Born: v.born, Clock: v.clock(), Active: v.active, Room: v.room}
 			for _, end := range v.ended {
 				if end.Number > v.recorded {
 					looked.Report.Ended = append(looked.Report.Ended, end)
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
@@ -89,13 +90,27 @@
 	if r.Ready != w.Ready || r.Leaving != w.Leaving || !w.Listed {
 		s.placeNow = true
 	}
-	leaving := w.Leaving
+	leaving, room := w.Leaving, w.Capacity
+	if r.Version != 0 && r.Version == w.Version && w.Listed {
+		r.Capacity = w.Capacity // the same row as before: an answer may have said more since
+	}
 	w.Record = r
+	s.roomChanged(w, room)
 	w.RowGoneAt = time.Time{}
 	w.Leaving = leaving || r.Leaving // a life that leaves never comes back
 	w.Listed = true
 }
 
+// roomChanged takes in that a worker says otherwise of its room than before. What runs there goes on:
+// a stop would cost its work, and the room comes back; nothing more is started until it fits.
+func (s *State) roomChanged(w *workers.Worker, before ledger.Size) {
+	if w.Capacity == before {
+		return
+	}
+	s.placeNow = true
+	s.noteIfHeld(Note{What: NoteWorkerRoom, Worker: w.ID, Detail: fmt.Sprintf("%+v, was %+v; left %+v", w.Capacity, before, w.Free()), AgeMs: -1})
+}
+
 // ------------------------------------------------------------------ looks
 
 // look sends the looks that are due.
@@ -154,6 +169,11 @@
 	}
 	s.takeLife(now, w, e)
 	s.heard(now, w, e.Report.Clock)
+	if room := e.Report.Room; room != nil {
+		before := w.Capacity
+		w.Capacity = *room
+		s.roomChanged(w, before)
+	}
 	s.resolveSilent(now, false, func(r silentRun) bool { return r.worker == w.ID && r.born == w.Born })
 	s.otherLivesOver(now, w, e.SentAt)
 	if s.phase == loading || s.phase == following {
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -35,6 +35,7 @@
 	NotePress         What = "press-learned"
 	NoteWorkerNew     What = "worker-new"
 	NoteWorkerLife    What = "worker-life"
+	NoteWorkerRoom    What = "worker-room"
 	NoteWorkerGone    What = "worker-gone"
 	NoteSuspected     What = "task-suspected"
 	NoteCleared       What = "task-cleared"
@@ -84,6 +85,7 @@
 	{NotePress, "which fillers press on which serving images, as now believed; detail: serving image alone, and each filler's coefficient"},
 	{NoteWorkerNew, "a worker came to be known"},
 	{NoteWorkerLife, "another life of a worker answers than the one that is known; detail: when each began, and their clocks"},
+	{NoteWorkerRoom, "a worker says otherwise of its room than before; detail: the room, the one before, what is left"},
 	{NoteWorkerGone, "a worker's life is over; detail: why"},
 	{NoteWorkerCrashed, "a worker's life ended by itself with runs there, or fell silent until they were surely over; detail: how many others fell silent in that moment, the runs and how long each had run at least"},
 	{NoteSuspected, "a task is suspected of crashing workers; detail: how much, after how many crashes, what this one says"},
--- /dev/null
+++ b/pkg/process/cell/rooms_test.go
@@ -0,0 +1,97 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// rooms is a leader with one worker whose room changes.
+type rooms struct {
+	*lives
+	version int64
+}
+
+func newRooms() *rooms { return &rooms{lives: newLives()} }
+
+// say brings a row that says how much room there is.
+func (v *rooms) say(millicores int64) {
+	v.version++
+	v.row(millicores, v.version)
+}
+
+func (v *rooms) row(millicores, version int64) {
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{{
+		ID: "w", Born: v.born, Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: "h", Version: version,
+		Capacity: ledger.Size{Millicores: millicores, MemoryMB: 128000},
+	}}})
+}
+
+// Room that shrinks takes nothing more until what runs there fits again; nothing is stopped for it, and
+// room that grows is used at once.
+func TestARoomThatShrinksTakesNothingMoreAndOneThatGrowsIsUsed(t *testing.T) {
+	t.Parallel()
+	v := newRooms()
+	v.say(2000)
+	v.run(200 * time.Millisecond)
+	first, second := v.accept(1), v.accept(2)
+	v.run(200 * time.Millisecond)
+	must.Eq(t, 1, v.startsOf(first))
+	must.Eq(t, 1, v.startsOf(second))
+	v.say(1000)
+	third := v.accept(3)
+	v.run(600 * time.Millisecond)
+	v.say(0)
+	v.run(400 * time.Millisecond)
+	must.Eq(t, 0, v.startsOf(third))
+	must.SliceEmpty(t, v.stops)
+	v.say(3000)
+	v.run(200 * time.Millisecond)
+	must.Eq(t, 1, v.startsOf(third))
+}
+
+// An answer may say more of the room than the row that was read before; the same row, read once more,
+// does not undo that, a newer one does.
+func TestTheNewestWordOfARoomCounts(t *testing.T) {
+	t.Parallel()
+	v := newRooms()
+	v.say(2000)
+	room := ledger.Size{Millicores: 500, MemoryMB: 128000}
+	v.room = &room
+	v.run(time.Second)
+	v.room = nil
+	task := v.accept(1)
+	v.row(2000, v.version)
+	v.run(time.Second)
+	must.Eq(t, 0, v.startsOf(task))
+	v.say(2000)
+	v.run(200 * time.Millisecond)
+	must.Eq(t, 1, v.startsOf(task))
+}
+
+// A worker that starts whatever it is told lists a run that nobody knows: how much room it takes is not
+// known either, so nothing is started beside it. One that refuses what does not fit says so itself.
+func TestNothingStartsBesideAnUnknownRunWhereRoomsAreNotGuarded(t *testing.T) {
+	t.Parallel()
+	v := newRooms()
+	v.state.Take(v.now, cell.ManifestChanged{Manifest: manifest.New(2, []manifest.Queue{
+		{Name: "offers", Service: "quotes", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+	}, []manifest.Service{{Name: "quotes"}}, manifest.Limits{})})
+	v.active = []workers.Active{{Task: "00000000000000ee.0.0.0", Run: 7, Percent: 1}}
+	v.run(200 * time.Millisecond)
+	v.state.Take(v.now, cell.Accepted{Spec: &wire.JobSpec{
+		Id: "0000000000000001", Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, EstimateMs: 500}},
+	}})
+	v.run(time.Second)
+	must.Eq(t, 0, v.startsOf("0000000000000001.0.0.0"))
+	v.active = nil
+	v.run(time.Second)
+	must.Eq(t, 1, v.startsOf("0000000000000001.0.0.0"))
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -60,6 +60,8 @@
 	NoConfirmation bool
 	// NoBlame holds nothing against tasks under which workers crash.
 	NoBlame bool
+	// NoStrayRoom starts beside runs of which nobody knows how much room they take.
+	NoStrayRoom bool
 	// NoTrialRecord tries a task before it is recorded that it may be tried.
 	NoTrialRecord bool
 }
--- a/pkg/process/workers/account.go
+++ b/pkg/process/workers/account.go
@@ -129,10 +129,8 @@
 	}
 	r := Record{
 		ID: a.ID, Born: value(a.Born), Service: *a.Service, Address: *a.Address, Hall: *a.Hall, Labels: a.Labels,
-		Capacity: ledger.Size{
-			Millicores: value(a.Capacity.Millicores), MemoryMB: value(a.Capacity.MemoryMB), Accelerators: value(a.Capacity.Accelerators),
-		},
-		Ready: *a.State == StateReady, Leaving: *a.State == StateLeaving,
+		Capacity: a.Capacity.size(),
+		Ready:    *a.State == StateReady, Leaving: *a.State == StateLeaving,
 		Remaining: time.Duration(value(a.RemainingMs)) * time.Millisecond, Version: a.Version,
 	}
 	if a.Host != nil {
@@ -187,13 +185,25 @@
 	return ""
 }
 
+func (c *Capacity) size() ledger.Size {
+	return ledger.Size{Millicores: value(c.Millicores), MemoryMB: value(c.MemoryMB), Accelerators: value(c.Accelerators)}
+}
+
+// JudgeRoom is the room that a worker says it has, if what it says can be used.
+func JudgeRoom(c *Capacity) (ledger.Size, bool) {
+	if lacksCapacity(c) != "" {
+		return ledger.Size{}, false
+	}
+	return c.size(), true
+}
+
 func lacksCapacity(c *Capacity) string {
 	if c == nil {
 		return "it is missing"
 	}
 	for _, check := range []struct{ name, why string }{
-		{"processors", outside(c.Millicores, 1, mostMillicores, true)},
-		{"memory", outside(c.MemoryMB, 1, mostMemoryMB, true)},
+		{"processors", outside(c.Millicores, 0, mostMillicores, true)}, // a room of nothing is a full worker
+		{"memory", outside(c.MemoryMB, 0, mostMemoryMB, true)},
 		{"accelerators", outside(c.Accelerators, 0, mostAccelerators, false)},
 	} {
 		if check.why != "" {
--- a/pkg/process/workers/report.go
+++ b/pkg/process/workers/report.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 )
 
 // Target names a worker for a call: the life that is meant, and where it is.
@@ -92,6 +94,8 @@
 	Clock  time.Duration
 	Active []Active
 	Ended  []End
+	// Room is what the worker says of its room, where it does.
+	Room *ledger.Size
 	// Odd is how many lines of both lists could not be read.
 	Odd int
 }
