--- /dev/null
+++ b/pkg/clock/clock_test.go
@@ -0,0 +1,79 @@
+package clock_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/clock"
+)
+
+func TestNowGoesOnAsTheSteadyClockDoes(t *testing.T) {
+	t.Parallel()
+	began, steady := clock.Now(), time.Now()
+	time.Sleep(50 * time.Millisecond)
+	passed, steadyPassed := clock.Now().Sub(began), time.Since(steady)
+	must.Less(t, 20*time.Millisecond, (passed - steadyPassed).Abs())
+	must.False(t, clock.Now().Before(began))
+}
+
+// Its times have no reading of the language's steady clock: one would decide their differences.
+func TestNowHasNoSteadyReading(t *testing.T) {
+	t.Parallel()
+	must.StrNotContains(t, clock.Now().String(), "m=")
+}
+
+func TestOnlyTimeThatTheSteadyClockLeftOutCountsAsASuspension(t *testing.T) {
+	t.Parallel()
+	must.Eq(t, 0, clock.Slept(10*time.Second, 10*time.Second-100*time.Millisecond))
+	must.Eq(t, 5*time.Second, clock.Slept(5250*time.Millisecond, 250*time.Millisecond))
+}
+
+// Packages that decide get their time from this one.
+func TestNoOtherClockDecides(t *testing.T) {
+	t.Parallel()
+	allowed := map[string]string{
+		"pkg/process/fleet/control.go": "wall: time.Now,", // the time of day, for jobs with times
+		"platform/lives.go":            "c.SetDeadline(time.Now()",
+	}
+	other := regexp.MustCompile(`\btime\.(Now|Since|Until)\b`)
+	for _, folder := range []string{
+		"pkg/process/fleet", "pkg/process/cell", "pkg/process/election", "pkg/process/jobs", "pkg/process/workers", "pkg/process/blame",
+		"pkg/process/flow", "pkg/process/cellchoice", "pkg/process/runtimes", "pkg/process/interference", "pkg/connection/store", "pkg/request/intake", "platform",
+	} {
+		files, err := filepath.Glob(filepath.Join("..", "..", folder, "*.go"))
+		must.NoError(t, err)
+		must.Positive(t, len(files))
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			must.NoError(t, err)
+			for line := range strings.Lines(string(text)) {
+				name := filepath.ToSlash(filepath.Join(folder, filepath.Base(file)))
+				if other.MatchString(line) && (allowed[name] == "" || !strings.Contains(line, allowed[name])) {
+					t.Errorf("%s: %s", name, strings.TrimSpace(line))
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkNow and BenchmarkSteady together show what a reading costs against the language's own.
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		clock.Now()
+	}
+}
+
+func BenchmarkSteady(b *testing.B) {
+	for b.Loop() {
+		time.Now()
+	}
+}
--- /dev/null
+++ b/pkg/clock/watch.go
@@ -0,0 +1,41 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// watchEvery is how often a Watch looks whether the host was suspended.
+	watchEvery = 250 * time.Millisecond
+	// sleptLeast is the least suspension that it tells of: connections outlast shorter ones.
+	sleptLeast = 500 * time.Millisecond
+)
+
+// Slept is how long a host was suspended between two moments, given the time that passed by a clock
+// that counts suspensions, and by one that does not.
+func Slept(passed, steady time.Duration) time.Duration {
+	if passed-steady < sleptLeast {
+		return 0
+	}
+	return passed - steady
+}
+
+// Watch tells each time that the host was suspended, soon after it wakes, until the context ends.
+func Watch(ctx context.Context, woke func(slept time.Duration)) {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	last, steady := Now(), time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			now, steadyNow := Now(), time.Now()
+			if slept := Slept(now.Sub(last), steadyNow.Sub(steady)); slept > 0 {
+				woke(slept)
+			}
+			last, steady = now, steadyNow
+		}
+	}
+}
--- a/pkg/connection/store/store.go
+++ b/pkg/connection/store/store.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/patience"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -92,7 +93,7 @@
 }
 
 func (c *Client) worked(store time.Duration) {
-	now := time.Now()
+	now := clock.Now()
 	c.clock.Store(&reading{store: store, at: now})
 	c.workedAt.Store(int64(now.Sub(c.start)))
 }
@@ -109,7 +110,7 @@
 func (c *Client) avoid() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failures >= failuresToAvoid && time.Now().Before(c.avoidTil)
+	return c.failures >= failuresToAvoid && clock.Now().Before(c.avoidTil)
 }
 
 func (c *Client) directDone(err error) {
@@ -120,7 +121,7 @@
 		return
 	}
 	c.failures++
-	c.avoidTil = time.Now().Add(avoidFor)
+	c.avoidTil = clock.Now().Add(avoidFor)
 }
 
 // Commit asks for a transaction, straight or through a peer.
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -18,7 +18,7 @@
 	w := h.world
 	switch e := e.(type) {
 	case cell.StepDown:
-		h.state.Take(w.now, cell.Deposed{Why: e.Why})
+		h.state.Take(h.clock(), cell.Deposed{Why: e.Why})
 	case cell.Tell:
 		h.tell(e)
 	case cell.Note:
@@ -32,7 +32,7 @@
 		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
-				h.state.Take(w.now, cell.PaceAnswered{
+				h.state.Take(h.clock(), cell.PaceAnswered{
 					Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
 				})
 			})
@@ -44,18 +44,18 @@
 			if !ok {
 				answered.Err = fault.New(fault.Unknown, "table", "no answer", "")
 			}
-			h.state.Take(w.now, answered)
+			h.state.Take(h.clock(), answered)
 			h.act()
 		})
 	case cell.SendLook:
-		sentAt := w.now
+		sentAt := h.clock()
 		h.toWorker(e.To, e.Timeout, e.Look.Wait, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.look(k.lookOf(e.To, e.Look))) },
 			func(v any, refusal workers.Refusal, err error) {
 				report, _ := v.(workers.Report)
-				h.state.Take(w.now, cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
+				h.state.Take(h.clock(), cell.Looked{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
 			})
 	case cell.SendStart:
-		sentAt := w.now
+		sentAt := h.clock()
 		if w.plan.OddRows && !w.rowNames(e.To.Address, h.listReadAt) {
 			w.checker.breakRule("ROW", "%s orders %s at %s, whose row is spoilt", h.name, e.Start.Task, e.To.ID)
 		}
@@ -67,9 +67,9 @@
 		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
-				h.state.Take(w.now, cell.Started{
+				h.state.Take(h.clock(), cell.Started{
 					Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
-					Took: w.now.Sub(sentAt), Bytes: e.Bytes,
+					Took: h.clock().Sub(sentAt), Bytes: e.Bytes,
 				})
 			})
 	case cell.SendStop:
@@ -78,7 +78,7 @@
 		},
 			func(v any, refusal workers.Refusal, err error) {
 				clock, _ := v.(time.Duration)
-				h.state.Take(w.now, cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
+				h.state.Take(h.clock(), cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
 			})
 	}
 }
@@ -124,7 +124,7 @@
 	fence := &wire.CellFence{}
 	if before.Version != 0 && rows.Read(before, fence) == nil && fence.GetEpoch() >= epoch {
 		if fence.GetEpoch() > epoch {
-			h.state.Take(h.world.now, cell.Deposed{Why: "a later fence"})
+			h.state.Take(h.clock(), cell.Deposed{Why: "a later fence"})
 			return
 		}
 		loaded.Fences[rows.PartName(part)] = before.Version
@@ -158,7 +158,7 @@
 					addCancels(&loaded, cancels)
 					loaded.Roster = t.roster(h.cell)
 					loaded.Wall, loaded.StoreNow = h.world.now, at
-					h.state.Take(h.world.now, loaded)
+					h.state.Take(h.clock(), loaded)
 					h.act()
 				})()
 			})
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -56,6 +56,10 @@
 	// a while.
 	Unguarded bool
 	Rooms     int
+	// Suspends is how often a host is suspended for some seconds. Steady says that its decisions go by
+	// a clock that does not count that time.
+	Suspends int
+	Steady   bool
 	// OddRows says that rows of the list of workers are spoilt, and that others wrote some.
 	OddRows bool
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
@@ -128,6 +132,22 @@
 	return plan
 }
 
+// SuspendsPlan is a day of two cells on which hosts, leaders mostly, are suspended, at the worst moments
+// too: between a decision and its sending, as a renewal's answer comes, in a takeover.
+func SuspendsPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Suspends = 10
+	plan.SameIDs, plan.Crashes = seed%2 == 0, 1
+	return plan
+}
+
+// AllTroublesPlan is a day with all that may come together.
+func AllTroublesPlan(seed uint64) Plan {
+	plan := CrashTasksPlan(seed)
+	plan.Suspends, plan.Rooms, plan.Unguarded, plan.OddRows = 4, 6, true, true
+	return plan
+}
+
 const (
 	queueName   = "queue"
 	serviceName = "service"
--- a/pkg/emulator/faults.go
+++ b/pkg/emulator/faults.go
@@ -14,6 +14,9 @@
 	for range w.plan.Rooms {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.shrinkRoom)
 	}
+	for range w.plan.Suspends {
+		w.after(w.between(2*time.Second, w.plan.Trouble), w.suspendOne)
+	}
 	for range w.plan.Flaps {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.flap)
 	}
@@ -33,6 +36,43 @@
 	}
 }
 
+// suspendOne suspends a host, mostly a leader, for some seconds, at times for longer than a leadership
+// lasts.
+func (w *World) suspendOne() {
+	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	if leader := w.leader(); leader != nil && w.rand.IntN(4) > 0 {
+		h = leader
+	}
+	span := w.between(300*time.Millisecond, 7*time.Second)
+	if w.rand.IntN(4) == 0 {
+		span = w.between(10*time.Second, 16*time.Second)
+	}
+	if w.rand.IntN(3) == 0 {
+		span = w.between(longerThanTenure, longerThanTenure+5*time.Second)
+		w.leaveTwoTo(h, span+w.between(time.Second, 4*time.Second))
+	}
+	h.suspend(span)
+	if until := w.now.Add(span); until.After(w.troubleUntil) {
+		w.troubleUntil = until
+	}
+}
+
+// longerThanTenure is longer than a leader goes on without a renewal, and a lease.
+const longerThanTenure = 17 * time.Second
+
+// leaveTwoTo cuts all hosts but one off from two workers, and that one from the table: when it wakes, it
+// is the only one that reaches them, and nothing else tells it that others lead by now.
+func (w *World) leaveTwoTo(h *host, span time.Duration) {
+	for _, k := range w.workers[:2] {
+		for _, other := range w.hosts {
+			if other != h {
+				w.cuts[[2]string{other.name, k.name}] = w.now.Add(span)
+			}
+		}
+	}
+	w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
+}
+
 // flap ends the life of one worker for a short while.
 func (w *World) flap() {
 	k := w.workers[w.rand.IntN(len(w.workers))]
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -26,6 +26,8 @@
 	board       *cellchoice.Board
 	beliefsAt   map[string]time.Time
 	frozenUntil time.Time
+	// suspended is for how long it was suspended in all.
+	suspended time.Duration
 	// linkFreeAt is when all that was sent so far has left the host.
 	linkFreeAt time.Time
 	storeAt    time.Duration
@@ -55,7 +57,7 @@
 	h.life++
 	h.up = true
 	self := election.Self{
-		Life: fmt.Sprintf("%s/%d", h.name, h.life), Host: h.name, Hall: h.hall, Address: h.name, Since: w.now,
+		Life: fmt.Sprintf("%s/%d", h.name, h.life), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
 		Delay: w.between(0, 150*time.Millisecond),
 	}
 	h.seats = nil
@@ -66,7 +68,7 @@
 	for _, name := range w.cells {
 		s := &seat{host: h, cell: name, seat: election.New(name, name, self)}
 		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute}, cell.WithUnsafe(w.plan.Unsafe), cell.Without(w.plan.Without))
-		s.state.Take(w.now, cell.ManifestChanged{Manifest: w.manifest()})
+		s.state.Take(h.clock(), cell.ManifestChanged{Manifest: w.manifest()})
 		h.seats = append(h.seats, s)
 		h.every(100*time.Millisecond, s.tick)
 		h.every(300*time.Millisecond, s.readLeads)
@@ -143,29 +145,47 @@
 	}
 }
 
-func (h *host) storeNow() time.Duration { return h.storeAt + h.world.now.Sub(h.storeRead) }
+// suspend stands the host still, its steady clock and its timers with it; what comes meanwhile is
+// there when it wakes.
+func (h *host) suspend(span time.Duration) {
+	if h.up && !h.world.now.Before(h.frozenUntil) {
+		h.world.logf("%s is suspended for %s", h.name, span)
+		h.frozenUntil = h.world.now.Add(span)
+		h.suspended += span
+	}
+}
+
+// clock is what the host's decisions go by: the time, suspensions counted.
+func (h *host) clock() time.Time {
+	if h.world.plan.Steady {
+		return h.world.now.Add(-h.suspended)
+	}
+	return h.world.now
+}
+
+func (h *host) storeNow() time.Duration { return h.storeAt + h.clock().Sub(h.storeRead) }
 
 func (h *seat) tick() {
 	if h.world.now.Before(h.frozenUntil) {
 		return
 	}
-	h.state.Take(h.world.now, cell.Tick{})
-	h.changed(h.seat.Expire(h.world.now))
+	h.state.Take(h.clock(), cell.Tick{})
+	h.changed(h.seat.Expire(h.clock()))
 	h.act()
 }
 
 func (h *seat) act() {
 	w := h.world
 	if h.seat.Role() == election.Leader {
-		h.state.Take(w.now, cell.Confirmed{At: h.seat.RenewedAt()})
+		h.state.Take(h.clock(), cell.Confirmed{At: h.seat.RenewedAt()})
 	}
-	for _, e := range h.state.Decide(w.now, w.now) {
+	for _, e := range h.state.Decide(h.clock(), w.now) {
 		h.carryOut(e)
 	}
 	if h.seat.Role() == election.Leader && h.state.Quiet() {
 		h.seat.Release()
 	}
-	write := h.seat.Next(w.now, h.state.Roster(), 0, false)
+	write := h.seat.Next(h.clock(), h.state.Roster(), 0, false)
 	if write == nil {
 		return
 	}
@@ -181,9 +201,9 @@
 		if ok && !c.Conflict {
 			version = c.Version
 		}
-		h.changed(h.seat.TakeWritten(w.now, version))
+		h.changed(h.seat.TakeWritten(h.clock(), version))
 		if version != 0 && write.Roster != nil {
-			h.state.Take(w.now, cell.RosterRecorded{IDs: rosterIDs(write.Roster.GetEntries())})
+			h.state.Take(h.clock(), cell.RosterRecorded{IDs: rosterIDs(write.Roster.GetEntries())})
 		}
 		h.act()
 	})
@@ -235,7 +255,7 @@
 }
 
 func (h *seat) changed(c election.Change) {
-	now := h.world.now
+	now := h.clock()
 	switch {
 	case c.Led:
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
@@ -252,7 +272,7 @@
 		return
 	}
 	if before.GetHost() == h.name {
-		h.state.Take(h.world.now, cell.ForerunnerOver{Epoch: epoch})
+		h.state.Take(h.clock(), cell.ForerunnerOver{Epoch: epoch})
 		return
 	}
 	for _, other := range h.world.hosts {
@@ -263,7 +283,7 @@
 			w := h.world
 			answers := other.up && !w.now.Before(other.frozenUntil) && !w.cut(h.name, other.name)
 			if answers && !other.holds(h.cell) {
-				h.state.Take(w.now, cell.ForerunnerOver{Epoch: epoch})
+				h.state.Take(h.clock(), cell.ForerunnerOver{Epoch: epoch})
 				return
 			}
 			if h.state.Holds() {
@@ -281,13 +301,13 @@
 }
 
 func (h *seat) readLeads() {
-	askedAt := h.world.now
+	askedAt := h.clock()
 	h.world.table.scan(h.name, rows.LeadTable, func(list []table.Row, at time.Duration, ok bool) {
 		h.back(func() {
 			if !ok {
 				return
 			}
-			h.storeAt, h.storeRead = at, h.world.now
+			h.storeAt, h.storeRead = at, h.clock()
 			var row *wire.CellLead
 			version := int64(0)
 			for _, r := range list {
@@ -295,7 +315,7 @@
 					row, version = read, r.Version
 				}
 			}
-			h.changed(h.seat.TakeRead(h.world.now, askedAt, row, version, at))
+			h.changed(h.seat.TakeRead(h.clock(), askedAt, row, version, at))
 			h.act()
 		})()
 	})
@@ -315,7 +335,7 @@
 	list, readAt := h.world.judged(list, h.cell), h.world.now
 	h.on(func() {
 		h.listReadAt = readAt
-		h.state.Take(h.world.now, cell.WorkersListed{Records: list})
+		h.state.Take(h.clock(), cell.WorkersListed{Records: list})
 	})
 }
 
@@ -324,17 +344,17 @@
 	if !h.state.Leading() {
 		return
 	}
-	askedAt := h.world.now
+	askedAt := h.clock()
 	h.world.table.scan(h.name, rows.SpecTable(h.cell), func(list []table.Row, at time.Duration, ok bool) {
 		h.back(func() {
 			for _, r := range list {
 				spec := &wire.JobSpec{}
 				if rows.Read(r, spec) == nil {
-					h.state.Take(h.world.now, cell.Accepted{Spec: spec, StoreNow: at})
+					h.state.Take(h.clock(), cell.Accepted{Spec: spec, StoreNow: at})
 				}
 			}
 			if ok {
-				h.state.Take(h.world.now, cell.Followed{At: askedAt})
+				h.state.Take(h.clock(), cell.Followed{At: askedAt})
 			}
 		})()
 	})
--- a/pkg/emulator/intake.go
+++ b/pkg/emulator/intake.go
@@ -33,7 +33,7 @@
 
 func (h *host) askOlder(limit time.Duration) {
 	for _, name := range h.world.cells {
-		if _, age := h.board.Load(h.world.now, name); age >= limit {
+		if _, age := h.board.Load(h.clock(), name); age >= limit {
 			h.askLoad(name)
 		}
 	}
@@ -46,9 +46,9 @@
 		if other == nil || w.cut(h.name, each.name) {
 			continue
 		}
-		withBeliefs := w.now.Sub(h.beliefsAt[name]) >= beliefsEvery
+		withBeliefs := h.clock().Sub(h.beliefsAt[name]) >= beliefsEvery
 		if withBeliefs {
-			h.beliefsAt[name] = w.now
+			h.beliefsAt[name] = h.clock()
 		}
 		w.after(w.hop(), each.back(func() { h.tellLoad(other, withBeliefs) }))
 	}
@@ -60,12 +60,12 @@
 	if !from.state.Leading() {
 		return
 	}
-	load := from.state.Load(w.now, withBeliefs)
+	load := from.state.Load(from.clock(), withBeliefs)
 	w.after(w.hop(), h.back(func() {
-		h.board.Take(w.now, load)
+		h.board.Take(h.clock(), load)
 		for _, s := range h.seats {
 			if len(load.GetBeliefs()) > 0 || s.state.Leading() {
-				s.state.Take(w.now, cell.OtherLoad{Load: load})
+				s.state.Take(h.clock(), cell.OtherLoad{Load: load})
 			}
 		}
 	}))
@@ -78,7 +78,7 @@
 		cells[name] = cellchoice.Cell{Hall: name, Led: h.world.led(name)}
 	}
 	h.askOlder(loadAsk)
-	spec.Cell = h.board.Choose(h.world.now, spec, cells).Cell
+	spec.Cell = h.board.Choose(h.clock(), spec, cells).Cell
 }
 
 func (w *World) led(name string) bool {
@@ -117,7 +117,7 @@
 			for _, each := range w.hosts {
 				if other := each.leads(spec.GetCell()); ok && other != nil && !w.cut(h.name, each.name) {
 					other.on(func() {
-						other.state.Take(w.now, cell.Accepted{Spec: spec, StoreNow: other.storeNow()})
+						other.state.Take(other.clock(), cell.Accepted{Spec: spec, StoreNow: other.storeNow()})
 						other.act()
 						h.tellLoad(other, false)
 					})
--- a/pkg/emulator/words.go
+++ b/pkg/emulator/words.go
@@ -12,12 +12,12 @@
 // takeCancelRow hands on a cancel, or what another cell reports of tasks lent to it.
 func (h *seat) takeCancelRow(r table.Row) {
 	if !rows.IsReturn(r.Key) {
-		h.state.Take(h.world.now, cell.CancelAsked{ID: r.Key.Key})
+		h.state.Take(h.clock(), cell.CancelAsked{ID: r.Key.Key})
 		return
 	}
 	back := &wire.ReturnedTasks{}
 	if rows.Read(r, back) == nil {
-		h.state.Take(h.world.now, cell.Returned{Tasks: back})
+		h.state.Take(h.clock(), cell.Returned{Tasks: back})
 	}
 }
 
@@ -31,9 +31,9 @@
 			continue
 		}
 		h.toLeader(name, func(other *seat) {
-			load := other.state.Load(h.world.now, true)
+			load := other.state.Load(other.clock(), true)
 			h.world.after(h.world.hop(), h.back(func() {
-				h.state.Take(h.world.now, cell.OtherLoad{Load: load})
+				h.state.Take(h.clock(), cell.OtherLoad{Load: load})
 			}))
 		})
 	}
@@ -61,11 +61,11 @@
 	h.toLeader(e.Cell, func(other *seat) {
 		switch {
 		case e.Lent != nil:
-			other.state.Take(h.world.now, cell.Accepted{Spec: e.Lent, StoreNow: other.storeNow()})
+			other.state.Take(other.clock(), cell.Accepted{Spec: e.Lent, StoreNow: other.storeNow()})
 		case e.Returned != nil:
-			other.state.Take(h.world.now, cell.Returned{Tasks: e.Returned})
+			other.state.Take(other.clock(), cell.Returned{Tasks: e.Returned})
 		default:
-			other.state.Take(h.world.now, cell.CancelAsked{ID: e.Cancelled})
+			other.state.Take(other.clock(), cell.CancelAsked{ID: e.Cancelled})
 		}
 	})
 }
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -13,7 +14,7 @@
 
 // Accepted takes a job that stands in the table.
 func (c *Control) Accepted(spec *wire.JobSpec) {
-	c.tell(cellEvent{cell: spec.GetCell(), event: cell.Accepted{Spec: spec, StoreNow: c.store.Now(time.Now())}})
+	c.tell(cellEvent{cell: spec.GetCell(), event: cell.Accepted{Spec: spec, StoreNow: c.store.Now(clock.Now())}})
 }
 
 // Cancelled takes a cancel that stands in the table.
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
@@ -106,7 +107,7 @@
 			name: name, hall: hall, seat: election.New(name, hall, self), state: cell.New(name, bounds, options...),
 		}
 	}
-	c.publish(time.Now())
+	c.publish(clock.Now())
 	return c
 }
 
@@ -122,12 +123,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-c.inbox:
-			now := time.Now()
+			now := clock.Now()
 			m.apply(c, now)
 			c.takeMore(now)
 			c.act(ctx, now)
 		case <-ticker.C:
-			now := time.Now()
+			now := clock.Now()
 			for _, s := range c.seats {
 				s.state.Take(now, cell.Tick{})
 				s.touched = true
@@ -228,7 +229,7 @@
 	}
 	over := cellEvent{cell: name, event: cell.ForerunnerOver{Epoch: epoch}}
 	if before.GetHost() == c.self.Host {
-		over.apply(c, time.Now())
+		over.apply(c, clock.Now())
 		return
 	}
 	go func() {
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -71,9 +72,9 @@
 func (c *Control) sendStart(ctx context.Context, name string, e cell.SendStart) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	reply, err := c.caller.Start(ctx, e.To, e.Start)
-	took := time.Since(began)
+	took := clock.Now().Sub(began)
 	metrics.GetOrRegisterTimer("worker.start", c.metrics).Update(took)
 	c.countCall("start", reply.Refusal, err)
 	c.tell(cellEvent{name, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: reply, Err: err, Took: took, Bytes: e.Bytes}})
@@ -139,7 +140,7 @@
 }
 
 func (c *Control) record(ctx context.Context, name string, e cell.Record) {
-	began := time.Now()
+	began := clock.Now()
 	done, err := c.store.Commit(ctx, e.Transaction)
 	metrics.GetOrRegisterTimer("record", c.metrics).UpdateSince(began)
 	c.tell(cellEvent{name, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: done, Err: err}})
--- a/pkg/process/fleet/figures.go
+++ b/pkg/process/fleet/figures.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 )
 
@@ -64,7 +65,7 @@
 }
 
 func (h *Host) serveStatus(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
+	now := clock.Now()
 	s := Status{Host: h.Config.Name, Hall: h.Config.Hall, StoreAgeMs: h.Store.SinceWorked(now).Milliseconds(), Cells: h.Control.View().Cells, Led: h.Control.Summary(r.Context())}
 	s.Ready, s.Why = h.Ready(now)
 	if m := h.Manifest(); m != nil {
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 	"google.golang.org/grpc"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/fleetpeer"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
@@ -86,7 +87,7 @@
 
 // New puts a host together and opens its ports.
 func New(config Config, outside Outside, log *eventlog.Log, options ...cell.Option) (*Host, error) {
-	now := time.Now()
+	now := clock.Now()
 	life := uuid.New()
 	self := election.Self{
 		Life: config.Name + "/" + life.String(), Host: config.Name, Hall: config.Hall, Address: config.Control, Since: now,
@@ -233,13 +234,13 @@
 // stop is the planned stop: say so, hand the seats over, go on until the
 // balancer has noticed, finish what is in flight.
 func (h *Host) stop() {
-	began := time.Now()
+	began := clock.Now()
 	h.Log.Info("host-stopping")
 	h.leaving.Store(true)
 	h.Hosts.Leave()
 	h.handOver()
-	time.Sleep(time.Until(began.Add(balancerWait)))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(h.grace.Load())-stopMargin))
+	time.Sleep(balancerWait - clock.Now().Sub(began))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.grace.Load())-stopMargin-clock.Now().Sub(began))
 	defer cancel()
 	if err := h.callers.Shutdown(ctx); err != nil {
 		h.Log.WithField("why", err.Error()).Warn("stop-cut-calls")
@@ -258,8 +259,8 @@
 		h.Log.WithFields(logrus.Fields{"cell": name, "to": next.GetName()}).Info("cell-handed-over")
 		h.askToTakeOver(context.Background(), next, name)
 	}
-	deadline := time.Now().Add(handoverWait)
-	for len(h.Control.Held()) > 0 && time.Now().Before(deadline) {
+	deadline := clock.Now().Add(handoverWait)
+	for len(h.Control.Held()) > 0 && clock.Now().Before(deadline) {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -328,7 +329,7 @@
 }
 
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if ok, why := h.Ready(time.Now()); !ok {
+	if ok, why := h.Ready(clock.Now()); !ok {
 		http.Error(w, why, http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/process/fleet/hosts.go
+++ b/pkg/process/fleet/hosts.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/fleetpeer"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
@@ -54,7 +55,7 @@
 func (h *Hosts) write(ctx context.Context) {
 	row := &wire.EntryHost{
 		Name: h.Self.Host, Hall: h.Self.Hall, Address: h.Self.Address, Life: h.Self.Life,
-		SeenStoreMs: h.Store.Now(time.Now()).Milliseconds(), Leaving: h.leaving.Load(), Processors: float32(h.Processors),
+		SeenStoreMs: h.Store.Now(clock.Now()).Milliseconds(), Leaving: h.leaving.Load(), Processors: float32(h.Processors),
 	}
 	// The store client counts a failure; the next round writes again.
 	_, _ = h.Store.Commit(ctx, table.Transaction{Puts: []table.Row{rows.Row(rows.HostKey(h.Self.Host), row)}})
--- a/pkg/process/fleet/load.go
+++ b/pkg/process/fleet/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/rows"
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	event := cell.Loaded{Epoch: epoch, Roster: roster.GetEntries(), Fences: map[string]int64{}, Wall: c.wall(), StoreNow: c.store.Now(now)}
 	versions := parts[0].versions
 	for i, p := range parts {
--- a/pkg/process/fleet/relief.go
+++ b/pkg/process/fleet/relief.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -32,7 +33,7 @@
 func (r *relief) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause(ctx, reliefEvery)
-		r.look(ctx, time.Now())
+		r.look(ctx, clock.Now())
 	}
 	return ctx.Err()
 }
--- a/pkg/process/fleet/watch.go
+++ b/pkg/process/fleet/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -132,7 +133,7 @@
 // Serve follows until the context ends.
 func (f *LeadsFollower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		askedAt := time.Now()
+		askedAt := clock.Now()
 		page, err := table.ReadAll(ctx, f.Store, rows.LeadTable, "")
 		if err == nil {
 			m := leadsRead{askedAt: askedAt, store: page.StoreTime, rows: map[string]leadRow{}}
@@ -162,7 +163,7 @@
 		if v := c.View().Cells[name]; !v.Mine || v.Epoch != epoch {
 			return
 		}
-		askedAt := time.Now()
+		askedAt := clock.Now()
 		var followed bool
 		from.specs, followed = c.followTable(ctx, rows.SpecTable(name), from.specs, func(r table.Row) {
 			spec := &wire.JobSpec{}
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
@@ -155,7 +156,7 @@
 	i.toLeader(spec.GetCell(), func() { i.leaders.Accepted(spec) }, func(ctx context.Context, p wire.FleetClient) error {
 		reply, err := p.Accepted(ctx, &wire.AcceptedJob{Spec: spec})
 		if err == nil {
-			i.takeLoad(time.Now(), reply)
+			i.takeLoad(clock.Now(), reply)
 		}
 		return err
 	})
@@ -288,7 +289,7 @@
 		return true, err
 	}
 	i.count("cancelled")
-	i.log.WithFields(logrus.Fields{"job": id, "cell": cell, "ms": time.Since(now).Milliseconds()}).Info("job-cancel")
+	i.log.WithFields(logrus.Fields{"job": id, "cell": cell, "ms": clock.Now().Sub(now).Milliseconds()}).Info("job-cancel")
 	i.tellCancel(cell, id)
 	return true, nil
 }
@@ -306,7 +307,7 @@
 
 func (i *Intake) logJob(event string, spec *wire.JobSpec, began time.Time, detail string, err error) {
 	fields := logrus.Fields{
-		"job": spec.GetId(), "queue": spec.GetQueue(), "cell": spec.GetCell(), "ms": time.Since(began).Milliseconds(),
+		"job": spec.GetId(), "queue": spec.GetQueue(), "cell": spec.GetCell(), "ms": clock.Now().Sub(began).Milliseconds(),
 	}
 	if detail != "" {
 		fields["detail"] = detail
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -79,8 +80,8 @@
 func (i *Intake) askLoad(name string, c fleet.CellView) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	reply := i.fetchLoad(ctx, name, c, i.wantsBeliefs(time.Now(), name))
-	i.takeLoad(time.Now(), reply)
+	reply := i.fetchLoad(ctx, name, c, i.wantsBeliefs(clock.Now(), name))
+	i.takeLoad(clock.Now(), reply)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.asking[name] = false
--- a/pkg/serve/fleettry.go
+++ b/pkg/serve/fleettry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
@@ -134,7 +135,7 @@
 func (t *fleetTry) ready(ctx context.Context) error {
 	err := t.until(ctx, "all hosts ready, all cells led", func() bool {
 		for _, h := range t.hosts {
-			if ok, _ := h.Ready(time.Now()); !ok {
+			if ok, _ := h.Ready(clock.Now()); !ok {
 				return false
 			}
 		}
