A leader past its tenure does nothing more, whichever message it meets first

Cause: only the timer looked whether the tenure was over. A host that was frozen or suspended for longer meets what has come meanwhile first, and acted on it: orders to workers that no successor reaches. Ruled out: looking in each driver before each message (three of them; the pure state knows what it must not do). Change: a renewal says until when the state may go on; past that it leaves out all effects and steps down.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -177,7 +177,7 @@
 func (h *seat) act() {
 	w := h.world
 	if h.seat.Role() == election.Leader {
-		h.state.Take(h.clock(), cell.Confirmed{At: h.seat.RenewedAt()})
+		h.state.Take(h.clock(), cell.Confirmed{At: h.seat.RenewedAt(), Until: h.seat.RenewedAt().Add(election.Tenure)})
 	}
 	for _, e := range h.state.Decide(h.clock(), w.now) {
 		h.carryOut(e)
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -33,8 +33,9 @@
 }
 
 // Confirmed says that this process still led the cell when it sent a renewal
-// that took effect. Nobody else can have granted anything before that moment.
-type Confirmed struct{ At time.Time }
+// that took effect. Nobody else can have granted anything before that moment. Until is how long this
+// process may go on without another one; the zero time: it is not bounded.
+type Confirmed struct{ At, Until time.Time }
 
 // ForerunnerOver says that the leader before this epoch grants nothing more:
 // it has said so, or its process is over.
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -21,7 +21,7 @@
 	known := s.workers
 	s.forget()
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
-	s.settleBy, s.confirmedAt = e.RosterUntil, time.Time{}
+	s.settleBy, s.confirmedAt, s.leadsUntil = e.RosterUntil, time.Time{}, time.Time{}
 	for id, w := range known {
 		if w.Listed {
 			s.workers[id] = workers.New(w.Record)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -18,6 +18,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -150,6 +151,8 @@
 	// for over without its worker having said so must be over by then: else a
 	// later leader may have renewed it, or acknowledged its end.
 	confirmedAt time.Time
+	// leadsUntil is how long this process may go on without another renewal.
+	leadsUntil time.Time
 
 	placeNow bool
 	scanNow  bool
@@ -213,7 +216,7 @@
 	case Deposed:
 		s.stepDown(e.Why)
 	case Confirmed:
-		s.confirmedAt = e.At
+		s.confirmedAt, s.leadsUntil = e.At, e.Until
 	case ForerunnerOver:
 		s.takeForerunnerOver(now, e)
 	case RosterRecorded:
@@ -254,6 +257,9 @@
 // the time of day: it decides only which times of repeated jobs are due.
 func (s *State) Decide(now, wall time.Time) []Effect {
 	s.wall = wall
+	if s.pastTenure(now) {
+		return s.ceased()
+	}
 	if s.phase == leading || s.phase == releasing {
 		s.decideScans(now)
 		if s.phase == leading {
@@ -269,6 +275,22 @@
 	return out
 }
 
+// pastTenure says whether this process must not go on: it had no renewal for its tenure. A host that
+// was frozen or suspended meets its messages before its timers.
+func (s *State) pastTenure(now time.Time) bool {
+	return s.phase != following && !s.leadsUntil.IsZero() && now.After(s.leadsUntil)
+}
+
+// ceased leaves out all that was to be done but what is told of it.
+func (s *State) ceased() []Effect {
+	out := slices.DeleteFunc(s.outbox, func(e Effect) bool {
+		_, note := e.(Note)
+		return !note
+	})
+	s.outbox = nil
+	return append(out, StepDown{Why: "no renewal for the tenure"})
+}
+
 // decideScans does what looks at every run. It follows from time, from looks
 // and from jobs that ended, not from each answer.
 func (s *State) decideScans(now time.Time) {
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -156,7 +156,7 @@
 	for _, s := range c.seats {
 		if at := s.seat.RenewedAt(); s.seat.Role() == election.Leader && at.After(s.confirmed) {
 			s.confirmed = at
-			s.state.Take(now, cell.Confirmed{At: at})
+			s.state.Take(now, cell.Confirmed{At: at, Until: at.Add(election.Tenure)})
 			s.touched = true
 		}
 		if s.touched {
