What leaders before the last one may still do is waited for; what falls due, or is lent, before a takeover is settled waits

Ruled out: never shortening the wait (12 s more for each takeover after a kill). Change: the row of the leadership says until when leaders before its own may grant, until its leader is settled; a successor waits for that, whatever its forerunner says. The deployed wire gains a field that older hosts leave out: then nothing is known of earlier leaders, as before.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -182,6 +182,9 @@
 	for _, e := range h.state.Decide(h.clock(), w.now) {
 		h.carryOut(e)
 	}
+	if h.state.Settled() {
+		h.seat.Settled()
+	}
 	if h.seat.Role() == election.Leader && h.state.Quiet() {
 		h.seat.Release()
 	}
@@ -259,7 +262,7 @@
 	switch {
 	case c.Led:
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
-		h.state.Take(now, cell.Led{Epoch: h.seat.Row().GetEpoch(), RosterUntil: rosterUntil(now, c)})
+		h.state.Take(now, cell.Led{Epoch: h.seat.Row().GetEpoch(), RosterUntil: rosterUntil(now, c), EarlierUntil: earlierUntil(now, c)})
 		h.awaitForerunner(h.seat.Row().GetEpoch(), c.Before)
 	case c.Lost:
 		h.state.Take(now, cell.Deposed{Why: c.Why})
@@ -294,10 +297,23 @@
 }
 
 func rosterUntil(now time.Time, c election.Change) time.Time {
+	until := earlierUntil(now, c)
 	if c.Before == nil {
+		return until
+	}
+	if last := now.Add(election.Tenure - c.Age + longestGrant); last.After(until) {
+		return last
+	}
+	return until
+}
+
+const longestGrant = cell.LongestLease * 11 / 10
+
+func earlierUntil(now time.Time, c election.Change) time.Time {
+	if c.Earlier <= 0 {
 		return now
 	}
-	return now.Add(election.Tenure - c.Age + cell.LongestLease*11/10)
+	return now.Add(c.Earlier + longestGrant)
 }
 
 func (h *seat) readLeads() {
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -30,6 +30,8 @@
 type Led struct {
 	Epoch       int64
 	RosterUntil time.Time
+	// EarlierUntil is the same for the leaders before the last one.
+	EarlierUntil time.Time
 }
 
 // Confirmed says that this process still led the cell when it sent a renewal
--- a/pkg/process/cell/lend_test.go
+++ b/pkg/process/cell/lend_test.go
@@ -213,8 +213,8 @@
 	must.Len(t, 0, j.Units[0].Waiting(time.Unix(1, 0)))
 	must.Eq(t, 1, j.Report().GetTasks()[0].GetLending())
 	gaveBack := j.Progress()
-	must.False(t, j.MoreGuests(spec(1), time.Unix(1, 0)))
-	must.True(t, j.MoreGuests(spec(2), time.Unix(1, 0)))
+	must.False(t, j.MoreGuests(spec(1), time.Unix(1, 0), true))
+	must.True(t, j.MoreGuests(spec(2), time.Unix(1, 0), true))
 	must.Len(t, 1, j.Units[0].Waiting(time.Unix(1, 0)))
 
 	same := jobs.Restore(spec(1), gaveBack, 1, time.Unix(0, 0), time.Unix(0, 0))
@@ -248,7 +248,7 @@
 	must.True(t, j.Guest())
 	must.Len(t, 1, j.Units[0].Waiting(time.Unix(1, 0)))
 	more := &wire.JobSpec{Id: spec.GetId(), Steps: spec.GetSteps(), Guest: []*wire.TaskRef{{Index: 1}, {Index: 2}}}
-	must.True(t, j.MoreGuests(more, time.Unix(1, 0)))
+	must.True(t, j.MoreGuests(more, time.Unix(1, 0), true))
 	must.Len(t, 2, j.Units[0].Waiting(time.Unix(1, 0)))
 }
 
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -21,6 +21,7 @@
 	known := s.workers
 	s.forget()
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
+	s.earlierUntil = e.EarlierUntil
 	s.settleBy, s.confirmedAt, s.leadsUntil = e.RosterUntil, time.Time{}, time.Time{}
 	for id, w := range known {
 		if w.Listed {
@@ -55,6 +56,9 @@
 // forerunner granted is over after one lease.
 func (s *State) takeForerunnerOver(now time.Time, e ForerunnerOver) {
 	until := now.Add(LongestLease + LongestLease/10 + orderTail)
+	if until.Before(s.earlierUntil) {
+		until = s.earlierUntil // its own forerunners are another matter
+	}
 	if e.Epoch != s.epoch || s.settled || !until.Before(s.settleBy) {
 		return
 	}
@@ -194,8 +198,9 @@
 	}
 }
 
-func unsettle(j *jobs.Job) {
-	for _, u := range j.Units {
+// unsettle says of tasks that a forerunner may have started them.
+func unsettle(units []*jobs.Unit) {
+	for _, u := range units {
 		for _, t := range u.Tasks {
 			t.Settled = t.Done
 		}
@@ -210,7 +215,7 @@
 		return
 	}
 	if known := s.jobs[id]; known != nil {
-		if known.MoreGuests(e.Spec, now) {
+		if known.MoreGuests(e.Spec, now, s.settled || s.unsafe.NoSettling) {
 			s.touch(now, known)
 		}
 		return
@@ -222,7 +227,7 @@
 	if !s.settled && !s.unsafe.NoSettling {
 		// A forerunner that does not know of its end yet may have been told of
 		// the job too, and have started it where we haven't been heard.
-		unsettle(j)
+		unsettle(j.Units)
 	}
 	s.claimStrays(now, j)
 	tasks := 0
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -21,6 +21,9 @@
 // Waits says whether tasks wait here that other cells might take.
 func (s *State) Waits() bool { return s.phase == leading && len(s.waiting) > 0 }
 
+// Settled says whether what earlier leaders started is known, or surely over.
+func (s *State) Settled() bool { return s.settled && s.phase != following }
+
 // Quiet says whether a planned stop may give the cell up now: nothing is on
 // its way to the table or to workers.
 func (s *State) Quiet() bool {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -124,6 +124,8 @@
 	unsettled map[string]bool
 	settled   bool
 	settleBy  time.Time
+	// earlierUntil is when what leaders before the last one may have granted is over.
+	earlierUntil time.Time
 
 	// press is what was learned of fillers beside serving tasks. It outlives a
 	// leadership: it is about images.
@@ -374,7 +376,10 @@
 		if j.Spec.GetRepeats() == 0 || j.Ended() {
 			continue
 		}
-		if len(j.OpenDue(s.wall)) > 0 {
+		if opened := j.OpenDue(s.wall); len(opened) > 0 {
+			if !s.settled && !s.unsafe.NoSettling {
+				unsettle(opened) // they fall due for a forerunner, too
+			}
 			s.claimStrays(now, j)
 			s.touch(now, j)
 		}
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -85,6 +85,8 @@
 	sentRoster *wire.CellRoster
 	release    bool
 	wanted     bool
+	// settled says that leaders before this one are surely over.
+	settled bool
 	// roster is what this process wrote last of it while leading.
 	roster []*wire.RosterEntry
 	// stale says that the last write did not take effect, or may not have: the
@@ -112,6 +114,9 @@
 	Led    bool
 	Before *wire.CellLead
 	Age    time.Duration
+	// Earlier is for how long leaders before Before may still grant: what Before says of itself
+	// tells nothing of them.
+	Earlier time.Duration
 	// Lost is set when it ends to lead; Why says why.
 	Lost bool
 	Why  string
@@ -157,7 +162,7 @@
 		s.role = Follower
 		return Change{Lost: true, Why: "the row names another leader"}
 	case s.role == Candidate && mine && row.GetEpoch() == s.sent.GetEpoch():
-		return s.won(s.sentAt, before, beforeAge)
+		return s.won(now, s.sentAt, before, beforeAge)
 	case s.role == Leader && mine && s.sent != nil && row.GetRenewedStoreMs() == s.sent.GetRenewedStoreMs():
 		s.renewedAt = s.sentAt // the renewal whose answer was lost
 	case s.role == Candidate:
@@ -166,9 +171,21 @@
 	return Change{}
 }
 
-func (s *Seat) won(at time.Time, before *wire.CellLead, age time.Duration) Change {
-	s.role, s.renewedAt, s.wanted, s.roster = Leader, at, false, nil
-	return Change{Led: true, Before: before, Age: age}
+func (s *Seat) won(now, at time.Time, before *wire.CellLead, age time.Duration) Change {
+	s.role, s.renewedAt, s.wanted, s.roster, s.settled = Leader, at, false, nil, false
+	earlier := time.Duration(before.GetEarlierStoreMs())*time.Millisecond - s.storeNow(now)
+	return Change{Led: true, Before: before, Age: age, Earlier: max(0, earlier)}
+}
+
+// Settled says that what leaders before this one started is known, or surely over.
+func (s *Seat) Settled() { s.settled = true }
+
+// earlierUntil is until when, by the store's clock, leaders before a successor of the row's may grant.
+func earlierUntil(row *wire.CellLead) int64 {
+	if row == nil || row.GetReleased() {
+		return row.GetEarlierStoreMs()
+	}
+	return max(row.GetEarlierStoreMs(), row.GetRenewedStoreMs()+Tenure.Milliseconds())
 }
 
 // Expire ends the role of a leader that has not renewed for its tenure.
@@ -201,7 +218,7 @@
 	}
 	row := &wire.CellLead{
 		Cell: s.cell, Epoch: s.row.GetEpoch() + 1, Holder: s.self.Life, Host: s.self.Host, Hall: s.self.Hall,
-		Address: s.self.Address, RenewedStoreMs: s.storeNow(now).Milliseconds(),
+		Address: s.self.Address, RenewedStoreMs: s.storeNow(now).Milliseconds(), EarlierStoreMs: earlierUntil(s.row),
 	}
 	s.role = Candidate
 	return s.send(now, row, nil)
@@ -218,6 +235,9 @@
 	}
 	row.RenewedStoreMs = s.storeNow(now).Milliseconds()
 	row.Released = s.release
+	if s.settled {
+		row.EarlierStoreMs = 0
+	}
 	if !changed {
 		return s.send(now, row, nil)
 	}
@@ -285,7 +305,7 @@
 		s.role, s.release = Follower, false
 		return Change{Lost: true, Why: "released"}
 	case s.role == Candidate:
-		return s.won(s.sentAt, before, beforeAge)
+		return s.won(now, s.sentAt, before, beforeAge)
 	default:
 		s.renewedAt = s.sentAt
 		if s.sentRoster != nil {
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -120,3 +120,26 @@
 	must.Nil(t, s.Next(at(1010), one, 0, false))
 	must.Nil(t, s.Next(at(1500), one, 0, false).Roster)
 }
+
+// Leaders follow each other so fast that the first, which is suspended, may still go on as the third begins:
+// what the second says of itself tells nothing of the first.
+func TestASuccessorKnowsOfLeadersBeforeItsForerunner(t *testing.T) {
+	t.Parallel()
+	first := &wire.CellLead{Cell: "cell", Epoch: 1, Holder: "a/1", Host: "a", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds()}
+	b := newSeat("b")
+	b.TakeRead(at(1500), at(1490), first, 1, storeAt(1500))
+	w := b.Next(at(1500), nil, 0, false)
+	must.NotNil(t, w)
+	must.Eq(t, (storeAt(0) + election.Tenure).Milliseconds(), w.Row.GetEarlierStoreMs())
+	must.Eq(t, 0, b.TakeWritten(at(1505), 2).Earlier)
+
+	c := newSeat("c")
+	c.TakeRead(at(3000), at(2990), w.Row, 2, storeAt(3000))
+	must.NotNil(t, c.Next(at(3000), nil, 0, false))
+	earlier := c.TakeWritten(at(3005), 3).Earlier
+	must.Less(t, 20*time.Millisecond, (election.Tenure - 3*time.Second - earlier).Abs())
+	must.Positive(t, c.Next(at(3500), nil, 0, false).Row.GetEarlierStoreMs())
+	c.TakeWritten(at(3505), 4)
+	c.Settled()
+	must.Eq(t, 0, c.Next(at(4500), nil, 0, false).Row.GetEarlierStoreMs())
+}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -170,6 +170,9 @@
 }
 
 func (c *Control) electSeat(ctx context.Context, now time.Time, s *seat) {
+	if s.state.Settled() {
+		s.seat.Settled()
+	}
 	if s.seat.Role() == election.Leader && s.state.Quiet() {
 		s.seat.Release() // a planned stop, or a yield, has come to its end
 	}
@@ -201,7 +204,7 @@
 	case change.Led:
 		epoch := s.seat.Row().GetEpoch()
 		s.state.Take(now, cell.Led{
-			Epoch: epoch, RosterUntil: rosterUntil(now, change),
+			Epoch: epoch, RosterUntil: rosterUntil(now, change), EarlierUntil: earlierUntil(now, change),
 		})
 		if c.manifest != nil {
 			s.state.Take(now, cell.ManifestChanged{Manifest: c.manifest})
@@ -246,14 +249,32 @@
 // rosterUntil is when the last lease that a forerunner could have granted is
 // over: it grants none after its tenure, nor after it has released the seat.
 func rosterUntil(now time.Time, change election.Change) time.Time {
-	const longest = cell.LongestLease + cell.LongestLease/10
-	if change.Before == nil {
+	until := earlierUntil(now, change)
+	switch {
+	case change.Before == nil:
+		return until
+	case change.Before.GetReleased():
+		return later(until, now.Add(longestGrant))
+	}
+	return later(until, now.Add(election.Tenure-change.Age+longestGrant))
+}
+
+// longestGrant is the longest lease that a leader grants, by any clock.
+const longestGrant = cell.LongestLease + cell.LongestLease/10
+
+// earlierUntil is the same for the leaders before that forerunner.
+func earlierUntil(now time.Time, change election.Change) time.Time {
+	if change.Earlier <= 0 {
 		return now
 	}
-	if change.Before.GetReleased() {
-		return now.Add(longest)
+	return now.Add(change.Earlier + longestGrant)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return now.Add(election.Tenure - change.Age + longest)
+	return b
 }
 
 func ids(roster []*wire.RosterEntry) []string {
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -63,8 +63,8 @@
 }
 
 // MoreGuests takes in that more of the job's tasks are lent to this cell. It
-// says whether that is so.
-func (j *Job) MoreGuests(spec *wire.JobSpec, now time.Time) bool {
+// says whether that is so. settled says that no forerunner may have started them already.
+func (j *Job) MoreGuests(spec *wire.JobSpec, now time.Time, settled bool) bool {
 	if !j.Guest() {
 		return false
 	}
@@ -76,6 +76,7 @@
 			continue
 		}
 		t.LentTo, t.Lending, t.WaitsSince, more = "", r.GetLending(), now, true
+		t.Settled = settled
 		t.Crashes = crashesOf(r.GetCrashes())
 		t.Trial = NoTrial
 	}
