Operators see and take back suspicions; callers are told why a job has failed; a host that wakes drops idle connections

fleet suspects lists what is held against each task, fleet clear takes it back; status and figures count suspects. GET of a failed job has its reason (one reading, then remembered). A host that was suspended logs host-woke and closes the connections that nobody uses: their keep-alives count from when it wakes.

--- a/pkg/cli/fleet_status.go
+++ b/pkg/cli/fleet_status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -16,7 +15,7 @@
 var fleetStatus = verb{
 	path: "fleet status", args: "HOST:PORT...", min: 1, max: 1000,
 	short:   "Show who leads each cell of a running fleet, and how full it is",
-	long:    "fleet status asks entry hosts at the metrics addresses of their settings. It shows of\neach whether it takes calls, the manifest in force and how long ago the table answered,\nand of each cell that it leads the jobs, the tasks that wait and run, and the workers:\nknown, usable now, put aside. A host that does not answer has a line that says so.",
+	long:    "fleet status asks entry hosts at the metrics addresses of their settings. It shows of\neach whether it takes calls, the manifest in force and how long ago the table answered,\nand of each cell that it leads the jobs, the tasks that wait and run, and the workers:\nknown, usable now, put aside, and tasks suspected of crashing some. A host that does not answer has a line that says so.",
 	example: "  wrenferry fleet status 10.1.0.13:7721 10.1.0.14:7721\n  wrenferry fleet status 10.1.0.13:7721 -o json",
 	run:     runFleetStatus,
 }
@@ -55,20 +54,9 @@
 }
 
 func askStatus(ctx context.Context, address string) (*fleet.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", http.NoBody)
-	if err != nil {
-		return nil, fault.New(fault.BadInput, address, "not an address", "write it as HOST:PORT").WithCause(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, fault.New(fault.Unavailable, address, "no answer", "is it the metrics address, and is the host up?").WithCause(err)
-	}
-	defer response.Body.Close()
 	status := &fleet.Status{}
-	if err := json.NewDecoder(response.Body).Decode(status); err != nil || response.StatusCode != http.StatusOK {
-		return nil, fault.New(fault.Unavailable, address, fmt.Sprintf("not a status (%s)", response.Status), "name the metrics address of the host's settings").WithCause(err)
+	if err := askHost(ctx, http.MethodGet, address, "/status", status); err != nil {
+		return nil, err
 	}
 	return status, nil
 }
@@ -90,7 +78,7 @@
 		}
 		for _, name := range led {
 			c := h.Status.Led[name]
-			workers := fmt.Sprintf("%d, %d usable, %d aside", c.Workers, c.Usable, c.Aside)
+			workers := fmt.Sprintf("%d, %d usable, %d aside, %d suspects", c.Workers, c.Usable, c.Aside, c.Suspects)
 			lines = append(lines, append(slices.Clone(first), name, c.Jobs, c.Waiting, c.Running, workers))
 		}
 	}
--- a/pkg/cli/fleet_status_test.go
+++ b/pkg/cli/fleet_status_test.go
@@ -7,10 +7,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/cli"
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 )
@@ -57,3 +59,45 @@
 	must.NoError(t, json.Unmarshal(out.Bytes(), &list))
 	must.Eq(t, 50, list[0].Status.Led["hall-a"].Running)
 }
+
+// suspectsHost answers as a host does that leads a cell with one suspect.
+func suspectsHost(t *testing.T) (address string, cleared *[]string) {
+	t.Helper()
+	cleared = &[]string{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodDelete && r.URL.Path == "/suspects/ab.0.0.1":
+			*cleared = append(*cleared, r.URL.Path)
+		case r.Method == http.MethodGet && r.URL.Path == "/suspects":
+			_ = json.NewEncoder(w).Encode(map[string][]cell.Suspect{"hall-a": {{
+				Task: "ab.0.0.1", Level: "on trial", Crashes: []blame.Crash{
+					{Worker: "w1", Run: 7, Age: 10 * time.Millisecond, Company: 4}, {Worker: "w2", Run: 9, Outside: true, Lives: 5},
+				},
+			}}})
+		default:
+			http.NotFound(w, r)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), cleared
+}
+
+func TestSuspectsAreListedWithWhatIsHeldAgainstThem(t *testing.T) {
+	t.Parallel()
+	address, _ := suspectsHost(t)
+	var out, errs bytes.Buffer
+	must.Eq(t, 0, cli.Main([]string{"fleet", "suspects", address, "127.0.0.1:1"}, nil, &out, &errs), must.Sprint(errs.String()))
+	must.StrContains(t, out.String(), "ab.0.0.1")
+	must.StrContains(t, out.String(), "on trial")
+	must.StrContains(t, out.String(), "5 workers fell silent then")
+	must.Eq(t, 5, cli.Main([]string{"fleet", "suspects", "127.0.0.1:1"}, nil, &out, &errs))
+}
+
+func TestASuspicionIsTakenBackWhereItIsHeld(t *testing.T) {
+	t.Parallel()
+	address, cleared := suspectsHost(t)
+	var out, errs bytes.Buffer
+	must.Eq(t, 0, cli.Main([]string{"fleet", "clear", "ab.0.0.1", "127.0.0.1:1", address}, nil, &out, &errs), must.Sprint(errs.String()))
+	must.SliceLen(t, 1, *cleared)
+	must.NotEq(t, 0, cli.Main([]string{"fleet", "clear", "cd.0.0.1", address}, nil, &out, &errs))
+}
--- a/pkg/cli/verbs.go
+++ b/pkg/cli/verbs.go
@@ -29,6 +29,8 @@
 	serviceDrain,
 	serviceStop,
 	fleetStatus,
+	fleetSuspects,
+	fleetClear,
 	labRun,
 	labCompare,
 	labAblate,
--- a/pkg/clock/watch.go
+++ b/pkg/clock/watch.go
@@ -7,7 +7,7 @@
 
 const (
 	// watchEvery is how often a Watch looks whether the host was suspended.
-	watchEvery = 250 * time.Millisecond
+	watchEvery = 500 * time.Millisecond
 	// sleptLeast is the least suspension that it tells of: connections outlast shorter ones.
 	sleptLeast = 500 * time.Millisecond
 )
--- a/pkg/process/cell/crashes_test.go
+++ b/pkg/process/cell/crashes_test.go
@@ -382,3 +382,21 @@
 	f.run(10 * time.Second)
 	must.MapEmpty(t, f.ended)
 }
+
+// An operator takes a suspicion back: the task starts like any other.
+func TestAnOperatorTakesASuspicionBack(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	id := f.accept(1, oneTask())
+	f.guilty[id+".0.0.0"] = 10 * time.Millisecond
+	f.run(5 * time.Second)
+	suspects := f.state.Suspects()
+	must.SliceLen(t, 1, suspects)
+	must.Eq(t, id+".0.0.0", suspects[0].Task)
+	must.Positive(t, f.state.Counts(f.now).Suspects)
+	f.state.Take(f.now, cell.ClearSuspicion{Task: id + ".0.0.0"})
+	must.SliceEmpty(t, f.state.Suspects())
+	delete(f.guilty, id+".0.0.0")
+	f.run(6 * time.Second)
+	must.Eq(t, 1, f.done([]string{id}))
+}
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -144,7 +144,9 @@
 // Counts is a summary for the status page and the metrics.
 type Counts struct {
 	Jobs, Waiting, Running, Workers, Usable, Aside int
-	Settled                                        bool
+	// Suspects are the tasks that are suspected of crashing workers.
+	Suspects int
+	Settled  bool
 }
 
 // Counts returns the summary.
@@ -155,6 +157,11 @@
 			c.Jobs++
 		}
 	}
+	s.eachAccused(func(t *jobs.Task) {
+		if t.Suspected() {
+			c.Suspects++
+		}
+	})
 	for u := range s.waiting {
 		c.Waiting += len(u.Waiting(now))
 	}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -245,6 +245,8 @@
 		s.takeRecorded(now, e)
 	case Release:
 		s.takeRelease()
+	case ClearSuspicion:
+		s.takeClearSuspicion(now, e)
 	case Advised:
 		s.takeAdvised(now, e)
 	case OtherLoad:
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -112,3 +112,35 @@
 	}
 	return <-out
 }
+
+// Suspects lists, by the cells that this process leads, the tasks under which workers crashed.
+func (c *Control) Suspects(ctx context.Context) map[string][]cell.Suspect {
+	out := make(chan map[string][]cell.Suspect, 1)
+	ok := c.ask(ctx, func(c *Control, _ time.Time) {
+		all := map[string][]cell.Suspect{}
+		for name, s := range c.seats {
+			if s.state.Leading() {
+				all[name] = s.state.Suspects()
+			}
+		}
+		out <- all
+	})
+	if !ok {
+		return nil
+	}
+	return <-out
+}
+
+// ClearSuspicion takes back what is held against a task. It says whether this process leads a cell
+// that holds anything against it.
+func (c *Control) ClearSuspicion(ctx context.Context, task string) bool {
+	for name, list := range c.Suspects(ctx) {
+		for _, s := range list {
+			if s.Task == task {
+				c.tell(cellEvent{cell: name, event: cell.ClearSuspicion{Task: task}})
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/process/fleet/figures.go
+++ b/pkg/process/fleet/figures.go
@@ -21,7 +21,8 @@
 		lines = append(lines,
 			fmt.Sprintf("cell.%s.jobs %d", name, c.Jobs), fmt.Sprintf("cell.%s.waiting %d", name, c.Waiting),
 			fmt.Sprintf("cell.%s.running %d", name, c.Running), fmt.Sprintf("cell.%s.workers %d", name, c.Workers),
-			fmt.Sprintf("cell.%s.usable %d", name, c.Usable), fmt.Sprintf("cell.%s.aside %d", name, c.Aside))
+			fmt.Sprintf("cell.%s.usable %d", name, c.Usable), fmt.Sprintf("cell.%s.aside %d", name, c.Aside),
+			fmt.Sprintf("cell.%s.suspects %d", name, c.Suspects))
 	}
 	sort.Strings(lines)
 	w.Header().Set("Content-Type", "text/plain")
@@ -74,8 +75,24 @@
 	for _, other := range h.Hosts.List() {
 		s.Hosts = append(s.Hosts, other.GetName())
 	}
+	h.sendJSON(w, s)
+}
+
+func (h *Host) sendJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s); err != nil {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
 		h.Log.WithField("why", err.Error()).Warn("status-not-sent")
 	}
 }
+
+// serveSuspects lists the tasks under which workers crashed, of the cells that this host leads.
+func (h *Host) serveSuspects(w http.ResponseWriter, r *http.Request) {
+	h.sendJSON(w, h.Control.Suspects(r.Context()))
+}
+
+// clearSuspicion takes back what is held against a task; 404: this host holds nothing against it.
+func (h *Host) clearSuspicion(w http.ResponseWriter, r *http.Request) {
+	if !h.Control.ClearSuspicion(r.Context(), r.PathValue("task")) {
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -127,6 +127,8 @@
 	figuresMux := http.NewServeMux()
 	figuresMux.HandleFunc("GET /metrics", h.serveMetrics)
 	figuresMux.HandleFunc("GET /status", h.serveStatus)
+	figuresMux.HandleFunc("GET /suspects", h.serveSuspects)
+	figuresMux.HandleFunc("DELETE /suspects/{task}", h.clearSuspicion)
 	var err error
 	handler, beside := h.outside.Callers(h)
 	h.beside = beside
@@ -209,6 +211,7 @@
 		},
 		&LeadsFollower{Store: h.Store, Control: h.Control},
 		&relief{host: h},
+		&waking{outside: h.outside, log: h.Log},
 		&parts.GRPC{Server: h.grpc, Listener: h.grpcListener},
 	}
 	for s, l := range h.listeners {
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -37,6 +37,8 @@
 	// worth at the rates of the largest known deployment.
 	anchorsKept = 8192
 	endsKept    = 8192
+	// reasonsKept is the same for why jobs have failed: few do, and a reason has a hundred bytes.
+	reasonsKept = 512
 )
 
 // Leaders tells who leads which cell, and answers for those led here.
@@ -65,6 +67,8 @@
 
 	anchors *lru.Cache[string, string]
 	ends    *lru.Cache[string, wire.JobPhase]
+	// reasons are why jobs have failed.
+	reasons *lru.Cache[string, string]
 
 	mu    sync.Mutex
 	board *cellchoice.Board
@@ -78,9 +82,10 @@
 func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry) *Intake {
 	anchors, _ := lru.New[string, string](anchorsKept)  // fails for a negative size only
 	ends, _ := lru.New[string, wire.JobPhase](endsKept) // likewise
+	reasons, _ := lru.New[string, string](reasonsKept)  // likewise
 	return &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
-		anchors: anchors, ends: ends, board: cellchoice.NewBoard(hall), asking: map[string]bool{}, beliefsAt: map[string]time.Time{},
+		anchors: anchors, ends: ends, reasons: reasons, board: cellchoice.NewBoard(hall), asking: map[string]bool{}, beliefsAt: map[string]time.Time{},
 	}
 }
 
@@ -210,6 +215,24 @@
 	return phase, nil
 }
 
+// Reason is why a job has failed, as its record says; empty: it does not say. A failed job's
+// record does not change, so its reason is read once.
+func (i *Intake) Reason(ctx context.Context, id string) string {
+	if reason, ok := i.reasons.Get(id); ok {
+		return reason
+	}
+	cell, found, err := i.anchor(ctx, id)
+	if err != nil || !found {
+		return ""
+	}
+	p, err := i.readProgress(ctx, cell, id)
+	if err != nil || p.GetPhase() != wire.JobPhase_JOB_PHASE_FAILED {
+		return ""
+	}
+	i.reasons.Add(id, p.GetReason())
+	return p.GetReason()
+}
+
 // anchor finds the cell that a job went to.
 func (i *Intake) anchor(ctx context.Context, id string) (cell string, found bool, err error) {
 	if cell, ok := i.anchors.Get(id); ok {
@@ -255,22 +278,30 @@
 // readPhase reads a job's phase from the table, where its leader does not
 // answer.
 func (i *Intake) readPhase(ctx context.Context, cell, id string) (wire.JobPhase, error) {
-	key := rows.ProgressKey(cell, id)
-	page, err := i.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
-	if err != nil {
+	p, err := i.readProgress(ctx, cell, id)
+	switch {
+	case err != nil:
 		return 0, err
-	}
-	if len(page.Rows) == 0 {
+	case p == nil:
 		return wire.JobPhase_JOB_PHASE_QUEUED, nil
+	case !jobs.Last(p.GetPhase()):
+		return wire.JobPhase_JOB_PHASE_RUNNING, nil
+	}
+	return p.GetPhase(), nil
+}
+
+// readProgress reads what the table holds of a job's progress; nil: nothing yet.
+func (i *Intake) readProgress(ctx context.Context, cell, id string) (*wire.JobProgress, error) {
+	key := rows.ProgressKey(cell, id)
+	page, err := i.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
+	if err != nil || len(page.Rows) == 0 {
+		return nil, err
 	}
 	p := &wire.JobProgress{}
 	if err := rows.Read(page.Rows[0], p); err != nil {
-		return 0, err
+		return nil, err
 	}
-	if !jobs.Last(p.GetPhase()) {
-		return wire.JobPhase_JOB_PHASE_RUNNING, nil
-	}
-	return p.GetPhase(), nil
+	return p, nil
 }
 
 // Cancel puts a cancel into the table; false: there is no such job.
