Model of a task that crashes its workers under leaders that die; waits count from when a leader knows of them

The claim (no third start after three crashes) holds with any late deaths, with two early ones, with one of each; it is refuted without the record, without the mark that a run may be there, without the wait for the record, and with three deaths before anything is recorded: then nothing is known. A crash that nobody saw weighs half.

--- a/model/run.sh
+++ b/model/run.sh
@@ -57,6 +57,14 @@
 check lease/no-registration   lease fault 2500 -DREBOOTS=1 -DATTEMPTS=2 -DNO_REGISTRATION
 check lease/no-incarnation    lease fault 2500 -DREBOOTS=1 -DATTEMPTS=2 -DNO_INCARNATION
 
+check crash/all               crash none  500
+check crash/late-deaths       crash none  500 -DEARLY=0 -DLATE=6
+check crash/two-early-deaths  crash none  500 -DEARLY=2 -DLATE=0
+check crash/early-deaths      crash fault 500 -DEARLY=3
+check crash/no-record         crash fault 500 -DNO_RECORD
+check crash/no-mark           crash fault 500 -DEARLY=0 -DLATE=6 -DNO_MARK
+check crash/no-gate           crash fault 500 -DEARLY=0 -DLATE=6 -DNO_GATE
+
 check cell/all                cell none  2500 -DEPOCHS=2 -DRUNS=2
 check cell/more               cell none  2000
 check cell/no-fence           cell fault 1500 -DNO_FENCE
--- a/pkg/process/blame/blame.go
+++ b/pkg/process/blame/blame.go
@@ -70,7 +70,8 @@
 	weightLate = 2
 	// weightOutside is for one that had just begun as many workers fell silent, or at a host that
 	// crashes by itself: several such tasks that are started together do that, but so does a loss
-	// of power.
+	// of power. It is that, too, of a crash that nobody saw: a leader that died may have been about to
+	// start a run, or not.
 	weightOutside = 2
 	// weightExcused is for one that a far younger run was beside, or whose host it had crashed before.
 	weightExcused = 1
@@ -117,7 +118,7 @@
 	switch {
 	case c.Again || c.Excused:
 		return weightExcused
-	case c.Outside:
+	case c.Outside || c.Run == 0:
 		return weightOutside
 	case c.Age < promptly:
 		return whole
@@ -139,7 +140,7 @@
 	for _, c := range crashes {
 		t.all++
 		t.weight += c.weight()
-		if c.Age < promptly && !c.Again && !c.Excused {
+		if c.Age < promptly && c.Run != 0 && !c.Again && !c.Excused {
 			t.soon++
 		}
 		if c.Silent {
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -78,7 +78,7 @@
 		out--
 	}
 	calm := len(s.falls) == 0 || now.Sub(s.falls[len(s.falls)-1].before) >= calmFor
-	return out < blame.Trials(len(s.workers)) && !s.awaitsWord(now, t) && (calm || now.Sub(t.WaitsSince) >= calmWithin)
+	return out < blame.Trials(len(s.workers)) && !s.awaitsWord(now, t) && (calm || waitedFor(now, t) >= calmWithin)
 }
 
 // chooseForTrial picks the worker where a task is tried: the one with the least to lose. It is kept
@@ -126,6 +126,15 @@
 	return best
 }
 
+// waitedFor is how long a task has waited for a start, as far as this leader knows.
+func waitedFor(now time.Time, t *jobs.Task) time.Duration {
+	since := t.Unit.ReadyAt
+	if t.WaitsSince.After(since) {
+		since = t.WaitsSince
+	}
+	return now.Sub(since)
+}
+
 // hostFor is how long a task waits for another host.
 func hostFor(t *jobs.Task) time.Duration {
 	switch t.Level() {
@@ -141,14 +150,14 @@
 // awaitsHost says whether a task waits for a host that has not crashed under it: one more crash at
 // the same one would say little, and may be the host's own.
 func awaitsHost(now time.Time, t *jobs.Task, w *workers.Worker, usable []*workers.Worker) bool {
-	return t.CrashedAt(w.Host) && now.Sub(t.WaitsSince) < hostFor(t) &&
+	return t.CrashedAt(w.Host) && waitedFor(now, t) < hostFor(t) &&
 		slices.ContainsFunc(usable, func(other *workers.Worker) bool { return !t.CrashedAt(other.Host) })
 }
 
 // awaitsRecord says whether a suspect waits until what is held against it is recorded: a successor
 // has to know. That was asked for when its worker fell silent; a table that is away holds it up only so long.
 func (s *State) awaitsRecord(now time.Time, t *jobs.Task) bool {
-	return t.Level() == blame.Suspect && t.Trial == jobs.TrialWanted && now.Sub(t.WaitsSince) < recordHolds
+	return t.Level() == blame.Suspect && t.Trial == jobs.TrialWanted && waitedFor(now, t) < recordHolds
 }
 
 // trialScore ranks workers for a trial: hosts where no crash is held against the task, and that did not
