A life that is known from the roster alone is used only after a renewal

Cause (a trace of the model, left open before): a leader that meets a worker by the roster, before its row, takes whichever life answers for the one that its forerunners used. If it was deposed meanwhile and the worker crashed after its successor had been there, that life has seen no epoch and does what it says. Change: the wait for those that no row names yet.

--- a/pkg/process/cell/lives.go
+++ b/pkg/process/cell/lives.go
@@ -20,6 +20,9 @@
 	case born == 0:
 	case w.Born == 0:
 		w.Born = born
+		if !w.Listed {
+			w.SureFrom = now // known from the roster alone: it may be a life that has seen no epoch
+		}
 	case w.Born == born:
 		w.Answered(e.SentAt)
 	default:
--- a/pkg/process/cell/lives_test.go
+++ b/pkg/process/cell/lives_test.go
@@ -294,3 +294,25 @@
 	v.run(time.Second)
 	must.Eq(t, 1, v.startsOf(task))
 }
+
+// A leader knows a worker from the roster alone, and the first life of it that answers may be a new one,
+// which has seen no epoch yet: if the leader was deposed meanwhile, that life would do what it says.
+// So nothing is started there until a renewal that was sent after the answer took effect.
+func TestALifeThatIsKnownFromTheRosterAloneWaitsForARenewal(t *testing.T) {
+	t.Parallel()
+	v := &lives{now: time.Unix(1000, 0), born: 5, offset: time.Hour, unconfirmed: true}
+	v.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	v.state.Take(v.now, cell.ManifestChanged{Manifest: theManifest})
+	v.state.Take(v.now, cell.Led{Epoch: 1, RosterUntil: v.now})
+	v.state.Take(v.now, cell.Confirmed{At: v.now})
+	v.state.Take(v.now, cell.Loaded{Epoch: 1, Fences: someFences(), Wall: v.now, Roster: []*wire.RosterEntry{{Id: "w", Address: "x", Host: "h", Service: "quotes"}}})
+	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"w"}})
+	v.run(500 * time.Millisecond)
+	v.list()
+	task := v.accept(1)
+	v.run(time.Second)
+	must.Eq(t, 0, v.startsOf(task))
+	v.unconfirmed = false
+	v.run(200 * time.Millisecond)
+	must.Eq(t, 1, v.startsOf(task))
+}
