--- /dev/null
+++ b/pkg/request/intake/cancel_test.go
@@ -0,0 +1,43 @@
+package intake_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/clock"
+	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// hearing leads two cells, and keeps which were told of a cancel.
+type hearing struct {
+	leaders
+	told *[]string
+}
+
+func (hearing) View() *fleet.View {
+	return &fleet.View{Cells: map[string]fleet.CellView{"home": {Mine: true, Fresh: true}, "other": {Mine: true, Fresh: true}}}
+}
+
+func (h hearing) Cancelled(cell, id string) { *h.told = append(*h.told, cell+" "+id) }
+
+// A cancel was acknowledged while the cell that keeps the job changed its leader. Another cell, which had
+// been lent tasks of it, learns of the end from that leader alone, and started them on, seconds after the
+// acknowledgement: 84 times on one day, a start at 40.146 s of a job whose cancel was acknowledged at 34.339 s.
+// So whoever takes a cancel tells the leaders of all cells.
+func TestACancelIsToldToAllCells(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000aa"
+	direct := rowsTable{rows: []table.Row{rows.Row(rows.AnchorKey(id), &wire.JobAnchor{Cell: "home", Queue: "offers"})}}
+	var told []string
+	found, err := newIntakeOf(direct, hearing{told: &told}).Cancel(context.Background(), clock.Now(), id)
+	must.NoError(t, err)
+	must.True(t, found)
+	slices.Sort(told)
+	must.Eq(t, []string{"home " + id, "other " + id}, told)
+}
