A cancel is told to the leaders of all cells

Cause: the end of a job reaches a cell that was lent tasks of it through the home cell's leader, once that has recorded it. Ruled out: a record for each cell in the cancel's transaction (whoever takes it does not know the borrowers); borrowers that follow the others' cancels (a feed more for each pair of cells). Change: a word to each cell's leader, after the table has the cancel; the home's record comes as before. Shown: TestACancelIsToldToAllCells, red before.

--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -321,7 +321,9 @@
 	}
 	i.count("cancelled")
 	i.log.WithFields(logrus.Fields{"job": id, "cell": cell, "ms": clock.Now().Sub(now).Milliseconds()}).Info("job-cancel")
-	i.tellCancel(cell, id)
+	for name := range i.leaders.View().Cells {
+		i.tellCancel(name, id) // others may run tasks of it that they were lent, and its home be without a leader
+	}
 	return true, nil
 }
 
