--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -14,6 +14,8 @@
 
 const (
 	taskCPU = 1500
+	// crashesOne of so many jobs has a task that crashes each worker that starts it.
+	crashesOne = 50
 	// askTimeout bounds one call of a caller.
 	askTimeout = 3 * time.Second
 	// askEvery is how often a caller asks for a job's state.
@@ -71,6 +73,10 @@
 	if err != nil {
 		panic(err) // a job of ours has JSON
 	}
+	if rnd.IntN(crashesOne) == 0 {
+		step := rnd.IntN(len(j.steps))
+		j.crashes = fmt.Sprintf("%s.0.%d.%d", id, step, rnd.IntN(j.steps[step]))
+	}
 	c.checker.sent(id, j)
 	if !c.handIn(id, string(body), rnd) {
 		return
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -16,15 +16,21 @@
 //	ORDER    a start before the tasks of the step before have ended well
 //	ASKED    a start of what nobody sent, or was only refused, or with another text
 //	MIXED    a job shown as completed with a task that has not ended well
+//	BUDGET   a third start of a task after three workers have crashed under it
+//	GIVENUP  a job shown as failed of which no task failed often enough, or crashed two workers
 //	LOST     an accepted job that is not known, or has no last state long after all faults
 type checker struct {
-	mu     sync.Mutex
-	began  time.Time
-	jobs   map[string]*sentJob
-	runs   map[string]map[string]bool // by task: those that run, as life and number
-	done   map[string]bool
-	noted  map[string]bool
-	last   map[string]time.Time // the last start of each task
+	mu    sync.Mutex
+	began time.Time
+	jobs  map[string]*sentJob
+	runs  map[string]map[string]bool // by task: those that run, as life and number
+	done  map[string]bool
+	noted map[string]bool
+	last  map[string]time.Time // the last start of each task
+	// underCrash are the crashes under tasks that crash their workers, more the starts after too many;
+	// failures are the runs of each task that ended as failed.
+	underCrash, more, failures map[string]int
+
 	broken []string
 	story  []string
 }
@@ -36,12 +42,50 @@
 	// accepted, and answers that leave open whether it was.
 	accepted, unsure bool
 	cancelled        bool
+	// crashes is a task of it that crashes each worker that starts it.
+	crashes string
+}
+
+const (
+	crashesEnough, startsTooMany, crashesToFail = 3, 3, 2
+	// attempts is how often a task may fail, by the manifest.
+	attempts = 3
+)
+
+// crashes says whether a task crashes its workers.
+func (c *checker) crashes(task string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, _, _ := strings.Cut(task, ".")
+	return c.jobs[id] != nil && c.jobs[id].crashes == task
+}
+
+// crashed takes in that a worker crashed under such a task.
+func (c *checker) crashed(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.underCrash[task]++
+	c.line("crash %d under %s", c.underCrash[task], task)
+}
+
+// mayFail says whether a job has cause to be shown as failed.
+func (c *checker) mayFail(id string) bool {
+	if j := c.jobs[id]; j.crashes != "" && c.underCrash[j.crashes] >= crashesToFail {
+		return true
+	}
+	for task, n := range c.failures {
+		if strings.HasPrefix(task, id+".") && n >= attempts {
+			return true
+		}
+	}
+	return false
 }
 
 func newChecker() *checker {
 	return &checker{
 		began: time.Now(), jobs: map[string]*sentJob{}, runs: map[string]map[string]bool{}, done: map[string]bool{},
 		noted: map[string]bool{}, last: map[string]time.Time{},
+		underCrash: map[string]int{}, more: map[string]int{}, failures: map[string]int{},
 	}
 }
 
@@ -107,6 +151,11 @@
 	if len(c.runs[task]) > 0 {
 		c.breaks("TWICE", "%s starts %s, which runs: %v", life, task, c.runs[task])
 	}
+	if c.underCrash[task] >= crashesEnough {
+		if c.more[task]++; c.more[task] >= startsTooMany {
+			c.breaks("BUDGET", "%s starts %s, %d times more after %d workers crashed under it", life, task, c.more[task], crashesEnough)
+		}
+	}
 	if c.noted[task] {
 		c.breaks("TWICE", "%s starts %s, whose good end was acknowledged", life, task)
 	}
@@ -129,8 +178,11 @@
 	defer c.mu.Unlock()
 	c.line("%s ends %s run %d: %s", life, task, run, how)
 	delete(c.runs[task], fmt.Sprintf("%s run %d", life, run))
-	if how == howDone {
+	switch how {
+	case howDone:
 		c.done[task] = true
+	case "failed":
+		c.failures[task]++
 	}
 }
 
@@ -156,6 +208,9 @@
 	if status == 410 && j.accepted {
 		c.breaks("LOST", "%s is not known", id)
 	}
+	if state == "failed" && !c.mayFail(id) {
+		c.breaks("GIVENUP", "%s is shown as failed without cause", id)
+	}
 	if state != "completed" {
 		return
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -73,6 +73,12 @@
 	{"a worker carries orders out late", func(d *day, span time.Duration) {
 		d.mark(d.someWorker(), span, func(w *worker) *time.Time { return &w.late })
 	}},
+	{"a worker's room shrinks", func(d *day, span time.Duration) {
+		d.mark(d.someWorker(), span, func(w *worker) *time.Time { return &w.small })
+	}},
+	{"a worker's room is gone", func(d *day, span time.Duration) {
+		d.mark(d.someWorker(), span, func(w *worker) *time.Time { return &w.none })
+	}},
 	{"a worker's row is nonsense", func(d *day, span time.Duration) {
 		d.mark(d.someWorker(), span, func(w *worker) *time.Time { return &w.odd })
 	}},
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,8 +2,8 @@
 // the store, the workers and the callers, and strikes them with faults that come in series and
 // overlap: processes killed, paused, stopped as planned and told to read their settings; the
 // store away, slow, losing answers and forgetting its history; connections reset, silent for
-// good, or cut; workers that start again under their ids, leave, carry orders out late, and
-// write rows that nobody understands. A checker states the promises from what workers and
+// good, or cut; workers that start again under their ids, leave, carry orders out late, have less
+// room, and write rows that nobody understands; tasks that crash each worker that starts them. A checker states the promises from what workers and
 // callers saw.
 //
 //	make soak SEEDS=50           days one after the other, from seed 0
--- a/test/soak/worker_test.go
+++ b/test/soak/worker_test.go
@@ -39,8 +39,10 @@
 	// odd until when its row is nonsense, leaves until when it says that it leaves.
 	lives             int
 	late, odd, leaves time.Time
-	downSince         time.Time
-	over              chan struct{}
+	// small is until when most of its room is away, none until when all of it is.
+	small, none time.Time
+	downSince   time.Time
+	over        chan struct{}
 }
 
 // life is one process of a worker.
@@ -130,6 +132,45 @@
 	_ = l.server.Close()
 }
 
+const (
+	// crashAfter is how soon after its start a task crashes its worker that does so.
+	crashAfter = 20 * time.Millisecond
+	// crashBack is how long the worker is away then.
+	crashBack = 1500 * time.Millisecond
+)
+
+// crashUnder crashes a life under a task that does that, if it is still there, and begins the next one
+// after a while.
+func (w *worker) crashUnder(l *life, task string) {
+	w.mu.Lock()
+	there := w.life == l && l.runs[task] != nil
+	w.mu.Unlock()
+	if !there {
+		return
+	}
+	w.checker.crashed(task)
+	w.crash()
+	time.AfterFunc(crashBack, func() {
+		select {
+		case <-w.over:
+		default:
+			_ = w.begin() // at the end of a day its address may be gone
+		}
+	})
+}
+
+// room is what the worker has of its processors now.
+func (w *worker) room() int64 {
+	now := time.Now()
+	switch {
+	case now.Before(w.none):
+		return 0
+	case now.Before(w.small):
+		return taskCPU
+	}
+	return workerCPU
+}
+
 // beat writes the worker's row until the soak is over.
 func (w *worker) beat() {
 	for sequence := 1; ; sequence++ {
@@ -144,7 +185,7 @@
 		if now.Before(w.leaves) {
 			state = "draining"
 		}
-		odd, down := now.Before(w.odd), now.Sub(w.downSince)
+		odd, down, room := now.Before(w.odd), now.Sub(w.downSince), w.room()
 		w.mu.Unlock()
 		switch {
 		case l == nil && down > rowsKept:
@@ -155,7 +196,7 @@
 		default:
 			w.put(w.id, map[string]any{
 				"service": "pool", "address": w.front, "zone": w.hall, "version": "v1", "slots": 8, "state": state, "sequence": sequence,
-				"capacity": map[string]any{"cpu": workerCPU, "mem-mb": workerMemMB, "gpu": 0}, "labels": []string{"a", "r1"},
+				"capacity": map[string]any{"cpu": room, "mem-mb": workerMemMB, "gpu": 0}, "labels": []string{"a", "r1"},
 				"machine": "m-" + w.id, "born": l.born.UnixMilli(), "clock-ms": l.clock().Milliseconds(), "remaining-ms": 3000,
 			})
 		}
@@ -334,12 +375,15 @@
 	for _, r := range l.runs {
 		taken += r.cpu
 	}
-	if taken+taskCPU > workerCPU {
+	if taken+taskCPU > w.room() {
 		return refuse("room")
 	}
 	r := &run{number: o.Run, since: time.Now(), takes: time.Duration(30+w.rand.IntN(500)) * time.Millisecond, cpu: taskCPU}
 	l.runs[o.Task] = r
 	w.checker.started(l.name, o.Task, o.Run, o.Spec)
+	if w.checker.crashes(o.Task) {
+		time.AfterFunc(crashAfter, func() { w.crashUnder(l, o.Task) })
+	}
 	how := howDone
 	if w.rand.IntN(failsOne) == 0 {
 		how = "failed"
