--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -160,6 +160,7 @@
 	if t.Done || t.Unit.Job.Ended() || !t.Accuse(c) {
 		return
 	}
+	s.remember(t)
 	if c.Silent {
 		s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now})
 	}
@@ -169,10 +170,18 @@
 // trialNowhere holds against a task that a forerunner may have tried it and no worker lists a run.
 func (s *State) trialNowhere(now time.Time, t *jobs.Task) {
 	if t.LentTo == "" && t.TrialNowhere(s.wall) {
+		s.remember(t)
 		s.suspected(now, t, t.Crashes[len(t.Crashes)-1])
 	}
 }
 
+// remember keeps a task among those against which anything is held.
+func (s *State) remember(t *jobs.Task) {
+	if !slices.Contains(s.accused, t) {
+		s.accused = append(s.accused, t)
+	}
+}
+
 // suspected acts on what is held against a task since a moment ago.
 func (s *State) suspected(now time.Time, t *jobs.Task, c blame.Crash) {
 	j := t.Unit.Job
@@ -224,11 +233,13 @@
 	}
 }
 
-// recallSilent takes over from the record which workers had fallen silent under a job's runs.
-func (s *State) recallSilent(now time.Time, j *jobs.Job) {
+// recall takes over from the record what is held against a job's tasks, and which workers had fallen
+// silent under their runs.
+func (s *State) recall(now time.Time, j *jobs.Job) {
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
 			for _, c := range t.Crashes {
+				s.remember(t)
 				if c.Silent {
 					s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now})
 				}
@@ -249,12 +260,14 @@
 
 // clearSuspects clears tasks whose runs have run for far longer than any that ended with its worker.
 func (s *State) clearSuspects() {
-	for _, w := range s.sorted() {
-		if !w.SilentSince.IsZero() || w.Gone {
-			continue
-		}
-		for _, r := range w.Runs {
-			if len(r.Task.Crashes) > 0 && r.State == jobs.Running && blame.Outlived(r.Task.Crashes, ranFor(w, r)) {
+	s.accused = slices.DeleteFunc(s.accused, func(t *jobs.Task) bool { return len(t.Crashes) == 0 || t.Done || t.Unit.Job.Ended() })
+	for _, t := range s.accused {
+		for _, r := range t.Runs {
+			w := s.workers[r.Worker]
+			if w == nil || w.Gone || !w.SilentSince.IsZero() || r.State != jobs.Running {
+				continue
+			}
+			if blame.Outlived(t.Crashes, ranFor(w, r)) {
 				s.clearSuspect(w, r)
 			}
 		}
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -186,6 +186,7 @@
 		s.endJob(now, j, wire.JobPhase_JOB_PHASE_FAILED, r.GetFailed())
 		return
 	}
+	s.recall(now, j)
 	s.markDirty(j, true)
 	s.touch(now, j)
 	s.completeIfDone(now, j)
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -101,7 +101,7 @@
 	age := e.StoreNow - time.Duration(l.Spec.GetAcceptedStoreMs())*time.Millisecond
 	j := jobs.Restore(l.Spec, l.Progress, l.Recorded, now.Add(-max(0, age)), e.Wall)
 	j.Arrived(now)
-	s.recallSilent(now, j)
+	s.recall(now, j)
 	if j.Ended() {
 		j.EndedAt = now
 	}
@@ -216,6 +216,7 @@
 	}
 	if known := s.jobs[id]; known != nil {
 		if known.MoreGuests(e.Spec, now, s.settled || s.unsafe.NoSettling) {
+			s.recall(now, known)
 			s.touch(now, known)
 		}
 		return
@@ -224,6 +225,7 @@
 	j := jobs.New(e.Spec, now.Add(-max(0, age)))
 	j.Arrived(now)
 	s.jobs[id] = j
+	s.recall(now, j)
 	if !s.settled && !s.unsafe.NoSettling {
 		// A forerunner that does not know of its end yet may have been told of
 		// the job too, and have started it where we haven't been heard.
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -204,8 +204,9 @@
 	}
 	var best *workers.Worker
 	bestScore := 0.0
+	accused := len(t.Crashes) > 0
 	for _, w := range usable {
-		if !s.fits(now, t.Unit, service, w) || awaitsHost(now, t, w, usable) {
+		if !s.fits(now, t.Unit, service, w) || (accused && awaitsHost(now, t, w, usable)) {
 			continue
 		}
 		score := s.score(t, w)
@@ -241,7 +242,7 @@
 	u := t.Unit
 	total := float64(max(1, w.Capacity.Millicores))
 	switch {
-	case t.Suspected():
+	case len(t.Crashes) > 0 && t.Suspected():
 		score = suspectScore(w)
 	case u.Spec.GetFiller():
 		score = float64(w.Unused())/total - harmWeight*s.fillerHarm(u, w)
@@ -253,7 +254,7 @@
 	if rack := u.Spec.GetRack(); rack != "" && w.Rack != rack && !w.HasLabel(rack) {
 		score -= farPenalty
 	}
-	if t.AvoidWorker == w.ID || t.CrashedAt(w.Host) {
+	if t.AvoidWorker == w.ID || (len(t.Crashes) > 0 && t.CrashedAt(w.Host)) {
 		score -= avoidPenalty
 	}
 	return score
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -97,6 +97,8 @@
 	hostCrashes map[string][]hostCrash
 	// silent are runs whose workers fell silent.
 	silent []silentRun
+	// accused are the tasks against which anything is held, in the order in which that came to be.
+	accused []*jobs.Task
 	// closed are workers that nothing else may join, for a trial; kept those that are kept for one;
 	// trialsOut is how many are on. All as of one placing, but for kept.
 	closed    map[*workers.Worker]bool
@@ -193,6 +195,7 @@
 	s.settled = false
 	s.died, s.falls, s.silent, s.followedAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
+	s.accused = nil
 	s.closed, s.kept = map[*workers.Worker]bool{}, map[*jobs.Task]keptWorker{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
--- a/pkg/process/cell/suspects.go
+++ b/pkg/process/cell/suspects.go
@@ -34,16 +34,9 @@
 }
 
 func (s *State) eachAccused(do func(*jobs.Task)) {
-	for _, j := range s.jobs {
-		if j.Ended() {
-			continue
-		}
-		for _, u := range j.Units {
-			for _, t := range u.Tasks {
-				if len(t.Crashes) > 0 {
-					do(t)
-				}
-			}
+	for _, t := range s.accused {
+		if len(t.Crashes) > 0 && !t.Unit.Job.Ended() {
+			do(t)
 		}
 	}
 }
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -33,9 +33,9 @@
 func (s *State) closeForTrials(now time.Time) {
 	clear(s.closed)
 	s.trialsOut = 0
-	for _, w := range s.sorted() {
-		for _, r := range w.Runs {
-			if r.OnTrial {
+	for _, t := range s.accused {
+		for _, r := range t.Runs {
+			if w := s.workers[r.Worker]; r.OnTrial && w != nil {
 				s.closed[w] = true
 				s.trialsOut++
 			}
