--- a/pkg/clock/watch.go
+++ b/pkg/clock/watch.go
@@ -8,12 +8,13 @@
 const (
 	// watchEvery is how often a Watch looks whether the host was suspended.
 	watchEvery = 500 * time.Millisecond
-	// sleptLeast is the least suspension that it tells of: connections outlast shorter ones.
-	sleptLeast = 500 * time.Millisecond
+	// sleptLeast is the least suspension that counts: two clocks are not read in the same moment, and
+	// what a host does in less it does on a slow processor, too.
+	sleptLeast = 50 * time.Millisecond
 )
 
 // Slept is how long a host was suspended between two moments, given the time that passed by a clock
-// that counts suspensions, and by one that does not.
+// that counts suspensions, and by one that does not; 0: not for long enough to count.
 func Slept(passed, steady time.Duration) time.Duration {
 	if passed-steady < sleptLeast {
 		return 0
