--- a/pkg/process/blame/accuse.go
+++ b/pkg/process/blame/accuse.go
@@ -71,7 +71,7 @@
 	list := make([]*Crash, len(l.Runs))
 	many := l.Lives >= Many(l.Workers)
 	for i, r := range l.Runs {
-		c := &Crash{Worker: l.Worker, Host: l.Host, Born: l.Born, Run: r.Run, Began: r.Began, Age: r.Age, Lives: l.Lives, Outside: many || l.Dark || (!r.Trial && (r.HostFails || r.Elsewhere >= common(l.Workers))), Silent: l.Silent, At: l.At}
+		c := &Crash{Worker: l.Worker, Host: l.Host, Born: l.Born, Run: r.Run, Began: r.Began, Trial: r.Trial, Age: r.Age, Lives: l.Lives, Outside: many || l.Dark || (!r.Trial && (r.HostFails || r.Elsewhere >= common(l.Workers))), Silent: l.Silent, At: l.At}
 		for j, other := range l.Runs {
 			if j == i {
 				continue
--- a/pkg/process/blame/blame.go
+++ b/pkg/process/blame/blame.go
@@ -35,8 +35,11 @@
 	// or crashes are common.
 	Lives   int
 	Outside bool
-	// Again says that the task had run at this host, too, when it crashed before.
+	// Again says that the task had run at this host, too, when it crashed before; not of a trial, for
+	// which all other hosts were weighed.
 	Again bool
+	// Trial says that the run was tried alone.
+	Trial bool
 	// Silent says that the worker only fell silent so far: it may be cut off.
 	Silent bool
 	// At is the time of day, for people.
--- a/pkg/process/cell/crashes_test.go
+++ b/pkg/process/cell/crashes_test.go
@@ -400,3 +400,37 @@
 	f.run(6 * time.Second)
 	must.Eq(t, 1, f.done([]string{id}))
 }
+
+// In a cell of few workers all of them have crashed under the task by the time that it is tried, and one
+// crash was lost with its leader: one more, alone, at a host that runs well without it, still names it.
+func TestAFewWorkersAreEnoughToNameATask(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	for _, id := range []string{"w3", "w4", "w5"} {
+		delete(f.workers, id)
+	}
+	f.lead()
+	f.run(time.Second)
+	ids := []string{f.accept(1, oneTask()), f.accept(2, oneTask())}
+	for _, id := range ids {
+		f.guilty[id+".0.0.0"] = 20 * time.Millisecond
+	}
+	f.run(40 * time.Millisecond)
+	f.lead() // the first crash was not noticed yet
+	for range 400 {
+		f.run(10 * time.Millisecond)
+		if len(f.starts[ids[0]+".0.0.0"]) == 3 {
+			break
+		}
+	}
+	for _, w := range f.sorted() { // others crash in the same moment as under the third start
+		if _, runs := w.runs[ids[0]+".0.0.0"]; !runs && !w.gone {
+			f.end(w, time.Second)
+		}
+	}
+	f.run(80 * time.Second)
+	for _, id := range ids {
+		must.StrContains(t, f.ended[id], "workers that ran it")
+		must.LessEq(t, 5, len(f.starts[id+".0.0.0"]))
+	}
+}
--- a/pkg/process/jobs/suspicion.go
+++ b/pkg/process/jobs/suspicion.go
@@ -40,7 +40,7 @@
 		t.Resolve(c.Worker, c.Run, true)
 		return true
 	}
-	c.Again = t.CrashedAt(c.Host)
+	c.Again = t.CrashedAt(c.Host) && !c.Trial
 	t.Crashes = append(slices.Clone(t.Crashes), c)
 	if len(t.Crashes) > maxCrashes {
 		t.Crashes = t.Crashes[1:]
@@ -116,7 +116,7 @@
 	for _, c := range crashes {
 		list = append(list, &wire.CrashNote{
 			Worker: c.Worker, Run: c.Run, AgeMs: c.Age.Milliseconds(), Company: int32(c.Company), Excused: c.Excused,
-			Lives: int32(c.Lives), Outside: c.Outside, Silent: c.Silent, UnixMs: c.At.UnixMilli(), Born: c.Born, Host: c.Host, Began: c.Began,
+			Lives: int32(c.Lives), Outside: c.Outside, Silent: c.Silent, UnixMs: c.At.UnixMilli(), Born: c.Born, Host: c.Host, Began: c.Began, Again: c.Again,
 		})
 	}
 	return list
@@ -124,14 +124,11 @@
 
 func crashesOf(notes []*wire.CrashNote) []blame.Crash {
 	var list []blame.Crash
-	hosts := map[string]bool{}
 	for _, n := range notes {
 		list = append(list, blame.Crash{
-			Again:  n.GetHost() != "" && hosts[n.GetHost()],
 			Worker: n.GetWorker(), Run: n.GetRun(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond, Company: int(n.GetCompany()), Excused: n.GetExcused(),
-			Lives: int(n.GetLives()), Outside: n.GetOutside(), Silent: n.GetSilent(), At: time.UnixMilli(n.GetUnixMs()), Born: n.GetBorn(), Host: n.GetHost(), Began: n.GetBegan(),
+			Lives: int(n.GetLives()), Outside: n.GetOutside(), Silent: n.GetSilent(), At: time.UnixMilli(n.GetUnixMs()), Born: n.GetBorn(), Host: n.GetHost(), Began: n.GetBegan(), Again: n.GetAgain(),
 		})
-		hosts[n.GetHost()] = true
 	}
 	return list
 }
