--- /dev/null
+++ b/pkg/process/cell/crashfleet_test.go
@@ -0,0 +1,247 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// crashFleet is a leader with six workers, some tasks that crash each worker that runs them, and a
+// table that answers at once.
+type crashFleet struct {
+	state   *cell.State
+	now     time.Time
+	workers map[string]*crashWorker
+	// guilty are tasks by how long they need to crash their worker.
+	guilty map[string]time.Duration
+	starts map[string][]string // workers by task
+	crash  map[string]int      // crashes by worker
+	ended  map[string]string   // reasons of jobs that were given up
+	// rows are what the table holds of jobs.
+	rows    map[string]*wire.JobProgress
+	specs   []*wire.JobSpec
+	version int64
+	epoch   int64
+	deaf    bool // the table does not answer
+}
+
+type crashWorker struct {
+	id     string
+	born   int64
+	upAt   time.Time
+	runs   map[string]crashRun
+	ended  []workers.End
+	number int64
+	offset time.Duration
+	gone   bool // it is down
+}
+
+type crashRun struct {
+	number    int64
+	beganAt   time.Time
+	needs     time.Duration
+	crashesAt time.Time
+}
+
+const (
+	crashStep = 10 * time.Millisecond
+	// crashBack is how long a worker is down after a crash, as seen.
+	crashBack = 3 * time.Second
+	// crashNeeds is what a task takes that ends well.
+	crashNeeds = 500 * time.Millisecond
+)
+
+func newCrashFleet() *crashFleet {
+	f := &crashFleet{
+		now: time.Unix(1000, 0), workers: map[string]*crashWorker{}, guilty: map[string]time.Duration{}, starts: map[string][]string{},
+		crash: map[string]int{}, ended: map[string]string{}, rows: map[string]*wire.JobProgress{},
+	}
+	for i := range 6 {
+		id := fmt.Sprintf("w%d", i)
+		f.workers[id] = &crashWorker{id: id, born: 1, runs: map[string]crashRun{}, offset: time.Hour}
+	}
+	f.lead()
+	f.run(time.Second)
+	return f
+}
+
+// lead makes a new process lead, which knows only what the table holds.
+func (f *crashFleet) lead() {
+	f.epoch++
+	f.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	f.state.Take(f.now, cell.ManifestChanged{Manifest: theManifest})
+	f.list()
+	var roster []*wire.RosterEntry
+	var ids []string
+	for _, w := range f.sorted() {
+		roster = append(roster, &wire.RosterEntry{Id: w.id, Address: w.id, Host: w.id, Service: "quotes"})
+		ids = append(ids, w.id)
+	}
+	loaded := cell.Loaded{Epoch: f.epoch, Fences: someFences(), Wall: f.now, Roster: roster}
+	for _, spec := range f.specs {
+		loaded.Jobs = append(loaded.Jobs, cell.LoadedJob{Spec: spec, Progress: f.rows[spec.GetId()], Recorded: f.version})
+	}
+	f.state.Take(f.now, cell.Led{Epoch: f.epoch, RosterUntil: f.now.Add(5 * time.Second)})
+	f.state.Take(f.now, loaded)
+	f.state.Take(f.now, cell.RosterRecorded{IDs: ids})
+}
+
+func (f *crashFleet) sorted() []*crashWorker {
+	var list []*crashWorker
+	for _, w := range f.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *crashWorker) int { return strings.Compare(a.id, b.id) })
+	return list
+}
+
+func (f *crashFleet) list() {
+	var records []workers.Record
+	for _, w := range f.sorted() {
+		records = append(records, workers.Record{
+			ID: w.id, Born: w.born, Service: "quotes", Address: w.id, Hall: "hall", Ready: true, Host: w.id,
+			Capacity: ledger.Size{Millicores: 8000, MemoryMB: 32000},
+		})
+	}
+	f.state.Take(f.now, cell.WorkersListed{Records: records})
+}
+
+// accept hands in a job of one step.
+func (f *crashFleet) accept(i int, step *wire.StepSpec) string {
+	spec := &wire.JobSpec{Id: fmt.Sprintf("%016x", i), Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{step}}
+	f.specs = append(f.specs, spec)
+	f.state.Take(f.now, cell.Accepted{Spec: spec})
+	return spec.GetId()
+}
+
+func oneTask() *wire.StepSpec { return &wire.StepSpec{Count: 1, Millicores: 1000, EstimateMs: 500} }
+
+// run lets time pass, with what workers and the table answer.
+func (f *crashFleet) run(span time.Duration) {
+	for until := f.now.Add(span); f.now.Before(until); {
+		f.now = f.now.Add(crashStep)
+		for _, w := range f.sorted() {
+			f.work(w)
+		}
+		f.state.Take(f.now, cell.Tick{})
+		if !f.deaf {
+			f.state.Take(f.now, cell.Confirmed{At: f.now})
+		}
+		for _, e := range f.state.Decide(f.now, f.now) {
+			f.answer(e)
+		}
+	}
+}
+
+// work ends runs that are done, and the life of a worker under a task that crashes it.
+func (f *crashFleet) work(w *crashWorker) {
+	if w.gone {
+		if !f.now.Before(w.upAt) {
+			w.gone, w.born, w.number, w.offset, w.ended = false, w.born+1, 0, 0, nil
+			f.list()
+		}
+		return
+	}
+	for task, r := range w.runs {
+		if !r.crashesAt.IsZero() && !f.now.Before(r.crashesAt) {
+			f.end(w, crashBack)
+			return
+		}
+		if r.crashesAt.IsZero() && f.now.Sub(r.beganAt) >= r.needs {
+			delete(w.runs, task)
+			w.number++
+			w.ended = append(w.ended, workers.End{Number: w.number, Task: task, Run: r.number, How: workers.EndedDone})
+		}
+	}
+}
+
+// end ends a worker's life.
+func (f *crashFleet) end(w *crashWorker, span time.Duration) {
+	f.crash[w.id]++
+	w.gone, w.upAt, w.runs = true, f.now.Add(span), map[string]crashRun{}
+}
+
+func (f *crashFleet) answer(e cell.Effect) {
+	switch e := e.(type) {
+	case cell.SendLook:
+		f.answerLook(e)
+	case cell.SendStart:
+		f.answerStart(e)
+	case cell.Record:
+		f.answerRecord(e)
+	case cell.Note:
+		if e.What == cell.NoteJobEnded && strings.Contains(e.Detail, "FAILED") {
+			f.ended[e.Job] = e.Detail
+		}
+	default:
+	}
+}
+
+func (f *crashFleet) answerLook(e cell.SendLook) {
+	w := f.workers[e.To.ID]
+	looked := cell.Looked{Worker: e.To.ID, SentAt: f.now}
+	if w.gone {
+		looked.Err = fault.New(fault.Unknown, w.id, "EOF", "")
+		f.state.Take(f.now, looked)
+		return
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(end workers.End) bool { return e.To.Born == w.born && end.Number <= e.Look.Recorded })
+	looked.Report = workers.Report{Born: w.born, Clock: w.offset + f.now.Sub(time.Unix(1000, 0)), Ended: slices.Clone(w.ended)}
+	for task, r := range w.runs {
+		looked.Report.Active = append(looked.Report.Active, workers.Active{Task: task, Run: r.number, Percent: int(f.now.Sub(r.beganAt) / crashStep)})
+	}
+	f.state.Take(f.now, looked)
+}
+
+func (f *crashFleet) answerStart(e cell.SendStart) {
+	w := f.workers[e.To.ID]
+	started := cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: w.offset + f.now.Sub(time.Unix(1000, 0))}}
+	if w.gone || (e.To.Born != 0 && e.To.Born != w.born) {
+		started.Reply, started.Err = workers.Reply{}, fault.New(fault.Unknown, w.id, "EOF", "")
+	} else {
+		r := crashRun{number: e.Start.Run, beganAt: f.now, needs: crashNeeds}
+		if after, guilty := f.guilty[e.Start.Task]; guilty {
+			r.crashesAt = f.now.Add(after)
+		}
+		w.runs[e.Start.Task] = r
+		f.starts[e.Start.Task] = append(f.starts[e.Start.Task], w.id)
+	}
+	f.state.Take(f.now, started)
+}
+
+func (f *crashFleet) answerRecord(e cell.Record) {
+	answered := cell.RecordAnswered{Part: e.Part, Serial: e.Serial}
+	if f.deaf {
+		answered.Err = fault.New(fault.Unknown, "table", "no answer", "")
+	} else {
+		f.version++
+		answered.Committed = table.Committed{Version: f.version}
+		for _, r := range e.Transaction.Puts {
+			p := &wire.JobProgress{}
+			if r.Table == rows.ProgressTable("hall") && rows.Read(r, p) == nil {
+				f.rows[r.Key.Key] = p
+			}
+		}
+	}
+	f.state.Take(f.now, answered)
+}
+
+// done is how many jobs of the given ones are recorded as completed.
+func (f *crashFleet) done(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if f.rows[id].GetPhase() == wire.JobPhase_JOB_PHASE_COMPLETED {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/process/cell/settling_test.go
@@ -0,0 +1,105 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Another cell had given a task back, and a leader started it at once, at a worker that its successor
+// does not hear. The row that gave it back still stood, so the successor took it back once more, as
+// one that is surely nowhere, and started it beside the run:
+//
+//	17.598 hall-0 at host-2: task-taken-back, 17.600 worker-6 starts ...0.0.0 run 3000052
+//	19.839 hall-0 at host-0: task-taken-back, 19.854 worker-4 starts ...0.0.0 run 6000001
+func TestATaskThatWasGivenBackBeforeATakeoverMayRunAlready(t *testing.T) {
+	t.Parallel()
+	spec := &wire.JobSpec{Id: "00000000000000aa", Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	lent := &wire.JobProgress{Id: spec.GetId(), Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitProgress{{Notes: []*wire.TaskNote{{LentTo: "other", Lending: 1}}}}}
+	v := newTakeoverOf(15*time.Second, cell.LoadedJob{Spec: spec, Progress: lent, Recorded: 3},
+		&wire.ReturnedTasks{Id: spec.GetId(), From: "other", Home: "hall", Tasks: []*wire.TaskRef{{Lending: 1}}})
+	_, started := v.run(14 * time.Second)
+	must.False(t, started)
+	_, started = v.run(2 * time.Second)
+	must.True(t, started)
+}
+
+// A time of a repeating job falls due after a takeover, before it is known what forerunners started: it
+// falls due for one that has been suspended, too, when it wakes.
+func TestATimeThatFallsDueBeforeATakeoverIsSettledWaits(t *testing.T) {
+	t.Parallel()
+	spec := &wire.JobSpec{
+		Id: "00000000000000aa", Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}},
+		Repeats: 1, FirstUnixMs: time.Unix(1002, 0).UnixMilli(), IntervalMs: 1000,
+	}
+	v := newTakeoverOf(15*time.Second, cell.LoadedJob{Spec: spec})
+	_, started := v.run(14 * time.Second)
+	must.False(t, started)
+	_, started = v.run(2 * time.Second)
+	must.True(t, started)
+}
+
+// More times of a job are lent to a cell right after a takeover: its forerunner hears of them, too.
+func TestTimesThatAreLentBeforeATakeoverIsSettledWait(t *testing.T) {
+	t.Parallel()
+	spec := func(times int32) *wire.JobSpec {
+		s := &wire.JobSpec{
+			Id: "00000000000000aa", Cell: "hall", Home: "other", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}},
+			Repeats: 3, FirstUnixMs: time.Unix(900, 0).UnixMilli(), IntervalMs: 1000,
+		}
+		for n := range times {
+			s.Guest = append(s.Guest, &wire.TaskRef{Time: n, Lending: 1})
+		}
+		return s
+	}
+	v := newTakeoverOf(15*time.Second, cell.LoadedJob{Spec: spec(1)})
+	v.state.Take(v.now, cell.Accepted{Spec: spec(2)})
+	_, started := v.run(14 * time.Second)
+	must.False(t, started)
+	_, started = v.run(2 * time.Second)
+	must.True(t, started)
+}
+
+// The forerunner says that it is over, but it led for a moment only: the leader before it is suspended, and
+// goes on when it wakes.
+func TestAForerunnerThatIsOverSaysNothingOfThoseBeforeIt(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.state.Take(v.now, cell.Led{Epoch: 2, RosterUntil: v.now.Add(15 * time.Second), EarlierUntil: v.now.Add(12 * time.Second)})
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	v.state.Take(v.now, cell.Loaded{
+		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
+		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
+	})
+	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 2})
+	_, started := v.run(11 * time.Second)
+	must.False(t, started)
+	_, started = v.run(2 * time.Second)
+	must.True(t, started)
+}
+
+// A host that was suspended for longer than its tenure meets an answer before its timer: nothing more is
+// ordered, and it steps down.
+func TestALeaderPastItsTenureOrdersNothing(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.state.Take(b.now, cell.Confirmed{At: b.now, Until: b.now.Add(12 * time.Second)})
+	b.state.Decide(b.now, b.now)
+	woke := b.now.Add(13 * time.Second)
+	b.state.Take(woke, cell.Accepted{Spec: &wire.JobSpec{Id: "00000000000000ff", Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 10}}}})
+	stepped := false
+	for _, e := range b.state.Decide(woke, woke) {
+		switch e.(type) {
+		case cell.Note:
+		case cell.StepDown:
+			stepped = true
+		default:
+			t.Errorf("%T", e)
+		}
+	}
+	must.True(t, stepped)
+}
