--- a/pkg/process/blame/blame.go
+++ b/pkg/process/blame/blame.go
@@ -96,6 +96,8 @@
 	// endedAfter is the same for a run that ended otherwise: no more can come of it.
 	endedAfter = 500 * time.Millisecond
 
+	// suspectWeight and trialWeight are from which weight on a task is kept apart, and tried alone: one
+	// crash has ten innocent neighbours, two in a row have few.
 	suspectWeight = whole
 	trialWeight   = 2 * whole
 	// guiltyWeight is that of one crash and two with a likely cause outside.
@@ -104,8 +106,8 @@
 	trialCrashes = 3
 	// trialSoon is the same where runs had just begun.
 	trialSoon = 2
-	// alikeCrashes is after how many crashes of other hosts at about the same age, the last alone, a task is given
-	// up whatever else may have caused them.
+	// alikeCrashes is after how many crashes of different hosts at about the same age, the last alone, a
+	// task is given up, whatever else may have caused them.
 	alikeCrashes = 4
 	// sameAge is how far such ages differ: they are known to the half second of a look.
 	sameAge = time.Second
