--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -28,6 +28,8 @@
 	frozenUntil time.Time
 	// suspended is for how long it was suspended in all.
 	suspended time.Duration
+	// suspendedUntil is until when it is.
+	suspendedUntil time.Time
 	// linkFreeAt is when all that was sent so far has left the host.
 	linkFreeAt time.Time
 	storeAt    time.Duration
@@ -139,6 +141,9 @@
 }
 
 func (h *host) freeze(span time.Duration) {
+	if h.world.now.Add(span).Before(h.suspendedUntil) {
+		return // it stands still for longer than that already
+	}
 	if h.up {
 		h.world.logf("%s freezes for %s", h.name, span)
 		h.frozenUntil = h.world.now.Add(span)
@@ -152,6 +157,7 @@
 		h.world.logf("%s is suspended for %s", h.name, span)
 		h.frozenUntil = h.world.now.Add(span)
 		h.suspended += span
+		h.suspendedUntil = h.frozenUntil
 	}
 }
 
