--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -96,7 +96,8 @@
 	}
 	w := s.kept[t].worker
 	delete(s.closed, w) // to others, not to this task
-	if s.usable(now, w) && settledAt(w) && suspectsAt(w) == 0 && s.fits(now, t.Unit, service, w) && s.trialRecorded(t) {
+	fit := s.usable(now, w) && settledAt(w) && suspectsAt(w) == 0 && s.fits(now, t.Unit, service, w)
+	if fit && s.trialRecorded(t) {
 		delete(s.kept, t)
 		return w
 	}
@@ -170,17 +171,6 @@
 	return score
 }
 
-// takeKept returns the worker that is kept for a task once it is fit for the trial.
-func (s *State) takeKept(now time.Time, t *jobs.Task, service string, w *workers.Worker) *workers.Worker {
-	delete(s.closed, w) // to others, not to this one
-	if s.usable(now, w) && settledAt(w) && suspectsAt(w) == 0 && s.fits(now, t.Unit, service, w) {
-		delete(s.kept, t)
-		return w
-	}
-	s.closed[w] = true
-	return nil
-}
-
 // settledAt says whether all that runs at a worker has been there for a while.
 func settledAt(w *workers.Worker) bool {
 	for _, r := range w.Runs {
