A host that knows no peer asks the table straight, also after failures

While the stand-in loses answers, the lease renewal and the hand-in's commit both go unanswered; two failures send the next calls to peers first. The reading that settles the hand-in then asked nobody, for the only host of a deployment has no peers, though the table reads well. Ruled out: the load as such. The order of two calls decides it; the new test shows the same error without load and without a clock. Change: where no peer is known the straight way is taken.

--- a/pkg/connection/store/store.go
+++ b/pkg/connection/store/store.go
@@ -171,7 +171,8 @@
 }
 
 // either tries both ways. What is known of the outcome is the weaker of what
-// the tries tell: once one may have taken effect, nothing is "not run".
+// the tries tell: once one may have taken effect, nothing is "not run". Where no
+// peer is known the straight way is taken, whatever it did before.
 func (c *Client) either(ctx context.Context, what string, peerLimit time.Duration, straight func(context.Context) (time.Duration, error), through func(context.Context, Peer) (time.Duration, error)) error {
 	var unknown, last error
 	keep := func(err error) {
@@ -180,7 +181,8 @@
 			unknown = err
 		}
 	}
-	if !c.avoid() {
+	peers := c.peers()
+	if !c.avoid() || len(peers) == 0 {
 		err := c.straight(ctx, straight)
 		c.directDone(err)
 		c.count(what, err)
@@ -189,7 +191,7 @@
 		}
 		keep(err)
 	}
-	for _, p := range c.peers() {
+	for _, p := range peers {
 		if ctx.Err() != nil {
 			break
 		}
@@ -206,7 +208,7 @@
 	case last != nil:
 		return last
 	}
-	return fault.New(fault.NotRun, "table", "it was not answering and no peer is known", "ask again")
+	return fault.New(fault.NotRun, "table", "no peer was asked within the time there was", "ask again")
 }
 
 // straight makes a call of the table itself, for as long as something comes of it.
--- /dev/null
+++ b/pkg/connection/store/store_test.go
@@ -0,0 +1,47 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/clock"
+	"github.com/wrenferry/wrenferry/pkg/connection/store"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/table"
+)
+
+// losing is a table that makes commits and loses their answers, and reads.
+type losing struct{ reads int }
+
+func (l *losing) Commit(context.Context, table.Transaction) (table.Committed, error) {
+	return table.Committed{}, fault.New(fault.Unknown, "table", "the answer was lost", "read it")
+}
+
+func (l *losing) Read(context.Context, table.Range) (table.Page, error) {
+	l.reads++
+	return table.Page{}, nil
+}
+
+func (l *losing) Changes(context.Context, string, int64, time.Duration) (table.Page, error) {
+	return table.Page{}, nil
+}
+
+// Two commits without an answer send the next calls to peers first. Where no
+// peer is known the straight way is the only one, so it is taken.
+func TestAHostWithoutPeersAsksTheTableStraightAlsoAfterFailures(t *testing.T) {
+	t.Parallel()
+	l := &losing{}
+	c := store.New(l, func() []store.Peer { return nil }, metrics.NewRegistry(), clock.Now())
+	for range 2 {
+		_, err := c.Commit(t.Context(), table.Transaction{})
+		must.Eq(t, fault.Unknown, fault.CodeOf(err))
+	}
+	must.True(t, c.Avoiding())
+	_, err := c.Read(t.Context(), table.Range{})
+	must.NoError(t, err)
+	must.Eq(t, 1, l.reads)
+}
