What is held against tasks: one place each for two pieces of logic; clearer words

Cause: read again as a newcomer. Ruled out: a change of behaviour, the conditions are the same. Shown: process, cli and emulator packages, linters, pages.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -161,9 +161,7 @@
 		return
 	}
 	s.remember(t)
-	if c.Silent {
-		s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now})
-	}
+	s.watchSilent(now, t, c)
 	s.suspected(now, t, c)
 }
 
@@ -240,14 +238,19 @@
 		for _, t := range u.Tasks {
 			for _, c := range t.Crashes {
 				s.remember(t)
-				if c.Silent {
-					s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now})
-				}
+				s.watchSilent(now, t, c)
 			}
 		}
 	}
 }
 
+// watchSilent keeps a run whose worker fell silent until it is known whether that has crashed.
+func (s *State) watchSilent(now time.Time, t *jobs.Task, c blame.Crash) {
+	if c.Silent {
+		s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now})
+	}
+}
+
 // forgetSilent drops runs of silent workers that nothing more is to be learned of.
 func (s *State) forgetSilent(now time.Time) {
 	s.silent = slices.DeleteFunc(s.silent, func(r silentRun) bool { return now.Sub(r.at) >= silentKept })
--- a/pkg/process/cell/lend_short.go
+++ b/pkg/process/cell/lend_short.go
@@ -48,7 +48,7 @@
 	}
 	var fresh []*jobs.Task
 	for _, t := range u.Waiting(now) {
-		if len(t.FailedRuns) == 0 && t.Checkpoint == "" && !t.Tried && len(t.Crashes) == 0 {
+		if !hasRun(t) {
 			fresh = append(fresh, t)
 		}
 	}
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -87,7 +87,7 @@
 	{NoteWorkerLife, "another life of a worker answers than the one that is known; detail: when each began, and their clocks"},
 	{NoteWorkerRoom, "a worker says otherwise of its room than before; detail: the room, the one before, what is left"},
 	{NoteWorkerGone, "a worker's life is over; detail: why"},
-	{NoteWorkerCrashed, "a worker's life ended by itself with runs there, or fell silent until they were surely over; detail: how many others fell silent in that moment, the runs and how long each had run at least"},
+	{NoteWorkerCrashed, "a worker's life ended by itself with runs there, or it stopped answering; detail: whether it is only silent, how many others fell silent in that moment, the runs and how long each had run at least"},
 	{NoteSuspected, "a task is suspected of crashing workers; detail: how much, after how many crashes, what this one says"},
 	{NoteCleared, "a task is no longer suspected; detail: why"},
 	{NoteWorkerLeaves, "a worker takes no new work; detail: time left"},
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -262,7 +262,7 @@
 // longestGrant is the longest lease that a leader grants, by any clock.
 const longestGrant = cell.LongestLease + cell.LongestLease/10
 
-// earlierUntil is the same for the leaders before that forerunner.
+// earlierUntil is when the last lease that leaders before that forerunner could have granted is over.
 func earlierUntil(now time.Time, change election.Change) time.Time {
 	if change.Earlier <= 0 {
 		return now
--- a/pkg/process/jobs/suspicion.go
+++ b/pkg/process/jobs/suspicion.go
@@ -11,7 +11,8 @@
 // What crashes of workers say of a task: see the package blame.
 
 // Trial is how far the record is that a task may be tried alone. It must stand before the run is
-// ordered, and is made when there is a worker for it: a successor that finds the run nowhere then knows that it may have ended its worker.
+// ordered, and is made when there is a worker for it: a successor that finds the run nowhere then knows
+// that it may have ended its worker.
 type Trial int
 
 // The states of a trial.
