Log each second why a lasting task waits

Cause for the change: of the hypotheses about lasting tasks that were not restarted, four left no line in the log: a task that is not settled after a takeover, that awaits a crash verdict, whose table does not answer, or that another cell has just returned.

Change: the event lasting-task-waits, once a second for each lasting task without a run (six lines a second at most), with the reason as an enum, the wait in ms, and how often the task fits into free capacity of this cell and of others. `wrenferry logs` prints it.

--- a/pkg/cli/logs.go
+++ b/pkg/cli/logs.go
@@ -44,6 +44,10 @@
 	Path   string    `json:"path,omitempty"`
 	Status int       `json:"status,omitempty"`
 	Lines  int64     `json:"lines,omitempty"`
+	// Reason is why a lasting task waits; it fits so often here and in other cells.
+	Reason        string `json:"reason,omitempty"`
+	FitsHere      int64  `json:"fits_here,omitempty"`
+	FitsElsewhere int64  `json:"fits_elsewhere,omitempty"`
 }
 
 // cellEvents are about a cell as a whole: they matter to each of its jobs.
@@ -158,6 +162,7 @@
 	}
 	add(l.Detail != "", "%s", l.Detail)
 	add(l.Why != "", "%s", l.Why)
+	add(l.Reason != "", "%s; fits %d times here, %d elsewhere", l.Reason, l.FitsHere, l.FitsElsewhere)
 	add(l.Status != 0, "status %d", l.Status)
 	add(l.Lines != 0, "%d lines are missing here", l.Lines)
 	if l.AgeMs != nil {
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -230,6 +230,10 @@
 	// AgeMs is how old the information was, where that matters; -1: it has none.
 	AgeMs int64
 	Code  fault.Code
+	// Reason is why a lasting task waits, and how often it fits into the free capacity of this
+	// cell's workers and of other cells.
+	Reason                  WaitReason
+	FitsHere, FitsElsewhere int64
 }
 
 func (Load) effect()      {}
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -18,6 +18,7 @@
 	NoteJobRecorded   What = "job-recorded"
 	NoteRecordFailed  What = "record-failed"
 	NoteWaits         What = "task-waits"
+	NoteLastingWaits  What = "lasting-task-waits"
 	NoteStart         What = "task-start"
 	NoteStartRefused  What = "task-start-refused"
 	NoteStartUnsure   What = "task-start-unsure"
@@ -68,6 +69,7 @@
 	{NoteJobRecorded, "the table holds a job's last state: callers are told from now on"},
 	{NoteRecordFailed, "progress could not be written, and is tried again"},
 	{NoteWaits, "a task that could start finds no place for long; detail: what each usable worker lacks, the wait"},
+	{NoteLastingWaits, "a lasting task has no run, told each second; age_ms: since its last run; reason; fits_here, fits_elsewhere: how often it fits into free capacity of this cell's workers and of other cells"},
 	{NoteStart, "a task is ordered to start; detail: wait, room left, checkpoint"},
 	{NoteStartRefused, "the worker refused the start; detail: why"},
 	{NoteStartUnsure, "the start got no answer: it may run"},
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -158,6 +158,8 @@
 	// as of roomsAt.
 	fillerRooms, fillerFrees map[string]int64
 	roomsAt                  time.Time
+	// waitsNotedAt is when the log last said why lasting tasks wait.
+	waitsNotedAt time.Time
 	// roomy says that much of the cell's room is free, likewise.
 	roomy bool
 	// held are workers whose room is kept for lasting tasks, likewise.
@@ -321,6 +323,7 @@
 		s.leave(now)
 		s.lend(now)
 		s.pace(now)
+		s.noteLastingWaits(now)
 	}
 	s.stopUnwanted(now)
 	s.forgetEnded(now)
--- /dev/null
+++ b/pkg/process/cell/waits_test.go
@@ -0,0 +1,68 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// waitReasons are the reasons that the log gives for the waits of lasting tasks, in order.
+func (b *busyCell) waitReasons() []cell.WaitReason {
+	var list []cell.WaitReason
+	for _, n := range b.notes {
+		if n.What == cell.NoteLastingWaits {
+			list = append(list, n.Reason)
+		}
+	}
+	return list
+}
+
+// The log tells each second which condition keeps a lasting task from running.
+func TestTheLogSaysWhyALastingTaskWaits(t *testing.T) {
+	t.Parallel()
+	lasting := &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"}
+	free := &wire.CellLoad{Leading: true, Cell: "other", LargestFreeMillicores: 32000, FreeMillicores: 64000, FreeEach: []int64{32000, 32000}}
+	for _, c := range []struct {
+		name  string
+		other *wire.CellLoad
+		down  bool
+		want  cell.WaitReason
+	}{
+		{"no cell has capacity", nil, false, cell.WaitCapacity},
+		{"another cell has capacity", free, false, cell.WaitDelegation},
+		{"the table is away", free, true, cell.WaitTable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBusyCell()
+			b.down = c.down
+			b.step(300 * time.Millisecond)
+			b.accept("00000000000000ff", "watches", lasting)
+			b.notes = nil
+			for range 90 {
+				if c.other != nil {
+					b.state.Take(b.now, cell.OtherLoad{Load: c.other})
+				}
+				b.step(20 * time.Millisecond)
+			}
+			must.SliceContains(t, b.waitReasons(), c.want)
+			must.SliceLen(t, 1, b.waitReasons(), must.Sprint("once a second, after the first one"))
+		})
+	}
+}
+
+// Lines are bounded however many lasting tasks wait.
+func TestTheLogOfLastingWaitsIsBounded(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.accept("00000000000000ff", "watches", &wire.StepSpec{Count: 40, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	b.notes = nil
+	for range 150 {
+		b.step(20 * time.Millisecond)
+	}
+	must.Between(t, 1, len(b.waitReasons()), 18)
+}
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -176,6 +176,9 @@
 	if n.AgeMs >= 0 {
 		fields["age_ms"] = n.AgeMs
 	}
+	if n.Reason != "" {
+		fields["reason"], fields["fits_here"], fields["fits_elsewhere"] = string(n.Reason), n.FitsHere, n.FitsElsewhere
+	}
 	metrics.GetOrRegisterCounter("note."+string(n.What), c.metrics).Inc(1)
 	c.log.WithFields(fields).Info(string(n.What))
 }
