Keep in the membership that a worker had said that it leaves

What callers saw: nothing by itself; found while tracing lasting tasks that were not restarted. A task that had no run as its cell changed leaders could be suspected of crashing workers that had merely left.

Cause: a successor knows a worker that has left from the membership row alone, which did not say that it was leaving. If another worker answered in its place, its end counted as one that nobody saw, and was held against each task that was found nowhere.

Evidence: TestAWorkerThatLeftBeforeATakeoverAccusesNobody, with a row that says so, fails without the check (two tasks with a crash each) and passes with it.

Change: membership entries have a field for it (an older host leaves it out: then as before), and such an end accuses nobody.

--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -28,7 +28,7 @@
 
 // endedUnseen remembers that a life of the roster is over of which this leader never heard a list.
 func (s *State) endedUnseen(w *workers.Worker) {
-	if s.earlier[w.ID] != nil && !s.settled && !w.Heard && !w.Leaving {
+	if s.earlier[w.ID] != nil && !s.settled && !w.Heard && !w.Leaving && !s.earlier[w.ID].GetLeaving() {
 		s.unseen = append(s.unseen, w.ID)
 	}
 }
@@ -39,7 +39,7 @@
 	ended := s.unseen
 	for _, id := range slices.Sorted(maps.Keys(s.earlier)) {
 		w, born := s.workers[id], s.earlier[id].GetBorn()
-		if w != nil && w.Heard && born != 0 && w.Born != 0 && w.Born != born {
+		if !s.earlier[id].GetLeaving() && w != nil && w.Heard && born != 0 && w.Born != 0 && w.Born != born {
 			ended = append(ended, id)
 		}
 	}
@@ -71,10 +71,12 @@
 
 // rosterEntry is what the roster says of a worker: the life whose end has not been weighed yet.
 func (s *State) rosterEntry(w *workers.Worker) *wire.RosterEntry {
-	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born}
-	if before := s.earlier[w.ID]; before != nil && before.GetBorn() != 0 {
+	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born, Leaving: w.Leaving}
+	before := s.earlier[w.ID]
+	if before.GetBorn() != 0 {
 		e.Born = before.GetBorn()
 	}
+	e.Leaving = e.Leaving || before.GetLeaving()
 	return e
 }
 
--- a/pkg/process/cell/unseen_test.go
+++ b/pkg/process/cell/unseen_test.go
@@ -24,6 +24,11 @@
 
 // newHeir takes over a job; born is the life that answers.
 func newHeir(born int64) *heir {
+	return newHeirOf(&wire.RosterEntry{Id: "w", Address: "x", Host: "h", Service: "quotes", Born: 1}, born)
+}
+
+// newHeirOf is one of a cell whose roster has the given entry.
+func newHeirOf(entry *wire.RosterEntry, born int64) *heir {
 	h := &heir{now: time.Unix(1000, 0)}
 	h.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
 	h.state.Take(h.now, cell.ManifestChanged{Manifest: theManifest})
@@ -32,7 +37,7 @@
 	}}})
 	h.state.Take(h.now, cell.Led{Epoch: 2, RosterUntil: h.now.Add(15 * time.Second)})
 	h.state.Take(h.now, cell.Loaded{
-		Epoch: 2, Wall: h.now, Fences: someFences(), Roster: []*wire.RosterEntry{{Id: "w", Address: "x", Host: "h", Service: "quotes", Born: 1}},
+		Epoch: 2, Wall: h.now, Fences: someFences(), Roster: []*wire.RosterEntry{entry},
 		Jobs: []cell.LoadedJob{{Spec: &wire.JobSpec{Id: "00000000000000aa", Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 2, Millicores: 1000}, {Count: 1, Millicores: 1000, After: []int32{0}}}}}},
 	})
 	return h
@@ -100,3 +105,11 @@
 	recorded.run(time.Second, 2)
 	must.Eq(t, 2, recorded.state.Roster()[0].GetBorn())
 }
+
+// The end of a worker that had said that it leaves accuses no task, also after a takeover.
+func TestAWorkerThatLeftBeforeATakeoverAccusesNobody(t *testing.T) {
+	t.Parallel()
+	h := newHeirOf(&wire.RosterEntry{Id: "w", Address: "x", Host: "h", Service: "quotes", Born: 1, Leaving: true}, 2)
+	h.run(time.Second, 2)
+	must.SliceEmpty(t, h.state.Suspects())
+}
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -249,7 +249,7 @@
 		return false
 	}
 	for i := range a {
-		if a[i].GetId() != b[i].GetId() || a[i].GetBorn() != b[i].GetBorn() {
+		if a[i].GetId() != b[i].GetId() || a[i].GetBorn() != b[i].GetBorn() || a[i].GetLeaving() != b[i].GetLeaving() {
 			return false
 		}
 	}
