Drop workers that leave from the membership once they hold nothing

What callers saw: LOST. Lasting tasks that had no run in the moment of a takeover did not run again for up to 16 s, with capacity, while workers left one after the other.

Cause: a successor holds back each task that it finds nowhere until it has heard every worker of the membership row, or until all leases there are surely over: 4.4 s after a planned handover, up to 16.4 s after another. The row named workers that had left for as long as their lease and a second after their rows went, and one that has left never answers.

Fix: a worker that leaves, or whose row is gone, is dropped from the row as soon as it holds nothing that matters: no run, no stray, all its ends recorded, this leader's fence in place. Nothing is ever started there again in that incarnation; one whose row comes back gets work after the next renewal. A membership whose write was not answered is written anew, since what stood there before may be gone.

--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -38,6 +38,7 @@
 	NoteWorkerLife    What = "worker-life"
 	NoteWorkerRoom    What = "worker-room"
 	NoteWorkerGone    What = "worker-gone"
+	NoteWorkerDropped What = "worker-dropped"
 	NoteSuspected     What = "task-suspected"
 	NoteCleared       What = "task-cleared"
 	NoteWorkerCrashed What = "worker-crashed"
@@ -89,6 +90,7 @@
 	{NoteWorkerLife, "another life of a worker answers than the one that is known; detail: when each began, and their clocks"},
 	{NoteWorkerRoom, "a worker says otherwise of its room than before; detail: the room, the one before, what is left"},
 	{NoteWorkerGone, "a worker's life is over; detail: why"},
+	{NoteWorkerDropped, "a worker takes no new work and holds nothing, so the cell's membership no longer names it: a successor does not wait for it"},
 	{NoteWorkerCrashed, "a worker's life ended by itself with runs there, or it stopped answering; detail: whether it is only silent, how many others fell silent in that moment, the runs and how long each had run at least"},
 	{NoteSuspected, "a task is suspected of crashing workers; detail: how much, after how many crashes, what this one says"},
 	{NoteCleared, "a task is no longer suspected; detail: why"},
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -126,26 +126,6 @@
 	}
 }
 
-// Roster lists the workers that may hold runs, for the cell's row of them; nil while the
-// row of earlier leaders has not been read. A worker that is not in the row gets no work.
-func (s *State) Roster() []*wire.RosterEntry {
-	if s.phase != leading && s.phase != releasing {
-		return nil
-	}
-	list := make([]*wire.RosterEntry, 0, len(s.workers))
-	for _, w := range s.sorted() {
-		if !w.Gone {
-			list = append(list, s.rosterEntry(w))
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(s.earlier)) {
-		if w := s.workers[id]; w == nil || w.Gone {
-			list = append(list, s.earlier[id])
-		}
-	}
-	return list
-}
-
 // Counts is a summary for the status page and the metrics.
 type Counts struct {
 	Jobs, Waiting, Running, Workers, Usable, Aside int
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -318,6 +318,7 @@
 	s.forgetSilent(now)
 	s.settle(now)
 	s.forgetEarlier()
+	s.dropMembers(now)
 	if s.phase == leading {
 		s.openTimes(now)
 		s.leave(now)
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -295,6 +295,9 @@
 	s.sending = false
 	if version == 0 {
 		s.stale = true
+		if s.sentRoster != nil {
+			s.roster = nil // it may stand in the table, and what stood there before may not
+		}
 		return Change{}
 	}
 	before, beforeAge := s.row, s.Age(s.sentAt)
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -143,3 +143,21 @@
 	c.Settled()
 	must.Eq(t, 0, c.Next(at(4500), nil, 0, false).Row.GetEarlierStoreMs())
 }
+
+// A write of the membership whose answer was lost may stand in the table, so the next one says it anew.
+func TestAMembershipWhoseWriteWasNotAnsweredIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	both, one := []*wire.RosterEntry{{Id: "v"}, {Id: "w"}}, []*wire.RosterEntry{{Id: "v"}}
+	must.NotNil(t, s.Next(at(10), both, 0, false).Roster)
+	s.TakeWritten(at(15), 2)
+	dropped := s.Next(at(20), one, 0, false)
+	must.NotNil(t, dropped.Roster)
+	s.TakeWritten(at(900), 0)
+	s.TakeRead(at(1000), at(990), dropped.Row, 3, storeAt(1000))
+	again := s.Next(at(1010), both, 0, false)
+	must.NotNil(t, again)
+	must.NotNil(t, again.Roster)
+	must.Len(t, 2, again.Roster.GetEntries())
+}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -101,6 +101,9 @@
 	// those of the list that is being taken in. HeldEnds are ends of such tasks.
 	Strays, NewStrays map[string]Stray
 	HeldEnds          []HeldEnd
+	// Dropped says that the cell's membership no longer names this incarnation: it takes no new work
+	// and holds nothing.
+	Dropped bool
 	// Odd is how many lines of its last lists could not be read.
 	Odd int
 	// NoFillersUntil is until when no filler may join: those that are there have
@@ -254,6 +257,12 @@
 // those is a latency). 0.5: half of what is reserved, as for most services.
 const servingLoad = 0.5
 
+// HoldsNothing says whether this incarnation surely holds no run and lists no end that is not taken
+// in, as long as nothing more is started there.
+func (w *Worker) HoldsNothing() bool {
+	return w.Heard && w.next == nil && w.Odd == 0 && len(w.Runs) == 0 && len(w.Strays) == 0 && len(w.HeldEnds) == 0 && w.foreign == ledger.Size{}
+}
+
 // Unused estimates the processors that fillers could take, after what those
 // that are there ask for.
 func (w *Worker) Unused() int64 { return w.Capacity.Millicores - w.asked }
