A host that wins a cell again does not give it up at once

What callers saw: LOST, by way of the wait of a successor.

Cause: a leader that learns from a worker that it was replaced steps down before its seat has read the row. Its cell counts as quiet then, so the seat notes that it is to be given up. The row names another leader, the note stays; when the host wins that cell again, its first renewal gives it up. The next leadership then follows a row that was released in order, so nobody asks the leader before, and what it found nowhere waits for that one's whole tenure and a lease: 16.4 s.

Evidence: ALeaderThatWinsAgainDoesNotReleaseForAnEarlierReason fails without the fix.

Fix: a seat that is won forgets that it was to be given up.

--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -172,7 +172,8 @@
 }
 
 func (s *Seat) won(now, at time.Time, before *wire.CellLead, age time.Duration) Change {
-	s.role, s.renewedAt, s.wanted, s.roster, s.settled = Leader, at, false, nil, false
+	s.role, s.renewedAt, s.wanted, s.release = Leader, at, false, false
+	s.roster, s.settled = nil, false
 	earlier := time.Duration(before.GetEarlierStoreMs())*time.Millisecond - s.storeNow(now)
 	return Change{Led: true, Before: before, Age: age, Earlier: max(0, earlier)}
 }
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -144,6 +144,19 @@
 	must.Eq(t, 0, c.Next(at(4500), nil, 0, false).Row.GetEarlierStoreMs())
 }
 
+// A leader that was replaced while it was about to give the cell up keeps it when it wins it again.
+func TestALeaderThatWinsAgainDoesNotReleaseForAnEarlierReason(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	s.Release()
+	other := &wire.CellLead{Cell: "cell", Epoch: 2, Holder: "b/1", Host: "b", Hall: "hall", RenewedStoreMs: storeAt(100).Milliseconds()}
+	must.True(t, s.TakeRead(at(300), at(290), other, 2, storeAt(300)).Lost)
+	must.NotNil(t, s.Next(at(2000), nil, 0, false))
+	must.True(t, s.TakeWritten(at(2005), 3).Led)
+	must.False(t, s.Next(at(2500), nil, 0, false).Row.GetReleased())
+}
+
 // A write of the membership whose answer was lost may stand in the table, so the next one says it anew.
 func TestAMembershipWhoseWriteWasNotAnsweredIsWrittenAgain(t *testing.T) {
 	t.Parallel()
