A successor asks each earlier leader whether it is over

What callers saw: LOST. After two takeovers in a row, tasks that the second leader found nowhere waited for 12 s and a lease, though all earlier leaders were over and could have said so.

Cause: the leadership row told until when leaders before the last one may grant leases, and not who they are. A new leader asked the last one only, and its answer could not shorten the rest of the wait. Where the row before was released, it asked nobody.

AllPredecessorsThatAreOverShortenTheWait could not be stated before.

A new leader asks each of them, every 0.3 s; each answer ends that one's part of the wait, and the row names it to no later successor.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -272,60 +272,15 @@
 	switch {
 	case c.Led:
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
-		h.state.Take(now, cell.Led{Epoch: h.seat.Row().GetEpoch(), RosterUntil: rosterUntil(now, c), EarlierUntil: earlierUntil(now, c)})
-		h.awaitForerunner(h.seat.Row().GetEpoch(), c.Before)
+		h.state.Take(now, cell.LedBy(now, h.seat.Row().GetEpoch(), c))
+		for _, p := range c.Predecessors {
+			h.awaitPredecessor(h.seat.Row().GetEpoch(), p)
+		}
 	case c.Lost:
 		h.state.Take(now, cell.Deposed{Why: c.Why})
 	}
 }
 
-// awaitForerunner asks the host that led before until it says that it does not.
-func (h *seat) awaitForerunner(epoch int64, before *wire.CellLead) {
-	if before == nil {
-		return
-	}
-	if before.GetHost() == h.name {
-		h.state.Take(h.clock(), cell.ForerunnerOver{Epoch: epoch})
-		return
-	}
-	for _, other := range h.world.hosts {
-		if other.name != before.GetHost() {
-			continue
-		}
-		h.world.after(300*time.Millisecond, h.back(func() {
-			w := h.world
-			answers := other.up && !w.now.Before(other.frozenUntil) && !w.cut(h.name, other.name)
-			if answers && !other.holds(h.cell) {
-				h.state.Take(h.clock(), cell.ForerunnerOver{Epoch: epoch})
-				return
-			}
-			if h.state.Holds() {
-				h.awaitForerunner(epoch, before)
-			}
-		}))
-	}
-}
-
-func rosterUntil(now time.Time, c election.Change) time.Time {
-	until := earlierUntil(now, c)
-	if c.Before == nil {
-		return until
-	}
-	if last := now.Add(election.Tenure - c.Age + longestGrant); last.After(until) {
-		return last
-	}
-	return until
-}
-
-const longestGrant = cell.LongestLease * 11 / 10
-
-func earlierUntil(now time.Time, c election.Change) time.Time {
-	if c.Earlier <= 0 {
-		return now
-	}
-	return now.Add(c.Earlier + longestGrant)
-}
-
 func (h *seat) readLeads() {
 	askedAt := h.clock()
 	h.world.table.scan(h.name, rows.LeadTable, func(list []table.Row, at time.Duration, ok bool) {
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -25,13 +25,14 @@
 // WorkersListed brings all workers of the cell that the list holds.
 type WorkersListed struct{ Records []workers.Record }
 
-// Led says that this process leads the cell from now on. RosterUntil is when the last
-// lease that an earlier leader could have granted is over.
+// Led says that this process leads the cell from now on.
 type Led struct {
-	Epoch       int64
+	Epoch int64
+	// RosterUntil is when the last lease of leaders that are known to be over is over.
 	RosterUntil time.Time
-	// EarlierUntil is the same for the leaders before the last one.
-	EarlierUntil time.Time
+	// Predecessors are leaders that are not known to be over, by their incarnations' names, and when
+	// the last lease that each could grant is over.
+	Predecessors map[string]time.Time
 }
 
 // Confirmed says that this process still led the cell when it sent a renewal
@@ -39,9 +40,12 @@
 // process may go on without another one; the zero time: it is not bounded.
 type Confirmed struct{ At, Until time.Time }
 
-// ForerunnerOver says that the leader before this epoch grants nothing more:
+// PredecessorOver says that a leader before this epoch grants nothing more:
 // it has said so, or its process is over.
-type ForerunnerOver struct{ Epoch int64 }
+type PredecessorOver struct {
+	Epoch  int64
+	Holder string
+}
 
 // Deposed says that it no longer does.
 type Deposed struct{ Why string }
@@ -145,7 +149,7 @@
 func (WorkersListed) event()   {}
 func (Led) event()             {}
 func (Deposed) event()         {}
-func (ForerunnerOver) event()  {}
+func (PredecessorOver) event() {}
 func (Confirmed) event()       {}
 func (RosterRecorded) event()  {}
 func (Loaded) event()          {}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -19,12 +20,29 @@
 // is found at none of them may start. A worker that does not answer holds this
 // up until the last lease that a forerunner could have granted is over.
 
+// longestGrant is the longest lease that a leader grants, by any clock.
+const longestGrant = LongestLease + LongestLease/10
+
+// LedBy is the event of a leadership that this process has just won.
+func LedBy(now time.Time, epoch int64, change election.Change) Led {
+	led := Led{Epoch: epoch, RosterUntil: now, Predecessors: map[string]time.Time{}}
+	if change.Before.GetReleased() {
+		led.RosterUntil = now.Add(longestGrant)
+	}
+	for _, p := range change.Predecessors {
+		if until := now.Add(p.Grants + longestGrant); until.After(led.Predecessors[p.Holder]) {
+			led.Predecessors[p.Holder] = until
+		}
+	}
+	return led
+}
+
 func (s *State) takeLed(e Led) {
 	known := s.workers
 	s.forget()
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
-	s.earlierUntil = e.EarlierUntil
-	s.settleBy, s.confirmedAt, s.leadsUntil = e.RosterUntil, time.Time{}, time.Time{}
+	s.predecessors, s.overUntil = maps.Clone(e.Predecessors), e.RosterUntil
+	s.settleBy, s.confirmedAt, s.leadsUntil = s.lastGrant(), time.Time{}, time.Time{}
 	for id, w := range known {
 		if w.Listed {
 			s.workers[id] = workers.New(w.Record)
@@ -51,22 +69,37 @@
 	}
 }
 
-// orderTail is how long after its end a forerunner's last orders may still be
+// orderTail is how long after its end a predecessor's last orders may still be
 // on their way.
 const orderTail = 500 * time.Millisecond
 
-// takeForerunnerOver shortens the wait for workers that are not heard: what the
-// forerunner granted is over after one lease.
-func (s *State) takeForerunnerOver(now time.Time, e ForerunnerOver) {
-	until := now.Add(LongestLease + LongestLease/10 + orderTail)
-	if until.Before(s.earlierUntil) {
-		until = s.earlierUntil // its own forerunners are another matter
-	}
-	if e.Epoch != s.epoch || s.settled || !until.Before(s.settleBy) {
+// lastGrant is when the last lease that an earlier leader could have granted is over.
+func (s *State) lastGrant() time.Time {
+	last := s.overUntil
+	for _, until := range s.predecessors {
+		if until.After(last) {
+			last = until
+		}
+	}
+	return last
+}
+
+// takePredecessorOver shortens the wait for workers that are not heard: what that leader granted is over
+// after one lease.
+func (s *State) takePredecessorOver(now time.Time, e PredecessorOver) {
+	until, known := s.predecessors[e.Holder]
+	if e.Epoch != s.epoch || s.settled || !known {
 		return
 	}
-	s.settleBy = until
-	s.note(Note{What: NoteForerunner, Detail: fmt.Sprintf("%d workers not heard", len(s.unsettled)), AgeMs: -1})
+	delete(s.predecessors, e.Holder)
+	if lease := now.Add(longestGrant + orderTail); lease.Before(until) {
+		until = lease
+	}
+	if until.After(s.overUntil) {
+		s.overUntil = until
+	}
+	s.settleBy = s.lastGrant()
+	s.note(Note{What: NotePredecessorOver, Detail: e.Holder, AgeMs: max(0, s.settleBy.Sub(now).Milliseconds())})
 }
 
 func (s *State) takeLoaded(now time.Time, e Loaded) {
--- a/pkg/process/cell/settling_test.go
+++ b/pkg/process/cell/settling_test.go
@@ -69,19 +69,37 @@
 func TestAForerunnerThatIsOverSaysNothingOfThoseBeforeIt(t *testing.T) {
 	t.Parallel()
 	v := newTakeover(15 * time.Second)
-	v.state.Take(v.now, cell.Led{Epoch: 2, RosterUntil: v.now.Add(15 * time.Second), EarlierUntil: v.now.Add(12 * time.Second)})
+	v.state.Take(v.now, cell.Led{Epoch: 2, Predecessors: map[string]time.Time{"first/1": v.now.Add(12 * time.Second), "second/1": v.now.Add(15 * time.Second)}})
 	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
 	v.state.Take(v.now, cell.Loaded{
 		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
 		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
 	})
-	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 2})
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 2, Holder: "second/1"})
 	_, started := v.run(11 * time.Second)
 	must.False(t, started)
 	_, started = v.run(2 * time.Second)
 	must.True(t, started)
 }
 
+// Two leaders followed each other at once. Both answer that they are over, so what they granted ends with
+// a lease.
+func TestAllPredecessorsThatAreOverShortenTheWait(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(0)
+	v.state.Take(v.now, cell.Led{Epoch: 2, Predecessors: map[string]time.Time{"first/1": v.now.Add(12 * time.Second), "second/1": v.now.Add(15 * time.Second)}})
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	v.state.Take(v.now, cell.Loaded{
+		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{{Spec: spec}}, Fences: someFences(),
+		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
+	})
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 2, Holder: "second/1"})
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 2, Holder: "first/1"})
+	after, started := v.run(6 * time.Second)
+	must.True(t, started)
+	must.Between(t, 4*time.Second, after, 5*time.Second)
+}
+
 // A host that was suspended for longer than its tenure meets an answer before its timer: nothing more is
 // ordered, and it steps down.
 func TestALeaderPastItsTenureOrdersNothing(t *testing.T) {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -137,8 +137,10 @@
 	earlier    map[string]*wire.RosterEntry
 	unseen     []string
 	weighedSeq int64
-	// earlierUntil is when what leaders before the last one may have granted is over.
-	earlierUntil time.Time
+	// predecessors are leaders that are not known to be over, and when what each may have granted is
+	// over; overUntil is the same for the others.
+	predecessors map[string]time.Time
+	overUntil    time.Time
 
 	// press is what was learned of fillers beside serving tasks. It outlives a
 	// leadership: it is about images.
@@ -244,8 +246,8 @@
 		s.stepDown(e.Why)
 	case Confirmed:
 		s.confirmedAt, s.leadsUntil = e.At, e.Until
-	case ForerunnerOver:
-		s.takeForerunnerOver(now, e)
+	case PredecessorOver:
+		s.takePredecessorOver(now, e)
 	case RosterRecorded:
 		s.takeRoster(e)
 	case Loaded:
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -46,9 +46,7 @@
 	}
 	v.state.Take(v.now, cell.ManifestChanged{Manifest: theManifest})
 	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{heard}})
-	v.state.Take(v.now, cell.Led{
-		Epoch: 2, RosterUntil: v.now.Add(until),
-	})
+	v.state.Take(v.now, cell.Led{Epoch: 2, Predecessors: map[string]time.Time{"before/1": v.now.Add(until)}})
 	v.state.Take(v.now, cell.Loaded{
 		Epoch: 2, Wall: v.now, Jobs: []cell.LoadedJob{job}, Fences: someFences(), Returned: returned,
 		Roster: []*wire.RosterEntry{{Id: "heard", Address: "x"}, {Id: "dark", Address: "y"}},
@@ -100,7 +98,7 @@
 func TestAForerunnerThatSaysSoShortensTheWaitToALease(t *testing.T) {
 	t.Parallel()
 	v := newTakeover(15 * time.Second)
-	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 2})
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 2, Holder: "before/1"})
 	after, started := v.run(6 * time.Second)
 	must.True(t, started)
 	must.Greater(t, cell.LongestLease, after)
@@ -109,7 +107,7 @@
 func TestWordOfAnotherEpochsForerunnerChangesNothing(t *testing.T) {
 	t.Parallel()
 	v := newTakeover(15 * time.Second)
-	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 1})
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 1, Holder: "before/1"})
 	_, started := v.run(10 * time.Second)
 	must.False(t, started)
 }
@@ -146,7 +144,7 @@
 func TestAnOldListDoesNotSayThatAnOrderWasNeverCarriedOut(t *testing.T) {
 	t.Parallel()
 	v := newTakeover(0)
-	v.state.Take(v.now, cell.ForerunnerOver{Epoch: 2})
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 2, Holder: "before/1"})
 	_, started := v.run(2 * time.Second)
 	must.True(t, started)
 	first := v.starts[0].Start
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -87,6 +87,8 @@
 	wanted     bool
 	// settled says that leaders before this one are surely over.
 	settled bool
+	// over are the predecessors that are known to be over.
+	over map[string]bool
 	// roster is what this process wrote last of it while leading.
 	roster []*wire.RosterEntry
 	// stale says that the last write did not take effect, or may not have: the
@@ -110,13 +112,11 @@
 // Change is what became of the role.
 type Change struct {
 	// Led is set when this process begins to lead; Before is the row that it
-	// replaced, nil for none, and Age that row's age.
+	// replaced, nil for none.
 	Led    bool
 	Before *wire.CellLead
-	Age    time.Duration
-	// Earlier is for how long leaders before Before may still grant: what Before says of itself
-	// tells nothing of them.
-	Earlier time.Duration
+	// Predecessors are the leaders that are not known to be over.
+	Predecessors []Predecessor
 	// Lost is set when it ends to lead; Why says why.
 	Lost bool
 	Why  string
@@ -154,7 +154,7 @@
 		return Change{}
 	}
 	s.stale = false
-	before, beforeAge := s.row, s.Age(now)
+	before := s.row
 	s.row, s.version, s.readAt, s.storeAt = row, version, now, store
 	mine := row != nil && row.GetHolder() == s.self.Life && !row.GetReleased()
 	switch {
@@ -162,7 +162,7 @@
 		s.role = Follower
 		return Change{Lost: true, Why: "the row names another leader"}
 	case s.role == Candidate && mine && row.GetEpoch() == s.sent.GetEpoch():
-		return s.won(now, s.sentAt, before, beforeAge)
+		return s.won(now, s.sentAt, before)
 	case s.role == Leader && mine && s.sent != nil && row.GetRenewedStoreMs() == s.sent.GetRenewedStoreMs():
 		s.renewedAt = s.sentAt // the renewal whose answer was lost
 	case s.role == Candidate:
@@ -171,24 +171,15 @@
 	return Change{}
 }
 
-func (s *Seat) won(now, at time.Time, before *wire.CellLead, age time.Duration) Change {
+func (s *Seat) won(now, at time.Time, before *wire.CellLead) Change {
 	s.role, s.renewedAt, s.wanted, s.release = Leader, at, false, false
-	s.roster, s.settled = nil, false
-	earlier := time.Duration(before.GetEarlierStoreMs())*time.Millisecond - s.storeNow(now)
-	return Change{Led: true, Before: before, Age: age, Earlier: max(0, earlier)}
+	s.roster, s.settled, s.over = nil, false, nil
+	return Change{Led: true, Before: before, Predecessors: s.predecessors(now)}
 }
 
 // Settled says that what leaders before this one started is known, or surely over.
 func (s *Seat) Settled() { s.settled = true }
 
-// earlierUntil is until when, by the store's clock, leaders before a successor of the row's may grant.
-func earlierUntil(row *wire.CellLead) int64 {
-	if row == nil || row.GetReleased() {
-		return row.GetEarlierStoreMs()
-	}
-	return max(row.GetEarlierStoreMs(), row.GetRenewedStoreMs()+Tenure.Milliseconds())
-}
-
 // Expire ends the role of a leader that has not renewed for its tenure.
 func (s *Seat) Expire(now time.Time) Change {
 	if s.role == Leader && now.Sub(s.renewedAt) > Tenure {
@@ -219,8 +210,9 @@
 	}
 	row := &wire.CellLead{
 		Cell: s.cell, Epoch: s.row.GetEpoch() + 1, Holder: s.self.Life, Host: s.self.Host, Hall: s.self.Hall,
-		Address: s.self.Address, RenewedStoreMs: s.storeNow(now).Milliseconds(), EarlierStoreMs: earlierUntil(s.row),
+		Address: s.self.Address, RenewedStoreMs: s.storeNow(now).Milliseconds(), Earlier: earlierLeaders(s.row, s.storeNow(now)),
 	}
+	row.EarlierStoreMs = lastUntil(row.GetEarlier())
 	s.role = Candidate
 	return s.send(now, row, nil)
 }
@@ -236,9 +228,8 @@
 	}
 	row.RenewedStoreMs = s.storeNow(now).Milliseconds()
 	row.Released = s.release
-	if s.settled {
-		row.EarlierStoreMs = 0
-	}
+	row.Earlier = s.notOver(row.GetEarlier())
+	row.EarlierStoreMs = lastUntil(row.GetEarlier())
 	if !changed {
 		return s.send(now, row, nil)
 	}
@@ -301,7 +292,7 @@
 		}
 		return Change{}
 	}
-	before, beforeAge := s.row, s.Age(s.sentAt)
+	before := s.row
 	s.row, s.version = s.sent, version
 	s.storeAt, s.readAt = s.storeNow(now), now
 	switch {
@@ -309,7 +300,7 @@
 		s.role, s.release = Follower, false
 		return Change{Lost: true, Why: "released"}
 	case s.role == Candidate:
-		return s.won(now, s.sentAt, before, beforeAge)
+		return s.won(now, s.sentAt, before)
 	default:
 		s.renewedAt = s.sentAt
 		if s.sentRoster != nil {
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -131,17 +131,75 @@
 	w := b.Next(at(1500), nil, 0, false)
 	must.NotNil(t, w)
 	must.Eq(t, (storeAt(0) + election.Tenure).Milliseconds(), w.Row.GetEarlierStoreMs())
-	must.Eq(t, 0, b.TakeWritten(at(1505), 2).Earlier)
+	change := b.TakeWritten(at(1505), 2)
+	must.Len(t, 1, change.Predecessors)
+	must.Eq(t, "a/1", change.Predecessors[0].Holder)
 
 	c := newSeat("c")
 	c.TakeRead(at(3000), at(2990), w.Row, 2, storeAt(3000))
 	must.NotNil(t, c.Next(at(3000), nil, 0, false))
-	earlier := c.TakeWritten(at(3005), 3).Earlier
-	must.Less(t, 20*time.Millisecond, (election.Tenure - 3*time.Second - earlier).Abs())
-	must.Positive(t, c.Next(at(3500), nil, 0, false).Row.GetEarlierStoreMs())
+	list := c.TakeWritten(at(3005), 3).Predecessors
+	must.Len(t, 2, list)
+	must.Eq(t, "a/1", list[0].Holder)
+	must.Eq(t, "b/1", list[1].Holder)
+	must.Less(t, 20*time.Millisecond, (election.Tenure - 3*time.Second - list[0].Grants).Abs())
+	must.Less(t, 20*time.Millisecond, (election.Tenure - 1500*time.Millisecond - list[1].Grants).Abs())
+	row := c.Next(at(3500), nil, 0, false).Row
+	must.Len(t, 2, row.GetEarlier())
+	must.Positive(t, row.GetEarlierStoreMs())
 	c.TakeWritten(at(3505), 4)
 	c.Settled()
-	must.Eq(t, 0, c.Next(at(4500), nil, 0, false).Row.GetEarlierStoreMs())
+	row = c.Next(at(4500), nil, 0, false).Row
+	must.Eq(t, 0, row.GetEarlierStoreMs())
+	must.SliceEmpty(t, row.GetEarlier())
+}
+
+// A predecessor that is known to be over is named to no successor; those before it still are.
+func TestARowNamesThePredecessorsThatAreNotKnownToBeOver(t *testing.T) {
+	t.Parallel()
+	row := &wire.CellLead{
+		Cell: "cell", Epoch: 2, Holder: "b/1", Host: "b", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds(),
+		Earlier: []*wire.EarlierLeader{{Holder: "a/1", Host: "a", UntilStoreMs: storeAt(11000).Milliseconds()}},
+	}
+	s := newSeat("c")
+	s.TakeRead(at(1500), at(1490), row, 2, storeAt(1500))
+	must.NotNil(t, s.Next(at(1500), nil, 0, false))
+	must.Len(t, 2, s.TakeWritten(at(1505), 3).Predecessors)
+	s.Over("b/1")
+	next := s.Next(at(2000), nil, 0, false).Row
+	must.Len(t, 1, next.GetEarlier())
+	must.Eq(t, "a/1", next.GetEarlier()[0].GetHolder())
+	must.Eq(t, storeAt(11000).Milliseconds(), next.GetEarlierStoreMs())
+}
+
+// A leader that gave the cell up is over; one before it that did not answer is still asked.
+func TestAReleasedRowStillNamesEarlierLeaders(t *testing.T) {
+	t.Parallel()
+	row := &wire.CellLead{
+		Cell: "cell", Epoch: 2, Holder: "b/1", Host: "b", Hall: "hall", Released: true, RenewedStoreMs: storeAt(0).Milliseconds(),
+		Earlier: []*wire.EarlierLeader{{Holder: "a/1", Host: "a", Address: "x", UntilStoreMs: storeAt(11000).Milliseconds()}},
+	}
+	s := newSeat("c")
+	s.TakeRead(at(500), at(490), row, 2, storeAt(500))
+	must.NotNil(t, s.Next(at(500), nil, 0, false))
+	list := s.TakeWritten(at(505), 3).Predecessors
+	must.Len(t, 1, list)
+	must.Eq(t, "x", list[0].Address)
+}
+
+// A row of a host that does not name earlier leaders still says until when they may grant.
+func TestARowWithoutNamesOfEarlierLeadersKeepsTheirTime(t *testing.T) {
+	t.Parallel()
+	row := &wire.CellLead{
+		Cell: "cell", Epoch: 2, Holder: "b/1", Host: "b", Hall: "hall", Released: true, RenewedStoreMs: storeAt(0).Milliseconds(),
+		EarlierStoreMs: storeAt(9000).Milliseconds(),
+	}
+	s := newSeat("c")
+	s.TakeRead(at(500), at(490), row, 2, storeAt(500))
+	must.NotNil(t, s.Next(at(500), nil, 0, false))
+	list := s.TakeWritten(at(505), 3).Predecessors
+	must.Len(t, 1, list)
+	must.Less(t, 20*time.Millisecond, (8500*time.Millisecond - list[0].Grants).Abs())
 }
 
 // A leader that was replaced while it was about to give the cell up keeps it when it wins it again.
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -206,14 +206,14 @@
 	switch {
 	case change.Led:
 		epoch := s.seat.Row().GetEpoch()
-		s.state.Take(now, cell.Led{
-			Epoch: epoch, RosterUntil: rosterUntil(now, change), EarlierUntil: earlierUntil(now, change),
-		})
+		s.state.Take(now, cell.LedBy(now, epoch, change))
 		if c.manifest != nil {
 			s.state.Take(now, cell.ManifestChanged{Manifest: c.manifest})
 		}
 		s.touched = true
-		c.awaitForerunner(s.name, epoch, change.Before)
+		for _, p := range change.Predecessors {
+			c.awaitPredecessor(s, epoch, p)
+		}
 	case change.Lost:
 		s.state.Take(now, cell.Deposed{Why: change.Why})
 		s.touched = true
@@ -221,65 +221,6 @@
 	c.publish(now)
 }
 
-const (
-	// forerunnerEvery is the time between two questions to a forerunner.
-	forerunnerEvery = 300 * time.Millisecond
-)
-
-// awaitForerunner finds out when the leader before has come to its end: it was
-// an earlier life of this very host, or the process at its address says that
-// it does not lead (it was told by a worker or by the table, or is a new one).
-func (c *Control) awaitForerunner(name string, epoch int64, before *wire.CellLead) {
-	if before == nil || before.GetReleased() {
-		return
-	}
-	over := cellEvent{cell: name, event: cell.ForerunnerOver{Epoch: epoch}}
-	if before.GetHost() == c.self.Host {
-		over.apply(c, clock.Now())
-		return
-	}
-	go func() {
-		for range int(election.Tenure / forerunnerEvery) {
-			time.Sleep(forerunnerEvery)
-			if leading, ok := c.leads(before.GetAddress(), name); ok && !leading {
-				c.tell(over)
-				return
-			}
-		}
-	}()
-}
-
-// rosterUntil is when the last lease that a forerunner could have granted is
-// over: it grants none after its tenure, nor after it has released the seat.
-func rosterUntil(now time.Time, change election.Change) time.Time {
-	until := earlierUntil(now, change)
-	switch {
-	case change.Before == nil:
-		return until
-	case change.Before.GetReleased():
-		return later(until, now.Add(longestGrant))
-	}
-	return later(until, now.Add(election.Tenure-change.Age+longestGrant))
-}
-
-// longestGrant is the longest lease that a leader grants, by any clock.
-const longestGrant = cell.LongestLease + cell.LongestLease/10
-
-// earlierUntil is when the last lease that leaders before that forerunner could have granted is over.
-func earlierUntil(now time.Time, change election.Change) time.Time {
-	if change.Earlier <= 0 {
-		return now
-	}
-	return now.Add(change.Earlier + longestGrant)
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func ids(roster []*wire.RosterEntry) []string {
 	list := make([]string, 0, len(roster))
 	for _, r := range roster {
--- /dev/null
+++ b/pkg/process/fleet/predecessors.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/clock"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/election"
+)
+
+// A new leader finds out which of its predecessors are over: what they granted then ends with a lease.
+
+// askEvery is the time between two questions to a predecessor.
+const askEvery = 300 * time.Millisecond
+
+// awaitPredecessor finds out when a predecessor has come to its end: it was an earlier incarnation of this
+// very host, or the process at its address says that it does not lead (it was told by a worker or by the
+// table, or is a new one).
+func (c *Control) awaitPredecessor(s *seat, epoch int64, p election.Predecessor) {
+	over := predecessorOver{cell: s.name, epoch: epoch, holder: p.Holder}
+	if p.Host == c.self.Host {
+		over.apply(c, clock.Now())
+		return
+	}
+	if p.Address == "" {
+		return
+	}
+	go func() {
+		for range int(election.Tenure / askEvery) {
+			if leading, ok := c.leads(p.Address, s.name); ok && !leading {
+				c.tell(over)
+				return
+			}
+			time.Sleep(askEvery)
+		}
+	}()
+}
+
+// predecessorOver says that an earlier leader of a cell grants nothing more.
+type predecessorOver struct {
+	cell   string
+	epoch  int64
+	holder string
+}
+
+func (m predecessorOver) apply(c *Control, now time.Time) {
+	s := c.seats[m.cell]
+	if s == nil || s.seat.Role() != election.Leader || s.seat.Row().GetEpoch() != m.epoch {
+		return
+	}
+	s.seat.Over(m.holder)
+	s.state.Take(now, cell.PredecessorOver{Epoch: m.epoch, Holder: m.holder})
+	s.touched = true
+}
