Emulate workers that leave for good and lasting tasks that stay, with a rule that these run

Workers leave in series of one each second: released with a new one in their place, scaled in, on short notice, or without saying so. Lasting jobs that stay until the trouble is over reserve 60 to 90% of all cores. The checker asks every 100 ms whether a lasting task that has had no run for six seconds has had capacity twice over for three, in calm: LOST.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -27,7 +27,8 @@
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause
 //	ROW      an order to start at a worker that no good row names, by a host that has read so
-//	LOST     an accepted job without a last state at the end of the day
+//	LOST     an accepted job without a last state at the end of the day; a lasting task without a run for
+//	         long, with capacity for it
 type checker struct {
 	world     *World
 	broken    []string
@@ -45,6 +46,10 @@
 	// failures are the failed runs of each task, or of a gang, mostFailures the most of a job's.
 	failures     map[string]map[int64]bool
 	mostFailures map[string]int
+	// acceptedAt is when jobs were accepted first, lastEnd the last end of each task's runs, waits the lasting
+	// tasks that have none.
+	acceptedAt, lastEnd map[string]time.Time
+	waits               map[string]*lastingWait
 }
 
 func newChecker(w *World) *checker {
@@ -52,6 +57,7 @@
 		world: w, taken: map[string]bool{}, asked: map[string]bool{}, cancels: map[string]time.Time{}, running: map[string]map[string]*worker{},
 		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneSeen: map[string]bool{}, failed: map[string]map[string]bool{}, phases: map[string]wire.JobPhase{},
 		crashes: map[string]int{}, startsMore: map[string]int{}, failures: map[string]map[int64]bool{}, mostFailures: map[string]int{},
+		acceptedAt: map[string]time.Time{}, lastEnd: map[string]time.Time{}, waits: map[string]*lastingWait{},
 	}
 }
 
@@ -60,7 +66,11 @@
 	c.world.logf("BROKEN %s: %s", rule, fmt.Sprintf(format, args...))
 }
 
-func (c *checker) accepted(spec *wire.JobSpec) { c.taken[spec.GetId()] = true }
+func (c *checker) accepted(spec *wire.JobSpec) {
+	if !c.taken[spec.GetId()] {
+		c.taken[spec.GetId()], c.acceptedAt[spec.GetId()] = true, c.world.now
+	}
+}
 
 func (c *checker) isAccepted(id string) bool { return c.taken[id] }
 
@@ -172,6 +182,7 @@
 func (c *checker) ended(k *worker, r *workerRun, how workers.How) {
 	c.world.logf("%s ends %s run %d: %s", k.id(), r.task, r.number, how)
 	delete(c.running[r.task], fmt.Sprintf("%s#%d", k.id(), r.number))
+	c.lastEnd[r.task] = c.world.now
 	if how == workers.EndedDone && !r.spec.GetLasting() {
 		c.done[r.task] = true
 	}
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -23,7 +23,7 @@
 		h.tell(e)
 	case cell.Note:
 		w.Noted[e.What]++
-		if told[e.What] {
+		if told[e.What] || (w.plan.Lasting > 0 && toldOfWaits[e.What]) {
 			w.logf("%s at %s: %s %s %s %s", h.cell, h.name, e.What, e.Worker, e.Task, e.Detail)
 		}
 	case cell.SendPace:
@@ -89,6 +89,13 @@
 	cell.NoteCleared: true, cell.NoteJobEnded: true, cell.NoteLost: true, cell.NoteWorkerGone: true, cell.NoteLed: true, cell.NoteSettled: true,
 }
 
+// toldOfWaits are those beside them that say why lasting tasks wait.
+var toldOfWaits = map[cell.What]bool{
+	cell.NoteWaits: true, cell.NoteStop: true, cell.NoteWorkerAside: true, cell.NoteStartRefused: true, cell.NoteStartUnsure: true,
+	cell.NoteWorkerSilent: true, cell.NoteDeposed: true, cell.NoteLoaded: true, cell.NoteStart: true, cell.NoteWorkerNew: true,
+	cell.NoteWorkerLeaves: true, cell.NoteForerunner: true,
+}
+
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
 
 func (h *seat) toWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -5,7 +5,7 @@
 //
 // The files: emulator.go the clock and the traffic; plans.go what days are made of; load.go a day of given jobs and
 // workers, and what became of them; table.go the table; faults.go what strikes; touch.go who is in touch; worker.go
-// the workers, crashers.go tasks that crash them, rooms.go how much room they have, lives.go their names and which life a call comes to, rows.go rows that others
+// the workers, leaving.go those that leave, lasting.go lasting tasks that stay, crashers.go tasks that crash them, rooms.go how much room they have, lives.go their names and which life a call comes to, rows.go rows that others
 // spoil, and machine.go how fast what runs there gets on and how it disturbs; host.go,
 // effects.go, words.go and intake.go the hosts, which drive the product's own election.Seat,
 // cell.State and cellchoice.Board; checker.go the rules, over what workers did and what
@@ -48,10 +48,12 @@
 	hallCuts map[string]time.Time
 	// troubleUntil is when the last fault that has struck is over.
 	troubleUntil time.Time
-	truths       map[string]*TaskTruth // of a given load, by task
-	saved        map[string]time.Duration
-	crashers     map[string]time.Duration // after how long they crash their worker, by task of any time
-	results      map[string]*JobResult
+	// impairedAt is when a fault was in force last, on days with lasting tasks that stay.
+	impairedAt time.Time
+	truths     map[string]*TaskTruth // of a given load, by task
+	saved      map[string]time.Duration
+	crashers   map[string]time.Duration // after how long they crash their worker, by task of any time
+	results    map[string]*JobResult
 	// Noted counts the notes of all hosts by their kind.
 	Noted map[cell.What]int
 	// Log is the story of the day, for a seed that failed.
@@ -66,7 +68,7 @@
 		truths: map[string]*TaskTruth{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
 		crashers: map[string]time.Duration{}, Noted: map[cell.What]int{},
 	}
-	w.now = w.start
+	w.now, w.impairedAt = w.start, w.start
 	w.checker = newChecker(w)
 	w.table = newTable(w)
 	w.planFleet()
@@ -198,6 +200,7 @@
 			w.after(at+w.between(100*time.Millisecond, 4*time.Second), func() { w.cancel(id) })
 		}
 	}
+	w.planLasting()
 }
 
 func (w *World) newJob(id string) *wire.JobSpec {
--- a/pkg/emulator/faults.go
+++ b/pkg/emulator/faults.go
@@ -29,6 +29,7 @@
 	for range w.plan.Crashes {
 		w.after(w.between(2*time.Second, w.plan.Trouble), w.crashMany)
 	}
+	w.planLeaving()
 }
 
 // crashMany ends the lives of about half of the workers within a moment.
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -354,7 +354,7 @@
 	}
 	var list []workers.Record
 	for _, k := range h.world.workers {
-		if k.up && k.Hall == h.cell {
+		if k.hasRow() && k.Hall == h.cell {
 			list = append(list, k.records()...)
 		}
 	}
--- /dev/null
+++ b/pkg/emulator/leaving_plans.go
@@ -0,0 +1,41 @@
+package emulator
+
+import "time"
+
+// Days on which workers leave while lasting tasks stay.
+
+// leavingDay is a day of cells that are often nearly full of lasting tasks that stay.
+func leavingDay(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Workers, plan.Faults, plan.Jobs = 12, 0, 60
+	plan.Lasting = 0.6 + 0.05*float64(seed%7)
+	plan.Traffic, plan.Trouble, plan.End = 45*time.Second, 55*time.Second, 110*time.Second
+	if seed%2 == 1 {
+		plan.Cells, plan.Hosts, plan.Workers = 3, 6, 15
+	}
+	return plan
+}
+
+// LeavingPlan is a day on which workers leave in all ways, and nothing else happens.
+func LeavingPlan(seed uint64) Plan {
+	plan := leavingDay(seed)
+	plan.Leaving = Leaving{Series: 3, Most: 8, Apart: 5 * time.Second, Kinds: []LeaveKind{LeaveReleased, LeaveScaledIn, LeaveSpot, LeaveUnsaid}}
+	return plan
+}
+
+// LeavingTroublePlan is such a day on which leaders, hosts and workers fail before workers leave, and tasks
+// crash their workers.
+func LeavingTroublePlan(seed uint64) Plan {
+	plan := LeavingPlan(seed)
+	plan.Leaving.Before, plan.Leaving.Apart = 2, 12*time.Second
+	plan.CrashTasks = int(seed % 3)
+	plan.SameIDs = seed%5 == 0
+	return plan
+}
+
+// ReleasePlan is a day on which nearly all workers are replaced one after the other, after a fault or two.
+func ReleasePlan(seed uint64) Plan {
+	plan := LeavingTroublePlan(seed)
+	plan.Leaving.Series, plan.Leaving.Most, plan.Leaving.Least, plan.Leaving.Kinds = 2, 16, 12, []LeaveKind{LeaveReleased}
+	return plan
+}
--- a/pkg/emulator/lives.go
+++ b/pkg/emulator/lives.go
@@ -33,10 +33,12 @@
 }
 
 func (k *worker) record() workers.Record {
-	return workers.Record{
+	r := workers.Record{
 		ID: k.key(), Born: k.born(), Host: k.name, Service: serviceName, Address: k.name, Hall: k.Hall, Ready: true, Rack: k.Rack,
 		Capacity: k.room(),
 	}
+	k.sayLeave(&r)
+	return r
 }
 
 // staleRecords is the row of the life before, which may come back into the list for a
@@ -84,7 +86,7 @@
 		w.after(w.hop(), func() { answer(none, workers.RefusedNot, false) })
 		return
 	}
-	if w.plan.CrashTasks > 0 {
+	if w.plan.CrashTasks > 0 || w.plan.Leaving.Series > 0 {
 		k.broken = append(k.broken, func() { answer(none, workers.RefusedNot, false) })
 	}
 	way := queued + w.hop()
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -51,6 +51,10 @@
 	HallCuts int
 	// OddRows says that rows of the list of workers are spoilt, and that others wrote some.
 	OddRows bool
+	// Leaving says which workers leave for good, Lasting which part of all cores is reserved by lasting tasks
+	// that stay until the trouble is over: those of the rule about them.
+	Leaving Leaving
+	Lasting float64
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
 	Load *Load
 }
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -56,6 +56,7 @@
 	orderedBy *seat
 	orderedAt time.Time
 
+	leave     leave
 	lateUntil time.Time
 	sickUntil time.Time
 	sickHow   int
@@ -102,6 +103,9 @@
 
 func (k *worker) begin() {
 	w := k.world
+	if k.leave.leaves() {
+		return
+	}
 	k.life++
 	k.up, k.fence, k.until, k.number = true, 0, 0, 0
 	k.broken = nil
@@ -119,18 +123,28 @@
 	}
 	k.world.logf("%s crashes", k.id())
 	k.world.checker.crashed(k)
+	k.endLife("lost")
+	k.loud = false
+	k.world.after(span, k.begin)
+}
+
+// endLife ends all that runs with the life.
+func (k *worker) endLife(how workers.How) {
 	k.up = false
 	for _, r := range k.sorted() {
-		k.world.checker.ended(k, r, "lost")
+		k.world.checker.ended(k, r, how)
 	}
 	k.runs = map[string]*workerRun{}
-	k.loud = false
-	k.world.after(span, k.begin)
 }
 
 // crashLoudly ends a life as a process does that crashes: callers notice at once.
 func (k *worker) crashLoudly(span time.Duration) {
 	k.crash(span)
+	k.breakCalls()
+}
+
+// breakCalls has callers notice at once that the life is over.
+func (k *worker) breakCalls() {
 	k.loud = true
 	broken := k.broken
 	k.broken = nil
