Settle a task whose run its worker lists

What callers saw: LOST. A lasting task that the new leader had taken over and then stopped, since its worker left, waited for the whole cell to be settled.

Cause: a task counted as settled only with its cell, once every worker that earlier leaders could have used was heard or surely over. That its run went on at a worker under the new fence changed nothing.

ALastingTaskThatIsStoppedAfterATakeoverStartsBeforeTheCellIsSettled fails without the change, for a worker that leaves at once and for one that leaves 3 s later.

Fix: a run that is listed is the only one of its task, so the task is settled. An earlier leader may only start it anew if it sees the run end; a poll of it that came before the fence may still show that, so the list has to be 1.3 s younger than the worker's first one. A leaving worker's run is stopped after that, where it has the time. Not where copies may run.

--- a/pkg/process/cell/leaving.go
+++ b/pkg/process/cell/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
 // leaveMargin is what must be left of a leaving worker's time after the end of
@@ -20,7 +21,7 @@
 		}
 		left := w.Remaining - now.Sub(w.LeavingAt)
 		for _, r := range w.Runs {
-			if r.State != jobs.Running || !s.moveAway(now, r, left) {
+			if r.State != jobs.Running || !s.moveAway(now, r, left) || s.settlesSoon(now, w, r, left) {
 				continue
 			}
 			s.stop(now, w, r, "its worker leaves")
@@ -28,6 +29,16 @@
 	}
 }
 
+// stopTakes is about as long as a stop takes.
+const stopTakes = time.Second
+
+// settlesSoon says whether a run is better stopped a little later: once its task is settled, it may start
+// elsewhere at once, and there is time for that.
+func (s *State) settlesSoon(now time.Time, w *workers.Worker, r *jobs.Run, left time.Duration) bool {
+	wait := earlierPolls + lookWait - now.Sub(w.HeardAt)
+	return !r.Task.Settled && wait > 0 && left-wait > stopTakes
+}
+
 func (s *State) moveAway(now time.Time, r *jobs.Run, left time.Duration) bool {
 	if r.Task.Unit.Lasting() {
 		return true
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -29,6 +29,7 @@
 			continue
 		}
 		listed[r] = true
+		s.settleListed(w, r, e.SentAt)
 		s.takeReading(now, w, r, a)
 	}
 	w.SetForeign(foreign)
@@ -91,6 +92,18 @@
 	return r
 }
 
+// earlierPolls is how long after a worker was first heard it may still answer a poll of an earlier leader
+// with a list: one that came before this leader's fence waits as long as a poll may.
+const earlierPolls = idleWait + 300*time.Millisecond
+
+// settleListed settles the task of a run that its worker lists: while one goes on there is no other. An
+// earlier leader may start it anew only if it sees this one's end, which no poll of it shows any more.
+func (s *State) settleListed(w *workers.Worker, r *jobs.Run, sentAt time.Time) {
+	if t := r.Task; !t.Settled && !t.Unit.Spec.GetCopies() && sentAt.Sub(w.HeardAt) >= earlierPolls {
+		t.Settled = true
+	}
+}
+
 // mayAdopt says whether a run that a worker lists may go on: not beside
 // another run of its task, unless copies may.
 func mayAdopt(t *jobs.Task) bool { return len(t.Runs) == 0 || t.Unit.Spec.GetCopies() }
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -203,7 +203,7 @@
 	w.TakeClock(now, clock)
 	w.AnsweredAt, w.Failures = now, 0
 	if !w.Heard {
-		w.Heard = true
+		w.Heard, w.HeardAt = true, now
 		w.Grant(now, s.leaseSpan()+leaseSlack)
 		s.placeNow = true
 	}
--- a/pkg/process/cell/settling_test.go
+++ b/pkg/process/cell/settling_test.go
@@ -7,6 +7,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -121,3 +123,29 @@
 	}
 	must.True(t, stepped)
 }
+
+// A run that a worker goes on listing to the new leader is the only one: once it is stopped, its task starts
+// again at once, though another worker has not been heard.
+func TestALastingTaskThatIsStoppedAfterATakeoverStartsBeforeTheCellIsSettled(t *testing.T) {
+	t.Parallel()
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "watches", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, Lasting: true}}}
+	for _, leavesAfter := range []time.Duration{0, 3 * time.Second} {
+		v := newTakeoverOf(15*time.Second, cell.LoadedJob{Spec: spec})
+		v.active = []workers.Active{{Task: "00000000000000aa.0.0.0", Run: 7, Percent: 100}}
+		v.answers = "second"
+		_, started := v.run(leavesAfter)
+		must.False(t, started)
+		record := func(id string, leaving bool) workers.Record {
+			return workers.Record{
+				ID: id, Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: id, Leaving: leaving, Remaining: 4 * time.Second,
+				Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+			}
+		}
+		v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{record("heard", true), record("second", false)}})
+		v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"heard", "second", "dark"}})
+		after, started := v.run(5 * time.Second)
+		must.True(t, started, must.Sprintf("left after %s", leavesAfter))
+		must.Less(t, 4*time.Second, after)
+		must.Eq(t, "second", v.starts[0].To.ID)
+	}
+}
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -21,8 +21,9 @@
 	starts []cell.SendStart
 	// lookAt is when the last look was sent.
 	lookAt time.Time
-	// active is what the worker that is heard lists.
+	// active is what the worker that is heard lists, ended what has ended there.
 	active []workers.Active
+	ended  []workers.End
 	// unconfirmed says that no renewal takes effect any more.
 	unconfirmed bool
 	// silent says that the worker that was heard answers no more; answers names
@@ -68,10 +69,16 @@
 			case cell.SendLook:
 				v.lookAt = v.now
 				if (e.To.ID == "heard" && !v.silent) || e.To.ID == v.answers {
-					v.state.Take(v.now, cell.Looked{Worker: e.To.ID, SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(time.Unix(0, 0)), Active: v.active}})
+					report := workers.Report{Clock: v.now.Sub(time.Unix(0, 0))}
+					if e.To.ID == "heard" {
+						report.Active, report.Ended = v.active, v.ended
+					}
+					v.state.Take(v.now, cell.Looked{Worker: e.To.ID, SentAt: v.now, Report: report})
 				} else {
 					v.state.Take(v.now, cell.Looked{Worker: e.To.ID, SentAt: v.now, Err: fault.New(fault.Unknown, e.To.ID, "no answer", "")})
 				}
+			case cell.SendStop:
+				v.active, v.ended = nil, []workers.End{{Number: 1, Task: e.Stop.Task, Run: e.Stop.Run, How: workers.EndedStopped}}
 			case cell.SendStart:
 				v.starts = append(v.starts, e)
 			}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -83,6 +83,8 @@
 	Runs []*jobs.Run
 	// Heard says that it has answered since this leader came to lead.
 	Heard bool
+	// HeardAt is since when.
+	HeardAt time.Time
 	// AnsweredAt is when its last answer came, SilentSince when calls began to
 	// fail; zero while they don't.
 	AnsweredAt  time.Time
