Delegate nothing to a cell that has not settled

What callers saw: LOST. Lasting tasks were delegated to a cell whose new leader had not settled what earlier ones had started there, and waited there for that, with capacity in a third cell. New jobs were sent there, too.

Cause: a leader's load told of free capacity from the moment it led. A task that comes to a cell before it has settled may have been started by its predecessor, and is held back like the others.

Fix: the load tells how long it may take until the cell has settled, once live workers must have answered (0.5 s). Nothing is delegated there meanwhile, and that time counts as wait where a cell is chosen for a new job. An older host does not tell: then as before.

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -192,6 +192,11 @@
 	s.completeIfDone(now, j)
 }
 
+// fresh says whether the load is new enough, and tells of a cell where a task that comes may start.
+func (o otherLoad) fresh(now time.Time) bool {
+	return now.Sub(o.at) <= othersFresh && o.load.GetSettlesInMs() == 0
+}
+
 // carries says whether the cell has workers with the label that a unit requires.
 func (o otherLoad) carries(u *jobs.Unit) bool {
 	return u.Spec.GetLabel() == "" || slices.Contains(o.load.GetLabels(), u.Spec.GetLabel())
@@ -203,7 +208,7 @@
 	size := max(1, u.Size.Millicores)
 	fits := int64(0)
 	for name, o := range s.others {
-		if name == s.name || now.Sub(o.at) > othersFresh || !o.carries(u) {
+		if name == s.name || !o.fresh(now) || !o.carries(u) {
 			continue
 		}
 		for _, free := range o.load.GetFreeEach() {
@@ -224,7 +229,7 @@
 	best, most := "", int64(-1)
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
 		o := s.others[name]
-		if name == s.name || now.Sub(refused[name]) < refusedFor || now.Sub(o.at) > othersFresh || !o.carries(u) {
+		if name == s.name || now.Sub(refused[name]) < refusedFor || !o.fresh(now) || !o.carries(u) {
 			continue
 		}
 		if o.load.GetLargestFreeMillicores() < size {
@@ -247,7 +252,7 @@
 	best, most := "", u.Size.Millicores-1
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
 		o := s.others[name]
-		if name == s.name || o.given > 0 || !o.carries(u) || now.Sub(refused[name]) < refusedFor || now.Sub(o.at) > othersFresh {
+		if name == s.name || o.given > 0 || !o.carries(u) || now.Sub(refused[name]) < refusedFor || !o.fresh(now) {
 			continue
 		}
 		if room := o.load.GetLargestLastingMillicores(); room > most {
--- a/pkg/process/cell/lend_gang.go
+++ b/pkg/process/cell/lend_gang.go
@@ -78,7 +78,7 @@
 	size := max(1, u.Size.Millicores)
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
 		o := s.others[name]
-		if name == s.name || now.Sub(refused[name]) < refusedFor || now.Sub(o.at) > othersFresh || !o.carries(u) {
+		if name == s.name || now.Sub(refused[name]) < refusedFor || !o.fresh(now) || !o.carries(u) {
 			continue
 		}
 		room := -o.givenShort / size
--- a/pkg/process/cell/lend_short.go
+++ b/pkg/process/cell/lend_short.go
@@ -83,7 +83,7 @@
 func (s *State) shortBorrower(now time.Time, u *jobs.Unit) (best string, most int) {
 	for _, name := range slices.Sorted(maps.Keys(s.others)) {
 		o := s.others[name]
-		if name == s.name || now.Sub(o.at) > othersFresh {
+		if name == s.name || !o.fresh(now) {
 			continue
 		}
 		if room := o.roomFor(u); room > most {
--- a/pkg/process/cell/lend_test.go
+++ b/pkg/process/cell/lend_test.go
@@ -308,3 +308,35 @@
 	must.False(t, lentAfter(map[string][]int64{"other": {32000, 8000}}, 6*time.Second), must.Sprint("it fits once"))
 	must.True(t, lentAfter(map[string][]int64{"other": {32000, 8000}, "third": {31000}}, time.Second), must.Sprint("it fits twice"))
 }
+
+// A cell that has not settled what earlier leaders started there would hold a task back: it gets none.
+func TestNoTaskIsDelegatedToACellThatHasNotSettled(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	lent := func() bool {
+		found := false
+		b.putsOf(t, rows.SpecKey("other", lentJob), func(table.Row) { found = true })
+		return found
+	}
+	load := roomAt("other")
+	load.Load.SettlesInMs = 8000
+	for range 60 {
+		b.state.Take(b.now, load)
+		b.step(50 * time.Millisecond)
+	}
+	must.False(t, lent())
+	b.state.Take(b.now, roomAt("other"))
+	b.step(100 * time.Millisecond)
+	must.True(t, lent())
+}
+
+// A cell whose leader waits for a worker that it has not heard tells how long that may take.
+func TestALoadTellsThatACellHasNotSettled(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.run(time.Second)
+	must.Between(t, 13000, v.state.Load(v.now, false).GetSettlesInMs(), 14100)
+	v.run(15 * time.Second)
+	must.Eq(t, 0, v.state.Load(v.now, false).GetSettlesInMs())
+}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -37,10 +37,10 @@
 	return led
 }
 
-func (s *State) takeLed(e Led) {
+func (s *State) takeLed(now time.Time, e Led) {
 	known := s.workers
 	s.forget()
-	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
+	s.phase, s.epoch, s.runs, s.ledAt = loading, e.Epoch, 0, now
 	s.predecessors, s.overUntil = maps.Clone(e.Predecessors), e.RosterUntil
 	s.settleBy, s.confirmedAt, s.leadsUntil = s.lastGrant(), time.Time{}, time.Time{}
 	for id, w := range known {
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -70,7 +70,7 @@
 		s.fillerRooms, s.fillerFrees, s.roomsAt = s.fillerRoom(), s.fillerFree(), now
 	}
 	labels := map[string]bool{}
-	l := &wire.CellLoad{Worker: &wire.WorkerSize{}, Leading: s.Leading(), Holds: s.Holds(), Cell: s.name, Pending: map[string]int32{}}
+	l := &wire.CellLoad{SettlesInMs: s.settlesIn(now).Milliseconds(), Worker: &wire.WorkerSize{}, Leading: s.Leading(), Holds: s.Holds(), Cell: s.name, Pending: map[string]int32{}}
 	for _, w := range s.sorted() {
 		if w.Gone || !w.Listed || w.Leaving {
 			continue
@@ -110,6 +110,18 @@
 	return l
 }
 
+// settlesIn is how long it may take until what earlier leaders started is known or surely over; 0: it is, or
+// only workers' first answers are waited for.
+func (s *State) settlesIn(now time.Time) time.Duration {
+	if s.phase != leading || s.settled || now.Sub(s.ledAt) < firstAnswers {
+		return 0
+	}
+	return max(time.Millisecond, s.settleBy.Sub(now))
+}
+
+// firstAnswers is how long after a takeover all workers that live have answered.
+const firstAnswers = 500 * time.Millisecond
+
 // addLoad adds what a unit still asks for.
 func addLoad(l *wire.CellLoad, u *jobs.Unit) {
 	work := u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -137,6 +137,8 @@
 	earlier    map[string]*wire.RosterEntry
 	unseen     []string
 	weighedSeq int64
+	// ledAt is when this process came to lead the cell.
+	ledAt time.Time
 	// predecessors are leaders that are not known to be over, and when what each may have granted is
 	// over; overUntil is the same for the others.
 	predecessors map[string]time.Time
@@ -241,7 +243,7 @@
 	case WorkersListed:
 		s.takeListed(now, e)
 	case Led:
-		s.takeLed(e)
+		s.takeLed(now, e)
 	case Deposed:
 		s.stepDown(e.Why)
 	case Confirmed:
--- a/pkg/process/cellchoice/cost.go
+++ b/pkg/process/cellchoice/cost.go
@@ -71,6 +71,7 @@
 	if l == nil || l.GetCapacityMillicores() == 0 {
 		return cost
 	}
+	cost += float64(l.GetSettlesInMs())
 	all := float64(l.GetCapacityMillicores())
 	lasting := float64(l.GetLastingMillicores())
 	if d.lasting > 0 {
