Count a lasting task's wait from its last run, over handovers

What callers saw: LOST. A lasting task went to and fro between cells for longer than six seconds, with capacity, or was started just after them.

Cause: the spans before a task is delegated (2 s), returned (1.5 s) and offered to the same cell again (4 s) each began anew at a handover, and at the loss of a run, which comes a lease after its end. A delegated task that lost its run was returned in that same instant, before its own cell had tried it.

Fix: a task takes along how long it has had no run, and a lost run counts from its worker's last answer. Its own cell has 0.3 s to place it first, wherever it waits; a cell that returned it is passed over for 2.2 s, less than the three in which capacity has to be used.

--- a/pkg/process/cell/ends.go
+++ b/pkg/process/cell/ends.go
@@ -36,7 +36,7 @@
 	if r != nil {
 		w.Remove(r)
 		t.Drop(r)
-		t.WaitsSince = now
+		t.WaitsSince, t.HereSince = now, now
 	}
 	s.endedWithoutCrash(w, t, r)
 	if e.Checkpoint != "" && !t.Done {
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -29,6 +29,9 @@
 	// seconds without a run it is late by the platform's rules; in the first two, room
 	// often comes up in its own cell.
 	lendAfter = 2 * time.Second
+	// ownCellFirst is how long a task that comes to wait is left to its own cell, whatever its wait
+	// before.
+	ownCellFirst = 300 * time.Millisecond
 	// fitsToLend is how often a lasting task must fit into the free room of the other
 	// cells together, for it to be lent: the platform's rules want it to run where there
 	// is room for it twice over. The last place is left to short tasks, which earn four
@@ -37,8 +40,9 @@
 	// returnAfter is how long a lent task waits before it is given back.
 	returnAfter = 1500 * time.Millisecond
 	// refusedFor is how long a cell that gave a task back is not lent it again: its
-	// room was in pieces too small, and it takes a task or two to end to change that.
-	refusedFor = 4 * time.Second
+	// room was in pieces too small, and it takes a task or two to end to change that. It
+	// is less than the three seconds in which capacity has to be used.
+	refusedFor = 2200 * time.Millisecond
 	// giveShare is the part of another cell's free room that may be filled on one
 	// word of it: others lend to it too, and its room is in pieces.
 	giveShare = 2
@@ -102,11 +106,11 @@
 		for _, t := range u.Waiting(now) {
 			waited := now.Sub(waitsSince(t))
 			switch {
-			case u.Job.Guest() && waited >= returnAfter:
+			case u.Job.Guest() && now.Sub(hereSince(t)) >= returnAfter:
 				s.giveBack(now, t)
 			case s.awaitsWord(now, t):
 				// It may be given up in a moment.
-			case !u.Job.Guest() && waited >= lendAfter:
+			case !u.Job.Guest() && waited >= lendAfter && now.Sub(hereSince(t)) >= ownCellFirst:
 				s.lendTask(now, t)
 			}
 		}
@@ -121,6 +125,14 @@
 	return t.WaitsSince
 }
 
+// hereSince is since when a task waits in this cell, as far as this leader knows.
+func hereSince(t *jobs.Task) time.Time {
+	if t.HereSince.IsZero() {
+		return t.Unit.ReadyAt
+	}
+	return t.HereSince
+}
+
 func (s *State) lendTask(now time.Time, t *jobs.Task) {
 	size := t.Unit.Size.Millicores
 	name := s.borrower(now, t.Unit, t.RefusedAt)
@@ -134,6 +146,7 @@
 	o.given += size
 	s.others[name] = o
 	j := t.Unit.Job
+	t.Waited = now.Sub(waitsSince(t))
 	s.lent[j] = append(s.lent[j], j.Lend(name, t))
 	s.markDirty(j, true)
 	s.touch(now, j)
@@ -154,6 +167,7 @@
 	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 {
 		return
 	}
+	t.Waited = now.Sub(waitsSince(t))
 	j.GiveBack(t)
 	s.markDirty(j, true)
 	s.touch(now, j)
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -66,7 +66,7 @@
 		w.Remove(r)
 	}
 	t.Drop(r)
-	t.WaitsSince = now
+	t.WaitsSince, t.HereSince = lastSeen(now, w), now
 	s.note(Note{
 		What: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: r.Worker, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
@@ -74,6 +74,14 @@
 	s.touch(now, t.Unit.Job)
 }
 
+// lastSeen is when a worker whose runs are lost last said that they go on.
+func lastSeen(now time.Time, w *workers.Worker) time.Time {
+	if w == nil || w.AnsweredAt.IsZero() {
+		return now
+	}
+	return w.AnsweredAt
+}
+
 // checkRuns sees to workers that are silent, to orders without an answer, and
 // to runs that stand still.
 func (s *State) checkRuns(now time.Time) {
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -89,6 +89,8 @@
 	Crashes []blame.Crash
 	Trial   Trial
 	level   blame.Level
+	// RunsOpen says that it need not run isolated, though it is to be tried.
+	RunsOpen bool
 	// crashedSomewhere says that one of the crashes names a host.
 	crashedSomewhere bool
 	// Runs are those that may be running now.
@@ -108,8 +110,12 @@
 	RefusedAt map[string]time.Time
 	// Tried says that it has had a run here, or may have had one.
 	Tried bool
-	// WaitsSince is when it last lost a run; zero: it never had one.
+	// WaitsSince is when it last lost a run, in any cell; zero: it never had one.
 	WaitsSince time.Time
+	// HereSince is since when it waits in this cell, Waited how long it had had no run when it was last
+	// handed over to another one.
+	HereSince time.Time
+	Waited    time.Duration
 
 	name string
 }
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -56,11 +56,17 @@
 func (j *Job) Arrived(now time.Time) {
 	for _, r := range j.Spec.GetGuest() {
 		if t := j.at(r); t != nil && t.LentTo == "" {
-			t.WaitsSince = now
+			t.arrive(now, r)
 		}
 	}
 }
 
+// arrive takes in that a task comes from another cell, where it had waited already.
+func (t *Task) arrive(now time.Time, r *wire.TaskRef) {
+	t.HereSince = now
+	t.WaitsSince = now.Add(-time.Duration(r.GetWaitedMs()) * time.Millisecond)
+}
+
 // takeOver takes over what is known of a task where it comes from.
 func (t *Task) takeOver(r *wire.TaskRef) {
 	t.setCrashes(crashesOf(r.GetCrashes()))
@@ -89,8 +95,9 @@
 		if t == nil || (t.LentTo != elsewhere && (t.LentTo == "" || r.GetLending() <= t.Lending)) {
 			continue
 		}
-		t.LentTo, t.Lending, t.WaitsSince, more = "", r.GetLending(), now, true
+		t.LentTo, t.Lending, more = "", r.GetLending(), true
 		t.Settled = settled
+		t.arrive(now, r)
 		t.takeOver(r)
 	}
 	if more {
@@ -148,7 +155,8 @@
 			t.RefusedAt = map[string]time.Time{}
 		}
 		if t.LentTo == r.GetFrom() && t.Lending == ref.GetLending() {
-			t.LentTo, t.Settled, t.WaitsSince, news = "", settled, now, true
+			t.LentTo, t.Settled, news = "", settled, true
+			t.arrive(now, ref)
 			t.RefusedAt[r.GetFrom()] = now
 			t.takeBackCrashes(crashesOf(ref.GetCrashes()))
 			t.failedElsewhere(ref)
@@ -194,7 +202,7 @@
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
 			if which(t) {
-				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index), Lending: t.Lending, Crashes: crashNotes(t.Crashes), Failed: int32(t.Failures()), Checkpoint: t.Checkpoint})
+				refs = append(refs, &wire.TaskRef{Time: int32(u.Time), Step: int32(u.Step), Index: int32(t.Index), Lending: t.Lending, Crashes: crashNotes(t.Crashes), Failed: int32(t.Failures()), Checkpoint: t.Checkpoint, WaitedMs: t.Waited.Milliseconds()})
 			}
 		}
 	}
