Lasting tasks do not queue for isolated runs

Cause: a lasting task's isolated run closes its whole worker until the task is exonerated, which takes 2 s and twice the longest run that ended with a worker; only a third of the workers may be closed at a time.

LastingTasksDoNotQueueForIsolatedRuns and ALastingTaskJoinsAnIsolatedRunThatGoesOn fail without the change.

Fix: a lasting task that has waited 3 s for an isolated run starts as a suspected one does, apart from others. An isolated run that has gone on for 2 s, far longer than such tasks need, lets lasting tasks that are not suspected and have waited 2.5 s join it.

--- a/pkg/process/cell/lacks.go
+++ b/pkg/process/cell/lacks.go
@@ -32,7 +32,7 @@
 		return lacksLabel
 	case !workers.Reserved(u).Fits(w.Free()):
 		return lacksWhich(u, w)
-	case len(s.closed) > 0 && s.closed[w]:
+	case len(s.closed) > 0 && s.closed[w] && !s.mayJoinIsolated(now, u, w):
 		return lacksTrial
 	case len(w.Strays) > 0 && !s.guards(service) && !s.unsafe.NoStrayRoom:
 		return lacksRoom // nobody knows how much of it those take
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -31,6 +31,7 @@
 
 // closeForTrials finds the workers that nothing else may join: a trial is on there, or about to be.
 func (s *State) closeForTrials(now time.Time) {
+	s.openIsolated(now)
 	clear(s.closed)
 	s.trialsOut = 0
 	for _, t := range s.accused {
@@ -42,7 +43,7 @@
 		}
 	}
 	for t, kept := range s.kept {
-		if t.Level() != blame.OnTrial || !t.Waiting(now) || t.Unit.Job.Ended() || s.workers[kept.worker.ID] != kept.worker || now.Sub(kept.since) > keptFor {
+		if !s.triedAlone(t) || !t.Waiting(now) || t.Unit.Job.Ended() || s.workers[kept.worker.ID] != kept.worker || now.Sub(kept.since) > keptFor {
 			delete(s.kept, t)
 			continue
 		}
@@ -50,6 +51,32 @@
 	}
 }
 
+// joinsAfter is how long an isolated run has to run for a lasting task to join it: tasks that crash their
+// workers do so within a fraction of that.
+const joinsAfter = 2 * time.Second
+
+// mayJoinIsolated says whether a lasting task that has waited for long may join a worker's isolated run, which
+// takes a while longer to exonerate its own task.
+func (s *State) mayJoinIsolated(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
+	if !u.Lasting() || now.Sub(u.ReadyAt) < holdAfter || slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
+		return false
+	}
+	if s.isKept(w) {
+		return false
+	}
+	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.OnTrial && ranFor(w, r) < joinsAfter })
+}
+
+// isKept says whether a worker is kept for an isolated run that is about to start there.
+func (s *State) isKept(w *workers.Worker) bool {
+	for _, kept := range s.kept {
+		if kept.worker == w {
+			return true
+		}
+	}
+	return false
+}
+
 // calmFor is how long no worker may have fallen silent for a trial to say something, calmWithin how
 // long a trial waits for that.
 const (
@@ -83,7 +110,24 @@
 
 // triedAlone says whether a task is started only where one more crash would name it.
 func (s *State) triedAlone(t *jobs.Task) bool {
-	return t.Level() == blame.OnTrial && !s.tooWideToTry(t.Unit)
+	return t.Level() == blame.OnTrial && !s.tooWideToTry(t.Unit) && !t.RunsOpen
+}
+
+// isolatedWaitMost is how long a lasting task waits for a worker to run isolated: one that is at fault is
+// told apart without that, too, and most are not.
+const isolatedWaitMost = 3 * time.Second
+
+// openIsolated lets lasting tasks that have waited for long for an isolated run start as suspects do.
+func (s *State) openIsolated(now time.Time) {
+	for _, t := range s.accused {
+		if !t.Unit.Lasting() || t.Level() != blame.OnTrial {
+			t.RunsOpen = false
+			continue
+		}
+		if t.Waiting(now) && !s.awaitsWord(now, t) && now.Sub(hereSince(t)) >= isolatedWaitMost {
+			t.RunsOpen = true
+		}
+	}
 }
 
 // tooWideToTry says whether a unit is a gang of more members than may be tried at a time. They start together or
--- a/pkg/process/cell/trials_test.go
+++ b/pkg/process/cell/trials_test.go
@@ -17,6 +17,13 @@
 // startSuspects runs a cell of idle workers for a second, to which steps come whose tasks crashed two workers
 // each, as far as is known. It returns what was started, by worker.
 func startSuspects(workersIdle int, steps ...*wire.StepSpec) map[string][]workers.Active {
+	return startSuspectsFor(time.Second, 0, workersIdle, steps...)
+}
+
+// startSuspectsFor is the same for a given time; if age is not zero, three runs ended with
+// their workers, one after that time.
+// Steps of 2000 millicores are not suspected.
+func startSuspectsFor(span, age time.Duration, workersIdle int, steps ...*wire.StepSpec) map[string][]workers.Active {
 	now := time.Unix(1000, 0)
 	s := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
 	s.Take(now, cell.ManifestChanged{Manifest: theManifest})
@@ -34,6 +41,17 @@
 	for n, step := range steps {
 		up := &wire.UnitProgress{Step: int32(n)}
 		for i := range step.GetCount() {
+			if step.GetMillicores() == 2000 {
+				continue
+			}
+			if age > 0 {
+				up.Notes = append(up.Notes, &wire.TaskNote{Index: i, Crashes: []*wire.CrashNote{
+					{Worker: "a", Run: 1, Host: "ha", Began: true, AgeMs: age.Milliseconds(), Company: 9, Lives: 1},
+					{Worker: "b", Run: 2, Host: "hb", Began: true, Company: 9, Lives: 1},
+					{Worker: "c", Run: 3, Host: "hc", Began: true, Company: 9, Lives: 1},
+				}})
+				continue
+			}
 			up.Notes = append(up.Notes, &wire.TaskNote{Index: i, Crashes: []*wire.CrashNote{
 				{Worker: "a", Run: 1, Host: "ha", Began: true, Company: 9, Lives: 1}, {Worker: "b", Run: 2, Host: "hb", Began: true, Company: 9, Lives: 1},
 			}})
@@ -44,7 +62,7 @@
 	s.Take(now, cell.Loaded{Epoch: 2, Wall: now, Fences: someFences(), Jobs: []cell.LoadedJob{{Spec: spec, Progress: &wire.JobProgress{Id: spec.GetId(), Units: units}, Recorded: 1}}})
 	s.Take(now, cell.RosterRecorded{IDs: ids})
 	active := map[string][]workers.Active{}
-	for range 50 {
+	for range span / (20 * time.Millisecond) {
 		now = now.Add(20 * time.Millisecond)
 		s.Take(now, cell.Tick{})
 		s.Take(now, cell.Confirmed{At: now})
@@ -53,7 +71,7 @@
 			case cell.SendLook:
 				s.Take(now, cell.Looked{Worker: e.To.ID, SentAt: now, Report: workers.Report{Clock: now.Sub(time.Unix(900, 0)), Active: active[e.To.ID]}})
 			case cell.SendStart:
-				active[e.To.ID] = append(active[e.To.ID], workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 10})
+				active[e.To.ID] = append(active[e.To.ID], workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 100})
 				s.Take(now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: now.Sub(time.Unix(900, 0))}})
 			case cell.Record:
 				s.Take(now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: 9}})
@@ -100,3 +118,30 @@
 	}
 	must.Eq(t, 2, n)
 }
+
+// More lasting tasks have to run isolated than may do so at a time: the others start as suspected ones do once
+// they have waited for a while.
+func TestLastingTasksDoNotQueueForIsolatedRuns(t *testing.T) {
+	t.Parallel()
+	n := 0
+	for _, runs := range startSuspectsFor(4*time.Second, 0, 6, &wire.StepSpec{Count: 6, Millicores: 1000, Lasting: true}) {
+		n += len(runs)
+	}
+	must.Eq(t, 6, n)
+}
+
+// A lasting task that has waited for long joins a worker whose isolated run has gone on for a while.
+func TestALastingTaskJoinsAnIsolatedRunThatGoesOn(t *testing.T) {
+	t.Parallel()
+	suspect := &wire.StepSpec{Count: 1, Millicores: 1000, Lasting: true}
+	innocent := &wire.StepSpec{Count: 1, Millicores: 2000, Lasting: true}
+	started := func(span time.Duration) int {
+		n := 0
+		for _, runs := range startSuspectsFor(span, 3*time.Second, 1, suspect, innocent) {
+			n += len(runs)
+		}
+		return n
+	}
+	must.Eq(t, 1, started(1500*time.Millisecond))
+	must.Eq(t, 2, started(4*time.Second))
+}
