--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
-	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
--- a/pkg/emulator/intake.go
+++ b/pkg/emulator/intake.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
-	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
+	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
--- a/pkg/process/cellchoice/board_test.go
+++ b/pkg/request/cellchoice/board_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
+	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
-	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
