--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -23,6 +23,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -52,7 +53,7 @@
 	seats    map[string]*seat
 	manifest *manifest.Manifest
 	leaving  bool
-	view     atomic.Pointer[View]
+	view     atomic.Pointer[intake.View]
 	// yieldTo asks a leader of another hall for a seat of this one.
 	yieldTo func(cell, address string)
 	asked   map[string]time.Time
@@ -75,26 +76,6 @@
 	confirmed time.Time
 }
 
-// View is what the control thread lets others see of the cells.
-type View struct {
-	At    time.Time
-	Cells map[string]CellView
-	// Waits says that tasks wait in a cell led here that other cells might take.
-	Waits bool
-}
-
-// CellView is who leads a cell.
-type CellView struct {
-	Hall    string
-	Leader  string
-	Address string
-	Epoch   int64
-	// Fresh says that its renewals come.
-	Fresh bool
-	// Mine says that this process leads it, with its jobs loaded.
-	Mine bool
-}
-
 // NewControl returns the control thread of a process for the given cells, each
 // with the hall that it stands in.
 func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, advisor workers.Advisor, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
@@ -302,10 +283,10 @@
 
 // publish lets traffic see who leads.
 func (c *Control) publish(now time.Time) {
-	v := &View{At: now, Cells: map[string]CellView{}}
+	v := &intake.View{At: now, Cells: map[string]intake.CellView{}}
 	for name, s := range c.seats {
 		row := s.seat.Row()
-		v.Cells[name] = CellView{
+		v.Cells[name] = intake.CellView{
 			Hall: s.hall, Leader: row.GetHost(), Address: row.GetAddress(), Epoch: row.GetEpoch(),
 			Fresh: s.seat.Fresh(now), Mine: s.seat.Role() == election.Leader,
 		}
@@ -315,7 +296,7 @@
 }
 
 // View is who leads, as this process last saw it.
-func (c *Control) View() *View { return c.view.Load() }
+func (c *Control) View() *intake.View { return c.view.Load() }
 
 // tell hands a message to the control thread.
 func (c *Control) tell(m message) { c.inbox <- m }
--- a/pkg/process/fleet/figures.go
+++ b/pkg/process/fleet/figures.go
@@ -11,6 +11,7 @@
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/request/intake"
 )
 
 // serveMetrics tells counters and timers as text, a line each.
@@ -59,7 +60,7 @@
 	// StoreAgeMs is how long ago the table last answered.
 	StoreAgeMs int64
 	// Cells are all cells as this host sees them, Led sums up those that it leads.
-	Cells map[string]CellView
+	Cells map[string]intake.CellView
 	Led   map[string]cell.Counts
 	// Hosts are the other entry hosts that it knows of.
 	Hosts []string
--- a/pkg/request/intake/cancel_test.go
+++ b/pkg/request/intake/cancel_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -20,8 +20,8 @@
 	told *[]string
 }
 
-func (hearing) View() *fleet.View {
-	return &fleet.View{Cells: map[string]fleet.CellView{"home": {Mine: true, Fresh: true}, "other": {Mine: true, Fresh: true}}}
+func (hearing) View() *intake.View {
+	return &intake.View{Cells: map[string]intake.CellView{"home": {Mine: true, Fresh: true}, "other": {Mine: true, Fresh: true}}}
 }
 
 func (h hearing) Cancelled(cell, id string) { *h.told = append(*h.told, cell+" "+id) }
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -23,7 +23,6 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
@@ -43,16 +42,6 @@
 	reasonsKept = 512
 )
 
-// Leaders tells who leads which cell, and answers for those led here.
-type Leaders interface {
-	View() *fleet.View
-	Accepted(spec *wire.JobSpec)
-	Cancelled(cell, id string)
-	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
-	Load(ctx context.Context, cell string, withBeliefs bool) *wire.CellLoad
-	OtherLoad(l *wire.CellLoad)
-}
-
 // Peers connects to other hosts.
 type Peers interface {
 	To(address string) (wire.FleetClient, error)
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -52,7 +51,7 @@
 
 // askIfOlder asks for a cell's load in the background if it is older than a limit, and
 // is not being asked for.
-func (i *Intake) askIfOlder(now time.Time, name string, c fleet.CellView, limit time.Duration) {
+func (i *Intake) askIfOlder(now time.Time, name string, c CellView, limit time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if _, age := i.board.Load(now, name); age < limit || i.asking[name] {
@@ -77,7 +76,7 @@
 	return i.board.Choose(now, spec, cells)
 }
 
-func (i *Intake) askLoad(name string, c fleet.CellView) {
+func (i *Intake) askLoad(name string, c CellView) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	reply := i.fetchLoad(ctx, name, c, i.wantsBeliefs(clock.Now(), name))
@@ -102,7 +101,7 @@
 	return true
 }
 
-func (i *Intake) fetchLoad(ctx context.Context, name string, c fleet.CellView, withBeliefs bool) *wire.CellLoad {
+func (i *Intake) fetchLoad(ctx context.Context, name string, c CellView, withBeliefs bool) *wire.CellLoad {
 	if c.Mine {
 		return i.leaders.Load(ctx, name, withBeliefs)
 	}
--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -33,7 +32,7 @@
 	return sum, nil
 }
 
-func (i *Intake) pendingIn(ctx context.Context, now time.Time, name string, c fleet.CellView, queue string) (int, error) {
+func (i *Intake) pendingIn(ctx context.Context, now time.Time, name string, c CellView, queue string) (int, error) {
 	i.mu.Lock()
 	known, age := i.board.Load(now, name)
 	i.mu.Unlock()
--- a/pkg/request/intake/pending_test.go
+++ b/pkg/request/intake/pending_test.go
@@ -13,7 +13,6 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -50,8 +49,8 @@
 // leaders tells of one cell led here and one whose leader is out of reach.
 type leaders struct{}
 
-func (leaders) View() *fleet.View {
-	return &fleet.View{Cells: map[string]fleet.CellView{"near": {Mine: true, Fresh: true}, "far": {}}}
+func (leaders) View() *intake.View {
+	return &intake.View{Cells: map[string]intake.CellView{"near": {Mine: true, Fresh: true}, "far": {}}}
 }
 func (leaders) Accepted(*wire.JobSpec)   {}
 func (leaders) Cancelled(string, string) {}
--- a/pkg/request/intake/places_test.go
+++ b/pkg/request/intake/places_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -15,8 +15,8 @@
 // twoCells leads both cells; the loads differ in what their workers are.
 type twoCells struct{ leaders }
 
-func (twoCells) View() *fleet.View {
-	return &fleet.View{Cells: map[string]fleet.CellView{
+func (twoCells) View() *intake.View {
+	return &intake.View{Cells: map[string]intake.CellView{
 		"hall": {Hall: "hall", Mine: true, Fresh: true}, "far": {Hall: "far", Mine: true, Fresh: true},
 	}}
 }
