--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -172,17 +172,10 @@
 }
 
 // Ended says whether the job's phase is its last.
-func (j *Job) Ended() bool { return Last(j.Phase) }
+func (j *Job) Ended() bool { return j.Phase.Terminal() }
 
 // Last says whether a phase is one that a job never leaves.
-func Last(p wire.JobPhase) bool {
-	switch p {
-	case wire.JobPhase_JOB_PHASE_COMPLETED, wire.JobPhase_JOB_PHASE_FAILED, wire.JobPhase_JOB_PHASE_CANCELLED:
-		return true
-	default:
-		return false
-	}
-}
+func Last(p wire.JobPhase) bool { return p.Terminal() }
 
 // End gives the job its last phase. A job that has ended stays as it is.
 func (j *Job) End(phase wire.JobPhase, reason string, now time.Time) {
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -23,7 +23,6 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
-	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -200,7 +199,7 @@
 			return 0, err
 		}
 	}
-	if jobs.Last(phase) {
+	if phase.Terminal() {
 		i.ends.Add(id, phase)
 	}
 	return phase, nil
@@ -275,7 +274,7 @@
 		return 0, err
 	case p == nil:
 		return wire.JobPhase_JOB_PHASE_QUEUED, nil
-	case !jobs.Last(p.GetPhase()):
+	case !p.GetPhase().Terminal():
 		return wire.JobPhase_JOB_PHASE_RUNNING, nil
 	}
 	return p.GetPhase(), nil
--- /dev/null
+++ b/pkg/wire/values.go
@@ -0,0 +1,13 @@
+// Package wire holds everything that wrenferry sends or stores: messages and rows, generated
+// from the two schemas here, and what their values say of themselves. It decides nothing.
+package wire
+
+// Terminal says whether a phase is one that a job never leaves.
+func (p JobPhase) Terminal() bool {
+	switch p {
+	case JobPhase_JOB_PHASE_COMPLETED, JobPhase_JOB_PHASE_FAILED, JobPhase_JOB_PHASE_CANCELLED:
+		return true
+	default:
+		return false
+	}
+}
