Sizes of hosts and tasks have a package below all layers

The gateway imported process/ledger upwards to compare two sizes. The type and its arithmetic are package capacity; ledger keeps its name for it, as an alias.

--- a/pkg/request/gateway/jobs.go
+++ b/pkg/request/gateway/jobs.go
@@ -11,9 +11,9 @@
 	"strconv"
 	"strings"
 
+	"github.com/wrenferry/wrenferry/pkg/capacity"
 	"github.com/wrenferry/wrenferry/pkg/connection/platform"
 	"github.com/wrenferry/wrenferry/pkg/fault"
-	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/version/settings"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -143,7 +143,7 @@
 	g.mu.Lock()
 	largest := g.largest
 	g.mu.Unlock()
-	size, most := ledger.FromWire(kind.Size), ledger.FromWire(largest)
+	size, most := capacity.FromWire(kind.Size), capacity.FromWire(largest)
 	if largest == nil || size.Fits(most) {
 		return nil
 	}
