--- a/pkg/connection/runner/pool.go
+++ b/pkg/connection/runner/pool.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/wrenferry/wrenferry/pkg/request/route"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -18,7 +17,8 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	order   []string // names, sorted by the list's order
-	picker  route.Picker
+	pickers func(policy string) Picker
+	picker  Picker
 	policy  string
 	random  *rand.Rand
 	freed   chan struct{} // closed and replaced whenever a slot may be free
@@ -60,9 +60,10 @@
 	outMost  = 30 * time.Second
 )
 
-// NewPool returns an empty pool for an entry host in the hall.
-func NewPool(hall string, random *rand.Rand) *Pool {
-	return &Pool{hall: hall, servers: map[string]*server{}, random: random, freed: make(chan struct{})}
+// NewPool returns an empty pool for an entry host in the hall. pickers returns the picker of a
+// policy by its name.
+func NewPool(hall string, random *rand.Rand, pickers func(policy string) Picker) *Pool {
+	return &Pool{hall: hall, pickers: pickers, servers: map[string]*server{}, random: random, freed: make(chan struct{})}
 }
 
 // SetHosts takes in the service's part of the host list. A server that the list
@@ -166,10 +167,10 @@
 	defer p.mu.Unlock()
 	if p.picker == nil || p.policy != policy {
 		p.policy = policy
-		p.picker = route.New(policy)
+		p.picker = p.pickers(policy)
 	}
 	open := p.open(now, except)
-	list := make([]route.Candidate, len(open))
+	list := make([]Candidate, len(open))
 	for i, s := range open {
 		if s.latencyAt.IsZero() {
 			s.latencyAt = now
@@ -242,8 +243,8 @@
 	return !now.Before(s.outUntil) && !s.probing
 }
 
-func (s *server) candidate() route.Candidate {
-	return route.Candidate{
+func (s *server) candidate() Candidate {
+	return Candidate{
 		Name: s.name, Local: s.local, Slots: s.slots, Own: s.own, Others: s.others,
 		ReportedAt: s.reportedAt, Latency: s.latency, LatencyAt: s.latencyAt, Sent: s.sent,
 	}
--- a/pkg/request/gateway/gateway.go
+++ b/pkg/request/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/wrenferry/wrenferry/pkg/connection/runner"
 	"github.com/wrenferry/wrenferry/pkg/request/admit"
 	"github.com/wrenferry/wrenferry/pkg/request/binding"
+	"github.com/wrenferry/wrenferry/pkg/request/route"
 	"github.com/wrenferry/wrenferry/pkg/version/settings"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -148,7 +149,7 @@
 	s := g.services[name]
 	if s == nil {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		s = &service{pool: runner.NewPool(g.hall, random), gate: admit.NewGate(), budget: &admit.Budget{}}
+		s = &service{pool: runner.NewPool(g.hall, random, route.New), gate: admit.NewGate(), budget: &admit.Budget{}}
 		g.services[name] = s
 	}
 	return s
--- a/pkg/request/route/route.go
+++ b/pkg/request/route/route.go
@@ -12,49 +12,27 @@
 	"math"
 	"math/rand/v2"
 	"time"
-)
-
-// Candidate is one backend server as this entry host sees it.
-type Candidate struct {
-	Name  string
-	Local bool // in this entry host's own hall
-	// Slots is how many requests the server runs at once.
-	Slots int
-	// Own is what this host has outstanding there.
-	Own int
-	// Others is what the server reported beyond that, at ReportedAt.
-	Others     int
-	ReportedAt time.Time
-	// Latency is the server's recent answer time, as of LatencyAt.
-	Latency   time.Duration
-	LatencyAt time.Time
-	// Sent counts what this host ever sent there.
-	Sent int64
-}
 
-// Picker is one policy. Pick returns the index of the candidate, or -1 when all
-// are full. It may keep state and belongs to one service.
-type Picker interface {
-	Pick(now time.Time, list []Candidate, random *rand.Rand) int
-}
+	"github.com/wrenferry/wrenferry/pkg/connection/runner"
+)
 
 // Policy is a row of the look-up table.
 type Policy struct {
 	Name string
 	Help string
-	New  func() Picker
+	New  func() runner.Picker
 }
 
 // Policies is the look-up table. To add one: a type and a row.
 var Policies = []Policy{
-	{"two-choices", "Two servers at random, the better by estimated load and answer time; the own hall first.", func() Picker { return twoChoices{} }},
-	{"round-robin", "One after another (baseline).", func() Picker { return &roundRobin{} }},
-	{"random", "Any (baseline).", func() Picker { return randomPick{} }},
-	{"least-own", "The one with the fewest requests of this entry host (baseline).", func() Picker { return leastOwn{} }},
+	{"two-choices", "Two servers at random, the better by estimated load and answer time; the own hall first.", func() runner.Picker { return twoChoices{} }},
+	{"round-robin", "One after another (baseline).", func() runner.Picker { return &roundRobin{} }},
+	{"random", "Any (baseline).", func() runner.Picker { return randomPick{} }},
+	{"least-own", "The one with the fewest requests of this entry host (baseline).", func() runner.Picker { return leastOwn{} }},
 }
 
 // New returns a picker by its policy's name; an unknown name gives the first.
-func New(name string) Picker {
+func New(name string) runner.Picker {
 	for _, p := range Policies {
 		if p.Name == name {
 			return p.New()
@@ -65,10 +43,6 @@
 
 // ------------------------------------------------------------ two choices
 
-// reportHalfLife is how fast a report loses weight. Requests last a fraction of
-// a second, so a report says little after one.
-const reportHalfLife = 200 * time.Millisecond
-
 // spillCost is what another hall costs in answer time: the extra way there and
 // back.
 const spillCost = 3 * time.Millisecond
@@ -81,23 +55,9 @@
 
 type twoChoices struct{}
 
-// Load estimates how many requests a server has.
-func (c Candidate) Load(now time.Time) float64 {
-	if c.ReportedAt.IsZero() {
-		return float64(c.Own)
-	}
-	halves := float64(now.Sub(c.ReportedAt)) / float64(reportHalfLife)
-	return float64(c.Own) + float64(c.Others)*math.Exp2(-halves)
-}
-
-// Full says whether a server is taken to have no free slot.
-func (c Candidate) Full(now time.Time) bool {
-	return c.Load(now) > float64(c.Slots)-0.5
-}
-
 // latency is what the answer time counts for. Only an idle server's fades, so that
 // one request at a time tests it.
-func (c Candidate) latency(now time.Time) float64 {
+func latency(now time.Time, c runner.Candidate) float64 {
 	if c.Own > 0 {
 		return float64(c.Latency)
 	}
@@ -107,8 +67,8 @@
 
 // expected is the answer time to expect. The share of slots taken stretches it,
 // since a fuller server is likelier to be found full on arrival.
-func (c Candidate) expected(now time.Time) float64 {
-	e := c.latency(now) * (1 + c.Load(now)/float64(c.Slots))
+func expected(now time.Time, c runner.Candidate) float64 {
+	e := latency(now, c) * (1 + c.Load(now)/float64(c.Slots))
 	if !c.Local {
 		e += float64(spillCost)
 	}
@@ -118,20 +78,20 @@
 // Pick draws two of the own hall and two of the others, and takes the best. The
 // own hall has the shorter way; when what is left open there is slow or full,
 // the way to another hall pays.
-func (twoChoices) Pick(now time.Time, list []Candidate, random *rand.Rand) int {
+func (twoChoices) Pick(now time.Time, list []runner.Candidate, random *rand.Rand) int {
 	here := better(now, list, true, random)
 	there := better(now, list, false, random)
 	switch {
 	case here < 0:
 		return there
-	case there < 0 || list[here].expected(now) <= list[there].expected(now):
+	case there < 0 || expected(now, list[here]) <= expected(now, list[there]):
 		return here
 	}
 	return there
 }
 
 // better draws two different servers with room and returns the better.
-func better(now time.Time, list []Candidate, local bool, random *rand.Rand) int {
+func better(now time.Time, list []runner.Candidate, local bool, random *rand.Rand) int {
 	var open [256]int
 	n := 0
 	for i := range list {
@@ -148,7 +108,7 @@
 	if n > 1 {
 		b = open[(i+1+random.IntN(n-1))%n] // never the same one twice
 	}
-	if list[b].expected(now) < list[a].expected(now) {
+	if expected(now, list[b]) < expected(now, list[a]) {
 		return b
 	}
 	return a
@@ -158,7 +118,7 @@
 
 type roundRobin struct{ next int }
 
-func (p *roundRobin) Pick(_ time.Time, list []Candidate, _ *rand.Rand) int {
+func (p *roundRobin) Pick(_ time.Time, list []runner.Candidate, _ *rand.Rand) int {
 	if len(list) == 0 {
 		return -1
 	}
@@ -168,7 +128,7 @@
 
 type randomPick struct{}
 
-func (randomPick) Pick(_ time.Time, list []Candidate, random *rand.Rand) int {
+func (randomPick) Pick(_ time.Time, list []runner.Candidate, random *rand.Rand) int {
 	if len(list) == 0 {
 		return -1
 	}
@@ -177,7 +137,7 @@
 
 type leastOwn struct{}
 
-func (leastOwn) Pick(_ time.Time, list []Candidate, random *rand.Rand) int {
+func (leastOwn) Pick(_ time.Time, list []runner.Candidate, random *rand.Rand) int {
 	best := -1
 	ties := 0
 	for i := range list {
--- a/pkg/request/route/route_test.go
+++ b/pkg/request/route/route_test.go
@@ -8,13 +8,14 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/connection/runner"
 	"github.com/wrenferry/wrenferry/pkg/request/route"
 )
 
 // Of two servers, the slow one is never taken while the other has room.
 func TestTwoChoicesAreDifferent(t *testing.T) {
 	now := time.Unix(1, 0)
-	list := []route.Candidate{
+	list := []runner.Candidate{
 		{Name: "slow", Local: true, Slots: 8, Latency: 200 * time.Millisecond, LatencyAt: now},
 		{Name: "fast", Local: true, Slots: 8, Latency: 40 * time.Millisecond, LatencyAt: now},
 	}
@@ -29,7 +30,7 @@
 // is never chosen is never measured.
 func TestOldAnswerTimesLoseWeight(t *testing.T) {
 	begin := time.Unix(1, 0)
-	list := []route.Candidate{
+	list := []runner.Candidate{
 		{Name: "was slow", Local: true, Slots: 8, Latency: 20 * time.Millisecond, LatencyAt: begin},
 		{Name: "fast", Local: true, Slots: 8, Latency: 500 * time.Microsecond},
 		{Name: "fast too", Local: true, Slots: 8, Latency: 500 * time.Microsecond},
@@ -59,9 +60,9 @@
 	now := time.Unix(1, 0)
 	random := rand.New(rand.NewPCG(1, 2))
 	for _, n := range []int{12, 50, 200} {
-		list := make([]route.Candidate, n)
+		list := make([]runner.Candidate, n)
 		for i := range list {
-			list[i] = route.Candidate{Local: i%3 == 0, Slots: 8, Own: i % 3, Latency: time.Millisecond}
+			list[i] = runner.Candidate{Local: i%3 == 0, Slots: 8, Own: i % 3, Latency: time.Millisecond}
 		}
 		for _, p := range route.Policies {
 			b.Run(fmt.Sprintf("%s/servers=%d", p.Name, n), func(b *testing.B) {
