Peers speak in messages: no types of requests or of the control loop

connection/peer imported request/binding, request/gateway and process/hall upwards. Keys answer a peer's question themselves, the control loop tells its facts as messages, and what came of asking all peers is declared where they are asked.

--- a/pkg/connection/peer/peers.go
+++ b/pkg/connection/peer/peers.go
@@ -14,8 +14,6 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"github.com/wrenferry/wrenferry/pkg/request/binding"
-	"github.com/wrenferry/wrenferry/pkg/request/gateway"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -125,13 +123,22 @@
 
 // ------------------------------------------------------------------- keys
 
-// Ask asks every peer about a key.
-func (p *Peers) Ask(ctx context.Context, key binding.Key, window time.Duration) gateway.Asked {
+// Asked sums up what the other entry hosts said of a key.
+type Asked struct {
+	// MaybeRan: at least one has, or had, the key and may have run it.
+	MaybeRan bool
+	// Unsure: at least one could not be reached, or is younger than the window.
+	Unsure bool
+}
+
+// Ask asks every peer about a key, in this host's name.
+func (p *Peers) Ask(ctx context.Context, q *wire.AskRequest) Asked {
 	var mu sync.Mutex
-	asked := gateway.Asked{Unsure: p.missing(time.Now(), window)}
-	req := &wire.AskRequest{Service: key.Service, Kind: key.Kind, Key: key.Key, Asker: p.name, WindowMs: window.Milliseconds()}
+	window := time.Duration(q.GetWindowMs()) * time.Millisecond
+	asked := Asked{Unsure: p.missing(time.Now(), window)}
+	q.Asker = p.name
 	p.each(ctx, askTimeout, func(ctx context.Context, known *peer) {
-		reply, err := known.client.Ask(ctx, req)
+		reply, err := known.client.Ask(ctx, q)
 		mu.Lock()
 		defer mu.Unlock()
 		young := reply.GetSeen() == wire.Seen_SEEN_PROMISED && reply.GetAgeMs() < window.Milliseconds()
--- a/pkg/connection/peer/server.go
+++ b/pkg/connection/peer/server.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/wrenferry/wrenferry/pkg/process/hall"
-	"github.com/wrenferry/wrenferry/pkg/request/binding"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -24,7 +22,12 @@
 type Control interface {
 	Wake()
 	Leads() bool
-	Explain(ctx context.Context, name string) ([]hall.Fact, error)
+	Facts(ctx context.Context, name string) ([]*wire.Fact, error)
+}
+
+// Keys is what this host knows of keys.
+type Keys interface {
+	Answer(now time.Time, q *wire.AskRequest) *wire.AskReply
 }
 
 // Server answers the other entry hosts.
@@ -32,7 +35,7 @@
 	wire.UnimplementedPeerServer
 	Name     string
 	Hall     string
-	Keys     *binding.Keys
+	Keys     Keys
 	Settings Settings
 	Gateway  Leaving
 	Control  Control
@@ -40,11 +43,7 @@
 
 // Ask answers for a key, and leaves a promise.
 func (s *Server) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
-	now := time.Now()
-	key := binding.Key{Service: q.GetService(), Kind: q.GetKind(), Key: q.GetKey()}
-	window := time.Duration(q.GetWindowMs()) * time.Millisecond
-	age := s.Keys.Age(now)
-	return &wire.AskReply{Seen: s.Keys.Asked(now, key, q.GetAsker(), window), AgeMs: age.Milliseconds()}, nil
+	return s.Keys.Answer(time.Now(), q), nil
 }
 
 // Offer takes in a settings version.
@@ -81,20 +80,9 @@
 	if !s.Control.Leads() {
 		return &wire.Answer{}, nil
 	}
-	facts, err := s.Control.Explain(ctx, q.GetName())
+	facts, err := s.Control.Facts(ctx, q.GetName())
 	if err != nil {
 		return nil, err
 	}
-	return AnswerOf(s.Hall, s.Name, facts), nil
-}
-
-// AnswerOf writes facts into a message.
-func AnswerOf(hallName, name string, facts []hall.Fact) *wire.Answer {
-	answer := &wire.Answer{Hall: hallName, AnsweredBy: name}
-	for _, f := range facts {
-		answer.Facts = append(answer.Facts, &wire.Fact{
-			AtUnixMs: f.At.UnixMilli(), Object: f.Object, Reason: string(f.Reason), Detail: f.Detail,
-		})
-	}
-	return answer
+	return &wire.Answer{Hall: s.Hall, AnsweredBy: s.Name, Facts: facts}, nil
 }
--- a/pkg/process/control/control.go
+++ b/pkg/process/control/control.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// Facts is what Explain tells, as other entry hosts are told it.
+func (l *Loop) Facts(ctx context.Context, name string) ([]*wire.Fact, error) {
+	known, err := l.Explain(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	var facts []*wire.Fact
+	for _, f := range known {
+		facts = append(facts, &wire.Fact{AtUnixMs: f.At.UnixMilli(), Object: f.Object, Reason: string(f.Reason), Detail: f.Detail})
+	}
+	return facts, nil
+}
+
 // String names the part for the supervisor.
 func (l *Loop) String() string { return "control of hall " + l.hallName }
 
--- a/pkg/request/binding/binding.go
+++ b/pkg/request/binding/binding.go
@@ -41,6 +41,11 @@
 // Key names one piece of work.
 type Key struct{ Service, Kind, Key string }
 
+// Question asks another host about the key.
+func (k Key) Question(window time.Duration) *wire.AskRequest {
+	return &wire.AskRequest{Service: k.Service, Kind: k.Kind, Key: k.Key, WindowMs: window.Milliseconds()}
+}
+
 // Entry is one key's life at this host.
 type Entry struct {
 	state  State
@@ -97,8 +102,17 @@
 	return Begun{Fresh: true, MustAsk: ok && e.asked}
 }
 
-// Asked answers another host, and leaves a promise.
-func (k *Keys) Asked(now time.Time, key Key, asker string, window time.Duration) wire.Seen {
+// Answer answers another host's question, and leaves a promise.
+func (k *Keys) Answer(now time.Time, q *wire.AskRequest) *wire.AskReply {
+	key := Key{Service: q.GetService(), Kind: q.GetKind(), Key: q.GetKey()}
+	age := k.Age(now)
+	return &wire.AskReply{
+		Seen:  k.asked(now, key, q.GetAsker(), time.Duration(q.GetWindowMs())*time.Millisecond),
+		AgeMs: age.Milliseconds(),
+	}
+}
+
+func (k *Keys) asked(now time.Time, key Key, asker string, window time.Duration) wire.Seen {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e, ok := k.entries.Get(now, key)
--- a/pkg/request/gateway/gateway.go
+++ b/pkg/request/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wrenferry/wrenferry/pkg/connection/peer"
 	"github.com/wrenferry/wrenferry/pkg/connection/runner"
 	"github.com/wrenferry/wrenferry/pkg/request/admit"
 	"github.com/wrenferry/wrenferry/pkg/request/binding"
@@ -37,21 +38,13 @@
 // Peers is what the gateway needs of the other entry hosts.
 type Peers interface {
 	// Ask asks all of them about a key, and reports what came of it.
-	Ask(ctx context.Context, key binding.Key, window time.Duration) Asked
+	Ask(ctx context.Context, q *wire.AskRequest) peer.Asked
 	// SpreadLeaving tells all of them that a server is leaving.
 	SpreadLeaving(service, name string)
 	// WakeLeader tells the hall's leader that its inbox has something.
 	WakeLeader(hall string)
 }
 
-// Asked sums up what the other entry hosts said of a key.
-type Asked struct {
-	// MaybeRan: at least one has, or had, the key and may have run it.
-	MaybeRan bool
-	// Unsure: at least one could not be reached, or is younger than the window.
-	Unsure bool
-}
-
 // Table is what the gateway needs of the platform's table.
 type Table interface {
 	Commit(ctx context.Context, req *wire.CommitRequest) (*wire.CommitReply, error)
--- a/pkg/request/gateway/request.go
+++ b/pkg/request/gateway/request.go
@@ -137,7 +137,7 @@
 // stops a second try, but not a first one: nobody can have run that before.
 func (g *Gateway) runBound(ctx context.Context, c *call, key binding.Key, again bool) Answer {
 	if !g.unsafe.NoAsk && (again || c.kind.AskPeers == settings.AskAlways) {
-		asked := g.peers.Ask(ctx, key, c.kind.KeyWindow)
+		asked := g.peers.Ask(ctx, key.Question(c.kind.KeyWindow))
 		if asked.MaybeRan {
 			return unknown(string(admit.SeenElsewhere), "another entry host has had this key; look whether the work was done")
 		}
