--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -267,17 +267,11 @@
 	return true
 }
 
-// ImageOf names what a step's tasks run: tasks of one image behave alike. A step
-// that names none is taken for one of its queue's.
-func ImageOf(job *wire.JobSpec, step *wire.StepSpec) string {
-	if step.GetImage() != "" {
-		return step.GetImage()
-	}
-	return job.GetQueue()
-}
+// ImageOf names what a step's tasks run.
+func ImageOf(job *wire.JobSpec, step *wire.StepSpec) string { return job.ImageOf(step) }
 
 // Image names what the unit's tasks run.
-func (u *Unit) Image() string { return ImageOf(u.Job.Spec, u.Spec) }
+func (u *Unit) Image() string { return u.Job.Spec.ImageOf(u.Spec) }
 
 // Lasting says whether the unit's tasks run until the job is cancelled.
 func (u *Unit) Lasting() bool { return u.Spec.GetLasting() }
--- a/pkg/request/cellchoice/cost.go
+++ b/pkg/request/cellchoice/cost.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -47,10 +46,10 @@
 		switch {
 		case step.GetLasting():
 			d.lasting += each
-			d.serving = jobs.ImageOf(spec, step)
+			d.serving = spec.ImageOf(step)
 		case step.GetFiller():
 			d.filler += work
-			d.fillers[jobs.ImageOf(spec, step)] += work
+			d.fillers[spec.ImageOf(step)] += work
 		default:
 			d.plain += work
 		}
--- a/pkg/wire/values.go
+++ b/pkg/wire/values.go
@@ -11,3 +11,12 @@
 		return false
 	}
 }
+
+// ImageOf names what a step's tasks run: tasks of one image behave alike. A step
+// that names none is taken for one of its queue's.
+func (j *JobSpec) ImageOf(step *StepSpec) string {
+	if step.GetImage() != "" {
+		return step.GetImage()
+	}
+	return j.GetQueue()
+}
