--- a/pkg/connection/fleetpeer/client_test.go
+++ b/pkg/connection/fleetpeer/client_test.go
@@ -48,9 +48,7 @@
 	return l
 }
 
-// Found in an incident (bcb inc-7cca): a hall was cut off from the table and from the
-// other halls; calls that can't have reached a peer were answered "may have run", and
-// their callers did not ask elsewhere.
+// Callers of a hall that is cut off ask elsewhere only if they are told that nothing has run.
 func TestACommitThatReachedNoPeerIsNotRun(t *testing.T) {
 	t.Parallel()
 	t.Run("nobody listens", func(t *testing.T) {
--- a/pkg/connection/store/store.go
+++ b/pkg/connection/store/store.go
@@ -35,8 +35,7 @@
 
 const (
 	// directTimeout is how long the table may say nothing: fifty times what an ordinary
-	// call takes, and above what a slow table takes (76 times, 0.6 s, on the platform's
-	// sites).
+	// call takes, and above what a slow table takes.
 	directTimeout = 900 * time.Millisecond
 	// directMost bounds a call whose answer still comes: eight times what the longest
 	// known row (a manifest of 1,000 queues, 250 kB) takes on a link of 2 Mbit/s.
--- a/pkg/lab/lab_test.go
+++ b/pkg/lab/lab_test.go
@@ -103,8 +103,7 @@
 	must.Eq(t, "worth 0.8906, earned 29.8746 of 32.1433, late 0, never 0, over 17.00 s", got)
 }
 
-// Found by playing examples/lab/full.jsonc twice: sums of floats, and words to other cells,
-// in the order of a map made one day two, where cells lend much and images tie.
+// No sum of floats and no message to another cell depends on the order of a map.
 func TestAFullDayIsTheSameEachTime(t *testing.T) {
 	t.Parallel()
 	source, err := os.ReadFile("../../examples/lab/full.jsonc")
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -31,8 +31,7 @@
 	must.Eq(t, election.Leader, s.Role())
 }
 
-// Found by the emulator (seed 104 of its first days): candidates that had lost
-// wrote over the version that they knew again and again, and never read the row.
+// A candidate that writes over the version that it knew loses each time.
 func TestACandidateThatLostReadsTheRowBeforeItTriesAgain(t *testing.T) {
 	t.Parallel()
 	s := newSeat("a")
--- a/pkg/process/fleet/figures.go
+++ b/pkg/process/fleet/figures.go
@@ -91,7 +91,7 @@
 	h.sendJSON(w, h.Control.Suspects(r.Context()))
 }
 
-// clearSuspicion takes back what is held against a task; 404: this host holds nothing against it.
+// clearSuspicion takes back what is held against a task; 404: this host has nothing to take back.
 func (h *Host) clearSuspicion(w http.ResponseWriter, r *http.Request) {
 	if !h.Control.ClearSuspicion(r.Context(), r.PathValue("task")) {
 		w.WriteHeader(http.StatusNotFound)
--- a/pkg/process/flow/window.go
+++ b/pkg/process/flow/window.go
@@ -12,10 +12,6 @@
 // in the link, or for the processor) is above a target, it shrinks in proportion. So
 // it finds the rate of the link and of the host without being told either.
 //
-// Measured by bytes and answers counted at hosts: on a quiet day of 24 workers and 59 starts
-// a second on 2 Mbit/s, an answer takes 65 ms in the mean instead of 256 ms, no start is
-// left unsure (30% were), and 650 connections are opened instead of 8,500.
-//
 // A Window belongs to one thread. It makes no calls; times are arguments.
 package flow
 
--- a/pkg/process/interference/own.go
+++ b/pkg/process/interference/own.go
@@ -18,8 +18,6 @@
 	at                           time.Time
 }
 
-// The figures come from the readings that press.go names: waves of 1.4, whose
-// periods were 10 and 20 s.
 const (
 	// swing is the angular speed of a wave of 15 s, a second.
 	swing = 2 * math.Pi / 15
--- a/pkg/process/interference/press.go
+++ b/pkg/process/interference/press.go
@@ -31,10 +31,6 @@
 // sure it is of each, and gives a miss to those that it is least sure of. What
 // is not seen for a while becomes less sure again.
 //
-// (Tried before: least mean squares, which blamed all that was there alike; and
-// logarithms of tails, in which the same pair has another coefficient at each
-// load, so that readings missed by 0.4 of what they told.)
-//
 // Readings teach a filter of one process and cell alone. What leaders of other cells,
 // and earlier ones of the same, say of theirs is heard and merged with it, each
 // weighed by how sure it is (share.go).
@@ -46,13 +42,12 @@
 	mergedAt time.Time
 }
 
-// The filter's figures come from a played day of readings (7,000 looks at 48
-// workers): alone -2.1 (half busy, at a target of six times the unloaded tail),
-// own load a wave of 1.4 over 10 to 20 s, coefficients of 10 to 13 for pairs that
-// press and 0 to 1.5 for the others, a miss of 0.15 in the median.
 const (
+	// firstAlone is the level of a task that is half busy, at a target of six times the
+	// unloaded tail.
 	firstAlone   = -2.1
 	firstAloneSD = 0.5
+	// firstPress lies between fillers that hardly press and those that do.
 	firstPress   = 3.0
 	firstPressSD = 6.0
 	readingSD    = 0.3
--- a/pkg/process/interference/press_test.go
+++ b/pkg/process/interference/press_test.go
@@ -47,8 +47,7 @@
 	}
 }
 
-// Found on played days: in logarithms of tails a pair had another coefficient at
-// each load, and what presses could not be told from what does not.
+// A pair has one coefficient at all loads of the serving task.
 func TestWhatPressesIsToldFromWhatDoesNot(t *testing.T) {
 	t.Parallel()
 	press := interference.NewPress()
--- a/pkg/process/leadership/leadership_test.go
+++ b/pkg/process/leadership/leadership_test.go
@@ -10,9 +10,7 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// Found by a run of CI beside load (TestLeaderCutFromThePlatform and its twin, "the other
-// leads" never came about): two hosts had seen no row, one claimed it, and the other
-// claimed it again and again, 3,700 times a second, and never read what was there.
+// A host that claims over a row that it has not read loses each claim.
 func TestALostClaimReadsTheRowBeforeTheNext(t *testing.T) {
 	t.Parallel()
 	const takeover = 3 * time.Second
--- a/pkg/process/runtimes/runtimes.go
+++ b/pkg/process/runtimes/runtimes.go
@@ -1,10 +1,8 @@
 // Package runtimes estimates how long tasks run.
 //
-// The load pattern it answers: callers declare run times that are far off. On played days
-// the declared time of a step and its true one differed by a factor whose logarithm had a
-// deviation of 0.53 in one kind of job and 0.91 in another, while the true times of all
-// steps of a kind differed by 0.5 only. So what was seen of a kind says more of a step
-// than its caller does. Both are used, each weighed by how far off it was found to be.
+// The load pattern it answers: callers declare run times that are off by more than the
+// steps of one kind differ among themselves. So the times of a kind's earlier steps say
+// more of a step than its caller does. Both are used, each weighed by how far off it is.
 //
 // Times are logarithms here: they are off by factors. Nothing makes calls or reads a
 // clock.
@@ -23,7 +21,7 @@
 	firstVariance = 0.25
 	// firstWeight is how many steps that belief counts for.
 	firstWeight = 4.0
-	// withinSD is how much the tasks of one step differ: 0.25 and 0.29 on played days.
+	// withinSD is how much the tasks of one step differ.
 	withinSD = 0.28
 	// leastVariance keeps weights finite.
 	leastVariance = 0.01
--- a/pkg/request/cellchoice/places.go
+++ b/pkg/request/cellchoice/places.go
@@ -10,8 +10,8 @@
 	// noPlaceCost is for each step that no worker of a cell could ever run: it puts the
 	// cell behind any that can, however full, but not behind one without a leader.
 	noPlaceCost = 1e7
-	// farStretch is by how much of its run time a step takes longer away from its data:
-	// the known sites tell 1.5 to 3 times as long.
+	// farStretch is by how much of its run time a step is taken to run longer away from its
+	// data.
 	farStretch = 1.0
 )
 
--- a/pkg/request/intake/cancel_test.go
+++ b/pkg/request/intake/cancel_test.go
@@ -26,10 +26,8 @@
 
 func (h hearing) Cancelled(cell, id string) { *h.told = append(*h.told, cell+" "+id) }
 
-// A cancel was acknowledged while the cell that keeps the job changed its leader. Another cell, which had
-// been lent tasks of it, learns of the end from that leader alone, and started them on, seconds after the
-// acknowledgement: 84 times on one day, a start at 40.146 s of a job whose cancel was acknowledged at 34.339 s.
-// So whoever takes a cancel tells the leaders of all cells.
+// A cell with delegated tasks of the job must not depend on the leader of the job's own cell, which may
+// change just then.
 func TestACancelIsToldToAllCells(t *testing.T) {
 	t.Parallel()
 	const id = "00000000000000aa"
--- a/pkg/request/intake/pending_test.go
+++ b/pkg/request/intake/pending_test.go
@@ -73,9 +73,7 @@
 	return intake.New("hall", client, told, nil, silent.WithField("test", true), registry)
 }
 
-// Found by a hunt on a grown site (kadraj trouble-1, seed 707808463332: MIXED): a hall
-// was cut off, its leader did not answer for a while after, and its jobs were left out
-// of the count: 5 were said to wait when 14 did.
+// Jobs that are left out of the count would pass for begun.
 func TestJobsOfACellWhoseLeaderIsOutOfReachAreCounted(t *testing.T) {
 	t.Parallel()
 	spec := func(id, queue string, guest ...*wire.TaskRef) table.Row {
--- a/pkg/rows/fleet.go
+++ b/pkg/rows/fleet.go
@@ -36,11 +36,9 @@
 	HostTable   = "host"
 )
 
-// JobParts is over how many parts jobs are spread. A part takes its writes in turn: some
-// hundred a second as a rule (125 at 8 ms each, on the known sites), two when the table is
-// 70 times slower, as was played. Then each further part takes two more: with 4 parts 437
-// hand-ins were refused on eight such days, with 8 parts 302, with 16 parts 209. A leader
-// that takes over reads three ranges a part, all at once.
+// JobParts is over how many parts jobs are spread. A part takes its writes in turn, so that
+// a slow table takes a few a second and part. A leader that takes over reads three ranges a
+// part, all at once.
 const JobParts = 16
 
 // JobPart is the part that all rows of a job share.
--- a/test/promises/bench_test.go
+++ b/test/promises/bench_test.go
@@ -158,7 +158,7 @@
 }
 
 // BenchmarkRouting compares the policies at 85 % of the slots' capacity, with a
-// tenth of the runners five times slow, and against one entry host that sees
+// tenth of the runners five times slow, and with one entry host that sees
 // everything.
 func BenchmarkRouting(b *testing.B) {
 	six := []string{"a1", "a2", "b1", "b2", "c1", "c2"}
--- a/test/promises/ports_test.go
+++ b/test/promises/ports_test.go
@@ -10,9 +10,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// Found in runs of the whole suite: a stand-in refused connections, or could not listen
-// on the port that it was given, right after a port had been tried beside the start of
-// another test's processes.
+// A process that another test starts just then holds copies of open sockets, so that a port
+// may still take connections after it was closed.
 func TestAPortThatIsHandedOutTakesNoConnections(t *testing.T) {
 	t.Parallel()
 	var stop atomic.Bool
--- /dev/null
+++ b/test/tree/comments_test.go
@@ -0,0 +1,83 @@
+package tree_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/test/tree"
+)
+
+// tellingAllowed is how many telling comments a file may have. A number may only go down:
+// one that is too high is a failure, too.
+var tellingAllowed = map[string]int{
+	"pkg/emulator/emulator_test.go":       4,
+	"pkg/emulator/touch_test.go":          2,
+	"pkg/process/blame/blame.go":          1,
+	"pkg/process/cell/harm.go":            1,
+	"pkg/process/cell/lend.go":            1,
+	"pkg/process/cell/lend_short.go":      1,
+	"pkg/process/cell/lend_short_test.go": 3,
+	"pkg/process/cell/lend_test.go":       5,
+	"pkg/process/cell/orders.go":          1,
+	"pkg/process/cell/pace_test.go":       1,
+	"pkg/process/cell/place_test.go":      3,
+	"pkg/process/cell/takeover_test.go":   6,
+	"pkg/process/cell/trials_test.go":     1,
+	"pkg/process/cell/unseen_test.go":     1,
+	"pkg/standin/platform_test.go":        1,
+}
+
+func TestNoCommentTellsOfResults(t *testing.T) {
+	t.Parallel()
+	found, err := tree.Telling(root)
+	must.NoError(t, err)
+	byFile := map[string][]tree.Finding{}
+	for _, f := range found {
+		byFile[f.File] = append(byFile[f.File], f)
+	}
+	for file, list := range byFile {
+		if len(list) <= tellingAllowed[file] {
+			continue
+		}
+		for _, f := range list {
+			t.Errorf("%s:%d: %s: %s", f.File, f.Line, f.What, f.Remedy)
+		}
+	}
+	for file, n := range tellingAllowed {
+		if left := len(byFile[file]); left < n {
+			t.Errorf("%s: %d telling comments are left: lower its number from %d", file, left, n)
+		}
+	}
+}
+
+func TestTellingCommentsAreFoundWithTheirLine(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		text string
+		line int // 0: nothing is found
+	}{
+		{"// Short tasks earn four times as much there\n// (0.008 against 0.002).", 4},
+		{"// Such tasks were seen to need 10 to 300 ms.", 3},
+		{"// It is kept.\n//\n// Measured: 65 ms in the mean.", 5},
+		{"// An answer takes 65 ms, measured at hosts.", 3},
+		{"/* Broke on 3 of 400 days. */", 3},
+		{"// Found by a hunt: a cell started nothing.", 3},
+		{"// (Tried before: least squares.)", 3},
+		{"// See seed 1494.", 3},
+		{"// The first number that was seen.", 0},
+		{"// Returns 404 where the host is unknown. Nothing is held against it.", 0},
+		{"// Waits 250 ms for an answer.", 0},
+		{"//go:generate tried 25\n", 0},
+	} {
+		dir := writeTree(t, map[string]string{"pkg/a/a.go": "package a\n\n" + c.text + "\nvar A = 1\n"})
+		found, err := tree.Telling(dir)
+		must.NoError(t, err)
+		if c.line == 0 {
+			must.Len(t, 0, found, must.Sprint(c.text))
+			continue
+		}
+		must.Len(t, 1, found, must.Sprint(c.text))
+		must.Eq(t, c.line, found[0].Line, must.Sprint(c.text))
+	}
+}
