--- a/pkg/process/fleet/figures.go
+++ b/pkg/process/fleet/figures.go
@@ -11,6 +11,7 @@
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/request/intake"
 )
 
 // serveMetrics tells counters and timers as text, a line each.
@@ -59,7 +60,7 @@
 	// StoreAgeMs is how long ago the table last answered.
 	StoreAgeMs int64
 	// Cells are all cells as this host sees them, Led sums up those that it leads.
-	Cells map[string]CellView
+	Cells map[string]intake.CellView
 	Led   map[string]cell.Counts
 	// Hosts are the other entry hosts that it knows of.
 	Hosts []string
@@ -90,7 +91,7 @@
 	h.sendJSON(w, h.Control.Suspects(r.Context()))
 }
 
-// clearSuspicion takes back what is held against a task; 404: this host holds nothing against it.
+// clearSuspicion takes back what is held against a task; 404: this host has nothing to take back.
 func (h *Host) clearSuspicion(w http.ResponseWriter, r *http.Request) {
 	if !h.Control.ClearSuspicion(r.Context(), r.PathValue("task")) {
 		w.WriteHeader(http.StatusNotFound)
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -178,17 +178,10 @@
 }
 
 // Ended says whether the job's phase is its last.
-func (j *Job) Ended() bool { return Last(j.Phase) }
+func (j *Job) Ended() bool { return j.Phase.Terminal() }
 
 // Last says whether a phase is one that a job never leaves.
-func Last(p wire.JobPhase) bool {
-	switch p {
-	case wire.JobPhase_JOB_PHASE_COMPLETED, wire.JobPhase_JOB_PHASE_FAILED, wire.JobPhase_JOB_PHASE_CANCELLED:
-		return true
-	default:
-		return false
-	}
-}
+func Last(p wire.JobPhase) bool { return p.Terminal() }
 
 // End gives the job its last phase. A job that has ended stays as it is.
 func (j *Job) End(phase wire.JobPhase, reason string, now time.Time) {
@@ -280,17 +273,11 @@
 	return true
 }
 
-// ImageOf names what a step's tasks run: tasks of one image behave alike. A step
-// that names none is taken for one of its queue's.
-func ImageOf(job *wire.JobSpec, step *wire.StepSpec) string {
-	if step.GetImage() != "" {
-		return step.GetImage()
-	}
-	return job.GetQueue()
-}
+// ImageOf names what a step's tasks run.
+func ImageOf(job *wire.JobSpec, step *wire.StepSpec) string { return job.ImageOf(step) }
 
 // Image names what the unit's tasks run.
-func (u *Unit) Image() string { return ImageOf(u.Job.Spec, u.Spec) }
+func (u *Unit) Image() string { return u.Job.Spec.ImageOf(u.Spec) }
 
 // Lasting says whether the unit's tasks run until the job is cancelled.
 func (u *Unit) Lasting() bool { return u.Spec.GetLasting() }
--- a/pkg/request/binding/binding.go
+++ b/pkg/request/binding/binding.go
@@ -1,13 +1,12 @@
-// Package binding sees to it that work under one key runs at most once, though
-// its caller may ask again at another entry host.
+// Package binding sees to it that work under one key runs at most once, though its caller may
+// ask again at another entry host. Package gateway asks it before such work, peers through it.
 //
-// Each entry host keeps, for the key window, what it knows of each key that it
-// has met. Before a host runs work that must not run twice it may ask all others
-// (see docs/design/request-binding.md for when). Being asked leaves a promise:
-// a host that has promised asks the others before it ever runs that key. So of
-// two hosts that have the key, at least one finds the other.
+// Each host keeps, for the key window, what it knows of each key that it has met, and may ask
+// all others before it runs one (docs/design/request-binding.md). Being asked leaves a promise:
+// this host asks the others before it ever runs that key. So of two hosts that have the key, at
+// least one finds the other. In the model (model/request.pml): Host.begin, asked, run.
 //
-// In the model (model/request.pml): Host.begin, Host.asked, Host.run.
+// It makes no calls and reads no clock.
 package binding
 
 import (
@@ -41,6 +40,11 @@
 // Key names one piece of work.
 type Key struct{ Service, Kind, Key string }
 
+// Question asks another host about the key.
+func (k Key) Question(window time.Duration) *wire.AskRequest {
+	return &wire.AskRequest{Service: k.Service, Kind: k.Kind, Key: k.Key, WindowMs: window.Milliseconds()}
+}
+
 // Entry is one key's life at this host.
 type Entry struct {
 	state  State
@@ -97,8 +101,17 @@
 	return Begun{Fresh: true, MustAsk: ok && e.asked}
 }
 
-// Asked answers another host, and leaves a promise.
-func (k *Keys) Asked(now time.Time, key Key, asker string, window time.Duration) wire.Seen {
+// Answer answers another host's question, and leaves a promise.
+func (k *Keys) Answer(now time.Time, q *wire.AskRequest) *wire.AskReply {
+	key := Key{Service: q.GetService(), Kind: q.GetKind(), Key: q.GetKey()}
+	age := k.Age(now)
+	return &wire.AskReply{
+		Seen:  k.asked(now, key, q.GetAsker(), time.Duration(q.GetWindowMs())*time.Millisecond),
+		AgeMs: age.Milliseconds(),
+	}
+}
+
+func (k *Keys) asked(now time.Time, key Key, asker string, window time.Duration) wire.Seen {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e, ok := k.entries.Get(now, key)
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -1,12 +1,12 @@
-// Package intake is what an entry host does for one call about a job: take it
-// in, tell its state, cancel it, count a queue.
+// Package intake is what an entry host does for one call about a job: take it in, tell its
+// state, cancel it, count a queue. The platform's adapter calls it for callers.
 //
-// A job is accepted by one transaction that inserts its anchor if the id is
-// free, so a second hand-in at any host is the same job. What surely was not
-// written is refused as not run; what may have been written is never called so.
-// The cell that gets the job is chosen here: the own hall's, unless another has
-// clearly less work waiting. The cell's leader is told at once; it would also
-// find the job in the table.
+// A job is accepted by one transaction that inserts its anchor if the id is free, so a second
+// hand-in at any host is the same job. The cell is chosen by package cellchoice; its leader is
+// told at once, and would also find the job in the table.
+//
+// What may have been written is never called not run, and a count that can't be told is never
+// guessed.
 package intake
 
 import (
@@ -23,9 +23,7 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
-	"github.com/wrenferry/wrenferry/pkg/process/cellchoice"
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
-	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
@@ -43,16 +41,6 @@
 	reasonsKept = 512
 )
 
-// Leaders tells who leads which cell, and answers for those led here.
-type Leaders interface {
-	View() *fleet.View
-	Accepted(spec *wire.JobSpec)
-	Cancelled(cell, id string)
-	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
-	Load(ctx context.Context, cell string, withBeliefs bool) *wire.CellLoad
-	OtherLoad(l *wire.CellLoad)
-}
-
 // Peers connects to other hosts.
 type Peers interface {
 	To(address string) (wire.FleetClient, error)
@@ -211,7 +199,7 @@
 			return 0, err
 		}
 	}
-	if jobs.Last(phase) {
+	if phase.Terminal() {
 		i.ends.Add(id, phase)
 	}
 	return phase, nil
@@ -286,7 +274,7 @@
 		return 0, err
 	case p == nil:
 		return wire.JobPhase_JOB_PHASE_QUEUED, nil
-	case !jobs.Last(p.GetPhase()):
+	case !p.GetPhase().Terminal():
 		return wire.JobPhase_JOB_PHASE_RUNNING, nil
 	}
 	return p.GetPhase(), nil
--- a/pkg/request/intake/pending_test.go
+++ b/pkg/request/intake/pending_test.go
@@ -13,7 +13,6 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
-	"github.com/wrenferry/wrenferry/pkg/process/fleet"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -50,8 +49,8 @@
 // leaders tells of one cell led here and one whose leader is out of reach.
 type leaders struct{}
 
-func (leaders) View() *fleet.View {
-	return &fleet.View{Cells: map[string]fleet.CellView{"near": {Mine: true, Fresh: true}, "far": {}}}
+func (leaders) View() *intake.View {
+	return &intake.View{Cells: map[string]intake.CellView{"near": {Mine: true, Fresh: true}, "far": {}}}
 }
 func (leaders) Accepted(*wire.JobSpec)   {}
 func (leaders) Cancelled(string, string) {}
@@ -74,9 +73,7 @@
 	return intake.New("hall", client, told, nil, silent.WithField("test", true), registry)
 }
 
-// Found by a hunt on a grown site (kadraj trouble-1, seed 707808463332: MIXED): a hall
-// was cut off, its leader did not answer for a while after, and its jobs were left out
-// of the count: 5 were said to wait when 14 did.
+// Jobs that are left out of the count would pass for begun.
 func TestJobsOfACellWhoseLeaderIsOutOfReachAreCounted(t *testing.T) {
 	t.Parallel()
 	spec := func(id, queue string, guest ...*wire.TaskRef) table.Row {
