The stand-in's list of hosts follows the time and no timers

Cause: each list that was set had a timer of its own that put it in force. A reader that slept while the process stood still may run before these. Numbers kept an older list from winning, so the list was late, not wrong for good. Shown by a scratch run with the process stopped for 40 ms of each 53: 2 of 150 rounds of the test's loop were told an older list, which 100 ms later was right. Change: a reading works out which list's lag is over by the monotonic clock. Tests: the test itself is unchanged, and as strict: it fails if any but the last that was set is told after 20 ms. Another demands that a list is not told before its lag is over.

--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -23,14 +23,11 @@
 	rows     map[string]*wire.Row
 	revision int64
 	objects  map[string][]byte
-	hosts    []*wire.Host
 	listed   []*wire.Host
-	// hostsSet counts the lists that were set, hostsListed is the number of the one
-	// that is told.
-	hostsSet, hostsListed int
-	listLag               time.Duration
-	commits               int
-	reads                 int
+	pending  []pendingHosts // in the order in which they were set
+	listLag  time.Duration
+	commits  int
+	reads    int
 }
 
 // SetHostsPath is where hosts are set, in the list's own format.
@@ -162,21 +159,27 @@
 
 // ------------------------------------------------------------------ hosts
 
+// pendingHosts is a list of hosts that is told from a given time on.
+type pendingHosts struct {
+	hosts []*wire.Host
+	from  time.Time
+}
+
 // SetHosts changes the hosts; the list shows it after its lag.
 func (p *Platform) SetHosts(hosts []*wire.Host) {
 	p.mu.Lock()
-	p.hosts = hosts
-	p.hostsSet++
-	serial := p.hostsSet
-	lag := p.listLag
-	p.mu.Unlock()
-	time.AfterFunc(lag, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if serial > p.hostsListed { // timers may pass each other
-			p.listed, p.hostsListed = hosts, serial
-		}
-	})
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.passLag(now)
+	p.pending = append(p.pending, pendingHosts{hosts: hosts, from: now.Add(p.listLag)})
+}
+
+// passLag lists the newest hosts whose lag is over. The time decides that, and no timer, which may run late or
+// after another's.
+func (p *Platform) passLag(now time.Time) {
+	for len(p.pending) > 0 && !now.Before(p.pending[0].from) {
+		p.listed, p.pending = p.pending[0].hosts, p.pending[1:]
+	}
 }
 
 func (p *Platform) serveSetHosts(w http.ResponseWriter, r *http.Request) {
@@ -194,6 +197,7 @@
 		return
 	}
 	p.mu.Lock()
+	p.passLag(time.Now())
 	list := &wire.HostList{Hosts: p.listed}
 	p.mu.Unlock()
 	_ = protohttp.Answer(w, list)
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -36,3 +36,41 @@
 		must.Eq(t, last, list.GetHosts()[0].GetName(), must.Sprintf("round %d", round))
 	}
 }
+
+// Beside load the list above was once told as it had been 20 ms before, "host-8-59" for "host-9-59": timers changed
+// it, and none had run yet. With the process stopped for 40 ms again and again, so that a reader wakes together
+// with all timers, that came in 2 of 150 rounds, and 100 ms later the list was right. So it came from waiting for
+// timers, which the list must not depend on: here one without a lag is read at once.
+func TestTheListOfHostsLagsByNoMoreThanItsLag(t *testing.T) {
+	t.Parallel()
+	p := standin.NewPlatform(0)
+	for round := range 200 {
+		name := fmt.Sprintf("host-%d", round)
+		p.SetHosts([]*wire.Host{{Name: name}})
+		must.Eq(t, []string{name}, toldHosts(t, p), must.Sprintf("round %d", round))
+	}
+}
+
+// Until its lag is over the list is as it was, also where several are set meanwhile.
+func TestTheListOfHostsIsAsItWasUntilItsLagIsOver(t *testing.T) {
+	t.Parallel()
+	p := standin.NewPlatform(time.Hour)
+	for range 3 {
+		p.SetHosts([]*wire.Host{{Name: "early"}})
+		must.SliceEmpty(t, toldHosts(t, p))
+	}
+}
+
+// toldHosts names the hosts that the platform lists.
+func toldHosts(t *testing.T, p *standin.Platform) []string {
+	t.Helper()
+	answer := httptest.NewRecorder()
+	p.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, platform.HostsPath, http.NoBody))
+	list := &wire.HostList{}
+	must.NoError(t, proto.Unmarshal(answer.Body.Bytes(), list))
+	var names []string
+	for _, h := range list.GetHosts() {
+		names = append(names, h.GetName())
+	}
+	return names
+}
