--- a/pkg/process/cell/unseen_test.go
+++ b/pkg/process/cell/unseen_test.go
@@ -10,6 +10,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -113,3 +114,110 @@
 	h.run(time.Second, 2)
 	must.SliceEmpty(t, h.state.Suspects())
 }
+
+// crashOfTwo is a cell of one worker that crashed under tasks of two jobs, while a third job waits.
+func crashOfTwo(t *testing.T, lost string) (f *crashFleet, first, second, waiting string) {
+	t.Helper()
+	f = newCrashFleet()
+	for _, id := range []string{"w1", "w2", "w3", "w4", "w5"} {
+		delete(f.workers, id)
+	}
+	f.lead()
+	f.run(time.Second)
+	first, second = f.accept(1, oneTask()), f.accept(2, oneTask())
+	f.guilty[second+".0.0.0"] = 20 * time.Millisecond
+	f.lostPart = lost
+	f.run(500 * time.Millisecond)
+	must.Eq(t, 1, f.crash["w0"])
+	waiting = f.accept(3, oneTask())
+	f.run(500 * time.Millisecond)
+	f.lostPart = ""
+	return f, first, second, waiting
+}
+
+// succeed makes another process lead, and waits until it knows what the one before it started.
+func (f *crashFleet) succeed() {
+	f.lead()
+	f.settle()
+}
+
+func (f *crashFleet) settle() {
+	for until := f.now.Add(10 * time.Second); !f.state.Settled() && f.now.Before(until); {
+		f.run(crashStep)
+	}
+}
+
+// evidence is what the cell holds against the only task of a job.
+func (f *crashFleet) evidence(job string) []blame.Crash {
+	for _, s := range f.state.Suspects() {
+		if s.Task == job+".0.0.0" {
+			return s.Crashes
+		}
+	}
+	return nil
+}
+
+// A worker crashed under three tasks, and the leader lived to record it of one. Its successor took the end of that
+// incarnation for known, as it was held against that one, and held nothing against the others: so a task that
+// crashes its workers was started twice more than it should be. On an emulated day (seed 5027):
+//
+//	 8.232 worker-2/1 crashes, there ran 3.0.0.0, 3.0.1.0 and 1.0.0.2
+//	 8.704 host-2, which leads, is killed
+//	13.944 its successor knows of worker-2/1 for 1.0.0.2 only
+//	13.985 worker-2/2 starts 3.0.0.0, "on trial after 3 crashes", though these are four
+func TestAnEndThatIsRecordedOfSomeTasksIsHeldAgainstTheOthers(t *testing.T) {
+	t.Parallel()
+	f, first, second, _ := crashOfTwo(t, rows.JobPart("0000000000000002"))
+	must.Nil(t, f.rows[second])
+	f.succeed()
+	must.Len(t, 1, f.evidence(first))
+	must.False(t, f.evidence(first)[0].Unseen)
+	must.Len(t, 1, f.evidence(second))
+	must.True(t, f.evidence(second)[0].Unseen)
+	must.Eq(t, "w0", f.evidence(second)[0].Worker)
+	must.Eq(t, 1, f.evidence(second)[0].Born)
+}
+
+// Where all that the end of an incarnation says is recorded, a successor holds it against nobody else.
+func TestAnEndThatIsRecordedOfAllTasksIsHeldAgainstNoOther(t *testing.T) {
+	t.Parallel()
+	f, first, second, waiting := crashOfTwo(t, "")
+	f.succeed()
+	for _, id := range []string{first, second} {
+		must.False(t, f.evidence(id)[0].Unseen)
+	}
+	must.SliceEmpty(t, f.evidence(waiting))
+}
+
+// A task that is to run isolated only is started after a record of that run. Without one no predecessor started it, so
+// the end of an incarnation says nothing of it. An innocent job was given up for five crashes of which two were held
+// against it so (emulated day, seed 477):
+//
+//	 8.107 its task is on trial after 2 crashes
+//	 9.810 and 14.829 two successors find it nowhere, and hold an incarnation's end against it; it was never started
+//	18.919 its isolated run starts, 19.124 the worker crashes by itself: "guilty after 5 crashes"
+func TestAnEndIsNotHeldAgainstATaskThatWaitsForItsIsolatedRun(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	id := f.accept(1, oneTask())
+	f.guilty[id+".0.0.0"] = 20 * time.Millisecond
+	for range 1000 {
+		f.run(crashStep)
+		if evidence := f.evidence(id); len(evidence) == 2 && blame.LevelOf(evidence) == blame.OnTrial {
+			break
+		}
+	}
+	before := f.evidence(id)
+	must.Eq(t, blame.OnTrial, blame.LevelOf(before))
+	f.run(100 * time.Millisecond) // until that is recorded, and before the isolated run
+	must.Len(t, 2, f.starts[id+".0.0.0"])
+	f.lead()
+	for _, w := range f.sorted() {
+		if !w.gone {
+			f.end(w, 100*time.Millisecond) // before the new leader hears it
+			break
+		}
+	}
+	f.settle()
+	must.Len(t, 2, f.evidence(id))
+}
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -91,6 +91,8 @@
 	level   blame.Level
 	// RunsOpen says that it need not run isolated, though it is to be tried.
 	RunsOpen bool
+	// IsolatedBefore says that by the record only isolated runs of it were to start, each of which is recorded first.
+	IsolatedBefore bool
 	// crashedSomewhere says that one of the crashes names a host.
 	crashedSomewhere bool
 	// Runs are those that may be running now.
