Lasting tasks join workers that are kept; a silent member stays named

A worker that is silent is not dropped from the membership unless it had said that it leaves: it may have crashed, and is named until what that says of its tasks is recorded.

--- a/pkg/process/cell/membership.go
+++ b/pkg/process/cell/membership.go
@@ -58,5 +58,9 @@
 	if w.Gone || !w.HoldsNothing() || s.recordedEnd(w) < w.Seen {
 		return false
 	}
-	return w.Leaving || (!w.Listed && now.Sub(w.UnlistedAt) > unlistedFor)
+	if w.Leaving {
+		return true
+	}
+	// One that is silent may have crashed: it is named until what that says of its tasks is recorded.
+	return !w.Listed && now.Sub(w.UnlistedAt) > unlistedFor && w.SilentSince.IsZero() && s.earlier[w.ID] == nil
 }
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -55,28 +55,15 @@
 // workers do so within a fraction of that.
 const joinsAfter = 2 * time.Second
 
-// mayJoinIsolated says whether a lasting task that has waited for long may join a worker's isolated run, which
-// takes a while longer to exonerate its own task.
+// mayJoinIsolated says whether a lasting task that has waited for long may join a worker that is kept for an
+// isolated run, or one that has gone on for a while: it takes longer to exonerate its own task.
 func (s *State) mayJoinIsolated(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
 	if !u.Lasting() || now.Sub(u.ReadyAt) < holdAfter || slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
 		return false
 	}
-	if s.isKept(w) {
-		return false
-	}
 	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.OnTrial && ranFor(w, r) < joinsAfter })
 }
 
-// isKept says whether a worker is kept for an isolated run that is about to start there.
-func (s *State) isKept(w *workers.Worker) bool {
-	for _, kept := range s.kept {
-		if kept.worker == w {
-			return true
-		}
-	}
-	return false
-}
-
 // calmFor is how long no worker may have fallen silent for a trial to say something, calmWithin how
 // long a trial waits for that.
 const (
