Delegate tasks of a silent worker once its lease is over

A lasting task whose worker had left without a word, or crashed, was not delegated for 10 s, with capacity in another cell.

Cause: while it is not known whether a silent worker crashed, no task that ran there was delegated, since it might be given up in a moment. That may happen only to a task that is to run isolated; and a worker that left never answers, so the wait was always the longest.

ATaskOfASilentWorkerIsDelegatedOnceItsLeaseIsOver fails without the change.

Fix: only a task that is to run isolated waits for that.

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -108,7 +109,7 @@
 			switch {
 			case u.Job.Guest() && now.Sub(hereSince(t)) >= returnAfter:
 				s.giveBack(now, t)
-			case s.awaitsWord(now, t):
+			case s.awaitsWord(now, t) && t.Level() >= blame.OnTrial:
 				// It may be given up in a moment.
 			case !u.Job.Guest() && waited >= lendAfter && now.Sub(hereSince(t)) >= ownCellFirst:
 				s.lendTask(now, t)
--- a/pkg/process/cell/lend_test.go
+++ b/pkg/process/cell/lend_test.go
@@ -388,3 +388,24 @@
 	must.NotEq(t, first, b.at[task])
 	b.putsOf(t, rows.ReturnKey("home", lentJob, "hall"), func(table.Row) { t.Error("returned") })
 }
+
+// A task whose worker fell silent is delegated once its lease is over, though it is not known whether the worker
+// has crashed: only one that may be given up next waits for that.
+func TestATaskOfASilentWorkerIsDelegatedOnceItsLeaseIsOver(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 16, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	for range 25 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapLen(t, 16, b.started)
+	b.silent["w03"] = true
+	b.records = nil
+	lent := false
+	for range 55 {
+		b.state.Take(b.now, roomAt("other"))
+		b.step(100 * time.Millisecond)
+		b.putsOf(t, rows.SpecKey("other", lentJob), func(table.Row) { lent = true })
+	}
+	must.True(t, lent)
+}
--- a/pkg/process/cell/waits.go
+++ b/pkg/process/cell/waits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -107,7 +108,7 @@
 		return WaitUnsettled, fits.free
 	case now.Before(t.RetryAt):
 		return WaitRefused, fits.free
-	case s.awaitsWord(now, t):
+	case s.awaitsWord(now, t) && t.Level() >= blame.OnTrial:
 		return WaitCrashUnknown, fits.free
 	case s.awaitsRecord(now, t):
 		return WaitUnrecorded, fits.free
