--- a/pkg/emulator/leaving_test.go
+++ b/pkg/emulator/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/wrenferry/wrenferry/pkg/emulator"
 )
 
@@ -23,3 +25,10 @@
 	t.Parallel()
 	playSomeDays(t, emulator.LeavingPlan, troubledDays)
 }
+
+func TestTheSameSeedGivesTheSameDayOfLeaves(t *testing.T) {
+	t.Parallel()
+	a, _ := emulator.Play(emulator.LeavingTroublePlan(3))
+	b, _ := emulator.Play(emulator.LeavingTroublePlan(3))
+	must.Eq(t, a.Log, b.Log)
+}
