--- a/pkg/emulator/crashers.go
+++ b/pkg/emulator/crashers.go
@@ -42,7 +42,7 @@
 	if !crashes {
 		return
 	}
-	span := backSoon + time.Duration(rand.New(rand.NewPCG(w.plan.Seed, uint64(r.number))).Int64N(int64(backLate-backSoon)))
+	span := backSoon + w.awayAfter(r)
 	w.after(after, func() {
 		if k.up && k.runs[r.task] == r {
 			k.crashLoudly(span)
@@ -50,6 +50,15 @@
 	})
 }
 
+// awayAfter is for how much longer than backSoon a crash by a run takes a worker away. What a seed gives
+// is kept apart from all else of a day.
+func (w *World) awayAfter(r *workerRun) time.Duration {
+	span := w.draws.take("away "+r.task, func(*rand.Rand) uint64 {
+		return uint64(rand.New(rand.NewPCG(w.plan.Seed, uint64(r.number))).Int64N(int64(backLate - backSoon)))
+	})
+	return time.Duration(span % uint64(backLate-backSoon))
+}
+
 // The rules about such tasks: none is started three times more after three workers have crashed
 // under it, and none but those is given up for crashes.
 const (
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -119,7 +119,7 @@
 		return 0
 	}
 	h.connected[k.id()] = true
-	return h.world.between(time.Millisecond, connectMost)
+	return h.world.draws.between("connect "+h.name+" "+k.name, time.Millisecond, connectMost)
 }
 
 // load puts the fences part by part, and then reads the cell's tables. Where connections take their time
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -3,7 +3,7 @@
 // all with faults. It finds broken rules with nothing outside, and the same seed
 // gives the same day.
 //
-// The files: emulator.go the clock and the traffic; plans.go what days are made of; load.go a day of given jobs and
+// The files: emulator.go the clock and the traffic; draws.go what is drawn by chance; plans.go what days are made of; load.go a day of given jobs and
 // workers, and what became of them; table.go the table; faults.go what strikes; touch.go who is in touch; worker.go
 // the workers, crashers.go tasks that crash them, rooms.go how much room they have, lives.go their names and which life a call comes to, rows.go rows that others
 // spoil, and machine.go how fast what runs there gets on and how it disturbs; host.go,
@@ -32,7 +32,8 @@
 // World is one day.
 type World struct {
 	plan    Plan
-	rand    *rand.Rand
+	rand    *rand.Rand // draws what is planned, and what strikes
+	draws   *draws     // gives what is drawn by chance beside that
 	now     time.Time
 	start   time.Time
 	events  eventHeap
@@ -66,7 +67,7 @@
 		truths: map[string]*TaskTruth{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
 		crashers: map[string]time.Duration{}, Noted: map[cell.What]int{},
 	}
-	w.now = w.start
+	w.now, w.draws = w.start, recordedDraws(w.rand, false)
 	w.checker = newChecker(w)
 	w.table = newTable(w)
 	w.planFleet()
@@ -154,9 +155,6 @@
 	return a + time.Duration(w.rand.Int64N(int64(b-a)+1))
 }
 
-// hop is the way of one message.
-func (w *World) hop() time.Duration { return w.between(200*time.Microsecond, 3*time.Millisecond) }
-
 func (w *World) cut(a, b string) bool {
 	if len(w.hallCuts) > 0 && b != "table" && w.apart(w.hallOf(a), w.hallOf(b)) {
 		return true
@@ -254,7 +252,7 @@
 			return
 		}
 		if tries < 40 {
-			w.after(w.between(100*time.Millisecond, 600*time.Millisecond), func() { w.submit(spec, tries+1) })
+			w.after(w.draws.between("retry "+spec.GetId(), 100*time.Millisecond, 600*time.Millisecond), func() { w.submit(spec, tries+1) })
 		}
 	})
 }
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -54,7 +54,7 @@
 
 func newHost(w *World, name, hall string) *host {
 	h := &host{world: w, name: name, hall: hall}
-	w.after(w.between(0, 300*time.Millisecond), h.boot)
+	w.after(w.draws.between("boot "+name, 0, 300*time.Millisecond), h.boot)
 	return h
 }
 
@@ -64,7 +64,7 @@
 	h.up, h.bootedAt, h.connected = true, w.now, map[string]bool{}
 	self := election.Self{
 		Life: fmt.Sprintf("%s/%d", h.name, h.life), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
-		Delay: w.between(0, 150*time.Millisecond),
+		Delay: w.draws.between("delay "+h.name, 0, 150*time.Millisecond),
 	}
 	h.seats = nil
 	h.board, h.beliefsAt = cellchoice.NewBoard(h.hall), map[string]time.Time{}
--- a/pkg/emulator/intake.go
+++ b/pkg/emulator/intake.go
@@ -50,7 +50,7 @@
 		if withBeliefs {
 			h.beliefsAt[name] = h.clock()
 		}
-		w.after(w.hop(), each.back(func() { h.tellLoad(other, withBeliefs) }))
+		w.after(w.draws.hop("word "+h.name+" "+each.name), each.back(func() { h.tellLoad(other, withBeliefs) }))
 	}
 }
 
@@ -61,7 +61,7 @@
 		return
 	}
 	load := from.state.Load(from.clock(), withBeliefs)
-	w.after(w.hop(), h.back(func() {
+	w.after(w.draws.hop("word "+from.name+" "+h.name), h.back(func() {
 		h.board.Take(h.clock(), load)
 		for _, s := range h.seats {
 			if len(load.GetBeliefs()) > 0 || s.state.Leading() {
--- a/pkg/emulator/lives.go
+++ b/pkg/emulator/lives.go
@@ -69,7 +69,7 @@
 // back. ok is false where there was no answer.
 func call[T any](w *World, from string, k *worker, life string, limit, wait, queued time.Duration, then func() (T, workers.Refusal), done func(T, workers.Refusal, bool)) {
 	var none T
-	answered := false
+	answered, stream := false, "call "+from+" "+k.name
 	answer := func(v T, r workers.Refusal, ok bool) {
 		if !answered {
 			answered = true
@@ -81,16 +81,16 @@
 		return
 	}
 	if !k.up && k.loud {
-		w.after(w.hop(), func() { answer(none, workers.RefusedNot, false) })
+		w.after(w.draws.hop(stream), func() { answer(none, workers.RefusedNot, false) })
 		return
 	}
 	if w.plan.CrashTasks > 0 {
 		k.broken = append(k.broken, func() { answer(none, workers.RefusedNot, false) })
 	}
-	way := queued + w.hop()
-	late := w.now.Before(k.lateUntil) && w.rand.IntN(4) == 0
+	way := queued + w.draws.hop(stream)
+	late := w.now.Before(k.lateUntil) && w.draws.oneIn("late "+k.name, 4)
 	if late {
-		way = w.between(2*time.Second, 12*time.Second)
+		way = w.draws.between("late "+k.name, 2*time.Second, 12*time.Second)
 	}
 	sentAt, reached := w.now, k.life
 	if !k.up {
@@ -98,7 +98,7 @@
 	}
 	k.arrive(way, sentAt, reached, func() {
 		if k.key() != life {
-			w.after(w.hop(), func() { answer(none, workers.RefusedLife, true) })
+			w.after(w.draws.hop(stream), func() { answer(none, workers.RefusedLife, true) })
 			return
 		}
 		k.lapse()
@@ -108,7 +108,7 @@
 				v, refusal = then()
 			}
 			if !late && !w.cut(from, k.name) {
-				w.after(w.hop(), func() { answer(v, refusal, true) })
+				w.after(w.draws.hop(stream), func() { answer(v, refusal, true) })
 			}
 		})
 	})
--- a/pkg/emulator/load.go
+++ b/pkg/emulator/load.go
@@ -112,10 +112,10 @@
 			}
 		}
 		if len(near) > 0 {
-			return near[w.rand.IntN(len(near))]
+			return near[w.draws.below("door "+job, int64(len(near)))]
 		}
 	}
-	return w.hosts[w.rand.IntN(len(w.hosts))]
+	return w.hosts[w.draws.below("door "+job, int64(len(w.hosts)))]
 }
 
 // followEvery is how often leaders read their tables. On a given load, word of peers
--- a/pkg/emulator/machine.go
+++ b/pkg/emulator/machine.go
@@ -52,7 +52,7 @@
 func (k *worker) drawRun(r *workerRun) {
 	w := k.world
 	if w.plan.Load == nil {
-		r.need = w.between(100*time.Millisecond, 2500*time.Millisecond)
+		r.need = w.draws.between("run "+r.task, 100*time.Millisecond, 2500*time.Millisecond)
 		return
 	}
 	r.truth = w.truths[r.task]
@@ -197,7 +197,7 @@
 	return time.Duration(float64(w.plan.Load.Unloaded) / (1 - min(busy, fullyBusy)))
 }
 
-func (k *worker) rough() float64 { return 1 + readingRough*k.world.rand.NormFloat64() }
+func (k *worker) rough() float64 { return 1 + readingRough*k.world.draws.normal("reading "+k.name) }
 
 func (r *reading) add(value, rough float64) {
 	r.sum += value
--- a/pkg/emulator/table.go
+++ b/pkg/emulator/table.go
@@ -44,13 +44,13 @@
 		w.after(900*time.Millisecond, func() { done(table.Committed{}, false) })
 		return
 	}
-	way := w.hop() + 4*time.Millisecond
+	way := w.draws.hop("table "+from) + 4*time.Millisecond
 	if w.now.Before(t.slowUntil) {
-		way = w.between(200*time.Millisecond, 1200*time.Millisecond)
+		way = w.draws.between("slow table "+from, 200*time.Millisecond, 1200*time.Millisecond)
 	}
-	lost := w.now.Before(t.losesUntil) && w.rand.IntN(3) == 0
-	if lost && w.rand.IntN(2) == 0 {
-		way = w.between(time.Second, 6*time.Second) // done late, too
+	lost := w.now.Before(t.losesUntil) && w.draws.oneIn("lost table "+from, 3)
+	if lost && w.draws.oneIn("lost table "+from, 2) {
+		way = w.draws.between("lost table "+from, time.Second, 6*time.Second) // done late, too
 	}
 	answered := false
 	w.after(way, func() {
@@ -58,7 +58,7 @@
 		if lost {
 			return
 		}
-		w.after(w.hop(), func() {
+		w.after(w.draws.hop("table "+from), func() {
 			if !answered {
 				answered = true
 				done(c, true)
@@ -115,9 +115,9 @@
 		w.after(900*time.Millisecond, func() { done(nil, 0, false) })
 		return
 	}
-	way := w.hop() + 4*time.Millisecond
+	way := w.draws.hop("table "+from) + 4*time.Millisecond
 	if w.now.Before(t.slowUntil) {
-		way = w.between(200*time.Millisecond, 800*time.Millisecond)
+		way = w.draws.between("slow table "+from, 200*time.Millisecond, 800*time.Millisecond)
 	}
 	w.after(way, func() {
 		var list []table.Row
@@ -126,6 +126,6 @@
 		}
 		sort.Slice(list, func(a, b int) bool { return list[a].Key.Part+list[a].Key.Key < list[b].Key.Part+list[b].Key.Key })
 		at := t.storeTime()
-		w.after(w.hop(), func() { done(list, at, true) })
+		w.after(w.draws.hop("table "+from), func() { done(list, at, true) })
 	})
 }
--- a/pkg/emulator/words.go
+++ b/pkg/emulator/words.go
@@ -32,7 +32,7 @@
 		}
 		h.toLeader(name, func(other *seat) {
 			load := other.state.Load(other.clock(), true)
-			h.world.after(h.world.hop(), h.back(func() {
+			h.world.after(h.world.draws.hop("word "+other.name+" "+h.name), h.back(func() {
 				h.state.Take(h.clock(), cell.OtherLoad{Load: load})
 			}))
 		})
@@ -47,7 +47,7 @@
 		if other == nil || w.cut(h.name, each.name) || !h.knows(name, each) {
 			continue
 		}
-		w.after(w.hop(), each.back(func() {
+		w.after(w.draws.hop("word "+h.name+" "+each.name), each.back(func() {
 			if other.state.Leading() {
 				do(other)
 				other.act()
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -95,7 +95,7 @@
 	k := &worker{world: w, name: fmt.Sprintf("worker-%d", n), Machine: m}
 	k.begin()
 	if w.plan.Load != nil {
-		w.after(w.between(0, sampleEvery), k.sample)
+		w.after(w.draws.between("sample "+k.name, 0, sampleEvery), k.sample)
 	}
 	return k
 }
@@ -105,8 +105,8 @@
 	k.life++
 	k.up, k.fence, k.until, k.number = true, 0, 0, 0
 	k.broken = nil
-	k.rate = 0.98 + 0.04*w.rand.Float64()
-	k.offset = w.between(0, time.Hour)
+	k.rate = 0.98 + 0.04*w.draws.fraction("clock "+k.name)
+	k.offset = w.draws.between("clock "+k.name, 0, time.Hour)
 	k.bornBefore, k.bornAt = k.bornAt.UnixMilli(), w.now
 	k.runs, k.highest, k.ended = map[string]*workerRun{}, map[string]int64{}, nil
 	k.endedAt, k.lapsed = map[int64]time.Time{}, map[int64]bool{}
@@ -135,7 +135,7 @@
 	broken := k.broken
 	k.broken = nil
 	for _, tell := range broken {
-		k.world.after(k.world.hop(), tell)
+		k.world.after(k.world.draws.hop("break "+k.name), tell)
 	}
 }
 
@@ -249,7 +249,7 @@
 	if w.now.Before(k.sickUntil) {
 		r.stuck, r.fails = k.sickHow == 0, k.sickHow == 1
 	} else if w.plan.Load == nil {
-		r.fails = w.rand.IntN(40) == 0
+		r.fails = w.draws.oneIn("fails "+s.Task, 40)
 	}
 	k.runs[s.Task] = r
 	w.checker.started(k, s)
