--- a/pkg/emulator/crashers.go
+++ b/pkg/emulator/crashers.go
@@ -19,14 +19,13 @@
 	crashDraw = 11
 )
 
-// drawCrasher makes one task of a job such a task, at each of the job's times.
-func (w *World) drawCrasher(spec *wire.JobSpec) {
+// drawCrasher picks one task of a job as such a task, at each of the job's times.
+func (w *World) drawCrasher(spec *wire.JobSpec) *Crash {
 	r := rand.New(rand.NewPCG(w.plan.Seed^uint64(len(w.crashers)), crashDraw))
 	step := r.IntN(len(spec.GetSteps()))
 	index := r.IntN(int(spec.GetSteps()[step].GetCount()))
 	after := crashSoon + time.Duration(r.Int64N(int64(crashLate-crashSoon)))
-	w.crashers[crasherName(name(spec.GetId(), 0, step, index))] = after
-	w.logf("%s crashes its worker after %s", name(spec.GetId(), 0, step, index), after)
+	return &Crash{Step: step, Index: index, After: after}
 }
 
 // crasherName names a task at any of its job's times.
--- a/pkg/emulator/draws.go
+++ b/pkg/emulator/draws.go
@@ -15,6 +15,8 @@
 	// tapes hold what was drawn by stream, read counts what of them was read. Without tapes nothing is kept.
 	tapes map[string][]uint64
 	read  map[string]int
+	// beyond chooses among what follows where a tape has run out.
+	beyond uint64
 }
 
 // recordedDraws draws from a generator, and keeps what it drew if asked to.
@@ -27,12 +29,12 @@
 }
 
 // playedDraws reads tapes.
-func playedDraws(tapes map[string][]uint64) *draws {
-	return &draws{tapes: tapes, read: map[string]int{}}
+func playedDraws(tapes map[string][]uint64, beyond uint64) *draws {
+	return &draws{tapes: tapes, read: map[string]int{}, beyond: beyond}
 }
 
 // take is the next draw of a stream: from its tape, or from a generator. Where a tape has run out it
-// follows from the stream's name and the position alone.
+// follows from the stream's name, the position and what the script chose.
 func (d *draws) take(stream string, draw func(r *rand.Rand) uint64) uint64 {
 	if d.rand != nil {
 		v := draw(d.rand)
@@ -46,14 +48,14 @@
 	if tape := d.tapes[stream]; n < len(tape) {
 		return tape[n]
 	}
-	return beyondTape(stream, n)
+	return beyondTape(stream, n, d.beyond)
 }
 
-// beyondTape mixes a stream's name and a position.
-func beyondTape(stream string, n int) uint64 {
+// beyondTape mixes a stream's name, a position and a choice.
+func beyondTape(stream string, n int, choice uint64) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(stream))
-	v := h.Sum64() + uint64(n)*0x9e3779b97f4a7c15
+	v := (h.Sum64() ^ choice*0xd6e8feb86659fd93) + uint64(n)*0x9e3779b97f4a7c15
 	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
 	v = (v ^ v>>27) * 0x94d049bb133111eb
 	return v ^ v>>31
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -3,8 +3,9 @@
 // all with faults. It finds broken rules with nothing outside, and the same seed
 // gives the same day.
 //
-// The files: emulator.go the clock and the traffic; draws.go what is drawn by chance; plans.go what days are made of; load.go a day of given jobs and
-// workers, and what became of them; table.go the table; faults.go what strikes; touch.go who is in touch; worker.go
+// The files: emulator.go the clock and the traffic; draws.go what is drawn by chance; plans.go what days are made of;
+// script.go days as data, scriptfile.go their files, scriptcheck.go what they may hold; load.go a day of given jobs and
+// workers, and what became of them; table.go the table; faults.go what strikes when, strikes.go what that does; touch.go who is in touch; worker.go
 // the workers, crashers.go tasks that crash them, rooms.go how much room they have, lives.go their names and which life a call comes to, rows.go rows that others
 // spoil, and machine.go how fast what runs there gets on and how it disturbs; host.go,
 // effects.go, words.go and intake.go the hosts, which drive the product's own election.Seat,
@@ -53,6 +54,7 @@
 	saved        map[string]time.Duration
 	crashers     map[string]time.Duration // after how long they crash their worker, by task of any time
 	results      map[string]*JobResult
+	script       *Script // what a recorded day is written to
 	// Noted counts the notes of all hosts by their kind.
 	Noted map[cell.What]int
 	// Log is the story of the day, for a seed that failed.
@@ -61,51 +63,60 @@
 
 // Play plays a day and returns the rules that were broken.
 func Play(plan Plan) (*World, []string) {
-	w := &World{
-		plan: plan, rand: rand.New(rand.NewPCG(plan.Seed, 7)), start: time.Unix(1_000_000, 0),
-		jobs: map[string]*wire.JobSpec{}, cuts: map[[2]string]time.Time{}, hallCuts: map[string]time.Time{},
-		truths: map[string]*TaskTruth{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
-		crashers: map[string]time.Duration{}, Noted: map[cell.What]int{},
-	}
-	w.now, w.draws = w.start, recordedDraws(w.rand, false)
-	w.checker = newChecker(w)
-	w.table = newTable(w)
+	w := drawnWorld(plan, false)
+	return w, w.playDrawn()
+}
+
+// playDrawn plays a day whose jobs and faults are drawn.
+func (w *World) playDrawn() []string {
 	w.planFleet()
-	if plan.Load == nil {
+	if w.plan.Load == nil {
 		w.planTraffic()
 	} else {
 		w.planLoad()
 	}
 	w.planFaults()
+	return w.run()
+}
+
+// run plays what is planned, and what follows from it, to the day's end.
+func (w *World) run() []string {
 	for len(w.events) > 0 {
 		e, ok := heap.Pop(&w.events).(*event)
-		if !ok || e.at.Sub(w.start) > plan.End {
+		if !ok || e.at.Sub(w.start) > w.plan.End {
 			break
 		}
 		w.now = e.at
 		e.do()
 	}
 	w.checker.atEnd()
-	return w, w.checker.broken
+	return w.checker.broken
 }
 
 func (w *World) planFleet() {
 	if w.plan.Load != nil {
 		w.cells = w.plan.Load.Halls
 		for i, m := range w.plan.Load.Machines {
-			w.workers = append(w.workers, newWorker(w, i, m))
+			w.workers = append(w.workers, newWorker(w, workerName(i), m))
 		}
 	} else {
-		for i := range w.plan.Cells {
-			w.cells = append(w.cells, fmt.Sprintf("hall-%d", i))
-		}
+		w.cells = cellNames(w.plan.Cells)
 		for i := range w.plan.Workers {
-			w.workers = append(w.workers, newWorker(w, i, Machine{Hall: w.cells[i%w.plan.Cells], Millicores: workerCores, MemoryMB: workerMemory}))
+			w.workers = append(w.workers, newWorker(w, workerName(i), usualMachine(w.cells[i%w.plan.Cells])))
 		}
 	}
 	for i := range w.plan.Hosts {
 		w.hosts = append(w.hosts, newHost(w, fmt.Sprintf("host-%d", i), w.cells[i%len(w.cells)]))
 	}
+	if w.script != nil {
+		w.script.takeFleet(w)
+	}
+}
+
+func workerName(n int) string { return fmt.Sprintf("worker-%d", n) }
+
+func usualMachine(cell string) Machine {
+	return Machine{Hall: cell, Millicores: workerCores, MemoryMB: workerMemory}
 }
 
 // ---------------------------------------------------------------- events
@@ -183,17 +194,18 @@
 	for i := range w.plan.Jobs {
 		id := fmt.Sprintf("%016x", i+1)
 		spec := w.newJob(id)
+		var crash *Crash
 		if i < w.plan.CrashTasks {
-			w.drawCrasher(spec)
+			crash = w.drawCrasher(spec)
 		}
 		at := w.between(2*time.Second, w.plan.Traffic)
-		w.after(at, func() { w.submit(spec, 0) })
+		w.planJob(ScriptJob{At: at, Spec: JobSpec{spec}, Crash: crash})
 		if spec.GetSteps()[0].GetLasting() {
-			w.after(at+w.between(time.Second, w.plan.Trouble), func() { w.cancelSurely(id) })
+			w.planCancel(Cancel{At: at + w.between(time.Second, w.plan.Trouble), Job: id, Surely: true})
 			continue
 		}
 		if w.rand.IntN(8) == 0 || (w.plan.Touch && w.rand.IntN(3) == 0) {
-			w.after(at+w.between(100*time.Millisecond, 4*time.Second), func() { w.cancel(id) })
+			w.planCancel(Cancel{At: at + w.between(100*time.Millisecond, 4*time.Second), Job: id})
 		}
 	}
 }
--- a/pkg/emulator/faults.go
+++ b/pkg/emulator/faults.go
@@ -36,7 +36,7 @@
 	for _, k := range w.workers {
 		if w.rand.IntN(2) == 0 {
 			span := w.between(50*time.Millisecond, 1500*time.Millisecond)
-			w.after(w.between(0, 300*time.Millisecond), func() { k.crash(span) })
+			w.after(w.between(0, 300*time.Millisecond), func() { w.strikeWith(Fault{Kind: CrashWorker, Target: k.name, For: span}) })
 			w.troubleUntil = w.now.Add(span)
 		}
 	}
@@ -57,7 +57,7 @@
 		span = w.between(longerThanTenure, longerThanTenure+5*time.Second)
 		w.leaveTwoTo(h, span+w.between(time.Second, 4*time.Second))
 	}
-	h.suspend(span)
+	w.strikeWith(Fault{Kind: SuspendHost, Target: h.name, For: span})
 	if until := w.now.Add(span); until.After(w.troubleUntil) {
 		w.troubleUntil = until
 	}
@@ -71,8 +71,7 @@
 	span := w.between(1500*time.Millisecond, 11*time.Second)
 	switch kind := w.rand.IntN(3); kind {
 	case 0:
-		w.table.downUntil = w.now.Add(span)
-		w.logf("FAULT the table is away for %s", span)
+		w.strikeWith(Fault{Kind: TableDown, For: span})
 	case 1:
 		w.cutLeader(name, span)
 	default:
@@ -90,17 +89,16 @@
 	if h == nil {
 		return
 	}
-	w.logf("FAULT %s, which leads %s, is cut off from the table for %s", h.name, name, span)
-	w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
+	w.cutLink(h.name, "table", span)
 	for _, other := range w.hosts {
 		if other == h {
 			continue
 		}
 		if w.rand.IntN(2) == 0 {
-			w.cuts[[2]string{h.name, other.name}] = w.now.Add(span)
+			w.cutLink(h.name, other.name, span)
 		}
 		k := w.workers[w.rand.IntN(len(w.workers))]
-		w.cuts[[2]string{other.name, k.name}] = w.now.Add(w.between(0, 3*time.Second))
+		w.cutLink(other.name, k.name, w.between(0, 3*time.Second))
 	}
 }
 
@@ -110,25 +108,24 @@
 	w.cutHall(w.cells[0], w.between(6*time.Second, 11*time.Second))
 	w.after(w.between(500*time.Millisecond, 6*time.Second), func() {
 		if h := w.leaderOf(w.cells[1]); h != nil && h.hall != w.cells[0] {
-			h.kill(time.Second)
+			w.strikeWith(Fault{Kind: KillHost, Target: h.name, For: time.Second})
 		}
 	})
 	for _, k := range w.workers {
 		if k.Hall != w.cells[0] {
-			w.after(w.between(0, 5*time.Second), func() { k.crash(time.Second) })
+			w.after(w.between(0, 5*time.Second), func() { w.strikeWith(Fault{Kind: CrashWorker, Target: k.name, For: time.Second}) })
 		}
 	}
 }
 
 // cutHall cuts a hall's hosts and workers off from other halls', and the hosts from the table.
 func (w *World) cutHall(hall string, span time.Duration) {
-	w.logf("FAULT %s is cut off for %s", hall, span)
-	w.hallCuts[hall] = w.now.Add(span)
-	for _, h := range w.hosts {
-		if h.hall == hall {
-			w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
-		}
-	}
+	w.strikeWith(Fault{Kind: CutCell, Target: hall, For: span})
+}
+
+// cutLink cuts two ends off from each other.
+func (w *World) cutLink(from, to string, span time.Duration) {
+	w.strikeWith(Fault{Kind: CutLink, Target: from, Peer: to, For: span})
 }
 
 // apart says whether halls are cut off from each other.
@@ -155,18 +152,18 @@
 	for _, k := range w.workers[:2] {
 		for _, other := range w.hosts {
 			if other != h {
-				w.cuts[[2]string{other.name, k.name}] = w.now.Add(span)
+				w.cutLink(other.name, k.name, span)
 			}
 		}
 	}
-	w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
+	w.cutLink(h.name, "table", span)
 }
 
 // flap ends the life of one worker for a short while.
 func (w *World) flap() {
 	k := w.workers[w.rand.IntN(len(w.workers))]
 	span := w.between(50*time.Millisecond, 3*time.Second)
-	k.crash(span)
+	w.strikeWith(Fault{Kind: CrashWorker, Target: k.name, For: span})
 	if until := w.now.Add(span); until.After(w.troubleUntil) {
 		w.troubleUntil = until
 	}
@@ -182,37 +179,35 @@
 	k := w.workers[w.rand.IntN(len(w.workers))]
 	switch w.rand.IntN(12) {
 	case 0:
-		h.kill(span)
+		w.strikeWith(Fault{Kind: KillHost, Target: h.name, For: span})
 	case 1:
-		h.freeze(span)
+		w.strikeWith(Fault{Kind: FreezeHost, Target: h.name, For: span})
 	case 2:
 		for _, each := range w.hosts {
-			each.kill(w.between(500*time.Millisecond, 1500*time.Millisecond))
+			w.strikeWith(Fault{Kind: KillHost, Target: each.name, For: w.between(500*time.Millisecond, 1500*time.Millisecond)})
 		}
 	case 3:
-		w.table.downUntil = w.now.Add(span)
+		w.strikeWith(Fault{Kind: TableDown, For: span})
 	case 4:
-		w.table.losesUntil = w.now.Add(span)
+		w.strikeWith(Fault{Kind: TableLoses, For: span})
 	case 5:
-		w.table.slowUntil = w.now.Add(span)
+		w.strikeWith(Fault{Kind: TableSlow, For: span})
 	case 6:
-		w.cuts[[2]string{h.name, "table"}] = w.now.Add(span)
+		w.cutLink(h.name, "table", span)
 	case 7:
-		w.cuts[[2]string{h.name, k.name}] = w.now.Add(span)
+		w.cutLink(h.name, k.name, span)
 	case 8:
 		for _, each := range w.hosts {
-			w.cuts[[2]string{each.name, k.name}] = w.now.Add(span)
+			w.cutLink(each.name, k.name, span)
 		}
 	case 9:
-		k.lateUntil = w.now.Add(span)
+		w.strikeWith(Fault{Kind: LateWorker, Target: k.name, For: span})
 	case 10:
-		k.crash(span)
+		w.strikeWith(Fault{Kind: CrashWorker, Target: k.name, For: span})
 	case 11:
-		k.sickUntil = w.now.Add(span)
-		k.sickHow = w.rand.IntN(2)
+		w.strikeWith(Fault{Kind: [...]FaultKind{sickHangs: HangRuns, sickFails: FailRuns}[w.rand.IntN(2)], Target: k.name, For: span})
 	}
 	if until := w.now.Add(span); until.After(w.troubleUntil) {
 		w.troubleUntil = until
 	}
-	w.logf("FAULT near %s and %s for %s", h.name, k.name, span)
 }
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -52,7 +52,7 @@
 	// OddRows says that rows of the list of workers are spoilt, and that others wrote some.
 	OddRows bool
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
-	Load *Load
+	Load *Load `json:"-"`
 }
 
 // DefaultPlan is a small day with all kinds of faults.
--- a/pkg/emulator/rooms.go
+++ b/pkg/emulator/rooms.go
@@ -25,10 +25,8 @@
 // shrinkRoom takes a part of a worker's room away for a while, at times all of it.
 func (w *World) shrinkRoom() {
 	k := w.workers[w.rand.IntN(len(w.workers))]
-	parts := int64(1 + w.rand.IntN(quarters))
-	k.setShrunk(parts)
-	w.logf("%s has %d of %d quarters of its room", k.id(), quarters-parts, quarters)
-	w.after(w.between(500*time.Millisecond, 8*time.Second), func() { k.setShrunk(0) })
+	parts := 1 + w.rand.IntN(quarters)
+	w.strikeWith(Fault{Kind: ShrinkWorker, Target: k.name, How: parts, For: w.between(500*time.Millisecond, 8*time.Second)})
 }
 
 func (k *worker) setShrunk(parts int64) {
--- a/pkg/emulator/rows.go
+++ b/pkg/emulator/rows.go
@@ -45,9 +45,8 @@
 			if w.now.Before(k.oddUntil) {
 				return
 			}
-			k.oddSince, k.oddUntil = w.now, w.now.Add(w.between(500*time.Millisecond, oddFor))
-			k.spoil = spoilings[w.rand.IntN(len(spoilings))]
-			w.logf("the row of %s is spoilt until %s", k.id(), k.oddUntil.Sub(w.start))
+			span := w.between(500*time.Millisecond, oddFor)
+			w.strikeWith(Fault{Kind: SpoilRow, Target: k.name, For: span, How: w.rand.IntN(len(spoilings))})
 		})
 	}
 }
--- /dev/null
+++ b/pkg/emulator/scriptcheck.go
@@ -0,0 +1,191 @@
+package emulator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+)
+
+// What a script may hold. Each check names the field and the problem; an empty problem is none.
+
+const (
+	// mostCells bounds the cells of a script, longestDay its length.
+	mostCells  = 64
+	longestDay = 24 * time.Hour
+)
+
+func quote(v any) string { return fmt.Sprintf("%q", fmt.Sprint(v)) }
+
+func (s *Script) check() (field, problem string) {
+	checks := []func() (string, string){s.checkPlan, s.checkPlaces, s.checkJobs, s.checkCancels, s.checkFaults}
+	for _, check := range checks {
+		if field, problem := check(); problem != "" {
+			return field, problem
+		}
+	}
+	return "", ""
+}
+
+func (s *Script) checkPlan() (field, problem string) {
+	switch p := s.Plan; {
+	case p.Cells < 1 || p.Cells > mostCells:
+		return "Plan.Cells", fmt.Sprintf("%d is not from 1 to %d", p.Cells, mostCells)
+	case p.End <= 0 || p.End > longestDay:
+		return "Plan.End", fmt.Sprintf("%s is not a day's length", p.End)
+	case p.LinkRate < 0:
+		return "Plan.LinkRate", fmt.Sprintf("%v is below 0", p.LinkRate)
+	}
+	return "", ""
+}
+
+func (s *Script) checkPlaces() (field, problem string) {
+	known := map[string]bool{"table": true}
+	for _, list := range []struct {
+		field  string
+		places []Place
+	}{{"Hosts", s.Hosts}, {"Workers", s.Workers}} {
+		if len(list.places) == 0 {
+			return list.field, "there is none"
+		}
+		for i, p := range list.places {
+			switch {
+			case p.Name == "" || known[p.Name]:
+				return fmt.Sprintf("%s[%d].Name", list.field, i), quote(p.Name) + " is not a name of its own"
+			case !s.hasCell(p.Cell):
+				return fmt.Sprintf("%s[%d].Cell", list.field, i), quote(p.Cell) + " is not a cell"
+			}
+			known[p.Name] = true
+		}
+	}
+	return "", ""
+}
+
+func (s *Script) hasCell(name string) bool { return slices.Contains(cellNames(s.Plan.Cells), name) }
+
+func (s *Script) hasHost(name string) bool {
+	return slices.ContainsFunc(s.Hosts, func(p Place) bool { return p.Name == name })
+}
+
+func (s *Script) hasWorker(name string) bool {
+	return slices.ContainsFunc(s.Workers, func(p Place) bool { return p.Name == name })
+}
+
+func (s *Script) hasJob(id string) bool {
+	return slices.ContainsFunc(s.Jobs, func(j ScriptJob) bool { return j.Spec.GetId() == id })
+}
+
+func (s *Script) checkJobs() (field, problem string) {
+	known := map[string]bool{}
+	for i, j := range s.Jobs {
+		field, problem := j.check()
+		if known[j.Spec.GetId()] {
+			field, problem = "Spec.id", quote(j.Spec.GetId())+" is there twice"
+		}
+		if problem == "" && !s.hasCell(j.Spec.GetCell()) {
+			field, problem = "Spec.cell", quote(j.Spec.GetCell())+" is not a cell"
+		}
+		if problem != "" {
+			return fmt.Sprintf("Jobs[%d].%s", i, field), problem
+		}
+		known[j.Spec.GetId()] = true
+	}
+	return "", ""
+}
+
+func (j ScriptJob) check() (field, problem string) {
+	spec := j.Spec.JobSpec
+	if _, ok := jobs.ParseTask(name(spec.GetId(), 0, 0, 0)); !ok || spec.GetId() == "" {
+		return "Spec.id", quote(spec.GetId()) + " is not a job's id"
+	}
+	switch {
+	case j.At < 0:
+		return "At", j.At.String() + " is before the day"
+	case spec.GetQueue() != queueName:
+		return "Spec.queue", quote(spec.GetQueue()) + " is not a queue"
+	case spec.GetService() != serviceName:
+		return "Spec.service", quote(spec.GetService()) + " is not a service"
+	case len(spec.GetSteps()) == 0:
+		return "Spec.steps", "there is none"
+	}
+	for i, step := range spec.GetSteps() {
+		if step.GetCount() < 1 {
+			return fmt.Sprintf("Spec.steps[%d].count", i), fmt.Sprintf("%d is below 1", step.GetCount())
+		}
+		for _, before := range step.GetAfter() {
+			if before < 0 || int(before) >= i {
+				return fmt.Sprintf("Spec.steps[%d].after", i), fmt.Sprintf("%d is not an earlier step", before)
+			}
+		}
+	}
+	if c := j.Crash; c != nil {
+		if c.Step < 0 || c.Step >= len(spec.GetSteps()) || c.Index < 0 || c.Index >= int(spec.GetSteps()[c.Step].GetCount()) {
+			return "Crash", fmt.Sprintf("%d.%d is not a task", c.Step, c.Index)
+		}
+		if c.After < 0 {
+			return "Crash.After", c.After.String() + " is before the start"
+		}
+	}
+	return "", ""
+}
+
+func (s *Script) checkCancels() (field, problem string) {
+	for i, c := range s.Cancels {
+		if c.At < 0 {
+			return fmt.Sprintf("Cancels[%d].At", i), c.At.String() + " is before the day"
+		}
+		if !s.hasJob(c.Job) {
+			return fmt.Sprintf("Cancels[%d].Job", i), quote(c.Job) + " is not a job"
+		}
+	}
+	return "", ""
+}
+
+func (s *Script) checkFaults() (field, problem string) {
+	for i, f := range s.Faults {
+		if field, problem := s.checkFault(f); problem != "" {
+			return fmt.Sprintf("Faults[%d].%s", i, field), problem
+		}
+	}
+	return "", ""
+}
+
+func (s *Script) checkFault(f Fault) (field, problem string) {
+	kind, ok := faultKinds[f.Kind]
+	switch {
+	case !ok:
+		return "Kind", quote(f.Kind) + " is not a kind of fault"
+	case f.At < 0:
+		return "At", f.At.String() + " is before the day"
+	case f.For < 0:
+		return "For", f.For.String() + " is no span"
+	case f.How < 0 || f.How >= kind.ways:
+		return "How", fmt.Sprintf("%d is not a way of %s", f.How, f.Kind)
+	case !s.hasTarget(kind.target, f.Target):
+		return "Target", quote(f.Target) + " is nothing that " + string(f.Kind) + " strikes"
+	case f.Kind == CutLink && !s.hasEnd(f.Peer):
+		return "Peer", quote(f.Peer) + " is not an end of a link"
+	case f.Kind != CutLink && f.Peer != "":
+		return "Peer", string(f.Kind) + " has none"
+	}
+	return "", ""
+}
+
+func (s *Script) hasTarget(kind targetKind, name string) bool {
+	switch kind {
+	case strikesHost:
+		return s.hasHost(name)
+	case strikesWorker:
+		return s.hasWorker(name)
+	case strikesCell:
+		return s.hasCell(name)
+	default:
+		return name == ""
+	}
+}
+
+// hasEnd says whether a link may end there.
+func (s *Script) hasEnd(name string) bool {
+	return name == "table" || s.hasHost(name) || s.hasWorker(name)
+}
--- /dev/null
+++ b/pkg/emulator/scriptfile.go
@@ -0,0 +1,103 @@
+package emulator
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Scripts as files: JSON of the types in script.go and strikes.go, which are the schema, compressed.
+
+// scriptMost is how long a script may be, uncompressed.
+const scriptMost = 32 << 20
+
+// MarshalJSON writes a specification in its own JSON form.
+func (j JobSpec) MarshalJSON() ([]byte, error) { return protojson.Marshal(j.JobSpec) }
+
+// UnmarshalJSON reads one, and refuses fields that it does not know.
+func (j *JobSpec) UnmarshalJSON(text []byte) error {
+	j.JobSpec = &wire.JobSpec{}
+	if err := protojson.Unmarshal(text, j.JobSpec); err != nil {
+		return fault.New(fault.BadInput, "Spec", err.Error(), "")
+	}
+	return nil
+}
+
+// Encode is the script as it stands in a file.
+func (s *Script) Encode() ([]byte, error) {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "script", "can't be written", "").WithCause(err)
+	}
+	var file bytes.Buffer
+	z, err := gzip.NewWriterLevel(&file, gzip.BestCompression)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "script", "can't be compressed", "").WithCause(err)
+	}
+	if _, err := z.Write(text); err != nil {
+		return nil, fault.New(fault.Internal, "script", "can't be compressed", "").WithCause(err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, fault.New(fault.Internal, "script", "can't be compressed", "").WithCause(err)
+	}
+	return file.Bytes(), nil
+}
+
+// DecodeScript reads a script file. Whatever the emulator would not play as it is meant is an error that
+// names the file and the field.
+func DecodeScript(name string, file []byte) (*Script, error) {
+	text, err := uncompress(name, file)
+	if err != nil {
+		return nil, err
+	}
+	var head struct{ Version int }
+	if err := json.Unmarshal(text, &head); err != nil {
+		return nil, unreadable(name, err)
+	}
+	if head.Version != ScriptVersion {
+		return nil, fault.New(fault.BadInput, name, "Version: "+quote(head.Version)+" is not a version that is played", "record the day again")
+	}
+	s := &Script{}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, unreadable(name, err)
+	}
+	if err := s.Check(name); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func uncompress(name string, file []byte) ([]byte, error) {
+	z, err := gzip.NewReader(bytes.NewReader(file))
+	if err != nil {
+		return nil, unreadable(name, err)
+	}
+	text, err := io.ReadAll(io.LimitReader(z, scriptMost+1))
+	if err != nil {
+		return nil, unreadable(name, err)
+	}
+	if len(text) > scriptMost {
+		return nil, fault.New(fault.TooLarge, name, "is longer than a script may be", "")
+	}
+	return text, nil
+}
+
+func unreadable(name string, cause error) error {
+	return fault.New(fault.BadInput, name, "is not a script", "").WithCause(cause)
+}
+
+// Check says whether the emulator would play the script as it is meant; name is the script's in errors.
+func (s *Script) Check(name string) error {
+	if field, problem := s.check(); problem != "" {
+		return fault.New(fault.BadInput, name, field+": "+problem, "")
+	}
+	return nil
+}
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -91,8 +90,8 @@
 	staleGap = 2 * time.Second
 )
 
-func newWorker(w *World, n int, m Machine) *worker {
-	k := &worker{world: w, name: fmt.Sprintf("worker-%d", n), Machine: m}
+func newWorker(w *World, name string, m Machine) *worker {
+	k := &worker{world: w, name: name, Machine: m}
 	k.begin()
 	if w.plan.Load != nil {
 		w.after(w.draws.between("sample "+k.name, 0, sampleEvery), k.sample)
@@ -247,7 +246,7 @@
 	r := &workerRun{task: s.Task, number: s.Run, spec: spec, settledAt: w.now, checkpoint: s.Checkpoint, pace: 100, speed: 1}
 	k.drawRun(r)
 	if w.now.Before(k.sickUntil) {
-		r.stuck, r.fails = k.sickHow == 0, k.sickHow == 1
+		r.stuck, r.fails = k.sickHow == sickHangs, k.sickHow == sickFails
 	} else if w.plan.Load == nil {
 		r.fails = w.draws.oneIn("fails "+s.Task, 40)
 	}
