--- /dev/null
+++ b/pkg/emulator/cases_test.go
@@ -0,0 +1,61 @@
+package emulator_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+)
+
+// casesFolder holds a folder for each day that broke a rule once: its scripts, and a page on what broke.
+const casesFolder = "../../test/cases/emulator"
+
+// scriptMost is how large a script of a case may be.
+const scriptMost = 200_000
+
+func TestNoDayThatBrokeOnceBreaksAgain(t *testing.T) {
+	t.Parallel()
+	folders, err := os.ReadDir(casesFolder)
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, folders)
+	for _, folder := range folders {
+		t.Run(folder.Name(), func(t *testing.T) {
+			t.Parallel()
+			playCase(t, filepath.Join(casesFolder, folder.Name()))
+		})
+	}
+}
+
+// playCase plays the scripts of a case. Whatever else stands in its folder, or is missing there, is an error.
+func playCase(t *testing.T, folder string) {
+	t.Helper()
+	files, err := os.ReadDir(folder)
+	must.NoError(t, err)
+	found := map[string]bool{}
+	for _, file := range files {
+		found[file.Name()] = true
+		switch file.Name() {
+		case "README.md":
+		case "script.json.gz", "reduced.json.gz":
+			playFile(t, filepath.Join(folder, file.Name()))
+		default:
+			t.Errorf("%s: nobody knows what %s is", folder, file.Name())
+		}
+	}
+	must.True(t, found["README.md"], must.Sprintf("%s has no README.md", folder))
+	must.True(t, found["script.json.gz"], must.Sprintf("%s has no script.json.gz", folder))
+}
+
+func playFile(t *testing.T, file string) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	must.NoError(t, err)
+	must.Less(t, scriptMost, len(text), must.Sprint(file))
+	script, err := emulator.DecodeScript(file, text)
+	must.NoError(t, err)
+	_, broken := script.Play()
+	must.SliceEmpty(t, broken, must.Sprint(file))
+}
