--- /dev/null
+++ b/cmd/emulate/main.go
@@ -0,0 +1,10 @@
+// Command emulate records, plays and cuts down days of the emulator.
+package main
+
+import (
+	"os"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator/days"
+)
+
+func main() { os.Exit(days.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -31,6 +31,7 @@
 type checker struct {
 	world     *World
 	broken    []string
+	brokenAt  map[string]time.Duration // when each rule was broken first
 	taken     map[string]bool
 	asked     map[string]bool
 	cancels   map[string]time.Time
@@ -52,11 +53,15 @@
 		world: w, taken: map[string]bool{}, asked: map[string]bool{}, cancels: map[string]time.Time{}, running: map[string]map[string]*worker{},
 		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneSeen: map[string]bool{}, failed: map[string]map[string]bool{}, phases: map[string]wire.JobPhase{},
 		crashes: map[string]int{}, startsMore: map[string]int{}, failures: map[string]map[int64]bool{}, mostFailures: map[string]int{},
+		brokenAt: map[string]time.Duration{},
 	}
 }
 
 func (c *checker) breakRule(rule, format string, args ...any) {
 	c.broken = append(c.broken, rule+": "+fmt.Sprintf(format, args...))
+	if _, known := c.brokenAt[rule]; !known {
+		c.brokenAt[rule] = c.world.now.Sub(c.world.start)
+	}
 	c.world.logf("BROKEN %s: %s", rule, fmt.Sprintf(format, args...))
 }
 
--- /dev/null
+++ b/pkg/emulator/days/days.go
@@ -0,0 +1,190 @@
+// Package days is the developers' command line for days of the emulator as scripts. It is a program of its
+// own, as operators have no use for days on which fences are taken out.
+package days
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+	"github.com/wrenferry/wrenferry/pkg/emulator/reduce"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+)
+
+// The exit codes.
+const (
+	exitDone     = 0
+	exitBroken   = 1
+	exitBadInput = 2
+)
+
+// longestReduction bounds the time of a reduction unless told.
+const longestReduction = 5 * time.Minute
+
+const fileMode = 0o644
+
+// Main runs the command line and returns its exit code: 1 if a day that was played breaks a rule.
+func Main(args []string, out, errs io.Writer) int {
+	code := exitDone
+	root := &cobra.Command{
+		Use: "emulate", Short: "Record, play and cut down days of the emulator", SilenceErrors: true, SilenceUsage: true,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	root.AddCommand(recordVerb(&code), playVerb(&code), reduceVerb())
+	if err := root.Execute(); err != nil {
+		_, _ = fmt.Fprintln(errs, "emulate:", err)
+		return exitBadInput
+	}
+	return code
+}
+
+func recordVerb(code *int) *cobra.Command {
+	set := ""
+	verb := &cobra.Command{
+		Use:     "record PLAN SEED FILE",
+		Short:   "Play the day of a seed, and write its script",
+		Long:    "Play the day of a seed, and write its script. The plans: " + strings.Join(planNames(), ", ") + ".",
+		Example: `  emulate record CrashTasksPlan 1494 day.json.gz --set '{"Unsafe": {"NoUnseen": true}}'`,
+		Args:    cobra.ExactArgs(3),
+		RunE: func(c *cobra.Command, args []string) error {
+			plan, err := planOf(args[0], args[1], set)
+			if err != nil {
+				return err
+			}
+			script, _, broken, err := emulator.Record(plan)
+			if err != nil {
+				return err
+			}
+			tellBroken(c.OutOrStdout(), broken, code)
+			return write(args[2], script)
+		},
+	}
+	verb.Flags().StringVar(&set, "set", "", "fields of the plan to set, as JSON")
+	return verb
+}
+
+func playVerb(code *int) *cobra.Command {
+	all := false
+	verb := &cobra.Command{
+		Use:   "play FILE",
+		Short: "Play a script, and print its story up to the first broken rule",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			script, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			_, broken := script.Play()
+			rule := ""
+			if len(broken) > 0 && !all {
+				rule, _, _ = strings.Cut(broken[0], ":")
+			}
+			if all || rule != "" {
+				tell(c.OutOrStdout(), reduce.Story(script, rule))
+			}
+			tellBroken(c.OutOrStdout(), broken, code)
+			return nil
+		},
+	}
+	verb.Flags().BoolVar(&all, "all", false, "print all of the day's log")
+	return verb
+}
+
+func reduceVerb() *cobra.Command {
+	rule, good, longest := "", "", longestReduction
+	verb := &cobra.Command{
+		Use:   "reduce FILE OUT",
+		Short: "Cut a script that breaks a rule down to little that still breaks it, and print its story",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			script, err := read(args[0])
+			if err != nil {
+				return err
+			}
+			ctx, end := context.WithTimeout(context.Background(), longest)
+			defer end()
+			options := []reduce.Option{reduce.WithRule(rule), reduce.WithProgress(func(line string) {
+				_, _ = fmt.Fprintln(c.ErrOrStderr(), line)
+			})}
+			if good != "" {
+				options = append(options, reduce.WithGood(func(s *emulator.Script) bool { return holdsIn(ctx, good, s) }))
+			}
+			result, err := reduce.Script(ctx, script, options...)
+			if err != nil {
+				return err
+			}
+			if !result.Done {
+				_, _ = fmt.Fprintf(c.ErrOrStderr(), "the time of %s is over; this is the least so far\n", longest)
+			}
+			tell(c.OutOrStdout(), reduce.Story(result.Script, result.Rule))
+			return write(args[1], result.Script)
+		},
+	}
+	verb.Flags().StringVar(&good, "good", "", "an emulate built from code on which what is left breaks no rule")
+	verb.Flags().StringVar(&rule, "rule", "", "the rule to break, where the script breaks several")
+	verb.Flags().DurationVar(&longest, "for", longest, "how long it may take")
+	return verb
+}
+
+// holdsIn says whether a script breaks no rule when another program plays it.
+func holdsIn(ctx context.Context, program string, s *emulator.Script) bool {
+	file, err := os.CreateTemp("", "emulate-*.json.gz")
+	if err != nil {
+		return false
+	}
+	_ = file.Close()
+	defer func() { _ = os.Remove(file.Name()) }()
+	return write(file.Name(), s) == nil && exec.CommandContext(ctx, program, "play", file.Name()).Run() == nil
+}
+
+func tell(out io.Writer, lines []string) { _, _ = fmt.Fprintln(out, strings.Join(lines, "\n")) }
+
+func tellBroken(out io.Writer, broken []string, code *int) {
+	if len(broken) == 0 {
+		_, _ = fmt.Fprintln(out, "no rule is broken")
+		return
+	}
+	*code = exitBroken
+	_, _ = fmt.Fprintf(out, "broken %d times, first: %s\n", len(broken), broken[0])
+}
+
+func read(file string) (*emulator.Script, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.New(fault.NotFound, file, "can't be read", "name a script").WithCause(err)
+	}
+	return emulator.DecodeScript(file, text)
+}
+
+func write(file string, s *emulator.Script) error {
+	text, err := s.Encode()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, text, fileMode); err != nil {
+		return fault.New(fault.BadInput, file, "can't be written", "").WithCause(err)
+	}
+	return nil
+}
+
+// plans are the plans by the names that tests use.
+var plans = map[string]func(seed uint64) emulator.Plan{
+	"DefaultPlan": emulator.DefaultPlan, "TwoCellPlan": emulator.TwoCellPlan, "SameIDsPlan": emulator.SameIDsPlan,
+	"TroubledCellsPlan": emulator.TroubledCellsPlan, "OddRowsPlan": emulator.OddRowsPlan, "CrashTasksPlan": emulator.CrashTasksPlan,
+	"CrashWavesPlan": emulator.CrashWavesPlan, "RoomsPlan": emulator.RoomsPlan, "SuspendsPlan": emulator.SuspendsPlan,
+	"DeposedPlan": emulator.DeposedPlan, "HallCutPlan": emulator.HallCutPlan, "AllTroublesPlan": emulator.AllTroublesPlan,
+}
+
+func planNames() []string { return slices.Sorted(maps.Keys(plans)) }
--- /dev/null
+++ b/pkg/emulator/days/days_test.go
@@ -0,0 +1,69 @@
+package days_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator/days"
+)
+
+// run gives the exit code and all that was printed.
+func run(args ...string) (code int, text string) {
+	var out bytes.Buffer
+	code = days.Main(args, &out, &out)
+	return code, out.String()
+}
+
+func TestADayIsRecordedPlayedAndCutDown(t *testing.T) {
+	t.Parallel()
+	file, left := filepath.Join(t.TempDir(), "day.json.gz"), filepath.Join(t.TempDir(), "left.json.gz")
+	code, text := run("record", "DefaultPlan", "0", file, "--set", `{"Unsafe": {"NoSettling": true}}`)
+	must.Eq(t, 1, code)
+	must.StrContains(t, text, "TWICE")
+	code, text = run("play", file)
+	must.Eq(t, 1, code)
+	must.StrContains(t, text, "BROKEN TWICE")
+	code, text = run("reduce", file, left)
+	must.Eq(t, 0, code, must.Sprint(text))
+	must.StrContains(t, text, "plays, ")
+	must.StrContains(t, text, "BROKEN TWICE")
+	code, _ = run("play", left)
+	must.Eq(t, 1, code)
+}
+
+func TestADayThatBreaksNothing(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "day.json.gz")
+	code, text := run("record", "DefaultPlan", "1", file)
+	must.Eq(t, 0, code)
+	must.StrContains(t, text, "no rule is broken")
+	code, text = run("reduce", file, file)
+	must.Eq(t, 2, code)
+	must.StrContains(t, text, "breaks no rule")
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	t.Parallel()
+	bad := filepath.Join(t.TempDir(), "bad.json.gz")
+	must.NoError(t, os.WriteFile(bad, []byte("{}"), 0o600))
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"play", bad}, bad + ": is not a script"},
+		{[]string{"reduce", bad, bad}, bad + ": is not a script"},
+		{[]string{"play", "no/such/file"}, "no/such/file: can't be read"},
+		{[]string{"record", "SundayPlan", "1", bad}, "SundayPlan: is not a plan"},
+		{[]string{"record", "DefaultPlan", "one", bad}, "one: is not a seed"},
+		{[]string{"record", "DefaultPlan", "1", bad, "--set", `{"Sun": 1}`}, `unknown field "Sun"`},
+		{[]string{"cut"}, "cut"},
+	} {
+		code, text := run(c.args...)
+		must.Eq(t, 2, code)
+		must.StrContains(t, text, c.want)
+	}
+}
--- /dev/null
+++ b/pkg/emulator/reduce/least.go
@@ -0,0 +1,29 @@
+package reduce
+
+import "slices"
+
+// least takes out of a list what it holds without, chunk by chunk, first large ones and then single items.
+// It asks whether a list holds only for lists that are shorter than the last that did.
+func least[T any](items []T, holds func([]T) bool) []T {
+	if len(items) == 0 || holds(nil) {
+		return nil
+	}
+	for size := (len(items) + 1) / 2; size >= 1; {
+		cut := false
+		for from := 0; from < len(items) && len(items) > 1; {
+			without := slices.Concat(items[:from], items[min(len(items), from+size):])
+			if len(without) > 0 && holds(without) {
+				items, cut = without, true
+				continue
+			}
+			from += size
+		}
+		if size == 1 && !cut {
+			break
+		}
+		if !cut || size > len(items) {
+			size = max(1, size/2)
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/pkg/emulator/reduce/reduce_test.go
@@ -0,0 +1,137 @@
+package reduce_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+	"github.com/wrenferry/wrenferry/pkg/emulator/reduce"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+)
+
+// fewEvents is how many events a day is cut down to.
+const fewEvents = 10
+
+// screen is how many lines a story has at most.
+const screen = 60
+
+// longest bounds the time of one test.
+const longest = 4 * time.Minute
+
+// short bounds a test of what is not cut.
+const short = 2 * time.Second
+
+// broken is the script of the first day that breaks a rule without a fence.
+func broken(t *testing.T, plan func(seed uint64) emulator.Plan, from uint64, unsafe cell.Unsafe, rule string) *emulator.Script {
+	t.Helper()
+	for seed := from; seed < from+400; seed++ {
+		p := plan(seed)
+		p.Unsafe = unsafe
+		script, _, list, err := emulator.Record(p)
+		must.NoError(t, err)
+		if strings.Contains(strings.Join(list, ";"), rule+":") {
+			t.Logf("seed %d: %s", seed, list[0])
+			return script
+		}
+	}
+	t.Fatal("no day broke the rule")
+	return nil
+}
+
+func TestABrokenDayIsCutToAFewEventsThatStillBreakIt(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		plan   func(seed uint64) emulator.Plan
+		from   uint64
+		unsafe cell.Unsafe
+		rule   string
+	}{
+		{name: "settling", plan: emulator.DefaultPlan, unsafe: cell.Unsafe{NoSettling: true}, rule: "TWICE"},
+		{name: "lease wait", plan: emulator.DefaultPlan, unsafe: cell.Unsafe{NoLeaseWait: true}, rule: "TWICE"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			script := broken(t, c.plan, c.from, c.unsafe, c.rule)
+			before, err := script.Encode()
+			must.NoError(t, err)
+			ctx, end := context.WithTimeout(context.Background(), longest)
+			defer end()
+			var progress []string
+			result, err := reduce.Script(ctx, script, reduce.WithRule(c.rule), reduce.WithProgress(func(line string) { progress = append(progress, line) }))
+			must.NoError(t, err)
+			must.True(t, result.Done)
+			must.SliceNotEmpty(t, progress)
+			story := reduce.Story(result.Script, c.rule)
+			must.LessEq(t, screen, len(story))
+			must.StrContains(t, story[len(story)-1], "BROKEN "+c.rule)
+			t.Log(result.Plays, "plays\n"+strings.Join(story, "\n"))
+			must.LessEq(t, fewEvents, reduce.Events(result.Script))
+			after, err := script.Encode()
+			must.NoError(t, err)
+			must.Eq(t, before, after)
+
+			file, err := result.Script.Encode()
+			must.NoError(t, err)
+			read, err := emulator.DecodeScript("left", file)
+			must.NoError(t, err)
+			_, list := read.Play()
+			must.StrContains(t, strings.Join(list, "\n"), c.rule+":")
+			read.Plan.Unsafe = cell.Unsafe{}
+			_, list = read.Play()
+			must.SliceEmpty(t, list)
+		})
+	}
+}
+
+func TestADayIsNotCutBeyondWhatGoodCodePasses(t *testing.T) {
+	t.Parallel()
+	script := broken(t, emulator.DefaultPlan, 0, cell.Unsafe{NoSettling: true}, "TWICE")
+	_, err := reduce.Script(context.Background(), script, reduce.WithGood(func(*emulator.Script) bool { return false }))
+	must.Eq(t, fault.BadInput, fault.CodeOf(err))
+	must.ErrorContains(t, err, "on good code, too")
+
+	most := len(script.Jobs) - 1
+	ctx, end := context.WithTimeout(context.Background(), short)
+	defer end()
+	result, err := reduce.Script(ctx, script, reduce.WithGood(func(s *emulator.Script) bool { return len(s.Jobs) >= most }))
+	must.NoError(t, err)
+	must.GreaterEq(t, most, len(result.Script.Jobs))
+}
+
+func TestTheLeastSoFarIsLeftWhenTheTimeIsOver(t *testing.T) {
+	t.Parallel()
+	script := broken(t, emulator.DefaultPlan, 0, cell.Unsafe{NoSettling: true}, "TWICE")
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	result, err := reduce.Script(ctx, script, reduce.WithProgress(func(string) { end() }))
+	must.NoError(t, err)
+	must.False(t, result.Done)
+	_, list := result.Script.Play()
+	must.StrContains(t, strings.Join(list, "\n"), "TWICE:")
+}
+
+func TestARuleThatIsNotBrokenIsRefused(t *testing.T) {
+	t.Parallel()
+	script := broken(t, emulator.DefaultPlan, 0, cell.Unsafe{NoSettling: true}, "TWICE")
+	_, err := reduce.Script(context.Background(), script, reduce.WithRule("SPREAD"))
+	must.ErrorContains(t, err, "SPREAD")
+	must.ErrorContains(t, err, "it breaks TWICE")
+}
+
+func TestWhatBreaksNoRuleIsNotCut(t *testing.T) {
+	t.Parallel()
+	script, _, _, err := emulator.Record(emulator.DefaultPlan(1))
+	must.NoError(t, err)
+	_, err = reduce.Script(context.Background(), script)
+	must.Eq(t, fault.BadInput, fault.CodeOf(err))
+	must.ErrorContains(t, err, "breaks no rule")
+	script.Faults[0].Kind = "flood"
+	_, err = reduce.Script(context.Background(), script)
+	must.ErrorContains(t, err, `Faults[0].Kind: "flood"`)
+}
--- /dev/null
+++ b/pkg/emulator/reduce/simplify.go
@@ -0,0 +1,110 @@
+package reduce
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// jobChanges make a job simpler; false says that there is nothing to change.
+var jobChanges = []func(j *emulator.ScriptJob) bool{
+	func(j *emulator.ScriptJob) bool {
+		had := j.Crash != nil
+		j.Crash = nil
+		return had
+	},
+	func(j *emulator.ScriptJob) bool {
+		had := j.Spec.Repeats != 0
+		j.Spec.Repeats, j.Spec.FirstUnixMs, j.Spec.IntervalMs = 0, 0, 0
+		return had
+	},
+	func(j *emulator.ScriptJob) bool { // the first step alone
+		had := len(j.Spec.Steps) > 1
+		j.Spec.Steps = j.Spec.Steps[:1]
+		return had
+	},
+	func(j *emulator.ScriptJob) bool {
+		last := len(j.Spec.Steps) - 1
+		j.Spec.Steps = j.Spec.Steps[:max(1, last)]
+		return last > 0
+	},
+	func(j *emulator.ScriptJob) bool { // one task a step
+		had := false
+		for _, step := range j.Spec.Steps {
+			had = had || step.Count > 1
+			step.Count = 1
+		}
+		return had
+	},
+}
+
+// simplifyJobs makes each job simpler as long as the rule is broken.
+func (r *reducer) simplifyJobs() {
+	for i := range r.best.Jobs {
+		for _, change := range jobChanges {
+			s := *r.best
+			j := s.Jobs[i]
+			spec, ok := proto.Clone(j.Spec.JobSpec).(*wire.JobSpec)
+			if !ok {
+				continue
+			}
+			j.Spec = emulator.JobSpec{JobSpec: spec}
+			if !change(&j) {
+				continue
+			}
+			s.Jobs = slices.Clone(s.Jobs)
+			s.Jobs[i] = j
+			r.try("simpler jobs", &s)
+		}
+	}
+}
+
+// grains are what moments and lengths are rounded to, the coarsest that goes.
+var grains = []time.Duration{time.Second, 100 * time.Millisecond, 10 * time.Millisecond, time.Millisecond}
+
+// round rounds moments and lengths: all at once first, then each.
+func (r *reducer) round() {
+	for _, grain := range slices.Backward(grains) {
+		r.roundWhere(grain, func(int) bool { return true })
+	}
+	for n := range len(moments(r.best)) {
+		for _, grain := range grains {
+			if r.roundWhere(grain, func(each int) bool { return each == n }) {
+				break
+			}
+		}
+	}
+}
+
+// roundWhere rounds the chosen moments. It says whether they are round now.
+func (r *reducer) roundWhere(grain time.Duration, chosen func(n int) bool) bool {
+	s := *r.best
+	s.Jobs, s.Faults, s.Cancels = slices.Clone(s.Jobs), slices.Clone(s.Faults), slices.Clone(s.Cancels)
+	changed := false
+	for n, moment := range moments(&s) {
+		if before := *moment; chosen(n) {
+			*moment = before.Round(grain)
+			changed = changed || *moment != before
+		}
+	}
+	return !changed || r.try("rounded", &s)
+}
+
+// moments are all moments and lengths of a script.
+func moments(s *emulator.Script) []*time.Duration {
+	var list []*time.Duration
+	for i := range s.Jobs {
+		list = append(list, &s.Jobs[i].At)
+	}
+	for i := range s.Cancels {
+		list = append(list, &s.Cancels[i].At)
+	}
+	for i := range s.Faults {
+		list = append(list, &s.Faults[i].At, &s.Faults[i].For)
+	}
+	return list
+}
--- a/pkg/emulator/script.go
+++ b/pkg/emulator/script.go
@@ -162,3 +162,17 @@
 		s.Workers = append(s.Workers, Place{k.name, k.Hall})
 	}
 }
+
+// BrokenAt is when each broken rule was broken first.
+func (w *World) BrokenAt() map[string]time.Duration { return w.checker.brokenAt }
+
+// ReadTapes are the parts of a script's tapes that its day has read.
+func (w *World) ReadTapes() map[string][]uint64 {
+	read := map[string][]uint64{}
+	for stream, tape := range w.draws.tapes {
+		if n := min(w.draws.read[stream], len(tape)); n > 0 {
+			read[stream] = tape[:n]
+		}
+	}
+	return read
+}
