--- a/pkg/emulator/crashers.go
+++ b/pkg/emulator/crashers.go
@@ -19,14 +19,13 @@
 	crashDraw = 11
 )
 
-// drawCrasher makes one task of a job such a task, at each of the job's times.
-func (w *World) drawCrasher(spec *wire.JobSpec) {
+// drawCrasher picks one task of a job as such a task, at each of the job's times.
+func (w *World) drawCrasher(spec *wire.JobSpec) *Crash {
 	r := rand.New(rand.NewPCG(w.plan.Seed^uint64(len(w.crashers)), crashDraw))
 	step := r.IntN(len(spec.GetSteps()))
 	index := r.IntN(int(spec.GetSteps()[step].GetCount()))
 	after := crashSoon + time.Duration(r.Int64N(int64(crashLate-crashSoon)))
-	w.crashers[crasherName(name(spec.GetId(), 0, step, index))] = after
-	w.logf("%s crashes its worker after %s", name(spec.GetId(), 0, step, index), after)
+	return &Crash{Step: step, Index: index, After: after}
 }
 
 // crasherName names a task at any of its job's times.
@@ -42,7 +41,7 @@
 	if !crashes {
 		return
 	}
-	span := backSoon + time.Duration(rand.New(rand.NewPCG(w.plan.Seed, uint64(r.number))).Int64N(int64(backLate-backSoon)))
+	span := backSoon + w.awayAfter(r)
 	w.after(after, func() {
 		if k.up && k.runs[r.task] == r {
 			k.crashLoudly(span)
@@ -50,6 +49,15 @@
 	})
 }
 
+// awayAfter is for how much longer than backSoon a crash by a run takes a worker away. What a seed gives
+// is kept apart from all else of a day.
+func (w *World) awayAfter(r *workerRun) time.Duration {
+	span := w.draws.take("away "+r.task, func(*rand.Rand) uint64 {
+		return uint64(rand.New(rand.NewPCG(w.plan.Seed, uint64(r.number))).Int64N(int64(backLate - backSoon)))
+	})
+	return time.Duration(span % uint64(backLate-backSoon))
+}
+
 // The rules about such tasks: none is started three times more after three workers have crashed
 // under it, and none but those is given up for crashes.
 const (
--- a/pkg/emulator/leaving.go
+++ b/pkg/emulator/leaving.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -175,7 +176,7 @@
 // join starts a new machine's worker.
 func (w *World) join(m Machine) {
 	w.after(w.between(startSoon, startLate), func() {
-		k := newWorker(w, len(w.workers), m)
+		k := newWorker(w, fmt.Sprintf("worker-%d", len(w.workers)), m)
 		w.workers = append(w.workers, k)
 		w.logf("%s joins %s", k.id(), k.Hall)
 	})
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -56,7 +56,7 @@
 	Leaving Leaving
 	Lasting float64
 	// Load, where set, takes the place of the drawn cells, workers and jobs.
-	Load *Load
+	Load *Load `json:"-"`
 }
 
 // DefaultPlan is a small day with all kinds of faults.
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -92,11 +91,11 @@
 	staleGap = 2 * time.Second
 )
 
-func newWorker(w *World, n int, m Machine) *worker {
-	k := &worker{world: w, name: fmt.Sprintf("worker-%d", n), Machine: m}
+func newWorker(w *World, name string, m Machine) *worker {
+	k := &worker{world: w, name: name, Machine: m}
 	k.begin()
 	if w.plan.Load != nil {
-		w.after(w.between(0, sampleEvery), k.sample)
+		w.after(w.draws.between("sample "+k.name, 0, sampleEvery), k.sample)
 	}
 	return k
 }
@@ -109,8 +108,8 @@
 	k.life++
 	k.up, k.fence, k.until, k.number = true, 0, 0, 0
 	k.broken = nil
-	k.rate = 0.98 + 0.04*w.rand.Float64()
-	k.offset = w.between(0, time.Hour)
+	k.rate = 0.98 + 0.04*w.draws.fraction("clock "+k.name)
+	k.offset = w.draws.between("clock "+k.name, 0, time.Hour)
 	k.bornBefore, k.bornAt = k.bornAt.UnixMilli(), w.now
 	k.runs, k.highest, k.ended = map[string]*workerRun{}, map[string]int64{}, nil
 	k.endedAt, k.lapsed = map[int64]time.Time{}, map[int64]bool{}
@@ -149,7 +148,7 @@
 	broken := k.broken
 	k.broken = nil
 	for _, tell := range broken {
-		k.world.after(k.world.hop(), tell)
+		k.world.after(k.world.draws.hop("break "+k.name), tell)
 	}
 }
 
@@ -261,9 +260,9 @@
 	r := &workerRun{task: s.Task, number: s.Run, spec: spec, settledAt: w.now, checkpoint: s.Checkpoint, pace: 100, speed: 1}
 	k.drawRun(r)
 	if w.now.Before(k.sickUntil) {
-		r.stuck, r.fails = k.sickHow == 0, k.sickHow == 1
+		r.stuck, r.fails = k.sickHow == sickHangs, k.sickHow == sickFails
 	} else if w.plan.Load == nil {
-		r.fails = w.rand.IntN(40) == 0
+		r.fails = w.draws.oneIn("fails "+s.Task, 40)
 	}
 	k.runs[s.Task] = r
 	w.checker.started(k, s)
