--- a/pkg/process/cell/unseen_test.go
+++ b/pkg/process/cell/unseen_test.go
@@ -62,18 +62,8 @@
 	}
 }
 
-// A task crashed each worker that started it, and each time its leader was killed or deposed before that was
-// in the table: while it was slow or away, or 30 ms after the crash. Its successors found the task nowhere, and
-// started it as if nothing had been. On an emulated day (seed 1494):
-//
-//	 5.983 worker-10/1 crashes, 6.011 host-2 leads epoch 2
-//	 9.302 host-0 leads epoch 4, 9.384 worker-0/1 crashes
-//	14.283 worker-6/1 crashes, 15.389 all hosts are killed, the table is slow
-//	21.521 worker-2/1 crashes, 23.938 worker-8/1 crashes: "on trial after 2 crashes"
-//	28.846 started once more
-//
-// All that is left of those crashes is that lives of the roster are over. So that is held, a little, against
-// what may have run there.
+// All that is left of crashes that no leader lived to record is that incarnations of the roster are over: that is held,
+// a little, against what may have run there.
 func TestALifeThatEndedUnseenIsHeldAgainstWhatMayHaveRunThere(t *testing.T) {
 	t.Parallel()
 	h := newHeir(2)
@@ -157,14 +147,8 @@
 	return nil
 }
 
-// A worker crashed under three tasks, and the leader lived to record it of one. Its successor took the end of that
-// incarnation for known, as it was held against that one, and held nothing against the others: so a task that
-// crashes its workers was started twice more than it should be. On an emulated day (seed 5027):
-//
-//	 8.232 worker-2/1 crashes, there ran 3.0.0.0, 3.0.1.0 and 1.0.0.2
-//	 8.704 host-2, which leads, is killed
-//	13.944 its successor knows of worker-2/1 for 1.0.0.2 only
-//	13.985 worker-2/2 starts 3.0.0.0, "on trial after 3 crashes", though these are four
+// A successor holds the end of an incarnation against each task whose record does not tell of it, also where it is recorded
+// of another one.
 func TestAnEndThatIsRecordedOfSomeTasksIsHeldAgainstTheOthers(t *testing.T) {
 	t.Parallel()
 	f, first, second, _ := crashOfTwo(t, rows.JobPart("0000000000000002"))
@@ -190,12 +174,7 @@
 }
 
 // A task that is to run isolated only is started after a record of that run. Without one no predecessor started it, so
-// the end of an incarnation says nothing of it. An innocent job was given up for five crashes of which two were held
-// against it so (emulated day, seed 477):
-//
-//	 8.107 its task is on trial after 2 crashes
-//	 9.810 and 14.829 two successors find it nowhere, and hold an incarnation's end against it; it was never started
-//	18.919 its isolated run starts, 19.124 the worker crashes by itself: "guilty after 5 crashes"
+// the end of an incarnation says nothing of it.
 func TestAnEndIsNotHeldAgainstATaskThatWaitsForItsIsolatedRun(t *testing.T) {
 	t.Parallel()
 	f := newCrashFleet()
--- a/test/tree/comments_test.go
+++ b/test/tree/comments_test.go
@@ -24,7 +24,6 @@
 	"pkg/process/cell/place_test.go":      3,
 	"pkg/process/cell/takeover_test.go":   6,
 	"pkg/process/cell/trials_test.go":     1,
-	"pkg/process/cell/unseen_test.go":     1,
 	"pkg/standin/platform_test.go":        1,
 }
 
