--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,7 +43,9 @@
 	doneSeen  map[string]bool      // done ends that were taken note of
 	startedAt map[string]time.Time // the last start of each task
 	failed    map[string]map[string]bool
-	phases    map[string]wire.JobPhase
+	// failedAt is when the noted failures of each task ended.
+	failedAt map[string]map[string]time.Time
+	phases   map[string]wire.JobPhase
 	// crashes are those under tasks that crash their workers, startsMore the starts after too many.
 	crashes, startsMore map[string]int
 	// failures are the failed runs of each task, or of a gang, mostFailures the most of a job's.
@@ -56,7 +60,7 @@
 func newChecker(w *World) *checker {
 	return &checker{
 		world: w, taken: map[string]bool{}, asked: map[string]bool{}, cancels: map[string]time.Time{}, running: map[string]map[string]*worker{},
-		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneSeen: map[string]bool{}, failed: map[string]map[string]bool{}, phases: map[string]wire.JobPhase{},
+		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneSeen: map[string]bool{}, failed: map[string]map[string]bool{}, failedAt: map[string]map[string]time.Time{}, phases: map[string]wire.JobPhase{},
 		crashes: map[string]int{}, startsMore: map[string]int{}, failures: map[string]map[int64]bool{}, mostFailures: map[string]int{},
 		acceptedAt: map[string]time.Time{}, lastEnd: map[string]time.Time{}, waits: map[string]*lastingWait{},
 		brokenAt: map[string]time.Duration{},
@@ -225,10 +229,29 @@
 			c.failed[e.Task] = map[string]bool{}
 		}
 		c.failed[e.Task][fmt.Sprintf("%s#%d", k.id(), e.Run)] = true
+		c.notedFailure(k, e)
 	default:
 	}
 }
 
+// notedFailure checks that no start came after the last attempt had ended, also where that is noted later.
+func (c *checker) notedFailure(k *worker, e workers.End) {
+	if c.failedAt[e.Task] == nil {
+		c.failedAt[e.Task] = map[string]time.Time{}
+	}
+	c.failedAt[e.Task][fmt.Sprintf("%s#%d", k.id(), e.Run)] = k.endedAt[e.Number]
+	job, _, step := parts(e.Task)
+	spec := c.world.jobs[job].GetSteps()[step]
+	ends := slices.SortedFunc(maps.Values(c.failedAt[e.Task]), time.Time.Compare)
+	most := c.world.attempts(job)
+	if spec.GetLasting() || spec.GetCopies() || len(ends) < most {
+		return
+	}
+	if c.startedAt[e.Task].After(ends[most-1]) {
+		c.breakRule("BUDGET", "%s was started after %d failures, the last noted later at %s", e.Task, most, k.id())
+	}
+}
+
 func (c *checker) unasked(k *worker, s workers.Start) {
 	c.breakRule("UNASKED", "%s is told to start %s, which nobody sent", k.id(), s.Task)
 }
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -164,7 +164,7 @@
 func TestATaskThatCrashesItsWorkersIsGivenUpThoughLeadersDie(t *testing.T) {
 	t.Parallel()
 	playSeeds(t, emulator.CrashTasksPlan, 1494, 1694, 1704, 3111, 3792, 26, 224, 235, 5027)
-	playSeeds(t, emulator.AllTroublesPlan, 3109)
+	playSeeds(t, emulator.AllTroublesPlan, 3109, 250)
 }
 
 // Twenty tasks had died beside three that crash their workers, twice each, and so had to be tried alone: one at a
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -351,7 +351,7 @@
 // holds says whether this host may order anything in a cell.
 func (h *host) holds(name string) bool {
 	for _, s := range h.seats {
-		if s.cell == name && s.state.Holds() {
+		if s.cell == name && (s.state.Holds() || s.seat.Claiming()) {
 			return true
 		}
 	}
--- /dev/null
+++ b/pkg/process/cell/afterleaving_test.go
@@ -0,0 +1,240 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// A short task of three attempts failed once, as recorded, and a second time at a worker that the successor does
+// not hear: its earlier leader had seen that end, and had started the third run before it was recorded.
+func TestATaskIsNotStartedBeyondItsAttemptsWhileAFailureMayBeUnseen(t *testing.T) {
+	t.Parallel()
+	spec := &wire.JobSpec{Id: "00000000000000aa", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}}
+	progress := &wire.JobProgress{Id: spec.GetId(), Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitProgress{{Notes: []*wire.TaskNote{{FailedRuns: []int64{1000001}}}}}}
+	v := newTakeoverOf(15*time.Second, cell.LoadedJob{Spec: spec, Progress: progress, Recorded: 3})
+	v.state.Take(v.now, cell.WorkersListed{Records: []workers.Record{
+		{ID: "heard", Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: "h", Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000}},
+		{ID: "second", Service: "quotes", Address: "z", Hall: "hall", Ready: true, Host: "z", Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000}},
+	}})
+	v.state.Take(v.now, cell.RosterRecorded{IDs: []string{"heard", "dark", "second"}})
+	third := workers.Active{Task: "00000000000000aa.0.0.0", Run: 1000003, Percent: 10}
+	ended := []workers.End{{Number: 1, Task: third.Task, Run: third.Run, How: workers.EndedFailed}}
+	begin, starts, failed := v.now, 0, false
+	for v.now.Sub(begin) < 6*time.Second {
+		v.now = v.now.Add(50 * time.Millisecond)
+		v.state.Take(v.now, cell.Tick{})
+		v.state.Take(v.now, cell.Confirmed{At: v.now})
+		since := v.now.Sub(begin)
+		for _, e := range v.state.Decide(v.now, v.now) {
+			switch e := e.(type) {
+			case cell.SendLook:
+				looked := cell.Looked{Worker: e.To.ID, SentAt: v.now, Report: workers.Report{Clock: v.now.Sub(time.Unix(0, 0))}}
+				switch {
+				case e.To.ID == "heard" && since < 3*time.Second:
+					looked.Report.Active = []workers.Active{third}
+				case e.To.ID == "heard":
+					looked.Report.Ended = ended
+				case e.To.ID == "second":
+				case since < 4*time.Second:
+					looked.Err = fault.New(fault.Unknown, e.To.ID, "no answer", "")
+				default: // heard again while its lease goes on: its first list shows the second failure
+					looked.Report.Ended = []workers.End{{Number: 1, Task: third.Task, Run: 1000002, How: workers.EndedFailed}}
+				}
+				v.state.Take(v.now, looked)
+			case cell.SendStart:
+				starts++
+			case cell.Note:
+				failed = failed || e.What == cell.NoteJobEnded
+			}
+		}
+	}
+	must.True(t, failed)
+	must.Zero(t, starts, must.Sprint("started a fourth time"))
+}
+
+// Lasting tasks on trial are found nowhere after a takeover: nothing is known of how long they have waited here.
+func TestLastingTasksRunIsolatedAfterATakeover(t *testing.T) {
+	t.Parallel()
+	active := startSuspects(6, &wire.StepSpec{Count: 10, Millicores: 1000, Lasting: true})
+	must.MapLen(t, 2, active)
+	for _, runs := range active {
+		must.Len(t, 1, runs)
+	}
+}
+
+// A worker had said that it leaves before the takeover. A short run there ends in time, and a lasting one is
+// stopped only once its task is settled.
+func TestASuccessorKnowsHowMuchTimeALeavingWorkerHas(t *testing.T) {
+	t.Parallel()
+	for _, lasting := range []bool{false, true} {
+		t.Run(fmt.Sprintf("lasting %v", lasting), func(t *testing.T) {
+			t.Parallel()
+			now := time.Unix(1000, 0)
+			s := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+			s.Take(now, cell.ManifestChanged{Manifest: theManifest})
+			s.Take(now, cell.WorkersListed{Records: []workers.Record{
+				{ID: "w", Service: "quotes", Address: "x", Hall: "hall", Ready: true, Leaving: true, Remaining: 10 * time.Second, Host: "h", Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000}},
+			}})
+			s.Take(now, cell.Led{Epoch: 2, Predecessors: map[string]time.Time{"before/1": now.Add(15 * time.Second)}})
+			s.Take(now, cell.Loaded{
+				Epoch: 2, Wall: now, Fences: someFences(), Roster: []*wire.RosterEntry{{Id: "w", Address: "x"}, {Id: "dark", Address: "y"}},
+				Jobs: []cell.LoadedJob{{Spec: &wire.JobSpec{Id: "00000000000000aa", Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, EstimateMs: 500, Lasting: lasting}}}}},
+			})
+			begin := now
+			for now.Sub(begin) < time.Second {
+				now = now.Add(20 * time.Millisecond)
+				s.Take(now, cell.Tick{})
+				s.Take(now, cell.Confirmed{At: now})
+				for _, e := range s.Decide(now, now) {
+					switch e := e.(type) {
+					case cell.SendLook:
+						looked := cell.Looked{Worker: e.To.ID, SentAt: now, Report: workers.Report{Clock: now.Sub(time.Unix(900, 0)), Active: []workers.Active{{Task: "00000000000000aa.0.0.0", Run: 7, Percent: 50}}}}
+						if e.To.ID != "w" {
+							looked.Err = fault.New(fault.Unknown, e.To.ID, "no answer", "")
+						}
+						s.Take(now, looked)
+					case cell.SendStop:
+						t.Fatalf("stopped after %s, with 10 s left", now.Sub(begin))
+					}
+				}
+			}
+		})
+	}
+}
+
+// After a takeover a lasting task that is found nowhere is left to its own cell first.
+func TestALastingTaskIsNotDelegatedWhileItsOwnCellHasCapacity(t *testing.T) {
+	t.Parallel()
+	before := newEmptyCell()
+	before.step(100 * time.Millisecond)
+	successor := newEmptyCell()
+	successor.lead(before, 0)
+	successor.state.Take(successor.now, cell.Led{Epoch: 3, RosterUntil: successor.now})
+	successor.state.Take(successor.now, cell.Loaded{
+		Epoch: 3, Wall: successor.now, StoreNow: 20 * time.Second, Fences: someFences(), Roster: before.state.Roster(),
+		Jobs: []cell.LoadedJob{{Spec: &wire.JobSpec{
+			Id: "00000000000000ff", Queue: "watches", Service: "quotes", Cell: "hall",
+			Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}},
+		}}},
+	})
+	successor.notes = nil
+	for range 10 {
+		successor.state.Take(successor.now, cell.OtherLoad{Load: roomAt("other").Load})
+		successor.step(100 * time.Millisecond)
+	}
+	for _, n := range successor.notes {
+		must.NotEq(t, cell.NoteLent, n.What, must.Sprint(n.Detail))
+	}
+	must.MapContainsKey(t, successor.started, "00000000000000ff.0.0.0")
+}
+
+// A worker leaves unsaid, and its own cell is full: a task that nothing is held against is delegated in time.
+func TestALastingTaskOfAWorkerThatFellSilentIsDelegatedWithinSixSeconds(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept("00000000000000ff", "watches", &wire.StepSpec{Count: 16, Millicores: 30000, Lasting: true})
+	for range 60 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapLen(t, 16, b.started)
+	b.silent["w15"] = true
+	delete(b.reports, "w15")
+	b.list(15)
+	b.notes = nil
+	begin := b.now
+	lent := time.Duration(0)
+	for range 120 {
+		b.state.Take(b.now, cell.OtherLoad{Load: roomAt("other").Load})
+		b.step(100 * time.Millisecond)
+		for _, n := range b.notes {
+			if n.What == cell.NoteLent && lent == 0 {
+				lent = b.now.Sub(begin)
+			}
+		}
+	}
+	must.Between(t, time.Millisecond, lent, 6*time.Second)
+}
+
+// The incarnation that ended had not said that it leaves; the one in its place says so.
+func TestTheMembershipDoesNotSayOfAnEndedIncarnationThatItLeaves(t *testing.T) {
+	t.Parallel()
+	h := newHeir(2)
+	h.silentTable = true
+	h.run(time.Second, 2)
+	h.state.Take(h.now, cell.WorkersListed{Records: []workers.Record{{
+		ID: "w", Born: 2, Service: "quotes", Address: "x", Hall: "hall", Ready: true, Leaving: true, Remaining: 5 * time.Second, Host: "h", Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
+	}}})
+	h.run(100*time.Millisecond, 2)
+	entry := h.state.Roster()[0]
+	must.Eq(t, 1, entry.GetBorn())
+	must.False(t, entry.GetLeaving())
+}
+
+// What a lasting task has once waited for an isolated run says nothing of its next start.
+func TestALastingTaskThatRanAmongOthersIsRunIsolatedTheNextTime(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	s := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+	s.Take(now, cell.ManifestChanged{Manifest: theManifest})
+	var list []workers.Record
+	ids := []string{"w0", "w1", "w2"}
+	for _, id := range ids {
+		list = append(list, workers.Record{ID: id, Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: id, Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000}})
+	}
+	s.Take(now, cell.WorkersListed{Records: list})
+	spec := &wire.JobSpec{Id: "00000000000000aa", Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 2, Millicores: 1000, Lasting: true}}}
+	up := &wire.UnitProgress{}
+	for i := range 2 {
+		up.Notes = append(up.Notes, &wire.TaskNote{Index: int32(i), Crashes: []*wire.CrashNote{
+			{Worker: "a", Run: 1, Host: "ha", Began: true, Company: 9, Lives: 1}, {Worker: "b", Run: 2, Host: "hb", Began: true, Company: 9, Lives: 1, AgeMs: 4000}, {Worker: "c", Run: 3, Host: "hc", Began: true, Company: 9, Lives: 1, AgeMs: 4000},
+		}})
+	}
+	s.Take(now, cell.Led{Epoch: 2, RosterUntil: now})
+	s.Take(now, cell.Loaded{Epoch: 2, Wall: now, Fences: someFences(), Jobs: []cell.LoadedJob{{Spec: spec, Progress: &wire.JobProgress{Id: spec.GetId(), Units: []*wire.UnitProgress{up}}, Recorded: 1}}})
+	s.Take(now, cell.RosterRecorded{IDs: ids})
+	active, ended := map[string][]workers.Active{}, map[string][]workers.End{}
+	number := int64(0)
+	play := func(span time.Duration) (most int) {
+		for until := now.Add(span); now.Before(until); {
+			now = now.Add(20 * time.Millisecond)
+			s.Take(now, cell.Tick{})
+			s.Take(now, cell.Confirmed{At: now})
+			for _, e := range s.Decide(now, now) {
+				switch e := e.(type) {
+				case cell.SendLook:
+					s.Take(now, cell.Looked{Worker: e.To.ID, SentAt: now, Report: workers.Report{Clock: now.Sub(time.Unix(900, 0)), Active: active[e.To.ID], Ended: ended[e.To.ID]}})
+				case cell.SendStart:
+					active[e.To.ID] = append(active[e.To.ID], workers.Active{Task: e.Start.Task, Run: e.Start.Run, Percent: 100})
+					s.Take(now, cell.Started{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: now.Sub(time.Unix(900, 0))}})
+				case cell.Record:
+					s.Take(now, cell.RecordAnswered{Part: e.Part, Serial: e.Serial, Committed: table.Committed{Version: 9}})
+				}
+			}
+			n := 0
+			for _, a := range active {
+				n += len(a)
+			}
+			most = max(most, n)
+		}
+		return most
+	}
+	must.Eq(t, 2, play(4*time.Second), must.Sprint("one isolated, the other one after its wait"))
+	for id, runs := range active {
+		for _, a := range runs {
+			number++
+			ended[id] = append(ended[id], workers.End{Number: number, Task: a.Task, Run: a.Run, How: workers.EndedStopped})
+		}
+	}
+	clear(active)
+	must.Eq(t, 1, play(time.Second))
+}
--- a/pkg/process/cell/lists.go
+++ b/pkg/process/cell/lists.go
@@ -96,10 +96,11 @@
 // with a list: one that came before this leader's fence waits as long as a poll may.
 const earlierPolls = idleWait + 300*time.Millisecond
 
-// settleListed settles the task of a run that its worker lists: while one goes on there is no other. An
-// earlier leader may start it anew only if it sees this one's end, which no poll of it shows any more.
+// settleListed settles the lasting task of a run that its worker lists: while one goes on there is no other. An
+// earlier leader may start it anew only if it sees this one's end, which no poll of it shows any more. (Of
+// other tasks, a failure that counts may still be unseen.)
 func (s *State) settleListed(w *workers.Worker, r *jobs.Run, sentAt time.Time) {
-	if t := r.Task; !t.Settled && !t.Unit.Spec.GetCopies() && sentAt.Sub(w.HeardAt) >= earlierPolls {
+	if t := r.Task; !t.Settled && t.Unit.Lasting() && !t.Unit.Spec.GetCopies() && sentAt.Sub(w.HeardAt) >= earlierPolls {
 		t.Settled = true
 	}
 }
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -46,6 +46,7 @@
 	for id, w := range known {
 		if w.Listed {
 			s.workers[id] = workers.New(w.Record)
+			s.workers[id].LeavingAt = w.LeavingAt
 			s.reorder = true
 		}
 	}
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -78,10 +78,12 @@
 			}
 			return
 		}
-		w.Leaving = false // that was the life before
+		w.Leaving, w.LeavingAt = false, time.Time{} // that was the life before
 	}
-	if r.Leaving && !w.Leaving {
+	if r.Leaving && w.LeavingAt.IsZero() {
 		w.LeavingAt = now
+	}
+	if r.Leaving && !w.Leaving {
 		s.noteIfHeld(Note{What: NoteWorkerLeaves, Worker: r.ID, Detail: r.Remaining.String(), AgeMs: -1})
 	}
 	if r.Born == 0 {
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -107,11 +107,12 @@
 // openIsolated lets lasting tasks that have waited for long for an isolated run start as suspects do.
 func (s *State) openIsolated(now time.Time) {
 	for _, t := range s.accused {
-		if !t.Unit.Lasting() || t.Level() != blame.OnTrial {
-			t.RunsOpen = false
-			continue
-		}
-		if t.Waiting(now) && !s.awaitsWord(now, t) && now.Sub(hereSince(t)) >= isolatedWaitMost {
+		switch {
+		case !t.Unit.Lasting() || t.Level() != blame.OnTrial || !t.Waiting(now) || s.awaitsWord(now, t):
+			t.RunsOpen, t.IsolatedSince = false, time.Time{}
+		case t.IsolatedSince.IsZero():
+			t.IsolatedSince = now
+		case now.Sub(t.IsolatedSince) >= isolatedWaitMost:
 			t.RunsOpen = true
 		}
 	}
--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -101,10 +101,12 @@
 func (s *State) rosterEntry(w *workers.Worker) *wire.RosterEntry {
 	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born, Leaving: w.Leaving}
 	before := s.earlier[w.ID]
-	if before.GetBorn() != 0 {
-		e.Born = before.GetBorn()
+	switch {
+	case before.GetBorn() != 0 && before.GetBorn() != w.Born:
+		e.Born, e.Leaving = before.GetBorn(), before.GetLeaving()
+	case before.GetLeaving():
+		e.Leaving = true
 	}
-	e.Leaving = e.Leaving || before.GetLeaving()
 	return e
 }
 
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -122,6 +122,9 @@
 // Role returns the present role.
 func (s *Seat) Role() Role { return s.role }
 
+// Claiming says whether this process has claimed the seat and does not know yet whether it has won it.
+func (s *Seat) Claiming() bool { return s.role == Candidate }
+
 // RenewedAt is when the last write that took effect was sent: this process led
 // the cell then.
 func (s *Seat) RenewedAt() time.Time { return s.renewedAt }
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -231,3 +231,35 @@
 	must.NotNil(t, again.Roster)
 	must.Len(t, 2, again.Roster.GetEntries())
 }
+
+// A host that has claimed a seat may win it late, also after a successor has found its row overdue: it must not
+// answer that one that it does not lead.
+func TestAHostThatMayStillWinASeatIsNotOver(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]func(*election.Seat, *election.Write) election.Change{
+		"the write's answer": func(s *election.Seat, _ *election.Write) election.Change { return s.TakeWritten(at(2500), 3) },
+		"a reading": func(s *election.Seat, w *election.Write) election.Change {
+			s.TakeWritten(at(900), 0)
+			return s.TakeRead(at(2500), at(910), w.Row, 3, storeAt(920))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a := newSeat("a")
+			a.TakeRead(at(0), at(0), nil, 0, storeAt(0))
+			w := a.Next(at(0), nil, 0, false)
+			must.NotNil(t, w)
+			must.True(t, a.Claiming())
+			must.True(t, answer(a, w).Led)
+			must.False(t, a.Claiming())
+		})
+	}
+	a := newSeat("a")
+	a.TakeRead(at(0), at(0), nil, 0, storeAt(0))
+	w := a.Next(at(0), nil, 0, false)
+	a.TakeWritten(at(900), 0)
+	must.True(t, a.Claiming(), must.Sprint("nobody knows whether the claim stands"))
+	w.Row.Holder, w.Row.Epoch = "b/1", 2
+	a.TakeRead(at(1500), at(1490), w.Row, 4, storeAt(1500))
+	must.False(t, a.Claiming())
+}
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -53,7 +53,9 @@
 	out := make(chan *wire.CellLoad, 1)
 	ok := c.ask(ctx, func(c *Control, now time.Time) {
 		if s := c.seats[cellName]; s != nil {
-			out <- s.state.Load(now, withBeliefs)
+			l := s.state.Load(now, withBeliefs)
+			l.Holds = l.GetHolds() || s.seat.Claiming()
+			out <- l
 			return
 		}
 		out <- &wire.CellLoad{}
