An incarnation's end is not held against tasks that wait for their isolated runs

By its log its task is on trial at 8.107 s and not started before 18.919 s; at 9.810 and 14.829 s two successors find it nowhere and hold an incarnation's end against it; one crash that it did not cause then makes five. Cause: all ready tasks that a successor finds nowhere counted as such that may have run. But a task on trial starts only after a record of that trial, which a successor looks at by itself (trialNowhere). Change: of a task (no gang's: wide ones run without a trial) that by its record was on trial, no unseen end is held against it. Test: TestAnEndIsNotHeldAgainstATaskThatWaitsForItsIsolatedRun failed before (three crashes for two).

--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -70,12 +70,14 @@
 }
 
 // blameUnseen holds against tasks that were found nowhere that they may have run where incarnations have ended:
-// against each the first of those that are not held against it yet.
+// against each the first of those that are not held against it yet. A task of which only isolated runs were to start
+// had none: else its record would tell (see trialNowhere).
 func (s *State) blameUnseen(now time.Time, nowhere []*jobs.Task) {
 	ended := s.unseenEnds()
 	if len(ended) == 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
 		return
 	}
+	nowhere = slices.DeleteFunc(nowhere, func(t *jobs.Task) bool { return t.IsolatedBefore })
 	mayHaveRun := map[string][]*jobs.Task{}
 	for _, t := range nowhere {
 		first := slices.IndexFunc(ended, func(id string) bool { return crashOf(t, id, s.earlier[id].GetBorn()) < 0 })
--- a/pkg/process/cell/unseen_test.go
+++ b/pkg/process/cell/unseen_test.go
@@ -125,6 +125,10 @@
 // succeed makes another process lead, and waits until it knows what the one before it started.
 func (f *crashFleet) succeed() {
 	f.lead()
+	f.settle()
+}
+
+func (f *crashFleet) settle() {
 	for until := f.now.Add(10 * time.Second); !f.state.Settled() && f.now.Before(until); {
 		f.run(crashStep)
 	}
@@ -171,3 +175,36 @@
 	}
 	must.SliceEmpty(t, f.evidence(waiting))
 }
+
+// A task that is to run isolated only is started after a record of that run. Without one no predecessor started it, so
+// the end of an incarnation says nothing of it. An innocent job was given up for five crashes of which two were held
+// against it so (emulated day, seed 477):
+//
+//	 8.107 its task is on trial after 2 crashes
+//	 9.810 and 14.829 two successors find it nowhere, and hold an incarnation's end against it; it was never started
+//	18.919 its isolated run starts, 19.124 the worker crashes by itself: "guilty after 5 crashes"
+func TestAnEndIsNotHeldAgainstATaskThatWaitsForItsIsolatedRun(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	id := f.accept(1, oneTask())
+	f.guilty[id+".0.0.0"] = 20 * time.Millisecond
+	for range 1000 {
+		f.run(crashStep)
+		if evidence := f.evidence(id); len(evidence) == 2 && blame.LevelOf(evidence) == blame.OnTrial {
+			break
+		}
+	}
+	before := f.evidence(id)
+	must.Eq(t, blame.OnTrial, blame.LevelOf(before))
+	f.run(100 * time.Millisecond) // until that is recorded, and before the isolated run
+	must.Len(t, 2, f.starts[id+".0.0.0"])
+	f.lead()
+	for _, w := range f.sorted() {
+		if !w.gone {
+			f.end(w, 100*time.Millisecond) // before the new leader hears it
+			break
+		}
+	}
+	f.settle()
+	must.Len(t, 2, f.evidence(id))
+}
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -89,6 +89,8 @@
 	Crashes []blame.Crash
 	Trial   Trial
 	level   blame.Level
+	// IsolatedBefore says that by the record only isolated runs of it were to start, each of which is recorded first.
+	IsolatedBefore bool
 	// crashedSomewhere says that one of the crashes names a host.
 	crashedSomewhere bool
 	// Runs are those that may be running now.
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -94,6 +95,7 @@
 		lentAgain := j.Guest() && t.Lending > n.GetLending() // after the note was made
 		if !lentAgain {
 			t.setCrashes(crashesOf(n.GetCrashes()))
+			t.IsolatedBefore = t.Level() == blame.OnTrial && !u.Spec.GetGang()
 			t.Trial = NoTrial
 			if n.GetTrial() {
 				t.Trial = TrialRecorded
