--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -45,7 +45,7 @@
 		s.trialsOut++
 	}
 	t.Runs = append(t.Runs, r)
-	t.Tried, t.RunsOpen, t.IsolatedSince = true, false, time.Time{}
+	t.Tried, t.IsolationWaived, t.IsolatedSince = true, false, time.Time{}
 	w.Add(r)
 	w.Health.TrialGiven(now)
 	delete(s.neighbours, w)
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -61,7 +61,18 @@
 	if !u.Lasting() || now.Sub(u.ReadyAt) < holdAfter || slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
 		return false
 	}
-	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.OnTrial && ranFor(w, r) < joinsAfter })
+	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
+		return r.OnTrial && ranFor(w, r) < max(joinsAfter, longestCrashed(r.Task))
+	})
+}
+
+// longestCrashed is the longest that a run of a task had run when its worker crashed.
+func longestCrashed(t *jobs.Task) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range t.Crashes {
+		longest = max(longest, c.Age)
+	}
+	return longest
 }
 
 // calmFor is how long no worker may have fallen silent for a trial to say something, calmWithin how
@@ -97,7 +108,7 @@
 
 // triedAlone says whether a task is started only where one more crash would name it.
 func (s *State) triedAlone(t *jobs.Task) bool {
-	return t.Level() == blame.OnTrial && !s.tooWideToTry(t.Unit) && !t.RunsOpen
+	return t.Level() == blame.OnTrial && !s.tooWideToTry(t.Unit) && !t.IsolationWaived
 }
 
 // isolatedWaitMost is how long a lasting task waits for a worker to run isolated: one that is at fault is
@@ -109,11 +120,11 @@
 	for _, t := range s.accused {
 		switch {
 		case !t.Unit.Lasting() || t.Level() != blame.OnTrial || !t.Waiting(now) || s.awaitsWord(now, t):
-			t.RunsOpen, t.IsolatedSince = false, time.Time{}
+			t.IsolationWaived, t.IsolatedSince = false, time.Time{}
 		case t.IsolatedSince.IsZero():
 			t.IsolatedSince = now
 		case now.Sub(t.IsolatedSince) >= isolatedWaitMost:
-			t.RunsOpen = true
+			t.IsolationWaived = true
 		}
 	}
 }
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -263,3 +263,19 @@
 	a.TakeRead(at(1500), at(1490), w.Row, 4, storeAt(1500))
 	must.False(t, a.Claiming())
 }
+
+// A process that leads again is one predecessor, with the later of its times.
+func TestARowNamesAProcessThatLedTwiceOnce(t *testing.T) {
+	t.Parallel()
+	row := &wire.CellLead{
+		Cell: "cell", Epoch: 3, Holder: "b/1", Host: "b", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds(),
+		Earlier: []*wire.EarlierLeader{{Holder: "b/1", Host: "b", UntilStoreMs: storeAt(5000).Milliseconds()}, {Holder: "a/1", Host: "a", UntilStoreMs: storeAt(11000).Milliseconds()}},
+	}
+	s := newSeat("c")
+	s.TakeRead(at(1500), at(1490), row, 2, storeAt(1500))
+	must.NotNil(t, s.Next(at(1500), nil, 0, false))
+	list := s.TakeWritten(at(1505), 3).Predecessors
+	must.Len(t, 2, list)
+	must.Eq(t, "b/1", list[1].Holder)
+	must.Greater(t, 10*time.Second, list[1].Grants)
+}
--- a/pkg/process/election/predecessors.go
+++ b/pkg/process/election/predecessors.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	list := slices.DeleteFunc(slices.Clone(row.GetEarlier()), func(e *wire.EarlierLeader) bool {
-		return e.GetUntilStoreMs() < (store - earlierKept).Milliseconds()
+		return e.GetUntilStoreMs() < (store-earlierKept).Milliseconds() || (e.GetHolder() != "" && e.GetHolder() == row.GetHolder())
 	})
 	if len(row.GetEarlier()) == 0 && row.GetEarlierStoreMs() > 0 {
 		list = append(list, &wire.EarlierLeader{UntilStoreMs: row.GetEarlierStoreMs()})
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -89,10 +89,10 @@
 	Crashes []blame.Crash
 	Trial   Trial
 	level   blame.Level
-	// RunsOpen says that its next run need not be isolated, though it is to be tried; IsolatedSince is since when
+	// IsolationWaived says that its next run need not be isolated, though it is to be tried; IsolatedSince is since when
 	// it has waited for one that is.
-	RunsOpen      bool
-	IsolatedSince time.Time
+	IsolationWaived bool
+	IsolatedSince   time.Time
 	// IsolatedBefore says that by the record only isolated runs of it were to start, each of which is recorded first.
 	IsolatedBefore bool
 	// crashedSomewhere says that one of the crashes names a host.
