--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/fault"
@@ -24,7 +25,7 @@
 	case cell.Note:
 		w.Noted[e.What]++
 		if told[e.What] || (w.plan.Lasting > 0 && toldOfWaits[e.What]) {
-			w.logf("%s at %s: %s %s %s %s", h.cell, h.name, e.What, e.Worker, e.Task, e.Detail)
+			w.logf("%s at %s: %s %s %s %s", h.cell, h.name, e.What, e.Worker, e.Task, detailOf(e))
 		}
 	case cell.SendPace:
 		h.toWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
@@ -83,6 +84,14 @@
 	}
 }
 
+// detailOf is what else a note tells.
+func detailOf(n cell.Note) string {
+	if n.Reason == "" {
+		return n.Detail
+	}
+	return fmt.Sprintf("%s; fits %d times here, %d elsewhere", n.Reason, n.FitsHere, n.FitsElsewhere)
+}
+
 // told are the notes that the story of a day holds.
 var told = map[cell.What]bool{
 	cell.NoteLent: true, cell.NoteTakenBack: true, cell.NoteGivenBack: true, cell.NoteWorkerCrashed: true, cell.NoteSuspected: true,
@@ -93,7 +102,7 @@
 var toldOfWaits = map[cell.What]bool{
 	cell.NoteWaits: true, cell.NoteStop: true, cell.NoteWorkerAside: true, cell.NoteStartRefused: true, cell.NoteStartUnsure: true,
 	cell.NoteWorkerSilent: true, cell.NoteDeposed: true, cell.NoteLoaded: true, cell.NoteStart: true, cell.NoteWorkerNew: true,
-	cell.NoteWorkerLeaves: true, cell.NotePredecessorOver: true,
+	cell.NoteWorkerLeaves: true, cell.NotePredecessorOver: true, cell.NoteLastingWaits: true, cell.NoteWorkerDropped: true,
 }
 
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -217,6 +217,14 @@
 	return u.Spec.GetLabel() == "" || slices.Contains(o.load.GetLabels(), u.Spec.GetLabel())
 }
 
+// freeFor is what is free at each worker that a unit's tasks may take.
+func (o otherLoad) freeFor(u *jobs.Unit) []int64 {
+	if each := o.load.GetLastingFreeEach(); u.Lasting() && len(each) > 0 {
+		return each
+	}
+	return o.load.GetFreeEach()
+}
+
 // fitsElsewhere is how many tasks of a unit would find room in the other cells, by their
 // last words and what was lent to them since.
 func (s *State) fitsElsewhere(now time.Time, u *jobs.Unit) int64 {
@@ -226,7 +234,7 @@
 		if name == s.name || !o.fresh(now) || !o.carries(u) {
 			continue
 		}
-		for _, free := range o.load.GetFreeEach() {
+		for _, free := range o.freeFor(u) {
 			fits += free / size
 		}
 		fits -= o.given / size
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -86,9 +87,7 @@
 		if w.SilentSince.IsZero() && s.roster[w.ID] {
 			l.LargestFreeMillicores = max(l.LargestFreeMillicores, w.Free().Millicores)
 			l.LargestLastingMillicores = max(l.LargestLastingMillicores, w.Capacity.Minus(w.Lasting()).Millicores)
-			if !s.held[w] && !s.closed[w] && w.Free().Millicores > 0 {
-				l.FreeEach = append(l.FreeEach, w.Free().Millicores)
-			}
+			s.addFree(l, w)
 		}
 	}
 	l.Labels = slices.Sorted(maps.Keys(labels))
@@ -110,6 +109,20 @@
 	return l
 }
 
+// addFree adds what is free at a worker, for those that may take it.
+func (s *State) addFree(l *wire.CellLoad, w *workers.Worker) {
+	free := w.Free().Millicores
+	if free <= 0 || s.held[w] {
+		return
+	}
+	if !s.closed[w] {
+		l.FreeEach = append(l.FreeEach, free)
+	}
+	if !s.closed[w] || mayShareIsolated(w) {
+		l.LastingFreeEach = append(l.LastingFreeEach, free)
+	}
+}
+
 // settlesIn is how long it may take until what earlier leaders started is known or surely over; 0: it is, or
 // only workers' first answers are waited for.
 func (s *State) settlesIn(now time.Time) time.Duration {
--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -61,6 +61,11 @@
 	if !u.Lasting() || now.Sub(u.ReadyAt) < holdAfter || slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
 		return false
 	}
+	return mayShareIsolated(w)
+}
+
+// mayShareIsolated says whether each isolated run at a worker has gone on for long enough for others to join.
+func mayShareIsolated(w *workers.Worker) bool {
 	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
 		return r.OnTrial && ranFor(w, r) < max(joinsAfter, longestCrashed(r.Task))
 	})
--- a/pkg/process/cell/trials_test.go
+++ b/pkg/process/cell/trials_test.go
@@ -10,6 +10,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -145,3 +146,18 @@
 	must.Eq(t, 1, started(1500*time.Millisecond))
 	must.Eq(t, 2, started(4*time.Second))
 }
+
+// A lasting task is delegated to a cell whose only capacity is at workers that it may share with isolated runs.
+func TestALoadTellsTheCapacityBesideIsolatedRuns(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	shared := &wire.CellLoad{Leading: true, Cell: "other", LargestFreeMillicores: 32000, FreeMillicores: 64000, LastingFreeEach: []int64{32000, 32000}}
+	lent := false
+	for range 60 {
+		b.state.Take(b.now, cell.OtherLoad{Load: shared})
+		b.step(50 * time.Millisecond)
+	}
+	b.putsOf(t, rows.SpecKey("other", lentJob), func(table.Row) { lent = true })
+	must.True(t, lent)
+}
