--- a/pkg/process/cell/leaving.go
+++ b/pkg/process/cell/leaving.go
@@ -36,7 +36,7 @@
 // elsewhere at once, and there is time for that.
 func (s *State) settlesSoon(now time.Time, w *workers.Worker, r *jobs.Run, left time.Duration) bool {
 	wait := earlierPolls + lookWait - now.Sub(w.HeardAt)
-	return !r.Task.Settled && wait > 0 && left-wait > stopTakes
+	return r.Task.Unit.Lasting() && !r.Task.Settled && wait > 0 && left-wait > stopTakes
 }
 
 func (s *State) moveAway(now time.Time, r *jobs.Run, left time.Duration) bool {
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -35,8 +35,7 @@
 	ownCellFirst = 300 * time.Millisecond
 	// fitsToLend is how often a lasting task must fit into the free room of the other
 	// cells together, for it to be lent: the platform's rules want it to run where there
-	// is room for it twice over. The last place is left to short tasks, which earn four
-	// times as much there a core and second (0.008 against 0.002 on the known sites).
+	// is room for it twice over. The last place is left to short tasks, which earn more there.
 	fitsToLend = 2
 	// returnAfter is how long a lent task waits before it is given back.
 	returnAfter = 1500 * time.Millisecond
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -11,7 +11,7 @@
 
 const (
 	// startValid is how long, by the worker's clock, an order to start may be
-	// carried out. Orders were seen to be carried out up to 12 s late.
+	// carried out: some are carried out seconds late.
 	startValid = 2 * time.Second
 	// orderOverhead is what an order takes beside its texts: its head, the task's name
 	// and the fields' names (counted on the wire).
