--- /dev/null
+++ b/pkg/process/cell/lend_wait_test.go
@@ -0,0 +1,114 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// A cell that has not settled what earlier leaders started there would hold a task back: it gets none.
+func TestNoTaskIsDelegatedToACellThatHasNotSettled(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	lent := func() bool {
+		found := false
+		b.putsOf(t, rows.SpecKey("other", lentJob), func(table.Row) { found = true })
+		return found
+	}
+	load := roomAt("other")
+	load.Load.SettlesInMs = 8000
+	for range 60 {
+		b.state.Take(b.now, load)
+		b.step(50 * time.Millisecond)
+	}
+	must.False(t, lent())
+	b.state.Take(b.now, roomAt("other"))
+	b.step(100 * time.Millisecond)
+	must.True(t, lent())
+}
+
+// A cell whose leader waits for a worker that it has not heard tells how long that may take.
+func TestALoadTellsThatACellHasNotSettled(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.run(time.Second)
+	must.Between(t, 13000, v.state.Load(v.now, false).GetSettlesInMs(), 14100)
+	v.run(15 * time.Second)
+	must.Eq(t, 0, v.state.Load(v.now, false).GetSettlesInMs())
+}
+
+// The wait of a task counts from its last run, over handovers: one that comes back is offered to a third cell at
+// once, and the row that offers it tells how long it has waited.
+func TestTheWaitOfALastingTaskCountsOverHandovers(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	for range 60 {
+		b.state.Take(b.now, roomAt("full"))
+		b.step(50 * time.Millisecond)
+	}
+	spec := &wire.JobSpec{}
+	b.putsOf(t, rows.SpecKey("full", lentJob), func(r table.Row) { must.NoError(t, rows.Read(r, spec)) })
+	must.Between(t, 2000, spec.GetGuest()[0].GetWaitedMs(), 2200)
+	b.state.Take(b.now, cell.Returned{Tasks: &wire.ReturnedTasks{Id: lentJob, From: "full", Tasks: []*wire.TaskRef{{Lending: 1, WaitedMs: 3600}}}})
+	b.records = nil
+	for range 10 {
+		b.state.Take(b.now, roomAt("third"))
+		b.step(50 * time.Millisecond)
+	}
+	spec = &wire.JobSpec{}
+	b.putsOf(t, rows.SpecKey("third", lentJob), func(r table.Row) { must.NoError(t, rows.Read(r, spec)) })
+	must.Len(t, 1, spec.GetGuest())
+	must.Between(t, 3900, spec.GetGuest()[0].GetWaitedMs(), 4200)
+}
+
+// A task that was delegated here and loses its run is tried here first, before it is returned.
+func TestADelegatedTaskThatLosesItsRunIsTriedHereFirst(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.state.Take(b.now, cell.Accepted{Spec: &wire.JobSpec{
+		Id: lentJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1}},
+	}})
+	b.step(100 * time.Millisecond)
+	task := lentJob + ".0.0.0"
+	first := b.at[task]
+	must.NotEq(t, "", first)
+	b.silent[first] = true
+	b.records = nil
+	b.list(16)
+	for range 60 {
+		b.state.Take(b.now, roomAt("third"))
+		b.step(100 * time.Millisecond)
+	}
+	must.NotEq(t, first, b.at[task])
+	b.putsOf(t, rows.ReturnKey("home", lentJob, "hall"), func(table.Row) { t.Error("returned") })
+}
+
+// A task whose worker fell silent is delegated once its lease is over, though it is not known whether the worker
+// has crashed: only one that may be given up next waits for that.
+func TestATaskOfASilentWorkerIsDelegatedOnceItsLeaseIsOver(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 16, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	for range 25 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapLen(t, 16, b.started)
+	b.silent["w03"] = true
+	b.records = nil
+	lent := false
+	for range 55 {
+		b.state.Take(b.now, roomAt("other"))
+		b.step(100 * time.Millisecond)
+		b.putsOf(t, rows.SpecKey("other", lentJob), func(table.Row) { lent = true })
+	}
+	must.True(t, lent)
+}
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -37,10 +37,7 @@
 	}
 }
 
-// Beside load the list above was once told as it had been 20 ms before, "host-8-59" for "host-9-59": timers changed
-// it, and none had run yet. With the process stopped for 40 ms again and again, so that a reader wakes together
-// with all timers, that came in 2 of 150 rounds, and 100 ms later the list was right. So it came from waiting for
-// timers, which the list must not depend on: here one without a lag is read at once.
+// The list follows the time and waits for no timer: one without a lag is right when it is read at once.
 func TestTheListOfHostsLagsByNoMoreThanItsLag(t *testing.T) {
 	t.Parallel()
 	p := standin.NewPlatform(0)
