--- a/pkg/emulator/days/days.go
+++ b/pkg/emulator/days/days.go
@@ -1,4 +1,4 @@
-// Package days is the developers' command line for days of the emulator as scripts. It is a program of its
+// Package days is the developers' command line for days of the emulator: searches, and scripts. It is a program of its
 // own, as operators have no use for days on which fences are taken out.
 package days
 
@@ -42,7 +42,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(recordVerb(&code), playVerb(&code), reduceVerb())
+	root.AddCommand(recordVerb(&code), playVerb(&code), reduceVerb(), searchVerb(&code))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(errs, "emulate:", err)
 		return exitBadInput
@@ -185,6 +185,7 @@
 	"TroubledCellsPlan": emulator.TroubledCellsPlan, "OddRowsPlan": emulator.OddRowsPlan, "CrashTasksPlan": emulator.CrashTasksPlan,
 	"CrashWavesPlan": emulator.CrashWavesPlan, "RoomsPlan": emulator.RoomsPlan, "SuspendsPlan": emulator.SuspendsPlan,
 	"DeposedPlan": emulator.DeposedPlan, "HallCutPlan": emulator.HallCutPlan, "AllTroublesPlan": emulator.AllTroublesPlan,
+	"LeavingPlan": emulator.LeavingPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
 }
 
 func planNames() []string { return slices.Sorted(maps.Keys(plans)) }
--- a/pkg/emulator/days/days_test.go
+++ b/pkg/emulator/days/days_test.go
@@ -67,3 +67,15 @@
 		must.StrContains(t, text, c.want)
 	}
 }
+
+func TestASearchNamesTheSeedsThatBreakAndCountsLines(t *testing.T) {
+	t.Parallel()
+	code, text := run("search", "DefaultPlan", "0", "2", "--set", `{"Unsafe": {"NoSettling": true}}`, "--count", "cell-settled")
+	must.Eq(t, 1, code)
+	must.StrContains(t, text, "seed 0 breaks")
+	must.StrContains(t, text, "of 2 days break a rule")
+	must.StrContains(t, text, "lines on 2 days match cell-settled")
+	code, text = run("search", "DefaultPlan", "0", "2", "--count", "(")
+	must.Eq(t, 2, code)
+	must.StrContains(t, text, "is not a pattern")
+}
--- /dev/null
+++ b/pkg/emulator/days/search.go
@@ -0,0 +1,121 @@
+package days
+
+import (
+	"fmt"
+	"io"
+	"regexp"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+)
+
+func searchVerb(code *int) *cobra.Command {
+	set, count := "", ""
+	verb := &cobra.Command{
+		Use:     "search PLAN FIRST DAYS",
+		Short:   "Play the days of many seeds, and print those that break a rule",
+		Example: `  emulate search AllTroublesPlan 4000 1000 --count 'settled .* [1-9][0-9]* workers not heard'`,
+		Args:    cobra.ExactArgs(3),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := newSearch(args, set, count)
+			if err != nil {
+				return err
+			}
+			s.play(c.OutOrStdout(), c.ErrOrStderr())
+			if s.broken > 0 {
+				*code = exitBroken
+			}
+			return nil
+		},
+	}
+	verb.Flags().StringVar(&set, "set", "", "fields of the plan to set, as JSON")
+	verb.Flags().StringVar(&count, "count", "", "a pattern: count the lines of the days' logs that match it")
+	return verb
+}
+
+// search plays the days of many seeds on all processors.
+type search struct {
+	name, set   string
+	first, days uint64
+	count       *regexp.Regexp
+
+	lock sync.Mutex
+	// played and broken are numbers of days; matches are lines that match count, on matching days.
+	played, broken, matches, matching int
+}
+
+func newSearch(args []string, set, count string) (*search, error) {
+	s := &search{name: args[0], set: set}
+	for i, into := range []*uint64{&s.first, &s.days} {
+		n, err := strconv.ParseUint(args[i+1], 10, 64)
+		if err != nil {
+			return nil, fault.New(fault.BadInput, args[i+1], "is not a number", "write a whole number")
+		}
+		*into = n
+	}
+	if count != "" {
+		pattern, err := regexp.Compile(count)
+		if err != nil {
+			return nil, fault.New(fault.BadInput, "--count", "is not a pattern", "").WithCause(err)
+		}
+		s.count = pattern
+	}
+	_, err := planOf(s.name, args[1], set)
+	return s, err
+}
+
+func (s *search) play(out, progress io.Writer) {
+	seeds := make(chan uint64)
+	var wait sync.WaitGroup
+	for range runtime.NumCPU() {
+		wait.Go(func() {
+			for seed := range seeds {
+				s.playDay(out, seed)
+			}
+		})
+	}
+	for i := range s.days {
+		seeds <- s.first + i
+		if i%1000 == 999 {
+			_, _ = fmt.Fprintf(progress, "%d of %d days\n", i+1, s.days)
+		}
+	}
+	close(seeds)
+	wait.Wait()
+	_, _ = fmt.Fprintf(out, "%s %d to %d: %d of %d days break a rule\n", s.name, s.first, s.first+s.days-1, s.broken, s.played)
+	if s.count != nil {
+		_, _ = fmt.Fprintf(out, "%d lines on %d days match %s\n", s.matches, s.matching, s.count)
+	}
+}
+
+func (s *search) playDay(out io.Writer, seed uint64) {
+	plan, err := planOf(s.name, strconv.FormatUint(seed, 10), s.set)
+	if err != nil {
+		return // newSearch has checked name and fields
+	}
+	w, broken := emulator.Play(plan)
+	matches := 0
+	if s.count != nil {
+		for _, line := range w.Log {
+			if s.count.MatchString(line) {
+				matches++
+			}
+		}
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.played++
+	if s.matches += matches; matches > 0 {
+		s.matching++
+	}
+	if len(broken) > 0 {
+		s.broken++
+		_, _ = fmt.Fprintf(out, "seed %d breaks %d times: %s\n", seed, len(broken), strings.Join(broken[:min(2, len(broken))], "; "))
+	}
+}
