A successor does not name listed workers that it never heard in the membership

Cause: the membership row named every worker of the list, also one that said it leaves and had been dropped by the leader before, or that never answered. It holds nothing, and never answers the next successor, which then holds back all that it finds nowhere until the last lease is over. Why this works: a worker is named once it has answered, or while an earlier leader may have used it, or before its first answer while nothing tells that none comes. One that is heard later gets work only once a renewal was sent after that. Both tests failed before.

--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -206,6 +206,9 @@
 	w.AnsweredAt, w.Failures = now, 0
 	if !w.Heard {
 		w.Heard, w.HeardAt = true, now
+		if !w.SilentSince.IsZero() {
+			w.SureFrom = now // a write of the membership without it may still be on its way
+		}
 		w.Grant(now, s.leaseSpan()+leaseSlack)
 		s.placeNow = true
 	}
--- a/pkg/process/cell/membership.go
+++ b/pkg/process/cell/membership.go
@@ -22,7 +22,7 @@
 	}
 	list := make([]*wire.RosterEntry, 0, len(s.workers))
 	for _, w := range s.sorted() {
-		if !w.Gone && !w.Dropped {
+		if !w.Gone && !w.Dropped && s.isMember(w) {
 			list = append(list, s.rosterEntry(w))
 		}
 	}
@@ -34,6 +34,13 @@
 	return list
 }
 
+// isMember says whether a worker that takes new work, or may hold any, is named. One that has never answered this
+// leader holds nothing of its own: it is named while earlier leaders may have used it, and before its first answer if
+// nothing tells that none will come. The list of workers also names some that are gone.
+func (s *State) isMember(w *workers.Worker) bool {
+	return w.Heard || s.earlier[w.ID] != nil || (w.Listed && !w.Leaving && w.SilentSince.IsZero())
+}
+
 // dropMembers takes the workers out of the membership that take no new work and hold nothing.
 func (s *State) dropMembers(now time.Time) {
 	for _, w := range s.sorted() {
--- a/pkg/process/cell/membership_test.go
+++ b/pkg/process/cell/membership_test.go
@@ -113,6 +113,15 @@
 // lead makes this cell's process the successor of another one, whose workers it hears: all that are
 // not silent. The only job is found nowhere.
 func (b *busyCell) lead(before *busyCell, wait time.Duration) {
+	b.takeOver(before, wait, before.state.Roster())
+}
+
+// follow is lead with a given membership.
+func (b *busyCell) follow(before *busyCell, members []*wire.RosterEntry) {
+	b.takeOver(before, 15*time.Second, members)
+}
+
+func (b *busyCell) takeOver(before *busyCell, wait time.Duration, members []*wire.RosterEntry) {
 	b.now, b.reports, b.silent = before.now, map[string]*workers.Report{}, before.silent
 	for id := range before.reports {
 		b.reports[id] = &workers.Report{}
@@ -123,7 +132,7 @@
 	b.list(len(b.reports))
 	b.state.Take(b.now, cell.Led{Epoch: 2, RosterUntil: b.now.Add(wait)})
 	b.state.Take(b.now, cell.Loaded{
-		Epoch: 2, Wall: b.now, Fences: someFences(), Roster: before.state.Roster(),
+		Epoch: 2, Wall: b.now, Fences: someFences(), Roster: members,
 		Jobs: []cell.LoadedJob{{Spec: &wire.JobSpec{
 			Id: "00000000000000ff", Queue: "watches", Service: "quotes", Cell: "hall",
 			Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}},
@@ -151,3 +160,37 @@
 	b.step(100 * time.Millisecond)
 	must.MapLen(t, 1, b.started)
 }
+
+// A worker that was dropped as it left is still listed when a successor leads: who follows that one does not wait for it.
+func TestAWorkerThatLeftIsNotNamedAgainByASuccessor(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.list(16, "w00")
+	for range 3 {
+		b.step(100 * time.Millisecond)
+	}
+	must.SliceNotContains(t, b.members(), "w00")
+	b.silent["w00"] = true
+	successor := newEmptyCell()
+	successor.lead(b, 15*time.Second)
+	successor.list(16, "w00")
+	for range 3 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.SliceNotContains(t, successor.members(), "w00")
+	must.Len(t, 15, successor.members())
+}
+
+// A worker that crashed is listed for a while, and answers no successor: none names it that could not use it.
+func TestAWorkerThatNeverAnsweredIsNotNamed(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	successor := newEmptyCell()
+	b.silent["w03"] = true
+	successor.follow(b, slices.DeleteFunc(b.state.Roster(), func(e *wire.RosterEntry) bool { return e.GetId() == "w03" }))
+	for range 3 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.SliceNotContains(t, successor.members(), "w03")
+	must.Len(t, 15, successor.members())
+}
