A successor holds back only what may run at workers that it does not hear

Cause: of a worker that is not heard a successor knows only that it may hold something, so it held back each task that it found nowhere until all leases there were over. Change: a worker that leaves gets no more work, and one that is silent for two polls none for now. So the membership names what may run there, with writes that go anyway or at the next renewal; a successor that does not hear it holds back these tasks alone, and holds its end against no others. Before such a worker gets work again a membership that no longer names its runs has to be recorded.

--- a/pkg/emulator/days/search.go
+++ b/pkg/emulator/days/search.go
@@ -16,7 +16,7 @@
 )
 
 func searchVerb(code *int) *cobra.Command {
-	set, count := "", ""
+	set, count, log := "", "", false
 	verb := &cobra.Command{
 		Use:     "search PLAN FIRST DAYS",
 		Short:   "Play the days of many seeds, and print those that break a rule",
@@ -27,6 +27,7 @@
 			if err != nil {
 				return err
 			}
+			s.log = log
 			s.play(c.OutOrStdout(), c.ErrOrStderr())
 			if s.broken > 0 {
 				*code = exitBroken
@@ -36,6 +37,7 @@
 	}
 	verb.Flags().StringVar(&set, "set", "", "fields of the plan to set, as JSON")
 	verb.Flags().StringVar(&count, "count", "", "a pattern: count the lines of the days' logs that match it")
+	verb.Flags().BoolVar(&log, "log", false, "print the logs of the days that break a rule")
 	return verb
 }
 
@@ -44,6 +46,7 @@
 	name, set   string
 	first, days uint64
 	count       *regexp.Regexp
+	log         bool
 
 	lock sync.Mutex
 	// played and broken are numbers of days; matches are lines that match count, on matching days.
@@ -116,6 +119,9 @@
 	}
 	if len(broken) > 0 {
 		s.broken++
+		if s.log {
+			tell(out, w.Log)
+		}
 		_, _ = fmt.Fprintf(out, "seed %d breaks %d times: %s\n", seed, len(broken), strings.Join(broken[:min(2, len(broken))], "; "))
 	}
 }
--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -184,11 +184,11 @@
 		return
 	}
 	if j.Ended() {
-		j.TakeBack(r, now, s.settled || s.unsafe.NoSettling)
+		j.TakeBack(r, now, s.newSettled())
 		s.markDirty(j, false) // so that the report's row goes
 		return
 	}
-	news := j.TakeBack(r, now, s.settled || s.unsafe.NoSettling)
+	news := j.TakeBack(r, now, s.newSettled())
 	if !news && r.GetFailed() == "" {
 		return
 	}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -64,6 +64,9 @@
 			s.workers[r.GetId()] = w
 			s.reorder = true
 		}
+		if w := s.workers[r.GetId()]; !w.Heard {
+			w.RunsKnown, w.MayRun = r.GetRunsKnown(), r.GetMayRun()
+		}
 		s.unsettled[r.GetId()] = true
 		s.roster[r.GetId()] = true
 		s.earlier[r.GetId()] = r
@@ -175,23 +178,38 @@
 			delete(s.unsettled, id)
 		}
 	}
+	held, known := s.heldBack(now)
+	if !known {
+		return
+	}
+	s.settled, s.othersSettled = s.unheardOver(now), true
+	s.settleBut(now, held)
+}
+
+// unheardOver says whether all that ran at workers which are not heard is over.
+func (s *State) unheardOver(now time.Time) bool {
 	for id := range s.unsettled {
 		if !s.surelyOver(now, s.workers[id]) {
-			return
+			return false
 		}
 	}
-	s.settled = true
-	nowhere := 0
+	return true
+}
+
+// settleBut settles all tasks but those that may run at workers which are not heard.
+func (s *State) settleBut(now time.Time, held map[string]bool) {
+	nowhere, settled := 0, 0
 	var mayHaveRun []*jobs.Task
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j, changed := s.jobs[id], false
 		for _, u := range j.Units {
 			for _, t := range u.Tasks {
-				if t.Settled {
+				if t.Settled || held[t.Name()] {
 					continue
 				}
 				t.Settled, changed = true, true
-				t.Tried = t.Tried || len(s.unsettled) > 0
+				settled++
+				t.Tried = t.Tried || s.mayHaveRunUnheard(t)
 				if !s.trialNowhere(now, t) && len(t.Runs) == 0 && !t.Done && t.LentTo == "" && u.Ready() && !j.Ended() {
 					mayHaveRun = append(mayHaveRun, t)
 				}
@@ -205,7 +223,20 @@
 		}
 	}
 	s.blameUnseen(now, mayHaveRun)
-	s.note(Note{What: NoteSettled, Detail: fmt.Sprintf("%d tasks found nowhere, %d workers not heard", nowhere, len(s.unsettled)), AgeMs: -1})
+	if !s.settled && settled == 0 {
+		return
+	}
+	s.note(Note{What: NoteSettled, Detail: fmt.Sprintf("%d tasks found nowhere, %d workers not heard, %d tasks may run there", nowhere, len(s.unsettled), len(held)), AgeMs: -1})
+}
+
+// mayHaveRunUnheard says whether a task may have run at a worker that was not heard.
+func (s *State) mayHaveRunUnheard(t *jobs.Task) bool {
+	for id := range s.unsettled {
+		if mayHaveRunAt(s.earlier[id], t) {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *State) takeRoster(e RosterRecorded) {
@@ -257,7 +288,7 @@
 		return
 	}
 	if known := s.jobs[id]; known != nil {
-		if known.MoreGuests(e.Spec, now, s.settled || s.unsafe.NoSettling) {
+		if known.MoreGuests(e.Spec, now, s.newSettled()) {
 			s.recall(now, known)
 			s.claimStrays(now, known) // a forerunner may have been told of them, and have started them
 			s.touch(now, known)
@@ -269,7 +300,7 @@
 	j.Arrived(now)
 	s.jobs[id] = j
 	s.recall(now, j)
-	if !s.settled && !s.unsafe.NoSettling {
+	if !s.newSettled() {
 		// A forerunner that does not know of its end yet may have been told of
 		// the job too, and have started it where we haven't been heard.
 		unsettle(j.Units)
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -213,6 +213,7 @@
 		s.placeNow = true
 	}
 	if !w.SilentSince.IsZero() {
+		s.scanNow = true
 		s.note(Note{What: NoteWorkerHeard, Worker: w.ID, AgeMs: now.Sub(w.SilentSince).Milliseconds()})
 		w.SilentSince = time.Time{}
 		s.placeNow = true
--- a/pkg/process/cell/membership_test.go
+++ b/pkg/process/cell/membership_test.go
@@ -113,15 +113,20 @@
 // lead makes this cell's process the successor of another one, whose workers it hears: all that are
 // not silent. The only job is found nowhere.
 func (b *busyCell) lead(before *busyCell, wait time.Duration) {
-	b.takeOver(before, wait, before.state.Roster())
+	b.takeOver(before, wait, before.state.Roster(), lastingJob("00000000000000ff"))
+}
+
+// lastingJob is a job of one task that lasts.
+func lastingJob(id string) *wire.JobSpec {
+	return &wire.JobSpec{Id: id, Queue: "watches", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}}
 }
 
 // follow is lead with a given membership.
 func (b *busyCell) follow(before *busyCell, members []*wire.RosterEntry) {
-	b.takeOver(before, 15*time.Second, members)
+	b.takeOver(before, 15*time.Second, members, lastingJob("00000000000000ff"))
 }
 
-func (b *busyCell) takeOver(before *busyCell, wait time.Duration, members []*wire.RosterEntry) {
+func (b *busyCell) takeOver(before *busyCell, wait time.Duration, members []*wire.RosterEntry, specs ...*wire.JobSpec) {
 	b.now, b.reports, b.silent = before.now, map[string]*workers.Report{}, before.silent
 	for id := range before.reports {
 		b.reports[id] = &workers.Report{}
@@ -131,12 +136,12 @@
 	b.state.Take(b.now, cell.ManifestChanged{Manifest: theManifest})
 	b.list(len(b.reports))
 	b.state.Take(b.now, cell.Led{Epoch: 2, RosterUntil: b.now.Add(wait)})
+	var jobs []cell.LoadedJob
+	for _, spec := range specs {
+		jobs = append(jobs, cell.LoadedJob{Spec: spec})
+	}
 	b.state.Take(b.now, cell.Loaded{
-		Epoch: 2, Wall: b.now, Fences: someFences(), Roster: members,
-		Jobs: []cell.LoadedJob{{Spec: &wire.JobSpec{
-			Id: "00000000000000ff", Queue: "watches", Service: "quotes", Cell: "hall",
-			Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}},
-		}}},
+		Epoch: 2, Wall: b.now, Fences: someFences(), Roster: members, Jobs: jobs,
 	})
 }
 
--- a/pkg/process/cell/place.go
+++ b/pkg/process/cell/place.go
@@ -121,7 +121,7 @@
 // process must have led the cell after it heard of that: a worker that has just started again
 // would take orders of a leader that was deposed, too, until its successor has been there.
 func (s *State) usable(now time.Time, w *workers.Worker) bool {
-	return !s.confirmed(now).Before(w.SureFrom) && w.Usable(now, heardWithin) && s.roster[w.ID] && !w.Dropped && !s.aside(now, w)
+	return !s.confirmed(now).Before(w.SureFrom) && w.Usable(now, heardWithin) && s.roster[w.ID] && !w.Dropped && !w.RunsKnown && !s.aside(now, w)
 }
 
 // aside says whether a worker is left alone for what became of its runs.
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -126,7 +126,7 @@
 // settlesIn is how long it may take until what earlier leaders started is known or surely over; 0: it is, or
 // only workers' first answers are waited for.
 func (s *State) settlesIn(now time.Time) time.Duration {
-	if !s.Holds() || s.settled || now.Sub(s.ledAt) < firstAnswers {
+	if !s.Holds() || s.newSettled() || now.Sub(s.ledAt) < firstAnswers {
 		return 0
 	}
 	return max(time.Millisecond, s.settleBy.Sub(now))
--- /dev/null
+++ b/pkg/process/cell/runsknown_test.go
@@ -0,0 +1,123 @@
+package cell_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	thereTask = "00000000000000ff.0.0.0"
+	otherTask = "00000000000000ee.0.0.0"
+)
+
+// leftUnheard gives the successor of a leader whose worker says that it leaves, while a lasting task runs there, and
+// is not heard any more.
+func leftUnheard(t *testing.T, specs ...*wire.JobSpec) (successor *busyCell, left string) {
+	t.Helper()
+	b := newEmptyCell()
+	b.accept("00000000000000ff", "watches", &wire.StepSpec{Count: 1, Millicores: 6000, Lasting: true})
+	b.step(100 * time.Millisecond)
+	left = b.at[thereTask]
+	b.list(16, left)
+	b.step(100 * time.Millisecond)
+	b.silent[left] = true
+	successor = newEmptyCell()
+	successor.takeOver(b, 15*time.Second, b.state.Roster(), specs...)
+	return successor, left
+}
+
+// A worker left as its leader died: a successor holds back what may run there, and nothing else.
+func TestASuccessorHoldsBackOnlyWhatMayRunAtAWorkerThatLeft(t *testing.T) {
+	t.Parallel()
+	successor, _ := leftUnheard(t, lastingJob("00000000000000ff"), lastingJob("00000000000000ee"))
+	for range 3 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.MapContainsKey(t, successor.started, otherTask)
+	must.MapNotContainsKey(t, successor.started, thereTask)
+	for range 160 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.MapContainsKey(t, successor.started, thereTask)
+}
+
+// No earlier leader can have started at such a worker what comes to be known after the takeover.
+func TestANewJobStartsAtOnceBesideAWorkerThatLeftUnheard(t *testing.T) {
+	t.Parallel()
+	successor, _ := leftUnheard(t, lastingJob("00000000000000ff"))
+	for range 3 {
+		successor.step(100 * time.Millisecond)
+	}
+	successor.accept("00000000000000ee", "watches", &wire.StepSpec{Count: 1, Millicores: 6000, Lasting: true})
+	for range 2 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.MapContainsKey(t, successor.started, otherTask)
+}
+
+// A row that an older version wrote names no tasks: any may run there.
+func TestASuccessorHoldsBackAllWhereTheRunsAreNotKnown(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	members := b.state.Roster()
+	b.silent["w03"] = true
+	successor := newEmptyCell()
+	successor.takeOver(b, 15*time.Second, members, lastingJob("00000000000000ee"))
+	for range 20 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.MapEmpty(t, successor.started)
+}
+
+// entryOf is what the membership says of a worker.
+func (b *busyCell) entryOf(id string) *wire.RosterEntry {
+	list := b.state.Roster()
+	if i := slices.IndexFunc(list, func(e *wire.RosterEntry) bool { return e.GetId() == id }); i >= 0 {
+		return list[i]
+	}
+	return nil
+}
+
+// A silent worker's runs are named. Heard again, it gets work only once a membership that does not name them is recorded.
+func TestAWorkerWhoseRunsAreNamedGetsNoWorkUntilTheyAreNotAnyMore(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept("00000000000000ff", "watches", &wire.StepSpec{Count: 1, Millicores: 6000, Lasting: true})
+	b.step(100 * time.Millisecond)
+	silent := b.at[thereTask]
+	b.silent[silent] = true
+	for range 8 {
+		b.step(100 * time.Millisecond)
+	}
+	must.True(t, b.entryOf(silent).GetRunsKnown())
+	must.Eq(t, []string{thereTask}, b.entryOf(silent).GetMayRun())
+	b.down = true
+	b.silent[silent] = false
+	b.accept("00000000000000dd", "watches", &wire.StepSpec{Count: 16, Millicores: 20000, Lasting: true})
+	for range 3 {
+		b.step(100 * time.Millisecond)
+	}
+	must.False(t, b.entryOf(silent).GetRunsKnown())
+	must.MapLen(t, 16, b.started, must.Sprint("one at each other worker, and the first"))
+	b.down = false
+	for range 2 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapLen(t, 17, b.started)
+}
+
+// Evidence of a crash that its leader did not live to record is held against what ran there, and nothing else.
+func TestACrashThatIsNotRecordedIsHeldAgainstWhatRanThere(t *testing.T) {
+	t.Parallel()
+	h := newHeirOf(&wire.RosterEntry{
+		Id: "w", Address: "x", Host: "h", Service: "quotes", Born: 1, RunsKnown: true, MayRun: []string{"00000000000000aa.0.0.1"},
+	}, 2)
+	h.run(time.Second, 2)
+	must.Len(t, 1, h.state.Suspects())
+	must.Eq(t, "00000000000000aa.0.0.1", h.state.Suspects()[0].Task)
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -132,6 +132,8 @@
 	unsettled map[string]bool
 	settled   bool
 	settleBy  time.Time
+	// othersSettled says that only tasks which the membership names may still run unheard.
+	othersSettled bool
 	// earlier are the lives that the roster names until what their ends say is recorded, which it is with
 	// the change weighedSeq; unseen those of them that ended before their lists were heard.
 	earlier    map[string]*wire.RosterEntry
@@ -218,7 +220,7 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.earlier, s.unseen = map[string]*wire.RosterEntry{}, nil
-	s.settled = false
+	s.settled, s.othersSettled = false, false
 	s.died, s.falls, s.silent, s.followedAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
 	s.accused = nil
@@ -323,6 +325,7 @@
 	s.settle(now)
 	s.forgetEarlier()
 	s.dropMembers(now)
+	s.noteKnownRuns(now)
 	if s.phase == leading {
 		s.openTimes(now)
 		s.leave(now)
@@ -395,7 +398,7 @@
 			continue
 		}
 		if opened := j.OpenDue(s.wall); len(opened) > 0 {
-			if !s.settled && !s.unsafe.NoSettling {
+			if !s.newSettled() {
 				unsettle(opened) // they fall due for a forerunner, too
 			}
 			s.claimStrays(now, j)
--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -23,6 +23,9 @@
 func (s *State) keepLife(w *workers.Worker, born int64) {
 	if s.roster[w.ID] && s.earlier[w.ID] == nil {
 		s.earlier[w.ID] = &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: born}
+		if s.knowsRuns(w) && len(w.Runs) <= mayRunMost/4 {
+			s.earlier[w.ID].RunsKnown, s.earlier[w.ID].MayRun = true, tasksAt(w)
+		}
 	}
 	s.weighedSeq = s.seq
 }
@@ -80,7 +83,9 @@
 	nowhere = slices.DeleteFunc(nowhere, func(t *jobs.Task) bool { return t.IsolatedBefore })
 	mayHaveRun := map[string][]*jobs.Task{}
 	for _, t := range nowhere {
-		first := slices.IndexFunc(ended, func(id string) bool { return crashOf(t, id, s.earlier[id].GetBorn()) < 0 })
+		first := slices.IndexFunc(ended, func(id string) bool {
+			return crashOf(t, id, s.earlier[id].GetBorn()) < 0 && mayHaveRunAt(s.earlier[id], t)
+		})
 		if first >= 0 {
 			mayHaveRun[ended[first]] = append(mayHaveRun[ended[first]], t)
 		}
@@ -99,11 +104,11 @@
 
 // rosterEntry is what the roster says of a worker: the life whose end has not been weighed yet.
 func (s *State) rosterEntry(w *workers.Worker) *wire.RosterEntry {
-	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born, Leaving: w.Leaving}
+	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born, Leaving: w.Leaving, RunsKnown: w.RunsKnown, MayRun: w.MayRun}
 	before := s.earlier[w.ID]
 	switch {
 	case before.GetBorn() != 0 && before.GetBorn() != w.Born:
-		e.Born, e.Leaving = before.GetBorn(), before.GetLeaving()
+		e.Born, e.Leaving, e.RunsKnown, e.MayRun = before.GetBorn(), before.GetLeaving(), false, nil
 	case before.GetLeaving():
 		e.Leaving = true
 	}
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -222,6 +222,7 @@
 	if !s.release && !changed && now.Sub(s.sentAt) < renewEvery {
 		return nil
 	}
+	changed = changed || (roster != nil && tellsMoreRuns(s.roster, roster))
 	row, ok := proto.Clone(s.row).(*wire.CellLead)
 	if !ok {
 		return nil // a clone has the type of what it is a clone of
@@ -244,10 +245,24 @@
 		if a[i].GetId() != b[i].GetId() || a[i].GetBorn() != b[i].GetBorn() || a[i].GetLeaving() != b[i].GetLeaving() {
 			return false
 		}
+		if a[i].GetRunsKnown() && !b[i].GetRunsKnown() {
+			return false // the worker gets no work before this is recorded
+		}
 	}
 	return true
 }
 
+// tellsMoreRuns says whether a membership tells more of what may run at its workers than the one that was written: of
+// more of them, or that half of it is over. Such news goes with the next renewal.
+func tellsMoreRuns(written, roster []*wire.RosterEntry) bool {
+	for i, e := range roster {
+		if e.GetRunsKnown() && (!written[i].GetRunsKnown() || 2*len(e.GetMayRun()) <= len(written[i].GetMayRun()) && len(written[i].GetMayRun()) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // due says whether this process should try to take the seat.
 func (s *Seat) due(now time.Time, held int) bool {
 	wait := s.self.Delay + time.Duration(held)*perSeat
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -279,3 +279,25 @@
 	must.Eq(t, "b/1", list[1].Holder)
 	must.Greater(t, 10*time.Second, list[1].Grants)
 }
+
+// A worker gets work again only once no row names its runs, so that is written at once; that runs are known waits
+// for a renewal, and that they became fewer until they are half as many.
+func TestTheMembershipIsWrittenAtOnceWhereAWorkersRunsAreNotKnownAnyMore(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	open := []*wire.RosterEntry{{Id: "w"}}
+	known := func(tasks ...string) []*wire.RosterEntry {
+		return []*wire.RosterEntry{{Id: "w", RunsKnown: true, MayRun: tasks}}
+	}
+	must.NotNil(t, s.Next(at(10), open, 0, false))
+	s.TakeWritten(at(15), 2)
+	must.Nil(t, s.Next(at(20), known("a", "b", "c"), 0, false))
+	must.NotNil(t, s.Next(at(420), known("a", "b", "c"), 0, false).Roster)
+	s.TakeWritten(at(425), 3)
+	must.Nil(t, s.Next(at(830), known("a", "b"), 0, false).Roster)
+	s.TakeWritten(at(835), 4)
+	must.NotNil(t, s.Next(at(1240), known("a"), 0, false).Roster)
+	s.TakeWritten(at(1245), 5)
+	must.NotNil(t, s.Next(at(1250), open, 0, false).Roster)
+}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -106,6 +106,10 @@
 	// Dropped says that the cell's membership no longer names this incarnation: it takes no new work
 	// and holds nothing.
 	Dropped bool
+	// RunsKnown says that no more runs are ordered there, and that MayRun names each task that may have a run there or
+	// an end that is not recorded, as of this leader or the ones before.
+	RunsKnown bool
+	MayRun    []string
 	// Odd is how many lines of its last lists could not be read.
 	Odd int
 	// NoFillersUntil is until when no filler may join: those that are there have
@@ -261,8 +265,12 @@
 
 // HoldsNothing says whether this incarnation surely holds no run and lists no end that is not taken
 // in, as long as nothing more is started there.
-func (w *Worker) HoldsNothing() bool {
-	return w.Heard && w.next == nil && w.Odd == 0 && len(w.Runs) == 0 && len(w.Strays) == 0 && len(w.HeldEnds) == 0 && w.foreign == ledger.Size{}
+func (w *Worker) HoldsNothing() bool { return len(w.Runs) == 0 && w.HoldsNoOthers() }
+
+// HoldsNoOthers says whether this incarnation surely holds no runs but Runs, and lists no end that is not taken in,
+// as long as nothing more is started there.
+func (w *Worker) HoldsNoOthers() bool {
+	return w.Heard && w.next == nil && w.Odd == 0 && len(w.Strays) == 0 && len(w.HeldEnds) == 0 && w.foreign == ledger.Size{}
 }
 
 // Unused estimates the processors that fillers could take, after what those
