Lasting tasks join workers that isolated runs keep closed after three seconds at most

Cause: three waits without a common bound. A task joined such a worker only if no other of its step was suspected, after as long a run as the longest that had crashed (up to 10 s), and its own wait began anew in each cell and under each leader. Change: the wait is that since the last run; a suspected neighbour in the step lengthens it to 3 s; an isolated run keeps others away for 3 s at most; and no worker is closed that a lasting task which has waited for long could take. Evidence: the test fails without the change.

--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -58,16 +58,28 @@
 // mayJoinIsolated says whether a lasting task that has waited for long may join a worker that is kept for an
 // isolated run, or one that has gone on for a while: it takes longer to exonerate its own task.
 func (s *State) mayJoinIsolated(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
-	if !u.Lasting() || now.Sub(u.ReadyAt) < holdAfter || slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
-		return false
+	after := holdAfter
+	if slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
+		after = isolatedWaitMost
 	}
-	return mayShareIsolated(w)
+	return u.Lasting() && waitOf(now, u) >= after && mayShareIsolated(w)
+}
+
+// waitOf is the longest that a task of a unit has waited for a start, in any cell, as far as that is known.
+func waitOf(now time.Time, u *jobs.Unit) time.Duration {
+	longest := now.Sub(u.ReadyAt)
+	for _, t := range u.Waiting(now) {
+		if !t.WaitsSince.IsZero() {
+			longest = max(longest, now.Sub(t.WaitsSince))
+		}
+	}
+	return longest
 }
 
 // mayShareIsolated says whether each isolated run at a worker has gone on for long enough for others to join.
 func mayShareIsolated(w *workers.Worker) bool {
 	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
-		return r.OnTrial && ranFor(w, r) < max(joinsAfter, longestCrashed(r.Task))
+		return r.OnTrial && ranFor(w, r) < max(joinsAfter, min(isolatedWaitMost, longestCrashed(r.Task)))
 	})
 }
 
@@ -193,7 +205,7 @@
 func (s *State) bestForTrial(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
 	var best *workers.Worker
 	for _, w := range usable {
-		if awaitsHost(now, t, w, usable) {
+		if awaitsHost(now, t, w, usable) || s.lastingTakes(now, t, w) {
 			continue
 		}
 		if s.fits(now, t.Unit, service, w) && suspectsAt(w) == 0 && (best == nil || s.trialScore(now, t, w) > s.trialScore(now, t, best)) {
@@ -203,6 +215,20 @@
 	return best
 }
 
+// lastingTakes says whether a lasting task that has waited for long, and need not run isolated, could start at a worker:
+// that is not closed to it for the isolated run of another.
+func (s *State) lastingTakes(now time.Time, isolated *jobs.Task, w *workers.Worker) bool {
+	for u := range s.waiting {
+		if !u.Lasting() || waitOf(now, u) < holdAfter || !s.fits(now, u, s.service(u.Job), w) {
+			continue
+		}
+		if slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return t != isolated && !s.triedAlone(t) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // waitedFor is how long a task has waited for a start, as far as this leader knows.
 func waitedFor(now time.Time, t *jobs.Task) time.Duration {
 	since := t.Unit.ReadyAt
--- a/pkg/process/cell/trials_test.go
+++ b/pkg/process/cell/trials_test.go
@@ -23,7 +23,7 @@
 
 // startSuspectsFor is the same for a given time; if age is not zero, three runs ended with
 // their workers, one after that time.
-// Steps of 2000 millicores are not suspected.
+// Steps of 2000 millicores are not suspected, and of those of 2001 the first task alone.
 func startSuspectsFor(span, age time.Duration, workersIdle int, steps ...*wire.StepSpec) map[string][]workers.Active {
 	now := time.Unix(1000, 0)
 	s := cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
@@ -42,7 +42,7 @@
 	for n, step := range steps {
 		up := &wire.UnitProgress{Step: int32(n)}
 		for i := range step.GetCount() {
-			if step.GetMillicores() == 2000 {
+			if step.GetMillicores() == 2000 || (step.GetMillicores() == 2001 && i > 0) {
 				continue
 			}
 			if age > 0 {
@@ -147,6 +147,26 @@
 	must.Eq(t, 2, started(4*time.Second))
 }
 
+// Lasting tasks of two jobs that run isolated, or wait to, kept a worker closed to others of these jobs for as long as
+// it took to exonerate them.
+func TestALastingTaskJoinsAnIsolatedRunThoughOthersOfItsStepAreSuspected(t *testing.T) {
+	t.Parallel()
+	suspect := &wire.StepSpec{Count: 1, Millicores: 1000, Lasting: true}
+	mixed := &wire.StepSpec{Count: 2, Millicores: 2001, Lasting: true}
+	started := func(span time.Duration) bool {
+		for _, runs := range startSuspectsFor(span, 5*time.Second, 1, suspect, mixed) {
+			for _, r := range runs {
+				if r.Task == "00000000000000aa.0.1.1" {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	must.False(t, started(2*time.Second))
+	must.True(t, started(4500*time.Millisecond))
+}
+
 // A lasting task is delegated to a cell whose only capacity is at workers that it may share with isolated runs.
 func TestALoadTellsTheCapacityBesideIsolatedRuns(t *testing.T) {
 	t.Parallel()
