The wait for word of a silent worker counts from the last run, over handovers

Cause: a task that is to run isolated waits up to 10 s to learn whether the worker that fell silent under it has crashed. Each cell that it was handed over to, and each leader, began that wait anew; a gang was handed on after 10 s, so no cell ever started it. Change: the wait counts from the end of the last run, which travels with the task, and a lasting task waits for 3 s. Evidence: lines crash-unknown from 58.8 to 65.8 s, right after the handover at 58.6 s; four handovers of the gang, 10.0 s apart.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -38,6 +38,8 @@
 	// silentHolds is how long a task that would be tried next waits to learn whether the worker
 	// that fell silent under it has crashed.
 	silentHolds = 10 * time.Second
+	// silentHoldsLasting is the same for a lasting task, which is late soon.
+	silentHoldsLasting = 3 * time.Second
 )
 
 // silentRun is a run whose worker fell silent: whether it crashed is not known yet.
@@ -46,7 +48,8 @@
 	run          int64
 	worker, host string
 	born         int64
-	at           time.Time
+	// at is when that came to be known here, since from when on its task waits for word of it.
+	at, since time.Time
 }
 
 // fall is when a worker fell silent, or was found to have begun anew: after its last answer, and
@@ -179,7 +182,7 @@
 		return
 	}
 	s.remember(t)
-	s.watchSilent(now, t, c)
+	s.watchSilent(now, now, t, c)
 	s.suspected(now, t, c)
 }
 
@@ -259,19 +262,28 @@
 		for _, t := range u.Tasks {
 			for _, c := range t.Crashes {
 				s.remember(t)
-				s.watchSilent(now, t, c)
+				s.watchSilent(now, recalledSince(now, t), t, c)
 			}
 		}
 	}
 }
 
 // watchSilent keeps a run whose worker fell silent until it is known whether that has crashed.
-func (s *State) watchSilent(now time.Time, t *jobs.Task, c blame.Crash) {
+func (s *State) watchSilent(now, since time.Time, t *jobs.Task, c blame.Crash) {
 	if c.Silent {
-		s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now})
+		s.silent = append(s.silent, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now, since: since})
 	}
 }
 
+// recalledSince is from when on a task waits for word of silent workers that another leader recorded: from the end of
+// its last run, where the wait came with the task.
+func recalledSince(now time.Time, t *jobs.Task) time.Time {
+	if t.WaitsSince.IsZero() {
+		return now
+	}
+	return t.WaitsSince
+}
+
 // forgetSilent drops runs of silent workers that nothing more is to be learned of.
 func (s *State) forgetSilent(now time.Time) {
 	s.silent = slices.DeleteFunc(s.silent, func(r silentRun) bool { return now.Sub(r.at) >= silentKept })
@@ -279,7 +291,11 @@
 
 // awaitsWord says whether it is about to be known if a worker that fell silent under a task crashed.
 func (s *State) awaitsWord(now time.Time, t *jobs.Task) bool {
-	return slices.ContainsFunc(s.silent, func(r silentRun) bool { return r.task == t && now.Sub(r.at) < silentHolds })
+	holds := silentHolds
+	if t.Unit.Lasting() {
+		holds = silentHoldsLasting
+	}
+	return slices.ContainsFunc(s.silent, func(r silentRun) bool { return r.task == t && now.Sub(r.since) < holds })
 }
 
 // clearSuspects clears tasks whose runs have run for far longer than any that ended with its worker.
--- a/pkg/process/cell/lend_wait_test.go
+++ b/pkg/process/cell/lend_wait_test.go
@@ -112,3 +112,28 @@
 	}
 	must.True(t, lent)
 }
+
+// A task that is to run isolated was handed over with the word on a silent worker still out. The wait for that began
+// anew in each cell, so that no cell kept the task for long enough to start it.
+func TestTheWaitForWordOfASilentWorkerCountsOverHandovers(t *testing.T) {
+	t.Parallel()
+	for name, step := range map[string]*wire.StepSpec{
+		"lasting": {Count: 1, Millicores: 6000, Lasting: true}, "gang": {Count: 1, Millicores: 6000, Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newEmptyCell()
+			crash := func(worker string, silent bool) *wire.CrashNote {
+				return &wire.CrashNote{Worker: worker, Run: 1, Host: worker, Began: true, Company: 9, Lives: 1, Silent: silent}
+			}
+			b.state.Take(b.now, cell.Accepted{Spec: &wire.JobSpec{
+				Id: lentJob, Cell: "hall", Home: "other", Queue: "watches", Service: "quotes", Steps: []*wire.StepSpec{step},
+				Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 11000, Crashes: []*wire.CrashNote{crash("a", false), crash("b", false), crash("c", true)}}},
+			}})
+			for range 20 {
+				b.step(50 * time.Millisecond)
+			}
+			must.MapLen(t, 1, b.started)
+		})
+	}
+}
