A predecessor that is over tells which leases of its own may go on

Cause: that a predecessor is over said nothing of what it had granted, so a whole lease was waited for, from the moment of its answer on. Change: the process that answers tells its leases by worker, if it is the one that led; a later one tells since when it runs; a process that leads again knows its own. Why this is safe: a lease is a moment by the worker's clock, which the granting process knows best. Evidence: four cases of the test fail where the answer is taken as before (with the fields ignored).

--- a/pkg/connection/fleetpeer/server.go
+++ b/pkg/connection/fleetpeer/server.go
@@ -15,7 +15,7 @@
 	Cancelled(cell, id string)
 	Returned(r *wire.ReturnedTasks)
 	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
-	Load(ctx context.Context, cell string, withBeliefs bool) *wire.CellLoad
+	LoadFor(ctx context.Context, ref *wire.CellRef) *wire.CellLoad
 	TakeOver(cell string)
 	Yield(cell string)
 }
@@ -36,7 +36,7 @@
 // Accepted takes a job that another host put into the table.
 func (s *Server) Accepted(ctx context.Context, m *wire.AcceptedJob) (*wire.CellLoad, error) {
 	s.Control.Accepted(m.GetSpec())
-	return s.Control.Load(ctx, m.GetSpec().GetCell(), false), nil
+	return s.Control.LoadFor(ctx, &wire.CellRef{Cell: m.GetSpec().GetCell()}), nil
 }
 
 // Cancelled takes word of a cancel that stands in the table.
@@ -59,7 +59,7 @@
 
 // Load tells a cell's load, if this host leads it.
 func (s *Server) Load(ctx context.Context, m *wire.CellRef) (*wire.CellLoad, error) {
-	return s.Control.Load(ctx, m.GetCell(), m.GetWithBeliefs()), nil
+	return s.Control.LoadFor(ctx, m), nil
 }
 
 // TakeOver asks this host to take a seat that is being released.
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
@@ -63,7 +62,7 @@
 	h.life++
 	h.up, h.bootedAt, h.connected = true, w.now, map[string]bool{}
 	self := election.Self{
-		Life: fmt.Sprintf("%s/%d", h.name, h.life), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
+		Life: h.incarnation(), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
 		Delay: w.draws.between("delay "+h.name, 0, 150*time.Millisecond),
 	}
 	h.seats = nil
--- a/pkg/emulator/predecessors.go
+++ b/pkg/emulator/predecessors.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
@@ -12,8 +13,10 @@
 
 // awaitPredecessor asks a host that led before until it says that it does not.
 func (h *seat) awaitPredecessor(epoch int64, p election.Predecessor) {
+	over := cell.PredecessorOver{Epoch: epoch, Holder: p.Holder}
 	if p.Host == h.name {
-		h.predecessorOver(epoch, p.Holder)
+		over.Own, over.Since = p.Holder == h.incarnation(), h.bootedAt
+		h.predecessorOver(over)
 		return
 	}
 	for _, other := range h.world.hosts {
@@ -24,7 +27,12 @@
 			w := h.world
 			answers := other.up && !w.now.Before(other.frozenUntil) && !w.cut(h.name, other.name)
 			if answers && !other.holds(h.cell) {
-				h.predecessorOver(epoch, p.Holder)
+				if p.Holder == other.incarnation() {
+					over.Grants, over.GrantsKnown = other.grants(h.cell), true
+				} else {
+					over.Since = other.bootedAt
+				}
+				h.predecessorOver(over)
 				return
 			}
 			if h.state.Holds() && h.seat.Row().GetEpoch() == epoch {
@@ -34,10 +42,23 @@
 	}
 }
 
-func (h *seat) predecessorOver(epoch int64, holder string) {
-	if h.seat.Role() != election.Leader || h.seat.Row().GetEpoch() != epoch {
+func (h *seat) predecessorOver(over cell.PredecessorOver) {
+	if h.seat.Role() != election.Leader || h.seat.Row().GetEpoch() != over.Epoch {
 		return
 	}
-	h.seat.Over(holder)
-	h.state.Take(h.clock(), cell.PredecessorOver{Epoch: epoch, Holder: holder})
+	h.seat.Over(over.Holder)
+	h.state.Take(h.clock(), over)
+}
+
+// incarnation names this life of the host's process.
+func (h *host) incarnation() string { return fmt.Sprintf("%s/%d", h.name, h.life) }
+
+// grants are the leases that this life granted in a cell and that may go on.
+func (h *host) grants(name string) map[string]time.Duration {
+	for _, s := range h.seats {
+		if s.cell == name {
+			return s.state.Grants(h.clock())
+		}
+	}
+	return nil
 }
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -45,6 +45,12 @@
 type PredecessorOver struct {
 	Epoch  int64
 	Holder string
+	// Grants are the leases of its own that may go on, by worker, where GrantsKnown; Own says that it was an earlier
+	// leadership of this process.
+	Grants           map[string]time.Duration
+	GrantsKnown, Own bool
+	// Since is from when on it has granted nothing, as a later process runs in its place; the zero time: not known.
+	Since time.Time
 }
 
 // Deposed says that it no longer does.
--- /dev/null
+++ b/pkg/process/cell/grants_test.go
@@ -0,0 +1,81 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+)
+
+// A predecessor that never heard the worker either was waited for as if it had just renewed it.
+func TestASuccessorWaitsForAWorkerAsLongAsItsPredecessorMayHaveGranted(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		over        cell.PredecessorOver
+		least, most time.Duration
+	}{
+		"none":             {cell.PredecessorOver{GrantsKnown: true, Grants: map[string]time.Duration{"heard": 4 * time.Second}}, 0, time.Second},
+		"two seconds":      {cell.PredecessorOver{GrantsKnown: true, Grants: map[string]time.Duration{"dark": 2 * time.Second}}, 2 * time.Second, 2500 * time.Millisecond},
+		"own, none":        {cell.PredecessorOver{Own: true}, 0, time.Second},
+		"a later process":  {cell.PredecessorOver{Since: time.Unix(1000, 0).Add(-3 * time.Second)}, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		"nothing is known": {cell.PredecessorOver{}, cell.LongestLease, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := newTakeover(15 * time.Second)
+			c.over.Epoch, c.over.Holder = 2, "before/1"
+			v.state.Take(v.now, c.over)
+			after, started := v.run(8 * time.Second)
+			must.True(t, started)
+			must.Between(t, c.least, after, c.most)
+		})
+	}
+}
+
+// What a process granted while it led, it tells when it leads no more: until the lease is surely over.
+func TestAProcessTellsTheLeasesThatItGranted(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.step(100 * time.Millisecond)
+	b.silent["w00"] = true
+	for range 45 {
+		b.step(100 * time.Millisecond)
+	}
+	b.state.Take(b.now, cell.Deposed{Why: "another leads"})
+	grants := b.state.Grants(b.now)
+	must.MapLen(t, 15, grants)
+	must.MapNotContainsKey(t, grants, "w00")
+	must.Between(t, 3*time.Second, grants["w01"], cell.LongestLease)
+	must.MapEmpty(t, b.state.Grants(b.now.Add(5*time.Second)))
+}
+
+// A process that leads again knows what it granted the time before, and does not count on its successor's silence.
+func TestAProcessThatLeadsAgainKnowsItsOwnLeases(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.step(100 * time.Millisecond)
+	members := b.state.Roster()
+	b.state.Take(b.now, cell.Deposed{Why: "another leads"})
+	b.silent["w00"] = true
+	b.state.Take(b.now, cell.Led{Epoch: 3, RosterUntil: b.now, Predecessors: map[string]time.Time{"self/1": b.now.Add(15 * time.Second)}})
+	b.state.Take(b.now, cell.Loaded{Epoch: 3, Wall: b.now, Fences: someFences(), Roster: members, Jobs: []cell.LoadedJob{{Spec: lastingJob("00000000000000ff")}}})
+	b.state.Take(b.now, cell.PredecessorOver{Epoch: 3, Holder: "self/1", Own: true})
+	for range 30 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapEmpty(t, b.started)
+	for range 20 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapLen(t, 1, b.started)
+}
+
+// A cell that was taken over a moment ago got a lasting task that it then held back for 4.6 s.
+func TestALoadTellsFromTheFirstMomentThatACellHasNotSettled(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.run(100 * time.Millisecond)
+	must.Positive(t, v.state.Load(v.now, false).GetSettlesInMs())
+}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -39,10 +39,11 @@
 
 func (s *State) takeLed(now time.Time, e Led) {
 	known := s.workers
+	s.granted, s.overAt = s.leases(now), map[string]time.Time{}
 	s.forget()
-	s.phase, s.epoch, s.runs, s.ledAt = loading, e.Epoch, 0, now
+	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
 	s.predecessors, s.overUntil = maps.Clone(e.Predecessors), e.RosterUntil
-	s.settleBy, s.confirmedAt, s.leadsUntil = s.lastGrant(), time.Time{}, time.Time{}
+	s.settleBy, s.confirmedAt, s.leadsUntil = s.lastOfAll(), time.Time{}, time.Time{}
 	for id, w := range known {
 		if w.Listed {
 			s.workers[id] = workers.New(w.Record)
@@ -96,13 +97,24 @@
 		return
 	}
 	delete(s.predecessors, e.Holder)
-	if lease := now.Add(longestGrant + orderTail); lease.Before(until) {
-		until = lease
-	}
-	if until.After(s.overUntil) {
-		s.overUntil = until
+	since := now
+	if !e.Since.IsZero() && e.Since.Before(now) {
+		since = e.Since
+	}
+	switch lease := since.Add(longestGrant + orderTail); {
+	case e.Own:
+		maps.Copy(s.overAt, s.granted)
+	case e.GrantsKnown:
+		s.takeGrants(now, e.Grants)
+	default:
+		if lease.Before(until) {
+			until = lease
+		}
+		if until.After(s.overUntil) {
+			s.overUntil = until
+		}
 	}
-	s.settleBy = s.lastGrant()
+	s.settleBy = s.lastOfAll()
 	s.note(Note{What: NotePredecessorOver, Detail: e.Holder, AgeMs: max(0, s.settleBy.Sub(now).Milliseconds())})
 }
 
@@ -161,7 +173,7 @@
 // was granted time by this leader too, and its list is still to come.
 func (s *State) surelyOver(now time.Time, w *workers.Worker) bool {
 	confirmed := s.confirmed(now)
-	if confirmed.Before(s.settleBy) {
+	if confirmed.Before(s.lastGrantAt(w.ID)) {
 		return false
 	}
 	return !w.Clocked() || (!w.SilentSince.IsZero() && w.LeaseOver(confirmed))
--- a/pkg/process/cell/readings.go
+++ b/pkg/process/cell/readings.go
@@ -123,18 +123,14 @@
 	}
 }
 
-// settlesIn is how long it may take until what earlier leaders started is known or surely over; 0: it is, or
-// only workers' first answers are waited for.
+// settlesIn is how long it may take until what earlier leaders started is known or surely over; 0: it is.
 func (s *State) settlesIn(now time.Time) time.Duration {
-	if !s.Holds() || s.newSettled() || now.Sub(s.ledAt) < firstAnswers {
+	if !s.Holds() || s.newSettled() {
 		return 0
 	}
 	return max(time.Millisecond, s.settleBy.Sub(now))
 }
 
-// firstAnswers is how long after a takeover all workers that live have answered.
-const firstAnswers = 500 * time.Millisecond
-
 // addLoad adds what a unit still asks for.
 func addLoad(l *wire.CellLoad, u *jobs.Unit) {
 	work := u.Size.Millicores * u.Spec.GetEstimateMs() / 1000
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -139,12 +139,13 @@
 	earlier    map[string]*wire.RosterEntry
 	unseen     []string
 	weighedSeq int64
-	// ledAt is when this process came to lead the cell.
-	ledAt time.Time
 	// predecessors are leaders that are not known to be over, and when what each may have granted is
 	// over; overUntil is the same for the others.
 	predecessors map[string]time.Time
 	overUntil    time.Time
+	// overAt is the same for single workers, by what predecessors told of their leases; granted are those of this
+	// process's earlier leaderships.
+	overAt, granted map[string]time.Time
 
 	// press is what was learned of fillers beside serving tasks. It outlives a
 	// leadership: it is about images.
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -50,11 +50,23 @@
 
 // Load tells a cell's load, and what its leader believes if that is asked for.
 func (c *Control) Load(ctx context.Context, cellName string, withBeliefs bool) *wire.CellLoad {
+	return c.LoadFor(ctx, &wire.CellRef{Cell: cellName, WithBeliefs: withBeliefs})
+}
+
+// LoadFor tells a cell's load, and what else is asked for: what its leader believes, what this process granted there.
+func (c *Control) LoadFor(ctx context.Context, ref *wire.CellRef) *wire.CellLoad {
 	out := make(chan *wire.CellLoad, 1)
 	ok := c.ask(ctx, func(c *Control, now time.Time) {
-		if s := c.seats[cellName]; s != nil {
-			l := s.state.Load(now, withBeliefs)
+		if s := c.seats[ref.GetCell()]; s != nil {
+			l := s.state.Load(now, ref.GetWithBeliefs())
 			l.Holds = l.GetHolds() || s.seat.Claiming()
+			switch {
+			case ref.GetGrantsOf() == "" || l.GetHolds():
+			case ref.GetGrantsOf() == c.self.Life:
+				l.GrantsTold, l.GrantsMs = true, grantsMs(s.state.Grants(now))
+			default:
+				l.UpMs = now.Sub(c.self.Since).Milliseconds()
+			}
 			out <- l
 			return
 		}
@@ -66,6 +78,15 @@
 	return <-out
 }
 
+// grantsMs rounds leases up to whole milliseconds.
+func grantsMs(grants map[string]time.Duration) map[string]int64 {
+	list := make(map[string]int64, len(grants))
+	for id, left := range grants {
+		list[id] = left.Milliseconds() + 1
+	}
+	return list
+}
+
 // OtherLoad takes in what the leader of a cell tells of it. Beliefs are for every cell
 // that this process may come to lead.
 func (c *Control) OtherLoad(l *wire.CellLoad) {
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -59,9 +59,9 @@
 	asked   map[string]time.Time
 	// handicap is by how many seats this host counts as busier than it is.
 	handicap func() int
-	// leads asks the process at an address whether it leads a cell; ok is false
-	// where it does not answer.
-	leads func(address, cell string) (leading, ok bool)
+	// leads asks the process at an address whether it leads a cell, and the incarnation that led it what it granted
+	// there; ok is false where it does not answer.
+	leads func(address, cell, holder string) (answer predecessorAnswer, ok bool)
 	// tellThere tells the process at an address what it is to know of its cell.
 	tellThere func(ctx context.Context, address string, e cell.Tell) error
 }
@@ -82,7 +82,7 @@
 	c := &Control{
 		self: self, store: st, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), seats: map[string]*seat{}, asked: map[string]time.Time{},
-		yieldTo: func(string, string) {}, handicap: func() int { return 0 }, leads: func(string, string) (bool, bool) { return false, false },
+		yieldTo: func(string, string) {}, handicap: func() int { return 0 }, leads: func(string, string, string) (predecessorAnswer, bool) { return predecessorAnswer{}, false },
 		tellThere: func(context.Context, string, cell.Tell) error { return nil },
 	}
 	options = append(options, cell.WithPeers(slices.Collect(maps.Keys(cells))))
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -271,19 +271,23 @@
 // peerWord bounds a word to a peer that needs no answer.
 const peerWord = 300 * time.Millisecond
 
-// leads asks the process at an address whether it leads a cell.
-func (h *Host) leads(address, cellName string) (leading, ok bool) {
+// leads asks the process at an address whether it leads a cell, and one incarnation of it what it granted there.
+func (h *Host) leads(address, cellName, holder string) (answer predecessorAnswer, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerWord)
 	defer cancel()
 	p, err := h.peers.To(address)
 	if err != nil {
-		return false, false
+		return answer, false
 	}
-	load, err := p.Load(ctx, &wire.CellRef{Cell: cellName})
+	load, err := p.Load(ctx, &wire.CellRef{Cell: cellName, GrantsOf: holder})
 	if err != nil {
-		return false, false
+		return answer, false
 	}
-	return load.GetHolds(), load.GetCell() == cellName
+	answer = predecessorAnswer{holds: load.GetHolds(), grantsTold: load.GetGrantsTold(), grants: map[string]time.Duration{}, up: time.Duration(load.GetUpMs()) * time.Millisecond}
+	for id, ms := range load.GetGrantsMs() {
+		answer.grants[id] = time.Duration(ms) * time.Millisecond
+	}
+	return answer, load.GetCell() == cellName
 }
 
 // tellThere tells the process at an address what it is to know of its cell.
--- a/pkg/process/fleet/predecessors.go
+++ b/pkg/process/fleet/predecessors.go
@@ -19,6 +19,7 @@
 func (c *Control) awaitPredecessor(s *seat, epoch int64, p election.Predecessor) {
 	over := predecessorOver{cell: s.name, epoch: epoch, holder: p.Holder}
 	if p.Host == c.self.Host {
+		over.own, over.since = p.Holder == c.self.Life, c.self.Since
 		over.apply(c, clock.Now())
 		return
 	}
@@ -27,7 +28,11 @@
 	}
 	go func() {
 		for range int(election.Tenure / askEvery) {
-			if leading, ok := c.leads(p.Address, s.name); ok && !leading {
+			if answer, ok := c.leads(p.Address, s.name, p.Holder); ok && !answer.holds {
+				over.answer = answer
+				if answer.up > 0 {
+					over.since = clock.Now().Add(-answer.up)
+				}
 				c.tell(over)
 				return
 			}
@@ -36,11 +41,23 @@
 	}()
 }
 
-// predecessorOver says that an earlier leader of a cell grants nothing more.
+// predecessorAnswer is what a process answers that led a cell: whether it holds it, and the leases of its own that may
+// go on, if it is still the incarnation that led.
+type predecessorAnswer struct {
+	holds, grantsTold bool
+	grants            map[string]time.Duration
+	// up is how long a later process has run in its place.
+	up time.Duration
+}
+
+// predecessorOver says that an earlier leader of a cell grants nothing more. Its own says that it was this process.
 type predecessorOver struct {
 	cell   string
 	epoch  int64
 	holder string
+	own    bool
+	since  time.Time
+	answer predecessorAnswer
 }
 
 func (m predecessorOver) apply(c *Control, now time.Time) {
@@ -49,6 +66,8 @@
 		return
 	}
 	s.seat.Over(m.holder)
-	s.state.Take(now, cell.PredecessorOver{Epoch: m.epoch, Holder: m.holder})
+	s.state.Take(now, cell.PredecessorOver{
+		Epoch: m.epoch, Holder: m.holder, Own: m.own, Grants: m.answer.grants, GrantsKnown: m.answer.grantsTold, Since: m.since,
+	})
 	s.touched = true
 }
--- a/pkg/process/fleet/relief.go
+++ b/pkg/process/fleet/relief.go
@@ -51,7 +51,7 @@
 		if next == nil {
 			return
 		}
-		if _, answers := h.leads(next.GetAddress(), name); !answers {
+		if _, answers := h.leads(next.GetAddress(), name, ""); !answers {
 			return // a list is some seconds old
 		}
 		r.last = now
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -183,6 +183,15 @@
 	return w.ClockAtLeast(now) > w.leaseUntil+clockSlack
 }
 
+// LeaseLeft is how long the worker may go on at most by what this process has granted it.
+func (w *Worker) LeaseLeft(now time.Time) time.Duration {
+	if !w.Clocked() || !w.granted {
+		return 0
+	}
+	left := w.leaseUntil + clockSlack - w.ClockAtLeast(now)
+	return max(0, time.Duration(float64(left)/(1-clockError)))
+}
+
 // Passed says whether a reading of a worker's clock is surely past a moment.
 func Passed(clock, moment time.Duration) bool { return clock > moment+clockSlack }
 
