The cell of a delegated task learns that a silent worker has crashed

Cause: it was delegated while the first worker had only fallen silent. The cell that keeps the job learned 1.5 s later that it had crashed; the other cell, which counts silent workers for nothing, never did, so it had four of five crashes when it started the task again. Change: the cell that keeps the job writes the specification of the delegated task anew, in the row that it has there anyway, and the other cell takes the word over.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -247,6 +247,7 @@
 		if t.Done || t.Unit.Job.Ended() || !t.Resolve(r.worker, r.run, crashed) {
 			continue
 		}
+		s.passOn(t)
 		if crashed {
 			s.suspected(now, t, t.Crashes[len(t.Crashes)-1])
 		} else {
@@ -255,6 +256,24 @@
 	}
 }
 
+// passOn has the cell that a task is delegated to learn what is held against it by now.
+func (s *State) passOn(t *jobs.Task) {
+	if j := t.Unit.Job; t.LentTo != "" && !j.Guest() {
+		s.lent[j] = append(s.lent[j], j.Lend(t.LentTo))
+	}
+}
+
+// learnOfCrashes takes in what the home of a delegated job has learned of silent workers.
+func (s *State) learnOfCrashes(now time.Time, j *jobs.Job, spec *wire.JobSpec) {
+	if j.Ended() {
+		return
+	}
+	for _, t := range j.LearnOfCrashes(spec) {
+		s.silent = slices.DeleteFunc(s.silent, func(r silentRun) bool { return r.task == t && !t.SilentAt(r.worker, r.run) })
+		s.suspected(now, t, t.Crashes[len(t.Crashes)-1])
+	}
+}
+
 // recall takes over from the record what is held against a job's tasks, and which workers had fallen
 // silent under their runs.
 func (s *State) recall(now time.Time, j *jobs.Job) {
--- /dev/null
+++ b/pkg/process/cell/delegatedcrash_test.go
@@ -0,0 +1,77 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// crashNote is a crash at a worker, or that it fell silent.
+func crashNote(worker string, silent bool) *wire.CrashNote {
+	return &wire.CrashNote{Worker: worker, Run: 1, Host: worker, Began: true, Lives: 1, Silent: silent}
+}
+
+// Word that a silent worker has crashed came to the cell that keeps the job, after the task was delegated: the cell that
+// has it gave it up one crash too late.
+func TestTheCellOfADelegatedTaskLearnsThatASilentWorkerHasCrashed(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	spec := func(silent bool) *wire.JobSpec {
+		return &wire.JobSpec{
+			Id: lentJob, Cell: "hall", Home: "other", Queue: "watches", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}},
+			Guest: []*wire.TaskRef{{Lending: 1, Crashes: []*wire.CrashNote{crashNote("a", false), crashNote("b", false), crashNote("c", silent)}}},
+		}
+	}
+	b.state.Take(b.now, cell.Accepted{Spec: spec(true)})
+	b.step(100 * time.Millisecond)
+	must.Eq(t, "on trial", b.state.Suspects()[0].Level)
+	b.state.Take(b.now, cell.Accepted{Spec: spec(false)})
+	b.step(100 * time.Millisecond)
+	must.SliceEmpty(t, b.state.Suspects(), must.Sprint("it is given up"))
+	failed := false
+	for _, n := range b.notes {
+		failed = failed || (n.What == cell.NoteJobEnded && n.Job == lentJob)
+	}
+	must.True(t, failed)
+}
+
+// The other side: the home passes it on, in the row of the delegated task.
+func TestTheHomeOfADelegatedTaskPassesOnThatASilentWorkerHasCrashed(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	for _, r := range b.reports {
+		r.Born = 1
+	}
+	b.accept("00000000000000dd", "watches", &wire.StepSpec{Count: 15, Millicores: 20000, Lasting: true})
+	b.step(100 * time.Millisecond)
+	b.accept(lentJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true})
+	b.step(100 * time.Millisecond)
+	at := b.at[lentJob+".0.0.0"]
+	b.silent[at] = true
+	for range 80 {
+		b.state.Take(b.now, roomAt("other"))
+		b.step(100 * time.Millisecond)
+	}
+	told := func() (last *wire.JobSpec) {
+		b.putsOf(t, rows.SpecKey("other", lentJob), func(r table.Row) {
+			last = &wire.JobSpec{}
+			must.NoError(t, rows.Read(r, last))
+		})
+		return last
+	}
+	must.True(t, told().GetGuest()[0].GetCrashes()[0].GetSilent())
+	b.silent[at] = false
+	b.reports[at] = &workers.Report{Born: 2}
+	for range 5 {
+		b.step(100 * time.Millisecond)
+	}
+	must.False(t, told().GetGuest()[0].GetCrashes()[0].GetSilent())
+	must.Eq(t, 1, told().GetGuest()[0].GetLending())
+}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -137,6 +137,9 @@
 		}
 	}
 	s.phase = leading
+	for _, l := range e.Jobs {
+		s.learnOfCrashes(now, s.jobs[l.Spec.GetId()], l.Spec)
+	}
 	for _, id := range e.Cancels {
 		s.takeCancel(now, CancelAsked{ID: id})
 	}
@@ -300,6 +303,7 @@
 		return
 	}
 	if known := s.jobs[id]; known != nil {
+		s.learnOfCrashes(now, known, e.Spec)
 		if known.MoreGuests(e.Spec, now, s.newSettled()) {
 			s.recall(now, known)
 			s.claimStrays(now, known) // a forerunner may have been told of them, and have started them
--- a/pkg/process/jobs/lending.go
+++ b/pkg/process/jobs/lending.go
@@ -106,6 +106,26 @@
 	return more
 }
 
+// LearnOfCrashes takes in which silent workers have crashed since the guest's tasks were lent, as their home says with
+// a later specification. It returns the tasks of which more is held now.
+func (j *Job) LearnOfCrashes(spec *wire.JobSpec) []*Task {
+	var list []*Task
+	for _, r := range spec.GetGuest() {
+		t := j.at(r)
+		if t == nil || t.LentTo != "" || r.GetLending() != t.Lending {
+			continue
+		}
+		news := false
+		for _, c := range crashesOf(r.GetCrashes()) {
+			news = (!c.Silent && t.Resolve(c.Worker, c.Run, true)) || news
+		}
+		if news {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 func (j *Job) at(r *wire.TaskRef) *Task {
 	return j.Task(int(r.GetTime()), int(r.GetStep()), int(r.GetIndex()))
 }
--- a/pkg/process/jobs/suspicion.go
+++ b/pkg/process/jobs/suspicion.go
@@ -67,6 +67,21 @@
 	return host != "" && slices.ContainsFunc(t.Crashes, func(c blame.Crash) bool { return c.Host == host })
 }
 
+// GuiltyIfSilentCrashed says whether the task is to be given up if the workers that fell silent under it have crashed.
+func (t *Task) GuiltyIfSilentCrashed() bool {
+	crashes := slices.Clone(t.Crashes)
+	for i := range crashes {
+		crashes[i].Silent = false
+	}
+	return blame.LevelOf(crashes) == blame.Guilty
+}
+
+// SilentAt says whether a worker fell silent under a run and is not known to have crashed.
+func (t *Task) SilentAt(worker string, run int64) bool {
+	i := t.crash(worker, run)
+	return i >= 0 && t.Crashes[i].Silent
+}
+
 func (t *Task) crash(worker string, run int64) int {
 	return slices.IndexFunc(t.Crashes, func(c blame.Crash) bool { return c.Worker == worker && c.Run == run })
 }
