A lasting task that may be given up waits for word of a silent worker

Cause: the fifth worker had only fallen silent; its crash was known 1.6 s after the sixth start. Change: where that word would name the task, it waits for it as long as other tasks do.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -38,7 +38,7 @@
 	// silentHolds is how long a task that would be tried next waits to learn whether the worker
 	// that fell silent under it has crashed.
 	silentHolds = 10 * time.Second
-	// silentHoldsLasting is the same for a lasting task, which is late soon.
+	// silentHoldsLasting is the same for a lasting task, which is late soon, unless it would be given up.
 	silentHoldsLasting = 3 * time.Second
 )
 
@@ -311,7 +311,7 @@
 // awaitsWord says whether it is about to be known if a worker that fell silent under a task crashed.
 func (s *State) awaitsWord(now time.Time, t *jobs.Task) bool {
 	holds := silentHolds
-	if t.Unit.Lasting() {
+	if t.Unit.Lasting() && !t.GuiltyIfSilentCrashed() {
 		holds = silentHoldsLasting
 	}
 	return slices.ContainsFunc(s.silent, func(r silentRun) bool { return r.task == t && now.Sub(r.since) < holds })
--- a/pkg/process/cell/delegatedcrash_test.go
+++ b/pkg/process/cell/delegatedcrash_test.go
@@ -75,3 +75,21 @@
 	must.False(t, told().GetGuest()[0].GetCrashes()[0].GetSilent())
 	must.Eq(t, 1, told().GetGuest()[0].GetLending())
 }
+
+// A lasting task that would be given up if the silent worker has crashed was started once more after three seconds.
+func TestALastingTaskThatMayBeGivenUpWaitsForWordOfASilentWorker(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.state.Take(b.now, cell.Accepted{Spec: &wire.JobSpec{
+		Id: lentJob, Cell: "hall", Home: "other", Queue: "watches", Service: "quotes", Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}},
+		Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 4000, Crashes: []*wire.CrashNote{crashNote("a", false), crashNote("b", false), crashNote("c", true)}}},
+	}})
+	for range 50 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapEmpty(t, b.started)
+	for range 15 {
+		b.step(100 * time.Millisecond)
+	}
+	must.MapLen(t, 1, b.started)
+}
