Lasting tasks join a worker after two seconds of its isolated run

Cause: the worker was closed for as long as a run of the suspected task had once lasted, up to 3 s, and the other cells learned of the capacity only then. Change: it is closed for 2 s. A task that crashes its workers later than that is told apart by more crashes. Evidence: worker-35 started an isolated run at 53.33 s and the next one at 56.92 s, delegated there then.

--- a/pkg/process/cell/trials.go
+++ b/pkg/process/cell/trials.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// joinsAfter is how long an isolated run has to run for a lasting task to join it: tasks that crash their
-// workers do so within a fraction of that.
+// joinsAfter is how long an isolated run has to run for a lasting task to join it: most tasks that crash their
+// workers do so within a fraction of that, and capacity is to be used within three seconds.
 const joinsAfter = 2 * time.Second
 
 // mayJoinIsolated says whether a lasting task that has waited for long may join a worker that is kept for an
@@ -79,19 +79,10 @@
 // mayShareIsolated says whether each isolated run at a worker has gone on for long enough for others to join.
 func mayShareIsolated(w *workers.Worker) bool {
 	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
-		return r.OnTrial && ranFor(w, r) < max(joinsAfter, min(isolatedWaitMost, longestCrashed(r.Task)))
+		return r.OnTrial && ranFor(w, r) < joinsAfter
 	})
 }
 
-// longestCrashed is the longest that a run of a task had run when its worker crashed.
-func longestCrashed(t *jobs.Task) time.Duration {
-	longest := time.Duration(0)
-	for _, c := range t.Crashes {
-		longest = max(longest, c.Age)
-	}
-	return longest
-}
-
 // calmFor is how long no worker may have fallen silent for a trial to say something, calmWithin how
 // long a trial waits for that.
 const (
