Isolated runs that were recorded and found nowhere count before a task is given up

Cause: of five crashes one was unseen, two were isolated runs that successors found recorded and nowhere, and the fifth came, alone, as other workers crashed. For that case more than two runs had to be seen to begin, and the recorded ones counted for nothing. Change: they count there; two have to be seen to begin all the same. The first new row of the test fails without the change.

--- a/pkg/process/blame/blame.go
+++ b/pkg/process/blame/blame.go
@@ -146,7 +146,7 @@
 //
 // Those of which it is not known whether there was a run at all count for less: a leader that dies
 // may have been about to start one.
-type tally struct{ all, weight, over, soon, hosts, sure, began, prompt, unseen int }
+type tally struct{ all, weight, over, soon, hosts, sure, began, prompt, unseen, tried int }
 
 func tallyOf(crashes []Crash) tally {
 	var t tally
@@ -164,6 +164,9 @@
 			t.unseen++
 		}
 		if c.Run == 0 {
+			if !c.Unseen {
+				t.tried++
+			}
 			continue
 		}
 		t.sure += c.weight()
@@ -213,7 +216,7 @@
 // enough says whether there are so many crashes that the task is given up in any case, if runs are known to have
 // begun: an isolated run that was recorded may never have been ordered. What nobody saw counts
 // among them only if the last one was alone, and others were seen to begin, the more of them where a cause
-// outside is likely: else a task that merely waited through many takeovers would be given up. Where nothing
+// outside is likely (isolated runs that were recorded and found nowhere count there): else a task that merely waited through many takeovers would be given up. Where nothing
 // speaks for such a cause, one crash fewer is enough then: some that a leader saw may have been lost as well.
 func enough(t tally, last Crash) bool {
 	if t.unseen == 0 {
@@ -223,7 +226,7 @@
 		return false
 	}
 	if last.Outside {
-		return t.over >= mostCrashes && t.began > leastBegan
+		return t.over >= mostCrashes && t.began >= leastBegan && t.began+t.tried > leastBegan
 	}
 	return t.over >= mostCrashes-1 && t.prompt >= leastBegan
 }
--- a/pkg/process/blame/blame_test.go
+++ b/pkg/process/blame/blame_test.go
@@ -61,6 +61,8 @@
 		{"two of them and three that were seen, the last alone, as many workers fall silent", []blame.Crash{nowhere, nowhere, beside(1), outside(2), outside(3)}, blame.Guilty},
 		{"the same, the last with company", []blame.Crash{nowhere, nowhere, nowhere, beside(1), beside(2)}, blame.OnTrial},
 		{"the same, the last as many workers fall silent", []blame.Crash{nowhere, nowhere, nowhere, beside(1), outside(2)}, blame.OnTrial},
+		{"one of them, two isolated runs found nowhere, and two that were seen, the last alone, as many workers fall silent", []blame.Crash{nowhere, beside(1), unseen, unseen, outside(2)}, blame.Guilty},
+		{"two of them, one isolated run found nowhere, one that was seen, and one as many workers fall silent, with company", []blame.Crash{nowhere, nowhere, unseen, beside(1), with(outside(2), func(c *blame.Crash) { c.Company = 3 })}, blame.OnTrial},
 		{"orders that may never have come", []blame.Crash{with(soon(1), func(c *blame.Crash) { c.Began = false }), with(soon(2), func(c *blame.Crash) { c.Began = false }), soon(3)}, blame.OnTrial},
 	} {
 		t.Run(c.name, func(t *testing.T) {
