A crash that shows after the cell has settled is held against what may have run there

Cause: its worker crashed at 15.51 s and its leader was replaced at 15.76 s. The successor settled at 19.47 s without having heard the worker, whose lease was over, and forgot it; the host's next incarnation answered at 19.58 s. Only incarnations found over before that counted.

--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -237,6 +237,9 @@
 			s.touch(now, j)
 		}
 	}
+	if s.settled {
+		s.rememberUnheard(mayHaveRun)
+	}
 	s.blameUnseen(now, mayHaveRun)
 	if !s.settled && settled == 0 {
 		return
--- a/pkg/process/cell/look.go
+++ b/pkg/process/cell/look.go
@@ -170,6 +170,7 @@
 		return
 	}
 	s.takeLife(now, w, e)
+	s.unheardAnswers(now, w)
 	s.heard(now, w, e.Report.Clock)
 	if room := e.Report.Room; room != nil {
 		before := w.Capacity
@@ -230,6 +231,7 @@
 	s.resolveSilent(now, true, func(r silentRun) bool {
 		return r.host == w.Host && (r.worker != w.ID || r.born != w.Born) && r.at.Before(sentAt)
 	})
+	s.hostAnswers(now, w)
 	for _, other := range s.sorted() {
 		if other != w && other.Host == w.Host && other.KnownAt.Before(sentAt) && !other.Gone {
 			s.lifeOver(now, other, "its host runs "+w.ID)
--- a/pkg/process/cell/lost.go
+++ b/pkg/process/cell/lost.go
@@ -16,6 +16,7 @@
 func (s *State) lifeOver(now time.Time, w *workers.Worker, why string) {
 	if !w.Gone {
 		s.endedUnseen(w)
+		s.unheardEnded(now, w.ID)
 		s.crashed(now, w)
 	}
 	s.over[w.ID] = w.Born
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -139,6 +139,8 @@
 	earlier    map[string]*wire.RosterEntry
 	unseen     []string
 	weighedSeq int64
+	// unheard are members that were not heard when the cell settled, and whose end has not shown since.
+	unheard map[string]unheardMember
 	// predecessors are leaders that are not known to be over, and when what each may have granted is
 	// over; overUntil is the same for the others.
 	predecessors map[string]time.Time
@@ -220,7 +222,7 @@
 	s.advices = map[string]*advice{}
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
-	s.earlier, s.unseen = map[string]*wire.RosterEntry{}, nil
+	s.earlier, s.unseen, s.unheard = map[string]*wire.RosterEntry{}, nil, map[string]unheardMember{}
 	s.settled, s.othersSettled = false, false
 	s.died, s.falls, s.silent, s.followedAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -102,6 +102,62 @@
 	s.weighedSeq = s.seq
 }
 
+// unheardMember is a member that was not heard when the cell settled: the incarnation that earlier leaders could use, and
+// the tasks that may have run there.
+type unheardMember struct {
+	entry *wire.RosterEntry
+	tasks []*jobs.Task
+}
+
+// rememberUnheard keeps the members that are not heard until it shows whether they have crashed.
+func (s *State) rememberUnheard(nowhere []*jobs.Task) {
+	for id := range s.unsettled {
+		e := s.earlier[id]
+		if w := s.workers[id]; e.GetLeaving() || (w != nil && w.Leaving) {
+			continue
+		}
+		s.unheard[id] = unheardMember{e, slices.DeleteFunc(slices.Clone(nowhere), func(t *jobs.Task) bool { return t.IsolatedBefore || !mayHaveRunAt(e, t) })}
+	}
+}
+
+// unheardEnded holds the end of a member that was not heard against what may have run there.
+func (s *State) unheardEnded(now time.Time, id string) {
+	u := s.unheard[id]
+	delete(s.unheard, id)
+	for _, t := range u.tasks {
+		if t.Done || t.Unit.Job.Ended() || crashOf(t, id, u.entry.GetBorn()) >= 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
+			continue
+		}
+		c := blame.Unseen(id, u.entry.GetBorn(), len(u.tasks)-1, 1, s.wall)
+		if t.Accuse(c) {
+			s.remember(t)
+			s.suspected(now, t, c)
+		}
+	}
+}
+
+// hostAnswers takes in that a worker answers whose host another member ran on that was not heard.
+func (s *State) hostAnswers(now time.Time, w *workers.Worker) {
+	for _, id := range slices.Sorted(maps.Keys(s.unheard)) {
+		if id != w.ID && s.unheard[id].entry.GetHost() == w.Host {
+			s.unheardEnded(now, id)
+		}
+	}
+}
+
+// unheardAnswers takes in which incarnation of a member answers that was not heard.
+func (s *State) unheardAnswers(now time.Time, w *workers.Worker) {
+	u, was := s.unheard[w.ID]
+	if !was {
+		return
+	}
+	if born := u.entry.GetBorn(); born != 0 && w.Born != 0 && w.Born != born {
+		s.unheardEnded(now, w.ID)
+		return
+	}
+	delete(s.unheard, w.ID)
+}
+
 // rosterEntry is what the roster says of a worker: the life whose end has not been weighed yet.
 func (s *State) rosterEntry(w *workers.Worker) *wire.RosterEntry {
 	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born, Leaving: w.Leaving, RunsKnown: w.RunsKnown, MayRun: w.MayRun}
--- a/pkg/process/cell/unseen_test.go
+++ b/pkg/process/cell/unseen_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/blame"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
@@ -19,8 +20,8 @@
 type heir struct {
 	state *cell.State
 	now   time.Time
-	// silentTable says that records get no answer.
-	silentTable bool
+	// silentTable says that records get no answer, silent that the worker gives none.
+	silentTable, silent bool
 }
 
 // newHeir takes over a job; born is the life that answers.
@@ -52,6 +53,10 @@
 		for _, e := range h.state.Decide(h.now, h.now) {
 			switch e := e.(type) {
 			case cell.SendLook:
+				if h.silent {
+					h.state.Take(h.now, cell.Looked{Worker: e.To.ID, SentAt: h.now, Err: fault.New(fault.Unknown, e.To.ID, "no answer", "")})
+					continue
+				}
 				h.state.Take(h.now, cell.Looked{Worker: e.To.ID, SentAt: h.now, Report: workers.Report{Born: born, Clock: h.now.Sub(time.Unix(900, 0))}})
 			case cell.Record:
 				if !h.silentTable {
@@ -200,3 +205,35 @@
 	f.settle()
 	must.Len(t, 2, f.evidence(id))
 }
+
+// A worker crashed as leaders changed, and was back only after the successor had settled without it: nothing was held
+// against what may have run there.
+func TestACrashThatShowsAfterTheCellHasSettledIsHeldAgainstWhatMayHaveRunThere(t *testing.T) {
+	t.Parallel()
+	for name, back := range map[string]workers.Record{"the same id": {ID: "w", Born: 2}, "another id": {ID: "w2", Born: 2}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHeir(1)
+			h.silent = true
+			h.run(17*time.Second, 1)
+			must.SliceEmpty(t, h.state.Suspects())
+			h.silent = false
+			back.Service, back.Address, back.Hall, back.Ready, back.Host = "quotes", "x", "hall", true, "h"
+			back.Capacity = ledger.Size{Millicores: 32000, MemoryMB: 128000}
+			h.state.Take(h.now, cell.WorkersListed{Records: []workers.Record{back}})
+			h.run(500*time.Millisecond, 2)
+			must.Len(t, 2, h.state.Suspects())
+		})
+	}
+}
+
+// The same worker answers again: it was cut off, and that accuses nobody.
+func TestAWorkerThatIsHeardAfterTheCellHasSettledAccusesNobody(t *testing.T) {
+	t.Parallel()
+	h := newHeir(1)
+	h.silent = true
+	h.run(17*time.Second, 1)
+	h.silent = false
+	h.run(500*time.Millisecond, 1)
+	must.SliceEmpty(t, h.state.Suspects())
+}
