--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -62,7 +62,7 @@
 	{NoteDeposed, "this process no longer leads the cell; detail: why"},
 	{NoteLoaded, "the cell's jobs were read from the table; detail: how many"},
 	{NotePredecessorOver, "an earlier leader grants nothing more: what it granted ends with a lease; detail: which incarnation; age_ms: how much longer the cell may have to wait for workers that are not heard"},
-	{NoteSettled, "what earlier leaders started is known or surely over; detail: how many tasks were found nowhere"},
+	{NoteSettled, "what earlier leaders started is known or surely over, but for tasks that the membership names at workers that are not heard; detail: how many tasks were found nowhere, workers not heard, tasks named"},
 	{NoteReleased, "the cell is given up on purpose"},
 	{NoteManifest, "a newer manifest is in force; detail: version"},
 	{NoteJobQueued, "a job came to the cell; detail: steps, tasks"},
