Tasks that come to be known later are held back where the membership names them

Change: what the membership names at workers that are not heard is held back whenever it comes to be known. The test fails without the change.

--- a/pkg/process/cell/lend.go
+++ b/pkg/process/cell/lend.go
@@ -201,6 +201,7 @@
 		return
 	}
 	s.recall(now, j)
+	s.holdBackNamed(j)
 	s.markDirty(j, true)
 	s.touch(now, j)
 	s.completeIfDone(now, j)
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -197,7 +197,7 @@
 	if !known {
 		return
 	}
-	s.settled, s.othersSettled = s.unheardOver(now), true
+	s.settled, s.othersSettled, s.mayRunUnheard = s.unheardOver(now), true, held
 	s.settleBut(now, held)
 }
 
@@ -309,6 +309,7 @@
 		s.learnOfCrashes(now, known, e.Spec)
 		if known.MoreGuests(e.Spec, now, s.newSettled()) {
 			s.recall(now, known)
+			s.holdBackNamed(known)
 			s.claimStrays(now, known) // a forerunner may have been told of them, and have started them
 			s.touch(now, known)
 		}
@@ -324,6 +325,7 @@
 		// the job too, and have started it where we haven't been heard.
 		unsettle(j.Units)
 	}
+	s.holdBackNamed(j)
 	s.claimStrays(now, j)
 	tasks := 0
 	for _, step := range e.Spec.GetSteps() {
--- a/pkg/process/cell/runsknown.go
+++ b/pkg/process/cell/runsknown.go
@@ -83,3 +83,18 @@
 
 // newSettled says whether no earlier leader can have started what comes to be known here from now on.
 func (s *State) newSettled() bool { return s.settled || s.othersSettled || s.unsafe.NoSettling }
+
+// holdBackNamed holds back those tasks of a job which may run at workers that are not heard: an earlier leader may have
+// known of them before they came to be known here, as of a time that fell due by its clock.
+func (s *State) holdBackNamed(j *jobs.Job) {
+	if len(s.mayRunUnheard) == 0 {
+		return
+	}
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			if s.mayRunUnheard[t.Name()] && !t.Done && len(t.Runs) == 0 {
+				t.Settled = false
+			}
+		}
+	}
+}
--- a/pkg/process/cell/runsknown_test.go
+++ b/pkg/process/cell/runsknown_test.go
@@ -121,3 +121,24 @@
 	must.Len(t, 1, h.state.Suspects())
 	must.Eq(t, "00000000000000aa.0.0.1", h.state.Suspects()[0].Task)
 }
+
+// A time of a repeating job fell due for the earlier leader first, which started it at a worker that then left.
+func TestATimeThatFallsDueLaterIsHeldBackWhereItMayRunUnheard(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	members := b.state.Roster()
+	b.silent["w03"] = true
+	entry := members[slices.IndexFunc(members, func(e *wire.RosterEntry) bool { return e.GetId() == "w03" })]
+	entry.RunsKnown, entry.MayRun = true, []string{"00000000000000aa.0.0.0"}
+	successor := newEmptyCell()
+	due := b.now.Add(2 * time.Second)
+	successor.takeOver(b, 15*time.Second, members, &wire.JobSpec{
+		Id: "00000000000000aa", Queue: "watches", Service: "quotes", Cell: "hall", Repeats: 2, FirstUnixMs: due.UnixMilli(), IntervalMs: 1000,
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000}},
+	})
+	for range 40 {
+		successor.step(100 * time.Millisecond)
+	}
+	must.MapNotContainsKey(t, successor.started, "00000000000000aa.0.0.0")
+	must.MapContainsKey(t, successor.started, "00000000000000aa.1.0.0")
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -134,6 +134,8 @@
 	settleBy  time.Time
 	// othersSettled says that only tasks which the membership names may still run unheard.
 	othersSettled bool
+	// mayRunUnheard are those tasks, by name.
+	mayRunUnheard map[string]bool
 	// earlier are the lives that the roster names until what their ends say is recorded, which it is with
 	// the change weighedSeq; unseen those of them that ended before their lists were heard.
 	earlier    map[string]*wire.RosterEntry
@@ -223,7 +225,7 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.earlier, s.unseen, s.unheard = map[string]*wire.RosterEntry{}, nil, map[string]unheardMember{}
-	s.settled, s.othersSettled = false, false
+	s.settled, s.othersSettled, s.mayRunUnheard = false, false, nil
 	s.died, s.falls, s.silent, s.followedAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
 	s.accused = nil
@@ -404,6 +406,7 @@
 			if !s.newSettled() {
 				unsettle(opened) // they fall due for a forerunner, too
 			}
+			s.holdBackNamed(j)
 			s.claimStrays(now, j)
 			s.touch(now, j)
 		}
