A predecessor also tells the leases that it waited for

Cause: all hosts were killed at 14.64 s; the next leader learned that its predecessor was over, so its row no longer named that one, and was replaced before it heard worker-1, whose lease ran until 17.73 s. It answered that it had granted nothing there, and its successor settled at 17.12 s. Change: what a leader waits for is told with its own leases; one that never read the membership tells nothing, and is waited for as before.

--- a/pkg/emulator/predecessors.go
+++ b/pkg/emulator/predecessors.go
@@ -28,7 +28,7 @@
 			answers := other.up && !w.now.Before(other.frozenUntil) && !w.cut(h.name, other.name)
 			if answers && !other.holds(h.cell) {
 				if p.Holder == other.incarnation() {
-					over.Grants, over.GrantsKnown = other.grants(h.cell), true
+					over.Grants, over.GrantsKnown = other.grants(h.cell)
 				} else {
 					over.Since = other.bootedAt
 				}
@@ -54,11 +54,11 @@
 func (h *host) incarnation() string { return fmt.Sprintf("%s/%d", h.name, h.life) }
 
 // grants are the leases that this life granted in a cell and that may go on.
-func (h *host) grants(name string) map[string]time.Duration {
+func (h *host) grants(name string) (grants map[string]time.Duration, known bool) {
 	for _, s := range h.seats {
 		if s.cell == name {
 			return s.state.Grants(h.clock())
 		}
 	}
-	return nil
+	return nil, false
 }
--- a/pkg/process/cell/grants.go
+++ b/pkg/process/cell/grants.go
@@ -6,16 +6,26 @@
 // it is over. A predecessor that has come to its end, and whose process goes on, tells how long that is for each worker:
 // nothing, where it did not hear the worker either.
 
-// Grants are the leases that this process may have granted in the cell and that may go on, by worker.
-func (s *State) Grants(now time.Time) map[string]time.Duration {
-	left := map[string]time.Duration{}
+// Grants are the leases that this process may have granted in the cell and that may go on, by worker, and those that
+// it knew of and waited for: its successor does not learn of these otherwise. known is false where they may be at
+// workers that it never learned of.
+func (s *State) Grants(now time.Time) (grants map[string]time.Duration, known bool) {
+	grants = map[string]time.Duration{}
 	for id, until := range s.leases(now) {
-		left[id] = until.Sub(now)
+		grants[id] = until.Sub(now)
 	}
-	return left
+	return grants, !s.grantedUnknown.After(now)
 }
 
-// leases are until when workers may go on by what this process has granted, in all its leaderships.
+// keepLeases remembers, as a leadership ends, the leases that may go on.
+func (s *State) keepLeases(now time.Time) {
+	s.granted = s.leases(now)
+	if last := s.lastGrant(); s.phase == loading && last.After(s.grantedUnknown) {
+		s.grantedUnknown = last
+	}
+}
+
+// leases are until when workers may go on by what this process has granted, in all its leaderships, or waits for.
 func (s *State) leases(now time.Time) map[string]time.Time {
 	list := map[string]time.Time{}
 	for id, until := range s.granted {
@@ -28,6 +38,11 @@
 			list[id] = until
 		}
 	}
+	for id := range s.unsettled {
+		if until := s.lastGrantAt(id); !s.settled && until.After(now) && until.After(list[id]) {
+			list[id] = until
+		}
+	}
 	return list
 }
 
--- a/pkg/process/cell/grants_test.go
+++ b/pkg/process/cell/grants_test.go
@@ -44,11 +44,13 @@
 		b.step(100 * time.Millisecond)
 	}
 	b.state.Take(b.now, cell.Deposed{Why: "another leads"})
-	grants := b.state.Grants(b.now)
+	grants, known := b.state.Grants(b.now)
+	must.True(t, known)
 	must.MapLen(t, 15, grants)
 	must.MapNotContainsKey(t, grants, "w00")
 	must.Between(t, 3*time.Second, grants["w01"], cell.LongestLease)
-	must.MapEmpty(t, b.state.Grants(b.now.Add(5*time.Second)))
+	grants, _ = b.state.Grants(b.now.Add(5 * time.Second))
+	must.MapEmpty(t, grants)
 }
 
 // A process that leads again knows what it granted the time before, and does not count on its successor's silence.
@@ -79,3 +81,29 @@
 	v.run(100 * time.Millisecond)
 	must.Positive(t, v.state.Load(v.now, false).GetSettlesInMs())
 }
+
+// A leader that never heard a worker tells of the leases that it waited for: its row does not name leaders any more that
+// are over.
+func TestAProcessTellsTheLeasesThatItWaitedFor(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.state.Take(v.now, cell.PredecessorOver{Epoch: 2, Holder: "before/1"})
+	v.run(time.Second)
+	v.state.Take(v.now, cell.Deposed{Why: "another leads"})
+	grants, known := v.state.Grants(v.now)
+	must.True(t, known)
+	must.Between(t, 3*time.Second, grants["dark"], 4*time.Second)
+}
+
+// A leader that was deposed before it had read the membership does not know which workers it waited for.
+func TestAProcessThatNeverLoadedDoesNotTellLeases(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.state.Take(b.now, cell.Deposed{Why: "another leads"})
+	b.state.Take(b.now, cell.Led{Epoch: 3, RosterUntil: b.now.Add(3 * time.Second)})
+	b.state.Take(b.now, cell.Deposed{Why: "another leads"})
+	_, known := b.state.Grants(b.now)
+	must.False(t, known)
+	_, known = b.state.Grants(b.now.Add(4 * time.Second))
+	must.True(t, known)
+}
--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -39,7 +39,8 @@
 
 func (s *State) takeLed(now time.Time, e Led) {
 	known := s.workers
-	s.granted, s.overAt = s.leases(now), map[string]time.Time{}
+	s.keepLeases(now)
+	s.overAt = map[string]time.Time{}
 	s.forget()
 	s.phase, s.epoch, s.runs = loading, e.Epoch, 0
 	s.predecessors, s.overUntil = maps.Clone(e.Predecessors), e.RosterUntil
@@ -102,7 +103,7 @@
 		since = e.Since
 	}
 	switch lease := since.Add(longestGrant + orderTail); {
-	case e.Own:
+	case e.Own && !s.grantedUnknown.After(now):
 		maps.Copy(s.overAt, s.granted)
 	case e.GrantsKnown:
 		s.takeGrants(now, e.Grants)
@@ -265,12 +266,13 @@
 	s.placeNow = true
 }
 
-func (s *State) takeRelease() {
+func (s *State) takeRelease(now time.Time) {
 	switch s.phase {
 	case leading:
 		s.phase = releasing
 		s.note(Note{What: NoteReleased, AgeMs: -1})
 	case loading:
+		s.keepLeases(now)
 		s.stepDown("released while loading")
 	case following, releasing:
 	}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -150,6 +150,8 @@
 	// overAt is the same for single workers, by what predecessors told of their leases; granted are those of this
 	// process's earlier leaderships.
 	overAt, granted map[string]time.Time
+	// grantedUnknown is until when leases may go on at workers that an earlier leadership of this process never learned of.
+	grantedUnknown time.Time
 
 	// press is what was learned of fillers beside serving tasks. It outlives a
 	// leadership: it is about images.
@@ -252,6 +254,7 @@
 	case Led:
 		s.takeLed(now, e)
 	case Deposed:
+		s.keepLeases(now)
 		s.stepDown(e.Why)
 	case Confirmed:
 		s.confirmedAt, s.leadsUntil = e.At, e.Until
@@ -280,7 +283,7 @@
 	case RecordAnswered:
 		s.takeRecorded(now, e)
 	case Release:
-		s.takeRelease()
+		s.takeRelease(now)
 	case ClearSuspicion:
 		s.takeClearSuspicion(now, e)
 	case Advised:
--- a/pkg/process/fleet/answers.go
+++ b/pkg/process/fleet/answers.go
@@ -63,7 +63,8 @@
 			switch {
 			case ref.GetGrantsOf() == "" || l.GetHolds():
 			case ref.GetGrantsOf() == c.self.Life:
-				l.GrantsTold, l.GrantsMs = true, grantsMs(s.state.Grants(now))
+				grants, known := s.state.Grants(now)
+				l.GrantsTold, l.GrantsMs = known, grantsMs(grants)
 			default:
 				l.UpMs = now.Sub(c.self.Since).Milliseconds()
 			}
