Steps that follow on ends which are not recorded may have begun, too

Cause: a successor held an incarnation that ended unseen against tasks of ready steps only. Change: a step may have begun if no task of the steps before it runs here, by what workers list. Evidence: a test that said the second step can't have begun was wrong where no task of the first runs and none is recorded; it says three tasks now, and a new one, as strict, that one task is accused where one of the first step runs. The first fails on the code before.

--- a/pkg/process/cell/load.go
+++ b/pkg/process/cell/load.go
@@ -226,7 +226,7 @@
 				t.Settled, changed = true, true
 				settled++
 				t.Tried = t.Tried || s.mayHaveRunUnheard(t)
-				if !s.trialNowhere(now, t) && len(t.Runs) == 0 && !t.Done && t.LentTo == "" && u.Ready() && !j.Ended() {
+				if !s.trialNowhere(now, t) && len(t.Runs) == 0 && !t.Done && t.LentTo == "" && u.MayHaveBegun() && !j.Ended() {
 					mayHaveRun = append(mayHaveRun, t)
 				}
 				if len(t.Runs) == 0 && j.Begun {
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -277,6 +277,26 @@
 	return true
 }
 
+// MayHaveBegun says whether an earlier leader may have started the unit's tasks: all that it comes after has ended well,
+// or has no run here, as where an end was seen and not recorded.
+func (u *Unit) MayHaveBegun() bool {
+	if u.Job.Guest() {
+		return true
+	}
+	for _, a := range u.Spec.GetAfter() {
+		before := u.Job.unit(u.Time, int(a))
+		if before == nil || !before.MayHaveBegun() {
+			return false
+		}
+		for _, t := range before.Tasks {
+			if !t.Done && len(t.Runs) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // ImageOf names what a step's tasks run.
 func ImageOf(job *wire.JobSpec, step *wire.StepSpec) string { return job.ImageOf(step) }
 
