Emulator: an answer is for the life of the process that asked

The answer came after it had started again, at 9.030 s, and was handed to the seat of the life before, which led on in epoch 1 until 15 s, starting tasks and renewing leases, though its process was gone. Cause: the emulator checked which life an answer is for when it came, not when it was asked for. The test fails without the change.

--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -108,19 +108,20 @@
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
 
 func (h *seat) toWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
+	here := h.lives()
 	for _, k := range h.world.workers {
 		if k.name != to.Address {
 			continue
 		}
 		call(h.world, h.name, k, to.ID, limit, wait, h.upload(bytes)+h.connect(k), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
-			h.back(func() {
+			here(func() {
 				var err error
 				if !ok {
 					err = fault.New(fault.Unknown, to.ID, "no answer", "")
 				}
 				done(v, refusal, err)
 				h.act()
-			})()
+			})
 		})
 	}
 }
@@ -191,11 +192,11 @@
 }
 
 func (h *seat) readCell(loaded cell.Loaded, again func()) {
-	t := h.world.table
+	t, here := h.world.table, h.lives()
 	t.scan(h.name, rows.SpecTable(h.cell), func(specs []table.Row, _ time.Duration, ok1 bool) {
 		t.scan(h.name, rows.ProgressTable(h.cell), func(progress []table.Row, _ time.Duration, ok2 bool) {
 			t.scan(h.name, rows.CancelTable(h.cell), func(cancels []table.Row, at time.Duration, ok3 bool) {
-				h.back(func() {
+				here(func() {
 					if !ok1 || !ok2 || !ok3 {
 						again()
 						return
@@ -206,7 +207,7 @@
 					loaded.Wall, loaded.StoreNow = h.world.now, at
 					h.state.Take(h.clock(), loaded)
 					h.act()
-				})()
+				})
 			})
 		})
 	})
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -204,6 +204,12 @@
 	playSomeDays(t, emulator.AllTroublesPlan, troubledDays)
 }
 
+// A host was killed between a question to the table and its answer, and its leader went on in the next life.
+func TestAnAnswerIsForTheLifeThatAsked(t *testing.T) {
+	t.Parallel()
+	playSeeds(t, emulator.DeposedPlan, 50304)
+}
+
 func TestTheSameSeedGivesTheSameDay(t *testing.T) {
 	t.Parallel()
 	a, _ := emulator.Play(emulator.DefaultPlan(3))
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -126,8 +126,15 @@
 // back wraps the answer of a call: it is for this life only, and waits while
 // the host is frozen.
 func (h *host) back(do func()) func() {
+	here := h.lives()
+	return func() { here(do) }
+}
+
+// lives returns what runs something while the life lasts in which it was asked for: an answer is for the life that
+// asked, not for the one in which it comes.
+func (h *host) lives() func(do func()) {
 	life := h.life
-	return func() {
+	return func(do func()) {
 		if h.up && h.life == life {
 			h.on(do)
 		}
@@ -230,8 +237,9 @@
 }
 
 func (h *host) commit(tx table.Transaction, done func(c table.Committed, ok bool)) {
+	here := h.lives()
 	send := func() {
-		h.world.table.commit(h.name, tx, func(c table.Committed, ok bool) { h.back(func() { done(c, ok) })() })
+		h.world.table.commit(h.name, tx, func(c table.Committed, ok bool) { here(func() { done(c, ok) }) })
 	}
 	queued := h.upload(transactionBytes(tx))
 	if queued == 0 {
@@ -281,9 +289,9 @@
 }
 
 func (h *seat) readLeads() {
-	askedAt := h.clock()
+	askedAt, here := h.clock(), h.lives()
 	h.world.table.scan(h.name, rows.LeadTable, func(list []table.Row, at time.Duration, ok bool) {
-		h.back(func() {
+		here(func() {
 			if !ok {
 				return
 			}
@@ -297,7 +305,7 @@
 			}
 			h.changed(h.seat.TakeRead(h.clock(), askedAt, row, version, at))
 			h.act()
-		})()
+		})
 	})
 }
 
@@ -324,9 +332,9 @@
 	if !h.state.Leading() {
 		return
 	}
-	askedAt := h.clock()
+	askedAt, here := h.clock(), h.lives()
 	h.world.table.scan(h.name, rows.SpecTable(h.cell), func(list []table.Row, at time.Duration, ok bool) {
-		h.back(func() {
+		here(func() {
 			for _, r := range list {
 				spec := &wire.JobSpec{}
 				if rows.Read(r, spec) == nil {
@@ -336,14 +344,14 @@
 			if ok {
 				h.state.Take(h.clock(), cell.Followed{At: askedAt})
 			}
-		})()
+		})
 	})
 	h.world.table.scan(h.name, rows.CancelTable(h.cell), func(list []table.Row, _ time.Duration, _ bool) {
-		h.back(func() {
+		here(func() {
 			for _, r := range list {
 				h.takeCancelRow(r)
 			}
-		})()
+		})
 	})
 }
 
