A predecessor does not tell the tenure of leaders that the row names

Cause: host-1 led for a moment, suspended, and waited for host-3, which it did not know to be over, for a tenure. It told that to its successor, which was host-3. Change: a leader that is not known to be over stands in the row, so its successor sees to that one itself; told is what is known of leaders that are over.

--- a/pkg/process/cell/grants.go
+++ b/pkg/process/cell/grants.go
@@ -20,8 +20,8 @@
 // keepLeases remembers, as a leadership ends, the leases that may go on.
 func (s *State) keepLeases(now time.Time) {
 	s.granted = s.leases(now)
-	if last := s.lastGrant(); s.phase == loading && last.After(s.grantedUnknown) {
-		s.grantedUnknown = last
+	if s.phase == loading && s.overUntil.After(s.grantedUnknown) {
+		s.grantedUnknown = s.overUntil
 	}
 }
 
@@ -39,8 +39,11 @@
 		}
 	}
 	for id := range s.unsettled {
-		if until := s.lastGrantAt(id); !s.settled && until.After(now) && until.After(list[id]) {
-			list[id] = until
+		// Of leaders that are not known to be over the successor reads in the row.
+		for _, until := range []time.Time{s.overUntil, s.overAt[id]} {
+			if !s.settled && until.After(now) && until.After(list[id]) {
+				list[id] = until
+			}
 		}
 	}
 	return list
--- a/pkg/process/cell/grants_test.go
+++ b/pkg/process/cell/grants_test.go
@@ -107,3 +107,13 @@
 	_, known = b.state.Grants(b.now.Add(4 * time.Second))
 	must.True(t, known)
 }
+
+// A leader that waited for one that is not over does not tell of that: the row names it, and its successor may be it.
+func TestAProcessDoesNotTellTheTenureOfALeaderThatTheRowNames(t *testing.T) {
+	t.Parallel()
+	v := newTakeover(15 * time.Second)
+	v.run(time.Second)
+	v.state.Take(v.now, cell.Deposed{Why: "another leads"})
+	grants, _ := v.state.Grants(v.now)
+	must.MapNotContainsKey(t, grants, "dark")
+}
