Of ends that show after a cell has settled one is held against a task

Cause: two workers that a successor had not heard had crashed, and both ends were held against each of 118 tasks, which can have run at one of them only: with those of other takeovers they were suspected. Change: a leader holds one end that nobody saw against a task, whenever it shows.

--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -143,6 +143,8 @@
 	weighedSeq int64
 	// unheard are members that were not heard when the cell settled, and whose end has not shown since.
 	unheard map[string]unheardMember
+	// unseenHeld are the tasks against which this leader holds an end that nobody saw.
+	unseenHeld map[*jobs.Task]bool
 	// predecessors are leaders that are not known to be over, and when what each may have granted is
 	// over; overUntil is the same for the others.
 	predecessors map[string]time.Time
@@ -227,6 +229,7 @@
 	s.adviceOut = ""
 	s.unsettled = map[string]bool{}
 	s.earlier, s.unseen, s.unheard = map[string]*wire.RosterEntry{}, nil, map[string]unheardMember{}
+	s.unseenHeld = map[*jobs.Task]bool{}
 	s.settled, s.othersSettled, s.mayRunUnheard = false, false, nil
 	s.died, s.falls, s.silent, s.followedAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -93,10 +93,7 @@
 	for _, id := range slices.Sorted(maps.Keys(mayHaveRun)) {
 		for _, t := range mayHaveRun[id] {
 			c := blame.Unseen(id, s.earlier[id].GetBorn(), len(mayHaveRun[id])-1, len(ended), s.wall)
-			if t.Accuse(c) {
-				s.remember(t)
-				s.suspected(now, t, c)
-			}
+			s.holdUnseen(now, t, c)
 		}
 	}
 	s.weighedSeq = s.seq
@@ -125,14 +122,19 @@
 	u := s.unheard[id]
 	delete(s.unheard, id)
 	for _, t := range u.tasks {
-		if t.Done || t.Unit.Job.Ended() || crashOf(t, id, u.entry.GetBorn()) >= 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
+		if t.Done || t.Unit.Job.Ended() || s.unseenHeld[t] || crashOf(t, id, u.entry.GetBorn()) >= 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
 			continue
 		}
-		c := blame.Unseen(id, u.entry.GetBorn(), len(u.tasks)-1, 1, s.wall)
-		if t.Accuse(c) {
-			s.remember(t)
-			s.suspected(now, t, c)
-		}
+		s.holdUnseen(now, t, blame.Unseen(id, u.entry.GetBorn(), len(u.tasks)-1, 1, s.wall))
+	}
+}
+
+// holdUnseen holds an end that nobody saw against a task: one for each leader, as it can have run at one of them only.
+func (s *State) holdUnseen(now time.Time, t *jobs.Task, c blame.Crash) {
+	if t.Accuse(c) {
+		s.unseenHeld[t] = true
+		s.remember(t)
+		s.suspected(now, t, c)
 	}
 }
 
