A successor passes on what may run at a worker that it does not hear

Cause: the first successor read what may run at worker-9, and wrote the membership without it, since the worker's incarnation, which only its answers tell, was not known to it. Change: what the row says of a worker holds until that has answered.

--- a/pkg/process/cell/runsknown_test.go
+++ b/pkg/process/cell/runsknown_test.go
@@ -142,3 +142,23 @@
 	must.MapNotContainsKey(t, successor.started, "00000000000000aa.0.0.0")
 	must.MapContainsKey(t, successor.started, "00000000000000aa.1.0.0")
 }
+
+// A successor that does not hear a worker either passes on what its predecessor knew of the runs there.
+func TestASuccessorPassesOnWhatMayRunAtAWorkerThatItDoesNotHear(t *testing.T) {
+	t.Parallel()
+	for _, born := range []int64{0, 7} {
+		b := newEmptyCell()
+		members := b.state.Roster()
+		b.silent["w03"] = true
+		entry := members[slices.IndexFunc(members, func(e *wire.RosterEntry) bool { return e.GetId() == "w03" })]
+		entry.Born, entry.RunsKnown, entry.MayRun = born, true, []string{thereTask}
+		successor := newEmptyCell()
+		successor.takeOver(b, 15*time.Second, members, lastingJob("00000000000000ff"))
+		for range 5 {
+			successor.step(100 * time.Millisecond)
+		}
+		must.Eq(t, born, successor.entryOf("w03").GetBorn())
+		must.True(t, successor.entryOf("w03").GetRunsKnown())
+		must.Eq(t, []string{thereTask}, successor.entryOf("w03").GetMayRun())
+	}
+}
--- a/pkg/process/cell/unseen.go
+++ b/pkg/process/cell/unseen.go
@@ -165,6 +165,8 @@
 	e := &wire.RosterEntry{Id: w.ID, Address: w.Address, Host: w.Host, Service: w.Service, Born: w.Born, Leaving: w.Leaving, RunsKnown: w.RunsKnown, MayRun: w.MayRun}
 	before := s.earlier[w.ID]
 	switch {
+	case before.GetBorn() != 0 && w.Born == 0:
+		e.Born, e.Leaving = before.GetBorn(), w.Leaving || before.GetLeaving() // it has not answered yet
 	case before.GetBorn() != 0 && before.GetBorn() != w.Born:
 		e.Born, e.Leaving, e.RunsKnown, e.MayRun = before.GetBorn(), before.GetLeaving(), false, nil
 	case before.GetLeaving():
