--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -239,7 +239,7 @@
 		{name: "room of unknown runs", unsafe: cell.Unsafe{NoStrayRoom: true}, plan: emulator.RoomsPlan, rule: "LIMIT"},
 		{name: "time that counts suspensions", steady: true, plan: emulator.SuspendsPlan, rule: "TWICE"},
 		{name: "runs of jobs that are not known yet", unsafe: cell.Unsafe{NoStrays: true}, plan: emulator.DeposedPlan, rule: "TWICE"},
-		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.CrashTasksPlan, from: 400, rule: "BUDGET"},
+		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.AllTroublesPlan, rule: "BUDGET"},
 		// A trial that nobody recorded leaves a life that ended unseen. So with this fence alone out no day breaks
 		// any more, of 4,000; with the other out, too, one does.
 		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true, NoUnseen: true}, plan: emulator.CrashTasksPlan, from: 400, rule: "BUDGET"},
