--- a/pkg/process/cell/lend_wait_test.go
+++ b/pkg/process/cell/lend_wait_test.go
@@ -69,7 +69,7 @@
 	must.Between(t, 3900, spec.GetGuest()[0].GetWaitedMs(), 4200)
 }
 
-// A task that was delegated here and loses its run is tried here first, before it is returned.
+// A delegated task that loses its run may start here again before it is returned.
 func TestADelegatedTaskThatLosesItsRunIsTriedHereFirst(t *testing.T) {
 	t.Parallel()
 	b := newEmptyCell()
--- a/pkg/process/cell/runsknown.go
+++ b/pkg/process/cell/runsknown.go
@@ -9,10 +9,10 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// Members whose runs are known. A worker that leaves gets no more work, and one that is silent gets none for now: so
-// the membership can name the tasks that may run there. A successor that does not hear such a worker holds back those
-// tasks only, and holds its end against no other. Before a worker gets work again, a membership that no longer says
-// so is recorded.
+// Members whose runs are known. A worker that leaves gets no more work, and one that is silent gets none for now, so
+// the membership can name the tasks that may run there. A successor that does not hear such a worker holds back these
+// tasks only; if the worker has crashed, it accuses no others. A worker gets work again only after a membership
+// without its tasks has been recorded.
 
 // mayRunMost bounds the tasks that the membership names, in all: what most workers of a cell hold that are cut off
 // together is not worth its bytes.
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -5,7 +5,7 @@
 // makes no calls and reads no clock, so each failure can be brought about by
 // events alone. Data flows one way:
 //
-//	event -> load.go (takeover), look.go, lives.go and lists.go (workers), orders.go (answers)
+//	event -> load.go, settle.go (takeover), look.go, lives.go and lists.go (workers), orders.go (answers)
 //	      -> ends.go (what an end means for its job)
 //	      -> crashes.go (what the end of a life means for what ran there)
 //	      -> lost.go (what is taken for over), leaving.go, lend.go
