Workers that never answered a leader are no workers that went silent

Callers saw: a task that crashes its workers was started a sixth time (BUDGET), and jobs waited for a quiet period that did not come, in cells whose registry lists rows without a process. Cause: addSilence took the zero time as the beginning of the interval in which such a worker went silent. The interval overlapped each crash, so that a prompt crash of an isolated run counted as part of an outage; and a row that is dropped and listed again kept the cell from being quiet. The fleet of the tests answers starts with the size of their orders now; without it all starts beyond some ninety were held back.

--- a/pkg/process/cell/crash_fleet_test.go
+++ b/pkg/process/cell/crash_fleet_test.go
@@ -206,7 +206,7 @@
 
 func (f *crashFleet) answerStart(e cell.SendStart) {
 	w := f.workers[e.To.ID]
-	started := cell.StartAnswered{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: w.clockOffset + f.now.Sub(time.Unix(1000, 0))}}
+	started := cell.StartAnswered{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Clock: w.clockOffset + f.now.Sub(time.Unix(1000, 0))}, Bytes: e.Bytes}
 	if w.down || (e.To.Born != 0 && e.To.Born != w.born) {
 		started.Reply, started.Err = workers.Reply{}, fault.New(fault.Unknown, w.id, "EOF", "")
 	} else {
--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -65,8 +65,12 @@
 	isolated      bool
 }
 
-// addSilence records that a worker went silent, noticed at a given time.
+// addSilence records that a worker went silent, noticed at a given time. A worker that has never answered this leader
+// is left out: its registry row may be outdated, and the time of its end is unknown.
 func (s *State) addSilence(now time.Time, w *workers.Worker, at time.Time) {
+	if w.LastAnswerAt.IsZero() {
+		return
+	}
 	s.silences = slices.DeleteFunc(s.silences, func(f silence) bool { return now.Sub(f.before) >= silenceMemory })
 	s.silences = append(s.silences, silence{w.ID, w.LastAnswerAt, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
 }
