Unobserved ends keep their names when a cell settles in steps

Seen by reading: a crash of a worker without a name was held against a task that can't have run anywhere that ended. Cause: unobservedEndsToRecord deleted recorded ends from a slice that shares its array with State.unobservedEnds, so that of [a b] the next call made [b ""]. Evidence: the test reaches it through events alone: a silent member keeps the cell from settling, so that the list is read on each scan, and the task that settles last gets the crash. It fails without the change.

--- a/pkg/process/cell/unobserved_crashes.go
+++ b/pkg/process/cell/unobserved_crashes.go
@@ -52,7 +52,7 @@
 // is not completely recorded: those that addUnobservedEnd remembers, and those at which another incarnation answers
 // under the id.
 func (s *State) unobservedEndsToRecord() []string {
-	ended := s.unobservedEnds
+	ended := slices.Clone(s.unobservedEnds)
 	for _, id := range slices.Sorted(maps.Keys(s.retainedMembers)) {
 		w, born := s.workers[id], s.retainedMembers[id].GetBorn()
 		if !s.retainedMembers[id].GetLeaving() && w != nil && w.HasAnswered && born != 0 && w.Born != 0 && w.Born != born {
