The time of a crash is known as closely as the failed poll shows it

Callers saw: a task that crashes its workers was started once more than its crashes allow (BUDGET beside other causes). Cause: the interval in which a worker went silent went from its last answer to the failure of the poll, up to 1.6 s, so crashes half a second apart, or a link that was cut a second before, counted as one outage.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -57,7 +57,7 @@
 	at, since time.Time
 }
 
-// silence is the interval in which a worker went silent or began a new incarnation: after its last answer
+// silence is the interval in which a worker went silent or began a new incarnation: after it was last known to be alive
 // and before the leader noticed. isolated says that an isolated run was in progress there.
 type silence struct {
 	worker        string
@@ -72,14 +72,14 @@
 		return
 	}
 	s.silences = slices.DeleteFunc(s.silences, func(f silence) bool { return now.Sub(f.before) >= silenceMemory })
-	s.silences = append(s.silences, silence{w.ID, w.LastAnswerAt, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
+	s.silences = append(s.silences, silence{w.ID, w.AliveAt, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
 }
 
 // simultaneousSilences returns how many workers, w included, may have gone silent at the same time as w, and on how
 // many of the others an isolated run was in progress.
 func (s *State) simultaneousSilences(w *workers.Worker, at time.Time) (all, isolated int) {
 	for _, f := range s.silences {
-		if !f.after.Before(at.Add(simultaneousWindow)) || !f.before.After(w.LastAnswerAt.Add(-simultaneousWindow)) {
+		if !f.after.Before(at.Add(simultaneousWindow)) || !f.before.After(w.AliveAt.Add(-simultaneousWindow)) {
 			continue
 		}
 		all++
@@ -387,11 +387,11 @@
 	})
 }
 
-// minRunAge returns the least time that a run has lasted: until its worker's last answer, as the incarnation may
-// have ended right after that.
+// minRunAge returns the least time that a run has lasted: until its worker was last known to be alive, as the
+// incarnation may have ended right after that.
 func minRunAge(w *workers.Worker, r *jobs.Run) time.Duration {
 	if r.BeganAt.IsZero() {
 		return 0
 	}
-	return max(0, w.LastAnswerAt.Sub(r.BeganAt))
+	return max(0, w.AliveAt.Sub(r.BeganAt))
 }
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -150,7 +150,8 @@
 	w.PollOutstanding, w.PollSentAt = true, now
 	to := target(w)
 	to.Address = w.PollAddress()
-	s.emit(SendPoll{To: to, Poll: l, Timeout: l.Wait + max(pollSlack, s.startWindow.Timeout())})
+	w.PollWait, w.PollTimeout = l.Wait, l.Wait+max(pollSlack, s.startWindow.Timeout())
+	s.emit(SendPoll{To: to, Poll: l, Timeout: w.PollTimeout})
 }
 
 // takePollAnswered handles the outcome of the last poll of a worker.
@@ -210,7 +211,7 @@
 // workerAnswered handles an answer of a worker to a poll; clock is the worker's clock.
 func (s *State) workerAnswered(now time.Time, w *workers.Worker, clock time.Duration) {
 	w.UpdateClock(now, clock)
-	w.LastAnswerAt, w.FailedPolls = now, 0
+	w.LastAnswerAt, w.AliveAt, w.FailedPolls = now, now, 0
 	if !w.HasAnswered {
 		w.HasAnswered, w.FirstAnswerAt = true, now
 		if !w.SilentSince.IsZero() {
@@ -250,7 +251,7 @@
 func (s *State) pollFailed(now time.Time, w *workers.Worker, why string) {
 	if w.SilentSince.IsZero() {
 		w.SilentSince = now
-		s.addSilence(now, w, now)
+		s.addSilence(now, w, s.latestAlive(now, w))
 		s.note(Note{Kind: NoteWorkerSilent, Worker: w.ID, Detail: why, AgeMs: now.Sub(w.LastAnswerAt).Milliseconds()})
 	}
 	w.FailedPolls++
@@ -260,6 +261,20 @@
 	w.NextPollAt = now.Add(pollRetryPause)
 }
 
+// latestAlive returns the latest time at which a worker whose poll has just failed can have been reachable. It updates
+// w.AliveAt if the worker broke the connection while the poll waited there. A poll that timed out was not answered at
+// the end of its wait.
+func (s *State) latestAlive(now time.Time, w *workers.Worker) time.Time {
+	waited := now.Sub(w.PollSentAt)
+	switch {
+	case waited >= w.PollTimeout:
+		return w.PollSentAt.Add(w.PollWait + brokenConnectionSlack)
+	case waited > brokenConnectionSlack && !w.LastAnswerAt.IsZero():
+		w.AliveAt = now.Add(-brokenConnectionSlack)
+	}
+	return now
+}
+
 // advanceRecorded advances w.LastRecordedEnd, the newest end that the worker may forget.
 func (s *State) advanceRecorded(w *workers.Worker) {
 	if s.unsafe.NoRecorded {
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -91,11 +91,17 @@
 	// zero: the last call succeeded.
 	LastAnswerAt time.Time
 	SilentSince  time.Time
+	// AliveAt is the latest time at which the incarnation is known to have been running: that of its last answer, or
+	// shortly before a waiting call broke.
+	AliveAt time.Time
 	// FailedPolls is how many polls in a row have failed.
 	FailedPolls int
-	// PollSentAt is when the last poll was sent. PollOutstanding says that its answer is awaited.
+	// PollSentAt is when the last poll was sent, PollWait how long the worker may wait before it answers, PollTimeout how
+	// long the answer is awaited. PollOutstanding says that it is awaited.
 	// NextPollAt is when the next poll is due.
 	PollSentAt      time.Time
+	PollWait        time.Duration
+	PollTimeout     time.Duration
 	PollOutstanding bool
 	NextPollAt      time.Time
 	// LastEnd is the number of the newest end that was processed, LastRecordedEnd that of the
