An isolated run that was found nowhere decides also as the last crash

Cause: with an unobserved end among the crashes the last one had to be of a run that is known to have begun without company. A recorded isolated run that a successor finds nowhere has neither, though it counts as the fourth of five. Change: as the last one it decides by the rule for a crash with a likely external cause.

--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -144,6 +144,9 @@
 // the cause, nor a host that had crashed under the task before.
 func (c Crash) onlyCandidate() bool { return c.Company == 0 && c.Began && !c.Again && !c.Silent }
 
+// isLostIsolated reports whether the crash stands for a recorded isolated run that was found nowhere.
+func (c Crash) isLostIsolated() bool { return c.Run == 0 && !c.Unseen }
+
 // tally sums up the crashes of one task.
 //
 // all is the number of crashes and weight the sum of their weights. promptAny is the number of known runs below
@@ -173,10 +176,10 @@
 		if c.Unseen {
 			t.unobserved++
 		}
+		if c.isLostIsolated() {
+			t.lostIsolated++
+		}
 		if c.Run == 0 {
-			if !c.Unseen {
-				t.lostIsolated++
-			}
 			continue
 		}
 		t.knownWeight += c.weight()
@@ -228,17 +231,17 @@
 // Some runs have to be known to have begun, as a recorded isolated run may never have been ordered. With unobserved
 // ends among the crashes, the last crash has to be of a run without company, and more is asked of the others:
 // else a task that merely waited through many takeovers would be poisonous. If the last crash has a likely external
-// cause, more than minBegan runs must have begun, or be recorded isolated runs that were found nowhere. If it has
-// none, one crash fewer is enough, as the record of some crash that a leader saw may have been lost, but
+// cause, or is a recorded isolated run that was found nowhere, more than minBegan runs must have begun, or be such
+// isolated runs. Else one crash fewer is enough, as the record of some crash that a leader saw may have been lost, but
 // minBegan runs must have ended promptly.
 func reachesLimit(t tally, last Crash) bool {
 	if t.unobserved == 0 {
 		return t.ended >= maxCrashes && t.began >= minBegan
 	}
-	if !last.onlyCandidate() {
+	if !last.onlyCandidate() && !last.isLostIsolated() {
 		return false
 	}
-	if last.Outside {
+	if last.Outside || last.isLostIsolated() {
 		return t.ended >= maxCrashes && t.began >= minBegan && t.began+t.lostIsolated > minBegan
 	}
 	return t.ended >= maxCrashes-1 && t.prompt >= minBegan
