Three workers that went silent soon after a start make a task run isolated

Cause: isolation was asked for only once a worker was known to have crashed. Workers whose connection broke and that are not back yet are only silent. Change: three runs that may have ended soon after their start are enough. Two silent workers are no reason, as before.

--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -218,7 +218,7 @@
 	switch {
 	case reachesLimit(alike, crashes[len(crashes)-1]), identifiesTask(alike, crashes[len(crashes)-1]):
 		return Poisonous
-	case t.ended > t.unobserved && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
+	case (t.ended > t.unobserved || t.promptAny >= isolationCrashes) && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
 		return NeedsIsolation
 	case t.weight >= suspectWeight:
 		return Suspected
