A job fails for a crash only once the other crashes of that moment are known

Cause: the leader decided 4 ms after the connection to the fourth worker broke, when 1 of 6 workers was known to be silent. Three more of the wave showed 6 ms, 0.9 s and 1.6 s later. How many workers went silent at the same time was counted once, at the first notice. Change: the verdict waits until each other worker has answered, or fallen silent, since the crash: a poll, and 1.9 s at most. Then the ends are counted again. A silent worker whose crash would decide is waited for. The task does not start meanwhile; a successor decides for a leader that ends.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -61,6 +61,7 @@
 // and before the leader noticed. isolated says that an isolated run was in progress there.
 type silence struct {
 	worker        string
+	born          int64
 	after, before time.Time
 	isolated      bool
 }
@@ -72,18 +73,18 @@
 		return
 	}
 	s.silences = slices.DeleteFunc(s.silences, func(f silence) bool { return now.Sub(f.before) >= silenceMemory })
-	s.silences = append(s.silences, silence{w.ID, w.AliveAt, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
+	s.silences = append(s.silences, silence{w.ID, w.Born, w.AliveAt, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
 }
 
-// simultaneousSilences returns how many workers, w included, may have gone silent at the same time as w, and on how
-// many of the others an isolated run was in progress.
-func (s *State) simultaneousSilences(w *workers.Worker, at time.Time) (all, isolated int) {
+// simultaneousSilences returns how many workers, the one of the given silence included, may have gone silent at the same
+// time, and on how many of the others an isolated run was in progress.
+func (s *State) simultaneousSilences(of silence) (all, isolated int) {
 	for _, f := range s.silences {
-		if !f.after.Before(at.Add(simultaneousWindow)) || !f.before.After(w.AliveAt.Add(-simultaneousWindow)) {
+		if !f.after.Before(of.before.Add(simultaneousWindow)) || !f.before.After(of.after.Add(-simultaneousWindow)) {
 			continue
 		}
 		all++
-		if f.isolated && f.worker != w.ID {
+		if f.isolated && f.worker != of.worker {
 			isolated++
 		}
 	}
@@ -155,7 +156,7 @@
 	if s.phase == following || len(w.Runs) == 0 || w.LeftOrderly() {
 		return
 	}
-	simultaneous, isolated := s.simultaneousSilences(w, at)
+	simultaneous, isolated := s.simultaneousSilences(silence{worker: w.ID, after: w.AliveAt, before: at})
 	ended := poisontask.EndedIncarnation{Worker: w.ID, Host: w.Host, Born: w.Born, Silent: silent, TimedOut: foundByTimeout(w), SimultaneousEnds: simultaneous, OthersIsolated: isolated, Workers: len(s.workers), At: s.wall.Add(-now.Sub(at))}
 	for _, r := range w.Runs {
 		ended.Runs = append(ended.Runs, poisontask.EndedRun{Run: r.Number, Began: !r.BeganAt.IsZero(), Age: minRunAge(w, r), HostCrashedWithout: s.hostCrashedWithout(now, w, r.Task), CrashesWithout: s.crashesWithout(now, r.Task), Gang: gangOf(r), Isolated: r.Isolated})
@@ -216,8 +217,8 @@
 	}
 }
 
-// evidenceChanged acts on new evidence against a task: it has the evidence recorded, logs the suspicion, and fails
-// the job of a poisonous task.
+// evidenceChanged acts on new evidence against a task: it has the evidence recorded, logs the suspicion, and awaits the
+// verdict on a poisonous task.
 func (s *State) evidenceChanged(now time.Time, t *jobs.Task, c poisontask.Crash) {
 	j := t.Unit.Job
 	level := t.Level()
@@ -232,7 +233,7 @@
 		})
 	}
 	if level == poisontask.Poisonous {
-		s.endJob(now, j, wire.JobPhase_JOB_PHASE_FAILED, poisonousReason(t))
+		s.awaitVerdict(now, t)
 	}
 }
 
@@ -298,6 +299,9 @@
 				s.trackImplicated(t)
 				s.trackSilentRun(now, awaitsOutcomeSince(now, t), t, c)
 			}
+			if t.Level() == poisontask.Poisonous && !j.Ended() {
+				s.awaitVerdict(now, t)
+			}
 		}
 	}
 }
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -114,6 +114,9 @@
 	silentRuns []silentRun
 	// implicated are the implicated tasks: those with crash evidence, in the order in which they got the first of it.
 	implicated []*jobs.Task
+	// verdicts holds the poisonous tasks whose jobs are about to fail, and when the last worker that each crashed went
+	// silent.
+	verdicts map[*jobs.Task]time.Time
 	// closedWorkers are the workers that no other task may join, because an isolated run is there or is about to start.
 	// isolatedRuns is the number of isolated runs. Both are as of the last placement. isolationReservations are the
 	// workers reserved for the isolated run of a task; a reservation lasts over several placements.
@@ -259,7 +262,7 @@
 	s.settled, s.unnamedSettled, s.heldBackTasks = false, false, nil
 	s.diedRuns, s.silences, s.silentRuns, s.caughtUpAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
-	s.implicated = nil
+	s.implicated, s.verdicts = nil, map[*jobs.Task]time.Time{}
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
@@ -358,6 +361,7 @@
 	s.removeGoneWorkers(now)
 	s.loseDiedRuns(now)
 	s.exonerateSuspects()
+	s.decideVerdicts(now)
 	s.expireSilentRuns(now)
 	s.settle(now)
 	s.dropRetainedMembers()
--- /dev/null
+++ b/pkg/process/cell/verdicts.go
@@ -0,0 +1,101 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/poisontask"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// Verdicts. A job with a poisonous task fails only after the leader knows which other workers went silent together with
+// the last one that the task crashed: a crash in a wave is noticed some milliseconds before the others of the wave, and
+// those that only a timeout shows are noticed a second later. Meanwhile the task does not start.
+
+// maxVerdictWait bounds the wait for answers of the other workers: until polls sent before the crash have timed out.
+const maxVerdictWait = idlePollWait + pollSlack + simultaneousWindow
+
+// awaitVerdict has the job of a poisonous task fail, unless the crashes turn out to be simultaneous with others, or a
+// silent worker answers again.
+func (s *State) awaitVerdict(now time.Time, t *jobs.Task) {
+	s.verdicts[t] = s.latestSilence(t)
+	t.RetryAt = now.Add(maxSilentWait + maxVerdictWait)
+	s.scanDue = true
+}
+
+// latestSilence returns when the last worker that a task crashed went silent, or zero if this leader did not notice it.
+func (s *State) latestSilence(t *jobs.Task) time.Time {
+	var latest time.Time
+	for _, c := range t.Crashes {
+		if f, known := s.silenceOf(c); known && f.before.After(latest) {
+			latest = f.before
+		}
+	}
+	return latest
+}
+
+// silenceOf returns the silence of the worker that a crash is about, and whether this leader knows of one.
+func (s *State) silenceOf(c poisontask.Crash) (silence, bool) {
+	i := slices.IndexFunc(s.silences, func(f silence) bool { return f.worker == c.Worker && f.born == c.Born })
+	if i < 0 {
+		return silence{}, false
+	}
+	return s.silences[i], true
+}
+
+// decideVerdicts fails the jobs of poisonous tasks about whose crashes nothing more can become known.
+func (s *State) decideVerdicts(now time.Time) {
+	for t := range maps.Keys(s.verdicts) {
+		if t.Unit.Job.Ended() {
+			delete(s.verdicts, t)
+		}
+	}
+	for _, t := range slices.Clone(s.implicated) {
+		last, awaited := s.verdicts[t]
+		if !awaited || (t.Level() == poisontask.Poisonous && !s.mayDecide(now, t, last)) {
+			continue
+		}
+		delete(s.verdicts, t)
+		if t.UpdateEvidence(s.recountEnds) {
+			s.markDirty(t.Unit.Job, true)
+		}
+		if t.Level() == poisontask.Poisonous {
+			s.endJob(now, t.Unit.Job, wire.JobPhase_JOB_PHASE_FAILED, poisonousReason(t))
+			continue
+		}
+		t.RetryAt = now
+		s.updateWaiting(now, t.Unit.Job)
+		s.placementDue = true
+	}
+}
+
+// mayDecide reports whether nothing more can become known about the crashes of a task, the last of which showed at a
+// given time.
+func (s *State) mayDecide(now time.Time, t *jobs.Task, last time.Time) bool {
+	if s.awaitsCrashOutcome(now, t) {
+		return false
+	}
+	return now.Sub(last) >= maxVerdictWait || s.allHeardSince(last.Add(simultaneousWindow))
+}
+
+// allHeardSince reports whether each worker has answered at or after a given time, or is silent.
+func (s *State) allHeardSince(at time.Time) bool {
+	for _, w := range s.workers {
+		if w.HasAnswered && !w.Ended && w.SilentSince.IsZero() && w.LastAnswerAt.Before(at) {
+			return false
+		}
+	}
+	return true
+}
+
+// recountEnds returns a crash with the number of simultaneous ends as it is known now.
+func (s *State) recountEnds(c poisontask.Crash) poisontask.Crash {
+	f, known := s.silenceOf(c)
+	if !known {
+		return c
+	}
+	all, isolated := s.simultaneousSilences(f)
+	return c.WithSimultaneousEnds(all, isolated, len(s.workers))
+}
--- a/pkg/process/jobs/crash_evidence.go
+++ b/pkg/process/jobs/crash_evidence.go
@@ -106,6 +106,19 @@
 	return true
 }
 
+// UpdateEvidence replaces each crash by what update returns for it. It returns whether any differs.
+func (t *Task) UpdateEvidence(update func(poisontask.Crash) poisontask.Crash) bool {
+	crashes := slices.Clone(t.Crashes)
+	for i, c := range crashes {
+		crashes[i] = update(c)
+	}
+	if slices.Equal(crashes, t.Crashes) {
+		return false
+	}
+	t.setEvidence(crashes)
+	return true
+}
+
 // applyReturnedEvidence replaces the evidence by that of the cell that returned the task. Crashes that were confirmed
 // here since the task was delegated stay confirmed, because the other cell could not learn of them.
 func (t *Task) applyReturnedEvidence(crashes []poisontask.Crash) {
--- a/pkg/process/poisontask/evidence.go
+++ b/pkg/process/poisontask/evidence.go
@@ -122,6 +122,15 @@
 	return l.SimultaneousEnds
 }
 
+// WithSimultaneousEnds returns the crash as it is seen once it is known that some workers went silent at the same time,
+// this one included, and that some of the others had isolated runs.
+func (c Crash) WithSimultaneousEnds(ends, othersIsolated, workers int) Crash {
+	l := EndedIncarnation{SimultaneousEnds: ends, OthersIsolated: othersIsolated, Workers: workers}
+	c.Lives = max(c.Lives, ends)
+	c.Outside = c.Outside || l.simultaneous(EndedRun{Isolated: c.Trial}) >= OutageThreshold(workers)
+	return c
+}
+
 // farOlder reports whether a run of one age had lasted so much longer than another that it is not the cause of a
 // crash soon after the other's start.
 func farOlder(age, other time.Duration) bool { return age >= farOlderMargin+2*other }
