A crash surely soon after a start counts for what it shows

Cause: a leader knew only the least time that a run had lasted, so a crash could be soon after its start or a second later, and each rule had to leave room for both. With one unobserved end among the crashes the limit of five asked for a run without company, which such tasks never have. Change: the evidence holds the most that a run can have lasted, too (AgeMost). A crash within half a second of its start, without company and without a likely external cause, decides as the fourth of any kind, or as the second such one of three. Three within half a second among five decide in any case. A crash that may have come later no longer decides as early as one that is surely soon. Wire: CrashNote.age_most_ms; older hosts leave it out, which means that it is not known.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -159,7 +159,7 @@
 	simultaneous, isolated := s.simultaneousSilences(silence{worker: w.ID, after: w.AliveAt, before: at})
 	ended := poisontask.EndedIncarnation{Worker: w.ID, Host: w.Host, Born: w.Born, Silent: silent, TimedOut: foundByTimeout(w), SimultaneousEnds: simultaneous, OthersIsolated: isolated, Workers: len(s.workers), At: s.wall.Add(-now.Sub(at))}
 	for _, r := range w.Runs {
-		ended.Runs = append(ended.Runs, poisontask.EndedRun{Run: r.Number, Began: !r.BeganAt.IsZero(), Age: minRunAge(w, r), HostCrashedWithout: s.hostCrashedWithout(now, w, r.Task), CrashesWithout: s.crashesWithout(now, r.Task), Gang: gangOf(r), Isolated: r.Isolated})
+		ended.Runs = append(ended.Runs, poisontask.EndedRun{Run: r.Number, Began: !r.BeganAt.IsZero(), Age: minRunAge(w, r), AgeMost: maxRunAge(r, at), HostCrashedWithout: s.hostCrashedWithout(now, w, r.Task), CrashesWithout: s.crashesWithout(now, r.Task), Gang: gangOf(r), Isolated: r.Isolated})
 	}
 	if !silent {
 		s.addHostCrash(now, w)
@@ -399,3 +399,12 @@
 	}
 	return max(0, w.AliveAt.Sub(r.BeganAt))
 }
+
+// maxRunAge returns the most that a run can have lasted if its worker's incarnation had ended at a given time, or 0 if
+// that is not known.
+func maxRunAge(r *jobs.Run, at time.Time) time.Duration {
+	if r.Adopted {
+		return 0
+	}
+	return max(time.Millisecond, at.Sub(r.SentAt))
+}
--- a/pkg/process/jobs/crash_evidence.go
+++ b/pkg/process/jobs/crash_evidence.go
@@ -164,7 +164,7 @@
 	var list []*wire.CrashNote
 	for _, c := range crashes {
 		list = append(list, &wire.CrashNote{
-			Worker: c.Worker, Run: c.Run, AgeMs: c.Age.Milliseconds(), Company: int32(c.Company), Excused: c.Excused,
+			Worker: c.Worker, Run: c.Run, AgeMs: c.Age.Milliseconds(), AgeMostMs: c.AgeMost.Milliseconds(), Company: int32(c.Company), Excused: c.Excused,
 			Lives: int32(c.Lives), Outside: c.Outside, Silent: c.Silent, UnixMs: c.At.UnixMilli(), Born: c.Born, Host: c.Host, Began: c.Began, Again: c.Again, Unseen: c.Unseen, Accused: int32(c.Accused),
 		})
 	}
@@ -175,7 +175,7 @@
 	var list []poisontask.Crash
 	for _, n := range notes {
 		list = append(list, poisontask.Crash{
-			Worker: n.GetWorker(), Run: n.GetRun(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond, Company: int(n.GetCompany()), Excused: n.GetExcused(),
+			Worker: n.GetWorker(), Run: n.GetRun(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond, AgeMost: time.Duration(n.GetAgeMostMs()) * time.Millisecond, Company: int(n.GetCompany()), Excused: n.GetExcused(),
 			Lives: int(n.GetLives()), Outside: n.GetOutside(), Silent: n.GetSilent(), At: time.UnixMilli(n.GetUnixMs()), Born: n.GetBorn(), Host: n.GetHost(), Began: n.GetBegan(), Again: n.GetAgain(), Unseen: n.GetUnseen(), Accused: int(n.GetAccused()),
 		})
 	}
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -41,6 +41,8 @@
 	// SentAt is the time at which the start order was first sent, AckedAt the time of its answer.
 	SentAt  time.Time
 	AckedAt time.Time
+	// Adopted says that an earlier leader started the run, so that its age is not known.
+	Adopted bool
 	// SendCount is the number of times the start order was sent.
 	SendCount int
 	// ValidUntil is the order's time limit on the worker's clock. The worker does not begin the run after it.
--- a/pkg/process/poisontask/evidence.go
+++ b/pkg/process/poisontask/evidence.go
@@ -22,9 +22,10 @@
 // EndedRun is a run that ended with its worker's incarnation.
 type EndedRun struct {
 	Run int64
-	// Began says that the run is known to have begun. Age is the least time that it had lasted.
-	Began bool
-	Age   time.Duration
+	// Began says that the run is known to have begun. Age is the least time that it had lasted, AgeMost the most. 0: not
+	// known.
+	Began        bool
+	Age, AgeMost time.Duration
 	// HostCrashedWithout says that the host crashed recently while the run's task was not there. CrashesWithout is
 	// how many such crashes there were on all hosts.
 	HostCrashedWithout bool
@@ -89,7 +90,7 @@
 	list, implicated := make([]*Crash, len(l.Runs)), 0
 	for i, r := range l.Runs {
 		many := l.simultaneous(r) >= OutageThreshold(l.Workers)
-		c := &Crash{Worker: l.Worker, Host: l.Host, Born: l.Born, Run: r.Run, Began: r.Began, Trial: r.Isolated, Age: r.Age, Lives: l.SimultaneousEnds, Outside: many || l.TimedOut || (!r.Isolated && (r.HostCrashedWithout || r.CrashesWithout >= CommonCrashThreshold(l.Workers))), Silent: l.Silent, At: l.At}
+		c := &Crash{Worker: l.Worker, Host: l.Host, Born: l.Born, Run: r.Run, Began: r.Began, Trial: r.Isolated, Age: r.Age, AgeMost: r.AgeMost, Lives: l.SimultaneousEnds, Outside: many || l.TimedOut || (!r.Isolated && (r.HostCrashedWithout || r.CrashesWithout >= CommonCrashThreshold(l.Workers))), Silent: l.Silent, At: l.At}
 		for j, other := range l.Runs {
 			if j == i || (r.Gang != "" && other.Gang == r.Gang) {
 				continue
--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -27,8 +27,8 @@
 	Host string
 	// Began says that the run is known to have begun.
 	Began bool
-	// Age is the least time that the run had lasted.
-	Age time.Duration
+	// Age is the least time that the run had lasted, AgeMost the most, since its start was ordered. 0: not known.
+	Age, AgeMost time.Duration
 	// Company is how many other runs at the worker may be the cause as well, as they were not far older.
 	Company int
 	// Accused is how many tasks the end of that incarnation is evidence against, this one included. 0: unknown.
@@ -93,6 +93,9 @@
 	// promptAge is the age up to which a run counts as likely to have ended its worker. Poisonous tasks were
 	// seen to need 10 to 300 ms. Known ages may be too low by the half second between polls.
 	promptAge = 300 * time.Millisecond
+	// surelyPromptAge is the age below which a run ended soon after its start if it can't have lasted for longer. It
+	// exceeds promptAge by the time until a broken connection shows the crash.
+	surelyPromptAge = 500 * time.Millisecond
 	// maxEvidenceAge is the age from which a run gets no evidence against its task when its worker ends.
 	maxEvidenceAge = 10 * time.Second
 	// farOlderMargin is by how much a run has to exceed twice the age of another not to count as its company.
@@ -125,6 +128,9 @@
 	// maxCrashes is the number of crashes after which a task is poisonous in any case. Users accept five starts
 	// that end a worker, and no more.
 	maxCrashes = 5
+	// minSurelyPrompt is how many of maxCrashes crashes have to be surely prompt if the task is never without company,
+	// such as a member of a gang that is too wide for isolated runs.
+	minSurelyPrompt = 3
 )
 
 // weight returns the weight of the crash as evidence.
@@ -144,21 +150,37 @@
 // the cause, nor a host that had crashed under the task before.
 func (c Crash) onlyCandidate() bool { return c.Company == 0 && c.Began && !c.Again && !c.Silent }
 
+// surelyPrompt reports whether the worker crashed soon after the start of the run, by the longest time that the run can
+// have lasted, and at a host that had not crashed under the task before.
+func (c Crash) surelyPrompt() bool {
+	return c.Run != 0 && c.Began && c.AgeMost > 0 && c.AgeMost < surelyPromptAge && !c.Excused && !c.Again
+}
+
+// mayBeLate reports whether the run is known to be one that may have lasted for longer than a prompt one.
+func (c Crash) mayBeLate() bool { return c.AgeMost >= surelyPromptAge }
+
+// convicts reports whether the crash leaves hardly another cause than the run: the worker crashed soon after its start,
+// without company and without a sign of an external cause.
+func (c Crash) convicts() bool { return c.surelyPrompt() && c.onlyCandidate() && !c.Outside }
+
 // isLostIsolated reports whether the crash stands for a recorded isolated run that was found nowhere.
 func (c Crash) isLostIsolated() bool { return c.Run == 0 && !c.Unseen }
 
 // tally sums up the crashes of one task.
 //
 // all is the number of crashes and weight the sum of their weights. promptAny is the number of known runs below
-// promptAge that are neither excused nor at a host that had crashed under the task before. The other fields leave
-// out workers that are only silent. ended is the number of ended incarnations, unobserved the number of those that
+// promptAge that are neither excused nor at a host that had crashed under the task before, surelyPrompt the number that
+// are surely prompt. The other fields leave out workers that are only silent. ended is the number of ended incarnations, unobserved the number of those that
 // ended without a leader that knew what ran there, and lostIsolated the number of recorded isolated runs that
 // were found nowhere. Of the known runs, knownWeight is the sum of weights, newHosts the number at a host that had
-// not crashed under the task before, began the number known to have begun, and prompt the number that are
-// known to have begun, below promptAge and at such a host.
+// not crashed under the task before, began the number known to have begun, prompt the number that are
+// known to have begun, below promptAge and at such a host, and convicting the number that convict.
 //
 // Crashes without a known run count for less: a leader that died may have been about to start one.
-type tally struct{ all, weight, ended, promptAny, newHosts, knownWeight, began, prompt, unobserved, lostIsolated int }
+type tally struct {
+	all, weight, promptAny, surelyPrompt                                              int
+	ended, newHosts, knownWeight, began, prompt, convicting, unobserved, lostIsolated int
+}
 
 // tallyOf sums up the crashes of one task.
 func tallyOf(crashes []Crash) tally {
@@ -169,6 +191,9 @@
 		if c.Age < promptAge && c.Run != 0 && !c.Again && !c.Excused {
 			t.promptAny++
 		}
+		if c.surelyPrompt() {
+			t.surelyPrompt++
+		}
 		if c.Silent {
 			continue
 		}
@@ -192,6 +217,9 @@
 		if c.Began && c.Age < promptAge && !c.Again {
 			t.prompt++
 		}
+		if c.convicts() {
+			t.convicting++
+		}
 	}
 	return t
 }
@@ -214,11 +242,11 @@
 	if len(crashes) == 0 {
 		return Trusted
 	}
-	t, alike := tallyOf(crashes), tallyOf(atLastAge(crashes))
+	t, alike, last := tallyOf(crashes), tallyOf(atLastAge(crashes)), crashes[len(crashes)-1]
 	switch {
-	case reachesLimit(alike, crashes[len(crashes)-1]), identifiesTask(alike, crashes[len(crashes)-1]):
+	case reachesLimit(alike, last), identifiesTask(alike, last), isConvicted(t, last):
 		return Poisonous
-	case (t.ended > t.unobserved || t.promptAny >= isolationCrashes) && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
+	case (t.ended > t.unobserved || t.surelyPrompt > 0 || t.promptAny >= isolationCrashes) && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
 		return NeedsIsolation
 	case t.weight >= suspectWeight:
 		return Suspected
@@ -231,7 +259,7 @@
 // Some runs have to be known to have begun, as a recorded isolated run may never have been ordered. With unobserved
 // ends among the crashes, the last crash has to be of a run without company, and more is asked of the others:
 // else a task that merely waited through many takeovers would be poisonous. If the last crash has a likely external
-// cause, or is a recorded isolated run that was found nowhere, more than minBegan runs must have begun, or be such
+// cause, may have come long after the start, or is a recorded isolated run that was found nowhere, more than minBegan runs must have begun, or be such
 // isolated runs. Else one crash fewer is enough, as the record of some crash that a leader saw may have been lost, but
 // minBegan runs must have ended promptly.
 func reachesLimit(t tally, last Crash) bool {
@@ -241,12 +269,22 @@
 	if !last.onlyCandidate() && !last.isLostIsolated() {
 		return false
 	}
-	if last.Outside || last.isLostIsolated() {
+	if last.Outside || last.mayBeLate() || last.isLostIsolated() {
 		return t.ended >= maxCrashes && t.began >= minBegan && t.began+t.lostIsolated > minBegan
 	}
 	return t.ended >= maxCrashes-1 && t.prompt >= minBegan
 }
 
+// isConvicted reports whether crashes whose ages are known within narrow bounds show that the task is poisonous: with
+// the last that convicts, as many as one fewer than maxCrashes of any kind, or three if another one convicts; or
+// maxCrashes, minSurelyPrompt of them surely prompt, though the run was never without company.
+func isConvicted(t tally, last Crash) bool {
+	if t.all >= maxCrashes && t.surelyPrompt >= minSurelyPrompt {
+		return true
+	}
+	return last.convicts() && t.began >= minBegan && (t.all >= maxCrashes-1 || (t.convicting >= minBegan && t.all >= isolationCrashes))
+}
+
 // PoisonousAfterNextCrash reports whether one more crash of an isolated run makes the task poisonous, even if an
 // external cause is likely.
 func PoisonousAfterNextCrash(crashes []Crash) bool {
@@ -271,7 +309,7 @@
 	if !last.onlyCandidate() || t.began < minBegan {
 		return false // the orders to start may never have reached the workers
 	}
-	return t.newHosts >= poisonousHosts || (!last.Outside && t.prompt >= isolationCrashes && t.knownWeight >= poisonousWeight)
+	return t.newHosts >= poisonousHosts || (!last.Outside && !last.mayBeLate() && t.prompt >= isolationCrashes && t.knownWeight >= poisonousWeight)
 }
 
 // Exonerates reports whether a run of a given age exonerates its task: it has lasted far longer than any run that
