A leader deposed while it loads passes reported leases on

Callers saw: a task that had ended well was run again at another worker (TWICE). Cause: leaseEnds lists the leases of earlier leaders by awaitedMembers, which is empty until the membership is read. A leader that had the answer of its predecessor before that (takePredecessorEnded fills reportedLeases, and the leadership row names the predecessor no longer) and lost the leadership while loading remembered none of these leases, and answered that its list is complete (Grants). Its successor took the runs at a worker that answers nobody for over (earlierRunsOver) and started what was found nowhere.

The lease of worker-4, granted at 18.185 s by epoch 1, is told to epoch 2 at 19.540 s, which is deposed at 20.943 s with the membership not read. Epoch 3 hears of its end at 21.154 s, settles at 21.244 s and starts the task at 21.246 s. At 21.687 s the worker answers it, lists the end of 18.967 s, and its lease runs for 19 ms more.

Change: while the membership is not read, every reported lease counts. In other phases the list is as before. All of settle, tasksHeldBack, newTasksSettled (delegated tasks, occurrences) and checkLease (unlisted workers) decide by it.

--- a/pkg/process/cell/leases.go
+++ b/pkg/process/cell/leases.go
@@ -39,12 +39,19 @@
 			list[id] = until
 		}
 	}
+	keep := func(id string, until time.Time) {
+		if !s.settled && until.After(now) && until.After(list[id]) {
+			list[id] = until
+		}
+	}
 	for id := range s.awaitedMembers {
 		// The leadership row names the predecessors that may still act, so a successor allows for their leases itself.
-		for _, until := range []time.Time{s.otherLeasesUntil, s.reportedLeases[id]} {
-			if !s.settled && until.After(now) && until.After(list[id]) {
-				list[id] = until
-			}
+		keep(id, s.otherLeasesUntil)
+		keep(id, s.reportedLeases[id])
+	}
+	if s.phase == loading {
+		for id, until := range s.reportedLeases {
+			keep(id, until) // any of these workers may be a member: the membership is not read yet
 		}
 	}
 	return list
