A leader elected again waits for leases that it never learned of

Callers would see: a task that still runs, or that has ended well, started again at another worker (TWICE). Cause: a leader that is deposed while it loads may know only until when leases of its predecessor last (unknownLeasesUntil). If the same process leads next, takePredecessorEnded treated its earlier leadership like that of a process that ended when the present one began (EndedAt, which both the daemon and the emulator set to the start of this process), so leases were over for as long as the process had run. Change: the process that led before counts its own leases, and waits until unknownLeasesUntil for all others. Why it works: unknownLeasesUntil is the end that this process had computed for them itself while it led.

Measured: the test fails before (the task starts at once) and passes after, and bounds the wait from above, too.

--- a/pkg/process/cell/lease_handover_test.go
+++ b/pkg/process/cell/lease_handover_test.go
@@ -92,3 +92,14 @@
 	must.False(t, b.startsWithin(3, leaseLeft-600*time.Millisecond))
 	must.True(t, b.startedWithin(time.Second))
 }
+
+// The second leader learned only when the last of its predecessor's leases ends, not at which workers they are. The same
+// process leads again, and waits until then: for how long it has run says nothing about these leases.
+func TestLeaderElectedAgainWaitsForLeasesAtUnknownWorkers(t *testing.T) {
+	t.Parallel()
+	b := deposedWhileLoading(cell.PredecessorEnded{})
+	b.lead(3, "second/1")
+	b.state.Take(b.now, cell.PredecessorEnded{Epoch: 3, Holder: "second/1", SameProcess: true, EndedAt: b.now.Add(-time.Minute)})
+	must.False(t, b.startsWithin(3, 3*time.Second))
+	must.True(t, b.startedWithin(1800*time.Millisecond))
+}
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -94,7 +94,8 @@
 }
 
 // takePredecessorEnded shortens the wait for members that do not answer. A predecessor that has ended grants no more
-// leases: the last of them ends as its process reported, or one lease span after its end.
+// leases: the last of them ends as its process reported, or one lease span after its end. This process knows its own,
+// and until when others may last of which it never learned.
 func (s *State) takePredecessorEnded(now time.Time, e PredecessorEnded) {
 	until, known := s.predecessors[e.Holder]
 	if e.Epoch != s.epoch || s.settled || !known {
@@ -106,8 +107,11 @@
 		since = e.EndedAt
 	}
 	switch lease := since.Add(maxLeaseDuration + maxOrderDelay); {
-	case e.SameProcess && !s.unknownLeasesUntil.After(now):
+	case e.SameProcess:
 		maps.Copy(s.reportedLeases, s.ownLeases)
+		if s.unknownLeasesUntil.After(s.otherLeasesUntil) {
+			s.otherLeasesUntil = s.unknownLeasesUntil
+		}
 	case e.GrantsKnown:
 		s.takeReportedLeases(now, e.Grants)
 	default:
