Records of isolated runs name the incarnation; a successor judges by it

Cause: the record that allows an isolated run did not say where the run may start. A successor that found the record and no run of the task counted half a crash, whether or not the run had ever started: weak evidence against a task that crashes its workers, false evidence against one that does not.

Change: TaskNote names worker, birth and host of the incarnation that is reserved. If another worker is reserved, or its incarnation changed, the record is written again before the order; no other write is added. A successor that finds no run: the incarnation answers (or answered before it ended): no evidence; it has ended: a crash of an isolated run at that worker and host, which is not held a second time as an unobserved end, nor counted as the record of that end for other tasks; not heard when the task is settled: half a crash as before, confirmed or withdrawn when one of the two is known, also by a later leader. Records that name none, gangs, lasting and delegated tasks, and leaving workers: as before. CrashNote keeps that a run was isolated.

--- a/pkg/process/cell/crash_fleet_test.go
+++ b/pkg/process/cell/crash_fleet_test.go
@@ -34,6 +34,7 @@
 	tableDown bool // the table answers with errors
 	// unansweredPart is the part of the table whose transactions are lost without an answer.
 	unansweredPart string
+	unanswered     []cell.WriteProgress // these transactions
 }
 
 type fleetWorker struct {
@@ -45,6 +46,8 @@
 	lastEnd     int64
 	clockOffset time.Duration
 	down        bool // down after a crash, until upAt
+	leaving     bool // the membership row names it as leaving
+	replaced    bool // another worker answers at its address
 }
 
 type crashRun struct {
@@ -85,7 +88,7 @@
 	var members []*wire.RosterEntry
 	var ids []string
 	for _, w := range f.sorted() {
-		members = append(members, &wire.RosterEntry{Id: w.id, Address: w.id, Host: w.id, Service: "quotes", Born: w.born})
+		members = append(members, &wire.RosterEntry{Id: w.id, Address: w.id, Host: w.id, Service: "quotes", Born: w.born, Leaving: w.leaving})
 		ids = append(ids, w.id)
 	}
 	loaded := cell.Loaded{Epoch: f.epoch, Fences: testFences(), Wall: f.now, Members: members}
@@ -191,6 +194,11 @@
 func (f *crashFleet) answerPoll(e cell.SendPoll) {
 	w := f.workers[e.To.ID]
 	answer := cell.PollAnswered{Worker: e.To.ID, SentAt: f.now}
+	if w.replaced {
+		answer.Refusal = workers.RefusedOtherWorker
+		f.state.Take(f.now, answer)
+		return
+	}
 	if w.down {
 		answer.Err = fault.New(fault.Unknown, w.id, "EOF", "")
 		f.state.Take(f.now, answer)
@@ -222,6 +230,7 @@
 
 func (f *crashFleet) answerRecord(e cell.WriteProgress) {
 	if e.Part == f.unansweredPart {
+		f.unanswered = append(f.unanswered, e)
 		return
 	}
 	answered := cell.WriteAnswered{Part: e.Part, Serial: e.Serial}
--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -194,17 +194,6 @@
 	s.evidenceChanged(now, t, c)
 }
 
-// addLostIsolatedRun adds evidence against a task of which a predecessor recorded an isolated run that no worker
-// lists: the run may have crashed its worker. It reports whether it added any.
-func (s *State) addLostIsolatedRun(now time.Time, t *jobs.Task) bool {
-	if t.DelegatedTo != "" || !t.IsolatedRunLost(s.wall) {
-		return false
-	}
-	s.trackImplicated(t)
-	s.evidenceChanged(now, t, t.Crashes[len(t.Crashes)-1])
-	return true
-}
-
 // trackImplicated adds a task to the implicated tasks, those with evidence against them.
 func (s *State) trackImplicated(t *jobs.Task) {
 	if !slices.Contains(s.implicated, t) {
@@ -218,7 +207,7 @@
 	j := t.Unit.Job
 	level := t.Level()
 	if level == poisontask.Suspected {
-		t.Isolation = jobs.IsolationWanted // recorded along with the evidence, so that the next start waits for no record of its own
+		t.Isolation, t.IsolatedAt = jobs.IsolationWanted, jobs.IsolatedAt{} // recorded along with the evidence, so that the next start waits for no record of its own
 	}
 	s.markDirty(j, true)
 	if level >= poisontask.Suspected {
--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -200,7 +200,7 @@
 	w := s.isolationReservations[t].worker
 	delete(s.closedWorkers, w) // the reservation excludes other tasks only
 	fit := s.usable(now, w) && allLongRunning(w) && suspectRuns(w) == 0 && s.fits(now, t.Unit, service, w)
-	if fit && s.isolatedRunRecorded(t) {
+	if fit && s.isolatedRunRecorded(t, w) {
 		delete(s.isolationReservations, t)
 		return w
 	}
@@ -208,11 +208,10 @@
 	return nil
 }
 
-// isolatedRunRecorded reports whether the table holds the record of an isolated run of a task. If the record was
-// not requested yet, isolatedRunRecorded requests it.
-func (s *State) isolatedRunRecorded(t *jobs.Task) bool {
-	if t.Isolation == jobs.NoIsolation {
-		t.Isolation = jobs.IsolationWanted
+// isolatedRunRecorded reports whether the table holds the record of an isolated run of a task at the present
+// incarnation of a worker. If that record was not requested yet, isolatedRunRecorded requests it.
+func (s *State) isolatedRunRecorded(t *jobs.Task, w *workers.Worker) bool {
+	if t.WantIsolation(jobs.IsolatedAt{Worker: w.ID, Born: w.Born, Host: w.Host}) {
 		s.markDirty(t.Unit.Job, true)
 	}
 	return t.Isolation == jobs.IsolationRecorded || s.unsafe.NoTrialRecord
--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -17,6 +17,8 @@
 	if !w.Ended {
 		s.addUnobservedEnd(w)
 		s.unreachedMemberEnded(now, w.ID)
+		s.rememberEnd(w)
+		s.lostIsolatedEnded(now, w)
 		s.workerCrashed(now, w)
 	}
 	s.endedIncarnations[w.ID] = w.Born
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -164,6 +164,9 @@
 	unreachedMembers map[string]unreachedMember
 	// unobservedEvidence are the tasks to whose crash evidence this leader has added an unobserved end.
 	unobservedEvidence map[*jobs.Task]bool
+	// endsBeforeSettling are the incarnations whose end this leader learned before the cell settled; true for those that
+	// had answered it.
+	endsBeforeSettling map[incarnation]bool
 	// predecessors are the leaders that may still act, by the names of their incarnations, each with the time at which
 	// the last lease that it may grant ends. otherLeasesUntil is that time for all other earlier leaders.
 	predecessors     map[string]time.Time
@@ -255,7 +258,7 @@
 	s.adviceRequested = ""
 	s.awaitedMembers = map[string]bool{}
 	s.retainedMembers, s.unobservedEnds, s.unreachedMembers = map[string]*wire.RosterEntry{}, nil, map[string]unreachedMember{}
-	s.unobservedEvidence = map[*jobs.Task]bool{}
+	s.unobservedEvidence, s.endsBeforeSettling = map[*jobs.Task]bool{}, map[incarnation]bool{}
 	s.settled, s.unnamedSettled, s.heldBackTasks = false, false, nil
 	s.diedRuns, s.silences, s.silentRuns, s.caughtUpAt = nil, nil, nil, time.Time{}
 	s.hostCrashes = map[string][]hostCrash{}
--- a/pkg/process/cell/unobserved_crashes.go
+++ b/pkg/process/cell/unobserved_crashes.go
@@ -63,13 +63,14 @@
 }
 
 // isEndRecorded reports whether the job records hold the end of a worker's incarnation as evidence against every task
-// that it implicates. A predecessor may have written only some of these records. Records of ended jobs count, too.
+// that it implicates. A predecessor may have written only some of these records. Records of ended jobs count, too. The
+// evidence of a lost isolated run does not: it was added without regard to other tasks there.
 func (s *State) isEndRecorded(worker string) bool {
 	born, all, recorded := s.retainedMembers[worker].GetBorn(), 0, 0
 	for _, j := range s.jobs {
 		for _, u := range j.Units {
 			for _, t := range u.Tasks {
-				if i := crashIndex(t, worker, born); i >= 0 {
+				if i := crashIndex(t, worker, born); i >= 0 && (t.Crashes[i].Run != 0 || t.Crashes[i].Unseen) {
 					recorded++
 					all = max(all, t.Crashes[i].Accused)
 				}
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -71,8 +71,8 @@
 	delegations int
 	// notifications go to the leaders of other cells once the transaction is durable.
 	notifications []NotifyLeader
-	// isolated are the tasks for which an isolated run is recorded before it starts.
-	isolated []*jobs.Task
+	// isolated are the tasks for which an isolated run is recorded before it starts, with the incarnation for it.
+	isolated map[*jobs.Task]jobs.IsolatedAt
 }
 
 // unrecordedEnd is the end of a run that may be acknowledged to its worker when change seq is durable.
@@ -390,9 +390,8 @@
 	for _, notification := range sent.notifications {
 		s.emit(notification)
 	}
-	for _, t := range sent.isolated {
-		if t.Isolation == jobs.IsolationWanted {
-			t.Isolation = jobs.IsolationRecorded
+	for t, at := range sent.isolated {
+		if t.IsolationDurable(at) {
 			s.placementDue = true
 		}
 	}
--- a/pkg/process/jobs/crash_evidence.go
+++ b/pkg/process/jobs/crash_evidence.go
@@ -11,8 +11,8 @@
 // The crash evidence of a task. Package poisontask explains how evidence is weighed.
 
 // IsolationState is the state of the record that allows an isolated run of a task. The record must be durable
-// before the run is ordered, and is written once there is a worker for the run. So a successor that finds a
-// record, and no worker that lists the run, knows that the run may have crashed its worker.
+// before the run is ordered, is written once there is a worker for the run, and names its incarnation. So a successor
+// that finds a record, and no worker that lists the run, knows which worker the run may have crashed.
 type IsolationState int
 
 // Isolation states.
@@ -22,6 +22,17 @@
 	IsolationRecorded
 )
 
+// IsolatedAt is the worker incarnation at which an isolated run may start. It is the zero value if none is chosen, or if
+// an older host wrote the record.
+type IsolatedAt struct {
+	Worker string
+	Born   int64
+	Host   string
+}
+
+// Known returns whether the incarnation is known.
+func (a IsolatedAt) Known() bool { return a.Worker != "" && a.Born != 0 }
+
 // maxCrashes bounds the number of crashes that are kept per task. It exceeds the number after which a task is
 // classified as poisonous.
 const maxCrashes = 6
@@ -134,17 +145,45 @@
 	return true
 }
 
-// IsolationsWanted returns the tasks that need a record for an isolated run.
-func (j *Job) IsolationsWanted() []*Task {
-	var list []*Task
+// WantIsolation requests the record that allows an isolated run at the given incarnation, unless it was requested
+// before. It returns whether it did so.
+func (t *Task) WantIsolation(at IsolatedAt) bool {
+	if t.Isolation != NoIsolation && t.IsolatedAt == at {
+		return false
+	}
+	t.Isolation, t.IsolatedAt = IsolationWanted, at
+	return true
+}
+
+// IsolationDurable notes that the record of an isolated run at the given incarnation is durable. It returns whether the
+// run is allowed now: another incarnation may have been chosen since.
+func (t *Task) IsolationDurable(at IsolatedAt) bool {
+	if t.Isolation != IsolationWanted || t.IsolatedAt != at {
+		return false
+	}
+	t.Isolation = IsolationRecorded
+	return true
+}
+
+// IsolationsWanted returns the tasks that need a record for an isolated run, each with the incarnation for it.
+func (j *Job) IsolationsWanted() map[*Task]IsolatedAt {
+	wanted := map[*Task]IsolatedAt{}
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
 			if t.Isolation == IsolationWanted {
-				list = append(list, t)
+				wanted[t] = t.IsolatedAt
 			}
 		}
 	}
-	return list
+	return wanted
+}
+
+// isolatedAt returns the incarnation to record for an isolated run.
+func (t *Task) isolatedAt() IsolatedAt {
+	if t.Isolation == NoIsolation {
+		return IsolatedAt{}
+	}
+	return t.IsolatedAt
 }
 
 func encodeCrashes(crashes []poisontask.Crash) []*wire.CrashNote {
@@ -152,7 +191,7 @@
 	for _, c := range crashes {
 		list = append(list, &wire.CrashNote{
 			Worker: c.Worker, Run: c.Run, AgeMs: c.Age.Milliseconds(), Company: int32(c.Company), Excused: c.Excused,
-			Lives: int32(c.Lives), Outside: c.Outside, Silent: c.Silent, UnixMs: c.At.UnixMilli(), Born: c.Born, Host: c.Host, Began: c.Began, Again: c.Again, Unseen: c.Unseen, Accused: int32(c.Accused),
+			Lives: int32(c.Lives), Outside: c.Outside, Silent: c.Silent, UnixMs: c.At.UnixMilli(), Born: c.Born, Host: c.Host, Began: c.Began, Again: c.Again, Unseen: c.Unseen, Accused: int32(c.Accused), Trial: c.Trial,
 		})
 	}
 	return list
@@ -163,7 +202,7 @@
 	for _, n := range notes {
 		list = append(list, poisontask.Crash{
 			Worker: n.GetWorker(), Run: n.GetRun(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond, Company: int(n.GetCompany()), Excused: n.GetExcused(),
-			Lives: int(n.GetLives()), Outside: n.GetOutside(), Silent: n.GetSilent(), At: time.UnixMilli(n.GetUnixMs()), Born: n.GetBorn(), Host: n.GetHost(), Began: n.GetBegan(), Again: n.GetAgain(), Unseen: n.GetUnseen(), Accused: int(n.GetAccused()),
+			Lives: int(n.GetLives()), Outside: n.GetOutside(), Silent: n.GetSilent(), At: time.UnixMilli(n.GetUnixMs()), Born: n.GetBorn(), Host: n.GetHost(), Began: n.GetBegan(), Again: n.GetAgain(), Unseen: n.GetUnseen(), Accused: int(n.GetAccused()), Trial: n.GetTrial(),
 		})
 	}
 	return list
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -84,10 +84,11 @@
 	// FailedElsewhere is the number of the task's runs that failed in other cells.
 	FailedElsewhere int
 	// Crashes is the task's crash evidence: crashes of workers at which the task ran or may have run. Isolation is
-	// the state of the record that allows an isolated run.
-	Crashes   []poisontask.Crash
-	Isolation IsolationState
-	level     poisontask.Level
+	// the state of the record that allows an isolated run, IsolatedAt the incarnation that the record names.
+	Crashes    []poisontask.Crash
+	Isolation  IsolationState
+	IsolatedAt IsolatedAt
+	level      poisontask.Level
 	// IsolationWaived is true if the next run need not be isolated although the task's level is
 	// poisontask.NeedsIsolation. IsolationWaitSince is the time from which the task has waited for an isolated run.
 	IsolationWaived    bool
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -37,9 +37,10 @@
 			targetCell = "" // the specification implies it
 		}
 		if len(t.FailedRuns) > 0 || t.FailedElsewhere > 0 || t.Checkpoint != "" || targetCell != "" || t.Delegations > 0 || len(t.Crashes) > 0 {
+			at := t.isolatedAt()
 			up.Notes = append(up.Notes, &wire.TaskNote{
 				Index: int32(i), FailedRuns: t.FailedRuns, FailedElsewhere: int32(t.FailedElsewhere), Checkpoint: t.Checkpoint, LentTo: targetCell, Lending: t.Delegations,
-				Crashes: encodeCrashes(t.Crashes), Trial: t.Isolation != NoIsolation,
+				Crashes: encodeCrashes(t.Crashes), Trial: t.Isolation != NoIsolation, TrialWorker: at.Worker, TrialBorn: at.Born, TrialHost: at.Host,
 			})
 		}
 	}
@@ -98,7 +99,7 @@
 			t.IsolatedByRecord = t.Level() == poisontask.NeedsIsolation && !u.Spec.GetGang() && !u.Lasting()
 			t.Isolation = NoIsolation
 			if n.GetTrial() {
-				t.Isolation = IsolationRecorded
+				t.Isolation, t.IsolatedAt = IsolationRecorded, IsolatedAt{n.GetTrialWorker(), n.GetTrialBorn(), n.GetTrialHost()}
 			}
 		}
 		if n.GetLentTo() != "" && !delegatedAgain {
