Tasks that await a verdict are looked after in one order, also without evidence

Callers would have waited: a task whose last evidence is withdrawn while it awaits its verdict left the list of implicated tasks and started only after 12 s. Cause: the verdicts were visited by that list. They are visited by name now, and the log line of a lasting task that waits says that the crash is not known yet, not that its start was refused. Seen by reading; the test guards the start after a silent worker has answered.

--- a/pkg/process/cell/verdicts.go
+++ b/pkg/process/cell/verdicts.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
@@ -45,19 +46,18 @@
 	return s.silences[i], true
 }
 
-// decideVerdicts fails the jobs of poisonous tasks about whose crashes nothing more can become known.
+// decideVerdicts fails the jobs of poisonous tasks about whose crashes nothing more can become known. A task whose
+// evidence has become weaker may start again.
 func (s *State) decideVerdicts(now time.Time) {
-	for t := range maps.Keys(s.verdicts) {
-		if t.Unit.Job.Ended() {
-			delete(s.verdicts, t)
-		}
-	}
-	for _, t := range slices.Clone(s.implicated) {
-		last, awaited := s.verdicts[t]
-		if !awaited || (t.Level() == poisontask.Poisonous && !s.mayDecide(now, t, last)) {
+	byName := func(a, b *jobs.Task) int { return strings.Compare(a.Name(), b.Name()) }
+	for _, t := range slices.SortedFunc(maps.Keys(s.verdicts), byName) {
+		if !t.Unit.Job.Ended() && t.Level() == poisontask.Poisonous && !s.mayDecide(now, t, s.verdicts[t]) {
 			continue
 		}
 		delete(s.verdicts, t)
+		if t.Unit.Job.Ended() {
+			continue
+		}
 		if t.UpdateEvidence(s.recountEnds) {
 			s.markDirty(t.Unit.Job, true)
 		}
--- a/pkg/process/cell/verdicts_test.go
+++ b/pkg/process/cell/verdicts_test.go
@@ -82,3 +82,27 @@
 	}
 	t.Fatal("the job does not fail")
 }
+
+// Guards against a task that waits on after a silent worker, whose crash would have made its job fail, has answered.
+func TestTaskStartsOnceTheSilentWorkerThatWouldDecideAnswers(t *testing.T) {
+	t.Parallel()
+	f, task := newSilentFleet()
+	for range 6000 {
+		f.runCrashedStayDown()
+		if len(f.starts[task]) == 4 {
+			break
+		}
+	}
+	must.Len(t, 4, f.starts[task])
+	delete(f.crashAfter, task)
+	for len(f.starts[task]) < 5 {
+		f.run(crashStep)
+	}
+	fifth := f.workers[f.starts[task][4]]
+	fifth.down, fifth.upAt = true, f.now.Add(time.Hour)
+	f.run(time.Second)
+	fifth.down, fifth.runs = false, map[string]crashRun{}
+	f.run(20 * time.Second)
+	must.MapEmpty(t, f.failedJobs)
+	must.Greater(t, 5, len(f.starts[task]))
+}
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -104,9 +104,12 @@
 // workers.
 func (s *State) waitReason(now time.Time, t *jobs.Task) (reason WaitReason, here int64) {
 	fits := s.fitsHere(now, t)
+	_, awaitsVerdict := s.verdicts[t]
 	switch {
 	case !t.Settled:
 		return WaitUnsettled, fits.free
+	case awaitsVerdict:
+		return WaitCrashUnknown, fits.free
 	case now.Before(t.RetryAt):
 		return WaitRefused, fits.free
 	case s.awaitsCrashOutcome(now, t) && t.Level() >= poisontask.NeedsIsolation:
