A verdict is about the last silence of a worker, and a successor does not guess

Callers would have seen: a poisonous task started once more, or a job that did nothing wrong failed. Causes: silenceOf took the first silence of an incarnation within ten seconds, so one at which a worker had only gone silent for a poll was taken for its crash. And a successor decided at once, though the silences of that moment ended with its leader. Change: the last silence counts; a successor takes an external cause for likely and decides on one more crash.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -288,9 +288,7 @@
 				s.trackImplicated(t)
 				s.trackSilentRun(now, awaitsOutcomeSince(now, t), t, c)
 			}
-			if t.Level() == poisontask.Poisonous && !j.Ended() {
-				s.awaitVerdict(now, t)
-			}
+			s.restoreVerdict(now, t)
 		}
 	}
 }
--- a/pkg/process/cell/verdicts.go
+++ b/pkg/process/cell/verdicts.go
@@ -37,13 +37,31 @@
 	return latest
 }
 
-// silenceOf returns the silence of the worker that a crash is about, and whether this leader knows of one.
+// silenceOf returns the silence of the worker that a crash is about, and whether this leader knows of one. It is the last
+// one of that incarnation, which may have gone silent and answered again before.
 func (s *State) silenceOf(c poisontask.Crash) (silence, bool) {
-	i := slices.IndexFunc(s.silences, func(f silence) bool { return f.worker == c.Worker && f.born == c.Born })
-	if i < 0 {
-		return silence{}, false
+	for _, f := range slices.Backward(s.silences) {
+		if f.worker == c.Worker && f.born == c.Born {
+			return f, true
+		}
+	}
+	return silence{}, false
+}
+
+// restoreVerdict takes up a verdict that an earlier leader did not live to reach. Which other workers went silent
+// together with the last one is not known any more, so an external cause can't be excluded.
+func (s *State) restoreVerdict(now time.Time, t *jobs.Task) {
+	if t.Level() != poisontask.Poisonous || t.Unit.Job.Ended() {
+		return
+	}
+	last := t.Crashes[len(t.Crashes)-1]
+	t.UpdateEvidence(func(c poisontask.Crash) poisontask.Crash {
+		c.Outside = c.Outside || c == last
+		return c
+	})
+	if t.Level() == poisontask.Poisonous {
+		s.awaitVerdict(now, t)
 	}
-	return s.silences[i], true
 }
 
 // decideVerdicts fails the jobs of poisonous tasks about whose crashes nothing more can become known. A task whose
