A pause of the leader says nothing of when a worker crashed

Found in a review. Causes: a broken connection that a leader takes after a pause of its own was taken for a crash at that moment. And the wait for a verdict left out that polls have longer timeouts on a full link. Change: the time of a crash is bounded by the last event before a gap.

--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -271,7 +271,26 @@
 	case waited >= w.PollTimeout:
 		return w.PollSentAt.Add(w.PollWait + brokenConnectionSlack)
 	case waited > brokenConnectionSlack && !w.LastAnswerAt.IsZero():
-		w.AliveAt = now.Add(-brokenConnectionSlack)
+		if at := s.happenedAfter(now).Add(-brokenConnectionSlack); at.After(w.AliveAt) {
+			w.AliveAt = at
+		}
+	}
+	return now
+}
+
+// noteGap remembers the last time in which this leader took no event: its process may have been paused.
+func (s *State) noteGap(now time.Time) {
+	if now.Sub(s.eventTakenAt) > brokenConnectionSlack {
+		s.gapFrom, s.gapUntil = s.eventTakenAt, now
+	}
+	s.eventTakenAt = now
+}
+
+// happenedAfter returns the time after which an event that is taken now has happened. Events that happened in a gap are
+// taken right after it.
+func (s *State) happenedAfter(now time.Time) time.Time {
+	if now.Sub(s.gapUntil) <= brokenConnectionSlack {
+		return s.gapFrom
 	}
 	return now
 }
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -106,6 +106,8 @@
 	endedIncarnations map[string]int64
 	// caughtUpAt is a time up to which the leader has read the cell's table: all jobs recorded before it are known.
 	caughtUpAt time.Time
+	// eventTakenAt is when the last event was taken. gapFrom and gapUntil bound the last time without any.
+	eventTakenAt, gapFrom, gapUntil time.Time
 	// silences are the intervals in which workers went silent, for silenceMemory.
 	silences []silence
 	// hostCrashes are the crashes by host, for hostCrashMemory.
@@ -275,6 +277,7 @@
 // Take applies one event. Callers apply a batch of events and then call Decide once: a Decide after each event would
 // cost as much again and gain nothing.
 func (s *State) Take(now time.Time, e Event) {
+	s.noteGap(now)
 	switch e := e.(type) {
 	case Tick:
 		s.scanDue = true
--- a/pkg/process/cell/verdicts.go
+++ b/pkg/process/cell/verdicts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/orderwindow"
 	"github.com/wrenferry/wrenferry/pkg/process/poisontask"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -16,7 +17,7 @@
 // those that only a timeout shows are noticed a second later. Meanwhile the task does not start.
 
 // maxVerdictWait bounds the wait for answers of the other workers: until polls sent before the crash have timed out.
-const maxVerdictWait = idlePollWait + pollSlack + simultaneousWindow
+const maxVerdictWait = idlePollWait + orderwindow.MaxTimeout + simultaneousWindow
 
 // awaitVerdict has the job of a poisonous task fail, unless the crashes turn out to be simultaneous with others, or a
 // silent worker answers again.
