Review: three more suspicions about a verdict that is awaited, one red

Red on the series: TestClearedTaskAwaitsNoVerdict. exonerateSuspects drops a task without evidence from implicated, so decideVerdicts never sets its RetryAt back. Green: a cancelled job, a gang with a poisonous member.

--- a/pkg/process/cell/verdict_review_test.go
+++ b/pkg/process/cell/verdict_review_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // stepFor runs for a given time.
@@ -131,3 +134,60 @@
 	must.Len(t, 2, f.starts[id+".0.0.0"])
 	must.Less(t, 15*time.Second, f.now.Sub(begin))
 }
+
+// Guards against a task that waits on after an operator dropped the evidence against it while its verdict was awaited.
+func TestClearedTaskAwaitsNoVerdict(t *testing.T) {
+	t.Parallel()
+	f, id := newIsolatedStart(100 * time.Millisecond)
+	ran := f.stepUntilStart(t, id)
+	f.stepUntilCrash(t, ran)
+	f.workers[ran].upAt = f.now.Add(50 * time.Millisecond)
+	f.stepFor(200 * time.Millisecond)
+	must.MapEmpty(t, f.failedJobs)
+	must.Eq(t, "guilty", f.state.Suspects()[0].Level)
+	delete(f.crashAfter, id+".0.0.0")
+	f.state.Take(f.now, cell.ClearSuspicion{Task: id + ".0.0.0"})
+	f.stepFor(3 * time.Second)
+	must.Len(t, 2, f.starts[id+".0.0.0"])
+}
+
+// A job that is cancelled while a verdict on its task is awaited ends as cancelled.
+func TestJobCancelledBeforeTheVerdictEndsAsCancelled(t *testing.T) {
+	t.Parallel()
+	f, id := newIsolatedStart(100 * time.Millisecond)
+	ran := f.stepUntilStart(t, id)
+	f.stepUntilCrash(t, ran)
+	f.workers[ran].upAt = f.now.Add(50 * time.Millisecond)
+	f.stepFor(200 * time.Millisecond)
+	must.MapEmpty(t, f.failedJobs)
+	f.state.Take(f.now, cell.CancelRequested{ID: id})
+	f.stepFor(20 * time.Second)
+	must.MapEmpty(t, f.failedJobs)
+	must.Len(t, 1, f.starts[id+".0.0.0"])
+}
+
+// A gang of which one member is poisonous neither starts nor fails while the verdict is awaited, and starts again soon
+// after it was withdrawn.
+func TestGangAwaitsTheVerdictOnAMember(t *testing.T) {
+	t.Parallel()
+	f := &waitingPolls{newCrashFleet(), map[string]waitingPoll{}, map[string]bool{}}
+	id := f.accept(1, &wire.StepSpec{Count: 2, Millicores: 1000, EstimateMs: 500, Gang: true})
+	f.crashAfter[id+".0.0.0"] = 100 * time.Millisecond
+	began := func(worker string) *wire.CrashNote {
+		return &wire.CrashNote{Worker: worker, Run: 1, Host: worker, Born: 1, Began: true, Lives: 1, Company: 3}
+	}
+	f.rows[id] = &wire.JobProgress{Id: id, Units: []*wire.UnitProgress{{Notes: []*wire.TaskNote{{Crashes: []*wire.CrashNote{began("a"), began("b")}}}}}}
+	f.newLeader()
+	ran := f.stepUntilStart(t, id)
+	f.stepUntilCrash(t, ran)
+	f.workers[ran].upAt = f.now.Add(50 * time.Millisecond)
+	f.stepFor(250 * time.Millisecond)
+	must.MapEmpty(t, f.failedJobs)
+	must.Len(t, 1, f.starts[id+".0.0.0"])
+	must.Len(t, 1, f.starts[id+".0.0.1"])
+	f.crashOthers(ran, time.Second)
+	delete(f.crashAfter, id+".0.0.0")
+	f.stepFor(20 * time.Second)
+	must.MapEmpty(t, f.failedJobs)
+	must.GreaterEq(t, 2, len(f.starts[id+".0.0.0"]))
+}
