Review: a wave of crashes in the middle of which another leader takes over

The workers that crashed before the takeover never answered the successor, so it counts none of them as silent.

--- a/pkg/process/cell/verdict_review_test.go
+++ b/pkg/process/cell/verdict_review_test.go
@@ -191,3 +191,27 @@
 	must.MapEmpty(t, f.failedJobs)
 	must.GreaterEq(t, 2, len(f.starts[id+".0.0.0"]))
 }
+
+// Guards against a job that fails in a wave of crashes in the middle of which another leader takes over: the workers
+// that crashed before have never answered it, so it counts none of them as silent.
+func TestCrashOfAWaveThatBeganBeforeTheTakeoverFailsNoJob(t *testing.T) {
+	t.Parallel()
+	for name, succeeded := range map[string]bool{"one leader": false, "a successor": true} { // the first is green
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, id := newIsolatedStart(250 * time.Millisecond)
+			ran := f.stepUntilStart(t, id)
+			f.stepFor(100 * time.Millisecond)
+			f.crashOthers(ran, 4*time.Second)
+			if succeeded {
+				clear(f.polls)
+				f.newLeader()
+			}
+			f.stepUntilCrash(t, ran)
+			f.workers[ran].upAt = f.now.Add(time.Second)
+			delete(f.crashAfter, id+".0.0.0")
+			f.stepFor(30 * time.Second)
+			must.MapEmpty(t, f.failedJobs)
+		})
+	}
+}
