--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -66,14 +66,18 @@
 	isolated      bool
 }
 
-// addSilence records that a worker went silent, noticed at a given time. A worker that has never answered this leader
-// is left out: its registry row may be outdated, and the time of its end is unknown.
+// addSilence records that a worker went silent, noticed at a given time. Of the workers that have never answered this
+// leader only the members that it found recorded count, and as lost since it leads: a registry row may be outdated.
 func (s *State) addSilence(now time.Time, w *workers.Worker, at time.Time) {
+	after := w.AliveAt
 	if w.LastAnswerAt.IsZero() {
-		return
+		if s.retainedMembers[w.ID] == nil {
+			return
+		}
+		after = s.gainedAt
 	}
 	s.silences = slices.DeleteFunc(s.silences, func(f silence) bool { return now.Sub(f.before) >= silenceMemory })
-	s.silences = append(s.silences, silence{w.ID, w.Born, w.AliveAt, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
+	s.silences = append(s.silences, silence{w.ID, w.Born, after, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
 }
 
 // simultaneousSilences returns how many workers, the one of the given silence included, may have gone silent at the same
@@ -378,13 +382,13 @@
 	})
 }
 
-// minRunAge returns the least time that a run has lasted: until its worker was last known to be alive, as the
-// incarnation may have ended right after that.
+// minRunAge returns the least time that a run has lasted: until its worker's last answer, as the incarnation may
+// have ended right after that.
 func minRunAge(w *workers.Worker, r *jobs.Run) time.Duration {
 	if r.BeganAt.IsZero() {
 		return 0
 	}
-	return max(0, w.AliveAt.Sub(r.BeganAt))
+	return max(0, w.LastAnswerAt.Sub(r.BeganAt))
 }
 
 // maxRunAge returns the most that a run can have lasted if its worker's incarnation had ended at a given time, or 0 if
--- a/pkg/process/cell/silence_interval_test.go
+++ b/pkg/process/cell/silence_interval_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -63,8 +64,8 @@
 		f.state.Take(f.now, answer)
 		return
 	}
-	w.unreadEnds = nil
-	answer.Report = workers.Report{Born: w.born, Clock: w.clockOffset + f.now.Sub(time.Unix(1000, 0))}
+	w.unreadEnds = slices.DeleteFunc(w.unreadEnds, func(end workers.End) bool { return p.To.Born == w.born && end.Number <= p.Poll.Recorded })
+	answer.Report = workers.Report{Born: w.born, Clock: w.clockOffset + f.now.Sub(time.Unix(1000, 0)), Ended: slices.Clone(w.unreadEnds)}
 	for task, r := range w.runs {
 		answer.Report.Active = append(answer.Report.Active, workers.Active{Task: task, Run: r.number, Percent: int(f.now.Sub(r.beganAt) / crashStep)})
 	}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -106,6 +106,8 @@
 	endedIncarnations map[string]int64
 	// caughtUpAt is a time up to which the leader has read the cell's table: all jobs recorded before it are known.
 	caughtUpAt time.Time
+	// gainedAt is when this process began to lead.
+	gainedAt time.Time
 	// eventTakenAt is when the last event was taken. gapFrom and gapUntil bound the last time without any.
 	eventTakenAt, gapFrom, gapUntil time.Time
 	// silences are the intervals in which workers went silent, for silenceMemory.
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -45,7 +45,7 @@
 	s.rememberLeases(now)
 	s.reportedLeases = map[string]time.Time{}
 	s.resetLeadership()
-	s.phase, s.epoch, s.runSerial = loading, e.Epoch, 0
+	s.phase, s.epoch, s.runSerial, s.gainedAt = loading, e.Epoch, 0, now
 	s.predecessors, s.otherLeasesUntil = maps.Clone(e.Predecessors), e.LeasesEndAt
 	s.settleDeadline, s.leadershipConfirmedAt, s.tenureUntil = s.lastLeaseEnd(), time.Time{}, time.Time{}
 	for id, w := range known {
@@ -75,6 +75,9 @@
 		s.awaitedMembers[r.GetId()] = true
 		s.recordedMembers[r.GetId()] = true
 		s.retainedMembers[r.GetId()] = r
+		if w := s.workers[r.GetId()]; w.LastAnswerAt.IsZero() && !w.SilentSince.IsZero() {
+			s.addSilence(now, w, w.SilentSince)
+		}
 	}
 }
 
--- a/pkg/process/cell/verdicts.go
+++ b/pkg/process/cell/verdicts.go
@@ -102,7 +102,7 @@
 // allHeardSince reports whether each worker has answered at or after a given time, or is silent.
 func (s *State) allHeardSince(at time.Time) bool {
 	for _, w := range s.workers {
-		if w.HasAnswered && !w.Ended && w.SilentSince.IsZero() && w.LastAnswerAt.Before(at) {
+		if (w.HasAnswered || s.awaitedMembers[w.ID]) && !w.Ended && w.SilentSince.IsZero() && w.LastAnswerAt.Before(at) {
 			return false
 		}
 	}
