A short task that may have run in its full cell is delegated after the longest lease

Cause: when a leader settles without having heard a member, settleExcept marks every task without a run as one that may have run there (MayHaveRun), and nothing takes that back. delegateShort left out such tasks for good, so that a plain task or filler waited for as long as its cell was full, also once the member had answered. Change: such a task, if it left no failed run, crash or checkpoint, is delegated once it has waited here for the longest lease, as gangs are. It waits in its cell longer than a restart there would, so no run is risked that the cell itself would not start. Measured: TestShortTaskOfFullCellIsDelegatedThoughAMemberIsCutOff red before, green after (4.0 s after the cell settled); the tests of the cell pass. With a wait of 0 TestShortTaskOfSilentWorkerIsNotDelegated is red, with ten leases the new test.

--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -33,10 +33,13 @@
 	return !u.Lasting() && !bound && !advised && !u.Job.Delegated()
 }
 
-// delegateShort delegates waiting tasks of a unit to the cell where most of them could start at once. Only tasks that
-// have never run are delegated. A task that has failed stays, so that one cell counts all its failures. A task with a
-// checkpoint resumes in the cell that knows the checkpoint. If a task's worker fell silent, this cell may still learn
-// that the run there ended well.
+// delegateUnheardAfter is how long a short task that may have run here waits before it is delegated. After the longest
+// lease, no run of it can still go on.
+const delegateUnheardAfter = LongestLease
+
+// delegateShort delegates waiting tasks of a unit to the cell where most of them could start at once. A task that has
+// failed stays, so that one cell counts all its failures. A task with a checkpoint resumes in the cell that knows the
+// checkpoint. A task that may have run here waits longer, because this cell may still learn that the run ended well.
 func (s *State) delegateShort(now time.Time, u *jobs.Unit) {
 	after := delegatePlainAfter
 	if u.Spec.GetFiller() {
@@ -46,28 +49,38 @@
 	if waited < after {
 		return
 	}
-	var neverRun []*jobs.Task
+	var candidates []*jobs.Task
 	for _, t := range u.Waiting(now) {
-		if !mayHaveRunBefore(t) {
-			neverRun = append(neverRun, t)
+		if !mayHaveRunBefore(t) || s.lostLongAgo(now, t) {
+			candidates = append(candidates, t)
 		}
 	}
 	name, delegable := s.peerForShort(now, u)
-	n := min(len(neverRun), delegable)
+	n := min(len(candidates), delegable)
 	if n <= 0 {
 		return
 	}
 	s.countDelegated(name, u, n)
 	j := u.Job
-	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, neverRun[:n]...))
+	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, candidates[:n]...))
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
 	s.note(Note{
-		Kind: NoteLent, Job: j.Spec.GetId(), Task: neverRun[0].Name(), AgeMs: now.Sub(s.peerLoads[name].receivedAt).Milliseconds(),
-		Detail: fmt.Sprintf("%d of %d waiting tasks to %s with capacity for %d, waited %s", n, len(neverRun), name, delegable, waited.Round(time.Millisecond)),
+		Kind: NoteLent, Job: j.Spec.GetId(), Task: candidates[0].Name(), AgeMs: now.Sub(s.peerLoads[name].receivedAt).Milliseconds(),
+		Detail: fmt.Sprintf("%d of %d waiting tasks to %s with capacity for %d, waited %s", n, len(candidates), name, delegable, waited.Round(time.Millisecond)),
 	})
 }
 
+// lostLongAgo reports whether a task that may have run here has waited for delegateUnheardAfter since, and nothing else
+// keeps it here: no failed run, no crash, no checkpoint.
+func (s *State) lostLongAgo(now time.Time, t *jobs.Task) bool {
+	since := t.Unit.ReadyAt
+	if t.InCellSince.After(since) {
+		since = t.InCellSince
+	}
+	return now.Sub(since) >= delegateUnheardAfter && len(t.Crashes) == 0 && len(t.FailedRuns) == 0 && t.Checkpoint == ""
+}
+
 // countDelegated adds n short tasks of a unit to what was delegated to a cell since its last load message.
 func (s *State) countDelegated(name string, u *jobs.Unit, n int) {
 	o := s.peerLoads[name]
