Review: an isolated run that decides by four crashes awaits no quiet cell

PoisonousAfterNextCrash assumes a crash with a likely external cause and an unknown AgeMost, so it does not know isConvicted.

--- a/pkg/process/cell/verdict_review_test.go
+++ b/pkg/process/cell/verdict_review_test.go
@@ -215,3 +215,41 @@
 		})
 	}
 }
+
+// Guards against a job that fails for a single crash of another cause during its isolated run: a run after whose crash the
+// job fails starts when no worker has gone silent for four seconds. That holds for each rule by which the job fails, also
+// for that of four crashes of any kind, the last one soon after the start and without company.
+func TestIsolatedRunThatDecidesByAnyRuleAwaitsAQuietCell(t *testing.T) {
+	t.Parallel()
+	unobserved := &wire.CrashNote{Worker: "a", Born: 1, Unseen: true, Company: 9, Lives: 1, Accused: 10}
+	late := &wire.CrashNote{Worker: "b", Run: 1, Host: "b", Born: 1, Began: true, Lives: 1, Company: 3, AgeMs: 1500, AgeMostMs: 1600}
+	outside := func(worker string) *wire.CrashNote {
+		return &wire.CrashNote{Worker: worker, Run: 1, Host: worker, Born: 1, Began: true, Lives: 3, Company: 3, Outside: true, AgeMs: 80, AgeMostMs: 140}
+	}
+	for name, recorded := range map[string][]*wire.CrashNote{
+		"five crashes":                    {outside("a"), outside("b"), outside("c"), outside("d")}, // green: the contrast
+		"four crashes, the last convicts": {unobserved, late, outside("c")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := &waitingPolls{newCrashFleet(), map[string]waitingPoll{}, map[string]bool{}}
+			id := f.accept(1, oneTask())
+			f.crashAfter[id+".0.0.0"] = 200 * time.Millisecond
+			f.rows[id] = &wire.JobProgress{Id: id, Units: []*wire.UnitProgress{{Notes: []*wire.TaskNote{{Crashes: recorded}}}}}
+			f.newLeader()
+			f.tableDown = true
+			f.stepFor(500 * time.Millisecond)
+			f.crashWorker(f.workers["w5"], 500*time.Millisecond)
+			f.step()
+			crashed := f.now
+			f.tableDown = false
+			ran := f.stepUntilStart(t, id)
+			if started := f.now.Sub(crashed); started < 4*time.Second {
+				f.stepUntilCrash(t, ran)
+				delete(f.crashAfter, id+".0.0.0")
+				f.stepFor(10 * time.Second)
+				must.MapEmpty(t, f.failedJobs, must.Sprintf("the run that decides started %s after another crash", started))
+			}
+		})
+	}
+}
