An end that is learned while the cell is read is not forgotten

Cause: a successor asks its workers before it has read the membership. At 24.240 s another worker answered on the host of worker-10/3, 134 ms before the rows were loaded, so that no entry of the membership named the ended incarnation, and its end was held against nothing. Change: when the membership is read, its members that have ended or gone silent since are added.

--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -75,9 +75,18 @@
 		s.awaitedMembers[r.GetId()] = true
 		s.recordedMembers[r.GetId()] = true
 		s.retainedMembers[r.GetId()] = r
-		if w := s.workers[r.GetId()]; w.LastAnswerAt.IsZero() && !w.SilentSince.IsZero() {
-			s.addSilence(now, w, w.SilentSince)
-		}
+		s.addEarlierMemberEnd(now, s.workers[r.GetId()])
+	}
+}
+
+// addEarlierMemberEnd adds what this leader learned of a member before it read the membership: that its incarnation has
+// ended, or that it does not answer.
+func (s *State) addEarlierMemberEnd(now time.Time, w *workers.Worker) {
+	switch {
+	case w.Ended && !w.HasAnswered:
+		s.addUnobservedEnd(w)
+	case w.LastAnswerAt.IsZero() && !w.SilentSince.IsZero():
+		s.addSilence(now, w, w.SilentSince)
 	}
 }
 
