A run that decides awaits a quiet cell by every rule, and after a takeover

Causes, by their logs: one prompt crash and one with a likely external cause, or three of those, and then a single prompt one identify the task, but its run had a quiet time of 1 s; and a new leader knows of no worker that went silent before it led, so each run that decides started at once. Change: PoisonousAfterPromptCrash says when one prompt crash decides although the others speak less against the task than prompt ones; the quiet time counts from the takeover at the earliest.

--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -92,8 +92,8 @@
 const (
 	quietBeforeIsolated = time.Second
 	maxQuietWait        = 6 * time.Second
-	// quietBeforeDecisive and maxQuietWaitDecisive are the same for a run after whose crash the job fails, whatever
-	// else may have caused the crash.
+	// quietBeforeDecisive and maxQuietWaitDecisive are the same for a run after whose crash the job fails although little
+	// else speaks against the task.
 	quietBeforeDecisive  = 4 * time.Second
 	maxQuietWaitDecisive = 12 * time.Second
 )
@@ -126,13 +126,14 @@
 // poisonous task that fails is worse for its caller than one that ends later.
 func (s *State) isQuiet(now time.Time, t *jobs.Task) bool {
 	quietFor, maxWait := quietBeforeIsolated, maxQuietWait
-	decides := poisontask.PoisonousAfterNextCrash(t.Crashes)
+	decides := poisontask.PoisonousAfterNextCrash(t.Crashes) || poisontask.PoisonousAfterPromptCrash(t.Crashes)
 	if decides {
 		quietFor, maxWait = quietBeforeDecisive, maxQuietWaitDecisive
 	}
 	quiet := len(s.silences) == 0 || now.Sub(s.silences[len(s.silences)-1].before) >= quietFor
 	if decides {
-		quiet = quiet && s.crashesWithout(now, t) < poisontask.CommonCrashThreshold(len(s.workers))
+		// What went silent before this process led is not known.
+		quiet = quiet && now.Sub(s.gainedAt) >= quietFor && s.crashesWithout(now, t) < poisontask.CommonCrashThreshold(len(s.workers))
 	}
 	return quiet || currentWait(now, t) >= maxWait
 }
--- a/pkg/process/poisontask/convicted_test.go
+++ b/pkg/process/poisontask/convicted_test.go
@@ -83,3 +83,18 @@
 	}
 	extend(nil)
 }
+
+// Guards against an isolated run that decides and does not await a quiet cell: the crashes before it are few prompt ones
+// without an external cause.
+func TestAPromptCrashThatDecidesIsKnownBeforeItsStart(t *testing.T) {
+	t.Parallel()
+	outside := func(run int64) poisontask.Crash {
+		return with(prompt(run), func(c *poisontask.Crash) { c.Outside = true })
+	}
+	unobserved := poisontask.UnobservedCrash("w", 1, 20, 1, time.Unix(1000, 0))
+	must.False(t, poisontask.PoisonousAfterPromptCrash(nil))
+	must.False(t, poisontask.PoisonousAfterPromptCrash([]poisontask.Crash{prompt(1), prompt(2)}), must.Sprint("three prompt ones identify the task"))
+	must.False(t, poisontask.PoisonousAfterPromptCrash([]poisontask.Crash{unobserved, prompt(1)}), must.Sprint("it doesn't decide"))
+	must.True(t, poisontask.PoisonousAfterPromptCrash([]poisontask.Crash{prompt(1), outside(2)}))
+	must.True(t, poisontask.PoisonousAfterPromptCrash([]poisontask.Crash{unobserved, prompt(1), outside(2)}))
+}
--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -285,19 +285,24 @@
 	return last.convicts() && t.began >= minBegan && (t.all >= maxCrashes-1 || (t.convicting >= minBegan && t.all >= isolationCrashes))
 }
 
-// PoisonousAfterNextCrash reports whether one more crash of an isolated run makes the task poisonous although little
-// else speaks against it: even if an external cause is likely, or by the number of crashes of other kinds.
+// PoisonousAfterNextCrash reports whether one more crash of an isolated run makes the task poisonous, even if an
+// external cause is likely.
 func PoisonousAfterNextCrash(crashes []Crash) bool {
 	if len(crashes) == 0 {
 		return false
 	}
-	outside := Crash{Run: 1, Began: true, Age: crashes[len(crashes)-1].Age, Lives: 1, Outside: true, Trial: true}
-	if LevelOf(append(slices.Clone(crashes), outside)) == Poisonous {
-		return true
-	}
-	prompt := Crash{Run: 1, Began: true, AgeMost: time.Millisecond, Lives: 1, Trial: true}
-	after := append(slices.Clone(crashes), prompt)
-	return LevelOf(after) == Poisonous && !identifiesTask(tallyOf(atLastAge(after)), prompt)
+	next := Crash{Run: 1, Began: true, Age: crashes[len(crashes)-1].Age, Lives: 1, Outside: true, Trial: true}
+	return LevelOf(append(slices.Clone(crashes), next)) == Poisonous
+}
+
+// PoisonousAfterPromptCrash reports whether one more crash of an isolated run, surely soon after its start, makes the task
+// poisonous though the others speak less against it than prompt crashes without an external cause.
+func PoisonousAfterPromptCrash(crashes []Crash) bool {
+	next := Crash{Run: 1, Began: true, AgeMost: time.Millisecond, Lives: 1, Trial: true}
+	after := append(slices.Clone(crashes), next)
+	alike := tallyOf(atLastAge(after))
+	identified := identifiesTask(alike, next) && alike.knownWeight >= isolationCrashes*weightPrompt
+	return LevelOf(after) == Poisonous && !identified
 }
 
 // UnobservedCrash returns the evidence against a task that was found nowhere and may have run at an incarnation that
