Emulator: plans of crash waves that break connections at once

Plan.Resets: the fault crash-worker breaks the open connections and refuses new ones, as where the operating system kills processes. ResetWavesPlan and ResetWavesCrashTasksPlan use it.

--- a/pkg/emulator/days/days.go
+++ b/pkg/emulator/days/days.go
@@ -184,7 +184,8 @@
 var plans = map[string]func(seed uint64) emulator.Plan{
 	"DefaultPlan": emulator.DefaultPlan, "TwoCellPlan": emulator.TwoCellPlan, "SameIDsPlan": emulator.SameIDsPlan,
 	"TroubledCellsPlan": emulator.TroubledCellsPlan, "OddRowsPlan": emulator.OddRowsPlan, "CrashTasksPlan": emulator.CrashTasksPlan,
-	"CrashWavesPlan": emulator.CrashWavesPlan, "RoomsPlan": emulator.RoomsPlan, "SuspendsPlan": emulator.SuspendsPlan,
+	"CrashWavesPlan": emulator.CrashWavesPlan, "ResetWavesPlan": emulator.ResetWavesPlan, "ResetWavesCrashTasksPlan": emulator.ResetWavesCrashTasksPlan,
+	"RoomsPlan": emulator.RoomsPlan, "SuspendsPlan": emulator.SuspendsPlan,
 	"DeposedPlan": emulator.DeposedPlan, "HallCutPlan": emulator.HallCutPlan, "AllTroublesPlan": emulator.AllTroublesPlan,
 	"LeavingPlan": emulator.LeavingPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
 }
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -188,6 +188,20 @@
 	playDays(t, emulator.CrashWavesPlan)
 }
 
+// The operating system kills worker processes, singly and many at once: their connections break at once, so that the
+// time of a crash is known closely. No job fails because of crashes that it did not cause, and none waits for ever.
+func TestNoJobIsGivenUpForCrashesThatBreakConnections(t *testing.T) {
+	t.Parallel()
+	playSeeds(t, emulator.ResetWavesPlan, 600020, 600079, 600286, 600476, 600788, 600905, 601261, 601402)
+}
+
+// Single crashes that break connections hit isolated runs within half a second of their start, a second after another
+// worker had gone silent. Before that, tasks had crashes of other kinds only: unobserved, late or in company.
+func TestNoJobIsGivenUpForASingleCrashUnderItsIsolatedRun(t *testing.T) {
+	t.Parallel()
+	playSeeds(t, emulator.ResetWavesPlan, 600056, 600222, 601132, 601336)
+}
+
 // Workers accept every start, and their capacities shrink and grow. No start may exceed the capacity.
 func TestNoRuleBreaksWhereWorkersDoNotGuardTheirRooms(t *testing.T) {
 	t.Parallel()
--- a/pkg/emulator/fault_kinds.go
+++ b/pkg/emulator/fault_kinds.go
@@ -94,7 +94,7 @@
 	CutLink:      {targetHost, 1, func(w *World, f Fault, until time.Time) { w.cuts[[2]string{f.Target, f.Peer}] = until }},
 	CutCell:      {targetCell, 1, func(w *World, f Fault, until time.Time) { w.cutOffCell(f.Target, until) }},
 	LateWorker:   {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).lateUntil = until }},
-	CrashWorker:  {targetWorker, 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).crash(f.For) }},
+	CrashWorker:  {targetWorker, 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).crashByFault(f.For) }},
 	HangRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsHang, until) }},
 	FailRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsFail, until) }},
 	ShrinkWorker: {targetWorker, quarters + 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).shrinkCapacity(int64(f.How), f.For) }},
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -33,6 +33,9 @@
 	Crashes int
 	// Flaps is how often a single worker crashes and restarts after up to 3 s, in addition to Faults.
 	Flaps int
+	// Resets means that workers which crash for no task crash as processes do that the operating system kills: open
+	// connections break at once.
+	Resets bool
 	// CrashTasks is the number of jobs with a task that crashes each worker that starts it.
 	CrashTasks int
 	// Unguarded means that workers start tasks without checking their capacity. Rooms is how often the capacity of
@@ -119,6 +122,21 @@
 	return plan
 }
 
+// ResetWavesPlan returns a CrashWavesPlan on which the connections of crashed workers break at once.
+func ResetWavesPlan(seed uint64) Plan {
+	plan := CrashWavesPlan(seed)
+	plan.Resets = true
+	return plan
+}
+
+// ResetWavesCrashTasksPlan returns a CrashTasksPlan on which many workers crash at once on each day, and the
+// connections of crashed workers break at once.
+func ResetWavesCrashTasksPlan(seed uint64) Plan {
+	plan := CrashTasksPlan(seed)
+	plan.Crashes, plan.Flaps, plan.Resets = 4, 6, true
+	return plan
+}
+
 // RoomsPlan returns the plan of a day of two cells whose workers start tasks without checking their capacity, and whose
 // capacity shrinks and grows.
 func RoomsPlan(seed uint64) Plan {
--- a/pkg/emulator/script_test.go
+++ b/pkg/emulator/script_test.go
@@ -18,7 +18,8 @@
 var recordablePlans = map[string]func(seed uint64) emulator.Plan{
 	"default": emulator.DefaultPlan, "two cells": emulator.TwoCellPlan, "same ids": emulator.SameIDsPlan,
 	"troubled cells": emulator.TroubledCellsPlan, "odd rows": emulator.OddRowsPlan, "crash tasks": emulator.CrashTasksPlan,
-	"crash waves": emulator.CrashWavesPlan, "rooms": emulator.RoomsPlan, "suspends": emulator.SuspendsPlan,
+	"crash waves": emulator.CrashWavesPlan, "reset waves": emulator.ResetWavesPlan, "crash tasks in reset waves": emulator.ResetWavesCrashTasksPlan,
+	"rooms": emulator.RoomsPlan, "suspends": emulator.SuspendsPlan,
 	"deposed": emulator.DeposedPlan, "hall cut": emulator.HallCutPlan, "all troubles": emulator.AllTroublesPlan,
 }
 
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -148,6 +148,15 @@
 	k.failPendingCalls()
 }
 
+// crashByFault ends the incarnation as a fault does: its connections break only if Plan.Resets says so.
+func (k *worker) crashByFault(span time.Duration) {
+	if k.world.plan.Resets && k.up {
+		k.crashWithReset(span)
+		return
+	}
+	k.crash(span)
+}
+
 // failPendingCalls fails all calls without an answer at once, and refuses new connections.
 func (k *worker) failPendingCalls() {
 	k.refusesConnections = true
