Silences have a file; a verdict that is awaited is not taken up again

Moves the silences out of the files of crashes and polls, and names a condition of the level; no behaviour changes by that. One does: when a job gets tasks back, or more of them, the evidence of all its tasks is restored, which would have marked the last crash of a task that awaits its verdict as one with a likely external cause. Found by reading; no test reaches it yet.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -19,11 +19,6 @@
 // worker has crashed or is cut off: its evidence is withdrawn if the same incarnation answers again.
 
 const (
-	// simultaneousWindow is the longest time between worker ends that count as simultaneous: these may have one
-	// external cause.
-	simultaneousWindow = 300 * time.Millisecond
-	// silenceMemory is how long the leader remembers that a worker went silent.
-	silenceMemory = 10 * time.Second
 	// maxLoggedRuns bounds the runs listed in one log line.
 	maxLoggedRuns = 6
 	// silentAfterFailures is how many polls of a worker have to fail in a row before its silence becomes
@@ -57,44 +52,6 @@
 	at, since time.Time
 }
 
-// silence is the interval in which a worker went silent or began a new incarnation: after it was last known to be alive
-// and before the leader noticed. isolated says that an isolated run was in progress there.
-type silence struct {
-	worker        string
-	born          int64
-	after, before time.Time
-	isolated      bool
-}
-
-// addSilence records that a worker went silent, noticed at a given time. Of the workers that have never answered this
-// leader only the members that it found recorded count, and as lost since it leads: a registry row may be outdated.
-func (s *State) addSilence(now time.Time, w *workers.Worker, at time.Time) {
-	after := w.AliveAt
-	if w.LastAnswerAt.IsZero() {
-		if s.retainedMembers[w.ID] == nil {
-			return
-		}
-		after = s.gainedAt
-	}
-	s.silences = slices.DeleteFunc(s.silences, func(f silence) bool { return now.Sub(f.before) >= silenceMemory })
-	s.silences = append(s.silences, silence{w.ID, w.Born, after, at, slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.Isolated })})
-}
-
-// simultaneousSilences returns how many workers, the one of the given silence included, may have gone silent at the same
-// time, and on how many of the others an isolated run was in progress.
-func (s *State) simultaneousSilences(of silence) (all, isolated int) {
-	for _, f := range s.silences {
-		if !f.after.Before(of.before.Add(simultaneousWindow)) || !f.before.After(of.after.Add(-simultaneousWindow)) {
-			continue
-		}
-		all++
-		if f.isolated && f.worker != of.worker {
-			isolated++
-		}
-	}
-	return max(1, all), min(isolated, max(0, all-1))
-}
-
 // workerCrashed handles the end of a worker incarnation that was not caused by a stop or a leave.
 func (s *State) workerCrashed(now time.Time, w *workers.Worker) {
 	s.resolveSilentRuns(now, true, func(r silentRun) bool { return r.worker == w.ID && r.born == w.Born })
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -262,39 +262,6 @@
 	w.NextPollAt = now.Add(pollRetryPause)
 }
 
-// latestAlive returns the latest time at which a worker whose poll has just failed can have been reachable. It updates
-// w.AliveAt if the worker broke the connection while the poll waited there. A poll that timed out was not answered at
-// the end of its wait.
-func (s *State) latestAlive(now time.Time, w *workers.Worker) time.Time {
-	waited := now.Sub(w.PollSentAt)
-	switch {
-	case waited >= w.PollTimeout:
-		return w.PollSentAt.Add(w.PollWait + brokenConnectionSlack)
-	case waited > brokenConnectionSlack && !w.LastAnswerAt.IsZero():
-		if at := s.happenedAfter(now).Add(-brokenConnectionSlack); at.After(w.AliveAt) {
-			w.AliveAt = at
-		}
-	}
-	return now
-}
-
-// noteGap remembers the last time in which this leader took no event: its process may have been paused.
-func (s *State) noteGap(now time.Time) {
-	if now.Sub(s.eventTakenAt) > brokenConnectionSlack {
-		s.gapFrom, s.gapUntil = s.eventTakenAt, now
-	}
-	s.eventTakenAt = now
-}
-
-// happenedAfter returns the time after which an event that is taken now has happened. Events that happened in a gap are
-// taken right after it.
-func (s *State) happenedAfter(now time.Time) time.Time {
-	if now.Sub(s.gapUntil) <= brokenConnectionSlack {
-		return s.gapFrom
-	}
-	return now
-}
-
 // advanceRecorded advances w.LastRecordedEnd, the newest end that the worker may forget.
 func (s *State) advanceRecorded(w *workers.Worker) {
 	if s.unsafe.NoRecorded {
--- a/pkg/process/cell/verdicts.go
+++ b/pkg/process/cell/verdicts.go
@@ -52,7 +52,7 @@
 // restoreVerdict takes up a verdict that an earlier leader did not live to reach. Which other workers went silent
 // together with the last one is not known any more, so an external cause can't be excluded.
 func (s *State) restoreVerdict(now time.Time, t *jobs.Task) {
-	if t.Level() != poisontask.Poisonous || t.Unit.Job.Ended() {
+	if _, awaited := s.verdicts[t]; awaited || t.Level() != poisontask.Poisonous || t.Unit.Job.Ended() {
 		return
 	}
 	last := t.Crashes[len(t.Crashes)-1]
--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -156,7 +156,7 @@
 	return c.Run != 0 && c.Began && c.AgeMost > 0 && c.AgeMost < surelyPromptAge && !c.Excused && !c.Again
 }
 
-// mayBeLate reports whether the run is known to be one that may have lasted for longer than a prompt one.
+// mayBeLate reports whether the most that the run can have lasted is known, and is longer than for a surely prompt one.
 func (c Crash) mayBeLate() bool { return c.AgeMost >= surelyPromptAge }
 
 // convicts reports whether the crash leaves hardly another cause than the run: the worker crashed soon after its start,
@@ -170,11 +170,11 @@
 //
 // all is the number of crashes and weight the sum of their weights. promptAny is the number of known runs below
 // promptAge that are neither excused nor at a host that had crashed under the task before, surelyPrompt the number that
-// are surely prompt. The other fields leave out workers that are only silent. ended is the number of ended incarnations, unobserved the number of those that
-// ended without a leader that knew what ran there, and lostIsolated the number of recorded isolated runs that
-// were found nowhere. Of the known runs, knownWeight is the sum of weights, newHosts the number at a host that had
-// not crashed under the task before, began the number known to have begun, prompt the number that are
-// known to have begun, below promptAge and at such a host, and convicting the number that convict.
+// are surely prompt. The other fields leave out workers that are only silent. ended is the number of ended
+// incarnations, unobserved the number of those that ended without a leader that knew what ran there, and lostIsolated
+// the number of recorded isolated runs that were found nowhere. Of the known runs, knownWeight is the sum of weights,
+// newHosts the number at a host that had not crashed under the task before, began the number known to have begun, prompt
+// the number that are known to have begun, below promptAge and at such a host, and convicting the number that convict.
 //
 // Crashes without a known run count for less: a leader that died may have been about to start one.
 type tally struct {
@@ -182,6 +182,12 @@
 	ended, newHosts, knownWeight, began, prompt, convicting, unobserved, lostIsolated int
 }
 
+// showsCrashes reports whether some of the crashes are of runs that a leader knew: a worker is known to have crashed, or
+// workers went silent so soon after starts that they are likely to have crashed.
+func (t tally) showsCrashes() bool {
+	return t.ended > t.unobserved || t.surelyPrompt > 0 || t.promptAny >= isolationCrashes
+}
+
 // tallyOf sums up the crashes of one task.
 func tallyOf(crashes []Crash) tally {
 	var t tally
@@ -246,7 +252,7 @@
 	switch {
 	case reachesLimit(alike, last), identifiesTask(alike, last), isConvicted(t, last):
 		return Poisonous
-	case (t.ended > t.unobserved || t.surelyPrompt > 0 || t.promptAny >= isolationCrashes) && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
+	case t.showsCrashes() && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
 		return NeedsIsolation
 	case t.weight >= suspectWeight:
 		return Suspected
@@ -259,9 +265,9 @@
 // Some runs have to be known to have begun, as a recorded isolated run may never have been ordered. With unobserved
 // ends among the crashes, the last crash has to be of a run without company, and more is asked of the others:
 // else a task that merely waited through many takeovers would be poisonous. If the last crash has a likely external
-// cause, may have come long after the start, or is a recorded isolated run that was found nowhere, more than minBegan runs must have begun, or be such
-// isolated runs. Else one crash fewer is enough, as the record of some crash that a leader saw may have been lost, but
-// minBegan runs must have ended promptly.
+// cause, may have come long after the start, or is a recorded isolated run that was found nowhere, more than minBegan
+// runs must have begun, or be such isolated runs. Else one crash fewer is enough, as the record of some crash that a
+// leader saw may have been lost, but minBegan runs must have ended promptly.
 func reachesLimit(t tally, last Crash) bool {
 	if t.unobserved == 0 {
 		return t.ended >= maxCrashes && t.began >= minBegan
