--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -202,14 +202,8 @@
 	playSeeds(t, emulator.ResetWavesPlan, 600056, 600222, 601132, 601336)
 }
 
-// A task that had crashed five workers started once more. Another crash task ended its worker 280 ms after the isolated
-// run had, in a cell of six workers: two that go silent at the same time count as an outage, also in hindsight. From the
-// log:
-//
-//	24.846 worker-10/4 crashes
-//	25.126 worker-4/3 crashes
-//	28.936 task-suspected worker-10 ...3.0.2.2 guilty after 4 crashes
-//	40.142 worker-6/7 starts ...3.0.2.2
+// Guards against a sixth start of a crash task whose last crash falls together with that of another crash task: in a cell
+// of six workers two that go silent at the same time count as an outage, also in hindsight.
 func TestCrashTasksAreGivenUpAmongCrashesThatBreakConnections(t *testing.T) {
 	t.Parallel()
 	playSeeds(t, emulator.ResetWavesCrashTasksPlan, 600614)
--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -159,9 +159,9 @@
 // mayBeLate reports whether the most that the run can have lasted is known, and is longer than for a surely prompt one.
 func (c Crash) mayBeLate() bool { return c.AgeMost >= surelyPromptAge }
 
-// convicts reports whether the crash leaves hardly another cause than the run: the worker crashed soon after its start,
+// isDecisive reports whether the crash leaves hardly another cause than the run: the worker crashed soon after its start,
 // without company and without a sign of an external cause.
-func (c Crash) convicts() bool { return c.surelyPrompt() && c.onlyCandidate() && !c.Outside }
+func (c Crash) isDecisive() bool { return c.surelyPrompt() && c.onlyCandidate() && !c.Outside }
 
 // isLostIsolated reports whether the crash stands for a recorded isolated run that was found nowhere.
 func (c Crash) isLostIsolated() bool { return c.Run == 0 && !c.Unseen }
@@ -174,12 +174,12 @@
 // incarnations, unobserved the number of those that ended without a leader that knew what ran there, and lostIsolated
 // the number of recorded isolated runs that were found nowhere. Of the known runs, knownWeight is the sum of weights,
 // newHosts the number at a host that had not crashed under the task before, began the number known to have begun, prompt
-// the number that are known to have begun, below promptAge and at such a host, and convicting the number that convict.
+// the number that are known to have begun, below promptAge and at such a host, and decisive the number that are decisive.
 //
 // Crashes without a known run count for less: a leader that died may have been about to start one.
 type tally struct {
-	all, weight, promptAny, surelyPrompt                                              int
-	ended, newHosts, knownWeight, began, prompt, convicting, unobserved, lostIsolated int
+	all, weight, promptAny, surelyPrompt                                            int
+	ended, newHosts, knownWeight, began, prompt, decisive, unobserved, lostIsolated int
 }
 
 // showsCrashes reports whether some of the crashes are of runs that a leader knew: a worker is known to have crashed, or
@@ -223,8 +223,8 @@
 		if c.Began && c.Age < promptAge && !c.Again {
 			t.prompt++
 		}
-		if c.convicts() {
-			t.convicting++
+		if c.isDecisive() {
+			t.decisive++
 		}
 	}
 	return t
@@ -250,7 +250,7 @@
 	}
 	t, alike, last := tallyOf(crashes), tallyOf(atLastAge(crashes)), crashes[len(crashes)-1]
 	switch {
-	case reachesLimit(alike, last), identifiesTask(alike, last), isConvicted(t, last):
+	case reachesLimit(alike, last), identifiesTask(alike, last), identifiedByPromptCrashes(t, last):
 		return Poisonous
 	case t.showsCrashes() && (t.weight >= isolationWeight || t.all >= isolationCrashes || alike.promptAny >= isolationPromptCrashes):
 		return NeedsIsolation
@@ -281,14 +281,14 @@
 	return t.ended >= maxCrashes-1 && t.prompt >= minBegan
 }
 
-// isConvicted reports whether crashes whose ages are known within narrow bounds show that the task is poisonous: with
-// the last that convicts, as many as one fewer than maxCrashes of any kind, or three if another one convicts; or
+// identifiedByPromptCrashes reports whether crashes whose ages are known within narrow bounds show that the task is
+// poisonous: with the last one decisive, one fewer than maxCrashes of any kind, or three if another one is decisive; or
 // maxCrashes, minSurelyPrompt of them surely prompt, though the run was never without company.
-func isConvicted(t tally, last Crash) bool {
+func identifiedByPromptCrashes(t tally, last Crash) bool {
 	if t.all >= maxCrashes && t.surelyPrompt >= minSurelyPrompt {
 		return true
 	}
-	return last.convicts() && t.began >= minBegan && (t.all >= maxCrashes-1 || (t.convicting >= minBegan && t.all >= isolationCrashes))
+	return last.isDecisive() && t.began >= minBegan && (t.all >= maxCrashes-1 || (t.decisive >= minBegan && t.all >= isolationCrashes))
 }
 
 // PoisonousAfterNextCrash reports whether one more crash of an isolated run makes the task poisonous, even if an
