A lasting task awaits no long quiet time before its isolated run

Cause: the quiet time of four seconds, and of four since a takeover, held for lasting tasks, too, whose isolation is waived after three seconds in one cell. Change: for them the run that decides is only the one that decides whatever else may have caused the crash, and the quiet time does not count from the takeover, as before.

--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -123,17 +123,20 @@
 
 // isQuiet reports whether no other workers crash at present, so that a crash of an isolated run would be evidence
 // against its task, or the task has waited for that for long enough. The wait delays a job, but a job without a
-// poisonous task that fails is worse for its caller than one that ends later.
+// poisonous task that fails is worse for its caller than one that ends later. A lasting task waits for less, as it is
+// soon late.
 func (s *State) isQuiet(now time.Time, t *jobs.Task) bool {
 	quietFor, maxWait := quietBeforeIsolated, maxQuietWait
-	decides := poisontask.PoisonousAfterNextCrash(t.Crashes) || poisontask.PoisonousAfterPromptCrash(t.Crashes)
+	lasting := t.Unit.Lasting()
+	decides := poisontask.PoisonousAfterNextCrash(t.Crashes) || (!lasting && poisontask.PoisonousAfterPromptCrash(t.Crashes))
 	if decides {
 		quietFor, maxWait = quietBeforeDecisive, maxQuietWaitDecisive
 	}
 	quiet := len(s.silences) == 0 || now.Sub(s.silences[len(s.silences)-1].before) >= quietFor
 	if decides {
 		// What went silent before this process led is not known.
-		quiet = quiet && now.Sub(s.gainedAt) >= quietFor && s.crashesWithout(now, t) < poisontask.CommonCrashThreshold(len(s.workers))
+		knowsSilences := lasting || now.Sub(s.gainedAt) >= quietFor
+		quiet = quiet && knowsSilences && s.crashesWithout(now, t) < poisontask.CommonCrashThreshold(len(s.workers))
 	}
 	return quiet || currentWait(now, t) >= maxWait
 }
