A task that may have crashed a worker starts only at a recorded incarnation

Cause: what only the leader knew went with it. A successor found an ended incarnation and the task nowhere, which weighs a quarter; four such ends weighed as one crash and never made the task run isolated. The record of an isolated run named no incarnation where workers report no birth time, evidence that was confirmed before the cell had settled dropped the record, and five crashes did not decide if the last one was seen soon after its start.

Now each start of a task with evidence awaits a record that names the worker incarnation, and the record of evidence names the run that goes on. So only the first crash of a task can be one of which nothing is known. A crash of a recorded start counts as a run that began.

The harness of takeover tests answers transactions now: a run on a silent worker is evidence, so the next start awaits its record.

--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -96,7 +96,7 @@
 // loggedNotes are the kinds of notes that the day's log holds.
 var loggedNotes = map[cell.NoteKind]bool{
 	cell.NoteLent: true, cell.NoteTakenBack: true, cell.NoteGivenBack: true, cell.NoteWorkerCrashed: true, cell.NoteSuspected: true,
-	cell.NoteCleared: true, cell.NoteLostIsolated: true, cell.NoteJobEnded: true, cell.NoteLost: true, cell.NoteWorkerGone: true, cell.NoteLed: true, cell.NoteSettled: true,
+	cell.NoteCleared: true, cell.NoteLostStart: true, cell.NoteJobEnded: true, cell.NoteLost: true, cell.NoteWorkerGone: true, cell.NoteLed: true, cell.NoteSettled: true,
 }
 
 // loggedWaitNotes are the further kinds logged on days with lasting tasks, which explain why these wait.
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -55,8 +55,11 @@
 	truths          map[string]*TaskBehavior // actual behaviour of the tasks of plan.Load, by task name
 	saved           map[string]time.Duration
 	crashTaskDelays map[string]time.Duration // delay from start to worker crash, by task without its occurrence
-	results         map[string]*JobResult
-	script          *Script // records the day, nil if it is not recorded
+	// afterCrash and afterEnd, if set, are called at each crash of a worker and at each reported end of a run.
+	afterCrash func(k *worker)
+	afterEnd   func(task string)
+	results    map[string]*JobResult
+	script     *Script // records the day, nil if it is not recorded
 	// Noted counts the notes of all hosts by kind.
 	Noted map[cell.NoteKind]int
 	// Log holds the log lines of the day, to explain a seed that failed.
@@ -78,6 +81,7 @@
 		w.planLoad()
 	}
 	w.scheduleFaults()
+	w.scheduleAftermath()
 	return w.run()
 }
 
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -168,6 +168,27 @@
 	playSeeds(t, emulator.AllTroublesPlan, 3109, 250)
 }
 
+// A leader ends soon after each crash under a task: it is killed, frozen or suspended, alone or with all hosts, 20 to
+// 600 ms after the crash. What it alone knew goes with it, and a crash of which nothing is recorded weighs little: the task
+// was started up to eight times.
+func TestATaskThatCrashesItsWorkersIsGivenUpThoughLeadersEndAfterEachCrash(t *testing.T) {
+	t.Parallel()
+	playDays(t, emulator.LeaderEndsPlan)
+}
+
+// In addition, the table is down from the end of each task that the crash task waits for. So that end is not recorded
+// when the next step starts, crashes its worker, and the leader ends.
+func TestATaskThatCrashesItsWorkersIsGivenUpThoughEndsBeforeItAreNotRecorded(t *testing.T) {
+	t.Parallel()
+	playSomeDays(t, emulator.UnrecordedEndsPlan, troubledDays)
+}
+
+// A leader ends after each of the first crashes, none of which a task causes. No job fails because of them.
+func TestNoJobIsGivenUpForCrashesAfterWhichLeadersEnd(t *testing.T) {
+	t.Parallel()
+	playSomeDays(t, emulator.LeaderEndsInWavesPlan, troubledDays)
+}
+
 // Twenty tasks had died, twice each, beside three that crash their workers, and so needed isolated runs. These
 // ran one at a time in a cell of six workers, 1 to 2 s each, while the other workers were empty. From a day's
 // log:
@@ -245,19 +266,13 @@
 func TestEachFenceIsNeeded(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
-		name   string
-		unsafe cell.Unsafe
-		// beside is the part of unsafe without which the day shows nothing. With that part alone, the day breaks no rule.
-		beside cell.Unsafe
-		// without are mechanisms that the days do without. They change which days there are, not which are safe.
-		without cell.Mechanism
+		name    string
+		unsafe  cell.Unsafe
 		sameIDs bool
 		unbound bool
 		steady  bool
 		plan    func(seed uint64) emulator.Plan
-		// from is the first of the 400 seeds tried.
-		from uint64
-		rule string
+		rule    string
 	}{
 		{name: "settling", unsafe: cell.Unsafe{NoSettling: true}, rule: "TWICE"},
 		{name: "lease wait", unsafe: cell.Unsafe{NoLeaseWait: true}, rule: "TWICE"},
@@ -268,14 +283,12 @@
 		{name: "time that counts suspensions", steady: true, plan: emulator.SuspendsPlan, rule: "TWICE"},
 		{name: "runs of jobs that are not known yet", unsafe: cell.Unsafe{NoStrays: true}, plan: emulator.DeposedPlan, rule: "TWICE"},
 		{name: "no starts in evacuated halls", unsafe: cell.Unsafe{NoEvacuation: true}, plan: emulator.EvacuationPlan, rule: "EVAC"},
-		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.ResetWavesCrashTasksPlan, from: 100, rule: "BUDGET"},
-		// An isolated run that is not recorded leaves an unobserved end, which counts as evidence by itself. So this
-		// safeguard is needed where unobserved ends do not count.
-		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true, NoUnseen: true}, beside: cell.Unsafe{NoUnseen: true}, without: cell.LeastWorkFirst, plan: emulator.ResetWavesCrashTasksPlan, from: 1500, rule: "BUDGET"},
+		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.LeaderEndsPlan, rule: "BUDGET"},
+		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true}, plan: emulator.UnrecordedEndsPlan, rule: "BUDGET"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := c.from; seed < c.from+400; seed++ {
+			for seed := range uint64(400) {
 				plan := emulator.DefaultPlan(seed)
 				if c.sameIDs {
 					plan = emulator.SameIDsPlan(seed)
@@ -283,17 +296,11 @@
 				if c.plan != nil {
 					plan = c.plan(seed)
 				}
-				plan.Unsafe, plan.Unbound, plan.Steady, plan.Without = c.unsafe, c.unbound, c.steady, c.without
+				plan.Unsafe, plan.Unbound, plan.Steady = c.unsafe, c.unbound, c.steady
 				_, broken := emulator.Play(plan)
 				if !strings.Contains(strings.Join(broken, ";"), c.rule) {
 					continue
 				}
-				if c.beside != (cell.Unsafe{}) {
-					plan.Unsafe = c.beside
-					if _, without := emulator.Play(plan); len(without) > 0 {
-						continue
-					}
-				}
 				t.Logf("seed %d: %s", seed, broken[0])
 				return
 			}
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -54,6 +54,8 @@
 	HallCuts int
 	// Evacuations is how often an operator orders the evacuation of a hall for a while.
 	Evacuations int
+	// Aftermath configures faults that follow crashes.
+	Aftermath Aftermath
 	// OddRows means that rows of the worker registry become invalid for a while, and that the registry holds rows of
 	// unknown workers.
 	OddRows bool
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -128,6 +128,9 @@
 	}
 	k.world.logf("%s crashes", k.id())
 	k.world.checker.countTaskCrashes(k)
+	if k.world.afterCrash != nil {
+		k.world.afterCrash(k)
+	}
 	k.endIncarnation("lost")
 	k.refusesConnections = false
 	k.world.after(span, k.startIncarnation)
@@ -360,6 +363,9 @@
 	k.ended = append(k.ended, workers.End{Number: k.lastEndNumber, Task: r.task, Run: r.number, Outcome: how, Checkpoint: saved})
 	k.endedAt[k.lastEndNumber] = k.world.now
 	k.world.checker.ended(k, r, how)
+	if k.world.afterEnd != nil {
+		k.world.afterEnd(r.task)
+	}
 	k.updateSpeeds()
 }
 
--- a/pkg/process/cell/active_runs.go
+++ b/pkg/process/cell/active_runs.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	r := &jobs.Run{
-		Task: t, Number: a.Run, Worker: w.ID, State: jobs.Running, SentAt: now, AckedAt: now,
+		Task: t, Number: a.Run, Worker: w.ID, At: incarnationOf(w), State: jobs.Running, SentAt: now, AckedAt: now,
 		BeganAt: now, ProgressAt: now, Percent: a.Percent, Pace: 100, PaceWanted: 100, Resumed: true, Adopted: true, Isolated: s.needsIsolation(t),
 	}
 	if t.Unit.Spec.GetFiller() {
--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -172,9 +172,6 @@
 func (s *State) evidenceChanged(now time.Time, t *jobs.Task, c poisontask.Crash) {
 	j := t.Unit.Job
 	level := t.Level()
-	if level == poisontask.Suspected {
-		t.Isolation, t.IsolatedAt = jobs.IsolationWanted, jobs.IsolatedAt{} // recorded along with the evidence, so that the next start waits for no record of its own
-	}
 	s.markDirty(j, true)
 	if level >= poisontask.Suspected {
 		s.note(Note{
@@ -304,7 +301,7 @@
 // endedWithoutCrash handles a run that ended while its worker keeps running. It exonerates the task if the run
 // had lasted for long enough.
 func (s *State) endedWithoutCrash(w *workers.Worker, t *jobs.Task, r *jobs.Run) {
-	t.Isolation = jobs.NoIsolation // an isolated run has ended as well
+	t.DropStartRecord()
 	if r != nil && !r.BeganAt.IsZero() && len(t.Crashes) > 0 && poisontask.EndExonerates(t.Crashes, minRunAge(w, r)) {
 		s.exonerate(w, r)
 	}
--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -108,10 +108,6 @@
 	trustedOtherHostWait = 2 * time.Second
 )
 
-// maxRecordWait is how long a suspect waits for its record while the table does not answer. The wait is limited because
-// outages of the table last longer and most suspects are not poisonous.
-const maxRecordWait = 3 * time.Second
-
 // mayRunIsolated reports whether an isolated run of a task may start now, provided that a worker is found.
 func (s *State) mayRunIsolated(now time.Time, t *jobs.Task) bool {
 	inUse := s.isolatedRuns + len(s.isolationReservations)
@@ -204,7 +200,7 @@
 	w := s.isolationReservations[t].worker
 	delete(s.closedWorkers, w) // the reservation excludes other tasks only
 	fit := s.usable(now, w) && allLongRunning(w) && suspectRuns(w) == 0 && s.fits(now, t.Unit, service, w)
-	if fit && s.isolatedRunRecorded(t, w) {
+	if fit && s.startRecorded(t, w) {
 		delete(s.isolationReservations, t)
 		return w
 	}
@@ -212,15 +208,6 @@
 	return nil
 }
 
-// isolatedRunRecorded reports whether the table holds the record of an isolated run of a task at the present
-// incarnation of a worker. If that record was not requested yet, isolatedRunRecorded requests it.
-func (s *State) isolatedRunRecorded(t *jobs.Task, w *workers.Worker) bool {
-	if t.WantIsolation(jobs.IsolatedAt{Worker: w.ID, Born: w.Born, Host: w.Host}) {
-		s.markDirty(t.Unit.Job, true)
-	}
-	return t.Isolation == jobs.IsolationRecorded || s.unsafe.NoTrialRecord
-}
-
 // bestForIsolated returns the usable worker with the highest score for an isolated run of a task, or nil if none fits.
 func (s *State) bestForIsolated(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
 	var best *workers.Worker
@@ -278,13 +265,6 @@
 		slices.ContainsFunc(usable, func(other *workers.Worker) bool { return !t.CrashedAt(other.Host) })
 }
 
-// awaitsEvidenceRecord reports whether a suspect waits until the evidence against it is recorded, so that a successor
-// knows of it. The record was requested when the evidence was added. If the table does not answer, the suspect
-// waits for maxRecordWait at most.
-func (s *State) awaitsEvidenceRecord(now time.Time, t *jobs.Task) bool {
-	return t.Level() == poisontask.Suspected && t.Isolation == jobs.IsolationWanted && currentWait(now, t) < maxRecordWait
-}
-
 // isolatedScore ranks workers for an isolated run of a task. It prefers hosts that have not crashed under the task,
 // nor recently without it, as a crash there is stronger evidence. Among these it prefers workers with fewer runs,
 // as less is lost.
--- a/pkg/process/cell/lost_isolated_runs_test.go
+++ b/pkg/process/cell/lost_isolated_runs_test.go
@@ -12,9 +12,9 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// isolatedRunRecorded returns a cell in which a task has crashed two workers and the table has just recorded its isolated
+// startRecorded returns a cell in which a task has crashed two workers and the table has just recorded its isolated
 // run, which is not ordered yet, with the job's id and the worker that is reserved for the run.
-func isolatedRunRecorded(t *testing.T) (f *crashFleet, job string, w *fleetWorker) {
+func startRecorded(t *testing.T) (f *crashFleet, job string, w *fleetWorker) {
 	t.Helper()
 	f = newCrashFleet()
 	job = f.accept(1, oneTask())
@@ -52,7 +52,7 @@
 // The record of an isolated run names the incarnation of the reserved worker before the run is ordered.
 func TestRecordNamesTheIncarnationForTheIsolatedRun(t *testing.T) {
 	t.Parallel()
-	f, job, w := isolatedRunRecorded(t)
+	f, job, w := startRecorded(t)
 	must.NotNil(t, w)
 	must.Eq(t, w.born, f.taskNote(job).GetTrialBorn())
 	must.Eq(t, w.id, f.taskNote(job).GetTrialHost())
@@ -116,7 +116,7 @@
 // successor and does not list the run, so there is no evidence.
 func TestRecordedIsolatedRunIsNoEvidenceIfItsWorkerAnswers(t *testing.T) {
 	t.Parallel()
-	f, job, _ := isolatedRunRecorded(t)
+	f, job, _ := startRecorded(t)
 	f.replaceLeader()
 	must.Len(t, 2, f.evidence(job))
 	f.run(100 * time.Millisecond)
@@ -127,7 +127,7 @@
 // The named incarnation answers the successor, and only then ends: its end is no evidence either.
 func TestRecordedIsolatedRunIsNoEvidenceIfItsWorkerAnsweredBeforeItsEnd(t *testing.T) {
 	t.Parallel()
-	f, job, w := isolatedRunRecorded(t)
+	f, job, w := startRecorded(t)
 	must.NotNil(t, w)
 	other := f.sorted()[0]
 	if other == w {
@@ -148,7 +148,7 @@
 // not counted a second time as an unobserved end.
 func TestRecordedIsolatedRunIsEvidenceIfItsIncarnationEnded(t *testing.T) {
 	t.Parallel()
-	f, job, w := isolatedRunRecorded(t)
+	f, job, w := startRecorded(t)
 	must.NotNil(t, w)
 	born := w.born
 	other := f.accept(2, oneTask())
@@ -173,7 +173,7 @@
 		for _, further := range []string{"", ", after a further takeover"} {
 			t.Run(name+further, func(t *testing.T) {
 				t.Parallel()
-				f, job, w := isolatedRunRecorded(t)
+				f, job, w := startRecorded(t)
 				must.NotNil(t, w)
 				born := w.born
 				w.down, w.upAt = true, f.now.Add(time.Hour)
@@ -203,7 +203,7 @@
 // A record of an older host does not name an incarnation: a run that no worker lists is weak evidence, as ever.
 func TestRecordWithoutAnIncarnationIsWeakEvidence(t *testing.T) {
 	t.Parallel()
-	f, job, _ := isolatedRunRecorded(t)
+	f, job, _ := startRecorded(t)
 	n := f.taskNote(job)
 	n.TrialWorker, n.TrialBorn, n.TrialHost = "", 0, ""
 	f.replaceLeader()
@@ -214,7 +214,7 @@
 // The named incarnation was leaving when it ended: that is weak evidence, as ever, and is not made stronger.
 func TestRecordedIsolatedRunAtALeavingWorkerIsWeakEvidence(t *testing.T) {
 	t.Parallel()
-	f, job, w := isolatedRunRecorded(t)
+	f, job, w := startRecorded(t)
 	must.NotNil(t, w)
 	w.leaving = true
 	f.newLeader()
--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -18,7 +18,7 @@
 		s.addUnobservedEnd(w)
 		s.unreachedMemberEnded(now, w.ID)
 		s.rememberEnd(w)
-		s.lostIsolatedEnded(now, w)
+		s.lostStartEnded(now, w)
 		s.workerCrashed(now, w)
 	}
 	s.endedIncarnations[w.ID] = w.Born
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -43,7 +43,7 @@
 	NoteWorkerDropped   NoteKind = "worker-dropped"
 	NoteSuspected       NoteKind = "task-suspected"
 	NoteCleared         NoteKind = "task-cleared"
-	NoteLostIsolated    NoteKind = "isolated-run-unlisted"
+	NoteLostStart       NoteKind = "recorded-start-unlisted"
 	NoteWorkerCrashed   NoteKind = "worker-crashed"
 	NoteWorkerLeaves    NoteKind = "worker-leaving"
 	NoteWorkerSilent    NoteKind = "worker-silent"
@@ -99,7 +99,7 @@
 	{NoteWorkerCrashed, "a worker with runs crashed, or does not answer; detail: whether it is only silent, how many workers fell silent at that moment, its runs and their least ages"},
 	{NoteSuspected, "a task is suspected of crashing workers; detail: level, number of crashes, the evidence of this one"},
 	{NoteCleared, "a task is no longer suspected of crashing workers; detail: reason"},
-	{NoteLostIsolated, "a predecessor recorded an isolated run of a task, and no worker lists it; detail: what is known of its worker"},
+	{NoteLostStart, "a predecessor recorded a start of a task, and no worker lists the run; detail: what is known of its worker"},
 	{NoteWorkerLeaves, "a worker leaves and takes no new work; detail: time left"},
 	{NoteWorkerSilent, "a worker does not answer, and its lease runs out; detail: error; age_ms: time since its last answer"},
 	{NoteWorkerHeard, "a silent worker answers; age_ms: how long it was silent"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -37,7 +37,7 @@
 // startRun orders a run of a task at a worker, and counts the run as running there from now on.
 func (s *State) startRun(now time.Time, w *workers.Worker, t *jobs.Task, number int64, ticket string) {
 	r := &jobs.Run{
-		Task: t, Number: number, Worker: w.ID, State: jobs.Sent, SentAt: now, ProgressAt: now,
+		Task: t, Number: number, Worker: w.ID, At: incarnationOf(w), State: jobs.Sent, SentAt: now, ProgressAt: now,
 		Pace: 100, PaceWanted: 100, Ticket: ticket, Resumed: t.Checkpoint != "", Isolated: s.needsIsolation(t),
 	}
 	if r.Isolated {
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -34,6 +34,7 @@
 	clear(s.fillerNetCosts)
 	clear(s.reservedForLasting)
 	s.closeIsolatedWorkers(now)
+	defer s.releaseAwaitedStarts()
 	usable := s.usableWorkers(now)
 	for _, c := range s.rankedUnits(now) {
 		if len(usable) == 0 || !s.mayOrderStart(now) {
@@ -100,6 +101,10 @@
 			s.logWait(now, t, service, usable)
 			return
 		}
+		if s.awaitsStartRecord(t, w) {
+			s.reserveForRecord(now, t, w)
+			continue
+		}
 		s.startRun(now, w, t, s.nextRunNumber(), s.ticket(u, w))
 	}
 	if !hasTaskToStart(u) {
@@ -139,12 +144,15 @@
 
 // chooseWorker returns the worker for a task, or nil if the task can't start anywhere now.
 func (s *State) chooseWorker(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) *workers.Worker {
-	if s.awaitsEvidenceRecord(now, t) || (s.tooWideToIsolate(t.Unit) && s.awaitsCrashOutcome(now, t)) {
+	if s.tooWideToIsolate(t.Unit) && s.awaitsCrashOutcome(now, t) {
 		return nil
 	}
 	if s.needsIsolation(t) {
 		return s.chooseForIsolatedRun(now, t, service, usable)
 	}
+	if w := s.chosenBefore(now, t, service, usable); w != nil {
+		return w
+	}
 	var best *workers.Worker
 	bestScore := 0.0
 	needsSpecific := t.NeedsSpecificWorker()
@@ -239,7 +247,7 @@
 }
 
 // startGang starts a gang on workers of the pool if all of its tasks fit there together, and reports
-// whether it did. While it chooses workers it reserves their capacity task by task.
+// whether they do. A gang whose starts await their records keeps the capacity until the end of the placement pass. While it chooses workers it reserves their capacity task by task.
 func (s *State) startGang(now time.Time, u *jobs.Unit, pool []*workers.Worker) bool {
 	if !s.mayIsolateGang(u) {
 		return false
@@ -263,6 +271,9 @@
 		chosen, reserved = append(chosen, w), append(reserved, r)
 	}
 	release()
+	if s.gangAwaitsRecords(now, u, chosen) {
+		return true
+	}
 	number := s.nextRunNumber()
 	checkpoint := gangCheckpoint(u)
 	for i, t := range u.Tasks {
@@ -273,6 +284,21 @@
 	return true
 }
 
+// gangAwaitsRecords reports whether a gang waits for the record of a start on one of the chosen workers, which are in the
+// order of its tasks. It then reserves their capacity.
+func (s *State) gangAwaitsRecords(now time.Time, u *jobs.Unit, chosen []*workers.Worker) bool {
+	awaits := false
+	for i, t := range u.Tasks {
+		awaits = s.awaitsStartRecord(t, chosen[i]) || awaits
+	}
+	if awaits {
+		for i, t := range u.Tasks {
+			s.reserveForRecord(now, t, chosen[i])
+		}
+	}
+	return awaits
+}
+
 // gangCheckpoint returns the checkpoint that all members of a gang start from: the first that any of
 // them has. Every member's checkpoint is valid for all, and checkpoints can't be ordered by age.
 func gangCheckpoint(u *jobs.Unit) string {
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -203,7 +203,7 @@
 	}
 	s.takeIncarnation(now, w, e)
 	s.unreachedMemberAnswered(now, w)
-	s.lostIsolatedAnswered(now, w)
+	s.lostStartAnswered(now, w)
 	s.workerAnswered(now, w, e.Report.Clock)
 	if capacity := e.Report.Capacity; capacity != nil {
 		before := w.Capacity
--- a/pkg/process/cell/settle.go
+++ b/pkg/process/cell/settle.go
@@ -72,7 +72,7 @@
 				t.Settled, changed = true, true
 				settled++
 				t.MayHaveRun = t.MayHaveRun || s.mayHaveRunAtUnreached(t)
-				if !s.addLostIsolatedRun(now, t) && len(t.Runs) == 0 && !t.Done && t.DelegatedTo == "" && u.MayHaveStarted() && !j.Ended() {
+				if !s.addLostStart(now, t) && len(t.Runs) == 0 && !t.Done && t.DelegatedTo == "" && u.MayHaveStarted() && !j.Ended() {
 					mayHaveRun = append(mayHaveRun, t)
 				}
 				if len(t.Runs) == 0 && j.HasStarted {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -74,7 +74,7 @@
 	NoUnseen bool
 	// NoStrays stops orphaned runs at once, before their jobs can become known.
 	NoStrays bool
-	// NoTrialRecord starts an isolated run before the table records that there may be one.
+	// NoTrialRecord starts a task with crash evidence before the table records the start.
 	NoTrialRecord bool
 	// NoEvacuation starts tasks at the workers of an evacuated hall.
 	NoEvacuation bool
@@ -227,6 +227,8 @@
 	// limit.
 	tenureUntil time.Time
 
+	// awaitedStarts is the capacity that the present placement pass has reserved for starts which await their records.
+	awaitedStarts []awaitedStart
 	// placementDue makes the next Decide place tasks, scanDue makes it run the scans of runScans.
 	placementDue bool
 	scanDue      bool
--- a/pkg/process/cell/takeover_test.go
+++ b/pkg/process/cell/takeover_test.go
@@ -10,6 +10,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -77,6 +78,12 @@
 				} else {
 					v.state.Take(v.now, cell.PollAnswered{Worker: e.To.ID, SentAt: v.now, Err: fault.New(fault.Unknown, e.To.ID, "no answer", "")})
 				}
+			case cell.WriteProgress:
+				answer := cell.WriteAnswered{Part: e.Part, Serial: e.Serial, Committed: table.CommitResult{Version: 9}}
+				if v.unconfirmed {
+					answer.Err = fault.New(fault.Unknown, "table", "no answer", "")
+				}
+				v.state.Take(v.now, answer)
 			case cell.SendStop:
 				v.active, v.ended = nil, []workers.End{{Number: 1, Task: e.Stop.Task, Run: e.Stop.Run, Outcome: workers.EndedStopped}}
 			case cell.SendStart:
--- a/pkg/process/cell/unobserved_crashes.go
+++ b/pkg/process/cell/unobserved_crashes.go
@@ -88,13 +88,13 @@
 // addUnobservedEvidence adds unobserved crashes to the evidence against the tasks in withoutRun, which have no known
 // run. Each task gets at most one: that of the first ended incarnation where it may have run and which is not part of
 // its evidence yet. Tasks that were to start only as isolated runs are left out: such a run is recorded before it
-// starts, and addLostIsolatedRun handles the tasks that have such a record.
+// starts, and addLostStart handles the tasks that have such a record.
 func (s *State) addUnobservedEvidence(now time.Time, withoutRun []*jobs.Task) {
 	ended := s.unobservedEndsToRecord()
 	if len(ended) == 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
 		return
 	}
-	withoutRun = slices.DeleteFunc(withoutRun, func(t *jobs.Task) bool { return t.IsolatedByRecord })
+	withoutRun = slices.DeleteFunc(withoutRun, func(t *jobs.Task) bool { return t.StartsByRecord })
 	mayHaveRun := map[string][]*jobs.Task{}
 	for _, t := range withoutRun {
 		first := slices.IndexFunc(ended, func(id string) bool {
@@ -127,7 +127,7 @@
 		if w := s.workers[id]; e.GetLeaving() || (w != nil && w.Leaving) {
 			continue
 		}
-		s.unreachedMembers[id] = unreachedMember{e, slices.DeleteFunc(slices.Clone(withoutRun), func(t *jobs.Task) bool { return t.IsolatedByRecord || !mayHaveRunAt(e, t) })}
+		s.unreachedMembers[id] = unreachedMember{e, slices.DeleteFunc(slices.Clone(withoutRun), func(t *jobs.Task) bool { return t.StartsByRecord || !mayHaveRunAt(e, t) })}
 	}
 }
 
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -24,7 +24,7 @@
 	WaitRefused WaitReason = "start-refused"
 	// WaitCrashUnknown: it is not known yet whether the silent worker of the task's last run crashed.
 	WaitCrashUnknown WaitReason = "crash-unknown"
-	// WaitCrashUnrecorded: the evidence of the last crash under the task is not in the table yet.
+	// WaitCrashUnrecorded: the table does not hold the record of the task's next start yet.
 	WaitCrashUnrecorded WaitReason = "crash-unrecorded"
 	// WaitIsolatedRun: the task may only run isolated, and no worker is available for an isolated run.
 	WaitIsolatedRun WaitReason = "isolated-run"
@@ -118,7 +118,7 @@
 		return WaitRefused, fits.free
 	case s.awaitsCrashOutcome(now, t) && t.Level() >= poisontask.NeedsIsolation:
 		return WaitCrashUnknown, fits.free
-	case s.awaitsEvidenceRecord(now, t):
+	case t.StartRecord == jobs.StartRecordWanted:
 		return WaitCrashUnrecorded, fits.free
 	case s.needsIsolation(t):
 		return WaitIsolatedRun, fits.free
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -71,8 +71,8 @@
 	delegations int
 	// notifications go to the leaders of other cells once the transaction is durable.
 	notifications []NotifyLeader
-	// isolated are the tasks for which an isolated run is recorded before it starts, with the incarnation for it.
-	isolated map[*jobs.Task]jobs.IsolatedAt
+	// starts are the tasks of which a start is recorded before it is ordered, with the incarnation for it.
+	starts map[*jobs.Task]jobs.Incarnation
 }
 
 // unrecordedEnd is the end of a run that may be acknowledged to its worker when change seq is durable.
@@ -189,7 +189,7 @@
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.ProgressVersion})
 	tx.Puts = append(tx.Puts, row)
 	sent := sentJob{job: j, value: row.Value, final: j.Ended(), delegations: len(s.pendingDelegations[j])}
-	sent.isolated = j.IsolationsWanted()
+	sent.starts = j.StartRecordsWanted()
 	for _, spec := range latestByCell(s.pendingDelegations[j]) {
 		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
 		sent.notifications = append(sent.notifications, NotifyLeader{Cell: spec.GetCell(), Delegated: spec})
@@ -390,8 +390,8 @@
 	for _, notification := range sent.notifications {
 		s.emit(notification)
 	}
-	for t, at := range sent.isolated {
-		if t.IsolationDurable(at) {
+	for t, at := range sent.starts {
+		if t.StartRecordDurable(at) {
 			s.placementDue = true
 		}
 	}
--- a/pkg/process/jobs/crash_evidence.go
+++ b/pkg/process/jobs/crash_evidence.go
@@ -10,28 +10,28 @@
 
 // The crash evidence of a task. Package poisontask explains how evidence is weighed.
 
-// IsolationState is the state of the record that allows an isolated run of a task. The record must be durable
-// before the run is ordered, is written once there is a worker for the run, and names its incarnation. So a successor
-// that finds a record, and no worker that lists the run, knows which worker the run may have crashed.
-type IsolationState int
+// StartRecord is the state of the record of a task's next start. A task with crash evidence starts only after the table
+// holds a record that names the worker incarnation. So a successor that finds a record, and no worker that lists the
+// run, knows which worker the run may have crashed.
+type StartRecord int
 
-// Isolation states.
+// The states of a start record.
 const (
-	NoIsolation IsolationState = iota
-	IsolationWanted
-	IsolationRecorded
+	NoStartRecord StartRecord = iota
+	StartRecordWanted
+	StartRecorded
 )
 
-// IsolatedAt is the worker incarnation at which an isolated run may start. It is the zero value if none is chosen, or if
-// an older host wrote the record.
-type IsolatedAt struct {
+// Incarnation names an incarnation of a worker. It is the zero value if none is chosen, or if an older host wrote the
+// record. Born is 0 for a worker whose id is never used again.
+type Incarnation struct {
 	Worker string
 	Born   int64
 	Host   string
 }
 
 // Known returns whether the incarnation is known.
-func (a IsolatedAt) Known() bool { return a.Worker != "" && a.Born != 0 }
+func (a Incarnation) Known() bool { return a.Worker != "" }
 
 // maxCrashes bounds the number of crashes that are kept per task. It exceeds the number after which a task is
 // classified as poisonous.
@@ -70,7 +70,7 @@
 		crashes = crashes[1:]
 	}
 	t.setEvidence(crashes)
-	t.Isolation = NoIsolation
+	t.StartRecord = NoStartRecord
 	return true
 }
 
@@ -79,6 +79,11 @@
 	return host != "" && slices.ContainsFunc(t.Crashes, func(c poisontask.Crash) bool { return c.Host == host })
 }
 
+// HasCrashAt returns whether the evidence has the end of the given incarnation.
+func (t *Task) HasCrashAt(at Incarnation) bool {
+	return slices.ContainsFunc(t.Crashes, func(c poisontask.Crash) bool { return c.Worker == at.Worker && c.Born == at.Born })
+}
+
 // PoisonousIfSilentCrashed returns whether the task would be poisonous if all workers that became silent under it
 // had crashed.
 func (t *Task) PoisonousIfSilentCrashed() bool {
@@ -113,7 +118,9 @@
 		crashes = slices.Delete(crashes, i, i+1)
 	}
 	t.setEvidence(crashes)
-	t.Isolation = NoIsolation
+	if t.Settled { // else the record may be of a start that is not accounted for yet
+		t.StartRecord = NoStartRecord
+	}
 	return true
 }
 
@@ -139,64 +146,61 @@
 		}
 	}
 	t.setEvidence(crashes)
-	t.Isolation = NoIsolation
+	t.StartRecord = NoStartRecord
 }
 
 // Exonerate removes all crash evidence of the task.
 func (t *Task) Exonerate() {
 	t.setEvidence(nil)
-	t.Isolation = NoIsolation
+	t.StartRecord = NoStartRecord
 }
 
-// IsolatedRunLost adds crash evidence if a predecessor may have started an isolated run: the run is recorded and
-// no worker lists it. It returns whether it added any.
-func (t *Task) IsolatedRunLost(at time.Time) bool {
-	if t.Isolation != IsolationRecorded || len(t.Runs) > 0 || t.Done {
-		return false
-	}
-	t.AddCrash(poisontask.Crash{Company: 1, Lives: 1, At: at})
-	return true
-}
+// NeedsStartRecord returns whether the task starts only after a record that names the worker incarnation.
+func (t *Task) NeedsStartRecord() bool { return len(t.Crashes) > 0 }
 
-// WantIsolation requests the record that allows an isolated run at the given incarnation, unless it was requested
-// before. It returns whether it did so.
-func (t *Task) WantIsolation(at IsolatedAt) bool {
-	if t.Isolation != NoIsolation && t.IsolatedAt == at {
+// WantStartRecord requests the record of a start at the given incarnation, unless it was requested before. It returns
+// whether it did so.
+func (t *Task) WantStartRecord(at Incarnation) bool {
+	if t.StartRecord != NoStartRecord && t.StartAt == at {
 		return false
 	}
-	t.Isolation, t.IsolatedAt = IsolationWanted, at
+	t.StartRecord, t.StartAt = StartRecordWanted, at
 	return true
 }
 
-// IsolationDurable notes that the record of an isolated run at the given incarnation is durable. It returns whether the
-// run is allowed now: another incarnation may have been chosen since.
-func (t *Task) IsolationDurable(at IsolatedAt) bool {
-	if t.Isolation != IsolationWanted || t.IsolatedAt != at {
+// StartRecordDurable notes that the record of a start at the given incarnation is durable. It returns whether the start
+// is allowed now: another incarnation may have been chosen since.
+func (t *Task) StartRecordDurable(at Incarnation) bool {
+	if t.StartRecord != StartRecordWanted || t.StartAt != at {
 		return false
 	}
-	t.Isolation = IsolationRecorded
+	t.StartRecord = StartRecorded
 	return true
 }
 
-// IsolationsWanted returns the tasks that need a record for an isolated run, each with the incarnation for it.
-func (j *Job) IsolationsWanted() map[*Task]IsolatedAt {
-	wanted := map[*Task]IsolatedAt{}
+// StartRecordsWanted returns the tasks that need a record of their next start, each with the incarnation for it.
+func (j *Job) StartRecordsWanted() map[*Task]Incarnation {
+	wanted := map[*Task]Incarnation{}
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
-			if t.Isolation == IsolationWanted {
-				wanted[t] = t.IsolatedAt
+			if t.StartRecord == StartRecordWanted {
+				wanted[t] = t.StartAt
 			}
 		}
 	}
 	return wanted
 }
 
-// isolatedAt returns the incarnation to record for an isolated run.
-func (t *Task) isolatedAt() IsolatedAt {
-	if t.Isolation == NoIsolation {
-		return IsolatedAt{}
+// recordedStart returns the incarnation that a record of the task names, that of its present run or else of its next
+// start, and whether there is one. A task's first evidence may be added while a run goes on whose start was not recorded.
+func (t *Task) recordedStart() (Incarnation, bool) {
+	if t.NeedsStartRecord() && len(t.Runs) > 0 && !t.HasCrashAt(t.Runs[0].At) {
+		return t.Runs[0].At, true
+	}
+	if t.StartRecord == NoStartRecord {
+		return Incarnation{}, false
 	}
-	return t.IsolatedAt
+	return t.StartAt, true
 }
 
 func encodeCrashes(crashes []poisontask.Crash) []*wire.CrashNote {
--- a/pkg/process/jobs/delegation.go
+++ b/pkg/process/jobs/delegation.go
@@ -70,7 +70,7 @@
 // copyStateFrom copies the crash evidence, failures and checkpoint that the cell the task comes from knows.
 func (t *Task) copyStateFrom(r *wire.TaskRef) {
 	t.setEvidence(decodeCrashes(r.GetCrashes()))
-	t.Isolation = NoIsolation
+	t.StartRecord = NoStartRecord
 	t.addFailuresElsewhere(r)
 	if r.GetCheckpoint() != "" {
 		t.Checkpoint = r.GetCheckpoint()
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -83,19 +83,18 @@
 	FailedRuns []int64
 	// FailedElsewhere is the number of the task's runs that failed in other cells.
 	FailedElsewhere int
-	// Crashes is the task's crash evidence: crashes of workers at which the task ran or may have run. Isolation is
-	// the state of the record that allows an isolated run, IsolatedAt the incarnation that the record names.
-	Crashes    []poisontask.Crash
-	Isolation  IsolationState
-	IsolatedAt IsolatedAt
-	level      poisontask.Level
+	// Crashes is the task's crash evidence: crashes of workers at which the task ran or may have run.
+	Crashes []poisontask.Crash
+	// StartRecord is the state of the record of the next or present run, StartAt the incarnation that the record names.
+	StartRecord StartRecord
+	StartAt     Incarnation
+	level       poisontask.Level
 	// IsolationWaived is true if the next run need not be isolated although the task's level is
 	// poisontask.NeedsIsolation. IsolationWaitSince is the time from which the task has waited for an isolated run.
 	IsolationWaived    bool
 	IsolationWaitSince time.Time
-	// IsolatedByRecord is true if the predecessor's record allowed only isolated runs of the task. Each isolated run
-	// is recorded before it starts.
-	IsolatedByRecord bool
+	// StartsByRecord is true if the predecessor's record allowed only recorded starts of the task.
+	StartsByRecord bool
 	// crashHostKnown is true if one of the crashes names a host.
 	crashHostKnown bool
 	// Runs are the runs that may be running now.
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wrenferry/wrenferry/pkg/process/poisontask"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -36,11 +35,11 @@
 		if targetCell == notDelegatedHere {
 			targetCell = "" // the specification implies it
 		}
-		if len(t.FailedRuns) > 0 || t.FailedElsewhere > 0 || t.Checkpoint != "" || targetCell != "" || t.Delegations > 0 || len(t.Crashes) > 0 {
-			at := t.isolatedAt()
+		if len(t.FailedRuns) > 0 || t.FailedElsewhere > 0 || t.Checkpoint != "" || targetCell != "" || t.Delegations > 0 || t.NeedsStartRecord() {
+			at, starts := t.recordedStart()
 			up.Notes = append(up.Notes, &wire.TaskNote{
 				Index: int32(i), FailedRuns: t.FailedRuns, FailedElsewhere: int32(t.FailedElsewhere), Checkpoint: t.Checkpoint, LentTo: targetCell, Lending: t.Delegations,
-				Crashes: encodeCrashes(t.Crashes), Trial: t.Isolation != NoIsolation, TrialWorker: at.Worker, TrialBorn: at.Born, TrialHost: at.Host,
+				Crashes: encodeCrashes(t.Crashes), Trial: starts, TrialWorker: at.Worker, TrialBorn: at.Born, TrialHost: at.Host,
 			})
 		}
 	}
@@ -96,10 +95,10 @@
 		delegatedAgain := j.Delegated() && t.Delegations > n.GetLending() // after the note was written
 		if !delegatedAgain {
 			t.setEvidence(decodeCrashes(n.GetCrashes()))
-			t.IsolatedByRecord = t.Level() == poisontask.NeedsIsolation && !u.Spec.GetGang() && !u.Lasting()
-			t.Isolation = NoIsolation
+			t.StartsByRecord = t.NeedsStartRecord()
+			t.StartRecord = NoStartRecord
 			if n.GetTrial() {
-				t.Isolation, t.IsolatedAt = IsolationRecorded, IsolatedAt{n.GetTrialWorker(), n.GetTrialBorn(), n.GetTrialHost()}
+				t.StartRecord, t.StartAt = StartRecorded, Incarnation{n.GetTrialWorker(), n.GetTrialBorn(), n.GetTrialHost()}
 			}
 		}
 		if n.GetLentTo() != "" && !delegatedAgain {
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -35,8 +35,9 @@
 type Run struct {
 	Task   *Task
 	Number int64
-	// Worker is the worker's ID.
+	// Worker is the worker's ID, At its incarnation.
 	Worker string
+	At     Incarnation
 	State  RunState
 	// SentAt is the time at which the start order was first sent, AckedAt the time of its answer.
 	SentAt  time.Time
--- a/pkg/process/poisontask/poisontask.go
+++ b/pkg/process/poisontask/poisontask.go
@@ -163,23 +163,32 @@
 // without company and without a sign of an external cause.
 func (c Crash) isDecisive() bool { return c.surelyPrompt() && c.onlyCandidate() && !c.Outside }
 
-// isLostIsolated reports whether the crash stands for a recorded isolated run that was found nowhere.
-func (c Crash) isLostIsolated() bool { return c.Run == 0 && !c.Unseen }
+// isUnconfirmed reports whether the crash is of a recorded start and it is not known whether the run began: the start was
+// found nowhere after a takeover, or the worker of an isolated run crashed before any answer.
+func (c Crash) isUnconfirmed() bool {
+	return !c.Unseen && !c.Silent && (c.Run == 0 || (c.Trial && !c.Began))
+}
+
+// endedAtStart reports whether the crash is an unconfirmed one whose worker incarnation is known to have ended.
+func (c Crash) endedAtStart() bool {
+	return c.isUnconfirmed() && (c.Run != 0 || (c.Worker != "" && c.Company == 0))
+}
 
 // tally sums up the crashes of one task.
 //
 // all is the number of crashes and weight the sum of their weights. promptAny is the number of known runs below
 // promptAge that are neither excused nor at a host that had crashed under the task before, surelyPrompt the number that
 // are surely prompt. The other fields leave out workers that are only silent. ended is the number of ended
-// incarnations, unobserved the number of those that ended without a leader that knew what ran there, and lostIsolated
-// the number of recorded isolated runs that were found nowhere. Of the known runs, knownWeight is the sum of weights,
+// incarnations, unobserved the number of those that ended without a leader that knew what ran there, unconfirmed the
+// number of unconfirmed crashes, and endedAtStart the number of those whose incarnation is known to have ended. Of the
+// known runs, knownWeight is the sum of weights,
 // newHosts the number at a host that had not crashed under the task before, began the number known to have begun, prompt
 // the number that are known to have begun, below promptAge and at such a host, and decisive the number that are decisive.
 //
 // Crashes without a known run count for less: a leader that died may have been about to start one.
 type tally struct {
-	all, weight, promptAny, surelyPrompt                                            int
-	ended, newHosts, knownWeight, began, prompt, decisive, unobserved, lostIsolated int
+	all, weight, promptAny, surelyPrompt                                                         int
+	ended, newHosts, knownWeight, began, prompt, decisive, unobserved, unconfirmed, endedAtStart int
 }
 
 // showsCrashes reports whether some of the crashes are of runs that a leader knew: a worker is known to have crashed, or
@@ -207,8 +216,11 @@
 		if c.Unseen {
 			t.unobserved++
 		}
-		if c.isLostIsolated() {
-			t.lostIsolated++
+		if c.isUnconfirmed() {
+			t.unconfirmed++
+		}
+		if c.endedAtStart() {
+			t.endedAtStart++
 		}
 		if c.Run == 0 {
 			continue
@@ -262,23 +274,24 @@
 
 // reachesLimit reports whether there are so many crashes that the task is poisonous in any case.
 //
-// Some runs have to be known to have begun, as a recorded isolated run may never have been ordered. With unobserved
-// ends among the crashes, the last crash has to be of a run without company, and more is asked of the others:
-// else a task that merely waited through many takeovers would be poisonous. If the last crash has a likely external
-// cause, may have come long after the start, or is a recorded isolated run that was found nowhere, more than minBegan
-// runs must have begun, or be such isolated runs. Else one crash fewer is enough, as the record of some crash that a
-// leader saw may have been lost, but minBegan runs must have ended promptly.
+// Some runs have to be known to have begun, or their worker to have ended after the record of their start. With
+// unobserved ends among the crashes, the last crash has to be of a run without company, and more is asked of the others:
+// else a task that merely waited through many takeovers would be poisonous. More than minBegan runs must have begun, or be
+// unconfirmed. One crash fewer is enough if minBegan runs ended promptly and the last crash has no likely external cause,
+// came soon after the start, and is confirmed: the record of some crash that a leader saw may have been lost.
 func reachesLimit(t tally, last Crash) bool {
+	started := t.began + t.endedAtStart
 	if t.unobserved == 0 {
-		return t.ended >= maxCrashes && t.began >= minBegan
+		return t.ended >= maxCrashes && started >= minBegan
 	}
-	if !last.onlyCandidate() && !last.isLostIsolated() {
+	if !last.onlyCandidate() && !last.isUnconfirmed() {
 		return false
 	}
-	if last.Outside || last.mayBeLate() || last.isLostIsolated() {
-		return t.ended >= maxCrashes && t.began >= minBegan && t.began+t.lostIsolated > minBegan
+	if t.ended >= maxCrashes && started >= minBegan && t.began+t.unconfirmed > minBegan {
+		return true
 	}
-	return t.ended >= maxCrashes-1 && t.prompt >= minBegan
+	sure := !last.Outside && !last.mayBeLate() && !last.isUnconfirmed()
+	return sure && t.ended >= maxCrashes-1 && t.prompt >= minBegan
 }
 
 // identifiedByPromptCrashes reports whether crashes whose ages are known within narrow bounds show that the task is
