Run ages are counted by the worker's clock

Callers saw a task that crashes its workers started five times more after a pause of its leader: all evidence was dropped, as a run of 0.2 s counted as one of 3.4 s. The time at which a leader took an answer was taken for the time at which the worker was alive. A run that ended at once, reported late, counted as a long one as well, and workers that crashed during a pause did not count as silent together.

A run has lasted from the first to the last reading of the worker's clock that shows it; a worker was alive when its answered poll was sent, or when the pause began.

--- a/pkg/process/cell/active_runs.go
+++ b/pkg/process/cell/active_runs.go
@@ -18,7 +18,7 @@
 	foreign := ledger.Size{}
 	w.NewOrphanedRuns = nil
 	for _, a := range e.Report.Active {
-		r := s.matchOrAdopt(now, w, a)
+		r := s.matchOrAdopt(now, w, a, e.Report.Clock)
 		if r == nil {
 			t := s.taskNamed(a.Task)
 			if t != nil {
@@ -30,6 +30,10 @@
 			continue
 		}
 		listed[r] = true
+		r.ListedClock = e.Report.Clock
+		if r.BeganClock == 0 {
+			r.BeganClock = e.Report.Clock
+		}
 		s.settleListedRun(w, r, e.SentAt)
 		s.updateRun(now, w, r, a)
 	}
@@ -63,14 +67,15 @@
 
 // matchOrAdopt returns the run that a line of a worker's list is about. It adopts an unknown run, which an earlier
 // leader started. It returns nil if the task is unknown, or if the run must not go on.
-func (s *State) matchOrAdopt(now time.Time, w *workers.Worker, a workers.Active) *jobs.Run {
+// clock is the reading of the worker's clock in the list, 0 if it is not known.
+func (s *State) matchOrAdopt(now time.Time, w *workers.Worker, a workers.Active, clock time.Duration) *jobs.Run {
 	t := s.taskNamed(a.Task)
 	if t == nil {
 		return nil
 	}
 	if r := t.Run(a.Run, w.ID); r != nil {
 		if r.State == jobs.Sent || r.State == jobs.Unanswered {
-			s.runBegan(now, r)
+			s.runBegan(now, r, clock)
 		}
 		return r
 	}
@@ -87,7 +92,7 @@
 	t.Runs = append(t.Runs, r)
 	t.MayHaveRun = true
 	w.Add(r)
-	s.runBegan(now, r)
+	s.runBegan(now, r, clock)
 	s.note(Note{Kind: NoteAdopted, Job: t.Unit.Job.Spec.GetId(), Task: a.Task, Run: a.Run, Worker: w.ID, AgeMs: -1})
 	s.updateWaiting(now, t.Unit.Job)
 	return r
@@ -111,9 +116,12 @@
 // mayAdopt reports whether a run of a task that a worker lists may go on: the task has no other run, or allows copies.
 func mayAdopt(t *jobs.Task) bool { return len(t.Runs) == 0 || t.Unit.Spec.GetCopies() }
 
-// runBegan marks a run as running and its job as begun.
-func (s *State) runBegan(now time.Time, r *jobs.Run) {
+// runBegan marks a run as running and its job as begun. clock is the reading of the worker's clock by then.
+func (s *State) runBegan(now time.Time, r *jobs.Run, clock time.Duration) {
 	r.State = jobs.Running
+	if r.BeganClock == 0 {
+		r.BeganClock = clock
+	}
 	if r.AckedAt.IsZero() {
 		r.AckedAt = now
 	}
--- a/pkg/process/cell/crash_fleet_test.go
+++ b/pkg/process/cell/crash_fleet_test.go
@@ -35,6 +35,9 @@
 	// unansweredPart is the part of the table whose transactions are lost without an answer.
 	unansweredPart string
 	unanswered     []cell.WriteProgress // these transactions
+	// heldPoll is the worker whose next answer to a poll is kept in held, and not taken.
+	heldPoll string
+	held     *cell.PollAnswered
 }
 
 type fleetWorker struct {
@@ -209,6 +212,10 @@
 	for task, r := range w.runs {
 		answer.Report.Active = append(answer.Report.Active, workers.Active{Task: task, Run: r.number, Percent: int(f.now.Sub(r.beganAt) / crashStep)})
 	}
+	if w.id == f.heldPoll {
+		f.held = &answer
+		return
+	}
 	f.state.Take(f.now, answer)
 }
 
--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -120,7 +120,7 @@
 	simultaneous, isolated := s.simultaneousSilences(silence{worker: w.ID, after: w.AliveAt, before: at})
 	ended := poisontask.EndedIncarnation{Worker: w.ID, Host: w.Host, Born: w.Born, Silent: silent, TimedOut: foundByTimeout(w), SimultaneousEnds: simultaneous, OthersIsolated: isolated, Workers: len(s.workers), At: s.wall.Add(-now.Sub(at))}
 	for _, r := range w.Runs {
-		ended.Runs = append(ended.Runs, poisontask.EndedRun{Run: r.Number, Began: !r.BeganAt.IsZero(), Age: minRunAge(w, r), AgeMost: maxRunAge(r, at), HostCrashedWithout: s.hostCrashedWithout(now, w, r.Task), CrashesWithout: s.crashesWithout(now, r.Task), Gang: gangOf(r), Isolated: r.Isolated})
+		ended.Runs = append(ended.Runs, poisontask.EndedRun{Run: r.Number, Began: !r.BeganAt.IsZero(), Age: minRunAge(r), AgeMost: maxRunAge(r, at), HostCrashedWithout: s.hostCrashedWithout(now, w, r.Task), CrashesWithout: s.crashesWithout(now, r.Task), Gang: gangOf(r), Isolated: r.Isolated})
 	}
 	if !silent {
 		s.addHostCrash(now, w)
@@ -291,7 +291,7 @@
 			if w == nil || w.Ended || !w.SilentSince.IsZero() || r.State != jobs.Running {
 				continue
 			}
-			if poisontask.Exonerates(t.Crashes, minRunAge(w, r)) {
+			if poisontask.Exonerates(t.Crashes, minRunAge(r)) {
 				s.exonerate(w, r)
 			}
 		}
@@ -302,7 +302,7 @@
 // had lasted for long enough.
 func (s *State) endedWithoutCrash(w *workers.Worker, t *jobs.Task, r *jobs.Run) {
 	t.DropStartRecord()
-	if r != nil && !r.BeganAt.IsZero() && len(t.Crashes) > 0 && poisontask.EndExonerates(t.Crashes, minRunAge(w, r)) {
+	if r != nil && !r.BeganAt.IsZero() && len(t.Crashes) > 0 && poisontask.EndExonerates(t.Crashes, minRunAge(r)) {
 		s.exonerate(w, r)
 	}
 }
@@ -311,7 +311,7 @@
 func (s *State) exonerate(w *workers.Worker, r *jobs.Run) {
 	t := r.Task
 	if t.Suspected() {
-		s.note(Note{Kind: NoteCleared, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: w.ID, AgeMs: -1, Detail: fmt.Sprintf("exonerated: ran for %s after %d crashes", minRunAge(w, r).Round(time.Millisecond), len(t.Crashes))})
+		s.note(Note{Kind: NoteCleared, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: w.ID, AgeMs: -1, Detail: fmt.Sprintf("exonerated: ran for %s after %d crashes", minRunAge(r).Round(time.Millisecond), len(t.Crashes))})
 	}
 	t.Exonerate()
 	r.Isolated = false
@@ -328,7 +328,7 @@
 			runs = append(runs, fmt.Sprintf("and %d more", len(w.Runs)-maxLoggedRuns))
 			break
 		}
-		runs = append(runs, fmt.Sprintf("%s run %d for %s", r.Task.Name(), r.Number, minRunAge(w, r).Round(time.Millisecond)))
+		runs = append(runs, fmt.Sprintf("%s run %d for %s", r.Task.Name(), r.Number, minRunAge(r).Round(time.Millisecond)))
 	}
 	s.note(Note{
 		Kind: NoteWorkerCrashed, Worker: w.ID, AgeMs: now.Sub(at).Milliseconds(),
@@ -336,13 +336,10 @@
 	})
 }
 
-// minRunAge returns the least time that a run has lasted: until its worker's last answer, as the incarnation may
-// have ended right after that.
-func minRunAge(w *workers.Worker, r *jobs.Run) time.Duration {
-	if r.BeganAt.IsZero() {
-		return 0
-	}
-	return max(0, w.LastAnswerAt.Sub(r.BeganAt))
+// minRunAge returns the least time that a run has lasted: until the last answer that lists it, by the worker's own clock.
+// The leader may have been paused between that answer and the time at which it took it.
+func minRunAge(r *jobs.Run) time.Duration {
+	return workers.MinElapsed(r.BeganClock, max(r.BeganClock, r.ListedClock))
 }
 
 // maxRunAge returns the most that a run can have lasted if its worker's incarnation had ended at a given time, or 0 if
--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -83,7 +83,7 @@
 // mayShareIsolated reports whether every isolated run at a worker is old enough for other tasks to join.
 func mayShareIsolated(w *workers.Worker) bool {
 	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
-		return r.Isolated && minRunAge(w, r) < shareIsolatedAfter
+		return r.Isolated && minRunAge(r) < shareIsolatedAfter
 	})
 }
 
@@ -279,7 +279,7 @@
 // allLongRunning reports whether every run at a worker is too old to count as company of a run that starts now.
 func allLongRunning(w *workers.Worker) bool {
 	for _, r := range w.Runs {
-		if !poisontask.LongRunning(minRunAge(w, r)) {
+		if !poisontask.LongRunning(minRunAge(r)) {
 			return false
 		}
 	}
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -157,7 +157,7 @@
 		s.retryStart(now, w, r, e.Err)
 	case e.Reply.Refusal == workers.NotRefused:
 		r.AckedAt = now
-		s.runBegan(now, r)
+		s.runBegan(now, r, e.Reply.Clock)
 	case e.Reply.Refusal == workers.RefusedSuperseded:
 		// The worker has had a run with this number or a higher one. The worker's lists show the outcome of this run.
 		r.State = jobs.Unanswered
--- a/pkg/process/cell/orphans.go
+++ b/pkg/process/cell/orphans.go
@@ -64,7 +64,7 @@
 func (s *State) adoptOrphans(now time.Time, j *jobs.Job) {
 	for _, w := range s.workersByID() {
 		for _, task := range orphanedTasks(w, j) {
-			s.matchOrAdopt(now, w, w.OrphanedRuns[task].Active)
+			s.matchOrAdopt(now, w, w.OrphanedRuns[task].Active, 0)
 			delete(w.OrphanedRuns, task)
 		}
 		ends := w.OrphanedEnds
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -204,7 +204,7 @@
 	s.takeIncarnation(now, w, e)
 	s.unreachedMemberAnswered(now, w)
 	s.lostStartAnswered(now, w)
-	s.workerAnswered(now, w, e.Report.Clock)
+	s.workerAnswered(now, w, e)
 	if capacity := e.Report.Capacity; capacity != nil {
 		before := w.Capacity
 		w.Capacity = *capacity
@@ -236,10 +236,15 @@
 	}
 }
 
-// workerAnswered handles an answer of a worker to a poll; clock is the worker's clock.
-func (s *State) workerAnswered(now time.Time, w *workers.Worker, clock time.Duration) {
-	w.UpdateClock(now, clock)
-	w.LastAnswerAt, w.AliveAt, w.FailedPolls = now, now, 0
+// workerAnswered handles an answer of a worker to a poll.
+func (s *State) workerAnswered(now time.Time, w *workers.Worker, e PollAnswered) {
+	w.UpdateClock(now, e.Report.Clock)
+	w.LastAnswerAt, w.FailedPolls = now, 0
+	for _, alive := range []time.Time{e.SentAt, s.happenedAfter(now)} {
+		if alive.After(w.AliveAt) {
+			w.AliveAt = alive
+		}
+	}
 	if !w.HasAnswered {
 		w.HasAnswered, w.FirstAnswerAt = true, now
 		if !w.SilentSince.IsZero() {
--- a/pkg/process/jobs/run.go
+++ b/pkg/process/jobs/run.go
@@ -53,6 +53,9 @@
 	Percent    int
 	ProgressAt time.Time
 	BeganAt    time.Time
+	// BeganClock is the reading of the worker's clock by which the run was first known to be running, ListedClock the
+	// last one at which the worker listed it as running. 0: there is none.
+	BeganClock, ListedClock time.Duration
 	// TailLatency is the last reported tail latency of a lasting task's requests. UsedMillicores is the CPU use of any
 	// other task. Both are imprecise and delayed.
 	TailLatency    time.Duration
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -204,6 +204,11 @@
 	return max(0, time.Duration(float64(left)/(1-maxClockDrift)))
 }
 
+// MinElapsed returns the least time that has passed between two readings of a worker's clock.
+func MinElapsed(from, to time.Duration) time.Duration {
+	return max(0, time.Duration(float64(to-from)*(1-maxClockDrift)))
+}
+
 // ClockPassed says whether a worker's clock with this reading is certainly past a moment.
 func ClockPassed(clock, moment time.Duration) bool { return clock > moment+clockRounding }
 
