A run lost with its lease after a pause is evidence

A leader that is paused for longer than a lease presumed the runs of a worker over at its first failed poll, before the silence counted as evidence (two polls). If the worker had crashed, nothing was held against its tasks.

Found by a test for ages across a pause.

--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -106,6 +106,9 @@
 func (s *State) checkLease(now time.Time, w *workers.Worker) {
 	over := w.LeaseExpired(s.leadershipLastConfirmed(now)) || s.unsafe.NoLeaseWait
 	if over {
+		if w.FailedPolls < silentAfterFailures {
+			s.workerSilent(now, w) // no further poll would find the runs here
+		}
 		for _, r := range w.Runs {
 			s.loseRun(now, w, r, "its worker's lease has expired")
 		}
--- a/pkg/process/cell/paused_leader_test.go
+++ b/pkg/process/cell/paused_leader_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -46,6 +48,26 @@
 	must.Less(t, time.Second, f.evidence(job)[1].Age)
 }
 
+// A worker crashes while its leader is paused for longer than the lease. The first failed poll shows that the run is over:
+// it may have ended with its worker.
+func TestCrashDuringAPauseLongerThanTheLeaseIsEvidence(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	job := f.accept(1, oneTask())
+	f.run(50 * time.Millisecond)
+	w := f.workers[f.starts[job+".0.0.0"][0]]
+	f.heldPoll = w.id
+	f.runUntil(t, func() bool { return f.held != nil })
+	failed := cell.PollAnswered{Worker: w.id, SentAt: f.held.SentAt, Err: fault.New(fault.Unknown, w.id, "EOF", "")}
+	f.heldPoll, f.held = "", nil
+	f.crashWorker(w, time.Hour)
+	f.now = f.now.Add(4 * time.Second)
+	f.state.Take(f.now, failed)
+	f.run(100 * time.Millisecond)
+	must.Len(t, 1, f.evidence(job))
+	must.True(t, f.evidence(job)[0].Silent)
+}
+
 // A run ends soon after its start, and the worker's answer that lists the end comes seconds later: nothing shows that the
 // run had lasted.
 func TestLateReportOfAnEndIsNoAgeOfARun(t *testing.T) {
