A start after settling without a worker is recorded along with that worker

A task that may have run at a member that was not heard now starts with a record that names that member and the worker of the start. The first is held against it as an unobserved end once it is known to have ended, the second as a crash of a recorded start; the first answer of the member drops its name.

--- a/pkg/process/cell/settle.go
+++ b/pkg/process/cell/settle.go
@@ -72,7 +72,9 @@
 				t.Settled, changed = true, true
 				settled++
 				t.MayHaveRun = t.MayHaveRun || s.mayHaveRunAtUnreached(t)
-				if !s.addLostStart(now, t) && len(t.Runs) == 0 && !t.Done && t.DelegatedTo == "" && u.MayHaveStarted() && !j.Ended() {
+				recorded := s.addLostStart(now, t)
+				s.resolveUnreachedAt(now, t)
+				if !recorded && len(t.Runs) == 0 && !t.Done && t.DelegatedTo == "" && u.MayHaveStarted() && !j.Ended() {
 					mayHaveRun = append(mayHaveRun, t)
 				}
 				if len(t.Runs) == 0 && j.HasStarted {
@@ -88,6 +90,9 @@
 		s.keepUnreachedMembers(mayHaveRun)
 	}
 	s.addUnobservedEvidence(now, mayHaveRun)
+	if s.settled {
+		s.markUnreachedAt()
+	}
 	if !s.settled && settled == 0 {
 		return
 	}
--- a/pkg/process/cell/start_records_test.go
+++ b/pkg/process/cell/start_records_test.go
@@ -208,3 +208,47 @@
 	f.runUntilSettled()
 	must.Len(t, 1, f.evidence(job))
 }
+
+// A worker crashes under a task, and its leader ends. The successor settles without that worker, and starts the task at
+// another one, which crashes, too, before the successor ends. The leader after it holds both crashes against the task.
+func TestCrashesUnderTwoLeadersAreBothEvidence(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	job := f.accept(1, oneTask())
+	f.crashAfter[job+".0.0.0"] = 50 * time.Millisecond
+	for starts := 1; starts <= 2; starts++ {
+		f.runUntil(t, func() bool { return len(f.starts[job+".0.0.0"]) == starts && f.crashes() == starts })
+		f.workers[f.starts[job+".0.0.0"][starts-1]].upAt = f.now.Add(time.Hour)
+		f.newLeader()
+	}
+	delete(f.crashAfter, job+".0.0.0")
+	first, second := f.starts[job+".0.0.0"][0], f.starts[job+".0.0.0"][1]
+	must.NotEq(t, first, second)
+	for _, id := range []string{first, second} {
+		f.workers[id].upAt = f.now
+	}
+	f.runUntilSettled()
+	evidence := f.evidence(job)
+	must.Len(t, 2, evidence)
+	for _, c := range evidence {
+		must.Eq(t, c.Worker == first, c.Unseen)
+		must.Eq(t, c.Worker == second, !c.Unseen)
+	}
+}
+
+// The member that a successor settled without answers again: it was cut off, and the task's next start needs no record.
+func TestMemberThatAnswersAgainLeavesNoTrace(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet()
+	job := f.accept(1, oneTask())
+	w0 := f.workers["w0"]
+	w0.down, w0.upAt = true, f.now.Add(time.Hour)
+	f.newLeader()
+	f.unansweredPart = rows.JobPart(job)
+	f.run(6 * time.Second)
+	must.SliceEmpty(t, f.starts[job+".0.0.0"]) // its start awaits the record
+	w0.down = false
+	f.run(200 * time.Millisecond)
+	must.Len(t, 1, f.starts[job+".0.0.0"])
+	must.SliceEmpty(t, f.evidence(job))
+}
--- a/pkg/process/cell/unobserved_crashes.go
+++ b/pkg/process/cell/unobserved_crashes.go
@@ -127,7 +127,42 @@
 		if w := s.workers[id]; e.GetLeaving() || (w != nil && w.Leaving) {
 			continue
 		}
-		s.unreachedMembers[id] = unreachedMember{e, slices.DeleteFunc(slices.Clone(withoutRun), func(t *jobs.Task) bool { return t.StartsByRecord || !mayHaveRunAt(e, t) })}
+		tasks := slices.DeleteFunc(slices.Clone(withoutRun), func(t *jobs.Task) bool { return t.StartsByRecord || !mayHaveRunAt(e, t) })
+		s.unreachedMembers[id] = unreachedMember{e, append(s.unreachedMembers[id].tasks, tasks...)}
+	}
+}
+
+// markUnreachedAt names one unreached member to each task that may have run there, so that the next start of the task is
+// recorded along with it. If that start crashes its worker and this leader ends, its successor knows of both incarnations.
+func (s *State) markUnreachedAt() {
+	for _, id := range slices.Sorted(maps.Keys(s.unreachedMembers)) {
+		u := s.unreachedMembers[id]
+		for _, t := range u.tasks {
+			if !t.UnreachedAt.Known() && !s.unobservedEvidence[t] && !t.Unit.Job.Ended() {
+				t.UnreachedAt = jobs.Incarnation{Worker: id, Born: u.entry.GetBorn(), Host: u.entry.GetHost()}
+			}
+		}
+	}
+}
+
+// resolveUnreachedAt handles the unreached member that the record of a task names: it has answered, has ended, or is still
+// unreached.
+func (s *State) resolveUnreachedAt(now time.Time, t *jobs.Task) {
+	at := t.UnreachedAt
+	switch {
+	case !at.Known():
+	case s.hasAnsweredHere(at):
+		t.UnreachedAt = jobs.Incarnation{}
+	case s.hasEnded(at):
+		t.UnreachedAt = jobs.Incarnation{}
+		s.addUnobservedCrash(now, t, poisontask.UnobservedCrash(at.Worker, at.Born, 0, 1, s.wall))
+	default:
+		u := s.unreachedMembers[at.Worker]
+		if u.entry == nil {
+			u.entry = &wire.RosterEntry{Id: at.Worker, Born: at.Born, Host: at.Host}
+		}
+		u.tasks = append(u.tasks, t)
+		s.unreachedMembers[at.Worker] = u
 	}
 }
 
@@ -136,6 +171,7 @@
 func (s *State) unreachedMemberEnded(now time.Time, id string) {
 	u := s.unreachedMembers[id]
 	delete(s.unreachedMembers, id)
+	s.dropUnreachedAt(u)
 	for _, t := range u.tasks {
 		if t.Done || t.Unit.Job.Ended() || s.unobservedEvidence[t] || crashIndex(t, id, u.entry.GetBorn()) >= 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
 			continue
@@ -176,6 +212,17 @@
 		return
 	}
 	delete(s.unreachedMembers, w.ID)
+	s.dropUnreachedAt(u)
+}
+
+// dropUnreachedAt drops the name of an unreached member that has answered or ended from the tasks that may have run
+// there.
+func (s *State) dropUnreachedAt(u unreachedMember) {
+	for _, t := range u.tasks {
+		if t.UnreachedAt.Worker == u.entry.GetId() && t.UnreachedAt.Born == u.entry.GetBorn() {
+			t.UnreachedAt = jobs.Incarnation{}
+		}
+	}
 }
 
 // memberEntry returns a worker's entry for the membership row. Until the evidence from the end of an earlier
--- a/pkg/process/jobs/crash_evidence.go
+++ b/pkg/process/jobs/crash_evidence.go
@@ -155,8 +155,9 @@
 	t.StartRecord = NoStartRecord
 }
 
-// NeedsStartRecord returns whether the task starts only after a record that names the worker incarnation.
-func (t *Task) NeedsStartRecord() bool { return len(t.Crashes) > 0 }
+// NeedsStartRecord returns whether the task starts only after a record that names the worker incarnation: it may have
+// crashed a worker.
+func (t *Task) NeedsStartRecord() bool { return len(t.Crashes) > 0 || t.UnreachedAt.Known() }
 
 // WantStartRecord requests the record of a start at the given incarnation, unless it was requested before. It returns
 // whether it did so.
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -93,6 +93,8 @@
 	// poisontask.NeedsIsolation. IsolationWaitSince is the time from which the task has waited for an isolated run.
 	IsolationWaived    bool
 	IsolationWaitSince time.Time
+	// UnreachedAt is an incarnation at which the task may have run, and which had not answered when the cell settled.
+	UnreachedAt Incarnation
 	// StartsByRecord is true if the predecessor's record allowed only recorded starts of the task.
 	StartsByRecord bool
 	// crashHostKnown is true if one of the crashes names a host.
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -40,6 +40,7 @@
 			up.Notes = append(up.Notes, &wire.TaskNote{
 				Index: int32(i), FailedRuns: t.FailedRuns, FailedElsewhere: int32(t.FailedElsewhere), Checkpoint: t.Checkpoint, LentTo: targetCell, Lending: t.Delegations,
 				Crashes: encodeCrashes(t.Crashes), Trial: starts, TrialWorker: at.Worker, TrialBorn: at.Born, TrialHost: at.Host,
+				UnreachedWorker: t.UnreachedAt.Worker, UnreachedBorn: t.UnreachedAt.Born, UnreachedHost: t.UnreachedAt.Host,
 			})
 		}
 	}
@@ -95,6 +96,7 @@
 		delegatedAgain := j.Delegated() && t.Delegations > n.GetLending() // after the note was written
 		if !delegatedAgain {
 			t.setEvidence(decodeCrashes(n.GetCrashes()))
+			t.UnreachedAt = Incarnation{n.GetUnreachedWorker(), n.GetUnreachedBorn(), n.GetUnreachedHost()}
 			t.StartsByRecord = t.NeedsStartRecord()
 			t.StartRecord = NoStartRecord
 			if n.GetTrial() {
