--- a/pkg/process/cell/paused_leader_test.go
+++ b/pkg/process/cell/paused_leader_test.go
@@ -41,7 +41,7 @@
 // crashed.
 func TestPauseOfTheLeaderIsNoAgeOfARun(t *testing.T) {
 	t.Parallel()
-	f, job := pausedUnderARun(t, 2500 * time.Millisecond)
+	f, job := pausedUnderARun(t, 2500*time.Millisecond)
 	must.Len(t, 1, f.evidence(job))
 	f.run(time.Second)
 	must.Len(t, 2, f.evidence(job))
