--- a/pkg/process/cell/lost_starts.go
+++ b/pkg/process/cell/lost_starts.go
@@ -28,10 +28,13 @@
 		return false
 	}
 	switch {
-	case at.Known() && (s.hasAnsweredHere(at) || t.HasCrashAt(at)):
+	case at.Known() && s.hasAnsweredHere(at):
 		s.noteLostStart(t, at, "its worker answers without it")
 		s.dropStartRecord(t)
 		return true
+	case at.Known() && t.HasCrashAt(at):
+		s.dropStartRecord(t)
+		return true
 	case at.Known() && s.leavingAt(at) && t.Level() < poisontask.NeedsIsolation:
 		s.dropStartRecord(t) // a leaving worker stops its runs before it ends
 		return true
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -246,8 +246,9 @@
 	}
 }
 
-// startGang starts a gang on workers of the pool if all of its tasks fit there together, and reports
-// whether they do. A gang whose starts await their records keeps the capacity until the end of the placement pass. While it chooses workers it reserves their capacity task by task.
+// startGang starts a gang on workers of the pool if all of its tasks fit there together, and reports whether they do. While
+// it chooses workers it reserves their capacity task by task. A gang whose starts await their records keeps this capacity
+// until the end of the placement pass.
 func (s *State) startGang(now time.Time, u *jobs.Unit, pool []*workers.Worker) bool {
 	if !s.mayIsolateGang(u) {
 		return false
--- a/pkg/process/cell/start_records.go
+++ b/pkg/process/cell/start_records.go
@@ -7,9 +7,9 @@
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
-// Start records. A task with crash evidence starts only after the table holds a record that names the worker incarnation.
-// A crash under such a run is known to a successor even if the leader ends with the worker. So only the first crash of
-// a task can be one of which nothing is recorded.
+// Start records. A task that may have crashed a worker starts only after the table holds a record that names the worker
+// incarnation. A crash under such a run is known to a successor even if the leader ends with the worker. So only the
+// first crash of a task can be one of which nothing is recorded.
 
 // awaitsStartRecord reports whether the start of a task at a worker has to wait for its record. It requests the record
 // if that has not been done.
--- a/pkg/process/cell/unobserved_crashes.go
+++ b/pkg/process/cell/unobserved_crashes.go
@@ -87,8 +87,7 @@
 
 // addUnobservedEvidence adds unobserved crashes to the evidence against the tasks in withoutRun, which have no known
 // run. Each task gets at most one: that of the first ended incarnation where it may have run and which is not part of
-// its evidence yet. Tasks that were to start only as isolated runs are left out: such a run is recorded before it
-// starts, and addLostStart handles the tasks that have such a record.
+// its evidence yet. Tasks that started only with a record are left out: addLostStart handles them.
 func (s *State) addUnobservedEvidence(now time.Time, withoutRun []*jobs.Task) {
 	ended := s.unobservedEndsToRecord()
 	if len(ended) == 0 || s.unsafe.NoBlame || s.unsafe.NoUnseen {
--- a/pkg/process/jobs/crash_evidence.go
+++ b/pkg/process/jobs/crash_evidence.go
@@ -10,9 +10,9 @@
 
 // The crash evidence of a task. Package poisontask explains how evidence is weighed.
 
-// StartRecord is the state of the record of a task's next start. A task with crash evidence starts only after the table
-// holds a record that names the worker incarnation. So a successor that finds a record, and no worker that lists the
-// run, knows which worker the run may have crashed.
+// StartRecord is the state of the record of a task's next start. A task that may have crashed a worker starts only after
+// the table holds a record that names the worker incarnation. So a successor that finds a record, and no worker that
+// lists the run, knows which worker the run may have crashed.
 type StartRecord int
 
 // The states of a start record.
