--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -183,7 +183,8 @@
 	playSomeDays(t, emulator.UnrecordedEndsPlan, troubledDays)
 }
 
-// A leader ends after each of the first crashes, none of which a task causes. No job fails because of them.
+// Workers crash for reasons outside the tasks, and a leader ends after each of the first crashes. A job that fails on such
+// a day fails without cause.
 func TestNoJobIsGivenUpForCrashesAfterWhichLeadersEnd(t *testing.T) {
 	t.Parallel()
 	playSomeDays(t, emulator.LeaderEndsInWavesPlan, troubledDays)
