--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -53,8 +53,21 @@
 	MaxLease time.Duration
 	// Retention is how long callers can read the state of an ended job.
 	Retention time.Duration
+	// UrgentWait is the longest wait for a first start that callers of urgent work accept. Capacity is kept for such work
+	// by it; with 0, none is.
+	UrgentWait time.Duration
+	// RefuseLate is RefuseLog or RefuseOn where the cell forecasts whether new jobs would come too late.
+	RefuseLate string
 }
 
+// The treatments of new jobs that would surely come too late.
+const (
+	RefuseOff = "off"
+	// RefuseLog accepts these jobs, and logs that they would have been refused.
+	RefuseLog = "log"
+	RefuseOn  = "on"
+)
+
 // Unsafe switches single safety mechanisms off, so that a test can show what each of them prevents.
 type Unsafe struct {
 	// NoSettling starts tasks at once after a takeover, though an earlier leader may have started them.
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,12 +31,21 @@
 	// Processors is the number of processors that the process may use; it may be below 1.
 	Processors float64
 	LogLevel   string
+
+	// ConfirmAcceptance repeats a submission without an answer of the table until its outcome is known.
+	ConfirmAcceptance bool
+	// RefuseLate is the treatment of jobs that would surely come too late: cell.RefuseOff, RefuseLog or RefuseOn.
+	RefuseLate string
+	// UrgentWait is the longest wait for a first start that callers of urgent work accept; 0: no capacity is kept for it.
+	UrgentWait time.Duration
+	// ConfirmedHandover hands a cell over to a host that has agreed to lead it.
+	ConfirmedHandover bool
 }
 
 // Bounds returns the settings that a cell's decisions depend on.
 func (c Config) Bounds() cell.Bounds {
 	return cell.Bounds{
-		MaxLease: c.MaxLease, Retention: c.Retention,
+		MaxLease: c.MaxLease, Retention: c.Retention, UrgentWait: c.UrgentWait, RefuseLate: c.RefuseLate,
 	}
 }
 
@@ -55,6 +65,10 @@
 	{Name: "grace", Example: `"6s"`, Help: "How long a planned stop may take (default 6s).", Set: configfile.Duration(func(c *Config) *time.Duration { return &c.Grace })},
 	{Name: "memoryMB", Example: `284`, Help: "The memory that the process may take, 32 to 65536 MB (default 256).", Set: configfile.NumberBetween(32, 65536, func(c *Config) *float64 { return &c.MemoryMB })},
 	{Name: "processors", Example: `0.4`, Help: "The share of a processor that the process has, 0.01 to 1024 (default 1): cells are led by the strongest hosts of their hall.", Set: configfile.NumberBetween(0.01, 1024, func(c *Config) *float64 { return &c.Processors })},
+	{Name: "confirmAcceptance", Example: `true`, Help: "Whether a submission without an answer of the table is repeated until its outcome is known, and refused at once while the table is away (default false).", Set: configfile.Value(func(c *Config) *bool { return &c.ConfirmAcceptance })},
+	{Name: "refuseLate", Example: `"on"`, Help: "Whether jobs that would surely come too late are refused: off, log (only logged) or on (default off).", Set: configfile.Value(func(c *Config) *string { return &c.RefuseLate })},
+	{Name: "urgentWait", Example: `"300ms"`, Help: "The longest wait for a first start that callers of urgent work accept; capacity is kept for such work by it. Absent: none is kept.", Set: configfile.Duration(func(c *Config) *time.Duration { return &c.UrgentWait })},
+	{Name: "confirmedHandover", Example: `true`, Help: "Whether a cell is handed over only to a host that has agreed to lead it, and a host asks a leader with an overdue renewal before it takes over (default false).", Set: configfile.Value(func(c *Config) *bool { return &c.ConfirmedHandover })},
 	{Name: "logLevel", Example: `"info"`, Help: "debug, info, warning or error (default info).", Set: configfile.Value(func(c *Config) *string { return &c.LogLevel })},
 }
 
@@ -62,10 +76,14 @@
 func ParseConfig(file string, source []byte) (Config, error) {
 	c := Config{
 		MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Grace: 6 * time.Second, MemoryMB: 256, Processors: 1, LogLevel: "info",
+		RefuseLate: cell.RefuseOff,
 	}
 	if err := configfile.Parse(file, source, &c, Fields); err != nil {
 		return c, err
 	}
+	if !slices.Contains([]string{cell.RefuseOff, cell.RefuseLog, cell.RefuseOn}, c.RefuseLate) {
+		return c, fault.New(fault.BadInput, "refuseLate", fmt.Sprintf("%q is none of its values", c.RefuseLate), "use off, log or on")
+	}
 	_, err := c.Level()
 	return c, err
 }
