A release need not wait for the load to end

Cause: a releasing leader wrote its release only once no order to start was in flight and no progress was unwritten. Under load runs end all the time, so a planned handover took 1.6 to 2.2 s with a healthy table.

Change: with confirmedHandover a releasing leader stops polling, sends the last transaction of each part once, and is ready when the transactions in flight are answered, or after 250 ms. It polls nobody until it has stepped down: a release with a lost answer may have taken effect, and the successor does not wait for leases granted later. Without the setting nothing changes.

--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -213,7 +213,7 @@
 	if h.state.Settled() {
 		h.seat.PredecessorsSettled()
 	}
-	if h.seat.Role() == election.Leader && h.state.ReadyToHandOver() {
+	if h.seat.Role() == election.Leader && h.state.ReadyToHandOver(h.clock()) {
 		h.seat.Release()
 	}
 	write := h.seat.NextWrite(h.clock(), h.state.Members(), 0, false)
--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -31,10 +31,13 @@
 
 // ReadyToHandOver reports whether a planned stop may release the leadership now: no write to the table and no order to
 // start is in flight. It is true for a process that does not lead, and false before the hand-over has begun.
-func (s *State) ReadyToHandOver() bool {
+func (s *State) ReadyToHandOver(now time.Time) bool {
 	if s.phase != releasing {
 		return s.phase == following
 	}
+	if s.releasingAtOnce() {
+		return s.lastWritesAnswered() || now.Sub(s.releasingSince) >= maxReleaseWait
+	}
 	for _, p := range s.writers {
 		if p.sending || len(p.dirty) > 0 {
 			return false
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -58,6 +58,8 @@
 	UrgentWait time.Duration
 	// RefuseLate is RefuseLog or RefuseOn where the cell forecasts whether new jobs would come too late.
 	RefuseLate string
+	// ConfirmedHandover makes a release independent of the load: see release.go.
+	ConfirmedHandover bool
 }
 
 // The treatments of new jobs that would surely come too late.
@@ -232,6 +234,8 @@
 	mostlyFree bool
 	// reservedForLasting are the workers whose capacity is reserved for lasting tasks, as of the last placement.
 	reservedForLasting map[*workers.Worker]bool
+	// releasingSince is when this process began to hand the cell over, as of the phase releasing.
+	releasingSince time.Time
 	// leadershipConfirmedAt is the last time at which this process is known to have led the cell. A run that is
 	// presumed over without a report from its worker must have ended before that time: otherwise a later leader may
 	// have renewed the worker's lease or acknowledged the run's end.
@@ -369,14 +373,17 @@
 	if s.tenureExpired(now) {
 		return s.effectsPastTenure()
 	}
-	if s.phase == leading || s.phase == releasing {
+	switch {
+	case s.releasingAtOnce():
+		s.writeLast(now)
+	case s.phase == leading || s.phase == releasing:
 		s.runScans(now)
 		if s.phase == leading {
 			s.runPlacement(now)
 		}
 		s.writeProgress(now)
 	}
-	if s.phase != following {
+	if s.phase != following && !s.releasingAtOnce() {
 		s.pollWorkers(now)
 	}
 	out := s.outbox
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -207,7 +207,7 @@
 func (s *State) takeRelease(now time.Time) {
 	switch s.phase {
 	case leading:
-		s.phase = releasing
+		s.phase, s.releasingSince = releasing, now
 		s.note(Note{Kind: NoteReleased, AgeMs: -1})
 	case loading:
 		s.rememberLeases(now)
--- a/pkg/process/cell/testcell_test.go
+++ b/pkg/process/cell/testcell_test.go
@@ -39,6 +39,8 @@
 	ends int64
 	// tableDown says that the table does not answer.
 	tableDown bool
+	// heldWrites says that transactions get no answers.
+	heldWrites bool
 	// heldStarts says that orders to start get no answers.
 	heldStarts bool
 	// silent are the workers that do not answer polls.
@@ -147,6 +149,9 @@
 			b.notes = append(b.notes, e)
 		case cell.WriteProgress:
 			b.records = append(b.records, e)
+			if b.heldWrites {
+				continue
+			}
 			if b.tableDown {
 				b.state.Take(b.now, cell.WriteAnswered{Part: e.Part, Serial: e.Serial, Err: fault.New(fault.Unknown, "table", "no answer", "")})
 				continue
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -52,6 +52,8 @@
 	// durable is the number up to which all changes are durable in this part.
 	durable int64
 	nextAt  time.Time
+	// lastSent says that the last transaction before a release has been sent.
+	lastSent bool
 	// failing says that the last transaction failed.
 	failing bool
 	// unrecordedEnds are ends of runs that are not acknowledged, since their changes are not durable yet.
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -46,6 +46,7 @@
 func (c Config) Bounds() cell.Bounds {
 	return cell.Bounds{
 		MaxLease: c.MaxLease, Retention: c.Retention, UrgentWait: c.UrgentWait, RefuseLate: c.RefuseLate,
+		ConfirmedHandover: c.ConfirmedHandover,
 	}
 }
 
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -168,7 +168,7 @@
 	if s.state.Settled() {
 		s.seat.PredecessorsSettled()
 	}
-	if s.seat.Role() == election.Leader && s.state.ReadyToHandOver() {
+	if s.seat.Role() == election.Leader && s.state.ReadyToHandOver(now) {
 		s.seat.Release() // a planned stop or a requested release is complete
 	}
 	if !s.writeCheckDue(now) {
--- a/pkg/process/fleet/reload.go
+++ b/pkg/process/fleet/reload.go
@@ -96,6 +96,7 @@
 		{"table", before.Table != after.Table},
 		{"advice", before.Advice != after.Advice},
 		{"processors", before.Processors != after.Processors},
+		{"confirmedHandover", before.ConfirmedHandover != after.ConfirmedHandover},
 	}
 	var list []string
 	for _, f := range fields {
