No release without the table, and none to a stronger host from a new leader

Cause: a leader that is releasing starts nothing. In a hall that was cut off, one began a handover to a stronger host, and the cell had no leader to the end; a release while the jobs load discards the load (1.1 s without a leader).

Change: with confirmedHandover a release begins only where the jobs are loaded and the leader learned at most 1 s ago that a renewal took effect; a stopping host goes on leading until then, or until 2.5 s before its grace time ends. A handover to a stronger host needs a settled leader that has led for 5 s, too.

--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -20,6 +20,9 @@
 // loaded the jobs.
 func (s *State) HoldsLeadership() bool { return s.phase != following }
 
+// Releasing reports whether this process is handing the cell over.
+func (s *State) Releasing() bool { return s.phase == releasing }
+
 // WorkerCount returns how many workers this process knows in the cell.
 func (s *State) WorkerCount() int { return len(s.workers) }
 
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -82,6 +82,8 @@
 	role Role
 	// renewedAt is the time at which the last renewal that took effect was sent.
 	renewedAt time.Time
+	// renewalKnownAt is when this process learned that it took effect, ledSince when the leadership began.
+	renewalKnownAt, ledSince time.Time
 	// writePending means that the write of sentRow, sent at sentAt, has not been answered yet.
 	writePending bool
 	sentAt       time.Time
@@ -173,7 +175,7 @@
 	case s.role == Candidate && mine && row.GetEpoch() == s.sentRow.GetEpoch():
 		return s.becomeLeader(now, s.sentAt, before)
 	case s.role == Leader && mine && s.sentRow != nil && row.GetRenewedStoreMs() == s.sentRow.GetRenewedStoreMs():
-		s.renewedAt = s.sentAt // the renewal took effect but its answer was lost
+		s.renewedAt, s.renewalKnownAt = s.sentAt, now // the renewal took effect but its answer was lost
 	case s.role == Candidate:
 		s.role = Follower
 	}
@@ -185,6 +187,7 @@
 func (s *Seat) becomeLeader(now, claimSentAt time.Time, replaced *wire.CellLead) Change {
 	s.role, s.renewedAt, s.handoverOffered, s.releaseRequested = Leader, claimSentAt, false, false
 	s.writtenMembers, s.predecessorsSettled, s.endedPredecessors = nil, false, nil
+	s.renewalKnownAt, s.ledSince = now, now
 	return Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
 }
 
@@ -356,7 +359,7 @@
 	case s.role == Candidate:
 		return s.becomeLeader(now, s.sentAt, before)
 	default:
-		s.renewedAt = s.sentAt
+		s.renewedAt, s.renewalKnownAt = s.sentAt, now
 		if s.sentMembership != nil {
 			s.writtenMembers = s.sentMembership.GetEntries()
 		}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -57,7 +57,9 @@
 	// evacuations are the operators' orders to evacuate halls.
 	evacuations evacuation.Orders
 	leaving     bool
-	view        atomic.Pointer[intake.View]
+	// confirmedHandover is the setting of that name.
+	confirmedHandover bool
+	view              atomic.Pointer[intake.View]
 	// askForRelease asks the process at an address, a leader from another hall, to release a cell of this hall.
 	askForRelease  func(cell, address string)
 	releaseAskedAt map[string]time.Time
@@ -88,7 +90,7 @@
 // NewControl returns the Control of a process. cells maps the name of each cell to its hall.
 func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, advisor workers.Advisor, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
 	c := &Control{
-		self: self, store: st, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
+		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), cells: map[string]*localCell{}, releaseAskedAt: map[string]time.Time{},
 		askForRelease: func(string, string) {}, handicap: func() int { return 0 }, askLeadership: func(string, string, string) (predecessorAnswer, bool) { return predecessorAnswer{}, false },
 		notifyPeer: func(context.Context, string, cell.NotifyLeader) error { return nil },
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -262,7 +262,11 @@
 	h.Log.Info("host-stopping")
 	h.leaving.Store(true)
 	h.Hosts.MarkLeaving()
-	h.handOver()
+	if h.Config.ConfirmedHandover {
+		h.handOverConfirmed(began)
+	} else {
+		h.handOver()
+	}
 	time.Sleep(balancerNoticeTime - clock.Now().Sub(began))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.grace.Load())-stopMargin-clock.Now().Sub(began))
 	defer cancel()
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -136,7 +136,7 @@
 type yieldRequest struct{ cell string }
 
 func (m yieldRequest) apply(c *Control, now time.Time) {
-	if s := c.cells[m.cell]; s != nil && s.hall != c.self.Hall {
+	if s := c.cells[m.cell]; s != nil && s.hall != c.self.Hall && (!c.confirmedHandover || s.mayRelease(now)) {
 		s.state.Take(now, cell.ReleaseRequested{})
 		s.needsDecision = true
 	}
@@ -152,11 +152,14 @@
 	}
 }
 
-// stopRequest begins the planned stop: all cells are released.
+// stopRequest begins the planned stop: all cells are released. With confirmed handovers, each one is released on its own.
 type stopRequest struct{}
 
 func (stopRequest) apply(c *Control, now time.Time) {
 	c.leaving = true
+	if c.confirmedHandover {
+		return
+	}
 	for _, s := range c.cells {
 		s.state.Take(now, cell.ReleaseRequested{})
 		s.needsDecision = true
--- a/pkg/process/fleet/stronger_host.go
+++ b/pkg/process/fleet/stronger_host.go
@@ -41,6 +41,10 @@
 // handOverIfStronger hands over the cells of this host's hall that it leads, if a stronger host answers.
 func (r *strongerHostHandover) handOverIfStronger(ctx context.Context, now time.Time) {
 	h := r.host
+	if h.Config.ConfirmedHandover {
+		r.handOverConfirmed(ctx, now)
+		return
+	}
 	if h.leaving.Load() || now.Sub(r.lastHandover) < minHandoverInterval || h.Hosts.Handicap() == 0 {
 		return
 	}
@@ -62,6 +66,33 @@
 	}
 }
 
+// handOverConfirmed hands over the cells of this host's hall that have been led and settled for a while, if a stronger
+// host answers.
+func (r *strongerHostHandover) handOverConfirmed(ctx context.Context, now time.Time) {
+	h := r.host
+	if h.leaving.Load() || now.Sub(r.lastHandover) < minHandoverInterval || h.Hosts.Handicap() == 0 {
+		return
+	}
+	for _, name := range h.Control.LedCells() {
+		if h.Control.View().Cells[name].Hall != h.Config.Hall {
+			continue
+		}
+		next := h.Hosts.Successor(h.Config.Hall)
+		if next == nil {
+			return
+		}
+		if _, answers := h.askLeadership(next.GetAddress(), name, ""); !answers {
+			return // the list of hosts is some seconds old: this one may be down
+		}
+		if !h.Control.releaseIf(ctx, name, (*localCell).mayHandOver) {
+			continue
+		}
+		r.lastHandover = now
+		h.logHandover(name, next, "stronger host")
+		h.askToTakeOver(ctx, next, name)
+	}
+}
+
 // askToTakeOver asks a host to claim a cell that this host is releasing. A failure is logged.
 func (h *Host) askToTakeOver(ctx context.Context, next *wire.EntryHost, name string) {
 	p, err := h.peers.PeerClient(next.GetAddress())
