A cell is released to a host that has agreed to lead it

Cause: a leader released its cells to a host picked from a list some seconds old. Where hosts restart one after the other, that host may be stopping, or may have just started.

Of those that accept, the strongest is chosen, and among equals the one that started last.

Tests cover the choice and the conditions of an acceptance.

--- a/pkg/connection/fleetpeer/server.go
+++ b/pkg/connection/fleetpeer/server.go
@@ -17,6 +17,7 @@
 	Phase(ctx context.Context, cell, id string) (wire.JobPhase, bool)
 	LoadFor(ctx context.Context, ref *wire.CellRef) *wire.CellLoad
 	TakeOver(cell string)
+	OfferLeadership(ctx context.Context, cell string) *wire.LeadershipOffer
 	ReleaseForHomeHall(cell string)
 }
 
@@ -68,6 +69,11 @@
 	return &wire.Empty{}, nil
 }
 
+// OfferLeadership returns whether this host would lead a cell that its leader wants to hand over.
+func (s *Server) OfferLeadership(ctx context.Context, m *wire.CellRef) (*wire.LeadershipOffer, error) {
+	return s.Control.OfferLeadership(ctx, m.GetCell()), nil
+}
+
 // Yield asks this host to release the leadership of a cell of another hall.
 func (s *Server) Yield(_ context.Context, m *wire.CellRef) (*wire.Empty, error) {
 	s.Control.ReleaseForHomeHall(m.GetCell())
--- a/pkg/process/election/handover.go
+++ b/pkg/process/election/handover.go
@@ -1,6 +1,10 @@
 package election
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Planned handovers (setting confirmedHandover). A leader that is releasing a cell starts nothing there, so it begins only
 // when the release can be written, and hands over to a stronger host only after it has led for a while.
@@ -13,6 +17,9 @@
 	// minLeadership is the time for which a leader leads before it hands over to a stronger host. Each handover costs the
 	// cell a load, and where hosts restart one after the other, the next one comes soon.
 	minLeadership = 5 * time.Second
+	// minUptime is the time since its start after which a host accepts an offered seat. Before, it knows neither the
+	// registry nor the other hosts.
+	minUptime = 2 * time.Second
 )
 
 // MayRelease returns whether this process leads and may begin to release the seat: the table has confirmed its
@@ -25,3 +32,28 @@
 func (s *Seat) MayHandOver(now time.Time) bool {
 	return s.MayRelease(now) && now.Sub(s.ledSince) >= minLeadership
 }
+
+// AcceptsOffer returns whether this process would lead the cell if its leader released it. prepared says that it has what
+// a leader needs, such as a manifest.
+func (s *Seat) AcceptsOffer(now time.Time, leaving, prepared bool) bool {
+	return !leaving && prepared && now.Sub(s.self.Since) >= minUptime
+}
+
+// Acceptance is a host's agreement to lead a cell next.
+type Acceptance struct {
+	Incarnation, Host, Address string
+	Processors                 float64
+	// Up is how long the process has run.
+	Up time.Duration
+}
+
+// ChooseSuccessor returns the acceptance of the strongest host, or false if there is none. Among equals, it is the one that
+// started last: where hosts restart one after the other, that one has already restarted.
+func ChooseSuccessor(accepted []Acceptance) (Acceptance, bool) {
+	if len(accepted) == 0 {
+		return Acceptance{}, false
+	}
+	return slices.MinFunc(accepted, func(a, b Acceptance) int {
+		return cmp.Or(cmp.Compare(b.Processors, a.Processors), cmp.Compare(a.Up, b.Up), cmp.Compare(a.Host, b.Host))
+	}), true
+}
--- a/pkg/process/election/handover_test.go
+++ b/pkg/process/election/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -43,3 +44,27 @@
 	s.RowWritten(at(5305), 5300)
 	must.True(t, s.MayHandOver(at(5310)))
 }
+
+// Guards against a handover to a host that hands the cell over again at once, or can't lead it.
+func TestHostAcceptsAnOfferOnlyWhenItCanLead(t *testing.T) {
+	t.Parallel()
+	s := newSeat("b")
+	must.False(t, s.AcceptsOffer(at(1999), false, true), must.Sprint("just started"))
+	must.False(t, s.AcceptsOffer(at(2000), true, true), must.Sprint("stopping"))
+	must.False(t, s.AcceptsOffer(at(2000), false, false), must.Sprint("without a manifest"))
+	must.True(t, s.AcceptsOffer(at(2000), false, true))
+}
+
+// Guards against a successor that is weaker than need be, and against one that has yet to restart.
+func TestStrongestAndThenYoungestHostSucceeds(t *testing.T) {
+	t.Parallel()
+	_, found := election.ChooseSuccessor(nil)
+	must.False(t, found)
+	chosen, _ := election.ChooseSuccessor([]election.Acceptance{
+		{Host: "weak", Processors: 1, Up: 3 * time.Second},
+		{Host: "old", Processors: 4, Up: time.Hour},
+		{Host: "young", Processors: 4, Up: 5 * time.Second},
+		{Host: "older", Processors: 4, Up: time.Minute},
+	})
+	must.Eq(t, "young", chosen.Host)
+}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -85,6 +85,8 @@
 	writeCheckedAt time.Time
 	// reportedRenewal is the send time of the last renewal that was reported to the state.
 	reportedRenewal time.Time
+	// successor has agreed to lead the cell after the release that has begun; nil: nobody has.
+	successor *election.Acceptance
 }
 
 // NewControl returns the Control of a process. cells maps the name of each cell to its hall.
@@ -231,6 +233,7 @@
 func (c *Control) leadershipChanged(now time.Time, s *localCell, change election.Change) {
 	switch {
 	case change.Gained:
+		s.successor = nil
 		epoch := s.seat.Row().GetEpoch()
 		s.state.Take(now, cell.NewLeadershipGained(now, epoch, change))
 		if c.manifest != nil {
--- a/pkg/process/fleet/handover.go
+++ b/pkg/process/fleet/handover.go
@@ -35,21 +35,81 @@
 	return s.state.Settled() && s.seat.MayHandOver(now)
 }
 
-// releaseIf begins the release of a cell that this process leads, if the condition holds and no release has begun. It
-// returns whether it did.
-func (c *Control) releaseIf(ctx context.Context, name string, condition func(s *localCell, now time.Time) bool) bool {
-	began := make(chan bool, 1)
+// cellCondition is a condition on a cell that this process leads.
+type cellCondition func(s *localCell, now time.Time) bool
+
+// ifLed runs a function on the control goroutine for a cell that this process leads, if the condition holds and no release
+// has begun. It returns whether the function has run.
+func (c *Control) ifLed(ctx context.Context, name string, condition cellCondition, run func(s *localCell, now time.Time)) bool {
+	ran := make(chan bool, 1)
 	ok := c.query(ctx, func(c *Control, now time.Time) {
 		s := c.cells[name]
-		if s == nil || s.state.Releasing() || !condition(s, now) {
-			began <- false
-			return
+		holds := s != nil && s.seat.Role() == election.Leader && !s.state.Releasing() && condition(s, now)
+		if holds {
+			run(s, now)
 		}
+		ran <- holds
+	})
+	return ok && <-ran
+}
+
+// releaseIf begins the release of a led cell to a successor, or to nobody if that is nil.
+func (c *Control) releaseIf(ctx context.Context, name string, condition cellCondition, successor *election.Acceptance) bool {
+	return c.ifLed(ctx, name, condition, func(s *localCell, now time.Time) {
+		s.successor = successor
 		s.state.Take(now, cell.ReleaseRequested{})
 		s.needsDecision = true
-		began <- true
 	})
-	return ok && <-began
+}
+
+// confirmSuccessor asks the hosts of a hall with at least so many processors whether they would lead a cell, and returns
+// the one that should, or nil if none accepts.
+func (h *Host) confirmSuccessor(ctx context.Context, name, hall string, processors float64) *election.Acceptance {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var accepted []election.Acceptance
+	var asked sync.WaitGroup
+	for _, other := range h.Hosts.List() {
+		if other.GetHall() != hall || other.GetLeaving() || float64(other.GetProcessors()) < processors {
+			continue
+		}
+		asked.Go(func() {
+			p, err := h.peers.PeerClient(other.GetAddress())
+			if err != nil {
+				return
+			}
+			offer, err := p.OfferLeadership(ctx, &wire.CellRef{Cell: name})
+			if err != nil || !offer.GetAccepts() {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			accepted = append(accepted, election.Acceptance{
+				Incarnation: offer.GetIncarnation(), Host: other.GetName(), Address: other.GetAddress(),
+				Processors: float64(other.GetProcessors()), Up: time.Duration(offer.GetUpMs()) * time.Millisecond,
+			})
+		})
+	}
+	asked.Wait()
+	chosen, found := election.ChooseSuccessor(accepted)
+	h.Log.WithFields(logrus.Fields{"cell": name, "to": chosen.Host, "accepts": found}).Info("handover-offered")
+	if !found {
+		return nil
+	}
+	return &chosen
+}
+
+// handOverTo releases a cell to a host that has agreed to lead it, if the condition holds.
+func (h *Host) handOverTo(ctx context.Context, name string, condition cellCondition, next *election.Acceptance, why string) bool {
+	if !h.Control.releaseIf(ctx, name, condition, next) {
+		return false
+	}
+	metrics.GetOrRegisterCounter("lead.handovers.confirmed", h.Metrics).Inc(1)
+	to := &wire.EntryHost{Name: next.Host, Address: next.Address}
+	h.logHandover(name, to, why)
+	h.askToTakeOver(ctx, to, name)
+	return true
 }
 
 // askOverdueLeader asks the leader with an overdue renewal whether it holds the cell, and sends the outcome to the control
@@ -107,13 +167,22 @@
 	}
 }
 
-// handOverStopping tries to hand over a cell of a host that stops.
+// handOverStopping tries to hand over a cell of a host that stops. If it may not wait, it releases the cell to nobody.
 func (h *Host) handOverStopping(name string, mayWait bool) {
 	ctx := context.Background()
-	condition := func(s *localCell, now time.Time) bool { return !mayWait || s.mayRelease(now) }
-	if !h.Control.releaseIf(ctx, name, condition) {
+	if mayWait {
+		if !h.Control.ifLed(ctx, name, (*localCell).mayRelease, func(*localCell, time.Time) {}) {
+			return
+		}
+		if next := h.confirmSuccessor(ctx, name, h.Control.View().Cells[name].Hall, 0); next != nil {
+			h.handOverTo(ctx, name, (*localCell).mayRelease, next, "stopping")
+		}
+		return
+	}
+	if !h.Control.releaseIf(ctx, name, func(*localCell, time.Time) bool { return true }, nil) {
 		return
 	}
+	metrics.GetOrRegisterCounter("lead.handovers.unconfirmed", h.Metrics).Inc(1)
 	if next := h.Hosts.Successor(h.Control.View().Cells[name].Hall); next != nil {
 		h.logHandover(name, next, "stopping")
 		h.askToTakeOver(ctx, next, name)
--- a/pkg/process/fleet/queries.go
+++ b/pkg/process/fleet/queries.go
@@ -137,6 +137,24 @@
 // TakeOver makes this process claim a cell whose leader is releasing it.
 func (c *Control) TakeOver(cellName string) { c.send(takeOverRequest{cell: cellName}) }
 
+// OfferLeadership returns whether this process would lead a cell that its leader wants to hand over. It would not while it
+// is stopping, has just started, has no manifest, or has no answers of the table. No answer in time means no.
+func (c *Control) OfferLeadership(ctx context.Context, cellName string) *wire.LeadershipOffer {
+	out := make(chan *wire.LeadershipOffer, 1)
+	ok := c.query(ctx, func(c *Control, now time.Time) {
+		offer := &wire.LeadershipOffer{Incarnation: c.self.Incarnation, UpMs: now.Sub(c.self.Since).Milliseconds()}
+		if s := c.cells[cellName]; s != nil {
+			prepared := c.manifest != nil && c.store.SinceLastAnswer(now) <= maxStoreSilence
+			offer.Accepts = s.seat.AcceptsOffer(now, c.leaving, prepared)
+		}
+		out <- offer
+	})
+	if !ok {
+		return &wire.LeadershipOffer{}
+	}
+	return <-out
+}
+
 // ReleaseForHomeHall makes this process release a cell of another hall. A cell of its own hall is kept.
 func (c *Control) ReleaseForHomeHall(cellName string) { c.send(yieldRequest{cell: cellName}) }
 
--- a/pkg/process/fleet/stronger_host.go
+++ b/pkg/process/fleet/stronger_host.go
@@ -16,6 +16,8 @@
 	// minHandoverInterval is the least time between two rounds of handovers by this host: a handover
 	// interrupts a cell's scheduling for about 0.2 s.
 	minHandoverInterval = 15 * time.Second
+	// strongerBy is how many times as many processors a stronger host has at least.
+	strongerBy = 2
 )
 
 // strongerHostHandover hands the cells of this host's hall over to a host with at least twice its
@@ -67,7 +69,7 @@
 }
 
 // handOverConfirmed hands over the cells of this host's hall that have been led and settled for a while, if a stronger
-// host answers.
+// host agrees to lead them.
 func (r *strongerHostHandover) handOverConfirmed(ctx context.Context, now time.Time) {
 	h := r.host
 	if h.leaving.Load() || now.Sub(r.lastHandover) < minHandoverInterval || h.Hosts.Handicap() == 0 {
@@ -77,19 +79,16 @@
 		if h.Control.View().Cells[name].Hall != h.Config.Hall {
 			continue
 		}
-		next := h.Hosts.Successor(h.Config.Hall)
+		if !h.Control.ifLed(ctx, name, (*localCell).mayHandOver, func(*localCell, time.Time) {}) {
+			continue
+		}
+		next := h.confirmSuccessor(ctx, name, h.Config.Hall, strongerBy*h.Hosts.Processors)
 		if next == nil {
 			return
 		}
-		if _, answers := h.askLeadership(next.GetAddress(), name, ""); !answers {
-			return // the list of hosts is some seconds old: this one may be down
+		if h.handOverTo(ctx, name, (*localCell).mayHandOver, next, "stronger host") {
+			r.lastHandover = now
 		}
-		if !h.Control.releaseIf(ctx, name, (*localCell).mayHandOver) {
-			continue
-		}
-		r.lastHandover = now
-		h.logHandover(name, next, "stronger host")
-		h.askToTakeOver(ctx, next, name)
 	}
 }
 
