A released row names its successor

Cause: after a release the successor learned of it with its next reading of the rows (300 ms), and competed with the other hosts of the hall.

Change: with confirmedHandover the released row names the incarnation that has agreed to lead (CellLead.successor). That incarnation claims as soon as it knows of the release; other hosts wait 600 ms longer than for a release without a successor. The leader sends TakeOver again when the release is written, and the receiver reads the rows at once. Where the answer to the release is lost, the leader learns of it by reading, and sends the call then.

Tests, one failure each: the call after the release is lost, the successor has ended, the answer to the release is lost.

--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -93,6 +93,8 @@
 	// releaseRequested is set by Release, handoverOffered by AcceptHandover.
 	releaseRequested bool
 	handoverOffered  bool
+	// successor is the incarnation that the release names, or "".
+	successor string
 	// predecessorsSettled means that all runs started by predecessors are known or have certainly ended (Settled).
 	predecessorsSettled bool
 	// endedPredecessors holds the predecessors that are known to have ended, by holder.
@@ -200,7 +202,7 @@
 // becomeLeader makes this process the leader. claimSentAt is the time at which its claim was sent, replaced the row that
 // the claim replaced.
 func (s *Seat) becomeLeader(now, claimSentAt time.Time, replaced *wire.CellLead) Change {
-	s.role, s.renewedAt, s.handoverOffered, s.releaseRequested = Leader, claimSentAt, false, false
+	s.role, s.renewedAt, s.handoverOffered, s.releaseRequested, s.successor = Leader, claimSentAt, false, false, ""
 	s.writtenMembers, s.predecessorsSettled, s.endedPredecessors = nil, false, nil
 	s.renewalKnownAt, s.ledSince = now, now
 	return Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
@@ -224,7 +226,10 @@
 func (s *Seat) AcceptHandover() { s.handoverOffered = true }
 
 // Release makes the next write give the seat up.
-func (s *Seat) Release() { s.releaseRequested = true }
+func (s *Seat) Release() { s.ReleaseTo("") }
+
+// ReleaseTo makes the next write give the seat up to an incarnation that has agreed to lead next; "" names none.
+func (s *Seat) ReleaseTo(successor string) { s.releaseRequested, s.successor = true, successor }
 
 // NextWrite returns the write that is due, or nil. members lists the workers that may hold runs, or is nil while
 // they are not known. held is the number of other seats that this process holds. A process that is leaving
@@ -268,7 +273,9 @@
 		return nil // unreachable: Clone returns the type of its argument
 	}
 	row.RenewedStoreMs = s.storeTime(now).Milliseconds()
-	row.Released = s.releaseRequested
+	if row.Released = s.releaseRequested; row.Released {
+		row.Successor = s.successor
+	}
 	row.Earlier = s.withoutEnded(row.GetEarlier())
 	row.EarlierStoreMs = latestUntil(row.GetEarlier())
 	if !changed {
@@ -324,10 +331,16 @@
 	wait := s.self.Delay + time.Duration(held)*delayPerHeldSeat
 	own := s.self.Hall == s.hall
 	free := s.row == nil || s.row.GetReleased()
+	named, reserved := s.reserved()
+	if reserved {
+		wait += successorHeadStart
+	}
 	switch {
+	case named:
+		return true
 	case !free && s.row.GetHost() == s.self.Host:
 		return true // an earlier incarnation on this host, or this process after its tenure
-	case s.handoverOffered && free:
+	case s.handoverOffered && free && !reserved:
 		return true
 	case free && own:
 		return now.Sub(s.self.Since) >= wait && (s.row == nil || s.RenewalAge(now) >= wait)
--- a/pkg/process/election/handover.go
+++ b/pkg/process/election/handover.go
@@ -20,6 +20,9 @@
 	// minUptime is the time since its start after which a host accepts an offered seat. Before, it knows neither the
 	// registry nor the other hosts.
 	minUptime = 2 * time.Second
+	// successorHeadStart is the time for which other hosts leave a released seat to the successor that its row names. It
+	// is two readings of the rows, so that the successor claims in time also if the call that tells it is lost.
+	successorHeadStart = 600 * time.Millisecond
 )
 
 // MayRelease returns whether this process leads and may begin to release the seat: the table has confirmed its
@@ -57,3 +60,21 @@
 		return cmp.Or(cmp.Compare(b.Processors, a.Processors), cmp.Compare(a.Up, b.Up), cmp.Compare(a.Host, b.Host))
 	}), true
 }
+
+// reserved returns whether the row is released to a successor: to this process (named), or to another one (reserved).
+func (s *Seat) reserved() (named, reserved bool) {
+	if !s.confirmed || !s.row.GetReleased() || s.row.GetSuccessor() == "" {
+		return false, false
+	}
+	named = s.row.GetSuccessor() == s.self.Incarnation
+	return named, !named
+}
+
+// SuccessorToNotify returns the incarnation that this process has released the seat to, or "". The release is known to be
+// written, and nobody has claimed the seat since.
+func (s *Seat) SuccessorToNotify() string {
+	if s.role == Leader || !s.row.GetReleased() || s.row.GetHolder() != s.self.Incarnation {
+		return ""
+	}
+	return s.row.GetSuccessor()
+}
--- a/pkg/process/election/handover_test.go
+++ b/pkg/process/election/handover_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // renewUntil renews a led seat every 400 ms, from 400 ms up to the given time.
@@ -68,3 +69,68 @@
 	})
 	must.Eq(t, "young", chosen.Host)
 }
+
+// newReader returns a seat with confirmed handovers that reads a row at the given time.
+func newReader(host string, row *wire.CellLead, version int64, readAtMs int) *election.Seat {
+	self := election.Self{Incarnation: host + "/1", Host: host, Hall: "hall", Address: host, Since: t0.Add(-time.Minute)}
+	s := election.New("cell", "hall", self, election.WithConfirmedHandover())
+	s.RowRead(at(readAtMs), at(readAtMs), row, version, storeAt(readAtMs))
+	return s
+}
+
+// releasedTo returns the row of a release by host a at time 1,000 to a successor, and the seat that wrote it.
+func releasedTo(t *testing.T, successor string) (*wire.CellLead, *election.Seat) {
+	t.Helper()
+	s := newSeat("a")
+	lead(t, s)
+	s.ReleaseTo(successor)
+	w := s.NextWrite(at(1000), nil, 0, false)
+	must.True(t, w.Row.GetReleased())
+	must.Eq(t, successor, w.Row.GetSuccessor())
+	return w.Row, s
+}
+
+// Guards against a gap when the call after the release is lost: the successor claims with its next reading.
+func TestSuccessorClaimsWhenItReadsTheRelease(t *testing.T) {
+	t.Parallel()
+	row, _ := releasedTo(t, "b/1")
+	w := newReader("b", row, 7, 1010).NextWrite(at(1010), nil, 3, false)
+	must.NotNil(t, w)
+	must.Eq(t, "", w.Row.GetSuccessor())
+}
+
+// Guards against a seat that waits for a successor that ended between its confirmation and the release: other hosts claim
+// it 600 ms later than one without a successor, and a later incarnation of the successor's host is one of them.
+func TestOthersClaimWhenTheSuccessorHasEnded(t *testing.T) {
+	t.Parallel()
+	row, _ := releasedTo(t, "b/0")
+	for _, host := range []string{"b", "c"} {
+		s := newReader(host, row, 7, 1010)
+		s.AcceptHandover()
+		must.Nil(t, s.NextWrite(at(1590), nil, 0, false))
+		must.NotNil(t, s.NextWrite(at(1600), nil, 0, false))
+	}
+}
+
+// Guards against a leader that goes on after its release took effect and the answer was lost. It learns of the release
+// from a reading, and then tells the successor.
+func TestReleaseWithLostAnswerIsLearnedByReading(t *testing.T) {
+	t.Parallel()
+	row, s := releasedTo(t, "b/1")
+	s.RowWritten(at(1900), 0)
+	must.Eq(t, election.Leader, s.Role())
+	must.Eq(t, "", s.SuccessorToNotify())
+	must.Nil(t, s.NextWrite(at(1950), nil, 0, false))
+	must.True(t, s.RowRead(at(2000), at(1990), row, 7, storeAt(2000)).Lost)
+	must.Eq(t, "b/1", s.SuccessorToNotify())
+	claimed := &wire.CellLead{Cell: "cell", Epoch: 2, Holder: "b/1", Host: "b", Hall: "hall", RenewedStoreMs: storeAt(2010).Milliseconds()}
+	s.RowRead(at(2300), at(2290), claimed, 8, storeAt(2300))
+	must.Eq(t, "", s.SuccessorToNotify())
+}
+
+// Guards against a release to nobody: the seat can be claimed as before.
+func TestReleaseWithoutSuccessorIsClaimedAsBefore(t *testing.T) {
+	t.Parallel()
+	row, _ := releasedTo(t, "")
+	must.NotNil(t, newReader("c", row, 7, 1010).NextWrite(at(1010), nil, 0, false))
+}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -69,6 +69,10 @@
 	// askLeadership asks the process at an address whether it leads a cell. If that process is the incarnation
 	// named by holder, the answer includes the leases that it granted. ok is false without an answer.
 	askLeadership func(address, cell, holder string) (answer predecessorAnswer, ok bool)
+	// notifySuccessor tells the host that has agreed to lead a cell that its release is written.
+	notifySuccessor func(cell string, next election.Acceptance)
+	// leadershipsWanted asks the LeadershipFollower to read the rows now.
+	leadershipsWanted chan struct{}
 	// notifyPeer notifies the process at an address of a change to the cell that it leads.
 	notifyPeer func(ctx context.Context, address string, e cell.NotifyLeader) error
 }
@@ -95,7 +99,8 @@
 		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), cells: map[string]*localCell{}, releaseAskedAt: map[string]time.Time{},
 		askForRelease: func(string, string) {}, handicap: func() int { return 0 }, askLeadership: func(string, string, string) (predecessorAnswer, bool) { return predecessorAnswer{}, false },
-		notifyPeer: func(context.Context, string, cell.NotifyLeader) error { return nil },
+		notifyPeer:      func(context.Context, string, cell.NotifyLeader) error { return nil },
+		notifySuccessor: func(string, election.Acceptance) {}, leadershipsWanted: make(chan struct{}, 1),
 	}
 	var seatOptions []election.Option
 	if bounds.ConfirmedHandover {
@@ -177,7 +182,7 @@
 		s.seat.PredecessorsSettled()
 	}
 	if s.seat.Role() == election.Leader && s.state.ReadyToHandOver(now) {
-		s.seat.Release() // a planned stop or a requested release is complete
+		s.seat.ReleaseTo(s.successorIncarnation()) // a planned stop or a requested release is complete
 	}
 	if !s.writeCheckDue(now) {
 		return
@@ -246,6 +251,9 @@
 	case change.Lost:
 		s.state.Take(now, cell.LeadershipLost{Why: change.Reason})
 		s.needsDecision = true
+		if next := s.successor; next != nil && s.seat.SuccessorToNotify() == next.Incarnation {
+			go c.notifySuccessor(s.name, *next)
+		}
 	}
 	c.publish(now)
 }
--- a/pkg/process/fleet/followers.go
+++ b/pkg/process/fleet/followers.go
@@ -68,7 +68,11 @@
 			}
 			f.Control.send(m)
 		}
-		pause(ctx, leadershipReadInterval)
+		select {
+		case <-f.Control.leadershipsWanted:
+		case <-ctx.Done():
+		case <-time.After(leadershipReadInterval):
+		}
 	}
 	return ctx.Err()
 }
--- a/pkg/process/fleet/handover.go
+++ b/pkg/process/fleet/handover.go
@@ -137,6 +137,28 @@
 	}).Info("claim-deferred")
 }
 
+// successorIncarnation returns the incarnation that the release of the cell names, or "".
+func (s *localCell) successorIncarnation() string {
+	if s.successor == nil {
+		return ""
+	}
+	return s.successor.Incarnation
+}
+
+// readLeadershipsNow makes the LeadershipFollower read the rows without waiting for its interval.
+func (c *Control) readLeadershipsNow() {
+	select {
+	case c.leadershipsWanted <- struct{}{}:
+	default: // a reading is due already
+	}
+}
+
+// notifySuccessor tells the host that has agreed to lead a cell that the release is written. If the call is lost, that host
+// claims the cell with its next reading.
+func (h *Host) notifySuccessor(name string, next election.Acceptance) {
+	h.askToTakeOver(context.Background(), &wire.EntryHost{Name: next.Host, Address: next.Address}, name)
+}
+
 // handOverConfirmed releases all cells that this process leads, each once that is of use, and at the latest
 // releaseReserve before the grace period of the stop that began at the given time ends.
 func (h *Host) handOverConfirmed(began time.Time) {
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -120,6 +120,7 @@
 	h.Control.askForRelease = h.askForRelease
 	h.Control.askLeadership = h.askLeadership
 	h.Control.notifyPeer = h.notifyPeer
+	h.Control.notifySuccessor = h.notifySuccessor
 	h.Control.handicap = h.Hosts.Handicap
 	return h, h.listen()
 }
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -129,6 +129,9 @@
 func (m takeOverRequest) apply(c *Control, _ time.Time) {
 	if s := c.cells[m.cell]; s != nil && !c.leaving {
 		s.seat.AcceptHandover()
+		if c.confirmedHandover {
+			c.readLeadershipsNow()
+		}
 	}
 }
 
