The emulator plays planned stops with confirmed handovers

Plan.ConfirmedHandover is the setting; Plan.Restarts stops all hosts as planned, one after the other, while the table is slow at times (faults stop-host and hand-over).

--- a/pkg/emulator/fault_kinds.go
+++ b/pkg/emulator/fault_kinds.go
@@ -12,6 +12,10 @@
 const (
 	// KillHost ends a host's incarnation. The next one boots after the duration.
 	KillHost FaultKind = "kill-host"
+	// StopHost stops a host as planned: it hands its cells over and then ends. The next incarnation boots after the
+	// duration. HandOver has a host hand its cells over as to a stronger host.
+	StopHost FaultKind = "stop-host"
+	HandOver FaultKind = "hand-over"
 	// FreezeHost stops a host from processing events for the duration.
 	FreezeHost FaultKind = "freeze-host"
 	// SuspendHost does the same, and the host's steady clock does not count the duration.
@@ -88,6 +92,8 @@
 
 var faultSpecs = map[FaultKind]faultSpec{
 	KillHost:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).kill(f.For) }},
+	StopHost:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).stop(f.For) }},
+	HandOver:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).handOverToStronger() }},
 	FreezeHost:   {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).freeze(f.For) }},
 	SuspendHost:  {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).suspend(f.For) }},
 	TableDown:    {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.downUntil = until }},
--- a/pkg/emulator/fault_schedule.go
+++ b/pkg/emulator/fault_schedule.go
@@ -40,6 +40,7 @@
 		w.after(w.between(earliestFault, w.plan.Trouble), w.evacuateSomeHall)
 	}
 	w.scheduleLeaving()
+	w.scheduleRestarts()
 }
 
 // crashHalfOfWorkers crashes about half of the workers within 300 ms.
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -25,6 +25,8 @@
 	board          *cellchoice.Board
 	beliefsAskedAt map[string]time.Time
 	frozenUntil    time.Time
+	// leaving says that this incarnation is stopping as planned.
+	leaving bool
 	// connected holds the worker incarnations that this incarnation of the host has called.
 	connected map[string]bool
 	// bootedAt is when this incarnation started.
@@ -50,6 +52,8 @@
 	cell  string
 	seat  *election.Seat
 	state *cell.State
+	// successor has agreed to lead the cell after the release that has begun; nil: nobody has.
+	successor *election.Acceptance
 }
 
 func newHost(w *World, name, hall string) *host {
@@ -62,7 +66,7 @@
 func (h *host) boot() {
 	w := h.world
 	h.incarnation++
-	h.up, h.bootedAt, h.connected = true, w.now, map[string]bool{}
+	h.up, h.bootedAt, h.connected, h.leaving = true, w.now, map[string]bool{}, false
 	self := election.Self{
 		Incarnation: h.incarnationID(), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
 		Delay: w.draws.between("delay "+h.name, 0, 150*time.Millisecond),
@@ -76,8 +80,8 @@
 		h.every(300*time.Millisecond, h.readEvacuations)
 	}
 	for _, name := range w.cells {
-		s := &seat{host: h, cell: name, seat: election.New(name, name, self)}
-		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
+		s := &seat{host: h, cell: name, seat: election.New(name, name, self, w.seatOptions()...)}
+		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute, ConfirmedHandover: w.plan.ConfirmedHandover}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
 		s.state.Take(h.clock(), cell.ManifestChanged{Manifest: w.manifest()})
 		h.seats = append(h.seats, s)
 		h.every(100*time.Millisecond, s.tick)
@@ -214,9 +218,10 @@
 		h.seat.PredecessorsSettled()
 	}
 	if h.seat.Role() == election.Leader && h.state.ReadyToHandOver(h.clock()) {
-		h.seat.Release()
+		h.seat.ReleaseTo(h.successorIncarnation())
 	}
-	write := h.seat.NextWrite(h.clock(), h.state.Members(), 0, false)
+	h.askOverdueLeader()
+	write := h.seat.NextWrite(h.clock(), h.state.Members(), 0, h.leaving)
 	if write == nil {
 		return
 	}
@@ -293,6 +298,7 @@
 	now := h.clock()
 	switch {
 	case c.Gained:
+		h.successor = nil
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
 		h.state.Take(now, cell.NewLeadershipGained(now, h.seat.Row().GetEpoch(), c))
 		for _, p := range c.Predecessors {
@@ -300,6 +306,9 @@
 		}
 	case c.Lost:
 		h.state.Take(now, cell.LeadershipLost{Why: c.Reason})
+		if next := h.successor; next != nil && h.seat.SuccessorToNotify() == next.Incarnation {
+			h.sendTakeOver(next.Host)
+		}
 	}
 }
 
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -63,6 +63,10 @@
 	// lasting tasks that nobody cancels before the faults are over. The rule LOST for lasting tasks checks these.
 	Leaving Leaving
 	Lasting float64
+	// ConfirmedHandover is the setting of that name of all hosts. Restarts is how often all hosts are stopped as planned and
+	// restarted, one after the other, while the table is slow at times.
+	ConfirmedHandover bool
+	Restarts          int
 	// Load, if set, replaces the random cells, workers and jobs.
 	Load *Load `json:"-"`
 }
