--- a/pkg/emulator/handover.go
+++ b/pkg/emulator/handover.go
@@ -98,7 +98,7 @@
 // handOverStopping tries to hand over a cell of a host that stops. If it may not wait, it releases the cell to nobody.
 func (h *seat) handOverStopping(mayWait bool) {
 	switch {
-	case h.state.Releasing():
+	case h.state.Releasing() || !h.state.HoldsLeadership():
 	case mayWait:
 		h.handOverIf(func() bool { return h.state.Leading() && h.seat.MayRelease(h.clock()) })
 	default:
@@ -133,17 +133,37 @@
 		})
 	}
 	h.world.after(peerTimeout, h.ifSameIncarnation(func() {
-		if next, found := election.ChooseSuccessor(accepted); found && !h.state.Releasing() && condition() {
-			h.release(&next)
-			h.sendTakeOver(next.Host)
+		next, found := election.ChooseSuccessor(accepted)
+		if !found {
+			return
+		}
+		h.afterWrite = func() {
+			if !h.state.Releasing() && condition() {
+				h.release(&next)
+				h.sendTakeOver(next.Host)
+			}
+		}
+		if !h.seat.WritePending() {
+			h.runAfterWrite()
 		}
 	}))
 }
 
+// runAfterWrite runs what waits for the answer to the last write of the leadership row.
+func (h *seat) runAfterWrite() {
+	if run := h.afterWrite; run != nil {
+		h.afterWrite = nil
+		run()
+	}
+}
+
 // release begins to release the cell to a successor, or to nobody.
 func (h *seat) release(next *election.Acceptance) {
 	h.successor = next
 	h.world.logf("%s is released to %q by %s", h.cell, h.successorIncarnation(), h.name)
+	if h.world.plan.ConfirmedHandover {
+		h.seat.PrepareRelease()
+	}
 	h.state.Take(h.clock(), cell.ReleaseRequested{})
 	h.act()
 }
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -54,6 +54,8 @@
 	state *cell.State
 	// successor has agreed to lead the cell after the release that has begun; nil: nobody has.
 	successor *election.Acceptance
+	// afterWrite runs once the write of the leadership row in flight is answered; nil: nothing waits for that.
+	afterWrite func()
 }
 
 func newHost(w *World, name, hall string) *host {
@@ -238,6 +240,7 @@
 			version = c.Version
 		}
 		h.takeChange(h.seat.RowWritten(h.clock(), version))
+		h.runAfterWrite()
 		if version != 0 && write.Membership != nil {
 			h.state.Take(h.clock(), cell.MembershipRecorded{IDs: memberIDs(write.Membership.GetEntries())})
 		}
@@ -298,7 +301,7 @@
 	now := h.clock()
 	switch {
 	case c.Gained:
-		h.successor = nil
+		h.successor, h.afterWrite = nil, nil
 		h.world.logf("%s leads epoch %d", h.name, h.seat.Row().GetEpoch())
 		h.state.Take(now, cell.NewLeadershipGained(now, h.seat.Row().GetEpoch(), c))
 		for _, p := range c.Predecessors {
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -93,6 +93,8 @@
 	// releaseRequested is set by Release, handoverOffered by AcceptHandover.
 	releaseRequested bool
 	handoverOffered  bool
+	// releasePrepared is set by PrepareRelease.
+	releasePrepared bool
 	// successor is the incarnation that the release names, or "".
 	successor string
 	// predecessorsSettled means that all runs started by predecessors are known or have certainly ended (Settled).
@@ -202,7 +204,8 @@
 // becomeLeader makes this process the leader. claimSentAt is the time at which its claim was sent, replaced the row that
 // the claim replaced.
 func (s *Seat) becomeLeader(now, claimSentAt time.Time, replaced *wire.CellLead) Change {
-	s.role, s.renewedAt, s.handoverOffered, s.releaseRequested, s.successor = Leader, claimSentAt, false, false, ""
+	s.role, s.renewedAt, s.handoverOffered = Leader, claimSentAt, false
+	s.releaseRequested, s.releasePrepared, s.successor = false, false, ""
 	s.writtenMembers, s.predecessorsSettled, s.endedPredecessors = nil, false, nil
 	s.renewalKnownAt, s.ledSince = now, now
 	return Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
@@ -257,6 +260,9 @@
 // of the membership are written at once, added members within additionInterval, all else once per renewInterval.
 func (s *Seat) renewal(now time.Time, members []*wire.RosterEntry) *Write {
 	changed := members != nil && (s.writtenMembers == nil || !noUrgentChange(s.writtenMembers, members))
+	if s.releasePrepared && !s.releaseRequested {
+		return nil
+	}
 	interval := renewInterval
 	switch {
 	case s.releaseRequested || (changed && !onlyAdded(s.writtenMembers, members)):
--- a/pkg/process/election/handover.go
+++ b/pkg/process/election/handover.go
@@ -31,6 +31,12 @@
 	return s.role == Leader && now.Sub(s.renewalKnownAt) <= maxReleaseRenewalAge
 }
 
+// WritePending returns whether a write of the row has no answer yet.
+func (s *Seat) WritePending() bool { return s.writePending }
+
+// PrepareRelease makes the release the next write: on a slow table it would wait for a renewal that is sent before it.
+func (s *Seat) PrepareRelease() { s.releasePrepared = s.role == Leader }
+
 // MayHandOver returns whether this process may hand the seat over to a stronger host.
 func (s *Seat) MayHandOver(now time.Time) bool {
 	return s.MayRelease(now) && now.Sub(s.ledSince) >= minLeadership
--- a/pkg/process/election/handover_test.go
+++ b/pkg/process/election/handover_test.go
@@ -100,7 +100,7 @@
 }
 
 // Guards against a seat that waits for a successor that ended between its confirmation and the release: other hosts claim
-// it 600 ms later than one without a successor, and a later incarnation of the successor's host is one of them.
+// it after the head start, and a later incarnation of the successor's host is one of them.
 func TestOthersClaimWhenTheSuccessorHasEnded(t *testing.T) {
 	t.Parallel()
 	row, _ := releasedTo(t, "b/0")
@@ -134,3 +134,14 @@
 	row, _ := releasedTo(t, "")
 	must.NotNil(t, newReader("c", row, 7, 1010).NextWrite(at(1010), nil, 0, false))
 }
+
+// Guards against a release that waits for the answer to a renewal sent just before it.
+func TestNoRenewalIsSentBeforeAPreparedRelease(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	s.PrepareRelease()
+	must.Nil(t, s.NextWrite(at(500), nil, 0, false))
+	s.ReleaseTo("b/1")
+	must.True(t, s.NextWrite(at(510), nil, 0, false).Row.GetReleased())
+}
--- a/pkg/process/election/question_test.go
+++ b/pkg/process/election/question_test.go
@@ -17,8 +17,8 @@
 	return s
 }
 
-// Guards against the replacement of a live leader that can't reach the table for 5 s: it is asked every 400 ms, and keeps
-// the seat until its renewal is 5 s overdue.
+// Guards against the replacement of a live leader that can't reach the table for some seconds, and against a leader that
+// keeps its seat without the table for longer.
 func TestLiveLeaderWithoutTheTableKeepsItsSeatForFiveSeconds(t *testing.T) {
 	t.Parallel()
 	s, asked := newAskingSeat(), 0
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -91,6 +91,8 @@
 	reportedRenewal time.Time
 	// successor has agreed to lead the cell after the release that has begun; nil: nobody has.
 	successor *election.Acceptance
+	// afterWrite runs once the write of the leadership row in flight is answered; nil: nothing waits for that.
+	afterWrite func(now time.Time)
 }
 
 // NewControl returns the Control of a process. cells maps the name of each cell to its hall.
@@ -238,7 +240,7 @@
 func (c *Control) leadershipChanged(now time.Time, s *localCell, change election.Change) {
 	switch {
 	case change.Gained:
-		s.successor = nil
+		s.successor, s.afterWrite = nil, nil
 		epoch := s.seat.Row().GetEpoch()
 		s.state.Take(now, cell.NewLeadershipGained(now, epoch, change))
 		if c.manifest != nil {
--- a/pkg/process/fleet/handover.go
+++ b/pkg/process/fleet/handover.go
@@ -35,6 +35,11 @@
 	return s.state.Settled() && s.seat.MayHandOver(now)
 }
 
+// mayBeReleased reports whether this process leads the cell and is not releasing it yet.
+func (s *localCell) mayBeReleased() bool {
+	return s.seat.Role() == election.Leader && s.state.HoldsLeadership() && !s.state.Releasing()
+}
+
 // cellCondition is a condition on a cell that this process leads.
 type cellCondition func(s *localCell, now time.Time) bool
 
@@ -44,7 +49,7 @@
 	ran := make(chan bool, 1)
 	ok := c.query(ctx, func(c *Control, now time.Time) {
 		s := c.cells[name]
-		holds := s != nil && s.seat.Role() == election.Leader && !s.state.Releasing() && condition(s, now)
+		holds := s != nil && s.mayBeReleased() && condition(s, now)
 		if holds {
 			run(s, now)
 		}
@@ -53,15 +58,42 @@
 	return ok && <-ran
 }
 
-// releaseIf begins the release of a led cell to a successor, or to nobody if that is nil.
+// releaseIf begins the release of a led cell to a successor. If a renewal is in flight, it begins with the answer, and only
+// if the condition holds then: the release can't be written earlier, and until it begins, the cell goes on starting tasks.
 func (c *Control) releaseIf(ctx context.Context, name string, condition cellCondition, successor *election.Acceptance) bool {
 	return c.ifLed(ctx, name, condition, func(s *localCell, now time.Time) {
-		s.successor = successor
-		s.state.Take(now, cell.ReleaseRequested{})
-		s.needsDecision = true
+		s.afterWrite = func(now time.Time) {
+			if s.mayBeReleased() && condition(s, now) {
+				c.beginRelease(now, s, successor)
+			}
+		}
+		if !s.seat.WritePending() {
+			s.runAfterWrite(now)
+		}
 	})
 }
 
+// beginRelease begins the release of a cell to a successor, or to nobody if that is nil.
+func (c *Control) beginRelease(now time.Time, s *localCell, successor *election.Acceptance) {
+	kind := "unconfirmed"
+	if successor != nil {
+		kind = "confirmed"
+	}
+	metrics.GetOrRegisterCounter("lead.handovers."+kind, c.metrics).Inc(1)
+	s.successor = successor
+	s.seat.PrepareRelease()
+	s.state.Take(now, cell.ReleaseRequested{})
+	s.needsDecision = true
+}
+
+// runAfterWrite runs what waits for the answer to the last write of the leadership row.
+func (s *localCell) runAfterWrite(now time.Time) {
+	if run := s.afterWrite; run != nil {
+		s.afterWrite = nil
+		run(now)
+	}
+}
+
 // confirmSuccessor asks the hosts of a hall with at least so many processors whether they would lead a cell, and returns
 // the one that should, or nil if none accepts.
 func (h *Host) confirmSuccessor(ctx context.Context, name, hall string, processors float64) *election.Acceptance {
@@ -93,10 +125,12 @@
 	}
 	asked.Wait()
 	chosen, found := election.ChooseSuccessor(accepted)
-	h.Log.WithFields(logrus.Fields{"cell": name, "to": chosen.Host, "accepts": found}).Info("handover-offered")
+	offered := h.Log.WithFields(logrus.Fields{"cell": name, "accepts": found})
 	if !found {
+		offered.Info("handover-offered")
 		return nil
 	}
+	offered.WithField("to", chosen.Host).Info("handover-offered")
 	return &chosen
 }
 
@@ -105,7 +139,6 @@
 	if !h.Control.releaseIf(ctx, name, condition, next) {
 		return false
 	}
-	metrics.GetOrRegisterCounter("lead.handovers.confirmed", h.Metrics).Inc(1)
 	to := &wire.EntryHost{Name: next.Host, Address: next.Address}
 	h.logHandover(name, to, why)
 	h.askToTakeOver(ctx, to, name)
@@ -201,10 +234,10 @@
 		}
 		return
 	}
-	if !h.Control.releaseIf(ctx, name, func(*localCell, time.Time) bool { return true }, nil) {
+	always := func(*localCell, time.Time) bool { return true }
+	if !h.Control.ifLed(ctx, name, always, func(s *localCell, now time.Time) { h.Control.beginRelease(now, s, nil) }) {
 		return
 	}
-	metrics.GetOrRegisterCounter("lead.handovers.unconfirmed", h.Metrics).Inc(1)
 	if next := h.Hosts.Successor(h.Control.View().Cells[name].Hall); next != nil {
 		h.logHandover(name, next, "stopping")
 		h.askToTakeOver(ctx, next, name)
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -115,7 +115,11 @@
 	if s == nil {
 		return
 	}
+	if m.version == 0 && c.confirmedHandover && (s.seat.ClaimPending() || s.state.Releasing()) {
+		c.readLeadershipsNow() // nobody leads until the outcome is known
+	}
 	c.leadershipChanged(now, s, s.seat.RowWritten(now, m.version))
+	s.runAfterWrite(now)
 	if m.version != 0 && m.members != nil {
 		s.state.Take(now, cell.MembershipRecorded{IDs: memberIDs(m.members.GetEntries())})
 		s.needsDecision = true
