--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -82,6 +82,8 @@
 	role Role
 	// renewedAt is the time at which the last renewal that took effect was sent.
 	renewedAt time.Time
+	// renewalKnownAt is when this process learned that it took effect, ledSince when the leadership began.
+	renewalKnownAt, ledSince time.Time
 	// writePending means that the write of sentRow, sent at sentAt, has not been answered yet.
 	writePending bool
 	sentAt       time.Time
@@ -91,6 +93,10 @@
 	// releaseRequested is set by Release, handoverOffered by AcceptHandover.
 	releaseRequested bool
 	handoverOffered  bool
+	// releasePrepared is set by PrepareRelease.
+	releasePrepared bool
+	// successor is the incarnation that the release names, or "".
+	successor string
 	// predecessorsSettled means that all runs started by predecessors are known or have certainly ended (Settled).
 	predecessorsSettled bool
 	// endedPredecessors holds the predecessors that are known to have ended, by holder.
@@ -101,10 +107,25 @@
 	// the next write. Otherwise a losing candidate would keep writing over the version it knows, and each
 	// write would make the readings under way too old to be used.
 	mustReadRow bool
+	// confirmed is set by WithConfirmedHandover, question is what this process knows from the leader itself.
+	confirmed bool
+	question  question
 }
 
+// Option configures a Seat.
+type Option func(*Seat)
+
+// WithConfirmedHandover makes the seat ask a leader before a claim because of its overdue renewal.
+func WithConfirmedHandover() Option { return func(s *Seat) { s.confirmed = true } }
+
 // New returns this process's view of the seat of a cell that belongs to the given hall.
-func New(cell, hall string, self Self) *Seat { return &Seat{cell: cell, hall: hall, self: self} }
+func New(cell, hall string, self Self, options ...Option) *Seat {
+	s := &Seat{cell: cell, hall: hall, self: self}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
 
 // Write is a leadership row to write on condition that the table still holds Version. Membership is written
 // in the same transaction; nil leaves the stored membership as it is.
@@ -173,7 +194,7 @@
 	case s.role == Candidate && mine && row.GetEpoch() == s.sentRow.GetEpoch():
 		return s.becomeLeader(now, s.sentAt, before)
 	case s.role == Leader && mine && s.sentRow != nil && row.GetRenewedStoreMs() == s.sentRow.GetRenewedStoreMs():
-		s.renewedAt = s.sentAt // the renewal took effect but its answer was lost
+		s.renewedAt, s.renewalKnownAt = s.sentAt, now // the renewal took effect but its answer was lost
 	case s.role == Candidate:
 		s.role = Follower
 	}
@@ -183,8 +204,10 @@
 // becomeLeader makes this process the leader. claimSentAt is the time at which its claim was sent, replaced the row that
 // the claim replaced.
 func (s *Seat) becomeLeader(now, claimSentAt time.Time, replaced *wire.CellLead) Change {
-	s.role, s.renewedAt, s.handoverOffered, s.releaseRequested = Leader, claimSentAt, false, false
+	s.role, s.renewedAt, s.handoverOffered = Leader, claimSentAt, false
+	s.releaseRequested, s.releasePrepared, s.successor = false, false, ""
 	s.writtenMembers, s.predecessorsSettled, s.endedPredecessors = nil, false, nil
+	s.renewalKnownAt, s.ledSince = now, now
 	return Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
 }
 
@@ -206,7 +229,10 @@
 func (s *Seat) AcceptHandover() { s.handoverOffered = true }
 
 // Release makes the next write give the seat up.
-func (s *Seat) Release() { s.releaseRequested = true }
+func (s *Seat) Release() { s.ReleaseTo("") }
+
+// ReleaseTo makes the next write give the seat up to an incarnation that has agreed to lead next; "" names none.
+func (s *Seat) ReleaseTo(successor string) { s.releaseRequested, s.successor = true, successor }
 
 // NextWrite returns the write that is due, or nil. members lists the workers that may hold runs, or is nil while
 // they are not known. held is the number of other seats that this process holds. A process that is leaving
@@ -218,7 +244,7 @@
 	if s.role == Leader {
 		return s.renewal(now, members)
 	}
-	if leaving || !s.claimDue(now, held) {
+	if leaving || !s.claimDue(now, held) || s.mustAskLeader(now) {
 		return nil
 	}
 	row := &wire.CellLead{
@@ -234,6 +260,9 @@
 // of the membership are written at once, added members within additionInterval, all else once per renewInterval.
 func (s *Seat) renewal(now time.Time, members []*wire.RosterEntry) *Write {
 	changed := members != nil && (s.writtenMembers == nil || !noUrgentChange(s.writtenMembers, members))
+	if s.releasePrepared && !s.releaseRequested {
+		return nil
+	}
 	interval := renewInterval
 	switch {
 	case s.releaseRequested || (changed && !onlyAdded(s.writtenMembers, members)):
@@ -250,7 +279,9 @@
 		return nil // unreachable: Clone returns the type of its argument
 	}
 	row.RenewedStoreMs = s.storeTime(now).Milliseconds()
-	row.Released = s.releaseRequested
+	if row.Released = s.releaseRequested; row.Released {
+		row.Successor = s.successor
+	}
 	row.Earlier = s.withoutEnded(row.GetEarlier())
 	row.EarlierStoreMs = latestUntil(row.GetEarlier())
 	if !changed {
@@ -306,10 +337,16 @@
 	wait := s.self.Delay + time.Duration(held)*delayPerHeldSeat
 	own := s.self.Hall == s.hall
 	free := s.row == nil || s.row.GetReleased()
+	named, reserved := s.reserved()
+	if reserved {
+		wait += successorHeadStart
+	}
 	switch {
+	case named:
+		return true
 	case !free && s.row.GetHost() == s.self.Host:
 		return true // an earlier incarnation on this host, or this process after its tenure
-	case s.handoverOffered && free:
+	case s.handoverOffered && free && !reserved:
 		return true
 	case free && own:
 		return now.Sub(s.self.Since) >= wait && (s.row == nil || s.RenewalAge(now) >= wait)
@@ -356,7 +393,7 @@
 	case s.role == Candidate:
 		return s.becomeLeader(now, s.sentAt, before)
 	default:
-		s.renewedAt = s.sentAt
+		s.renewedAt, s.renewalKnownAt = s.sentAt, now
 		if s.sentMembership != nil {
 			s.writtenMembers = s.sentMembership.GetEntries()
 		}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -57,7 +57,9 @@
 	// evacuations are the operators' orders to evacuate halls.
 	evacuations evacuation.Orders
 	leaving     bool
-	view        atomic.Pointer[intake.View]
+	// confirmedHandover is the setting of that name.
+	confirmedHandover bool
+	view              atomic.Pointer[intake.View]
 	// askForRelease asks the process at an address, a leader from another hall, to release a cell of this hall.
 	askForRelease  func(cell, address string)
 	releaseAskedAt map[string]time.Time
@@ -67,6 +69,10 @@
 	// askLeadership asks the process at an address whether it leads a cell. If that process is the incarnation
 	// named by holder, the answer includes the leases that it granted. ok is false without an answer.
 	askLeadership func(address, cell, holder string) (answer predecessorAnswer, ok bool)
+	// notifySuccessor tells the host that has agreed to lead a cell that its release is written.
+	notifySuccessor func(cell string, next election.Acceptance)
+	// leadershipsWanted asks the LeadershipFollower to read the rows now.
+	leadershipsWanted chan struct{}
 	// notifyPeer notifies the process at an address of a change to the cell that it leads.
 	notifyPeer func(ctx context.Context, address string, e cell.NotifyLeader) error
 }
@@ -83,20 +89,29 @@
 	writeCheckedAt time.Time
 	// reportedRenewal is the send time of the last renewal that was reported to the state.
 	reportedRenewal time.Time
+	// successor has agreed to lead the cell after the release that has begun; nil: nobody has.
+	successor *election.Acceptance
+	// afterWrite runs once the write of the leadership row in flight is answered; nil: nothing waits for that.
+	afterWrite func(now time.Time)
 }
 
 // NewControl returns the Control of a process. cells maps the name of each cell to its hall.
 func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, advisor workers.Advisor, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
 	c := &Control{
-		self: self, store: st, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
+		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
 		inbox: make(chan message, inboxSize), cells: map[string]*localCell{}, releaseAskedAt: map[string]time.Time{},
 		askForRelease: func(string, string) {}, handicap: func() int { return 0 }, askLeadership: func(string, string, string) (predecessorAnswer, bool) { return predecessorAnswer{}, false },
-		notifyPeer: func(context.Context, string, cell.NotifyLeader) error { return nil },
+		notifyPeer:      func(context.Context, string, cell.NotifyLeader) error { return nil },
+		notifySuccessor: func(string, election.Acceptance) {}, leadershipsWanted: make(chan struct{}, 1),
+	}
+	var seatOptions []election.Option
+	if bounds.ConfirmedHandover {
+		seatOptions = append(seatOptions, election.WithConfirmedHandover())
 	}
 	options = append(options, cell.WithPeers(slices.Collect(maps.Keys(cells))))
 	for name, hall := range cells {
 		c.cells[name] = &localCell{
-			name: name, hall: hall, seat: election.New(name, hall, self), state: cell.New(name, bounds, options...),
+			name: name, hall: hall, seat: election.New(name, hall, self, seatOptions...), state: cell.New(name, bounds, options...),
 		}
 	}
 	c.publish(clock.Now())
@@ -168,13 +183,17 @@
 	if s.state.Settled() {
 		s.seat.PredecessorsSettled()
 	}
-	if s.seat.Role() == election.Leader && s.state.ReadyToHandOver() {
-		s.seat.Release() // a planned stop or a requested release is complete
+	if s.seat.Role() == election.Leader && s.state.ReadyToHandOver(now) {
+		s.seat.ReleaseTo(s.successorIncarnation()) // a planned stop or a requested release is complete
 	}
 	if !s.writeCheckDue(now) {
 		return
 	}
-	if w := s.seat.NextWrite(now, s.state.Members(), c.otherCellsLed(s)+c.handicap(), c.leaving); w != nil {
+	held := c.otherCellsLed(s) + c.handicap()
+	if q := s.seat.LeaderToAsk(now, held, c.leaving); q != nil {
+		go c.askOverdueLeader(s.name, *q)
+	}
+	if w := s.seat.NextWrite(now, s.state.Members(), held, c.leaving); w != nil {
 		if s.seat.Role() == election.Candidate {
 			go c.claimLeadership(ctx, s.name, *w)
 		} else {
@@ -221,6 +240,7 @@
 func (c *Control) leadershipChanged(now time.Time, s *localCell, change election.Change) {
 	switch {
 	case change.Gained:
+		s.successor, s.afterWrite = nil, nil
 		epoch := s.seat.Row().GetEpoch()
 		s.state.Take(now, cell.NewLeadershipGained(now, epoch, change))
 		if c.manifest != nil {
@@ -233,6 +253,9 @@
 	case change.Lost:
 		s.state.Take(now, cell.LeadershipLost{Why: change.Reason})
 		s.needsDecision = true
+		if next := s.successor; next != nil && s.seat.SuccessorToNotify() == next.Incarnation {
+			go c.notifySuccessor(s.name, *next)
+		}
 	}
 	c.publish(now)
 }
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -120,6 +120,7 @@
 	h.Control.askForRelease = h.askForRelease
 	h.Control.askLeadership = h.askLeadership
 	h.Control.notifyPeer = h.notifyPeer
+	h.Control.notifySuccessor = h.notifySuccessor
 	h.Control.handicap = h.Hosts.Handicap
 	return h, h.listen()
 }
@@ -262,7 +263,11 @@
 	h.Log.Info("host-stopping")
 	h.leaving.Store(true)
 	h.Hosts.MarkLeaving()
-	h.handOver()
+	if h.Config.ConfirmedHandover {
+		h.handOverConfirmed(began)
+	} else {
+		h.handOver()
+	}
 	time.Sleep(balancerNoticeTime - clock.Now().Sub(began))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.grace.Load())-stopMargin-clock.Now().Sub(began))
 	defer cancel()
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -115,7 +115,11 @@
 	if s == nil {
 		return
 	}
+	if m.version == 0 && c.confirmedHandover && (s.seat.ClaimPending() || s.state.Releasing()) {
+		c.readLeadershipsNow() // nobody leads until the outcome is known
+	}
 	c.leadershipChanged(now, s, s.seat.RowWritten(now, m.version))
+	s.runAfterWrite(now)
 	if m.version != 0 && m.members != nil {
 		s.state.Take(now, cell.MembershipRecorded{IDs: memberIDs(m.members.GetEntries())})
 		s.needsDecision = true
@@ -129,6 +133,9 @@
 func (m takeOverRequest) apply(c *Control, _ time.Time) {
 	if s := c.cells[m.cell]; s != nil && !c.leaving {
 		s.seat.AcceptHandover()
+		if c.confirmedHandover {
+			c.readLeadershipsNow()
+		}
 	}
 }
 
@@ -136,7 +143,7 @@
 type yieldRequest struct{ cell string }
 
 func (m yieldRequest) apply(c *Control, now time.Time) {
-	if s := c.cells[m.cell]; s != nil && s.hall != c.self.Hall {
+	if s := c.cells[m.cell]; s != nil && s.hall != c.self.Hall && (!c.confirmedHandover || s.mayRelease(now)) {
 		s.state.Take(now, cell.ReleaseRequested{})
 		s.needsDecision = true
 	}
@@ -152,11 +159,14 @@
 	}
 }
 
-// stopRequest begins the planned stop: all cells are released.
+// stopRequest begins the planned stop: all cells are released. With confirmed handovers, each one is released on its own.
 type stopRequest struct{}
 
 func (stopRequest) apply(c *Control, now time.Time) {
 	c.leaving = true
+	if c.confirmedHandover {
+		return
+	}
 	for _, s := range c.cells {
 		s.state.Take(now, cell.ReleaseRequested{})
 		s.needsDecision = true
--- a/pkg/process/fleet/stronger_host.go
+++ b/pkg/process/fleet/stronger_host.go
@@ -16,6 +16,8 @@
 	// minHandoverInterval is the least time between two rounds of handovers by this host: a handover
 	// interrupts a cell's scheduling for about 0.2 s.
 	minHandoverInterval = 15 * time.Second
+	// strongerBy is how many times as many processors a stronger host has at least.
+	strongerBy = 2
 )
 
 // strongerHostHandover hands the cells of this host's hall over to a host with at least twice its
@@ -41,6 +43,10 @@
 // handOverIfStronger hands over the cells of this host's hall that it leads, if a stronger host answers.
 func (r *strongerHostHandover) handOverIfStronger(ctx context.Context, now time.Time) {
 	h := r.host
+	if h.Config.ConfirmedHandover {
+		r.handOverConfirmed(ctx, now)
+		return
+	}
 	if h.leaving.Load() || now.Sub(r.lastHandover) < minHandoverInterval || h.Hosts.Handicap() == 0 {
 		return
 	}
@@ -62,6 +68,30 @@
 	}
 }
 
+// handOverConfirmed hands over the cells of this host's hall that have been led and settled for a while, if a stronger
+// host agrees to lead them.
+func (r *strongerHostHandover) handOverConfirmed(ctx context.Context, now time.Time) {
+	h := r.host
+	if h.leaving.Load() || now.Sub(r.lastHandover) < minHandoverInterval || h.Hosts.Handicap() == 0 {
+		return
+	}
+	for _, name := range h.Control.LedCells() {
+		if h.Control.View().Cells[name].Hall != h.Config.Hall {
+			continue
+		}
+		if !h.Control.ifLed(ctx, name, (*localCell).mayHandOver, func(*localCell, time.Time) {}) {
+			continue
+		}
+		next := h.confirmSuccessor(ctx, name, h.Config.Hall, strongerBy*h.Hosts.Processors)
+		if next == nil {
+			return
+		}
+		if h.handOverTo(ctx, name, (*localCell).mayHandOver, next, "stronger host") {
+			r.lastHandover = now
+		}
+	}
+}
+
 // askToTakeOver asks a host to claim a cell that this host is releasing. A failure is logged.
 func (h *Host) askToTakeOver(ctx context.Context, next *wire.EntryHost, name string) {
 	p, err := h.peers.PeerClient(next.GetAddress())
