Confirm acceptance by repeating transactions without an answer

Cause: on a slow table the client gave a direct call up after 900 ms although it would have been answered, and a submission sent to an absent table has an outcome that callers do not repeat.

Change: package request/acceptance decides whether the table is away, and what follows an attempt: wait, repeat or answer. With intake.WithConfirmation, set by confirmAcceptance, a submission has at most one call in flight, waits for a table that answers other calls, and is repeated until its outcome is known. A submission is refused while the table is away, once the leaders of the cells have been asked whether they know the job.

--- a/pkg/connection/store/store.go
+++ b/pkg/connection/store/store.go
@@ -60,11 +60,15 @@
 	// lastAnswerAt is the time of the last answer, direct or through a peer, in nanoseconds
 	// since start.
 	lastAnswerAt atomic.Int64
+	// lastDirectAnswerAt is that of the last answer to a direct call.
+	lastDirectAnswerAt atomic.Int64
 
 	mu         sync.Mutex
 	failures   int
 	avoidUntil time.Time
 	start      time.Time
+	// directFailures and peerFailures count the failed calls since the last answer.
+	directFailures, peerFailures int
 }
 
 // clockReading is the store's clock at a time of this host's clock.
@@ -98,6 +102,9 @@
 	now := clock.Now()
 	c.clock.Store(&clockReading{storeTime: store, readAt: now})
 	c.lastAnswerAt.Store(int64(now.Sub(c.start)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directFailures, c.peerFailures = 0, 0
 }
 
 // DirectFailing returns whether the last failuresToAvoid direct calls have failed.
@@ -170,6 +177,7 @@
 	c.countCall("changes", err)
 	if err == nil {
 		c.recordAnswer(page.StoreTime)
+		c.recordDirectAnswer()
 	}
 	return page, err
 }
@@ -218,16 +226,22 @@
 // callDirect makes a call to the table service itself. The call goes on while data arrives, up to
 // directLimit.
 func (c *Client) callDirect(ctx context.Context, call func(context.Context) (time.Duration, error)) error {
-	ctx, cancel := idletimeout.WithIdleTimeout(ctx, directTimeout, directLimit)
+	began := clock.Now()
+	bounded, cancel := idletimeout.WithIdleTimeout(ctx, directTimeout, directLimit)
 	defer cancel()
-	return c.recordOutcome(call(ctx))
+	err := c.recordOutcome(call(bounded))
+	c.recordWay(ctx, began, &c.directFailures, err)
+	return err
 }
 
 // callPeer makes a call through a peer within the time limit.
 func (c *Client) callPeer(ctx context.Context, limit time.Duration, call func(context.Context) (time.Duration, error)) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	began := clock.Now()
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return c.recordOutcome(call(ctx))
+	err := c.recordOutcome(call(bounded))
+	c.recordWay(ctx, began, &c.peerFailures, err)
+	return err
 }
 
 // recordOutcome records the store's clock if the call has succeeded. It returns err.
--- /dev/null
+++ b/pkg/request/acceptance/acceptance.go
@@ -0,0 +1,70 @@
+// Package acceptance decides how a host goes on with a submission whose transaction the table does not answer, or
+// refuses, and whether the table is available to the host at all.
+//
+// Load pattern: the table executes the writes of one part in turn. While it is 66 times slower than usual, a write
+// takes 0.5 s, and the table refuses further ones once a second of them waits, so an answer takes up to 2 s. A host
+// that gives a call up earlier and sends another makes the part's queue longer and learns nothing. While the table
+// resets or ignores all calls for seconds, a submission that was sent has an unknown outcome, which callers do not
+// repeat, and one that was not sent can be refused for certain.
+//
+// The limits follow from what callers need: they wait 3 s for one answer, and they repeat a refusal but not an unknown
+// outcome. So a submission without an answer uses all of that time, and a refused one is given back after 500 ms.
+// There is at most one call of a submission in flight.
+//
+// The package does no I/O and reads no clock.
+package acceptance
+
+import "time"
+
+const (
+	// answerMaxAge is the age of the table's last answer up to which the table counts as answering. A host reads the
+	// leadership rows every 300 ms, and on a table that is 66 times slower such a reading takes 264 ms.
+	answerMaxAge = 700 * time.Millisecond
+	// minFailures is the number of failed calls in a row that makes the table count as failing. One call fails
+	// whenever its connection breaks.
+	minFailures = 2
+	// minRetryAfter and maxRetryAfter bound the time after which callers are to ask again. Callers wait for one call
+	// as long as maxRetryAfter.
+	minRetryAfter = time.Second
+	maxRetryAfter = 3 * time.Second
+)
+
+// Table describes a host's calls to the table.
+type Table struct {
+	// DirectFailures and PeerFailures count the failed calls since the last answer, by their way. HasPeers means that
+	// there are peers to call the table through.
+	DirectFailures, PeerFailures int
+	HasPeers                     bool
+	// PeersFirst means that calls go to peers first, since direct calls failed.
+	PeersFirst bool
+	// AnsweredAt is the time of the last answer, and DirectAnsweredAt that of the last one to a direct call.
+	AnsweredAt, DirectAnsweredAt time.Time
+}
+
+// Failing returns whether calls have failed in a row on each way to the table, without an answer since.
+func (t Table) Failing() bool {
+	return t.DirectFailures+t.PeerFailures >= minFailures && (!t.HasPeers || t.PeerFailures > 0)
+}
+
+// Away returns whether the table is known to be unavailable to this host, both directly and through peers.
+func (t Table) Away(now time.Time) bool {
+	return t.Failing() && t.AwayFor(now) > answerMaxAge
+}
+
+// AwayFor returns the time since the table's last answer.
+func (t Table) AwayFor(now time.Time) time.Duration { return now.Sub(t.AnsweredAt) }
+
+// RetryAfter returns when a submission that is refused while the table is away may be repeated.
+func (t Table) RetryAfter(now time.Time) time.Duration {
+	return min(max(t.AwayFor(now), minRetryAfter), maxRetryAfter)
+}
+
+// AnswersDirectly returns whether the table answers direct calls of this host.
+func (t Table) AnswersDirectly(now time.Time) bool {
+	return now.Sub(t.DirectAnsweredAt) <= answerMaxAge
+}
+
+// avoidsDirect returns whether the next call goes through a peer.
+func (t Table) avoidsDirect(now time.Time) bool {
+	return t.PeersFirst && t.HasPeers && !t.AnswersDirectly(now)
+}
--- /dev/null
+++ b/pkg/request/intake/confirm.go
@@ -0,0 +1,288 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wrenferry/wrenferry/pkg/clock"
+	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/request/acceptance"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+const (
+	// maxUnknownJobs bounds the list of jobs with an unknown outcome: a host gets about one job a second, so the list
+	// covers hours of unknown outcomes.
+	maxUnknownJobs = 8192
+	// defaultCallerWait is the time for which a caller without a deadline waits.
+	defaultCallerWait = 3 * time.Second
+	// anchorReadTimeout bounds the reading of an anchor before a refusal. A reading takes 264 ms on a table that is 66
+	// times slower than usual.
+	anchorReadTimeout = 400 * time.Millisecond
+)
+
+// tableState returns what this host knows of its calls to the table.
+func (i *Intake) tableState() acceptance.Table { return acceptance.Table(i.store.Calls()) }
+
+// insertConfirmed writes the job's rows as insert does. It repeats the transaction until its outcome is known, as package
+// acceptance decides. The repetitions are the same transaction, so at most one of them takes effect.
+func (i *Intake) insertConfirmed(ctx context.Context, began time.Time, spec *wire.JobSpec) error {
+	id := spec.GetId()
+	s := acceptance.New(began, clock.Deadline(ctx, clock.Now(), defaultCallerWait))
+	if i.unknownJobs.Contains(id) {
+		s = s.WithUnknown()
+	}
+	s, err := i.confirm(ctx, s, spec)
+	code := fault.CodeOf(err)
+	switch {
+	case err == nil:
+		i.unknownJobs.Remove(id)
+	case code == fault.Unknown:
+		i.increment("accept.unknown")
+		if s.Unknown() {
+			i.unknownJobs.Add(id, struct{}{})
+		}
+	}
+	if s.Calls() > 1 {
+		outcome := "accepted"
+		if err != nil {
+			outcome = string(code)
+		}
+		i.log.WithFields(logrus.Fields{
+			"job": id, "attempts": s.Calls(), "outcome": outcome, "ms": clock.Now().Sub(began).Milliseconds(),
+		}).Info("job-accept-retried")
+	}
+	return err
+}
+
+// confirm carries out the steps of a submission until it is answered. It returns nil if the table holds the job.
+func (i *Intake) confirm(ctx context.Context, s acceptance.Submission, spec *wire.JobSpec) (acceptance.Submission, error) {
+	tx := insertion(spec)
+	var last error
+	for {
+		if err := ctx.Err(); err != nil {
+			// The caller has gone, or its time has ended.
+			return s, unknownOutcome(spec.GetId(), err)
+		}
+		now := clock.Now()
+		step := s.Next(now, i.tableState())
+		switch step.Do {
+		case acceptance.Wait:
+			sleep(ctx, step.Pause)
+		case acceptance.Look:
+			if i.findAnchor(ctx, spec, s) {
+				return s, nil
+			}
+			s = s.WithLook()
+		case acceptance.Refuse:
+			return s, i.refuse(ctx, s, spec, last)
+		case acceptance.AnswerUnknown:
+			return s, unknownOutcome(spec.GetId(), last)
+		case acceptance.Send, acceptance.SendByPeer:
+			if s.Calls() > 0 {
+				i.increment("accept.retries")
+			}
+			byPeer := step.Do == acceptance.SendByPeer
+			done, err := i.send(ctx, s, now, tx, byPeer)
+			if err == nil && i.holds(spec, s, done) {
+				return s.WithSuccess(), nil
+			}
+			outcome := acceptance.NoAnswer
+			if err != nil && fault.CodeOf(err) == fault.NotRun {
+				outcome = acceptance.Refused
+			}
+			last, s = err, s.WithOutcome(clock.Now(), byPeer, outcome)
+		}
+	}
+}
+
+// send sends the transaction once.
+func (i *Intake) send(ctx context.Context, s acceptance.Submission, now time.Time, tx table.Transaction, byPeer bool) (table.CommitResult, error) {
+	if byPeer {
+		return i.store.CommitByPeer(ctx, tx)
+	}
+	return i.store.CommitDirect(ctx, tx, func(at time.Time) bool { return s.KeepWaiting(at, now, i.tableState()) })
+}
+
+// holds returns whether an answered transaction shows that the table holds the job.
+func (i *Intake) holds(spec *wire.JobSpec, s acceptance.Submission, done table.CommitResult) bool {
+	if !done.Conflict {
+		i.homeCells.Add(spec.GetId(), spec.GetCell())
+		i.notifyAccepted(spec)
+		return true
+	}
+	i.cacheAnchor(spec.GetId(), done.Current)
+	cell, found := i.homeCells.Get(spec.GetId())
+	if found {
+		i.notifyIfWritten(spec, s, cell)
+	}
+	return found
+}
+
+// findAnchor returns whether a reading of the table shows the job's anchor row.
+func (i *Intake) findAnchor(ctx context.Context, spec *wire.JobSpec, s acceptance.Submission) bool {
+	cell, found, err := i.homeCell(ctx, spec.GetId())
+	if err != nil || !found {
+		return false
+	}
+	i.notifyIfWritten(spec, s, cell)
+	return true
+}
+
+// notifyIfWritten notifies the leader of a job whose rows a call without an answer may have written.
+func (i *Intake) notifyIfWritten(spec *wire.JobSpec, s acceptance.Submission, cell string) {
+	if s.Unknown() && cell == spec.GetCell() {
+		i.notifyAccepted(spec)
+	}
+}
+
+// refuse returns the fault for a job that no call of this submission has written. It returns nil if an earlier submission
+// was accepted, and fault.Unknown if that can't be excluded.
+func (i *Intake) refuse(ctx context.Context, s acceptance.Submission, spec *wire.JobSpec, cause error) error {
+	id := spec.GetId()
+	state := i.tableState()
+	absent := false
+	if !state.Away(clock.Now()) {
+		bounded, cancel := context.WithTimeout(ctx, anchorReadTimeout)
+		defer cancel()
+		_, found, err := i.homeCell(bounded, id)
+		if err == nil && found {
+			return nil
+		}
+		absent = err == nil
+	}
+	if !absent {
+		switch i.askLeaders(ctx, id) {
+		case jobKnown:
+			return nil
+		case jobUncertain:
+			return unknownOutcome(id, cause)
+		case jobNotKnown:
+		}
+	}
+	if s.Unknown() {
+		return unknownOutcome(id, cause)
+	}
+	f := fault.New(fault.NotRun, id, "the table refused the job", "ask again")
+	if !absent {
+		i.increment("refused.table-away")
+		f = fault.New(fault.NotRun, id, "the table is away", "ask again later").WithRetryAfter(state.RetryAfter(clock.Now()))
+	}
+	if cause != nil {
+		f = f.WithCause(cause)
+	}
+	return f
+}
+
+// unknownOutcome returns the fault for a job that the table may hold or may yet come to hold.
+func unknownOutcome(id string, cause error) error {
+	f := fault.New(fault.Unknown, id, "the table did not say whether it took the job", "ask again with the same id")
+	if cause != nil {
+		f = f.WithCause(cause)
+	}
+	return f
+}
+
+// jobKnowledge is what the leaders of all cells say about a job.
+type jobKnowledge int
+
+const (
+	jobNotKnown jobKnowledge = iota
+	jobKnown
+	jobUncertain
+)
+
+// askLeaders asks the leaders of all cells whether they know a job. The result is uncertain if a leader whose renewals
+// arrive does not answer.
+func (i *Intake) askLeaders(ctx context.Context, id string) jobKnowledge {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	cells := i.leaders.View().Cells
+	answers := make(chan jobKnowledge, len(cells))
+	for name, c := range cells {
+		go func() {
+			answer := i.askLeader(ctx, name, c, id)
+			if answer == jobKnown {
+				i.homeCells.Add(id, name)
+			}
+			if answer == jobUncertain && !c.Fresh && !c.Mine {
+				answer = jobNotKnown
+			}
+			answers <- answer
+		}()
+	}
+	all := jobNotKnown
+	for range cells {
+		switch answer := <-answers; answer {
+		case jobKnown:
+			return jobKnown
+		case jobUncertain:
+			all = jobUncertain
+		case jobNotKnown:
+		}
+	}
+	return all
+}
+
+// askLeader asks a cell's leader whether it knows a job. A process that does not lead the cell, or still loads it, gives the
+// same answer as a leader that does not know the job, so that answer counts only from a process that led the cell before
+// and after it.
+func (i *Intake) askLeader(ctx context.Context, name string, c CellView, id string) jobKnowledge {
+	leads := func() bool {
+		l := i.fetchLoad(ctx, name, c, true) // a load without beliefs may have been made earlier
+		return l.GetLeading() && l.GetCell() == name
+	}
+	ledBefore := leads()
+	known, answered := i.leaderKnows(ctx, name, c, id)
+	switch {
+	case known:
+		return jobKnown
+	case ledBefore && answered && leads():
+		return jobNotKnown
+	}
+	return jobUncertain
+}
+
+// leaderKnows returns whether a cell's leader knows a job, and whether it has answered.
+func (i *Intake) leaderKnows(ctx context.Context, name string, c CellView, id string) (known, answered bool) {
+	if c.Mine {
+		_, known = i.leaders.Phase(ctx, name, id)
+		return known, ctx.Err() == nil
+	}
+	if c.Address == "" {
+		return false, false
+	}
+	p, err := i.peers.PeerClient(c.Address)
+	if err != nil {
+		return false, false
+	}
+	reply, err := p.State(ctx, &wire.JobRef{Cell: name, Id: id})
+	return reply.GetKnown(), err == nil
+}
+
+// reportTable logs when the table has become unavailable to this host or available again, and returns whether it is
+// unavailable.
+func (i *Intake) reportTable(now time.Time, wasAway bool) bool {
+	state := i.tableState()
+	away := state.Away(now)
+	switch {
+	case away && !wasAway:
+		i.log.WithField("ms", state.AwayFor(now).Milliseconds()).Warn("table-away")
+	case !away && wasAway:
+		i.log.Info("table-back")
+	}
+	return away
+}
+
+// sleep waits for the time span or until the context ends.
+func sleep(ctx context.Context, span time.Duration) {
+	t := time.NewTimer(span)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/pkg/request/intake/evacuation.go
+++ b/pkg/request/intake/evacuation.go
@@ -13,6 +13,19 @@
 // announce the end of an evacuation, so it is a polling interval.
 const evacuationRetryAfter = 5 * time.Second
 
+// refuseBeforeChoice returns the fault for a job that is refused before a cell is chosen, or nil. While the table is away
+// the state of the job can't be read, and insertConfirmed refuses it.
+func (i *Intake) refuseBeforeChoice(ctx context.Context, now time.Time, spec *wire.JobSpec, cells map[string]cellchoice.Cell) error {
+	if i.confirms && i.tableState().Away(now) {
+		return nil
+	}
+	err := i.refuseInEvacuation(ctx, now, spec, cells)
+	if err != nil && i.unknownJobs.Contains(spec.GetId()) {
+		return unknownOutcome(spec.GetId(), err)
+	}
+	return err
+}
+
 // refuseInEvacuation returns a NotRun fault for a job that no cell can start because of evacuations, unless the table
 // holds the job already. If that can't be read, the job is not refused: a refused job must never run.
 func (i *Intake) refuseInEvacuation(ctx context.Context, now time.Time, spec *wire.JobSpec, cells map[string]cellchoice.Cell) error {
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -71,19 +71,35 @@
 	beliefsRequestedAt map[string]time.Time
 	// tableCounts holds the pending counts of cells whose leaders did not answer.
 	tableCounts map[string]*tableCounts
+
+	// confirms is set by WithConfirmation. unknownJobs holds the ids of jobs whose outcome is unknown, if it is set.
+	confirms    bool
+	unknownJobs *lru.Cache[string, struct{}]
 }
 
+// Option changes an Intake from its defaults.
+type Option func(*Intake)
+
+// WithConfirmation repeats a submission without an answer of the table until its outcome is known, and refuses submissions
+// while the table is away. Package acceptance makes the decisions.
+func WithConfirmation() Option { return func(i *Intake) { i.confirms = true } }
+
 // New returns the intake of a host in the given hall.
-func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry) *Intake {
+func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry, options ...Option) *Intake {
 	homeCells, _ := lru.New[string, string](maxCachedAnchors)              // fails for a negative size only
 	finalPhases, _ := lru.New[string, wire.JobPhase](maxCachedFinalPhases) // likewise
 	reasons, _ := lru.New[string, string](maxCachedReasons)                // likewise
-	return &Intake{
+	unknownJobs, _ := lru.New[string, struct{}](maxUnknownJobs)            // likewise
+	i := &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
-		tableCounts: map[string]*tableCounts{},
+		tableCounts: map[string]*tableCounts{}, unknownJobs: unknownJobs,
 	}
+	for _, o := range options {
+		o(i)
+	}
+	return i
 }
 
 // Submit accepts a job. It returns nil once the table holds the job, fault.NotRun if the
@@ -95,7 +111,7 @@
 	}
 	spec.Queue, spec.Service = q.Name, q.Service
 	cells := i.cells(now)
-	if err := i.refuseInEvacuation(ctx, now, spec, cells); err != nil {
+	if err := i.refuseBeforeChoice(ctx, now, spec, cells); err != nil {
 		i.increment("refused.evacuation")
 		i.logJob("job-refused", spec, now, "", err)
 		return err
@@ -103,7 +119,7 @@
 	chosen := i.chooseCell(now, spec, cells)
 	spec.Cell = chosen.Cell
 	spec.AcceptedStoreMs = i.store.StoreTime(now).Milliseconds()
-	err := i.insert(ctx, spec)
+	err := i.accept(ctx, now, spec)
 	if err != nil {
 		i.increment("refused." + string(fault.CodeOf(err)))
 		i.logJob("job-refused", spec, now, chosen.Reason, err)
@@ -114,17 +130,30 @@
 	return nil
 }
 
-// insert writes the job's anchor and spec rows if its id is unused. An id that is in use denotes the same job, so
-// insert then succeeds, too.
-func (i *Intake) insert(ctx context.Context, spec *wire.JobSpec) error {
+// accept writes the job into the table, with repetitions if they are enabled.
+func (i *Intake) accept(ctx context.Context, now time.Time, spec *wire.JobSpec) error {
+	if i.confirms {
+		return i.insertConfirmed(ctx, now, spec)
+	}
+	return i.insert(ctx, spec)
+}
+
+// insertion returns the transaction that writes the job's anchor and spec rows if its id is unused.
+func insertion(spec *wire.JobSpec) table.Transaction {
 	anchor := rows.AnchorKey(spec.GetId())
-	done, err := i.store.Commit(ctx, table.Transaction{
+	return table.Transaction{
 		Conditions: []table.Condition{{Key: anchor}},
 		Puts: []table.Row{
 			rows.Row(anchor, &wire.JobAnchor{Cell: spec.GetCell(), Queue: spec.GetQueue()}),
 			rows.Row(rows.SpecKey(spec.GetCell(), spec.GetId()), spec),
 		},
-	})
+	}
+}
+
+// insert writes the job's anchor and spec rows if its id is unused. An id that is in use denotes the same job, so
+// insert then succeeds, too.
+func (i *Intake) insert(ctx context.Context, spec *wire.JobSpec) error {
+	done, err := i.store.Commit(ctx, insertion(spec))
 	switch {
 	case err != nil && fault.CodeOf(err) == fault.NotRun:
 		return err
--- a/pkg/request/intake/loads.go
+++ b/pkg/request/intake/loads.go
@@ -25,11 +25,15 @@
 func (i *Intake) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(loadIntervalWaiting)
 	defer ticker.Stop()
+	wasAway := false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			if i.confirms {
+				wasAway = i.reportTable(clock.Now(), wasAway)
+			}
 			i.requestStaleLoads(now)
 		}
 	}
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -107,8 +107,17 @@
 	return fleet.Adapters{
 		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Source: platform.Source{}, Dial: platform.Dial,
 		CallerAPI: func(h *fleet.Host) (http.Handler, suture.Service) {
-			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics)
+			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics, intakeOptions(config)...)
 			return &platform.JobsHandler{Jobs: jobs, Manifest: h.Manifest, Log: h.Log}, jobs
 		},
 	}
 }
+
+// intakeOptions returns the options of the intake by the settings.
+func intakeOptions(config fleet.Config) []intake.Option {
+	var options []intake.Option
+	if config.ConfirmAcceptance {
+		options = append(options, intake.WithConfirmation())
+	}
+	return options
+}
