--- a/pkg/process/fleet/reload.go
+++ b/pkg/process/fleet/reload.go
@@ -96,6 +96,7 @@
 		{"table", before.Table != after.Table},
 		{"advice", before.Advice != after.Advice},
 		{"processors", before.Processors != after.Processors},
+		{"confirmAcceptance", before.ConfirmAcceptance != after.ConfirmAcceptance},
 	}
 	var list []string
 	for _, f := range fields {
--- a/pkg/request/acceptance/acceptance.go
+++ b/pkg/request/acceptance/acceptance.go
@@ -1,17 +1,12 @@
-// Package acceptance decides how a host goes on with a submission whose transaction the table does not answer, or
-// refuses, and whether the table is available to the host at all.
+// Package acceptance decides how package intake goes on with a submission whose transaction the table does not answer, or
+// refuses, and whether the table is available to the host. It does no I/O and reads no clock.
 //
-// Load pattern: the table executes the writes of one part in turn. While it is 66 times slower than usual, a write
-// takes 0.5 s, and the table refuses further ones once a second of them waits, so an answer takes up to 2 s. A host
-// that gives a call up earlier and sends another makes the part's queue longer and learns nothing. While the table
-// resets or ignores all calls for seconds, a submission that was sent has an unknown outcome, which callers do not
-// repeat, and one that was not sent can be refused for certain.
+// Load pattern: a slow table executes the writes of one part in turn, 0.5 s each, and refuses more than a second of them. An
+// answer takes up to 2 s, and a call that is given up and repeated makes the queue longer. An absent table resets or
+// ignores all calls for seconds.
 //
-// The limits follow from what callers need: they wait 3 s for one answer, and they repeat a refusal but not an unknown
-// outcome. So a submission without an answer uses all of that time, and a refused one is given back after 500 ms.
-// There is at most one call of a submission in flight.
-//
-// The package does no I/O and reads no clock.
+// The limits follow from callers: they wait 3 s for an answer, and repeat a refusal but not an unknown outcome. So a
+// submission without an answer uses all of that time, and a refused one is given back after 500 ms.
 package acceptance
 
 import "time"
--- a/pkg/request/acceptance/submission.go
+++ b/pkg/request/acceptance/submission.go
@@ -65,7 +65,8 @@
 	NoAnswer
 )
 
-// Submission is the state of one submission. It is immutable; the With methods return changed copies.
+// Submission is the state of one submission, which has at most one call in flight. It is immutable; the With methods
+// return changed copies.
 type Submission struct {
 	deadline  time.Time
 	reserve   time.Duration
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"google.golang.org/grpc"
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
@@ -149,19 +149,35 @@
 // confirmingHost is a host with the setting.
 type confirmingHost struct {
 	*intake.Intake
-	store *store.Client
-	jobs  *sync.Map
+	store   *store.Client
+	jobs    *sync.Map
+	events  *logtest.Hook
+	metrics metrics.Registry
+}
+
+// event returns the fields of the last event with the name, or nil.
+func (h confirmingHost) event(name string) (fields logrus.Fields) {
+	for _, e := range h.events.AllEntries() {
+		if e.Message == name {
+			fields = e.Data
+		}
+	}
+	return fields
+}
+
+// count returns the value of a counter.
+func (h confirmingHost) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, h.metrics).Count()
 }
 
 func newConfirmingHost(direct store.Direct, peers []store.Peer, far farLeader, farFresh bool, options ...intake.Option) confirmingHost {
-	silent := logrus.New()
-	silent.SetOutput(io.Discard)
+	log, events := logtest.NewNullLogger()
 	registry := metrics.NewRegistry()
 	client := store.New(direct, func() []store.Peer { return peers }, registry, clock.Now())
 	jobs := &sync.Map{}
 	leaders := knowingLeaders{jobs: jobs, farFresh: farFresh}
 	return confirmingHost{
-		intake.New("hall", client, leaders, far, silent.WithField("test", true), registry, options...), client, jobs,
+		intake.New("hall", client, leaders, far, log.WithField("test", true), registry, options...), client, jobs, events, registry,
 	}
 }
 
@@ -220,6 +236,10 @@
 	must.Eq(t, 2, m.commits)
 	_, notified := h.jobs.Load(confirmedID)
 	must.True(t, notified)
+	must.Eq(t, 1, h.count("jobs.accept.retries"))
+	retried := h.event("job-accept-retried")
+	must.Eq(t, 2, retried["attempts"].(int))
+	must.Eq(t, "accepted", retried["outcome"].(string))
 }
 
 // Both callers may be the same one, whose first call broke off.
@@ -250,6 +270,27 @@
 	must.Eq(t, fault.NotRun, fault.CodeOf(err))
 	must.Between(t, time.Second, fault.RetryAfterOf(err), 3*time.Second)
 	must.Eq(t, commits, m.commits)
+	must.Eq(t, 1, second.count("jobs.refused.table-away"))
+}
+
+func TestAbsenceOfTableIsLoggedOnceAndItsEnd(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := confirming(m)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	go func() { _ = h.Serve(ctx) }() // ends with the test
+	h.loseTable(t, m)
+	time.Sleep(600 * time.Millisecond)
+	must.NotNil(t, h.event("table-away"))
+	must.Nil(t, h.event("table-back"))
+	m.mu.Lock()
+	m.away = false
+	m.mu.Unlock()
+	_, err := h.store.Read(t.Context(), table.Range{})
+	must.NoError(t, err)
+	time.Sleep(600 * time.Millisecond)
+	must.NotNil(t, h.event("table-back"))
 }
 
 // The table may execute the first transaction after the table was away, so the job's later submissions are not refused.
@@ -259,6 +300,7 @@
 	m.fail = func(int) (bool, error) { return false, errReset }
 	h := confirming(m)
 	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, 1, h.count("jobs.accept.unknown"))
 	h.loseTable(t, m)
 	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
 	m.mu.Lock()
