Replays spread the hosts' readings and cover the table's return

Cause: the periodic readings of all replayed hosts came at the same moment, so fewer submissions than in a deployment were sent to a table that had begun to reset calls. The replay also ended before the table was back.

Change: the readings are spread over their period, and the replay goes on until the table answers again. A process that does not lead the cell is a case of the test of a hall that is cut off.

--- a/pkg/request/intake/confirm_replay_test.go
+++ b/pkg/request/intake/confirm_replay_test.go
@@ -22,7 +22,6 @@
 const (
 	replayHosts    = 29
 	replayInterval = 946 * time.Millisecond // between two submissions to one host: 30.65 jobs a second on all
-	replaySpan     = 4 * time.Second
 )
 
 // replayTable is a table that executes the writes of a part in turn, refuses them when more than a second of them waits,
@@ -33,6 +32,7 @@
 	resetFrom, resetTo time.Time
 	busyUntil          map[string]time.Time
 	calls              atomic.Int64 // all calls but the periodic readings
+	span               time.Duration
 }
 
 func (r *replayTable) resets() bool {
@@ -104,6 +104,7 @@
 	for n := range replayHosts {
 		h := newConfirmingHost(r, []store.Peer{tablePeer{r}, tablePeer{r}}, farLeader{}, true, options...)
 		go func() {
+			time.Sleep(300 * time.Millisecond * time.Duration(n) / replayHosts)
 			for ctx.Err() == nil {
 				_, _ = h.store.Read(ctx, table.Range{Table: rows.LeadTable}) // the client counts failures
 				time.Sleep(300 * time.Millisecond)
@@ -111,7 +112,7 @@
 		}()
 		callers.Go(func() {
 			time.Sleep(replayInterval * time.Duration(n) / replayHosts)
-			for at := time.Duration(0); at < replaySpan; at += replayInterval {
+			for at := time.Duration(0); at < r.span; at += replayInterval {
 				id := fmt.Sprintf("%08x%08x", n, at.Milliseconds())
 				callers.Go(func() { answers.Store(id, fault.CodeOf(h.submit(id))) })
 				time.Sleep(replayInterval)
@@ -159,7 +160,7 @@
 func TestReplayOfSlowTable(t *testing.T) {
 	t.Parallel()
 	off, on := replayBoth(t, func() *replayTable {
-		return &replayTable{memTable: newMemTable(), write: 500 * time.Millisecond, read: 264 * time.Millisecond, busyUntil: map[string]time.Time{}}
+		return &replayTable{memTable: newMemTable(), write: 500 * time.Millisecond, read: 264 * time.Millisecond, busyUntil: map[string]time.Time{}, span: 4 * time.Second}
 	})
 	must.LessEq(t, off.calls, on.calls)
 	must.LessEq(t, 5, on.unknown)
@@ -170,10 +171,10 @@
 func TestReplayOfTableThatResetsCalls(t *testing.T) {
 	t.Parallel()
 	off, on := replayBoth(t, func() *replayTable {
-		from := clock.Now().Add(1500 * time.Millisecond)
+		from := clock.Now().Add(time.Second)
 		return &replayTable{
 			memTable: newMemTable(), write: 8 * time.Millisecond, read: 4 * time.Millisecond, busyUntil: map[string]time.Time{},
-			resetFrom: from, resetTo: from.Add(4200 * time.Millisecond),
+			resetFrom: from, resetTo: from.Add(4200 * time.Millisecond), span: 6500 * time.Millisecond,
 		}
 	})
 	must.Less(t, off.unknown/4, on.unknown)
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -124,10 +124,11 @@
 	return wire.JobPhase_JOB_PHASE_QUEUED, known
 }
 
-// farLeader leads the cell far and knows no job, or does not answer if silent is set.
+// farLeader leads the cell far and knows no job. It does not answer if silent is set, and no longer leads the cell if deposed
+// is set.
 type farLeader struct {
 	wire.FleetClient
-	silent bool
+	silent, deposed bool
 }
 
 func (f farLeader) PeerClient(string) (wire.FleetClient, error) { return f, nil }
@@ -143,7 +144,7 @@
 	if f.silent {
 		return nil, errNotSent
 	}
-	return &wire.CellLoad{Leading: true, Cell: in.GetCell()}, nil
+	return &wire.CellLoad{Leading: !f.deposed, Cell: in.GetCell()}, nil
 }
 
 // confirmingHost is a host with the setting.
@@ -331,21 +332,25 @@
 	must.True(t, m.holds(confirmedID))
 }
 
-// In a hall that is cut off, the leader of another hall can't say whether it knows the job. It might, while it renews.
+// In a hall that is cut off, the leader of another hall can't say whether it knows the job. It might, while it renews. A
+// process that does not lead the cell knows none of its jobs, which says nothing.
 func TestCutOffHall(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
 		name  string
+		far   farLeader
 		fresh bool
 		code  fault.Code
 	}{
-		{"the other leader renews", true, fault.Unknown},
-		{"no renewal arrives", false, fault.NotRun},
+		{"the other leader renews", farLeader{silent: true}, true, fault.Unknown},
+		{"no renewal arrives", farLeader{silent: true}, false, fault.NotRun},
+		{"the other leader answers", farLeader{}, true, fault.NotRun},
+		{"another process leads the cell", farLeader{deposed: true}, true, fault.Unknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			m := newMemTable()
-			h := newConfirmingHost(m, []store.Peer{tablePeer{m}}, farLeader{silent: true}, c.fresh, intake.WithConfirmation())
+			h := newConfirmingHost(m, []store.Peer{tablePeer{m}}, c.far, c.fresh, intake.WithConfirmation())
 			h.loseTable(t, m)
 			must.Eq(t, c.code, fault.CodeOf(h.submit(confirmedID)))
 			must.Eq(t, 0, m.commits)
