Jobs with a call in flight are not refused to another caller

Cause: while one submission of a job waited for the table, another one at the same host that the table refused was answered as not run.

Change: the id is in the list of unknown outcomes from the first call until the outcome is certain. A submission with little time is still sent: the least time for a call is that of an ordinary call.

The new test fails without the change. Tests of request/intake and request/acceptance pass with -race.

--- a/pkg/request/acceptance/submission.go
+++ b/pkg/request/acceptance/submission.go
@@ -9,7 +9,7 @@
 	// answered. A reading of one row takes 264 ms on a table that is 66 times slower.
 	lastTry = 500 * time.Millisecond
 	// minCall is the least time in which a call may be answered: an ordinary one takes about 20 ms.
-	minCall = 60 * time.Millisecond
+	minCall = 20 * time.Millisecond
 	// refusedLimit is the time from the first refusal by the table to the last repetition. Callers repeat a refusal
 	// themselves, so they are not held longer.
 	refusedLimit = 500 * time.Millisecond
--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -38,13 +38,13 @@
 	s, err := i.confirm(ctx, s, spec)
 	code := fault.CodeOf(err)
 	switch {
-	case err == nil:
+	case err == nil || code == fault.NotRun:
 		i.unknownJobs.Remove(id)
-	case code == fault.Unknown:
+	case s.Unknown():
+		i.unknownJobs.Add(id, struct{}{})
+	}
+	if code == fault.Unknown {
 		i.increment("accept.unknown")
-		if s.Unknown() {
-			i.unknownJobs.Add(id, struct{}{})
-		}
 	}
 	if s.Calls() > 1 {
 		outcome := "accepted"
@@ -85,6 +85,8 @@
 			if s.Calls() > 0 {
 				i.increment("accept.retries")
 			}
+			// Another submission of the job that comes meanwhile must not be answered that the job was not accepted.
+			i.unknownJobs.Add(spec.GetId(), struct{}{})
 			byPeer := step.Do == acceptance.SendByPeer
 			done, err := i.send(ctx, s, now, tx, byPeer)
 			if err == nil && i.holds(spec, s, done) {
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -312,6 +312,23 @@
 	must.NoError(t, h.submit(confirmedID))
 }
 
+// The first submission's call may take effect after a later call for the job was refused.
+func TestSecondSubmissionIsNotRefusedWhileFirstIsInFlight(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := confirming(m)
+	second := make(chan error, 1)
+	m.fail = func(n int) (bool, error) {
+		if n == 0 {
+			go func() { second <- h.submit(confirmedID) }() // the next call, as this one holds the table's lock
+			time.Sleep(100 * time.Millisecond)
+		}
+		return false, fault.New(fault.NotRun, "table", "status 429", "")
+	}
+	_ = h.submit(confirmedID) // refused: the table has done nothing
+	must.Eq(t, fault.Unknown, fault.CodeOf(<-second))
+}
+
 // A job that was accepted earlier must not be reported as not run because the table refuses its repetition.
 func TestRefusedRepetitionOfAcceptedJobIsAccepted(t *testing.T) {
 	t.Parallel()
