--- a/pkg/process/fleet/reload.go
+++ b/pkg/process/fleet/reload.go
@@ -97,6 +97,7 @@
 		{"advice", before.Advice != after.Advice},
 		{"processors", before.Processors != after.Processors},
 		{"confirmedHandover", before.ConfirmedHandover != after.ConfirmedHandover},
+		{"confirmAcceptance", before.ConfirmAcceptance != after.ConfirmAcceptance},
 	}
 	var list []string
 	for _, f := range fields {
