--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -224,6 +224,7 @@
 		}
 	}
 	w.planLasting()
+	w.planUrgent()
 }
 
 // newJob draws a job of one to three steps, or one with lasting tasks, or a repeated one.
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -77,7 +77,7 @@
 	}
 	for _, name := range w.cells {
 		s := &seat{host: h, cell: name, seat: election.New(name, name, self)}
-		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
+		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute, UrgentWait: w.plan.UrgentWait}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
 		s.state.Take(h.clock(), cell.ManifestChanged{Manifest: w.manifest()})
 		h.seats = append(h.seats, s)
 		h.every(100*time.Millisecond, s.tick)
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -63,6 +63,10 @@
 	// lasting tasks that nobody cancels before the faults are over. The rule LOST for lasting tasks checks these.
 	Leaving Leaving
 	Lasting float64
+	// UrgentWait is the setting urgentWait of all hosts. UrgentJobs is the number of urgent jobs in each of the waves that
+	// come beside the other jobs until Traffic.
+	UrgentWait time.Duration
+	UrgentJobs int
 	// Load, if set, replaces the random cells, workers and jobs.
 	Load *Load `json:"-"`
 }
--- a/pkg/process/cell/mechanisms.go
+++ b/pkg/process/cell/mechanisms.go
@@ -21,6 +21,7 @@
 	OrderWindow
 	YieldToStarts
 	LeastWorkFirst
+	UrgentReserve
 )
 
 // MechanismHelp describes one mechanism in the table of mechanisms.
@@ -48,6 +49,7 @@
 	{LearnedTimes, "learned-times", "declared run times are corrected by observed ones"},
 	{YieldToStarts, "yield-to-starts", "while start orders are held back, polls and records come less often"},
 	{OrderWindow, "order-window", "start orders are held back while too many bytes of them are in transit"},
+	{UrgentReserve, "urgent-reserve", "with the setting urgentWait, capacity is kept for urgent tasks, and lasting tasks yield to them"},
 }
 
 // WithoutMechanisms disables mechanisms.
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -21,6 +21,8 @@
 	NoteRecordFailed    NoteKind = "record-failed"
 	NoteWaits           NoteKind = "task-waits"
 	NoteLastingWaits    NoteKind = "lasting-task-waits"
+	NoteLastingStopped  NoteKind = "lasting-task-stopped"
+	NoteReserveChanged  NoteKind = "reserve-changed"
 	NoteStart           NoteKind = "task-start"
 	NoteStartRefused    NoteKind = "task-start-refused"
 	NoteStartUnsure     NoteKind = "task-start-unsure"
@@ -76,6 +78,8 @@
 	{NoteRecordFailed, "progress could not be written; the write is retried; detail: error"},
 	{NoteWaits, "a task has waited long for a worker; detail: how many usable workers lack what; age_ms: the wait"},
 	{NoteLastingWaits, "a lasting task has no run; repeated each second; age_ms: time since its last run; reason; fits_here, fits_elsewhere: how often it fits into free capacity of this cell's workers and of other cells"},
+	{NoteLastingStopped, "a lasting task was ordered to stop for urgent tasks that wait; detail: the gaps that become free, for which queue, the gaps missing; age_ms: the wait of the urgent task that waited longest"},
+	{NoteReserveChanged, "the capacity that is kept for urgent tasks changed; repeated once a second at most; detail: the service, gaps wanted, gaps free, the size of a gap"},
 	{NoteStart, "a start was ordered; detail: time since the job was accepted, free millicores, checkpoint"},
 	{NoteStartRefused, "the worker refused the start; detail: reason"},
 	{NoteStartUnsure, "the start got no answer, so the task may run; detail: until when the worker may carry the order out, error"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -47,6 +47,7 @@
 	t.Runs = append(t.Runs, r)
 	t.MayHaveRun, t.IsolationWaived, t.IsolationWaitSince = true, false, time.Time{}
 	w.Add(r)
+	s.urgentStarted(t.Unit)
 	if soon := now.Add(s.yieldToStarts(now, ackPause)); len(w.Runs) == 1 && w.NextPollAt.After(soon) {
 		w.NextPollAt = soon // it was idle, and may be polled seldom
 	}
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -35,6 +35,7 @@
 	clear(s.reservedForLasting)
 	s.closeIsolatedWorkers(now)
 	defer s.releaseAwaitedStarts()
+	s.observeUrgent(now)
 	usable := s.usableWorkers(now)
 	for _, c := range s.rankedUnits(now) {
 		if len(usable) == 0 || !s.mayOrderStart(now) {
@@ -50,6 +51,7 @@
 		}
 		s.placeTasks(now, c.unit, pool)
 	}
+	s.stopForUrgent(now, usable)
 }
 
 // queueOf returns a job's queue from the manifest, or one with default values if the manifest no longer
@@ -91,7 +93,10 @@
 		if !s.mayOrderStart(now) {
 			return
 		}
-		w := s.chooseWorker(now, t, service, usable)
+		w, yields := s.chooseForWaiting(now, t, service, usable)
+		if yields {
+			continue // the unit's other tasks may have waited for longer
+		}
 		if w == nil && t.NeedsSpecificWorker() {
 			s.logWait(now, t, service, usable)
 			continue // the unit's other tasks may not need a specific worker
--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -178,8 +178,14 @@
 	// Suspects are the tasks that are suspected of crashing workers.
 	Suspects int
 	Settled  bool
+	// Reserve is the capacity kept for urgent tasks; nil if none is.
+	Reserve *ReserveCounts
 }
 
+// ReserveCounts are the gaps for urgent tasks that the cell wants to be free, those that are, and how many lasting tasks
+// this leader has stopped for urgent ones.
+type ReserveCounts struct{ Wanted, Free, Stopped int }
+
 // Counts returns the summary of the cell as of now.
 func (s *State) Counts(now time.Time) Counts {
 	c := Counts{Settled: s.settled, Evacuated: s.evacuating()}
@@ -206,5 +212,13 @@
 			c.Aside++
 		}
 	}
+	if s.keepsReserve() && s.phase == leading {
+		c.Reserve = &ReserveCounts{Stopped: s.urgentReserve.stops.Total()}
+		usable := s.usableWorkers(now)
+		for service := range s.urgentReserve.demands {
+			is := s.reserveOf(service, usable)
+			c.Reserve.Wanted, c.Reserve.Free = c.Reserve.Wanted+is.wanted, c.Reserve.Free+is.free
+		}
+	}
 	return c
 }
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -10,7 +10,7 @@
 //	      -> run_ends.go (the effect of a run's end on its job)
 //	      -> crashes.go (evidence against the tasks of a worker that crashed)
 //	      -> lost_runs.go (runs and workers that are presumed over), leaving.go, delegation.go (tasks for other cells)
-//	      -> placement.go, isolated_runs.go, evacuation.go, filler_places.go, filler_cost.go, advice.go (which tasks start, and where)
+//	      -> placement.go, isolated_runs.go, evacuation.go, urgent_reserve.go, filler_places.go, filler_cost.go, advice.go (which tasks start, and where)
 //	      -> filler_pace.go (the pace of fillers)
 //	      -> write_progress.go (progress that the table must hold) and effects
 //
@@ -232,6 +232,8 @@
 	mostlyFree bool
 	// reservedForLasting are the workers whose capacity is reserved for lasting tasks, as of the last placement.
 	reservedForLasting map[*workers.Worker]bool
+	// urgentReserve is what this leadership knows of the capacity that it keeps for urgent tasks.
+	urgentReserve *urgentReserve
 	// leadershipConfirmedAt is the last time at which this process is known to have led the cell. A run that is
 	// presumed over without a report from its worker must have ended before that time: otherwise a later leader may
 	// have renewed the worker's lease or acknowledged the run's end.
@@ -295,6 +297,7 @@
 	s.hostCrashes = map[string][]hostCrash{}
 	s.implicated, s.verdicts = nil, map[*jobs.Task]time.Time{}
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
+	s.urgentReserve = newUrgentReserve()
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
@@ -408,6 +411,8 @@
 		s.delegateWaiting(now)
 		s.paceFillers(now)
 		s.logLastingWaits(now)
+		s.observeUrgent(now)
+		s.logReserve(now)
 	}
 	s.stopObsoleteRuns(now)
 	s.dropExpiredJobs(now)
--- /dev/null
+++ b/pkg/process/cell/urgent_reserve.go
@@ -0,0 +1,373 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/reserve"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// Capacity that is kept for urgent tasks, those of the queues with the highest priority. Package reserve decides how much
+// that is, and which lasting tasks are stopped where it is missing. Waiting lasting tasks yield: they leave the gaps that
+// are kept to urgent tasks, for a time within which they must run again anyway.
+
+// urgentReserve is what one leadership knows of the capacity that it keeps, by service.
+type urgentReserve struct {
+	demands map[string]*reserve.Demand
+	stops   reserve.Stops
+	// wanted is how many gaps are to be free. waiting is the number of urgent tasks that wait. Both are as of the last
+	// observation, wanted less the urgent tasks started since.
+	wanted, waiting map[string]int
+	// logged are the last numbers in the log by service, loggedAt is when they were logged.
+	logged   map[string]reserveNumbers
+	loggedAt map[string]time.Time
+}
+
+// reserveNumbers are the gaps that a cell wants to be free for a service, those that are free, and their size.
+type reserveNumbers struct {
+	wanted, free int
+	size         ledger.Size
+}
+
+func newUrgentReserve() *urgentReserve {
+	return &urgentReserve{
+		demands: map[string]*reserve.Demand{}, wanted: map[string]int{}, waiting: map[string]int{},
+		logged: map[string]reserveNumbers{}, loggedAt: map[string]time.Time{},
+	}
+}
+
+// reserveLogInterval is the least time between two log lines about the reserve of a service.
+const reserveLogInterval = time.Second
+
+// keepsReserve reports whether this cell keeps capacity for urgent tasks.
+func (s *State) keepsReserve() bool {
+	return s.bounds.UrgentWait > 0 && s.enabled(UrgentReserve) && s.manifest != nil
+}
+
+// urgent reports whether the tasks of a unit are urgent work: plain tasks of a queue with the highest priority.
+func (s *State) urgent(u *jobs.Unit) bool {
+	if u.Lasting() || u.Spec.GetFiller() || u.Spec.GetGang() {
+		return false
+	}
+	q, known := s.manifest.Queue(u.Job.Spec.GetQueue())
+	return known && q.Priority == s.manifest.HighestPriority()
+}
+
+// observeUrgent updates the demand by the urgent tasks that run and wait now.
+func (s *State) observeUrgent(now time.Time) {
+	if !s.keepsReserve() {
+		return
+	}
+	k := s.urgentReserve
+	present, running := map[string]map[ledger.Size]int{}, map[string]int{}
+	count := func(u *jobs.Unit, n int) string {
+		service := s.serviceOf(u.Job)
+		if present[service] == nil {
+			present[service] = map[ledger.Size]int{}
+		}
+		present[service][u.Size] += n
+		return service
+	}
+	for _, w := range s.workersByID() {
+		for _, r := range w.Runs {
+			if s.urgent(r.Task.Unit) {
+				running[count(r.Task.Unit, 1)]++
+			}
+		}
+	}
+	clear(k.waiting)
+	for u := range s.waitingUnits {
+		if n := len(u.Waiting(now)); n > 0 && s.urgent(u) {
+			k.waiting[count(u, n)] += n
+		}
+	}
+	for service := range present {
+		if k.demands[service] == nil {
+			k.demands[service] = &reserve.Demand{}
+		}
+	}
+	for service, d := range k.demands {
+		d.Observe(now, present[service])
+		k.wanted[service] = d.Wanted(running[service])
+	}
+}
+
+// gapsFree returns how many gaps of a size the usable workers of a service have, as free returns their free capacity. No
+// urgent task may join the isolated run of another task.
+func (s *State) gapsFree(usable []*workers.Worker, service string, size ledger.Size, free func(*workers.Worker) ledger.Size) int {
+	gaps := 0
+	for _, w := range usable {
+		if w.Service == service && !s.closedWorkers[w] {
+			gaps += reserve.Gaps(free(w), size)
+		}
+	}
+	return gaps
+}
+
+// freeSoon returns the capacity of a worker that is free once the runs have ended that are being stopped.
+func freeSoon(w *workers.Worker) ledger.Size {
+	free := w.FreeCapacity()
+	for _, r := range w.Runs {
+		if r.State == jobs.Stopping {
+			free = free.Plus(workers.ReservedSize(r.Task.Unit))
+		}
+	}
+	return free
+}
+
+// chooseForWaiting returns the worker for a waiting task as chooseWorker does, but a lasting task that yields gets none whose
+// gaps are kept for urgent tasks. yields reports whether that keeps it from every worker.
+func (s *State) chooseForWaiting(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) (w *workers.Worker, yields bool) {
+	if !s.mayYield(now, t, service) {
+		return s.chooseWorker(now, t, service, usable), false
+	}
+	rest := s.outsideReserve(t.Unit, service, usable)
+	if w := s.chooseWorker(now, t, service, rest); w != nil || len(rest) == len(usable) {
+		return w, false
+	}
+	if s.mustYield(now, t, service) {
+		return nil, true
+	}
+	return s.chooseWorker(now, t, service, usable), false
+}
+
+// mayYield reports whether a task is a lasting one that leaves capacity to urgent tasks where it has another choice. The
+// bound on the wait is kept from what this leader knows: a task that was handed over more than once has waited longer than
+// its cells know, and a leader that has just begun does not know when tasks last ran unless it stopped them. The next run
+// of a task with crash evidence has conditions of its own.
+func (s *State) mayYield(now time.Time, t *jobs.Task, service string) bool {
+	if !t.Unit.Lasting() || !s.keepsReserve() || s.urgentReserve.wanted[service] <= 0 {
+		return false
+	}
+	if now.Sub(waitingSince(t)) >= reserve.YieldFor || t.Delegations > 1 || len(t.ReturnedAt) > 0 || t.NeedsStartRecord() {
+		return false
+	}
+	return now.Sub(s.gainedAt) >= reserve.YieldFor || s.urgentReserve.stops.Resting(now, t.Name())
+}
+
+// mustYield reports whether a task that may yield waits even if all capacity for it in this cell is kept: another cell can
+// take it, urgent tasks wait here, or it was stopped for them.
+func (s *State) mustYield(now time.Time, t *jobs.Task, service string) bool {
+	return s.urgentReserve.waiting[service] > 0 || s.urgentReserve.stops.Resting(now, t.Name()) || s.peerForTask(now, t.Unit, t.ReturnedAt) != ""
+}
+
+// yieldsToUrgent reports whether a lasting task with capacity here waits because that is kept for urgent tasks.
+func (s *State) yieldsToUrgent(now time.Time, t *jobs.Task) bool {
+	service := s.serviceOf(t.Unit.Job)
+	if !s.mayYield(now, t, service) || !s.mustYield(now, t, service) {
+		return false
+	}
+	rest := s.outsideReserve(t.Unit, service, s.usableWorkers(now))
+	return !slices.ContainsFunc(rest, func(w *workers.Worker) bool { return s.fits(now, t.Unit, service, w) })
+}
+
+// outsideReserve returns the usable workers at which one more task of a unit leaves as many gaps free as are wanted.
+func (s *State) outsideReserve(u *jobs.Unit, service string, usable []*workers.Worker) []*workers.Worker {
+	size := s.urgentReserve.demands[service].Size()
+	spare := max(0, s.gapsFree(usable, service, size, (*workers.Worker).FreeCapacity)-s.urgentReserve.wanted[service])
+	rest := make([]*workers.Worker, 0, len(usable))
+	for _, w := range usable {
+		free := w.FreeCapacity()
+		if reserve.Gaps(free, size)-reserve.Gaps(free.Minus(workers.ReservedSize(u)), size) <= spare {
+			rest = append(rest, w)
+		}
+	}
+	return rest
+}
+
+// urgentStarted updates the number of wanted gaps by the start of a task.
+func (s *State) urgentStarted(u *jobs.Unit) {
+	if s.keepsReserve() && s.urgent(u) {
+		service := s.serviceOf(u.Job)
+		s.urgentReserve.wanted[service] = max(0, s.urgentReserve.wanted[service]-1)
+	}
+}
+
+// stopForUrgent stops lasting tasks for urgent ones that have waited too long for a place here and find none in another
+// cell. It stops nothing until it is known what earlier leaders started, nor while the table is away: the ends of these
+// runs could not be recorded. It is called after all waiting tasks have been placed that fit.
+func (s *State) stopForUrgent(now time.Time, usable []*workers.Worker) {
+	if !s.keepsReserve() || !s.settled || s.phase != leading || s.evacuating() || !s.tableAvailable(now) {
+		return
+	}
+	short := map[string]*jobs.Unit{}
+	for u := range s.waitingUnits {
+		if !s.urgent(u) || !s.lacksPlace(now, u, usable) {
+			continue
+		}
+		service := s.serviceOf(u.Job)
+		if before := short[service]; before == nil || u.ReadyAt.Before(before.ReadyAt) || (u.ReadyAt.Equal(before.ReadyAt) && u.Name() < before.Name()) {
+			short[service] = u
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(short)) {
+		s.stopForUnit(now, short[service], service, usable)
+	}
+}
+
+// lacksPlace reports whether an urgent unit has waited too long for want of a place, here and elsewhere. A job that earns
+// nothing any more, and a task with crash evidence, are not worth a stop.
+func (s *State) lacksPlace(now time.Time, u *jobs.Unit, usable []*workers.Worker) bool {
+	if !reserve.Overdue(now.Sub(u.ReadyAt), s.bounds.UrgentWait) || u.Outlook == jobs.Hopeless {
+		return false
+	}
+	if !slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return !t.NeedsStartRecord() && !t.NeedsSpecificWorker() }) {
+		return false
+	}
+	service := s.serviceOf(u.Job)
+	if slices.ContainsFunc(usable, func(w *workers.Worker) bool { return s.fits(now, u, service, w) }) {
+		return false
+	}
+	if !s.mayDelegateShort(u) {
+		return true
+	}
+	name, _ := s.peerForShort(now, u)
+	return name == ""
+}
+
+// stopForUnit stops lasting tasks so that the missing gaps of a service become free. If the unit that waits needs more than
+// the usual gap, these are gaps for its own tasks.
+func (s *State) stopForUnit(now time.Time, u *jobs.Unit, service string, usable []*workers.Worker) {
+	var hosts []*workers.Worker
+	for _, w := range usable {
+		if u.Size.Fits(w.Capacity) && s.lacksOnlyCapacity(now, u, service, w) {
+			hosts = append(hosts, w)
+		}
+	}
+	k := s.urgentReserve
+	size, wanted := k.demands[service].Size(), k.wanted[service]
+	if !u.Size.Fits(size) {
+		size, wanted = u.Size, len(u.Waiting(now))
+	}
+	missing := wanted - s.gapsFree(usable, service, size, freeSoon)
+	if missing <= 0 || len(hosts) == 0 {
+		return
+	}
+	runs, lasting := map[string]*jobs.Run{}, s.lastingTasks(now)
+	away := map[*jobs.Unit]int{}
+	var candidates []reserve.Candidate
+	for _, w := range hosts {
+		for _, r := range w.Runs {
+			if !s.mayStopForUrgent(now, r) {
+				continue
+			}
+			step, free := r.Task.Unit, w.FreeCapacity()
+			if _, known := away[step]; !known {
+				away[step] = tasksAway(step)
+			}
+			c := reserve.Candidate{
+				Task: r.Task.Name(), Worker: w.ID, Step: step.Name(), Size: workers.ReservedSize(step),
+				MoreAway: reserve.MoreAway(int(step.Spec.GetMayMiss()), away[step]),
+			}
+			c.Gaps = reserve.Gaps(free.Plus(c.Size), size) - reserve.Gaps(free, size)
+			candidates, runs[c.Task] = append(candidates, c), r
+		}
+	}
+	for _, c := range reserve.Choose(candidates, missing, k.stops.Allowed(now, lasting)) {
+		k.stops.Add(now, c.Task)
+		s.stopRun(now, s.workers[c.Worker], runs[c.Task], "its capacity is kept for urgent tasks")
+		s.note(Note{
+			Kind: NoteLastingStopped, Job: runs[c.Task].Task.Unit.Job.Spec.GetId(), Task: c.Task, Run: runs[c.Task].Number, Worker: c.Worker,
+			AgeMs:  now.Sub(u.ReadyAt).Milliseconds(),
+			Detail: fmt.Sprintf("%d gaps of %d millicores and %d MB for queue %s, %d missing", c.Gaps, size.Millicores, size.MemoryMB, u.Job.Spec.GetQueue(), missing),
+		})
+	}
+}
+
+// lacksOnlyCapacity reports whether a unit could start at a worker if lasting tasks were stopped there, at which no run is
+// being stopped.
+func (s *State) lacksOnlyCapacity(now time.Time, u *jobs.Unit, service string, w *workers.Worker) bool {
+	switch s.placementBlocker(now, u, service, w) {
+	case blockedByCapacity, blockedByMemory:
+	default:
+		return false
+	}
+	if s.closedWorkers[w] || s.reservedForLasting[w] || len(w.OrphanedRuns) > 0 || s.quarantined(now, w) {
+		return false
+	}
+	if most := int(u.Spec.GetSpread()); most > 0 && w.TaskCount(u) >= most {
+		return false
+	}
+	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool { return r.State == jobs.Stopping })
+}
+
+// mayStopForUrgent reports whether a run is one of a lasting task that may be stopped for urgent tasks, apart from the other
+// tasks of its step.
+func (s *State) mayStopForUrgent(now time.Time, r *jobs.Run) bool {
+	t := r.Task
+	switch {
+	case !t.Unit.Lasting() || t.Unit.Spec.GetGang() || t.Unit.Spec.GetCopies():
+		return false
+	case r.State != jobs.Running || r.Isolated || !t.Settled || t.Unit.Job.Ended():
+		return false
+	case t.NeedsStartRecord() || s.urgentReserve.stops.Resting(now, t.Name()):
+		return false
+	}
+	return !t.Unit.Job.Delegated() || !slices.ContainsFunc(t.Unit.Tasks, func(other *jobs.Task) bool { return other.DelegatedTo != "" })
+}
+
+// tasksAway returns how many tasks of a unit don't run, for any reason. What was delegated to other cells counts as away,
+// since this cell does not know whether it runs there.
+func tasksAway(u *jobs.Unit) int {
+	away := 0
+	for _, t := range u.Tasks {
+		if t.DelegatedTo != "" || !slices.ContainsFunc(t.Runs, func(r *jobs.Run) bool { return r.State == jobs.Running }) {
+			away++
+		}
+	}
+	return away
+}
+
+// lastingTasks returns how many lasting tasks run or wait in this cell.
+func (s *State) lastingTasks(now time.Time) int {
+	n := 0
+	for _, w := range s.workersByID() {
+		for _, r := range w.Runs {
+			if r.Task.Unit.Lasting() {
+				n++
+			}
+		}
+	}
+	for u := range s.waitingUnits {
+		if u.Lasting() {
+			n += len(u.Waiting(now))
+		}
+	}
+	return n
+}
+
+// reserveOf returns the numbers of the reserve of a service.
+func (s *State) reserveOf(service string, usable []*workers.Worker) reserveNumbers {
+	size := s.urgentReserve.demands[service].Size()
+	return reserveNumbers{
+		wanted: s.urgentReserve.wanted[service], size: size,
+		free: s.gapsFree(usable, service, size, (*workers.Worker).FreeCapacity),
+	}
+}
+
+// logReserve logs the reserve of each service if it has changed.
+func (s *State) logReserve(now time.Time) {
+	if !s.keepsReserve() {
+		return
+	}
+	k := s.urgentReserve
+	for _, service := range slices.Sorted(maps.Keys(k.demands)) {
+		if now.Sub(k.loggedAt[service]) < reserveLogInterval {
+			continue
+		}
+		is := s.reserveOf(service, s.usableWorkers(now))
+		if is == k.logged[service] {
+			continue
+		}
+		k.logged[service], k.loggedAt[service] = is, now
+		s.note(Note{
+			Kind: NoteReserveChanged, AgeMs: -1,
+			Detail: fmt.Sprintf("%s: %d gaps wanted, %d free, of %d millicores and %d MB", service, is.wanted, is.free, is.size.Millicores, is.size.MemoryMB),
+		})
+	}
+}
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -40,6 +40,8 @@
 	WaitReturned WaitReason = "returned"
 	// WaitDelegation: other cells have capacity, but the task is not delegated yet.
 	WaitDelegation WaitReason = "delegation"
+	// WaitYields: the capacity for the task is kept for urgent tasks.
+	WaitYields WaitReason = "yields-to-urgent"
 	// WaitCapacity: this cell has no capacity for the task, and the other cells together have too little.
 	WaitCapacity WaitReason = "capacity"
 )
@@ -124,6 +126,8 @@
 		return WaitIsolatedRun, fits.free
 	case fits.usable > 0 && s.enabled(OrderWindow) && !s.startWindow.MaySend():
 		return WaitOrdersHeld, fits.free
+	case fits.usable > 0 && s.yieldsToUrgent(now, t):
+		return WaitYields, fits.free
 	case fits.reserved > 0 && fits.usable == 0:
 		return WaitWorkerKept, fits.free
 	case fits.free > 0 && fits.usable == 0:
--- a/pkg/process/fleet/status.go
+++ b/pkg/process/fleet/status.go
@@ -24,6 +24,11 @@
 			fmt.Sprintf("cell.%s.running %d", name, c.Running), fmt.Sprintf("cell.%s.workers %d", name, c.Workers),
 			fmt.Sprintf("cell.%s.usable %d", name, c.Usable), fmt.Sprintf("cell.%s.aside %d", name, c.Aside),
 			fmt.Sprintf("cell.%s.suspects %d", name, c.Suspects))
+		if r := c.Reserve; r != nil {
+			lines = append(lines,
+				fmt.Sprintf("cell.%s.reserve.wanted %d", name, r.Wanted), fmt.Sprintf("cell.%s.reserve.free %d", name, r.Free),
+				fmt.Sprintf("cell.%s.reserve.stopped %d", name, r.Stopped))
+		}
 	}
 	sort.Strings(lines)
 	w.Header().Set("Content-Type", "text/plain")
--- a/pkg/version/manifest/manifest.go
+++ b/pkg/version/manifest/manifest.go
@@ -100,6 +100,17 @@
 	return Queue{}, false
 }
 
+// HighestPriority returns the priority of the queues that come first: the lowest number.
+func (m *Manifest) HighestPriority() int {
+	highest := 0
+	for i, q := range m.queues {
+		if i == 0 || q.Priority < highest {
+			highest = q.Priority
+		}
+	}
+	return highest
+}
+
 // Service returns the service with the given name.
 func (m *Manifest) Service(name string) (Service, bool) {
 	s, ok := m.services[name]
