--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -89,6 +89,9 @@
 // placeTasks starts the waiting tasks of a unit that is not a gang, as far as they fit.
 func (s *State) placeTasks(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
 	service := s.serviceOf(u.Job)
+	if u.Lasting() {
+		usable = s.notFreed(now, service, usable)
+	}
 	for _, t := range u.Waiting(now) {
 		if !s.mayOrderStart(now) {
 			return
--- a/pkg/process/cell/urgent_reserve.go
+++ b/pkg/process/cell/urgent_reserve.go
@@ -23,6 +23,8 @@
 	// wanted is how many gaps are to be free. waiting is the number of urgent tasks that wait. Both are as of the last
 	// observation, wanted less the urgent tasks started since.
 	wanted, waiting map[string]int
+	// freedAt is when a lasting task was last ordered to stop at a worker.
+	freedAt map[*workers.Worker]time.Time
 	// logged are the last numbers in the log by service, loggedAt is when they were logged.
 	logged   map[string]reserveNumbers
 	loggedAt map[string]time.Time
@@ -36,7 +38,7 @@
 
 func newUrgentReserve() *urgentReserve {
 	return &urgentReserve{
-		demands: map[string]*reserve.Demand{}, wanted: map[string]int{}, waiting: map[string]int{},
+		demands: map[string]*reserve.Demand{}, wanted: map[string]int{}, waiting: map[string]int{}, freedAt: map[*workers.Worker]time.Time{},
 		logged: map[string]reserveNumbers{}, loggedAt: map[string]time.Time{},
 	}
 }
@@ -81,6 +83,7 @@
 		}
 	}
 	clear(k.waiting)
+	maps.DeleteFunc(k.freedAt, func(_ *workers.Worker, at time.Time) bool { return now.Sub(at) >= freedFor })
 	for u := range s.waitingUnits {
 		if n := len(u.Waiting(now)); n > 0 && s.urgent(u) {
 			k.waiting[count(u, n)] += n
@@ -136,6 +139,22 @@
 	return s.chooseWorker(now, t, service, usable), false
 }
 
+// freedFor is how long capacity is kept from all lasting tasks after a stop was ordered for urgent ones: the stop takes up
+// to 0.9 s, and placement a few attempts. A lasting task must run within three seconds where there is capacity for it.
+const freedFor = 2 * time.Second
+
+// notFreed returns the usable workers without those at which capacity is being freed for urgent tasks that still wait. Lasting
+// tasks that have waited for long, which don't yield, would come before urgent ones there.
+func (s *State) notFreed(now time.Time, service string, usable []*workers.Worker) []*workers.Worker {
+	if !s.keepsReserve() || len(s.urgentReserve.freedAt) == 0 || s.urgentReserve.waiting[service] == 0 {
+		return usable
+	}
+	return slices.DeleteFunc(slices.Clone(usable), func(w *workers.Worker) bool {
+		at, stopped := s.urgentReserve.freedAt[w]
+		return stopped && now.Sub(at) < freedFor
+	})
+}
+
 // mayYield reports whether a task is a lasting one that leaves capacity to urgent tasks where it has another choice. The
 // bound on the wait is kept from what this leader knows: a task that was handed over more than once has waited longer than
 // its cells know, and a leader that has just begun does not know when tasks last ran unless it stopped them. The next run
@@ -211,12 +230,12 @@
 }
 
 // lacksPlace reports whether an urgent unit has waited too long for want of a place, here and elsewhere. A job that earns
-// nothing any more, and a task with crash evidence, are not worth a stop.
+// nothing any more, and a task with the evidence of a crash against it, are not worth a stop.
 func (s *State) lacksPlace(now time.Time, u *jobs.Unit, usable []*workers.Worker) bool {
 	if !reserve.Overdue(now.Sub(u.ReadyAt), s.bounds.UrgentWait) || u.Outlook == jobs.Hopeless {
 		return false
 	}
-	if !slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return !t.NeedsStartRecord() && !t.NeedsSpecificWorker() }) {
+	if !slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return !t.NeedsSpecificWorker() }) {
 		return false
 	}
 	service := s.serviceOf(u.Job)
@@ -270,6 +289,7 @@
 	}
 	for _, c := range reserve.Choose(candidates, missing, k.stops.Allowed(now, lasting)) {
 		k.stops.Add(now, c.Task)
+		k.freedAt[s.workers[c.Worker]] = now
 		s.stopRun(now, s.workers[c.Worker], runs[c.Task], "its capacity is kept for urgent tasks")
 		s.note(Note{
 			Kind: NoteLastingStopped, Job: runs[c.Task].Task.Unit.Job.Spec.GetId(), Task: c.Task, Run: runs[c.Task].Number, Worker: c.Worker,
