--- a/pkg/process/cell/urgent_reserve_test.go
+++ b/pkg/process/cell/urgent_reserve_test.go
@@ -77,8 +77,8 @@
 	return list
 }
 
-// Guards against urgent tasks that wait for minutes because lasting tasks fill every worker, and against more stops than
-// the limits allow: a tenth of the lasting tasks within 10 s, one of each step, one at each worker.
+// Guards against urgent tasks that wait until lasting tasks end, and against more stops than the limits allow: a tenth of the
+// lasting tasks, one of each step, one at each worker.
 func TestLastingTasksAreStoppedForUrgentOnes(t *testing.T) {
 	t.Parallel()
 	b := newFullOfLasting()
--- a/pkg/process/reserve/demand.go
+++ b/pkg/process/reserve/demand.go
@@ -1,15 +1,12 @@
-// Package reserve decides how much capacity a cell keeps for urgent tasks, which lasting tasks wait for the sake of it, and
-// which are stopped. Package cell tells it what waits and runs, and carries the decisions out.
+// Package reserve decides how much capacity a cell keeps for urgent tasks, and which lasting tasks yield or are stopped for
+// it. Package cell carries that out. The package makes no calls and reads no clock. Its types belong to one thread.
 //
-// Load pattern: lasting tasks reserve most processors and stay for a minute. Urgent tasks take less than a second and
-// come in waves, each 11 to 13 s after the last. They need capacity at once, in gaps of their own size, while the
-// capacity that lasting tasks leave free is in smaller gaps. So capacity is counted in gaps of the size of an urgent
-// task, worker by worker, and the demand of the last wave is remembered until the next.
+// Load pattern: lasting tasks reserve most processors for a minute. Urgent tasks of less than a second come in waves, 11 to
+// 13 s apart, and need capacity at once in gaps of their own size; what lasting tasks leave free is in smaller gaps. So gaps
+// are counted worker by worker, and the demand of one wave is remembered until the next.
 //
-// Callers of lasting tasks accept six seconds without a run, which bounds how long a lasting task waits. Stops are
-// bounded by a share of the lasting tasks, and by the tasks of each step that may be away at the same time.
-//
-// The package makes no calls and reads no clock. Its types belong to one thread.
+// Callers of lasting tasks accept six seconds without a run, which limits how long these yield. Stops are limited to a share
+// of the lasting tasks, and to the tasks of each step that may be away at the same time.
 package reserve
 
 import (
