--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -67,6 +67,10 @@
 	// restarted, one after the other, while the table is slow at times.
 	ConfirmedHandover bool
 	Restarts          int
+	// UrgentWait is the setting urgentWait of all hosts. UrgentJobs is the number of urgent jobs in each of the waves that
+	// come beside the other jobs until Traffic.
+	UrgentWait time.Duration
+	UrgentJobs int
 	// Load, if set, replaces the random cells, workers and jobs.
 	Load *Load `json:"-"`
 }
