Emulator: runs of cancelled jobs that go on break UNASKED

The checker had no rule for a run that outlives the cancel of its job, nor for a cancel whose answer is lost. UNASKED now breaks if a run goes on for 900 ms after 4 s since the acknowledgement, or after a cancel without an answer has waited for 6 s, where no fault was near. Runs that a worker started late, or for a host that is removed, count from 4 s after their start. Starts keep their limit of 3 s.

CancelsPlan has cancels with lost answers, late orders (LateWorker with How 1) and hosts that are removed for good (remove-host), and then a quiet period. The fence NoLateStops leaves runs going that are discovered after the end of their jobs.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -26,7 +26,7 @@
 //	LIMIT    a start that exceeds the capacity of a worker that accepts every start; runs that
 //	         are being stopped count, and a reduced capacity counts after a while
 //	UNASKED  a start of a task that no caller submitted, with another body or checkpoint, or long
-//	         after its cancel, by a host in contact
+//	         after its cancel, by a host in contact; a run that goes on after its cancel
 //	EVAC     a start in a hall long after its evacuation was ordered, by a host in contact
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause
@@ -40,7 +40,7 @@
 	acceptedJobs     map[string]bool
 	cancelAsked      map[string]bool
 	cancelledAt      map[string]time.Time
-	running          map[string]map[string]*worker // by task and "worker id#run number"
+	running          map[string]map[string]*startedRun // by task and "worker id#run number"
 	done             map[string]bool
 	doneAcknowledged map[string]bool      // tasks with an acknowledged done end
 	startedAt        map[string]time.Time // last start of each task
@@ -59,14 +59,20 @@
 	// lastingWaits the waits of lasting tasks without a run.
 	acceptedAt, lastEndAt map[string]time.Time
 	lastingWaits          map[string]*lastingWait
+	// cancelWaits are the cancels without an acknowledgement, by job. cancelOverdueAt is when a cancel without an answer
+	// has to have effect all the same. watchedCancels are the jobs whose runs watchCancel checks.
+	cancelWaits     map[string]cancelWait
+	cancelOverdueAt map[string]time.Time
+	watchedCancels  map[string]bool
 }
 
 func newChecker(w *World) *checker {
 	return &checker{
-		world: w, acceptedJobs: map[string]bool{}, cancelAsked: map[string]bool{}, cancelledAt: map[string]time.Time{}, running: map[string]map[string]*worker{},
+		world: w, acceptedJobs: map[string]bool{}, cancelAsked: map[string]bool{}, cancelledAt: map[string]time.Time{}, running: map[string]map[string]*startedRun{},
 		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneAcknowledged: map[string]bool{}, failed: map[string]map[string]bool{}, failedAt: map[string]map[string]time.Time{}, phases: map[string]wire.JobPhase{},
 		crashes: map[string]int{}, startsAfterLimit: map[string]int{}, failures: map[string]map[int64]bool{}, maxFailures: map[string]int{},
 		acceptedAt: map[string]time.Time{}, lastEndAt: map[string]time.Time{}, lastingWaits: map[string]*lastingWait{},
+		cancelWaits: map[string]cancelWait{}, cancelOverdueAt: map[string]time.Time{}, watchedCancels: map[string]bool{},
 		brokenAt: map[string]time.Duration{},
 	}
 }
@@ -98,6 +104,7 @@
 func (c *checker) cancelled(id string) {
 	if _, known := c.cancelledAt[id]; !known {
 		c.cancelledAt[id] = c.world.now
+		delete(c.cancelWaits, id)
 	}
 }
 
@@ -114,12 +121,8 @@
 	return fmt.Sprintf("%s.%d.%d.%d", job, occurrence, step, index)
 }
 
-const (
-	// cancelGrace is how long after the acknowledgement of a cancel a task may still be started.
-	cancelGrace = 3 * time.Second
-	// calmAfterTrouble is how long after the time of faults the rules with a time limit hold again.
-	calmAfterTrouble = 15 * time.Second
-)
+// calmAfterTrouble is how long after the time of faults the rules with a time limit hold again.
+const calmAfterTrouble = 15 * time.Second
 
 // started checks each start that a worker carries out.
 func (c *checker) started(k *worker, s workers.Start) {
@@ -138,9 +141,9 @@
 	c.checkCrashBudget(s.Task)
 	c.startedAt[s.Task] = c.world.now
 	if c.running[s.Task] == nil {
-		c.running[s.Task] = map[string]*worker{}
+		c.running[s.Task] = map[string]*startedRun{}
 	}
-	c.running[s.Task][fmt.Sprintf("%s#%d", k.id(), s.Run)] = k
+	c.running[s.Task][fmt.Sprintf("%s#%d", k.id(), s.Run)] = newStartedRun(k)
 	for _, before := range spec.GetAfter() {
 		for i := range int(c.world.jobs[job].GetSteps()[before].GetCount()) {
 			if !c.unitDone(job, occurrence, int(before), i) {
@@ -154,9 +157,7 @@
 	if len(c.failed[s.Task]) >= c.world.attempts(job) && !spec.GetLasting() {
 		c.breakRule("BUDGET", "%s starts after %d failures", s.Task, len(c.failed[s.Task]))
 	}
-	if at, ok := c.cancelledAt[job]; ok && c.world.now.Sub(at) > cancelGrace && (c.calm() || c.orderedInContact(k)) {
-		c.breakRule("UNASKED", "%s starts %s after its cancel was acknowledged", s.Task, c.world.now.Sub(at))
-	}
+	c.checkCancelAtStart(k, job, s.Task)
 	if s.Checkpoint != "" && s.Checkpoint != "save of "+taskOf(s.Task) {
 		c.breakRule("UNASKED", "%s starts from %q", s.Task, s.Checkpoint)
 	}
--- a/pkg/emulator/contact.go
+++ b/pkg/emulator/contact.go
@@ -26,10 +26,13 @@
 }
 
 // tableInContact returns whether the table has had no fault for contactTime.
-func (w *World) tableInContact() bool {
+func (w *World) tableInContact() bool { return w.tableHealthyFor(contactTime) }
+
+// tableHealthyFor returns whether the table has had no fault for a span.
+func (w *World) tableHealthyFor(span time.Duration) bool {
 	t := w.table
 	for _, until := range []time.Time{t.downUntil, t.losesUntil, t.slowUntil} {
-		if w.now.Sub(until) < contactTime {
+		if w.now.Sub(until) < span {
 			return false
 		}
 	}
@@ -39,7 +42,7 @@
 // inContact returns whether the host has run without a fault of its own or of its links for contactTime.
 func (h *host) inContact() bool {
 	w := h.world
-	if !h.up || w.now.Sub(h.bootedAt) < contactTime || w.now.Sub(h.frozenUntil) < contactTime {
+	if !h.healthyFor(contactTime) {
 		return false
 	}
 	for ends, until := range w.cuts {
@@ -49,3 +52,24 @@
 	}
 	return true
 }
+
+// healthyFor returns whether the host has run without a fault of its own for a span.
+func (h *host) healthyFor(span time.Duration) bool {
+	now := h.world.now
+	return h.up && now.Sub(h.bootedAt) >= span && now.Sub(h.frozenUntil) >= span
+}
+
+// linksHealthyFor returns whether no link and no hall has been cut off for a span.
+func (w *World) linksHealthyFor(span time.Duration) bool {
+	for _, until := range w.cuts {
+		if w.now.Sub(until) < span {
+			return false
+		}
+	}
+	for _, until := range w.hallCuts {
+		if w.now.Sub(until) < span {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/emulator/days/days.go
+++ b/pkg/emulator/days/days.go
@@ -187,7 +187,7 @@
 	"CrashWavesPlan": emulator.CrashWavesPlan, "ResetWavesPlan": emulator.ResetWavesPlan, "ResetWavesCrashTasksPlan": emulator.ResetWavesCrashTasksPlan,
 	"RoomsPlan": emulator.RoomsPlan, "SuspendsPlan": emulator.SuspendsPlan,
 	"LeaderEndsPlan": emulator.LeaderEndsPlan, "LeaderEndsInWavesPlan": emulator.LeaderEndsInWavesPlan, "UnrecordedEndsPlan": emulator.UnrecordedEndsPlan,
-	"DeposedPlan": emulator.DeposedPlan, "HallCutPlan": emulator.HallCutPlan, "AllTroublesPlan": emulator.AllTroublesPlan,
+	"CancelsPlan": emulator.CancelsPlan, "DeposedPlan": emulator.DeposedPlan, "HallCutPlan": emulator.HallCutPlan, "AllTroublesPlan": emulator.AllTroublesPlan,
 	"EvacuationPlan": emulator.EvacuationPlan, "EvacuationLeavingPlan": emulator.EvacuationLeavingPlan,
 	"LeavingPlan": emulator.LeavingPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
 }
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -4,8 +4,8 @@
 // cellchoice.Board; the checker shares no code with the product. emulator.go has the clock and the traffic;
 // random_streams.go the random draws; plans.go, script*.go and load.go the input of days; fault_schedule.go and fault_kinds.go the
 // faults; host.go, effects.go, leader_messages.go, intake.go, contact.go and predecessors.go the hosts; table.go the table;
-// worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go and crash_tasks.go the workers; checker.go and
-// lasting_rule.go and evacuations.go the rules.
+// worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go and crash_tasks.go the workers; checker.go,
+// cancel_rule.go, lasting_rule.go and evacuations.go the rules.
 package emulator
 
 import (
@@ -23,6 +23,8 @@
 	queueName   = "queue"
 	serviceName = "service"
 	maxAttempts = 3
+	// lostAnswerOdds is the number of answers to cancels of which one is lost on days with Plan.LostAnswers.
+	lostAnswerOdds = 3
 	// maxSubmitRetries is how often a caller without an answer submits a job again.
 	maxSubmitRetries = 40
 )
@@ -304,10 +306,12 @@
 		return
 	}
 	h := w.entryHostFor(id)
-	w.checker.cancelAsked[id] = true
+	w.checker.cancelSentTo(h, id)
 	h.cancel(id, func(taken bool) {
 		if taken {
-			w.checker.cancelled(id)
+			if !w.plan.LostAnswers || !w.draws.oneIn("cancel answer "+id, lostAnswerOdds) {
+				w.checker.cancelled(id)
+			}
 			return
 		}
 		w.after(300*time.Millisecond, func() { w.cancel(id) })
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -285,6 +285,7 @@
 		{name: "runs of jobs that are not known yet", unsafe: cell.Unsafe{NoStrays: true}, plan: emulator.DeposedPlan, rule: "TWICE"},
 		{name: "no starts in evacuated halls", unsafe: cell.Unsafe{NoEvacuation: true}, plan: emulator.EvacuationPlan, rule: "EVAC"},
 		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.LeaderEndsPlan, rule: "BUDGET"},
+		{name: "stops of runs that are discovered late", unsafe: cell.Unsafe{NoLateStops: true}, plan: emulator.CancelsPlan, rule: "UNASKED"},
 		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true}, plan: emulator.UnrecordedEndsPlan, rule: "BUDGET"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/emulator/fault_kinds.go
+++ b/pkg/emulator/fault_kinds.go
@@ -12,6 +12,8 @@
 const (
 	// KillHost ends a host's incarnation. The next one boots after the duration.
 	KillHost FaultKind = "kill-host"
+	// RemoveHost ends a host for good. No incarnation follows, and the duration has no meaning.
+	RemoveHost FaultKind = "remove-host"
 	// FreezeHost stops a host from processing events for the duration.
 	FreezeHost FaultKind = "freeze-host"
 	// SuspendHost does the same, and the host's steady clock does not count the duration.
@@ -24,7 +26,8 @@
 	CutLink FaultKind = "cut-link"
 	// CutCell cuts the hosts and workers of a cell's hall off from other halls, and its hosts from the table.
 	CutCell FaultKind = "cut-cell"
-	// LateWorker delays some calls to a worker by seconds.
+	// LateWorker delays some calls to a worker by seconds. With How 1 it delays more calls by less, so that the worker
+	// still executes some of the late orders to start.
 	LateWorker FaultKind = "late-worker"
 	// CrashWorker ends a worker's incarnation. The next one begins after the duration.
 	CrashWorker FaultKind = "crash-worker"
@@ -48,7 +51,8 @@
 	Target string        `json:",omitempty"`
 	Peer   string        `json:",omitempty"`
 	For    time.Duration `json:",omitempty"`
-	// How is the number of quarters that ShrinkWorker removes, or the index of the change that SpoilRow makes.
+	// How is the number of quarters that ShrinkWorker removes, the index of the change that SpoilRow makes, or the
+	// index of the delays of LateWorker.
 	How int `json:",omitempty"`
 }
 
@@ -61,7 +65,7 @@
 	if f.Peer != "" {
 		text += " from " + f.Peer
 	}
-	if f.Kind == ShrinkWorker || f.Kind == SpoilRow {
+	if f.Kind == ShrinkWorker || f.Kind == SpoilRow || (f.Kind == LateWorker && f.How > 0) {
 		text += fmt.Sprintf(" by %d", f.How)
 	}
 	return text + " for " + f.For.String()
@@ -88,6 +92,7 @@
 
 var faultSpecs = map[FaultKind]faultSpec{
 	KillHost:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).kill(f.For) }},
+	RemoveHost:   {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).remove() }},
 	FreezeHost:   {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).freeze(f.For) }},
 	SuspendHost:  {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).suspend(f.For) }},
 	TableDown:    {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.downUntil = until }},
@@ -95,7 +100,7 @@
 	TableSlow:    {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.slowUntil = until }},
 	CutLink:      {targetHost, 1, func(w *World, f Fault, until time.Time) { w.cuts[[2]string{f.Target, f.Peer}] = until }},
 	CutCell:      {targetCell, 1, func(w *World, f Fault, until time.Time) { w.cutOffCell(f.Target, until) }},
-	LateWorker:   {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).lateUntil = until }},
+	LateWorker:   {targetWorker, len(latenesses), func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).delayCalls(f.How, until) }},
 	CrashWorker:  {targetWorker, 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).crashByFault(f.For) }},
 	HangRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsHang, until) }},
 	FailRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsFail, until) }},
@@ -139,6 +144,24 @@
 	runsFail
 )
 
+// lateness is how LateWorker delays calls: one in oneIn, by least to most.
+type lateness struct {
+	oneIn       int64
+	least, most time.Duration
+}
+
+// latenesses are the delays of LateWorker. Workers refuse an order to start that is two seconds old, so nearly all
+// orders that the first delays are refused.
+var latenesses = []lateness{
+	{oneIn: 4, least: 2 * time.Second, most: 12 * time.Second},
+	{oneIn: 2, least: maxOrderAge, most: 2 * time.Second},
+}
+
+// delayCalls delays some calls to the worker that are made before until.
+func (k *worker) delayCalls(how int, until time.Time) {
+	k.lateness, k.lateUntil = latenesses[how], until
+}
+
 // impairRuns makes runs that the worker starts before until hang or fail.
 func (k *worker) impairRuns(how int, until time.Time) { k.faultyUntil, k.faultyMode = until, how }
 
--- a/pkg/emulator/fault_schedule.go
+++ b/pkg/emulator/fault_schedule.go
@@ -39,9 +39,47 @@
 	for range w.plan.Evacuations {
 		w.after(w.between(earliestFault, w.plan.Trouble), w.evacuateSomeHall)
 	}
+	for range w.plan.LateOrders {
+		w.after(w.between(earliestFault, w.plan.Trouble), w.delayOrders)
+	}
+	for range w.plan.RemovedHosts {
+		w.after(w.between(earliestFault, w.plan.Trouble), w.removeHost)
+	}
 	w.scheduleLeaving()
 }
 
+// delayOrders makes a random worker execute orders late for up to 3 s. On every second day the runs that it starts
+// meanwhile hang, so that they go on until they are stopped.
+func (w *World) delayOrders() {
+	k := w.workers[w.rand.IntN(len(w.workers))]
+	span := w.between(500*time.Millisecond, 3*time.Second)
+	w.injectFault(Fault{Kind: LateWorker, Target: k.name, For: span, How: 1})
+	if w.plan.Seed%2 == 0 {
+		w.injectFault(Fault{Kind: HangRuns, Target: k.name, For: span})
+	}
+}
+
+// minHostsLeft is the number of hosts that removeHost leaves.
+const minHostsLeft = 2
+
+// removeHost removes a host for good, mostly a leader.
+func (w *World) removeHost() {
+	var left []*host
+	for _, h := range w.hosts {
+		if !h.removed() {
+			left = append(left, h)
+		}
+	}
+	if len(left) <= minHostsLeft {
+		return
+	}
+	h := left[w.rand.IntN(len(left))]
+	if leader := w.leaderOf(w.cells[w.rand.IntN(len(w.cells))]); leader != nil && w.rand.IntN(4) > 0 {
+		h = leader
+	}
+	w.injectFault(Fault{Kind: RemoveHost, Target: h.name})
+}
+
 // crashHalfOfWorkers crashes about half of the workers within 300 ms.
 func (w *World) crashHalfOfWorkers() {
 	for _, k := range w.workers {
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -29,6 +29,8 @@
 	connected map[string]bool
 	// bootedAt is when this incarnation started.
 	bootedAt time.Time
+	// removedAt is when the host was removed for good, zero if it was not.
+	removedAt time.Time
 	// suspended is the total time for which the host was suspended.
 	suspended time.Duration
 	// suspendedUntil is when the current suspension ends.
@@ -61,6 +63,9 @@
 // boot starts the next incarnation of the host's process, with fresh seats and its periodic work.
 func (h *host) boot() {
 	w := h.world
+	if h.removed() {
+		return
+	}
 	h.incarnation++
 	h.up, h.bootedAt, h.connected = true, w.now, map[string]bool{}
 	self := election.Self{
@@ -157,6 +162,17 @@
 	h.world.after(span, h.boot)
 }
 
+// remove ends the host for good. No incarnation follows.
+func (h *host) remove() {
+	if h.removed() {
+		return
+	}
+	h.world.logf("%s is removed", h.name)
+	h.up, h.removedAt = false, h.world.now
+}
+
+func (h *host) removed() bool { return !h.removedAt.IsZero() }
+
 // freeze keeps the host from handling events for a span, while its clock goes on.
 func (h *host) freeze(span time.Duration) {
 	if h.world.now.Add(span).Before(h.suspendedUntil) {
--- a/pkg/emulator/incarnations.go
+++ b/pkg/emulator/incarnations.go
@@ -93,9 +93,9 @@
 		k.pendingCalls = append(k.pendingCalls, func() { answer(none, workers.NotRefused, false) })
 	}
 	delay := queued + w.draws.messageDelay(stream)
-	late := w.now.Before(k.lateUntil) && w.draws.oneIn("late "+k.name, 4)
+	late := w.now.Before(k.lateUntil) && w.draws.oneIn("late "+k.name, k.lateness.oneIn)
 	if late {
-		delay = w.draws.between("late "+k.name, 2*time.Second, 12*time.Second)
+		delay = w.draws.between("late "+k.name, k.lateness.least, k.lateness.most)
 	}
 	sentAt, reached := w.now, k.incarnation
 	if !k.up {
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -54,6 +54,11 @@
 	HallCuts int
 	// Evacuations is how often an operator orders the evacuation of a hall for a while.
 	Evacuations int
+	// LateOrders is how often a worker executes some orders up to 2 s after they were sent. RemovedHosts is how often a
+	// host is removed for good.
+	LateOrders, RemovedHosts int
+	// LostAnswers means that some callers get no answer to a cancel that is recorded.
+	LostAnswers bool
 	// Aftermath configures faults that follow crashes.
 	Aftermath Aftermath
 	// OddRows means that rows of the worker registry become invalid for a while, and that the registry holds rows of
@@ -177,6 +182,17 @@
 	return plan
 }
 
+// CancelsPlan returns the plan of a day of two cells on which many running jobs are cancelled, some without an answer,
+// workers execute orders late, and hosts are removed for good. The rest of the day has no faults, so that the rule
+// UNASKED for runs of cancelled jobs holds then for each of them.
+func CancelsPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Hosts, plan.Jobs, plan.Faults, plan.Touch = 5, 70, 0, true
+	plan.LateOrders, plan.RemovedHosts, plan.LostAnswers = 24, 2, true
+	plan.Traffic, plan.Trouble, plan.End = 14*time.Second, 16*time.Second, 60*time.Second
+	return plan
+}
+
 // AllTroublesPlan returns a CrashTasksPlan with suspensions, shrinking capacity, workers that don't check their
 // capacity, and invalid registry rows.
 func AllTroublesPlan(seed uint64) Plan {
--- a/pkg/emulator/script_test.go
+++ b/pkg/emulator/script_test.go
@@ -20,7 +20,7 @@
 	"troubled cells": emulator.TroubledCellsPlan, "odd rows": emulator.OddRowsPlan, "crash tasks": emulator.CrashTasksPlan,
 	"crash waves": emulator.CrashWavesPlan, "reset waves": emulator.ResetWavesPlan, "crash tasks in reset waves": emulator.ResetWavesCrashTasksPlan,
 	"rooms": emulator.RoomsPlan, "suspends": emulator.SuspendsPlan,
-	"deposed": emulator.DeposedPlan, "hall cut": emulator.HallCutPlan, "all troubles": emulator.AllTroublesPlan,
+	"cancels": emulator.CancelsPlan, "deposed": emulator.DeposedPlan, "hall cut": emulator.HallCutPlan, "all troubles": emulator.AllTroublesPlan,
 }
 
 func TestScriptReplaysRecordedDay(t *testing.T) {
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -57,6 +57,7 @@
 
 	leave       departure
 	lateUntil   time.Time
+	lateness    lateness
 	faultyUntil time.Time
 	faultyMode  int
 }
--- a/pkg/process/cell/active_runs.go
+++ b/pkg/process/cell/active_runs.go
@@ -24,6 +24,9 @@
 			if t != nil {
 				foreign = foreign.Plus(workers.ReservedSize(t.Unit))
 			}
+			if endedBefore := t == nil || t.Unit.Job.Ended(); endedBefore && s.unsafe.NoLateStops {
+				continue
+			}
 			if t != nil || s.keepOrphanedRun(now, w, a) {
 				s.stopUnadopted(w, a)
 			}
--- a/pkg/process/cell/run_ends.go
+++ b/pkg/process/cell/run_ends.go
@@ -211,6 +211,7 @@
 				s.stopRun(now, w, r, r.StopReason)
 			case r.State == jobs.Sent || r.State == jobs.Unanswered:
 				// A stop order that arrives before the start order has no effect.
+			case s.unsafe.NoLateStops && r.Task.Unit.Job.Ended() && r.BeganAt.After(r.Task.Unit.Job.EndedAt):
 			case r.Task.Unit.Job.Ended():
 				s.stopRun(now, w, r, "its job has ended")
 			case r.Task.Done && !r.Task.Unit.Spec.GetGang():
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -91,6 +91,8 @@
 	NoTrialRecord bool
 	// NoEvacuation starts tasks at the workers of an evacuated hall.
 	NoEvacuation bool
+	// NoLateStops leaves runs going that the leader discovers only after their jobs have ended.
+	NoLateStops bool
 }
 
 // State holds what a process knows of one cell, and takes the cell's decisions while the process leads it.
