A refused submission considers the job's other submissions at its host

Cause: the first of two submissions of a job at one host answered "not run" after the table refused its calls, though a call of the second one had no answer, and removed the job from the list of unknown outcomes. A submission whose caller left after certain refusals stayed in that list, so later refusals became 504.

Change: the calls in flight are counted by job, and only a call without an answer enters the list. Only the job's row removes an entry. A refusal checks both just before the answer.

--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// maxUnknownJobs bounds the list of jobs with an unknown outcome: a host gets about one job a second, so the list
-	// covers hours of unknown outcomes.
-	maxUnknownJobs = 8192
 	// defaultCallerWait is the time for which a caller without a deadline waits.
 	defaultCallerWait = 3 * time.Second
 	// anchorReadTimeout bounds the reading of an anchor before a refusal. A reading takes 264 ms on a table that is 66
@@ -32,16 +29,13 @@
 func (i *Intake) insertConfirmed(ctx context.Context, began time.Time, spec *wire.JobSpec) error {
 	id := spec.GetId()
 	s := acceptance.New(began, clock.Deadline(ctx, clock.Now(), defaultCallerWait))
-	if i.unknownJobs.Contains(id) {
+	if i.outcomes.open(id) {
 		s = s.WithUnknown()
 	}
 	s, err := i.confirm(ctx, s, spec)
 	code := fault.CodeOf(err)
-	switch {
-	case err == nil || code == fault.NotRun:
-		i.unknownJobs.Remove(id)
-	case s.Unknown():
-		i.unknownJobs.Add(id, struct{}{})
+	if err == nil {
+		i.outcomes.jobFound(id)
 	}
 	if code == fault.Unknown {
 		i.increment("accept.unknown")
@@ -85,17 +79,18 @@
 			if s.Calls() > 0 {
 				i.increment("accept.retries")
 			}
-			// Another submission of the job that comes meanwhile must not be answered that the job was not accepted.
-			i.unknownJobs.Add(spec.GetId(), struct{}{})
 			byPeer := step.Do == acceptance.SendByPeer
+			i.outcomes.callBegins(spec.GetId())
 			done, err := i.send(ctx, s, now, tx, byPeer)
-			if err == nil && i.holds(spec, s, done) {
-				return s.WithSuccess(), nil
-			}
+			found := err == nil && i.holds(spec, s, done)
 			outcome := acceptance.NoAnswer
 			if err != nil && fault.CodeOf(err) == fault.NotRun {
 				outcome = acceptance.Refused
 			}
+			i.outcomes.callEnded(spec.GetId(), !found && outcome == acceptance.NoAnswer)
+			if found {
+				return s.WithSuccess(), nil
+			}
 			last, s = err, s.WithOutcome(clock.Now(), byPeer, outcome)
 		}
 	}
@@ -165,9 +160,13 @@
 		case jobNotKnown:
 		}
 	}
-	if s.Unknown() {
+	// Another submission of the job may have begun, and may have ended, since the row was read.
+	if s.Unknown() || i.outcomes.open(id) {
 		return unknownOutcome(id, cause)
 	}
+	if i.homeCells.Contains(id) {
+		return nil
+	}
 	f := fault.New(fault.NotRun, id, "the table refused the job", "ask again")
 	if !absent {
 		i.increment("refused.table-away")
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -374,3 +374,39 @@
 		})
 	}
 }
+
+// The first submission's calls were refused, but the second one's call may yet take effect.
+func TestRefusedSubmissionIsUnknownIfAnotherHadNoAnswer(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := confirming(m)
+	second := make(chan error, 1)
+	m.fail = func(n int) (bool, error) {
+		switch n {
+		case 0:
+			go func() { second <- h.submit(confirmedID) }() // the next call, as this one holds the table's lock
+			time.Sleep(100 * time.Millisecond)
+		case 1:
+			return false, errReset
+		}
+		return false, fault.New(fault.NotRun, "table", "status 429", "")
+	}
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, fault.Unknown, fault.CodeOf(<-second))
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+}
+
+// A caller that leaves after certain refusals must not make the job's later refusals unknown: callers don't repeat those.
+func TestCertainRefusalsLeaveNothingOpen(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	ctx, leave := context.WithCancel(t.Context())
+	m.fail = func(int) (bool, error) {
+		leave()
+		return false, fault.New(fault.NotRun, "table", "status 429", "")
+	}
+	h := confirming(m)
+	spec := &wire.JobSpec{Id: confirmedID, Steps: []*wire.StepSpec{{Count: 1}}}
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.Submit(ctx, clock.Now(), manifest.Queue{Name: "offers"}, spec)))
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
+}
--- a/pkg/request/intake/evacuation.go
+++ b/pkg/request/intake/evacuation.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	err := i.refuseInEvacuation(ctx, now, spec, cells)
-	if err != nil && i.unknownJobs.Contains(spec.GetId()) {
+	if err != nil && i.outcomes.open(spec.GetId()) {
 		return unknownOutcome(spec.GetId(), err)
 	}
 	return err
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -72,9 +72,9 @@
 	// tableCounts holds the pending counts of cells whose leaders did not answer.
 	tableCounts map[string]*tableCounts
 
-	// confirms is set by WithConfirmation. unknownJobs holds the ids of jobs whose outcome is unknown, if it is set.
-	confirms    bool
-	unknownJobs *lru.Cache[string, struct{}]
+	// confirms is set by WithConfirmation. outcomes is empty without it.
+	confirms bool
+	outcomes *openOutcomes
 }
 
 // Option changes an Intake from its defaults.
@@ -89,12 +89,11 @@
 	homeCells, _ := lru.New[string, string](maxCachedAnchors)              // fails for a negative size only
 	finalPhases, _ := lru.New[string, wire.JobPhase](maxCachedFinalPhases) // likewise
 	reasons, _ := lru.New[string, string](maxCachedReasons)                // likewise
-	unknownJobs, _ := lru.New[string, struct{}](maxUnknownJobs)            // likewise
 	i := &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
-		tableCounts: map[string]*tableCounts{}, unknownJobs: unknownJobs,
+		tableCounts: map[string]*tableCounts{}, outcomes: newOpenOutcomes(),
 	}
 	for _, o := range options {
 		o(i)
