A submission that no call carried outlasts the doubt about leaders

Cause: in a hall that is cut off the table counts as away after 0.7 s and the last renewals of unreachable leaders as recent for 1.2 s. Submissions between these were answered 504, though no transaction was sent, and callers do not repeat them.

Change: while the table is away, a submission without an open outcome asks the leaders again until one knows the job, all rule it out, their renewals are old or the last 500 ms of the caller's time begin.

The new test of a hall that is cut off fails without the change. Tests of request/intake, request/acceptance, connection/store and clock pass with -race.

--- a/pkg/request/acceptance/acceptance_test.go
+++ b/pkg/request/acceptance/acceptance_test.go
@@ -139,3 +139,14 @@
 	s := acceptance.New(start, at(2850)).WithOutcome(at(10), false, acceptance.Refused)
 	must.Eq(t, acceptance.SendByPeer, s.Next(at(10), table).Do)
 }
+
+// A submission that may have taken effect gains nothing from another answer of the leaders, and the last try needs its time.
+func TestLeadersAreAskedAgainOnlyForUnsentSubmission(t *testing.T) {
+	t.Parallel()
+	away := acceptance.Table{DirectFailures: 2, AnsweredAt: at(-800)}
+	s := acceptance.New(start, at(2850))
+	must.True(t, s.AsksAgain(at(2300), away))
+	must.False(t, s.AsksAgain(at(2350), away))
+	must.False(t, s.AsksAgain(at(0), healthy(0)))
+	must.False(t, s.WithUnknown().AsksAgain(at(0), away))
+}
--- a/pkg/request/acceptance/submission.go
+++ b/pkg/request/acceptance/submission.go
@@ -187,6 +187,12 @@
 	return s.sendAt(now, s.lastAt.Add(unknownPause), t)
 }
 
+// AsksAgain returns whether a submission that leaders could not rule out is kept to ask them again, as no call of its own may
+// take effect. While the table is away, the leaders' renewals soon count as old, or the table comes back.
+func (s Submission) AsksAgain(now time.Time, t Table) bool {
+	return !s.unknown && t.Away(now) && s.deadline.Sub(now) > s.reserve
+}
+
 // sendAt returns the step that sends the transaction again when it is due. After a call on one way that did not reach the
 // table, the next call takes the other way.
 func (s Submission) sendAt(now, due time.Time, t Table) Step {
--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -19,6 +19,9 @@
 	// anchorReadTimeout bounds the reading of an anchor before a refusal. A reading takes 264 ms on a table that is 66
 	// times slower than usual.
 	anchorReadTimeout = 400 * time.Millisecond
+	// leaderPause is the pause before the leaders are asked again. The last renewal that arrived counts as recent for
+	// about 0.5 s after the table counts as away, so they are asked a few times.
+	leaderPause = 100 * time.Millisecond
 )
 
 // tableState returns what this host knows of its calls to the table.
@@ -72,7 +75,11 @@
 			}
 			s = s.WithLook()
 		case acceptance.Refuse:
-			return s, i.refuse(ctx, s, spec, last)
+			err := i.refuse(ctx, s, spec, last)
+			if fault.CodeOf(err) != fault.Unknown || i.outcomes.open(spec.GetId()) || !s.AsksAgain(clock.Now(), i.tableState()) {
+				return s, err
+			}
+			sleep(ctx, leaderPause)
 		case acceptance.AnswerUnknown:
 			return s, unknownOutcome(spec.GetId(), last)
 		case acceptance.Send, acceptance.SendByPeer:
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -410,3 +410,31 @@
 	must.Eq(t, fault.Unknown, fault.CodeOf(h.Submit(ctx, clock.Now(), manifest.Queue{Name: "offers"}, spec)))
 	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
 }
+
+// lapsingLeaders is a view in which the renewals of the other cell stop counting as recent.
+type lapsingLeaders struct {
+	knowingLeaders
+	until time.Time
+}
+
+func (l lapsingLeaders) View() *intake.View {
+	l.farFresh = clock.Now().Before(l.until)
+	return l.knowingLeaders.View()
+}
+
+// A hall that is cut off loses the table 0.5 s before the leaders' last renewals are old. A job of which no transaction was
+// sent was answered 504 in that time, which its caller does not repeat.
+func TestCutOffHallRefusesOnceRenewalsAreOld(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	log, _ := logtest.NewNullLogger()
+	registry := metrics.NewRegistry()
+	client := store.New(m, func() []store.Peer { return []store.Peer{tablePeer{m}} }, registry, clock.Now())
+	leaders := lapsingLeaders{knowingLeaders{jobs: &sync.Map{}}, clock.Now().Add(1200 * time.Millisecond)}
+	h := confirmingHost{store: client, metrics: registry}
+	h.Intake = intake.New("hall", client, leaders, farLeader{silent: true}, log.WithField("test", true), registry, intake.WithConfirmation())
+	h.loseTable(t, m)
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
+	must.Between(t, 1200*time.Millisecond, clock.Now().Sub(leaders.until.Add(-1200*time.Millisecond)), 1800*time.Millisecond)
+	must.Eq(t, 0, m.commits)
+}
