--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -148,8 +148,8 @@
 func (i *Intake) refuse(ctx context.Context, s acceptance.Submission, spec *wire.JobSpec, cause error) error {
 	id := spec.GetId()
 	state := i.tableState()
-	absent := false
-	if !state.Away(clock.Now()) {
+	away, absent := state.Away(clock.Now()), false
+	if !away {
 		bounded, cancel := context.WithTimeout(ctx, anchorReadTimeout)
 		defer cancel()
 		_, found, err := i.homeCell(bounded, id)
@@ -174,8 +174,8 @@
 	if i.homeCells.Contains(id) {
 		return nil
 	}
-	f := fault.New(fault.NotRun, id, "the table refused the job", "ask again")
-	if !absent {
+	f := fault.New(fault.NotRun, id, "the table did not take the job", "ask again")
+	if away {
 		i.increment("refused.table-away")
 		f = fault.New(fault.NotRun, id, "the table is away", "ask again later").WithRetryAfter(state.RetryAfter(clock.Now()))
 	}
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -438,3 +438,32 @@
 	must.Between(t, 1200*time.Millisecond, clock.Now().Sub(leaders.until.Add(-1200*time.Millisecond)), 1800*time.Millisecond)
 	must.Eq(t, 0, m.commits)
 }
+
+// Operators must not take an overloaded table for an absent one.
+func TestRefusalByTableIsNotCountedAsAbsence(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	m.away, m.fail = true, func(int) (bool, error) { return false, fault.New(fault.NotRun, "table", "status 429", "") }
+	h := confirming(m)
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, 0, h.count("jobs.refused.table-away"))
+}
+
+// A call without an answer may write the job after the halls were evacuated, so a later submission is not refused.
+func TestEvacuationDoesNotRefuseJobWithUnknownOutcome(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	m.fail = func(int) (bool, error) { return false, errReset }
+	log, _ := logtest.NewNullLogger()
+	registry, evacuated := metrics.NewRegistry(), map[string]bool{}
+	client := store.New(m, func() []store.Peer { return nil }, registry, clock.Now())
+	h := confirmingHost{store: client, metrics: registry}
+	h.Intake = intake.New("hall", client, evacuatedCells{evacuated: evacuated}, farLeader{}, log.WithField("test", true), registry, intake.WithConfirmation())
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	evacuated["hall"], evacuated["far"] = true, true
+	_, err := h.store.Read(t.Context(), table.Range{})
+	must.NoError(t, err)
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, 2, h.count("jobs.accept.unknown"))
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit("00000000000000bb")))
+}
