--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// maxUnknownJobs bounds the list of jobs with an unknown outcome: a host gets about one job a second, so the list
-	// covers hours of unknown outcomes.
-	maxUnknownJobs = 8192
 	// defaultCallerWait is the time for which a caller without a deadline waits.
 	defaultCallerWait = 3 * time.Second
 	// anchorReadTimeout bounds the reading of an anchor before a refusal. A reading takes 264 ms on a table that is 66
 	// times slower than usual.
 	anchorReadTimeout = 400 * time.Millisecond
+	// leaderPause is the pause before the leaders are asked again. The last renewal that arrived counts as recent for
+	// about 0.5 s after the table counts as away, so they are asked a few times.
+	leaderPause = 100 * time.Millisecond
 )
 
 // tableState returns what this host knows of its calls to the table.
@@ -32,16 +32,13 @@
 func (i *Intake) insertConfirmed(ctx context.Context, began time.Time, spec *wire.JobSpec) error {
 	id := spec.GetId()
 	s := acceptance.New(began, clock.Deadline(ctx, clock.Now(), defaultCallerWait))
-	if i.unknownJobs.Contains(id) {
+	if i.outcomes.open(id) {
 		s = s.WithUnknown()
 	}
 	s, err := i.confirm(ctx, s, spec)
 	code := fault.CodeOf(err)
-	switch {
-	case err == nil || code == fault.NotRun:
-		i.unknownJobs.Remove(id)
-	case s.Unknown():
-		i.unknownJobs.Add(id, struct{}{})
+	if err == nil {
+		i.outcomes.jobFound(id)
 	}
 	if code == fault.Unknown {
 		i.increment("accept.unknown")
@@ -78,24 +75,29 @@
 			}
 			s = s.WithLook()
 		case acceptance.Refuse:
-			return s, i.refuse(ctx, s, spec, last)
+			err := i.refuse(ctx, s, spec, last)
+			if fault.CodeOf(err) != fault.Unknown || i.outcomes.open(spec.GetId()) || !s.AsksAgain(clock.Now(), i.tableState()) {
+				return s, err
+			}
+			sleep(ctx, leaderPause)
 		case acceptance.AnswerUnknown:
 			return s, unknownOutcome(spec.GetId(), last)
 		case acceptance.Send, acceptance.SendByPeer:
 			if s.Calls() > 0 {
 				i.increment("accept.retries")
 			}
-			// Another submission of the job that comes meanwhile must not be answered that the job was not accepted.
-			i.unknownJobs.Add(spec.GetId(), struct{}{})
 			byPeer := step.Do == acceptance.SendByPeer
+			i.outcomes.callBegins(spec.GetId())
 			done, err := i.send(ctx, s, now, tx, byPeer)
-			if err == nil && i.holds(spec, s, done) {
-				return s.WithSuccess(), nil
-			}
+			found := err == nil && i.holds(spec, s, done)
 			outcome := acceptance.NoAnswer
 			if err != nil && fault.CodeOf(err) == fault.NotRun {
 				outcome = acceptance.Refused
 			}
+			i.outcomes.callEnded(spec.GetId(), !found && outcome == acceptance.NoAnswer)
+			if found {
+				return s.WithSuccess(), nil
+			}
 			last, s = err, s.WithOutcome(clock.Now(), byPeer, outcome)
 		}
 	}
@@ -146,8 +148,8 @@
 func (i *Intake) refuse(ctx context.Context, s acceptance.Submission, spec *wire.JobSpec, cause error) error {
 	id := spec.GetId()
 	state := i.tableState()
-	absent := false
-	if !state.Away(clock.Now()) {
+	away, absent := state.Away(clock.Now()), false
+	if !away {
 		bounded, cancel := context.WithTimeout(ctx, anchorReadTimeout)
 		defer cancel()
 		_, found, err := i.homeCell(bounded, id)
@@ -165,11 +167,15 @@
 		case jobNotKnown:
 		}
 	}
-	if s.Unknown() {
+	// Another submission of the job may have begun, and may have ended, since the row was read.
+	if s.Unknown() || i.outcomes.open(id) {
 		return unknownOutcome(id, cause)
 	}
-	f := fault.New(fault.NotRun, id, "the table refused the job", "ask again")
-	if !absent {
+	if i.homeCells.Contains(id) {
+		return nil
+	}
+	f := fault.New(fault.NotRun, id, "the table did not take the job", "ask again")
+	if away {
 		i.increment("refused.table-away")
 		f = fault.New(fault.NotRun, id, "the table is away", "ask again later").WithRetryAfter(state.RetryAfter(clock.Now()))
 	}
--- a/pkg/request/intake/confirm_test.go
+++ b/pkg/request/intake/confirm_test.go
@@ -374,3 +374,96 @@
 		})
 	}
 }
+
+// The first submission's calls were refused, but the second one's call may yet take effect.
+func TestRefusedSubmissionIsUnknownIfAnotherHadNoAnswer(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := confirming(m)
+	second := make(chan error, 1)
+	m.fail = func(n int) (bool, error) {
+		switch n {
+		case 0:
+			go func() { second <- h.submit(confirmedID) }() // the next call, as this one holds the table's lock
+			time.Sleep(100 * time.Millisecond)
+		case 1:
+			return false, errReset
+		}
+		return false, fault.New(fault.NotRun, "table", "status 429", "")
+	}
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, fault.Unknown, fault.CodeOf(<-second))
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+}
+
+// A caller that leaves after certain refusals must not make the job's later refusals unknown: callers don't repeat those.
+func TestCertainRefusalsLeaveNothingOpen(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	ctx, leave := context.WithCancel(t.Context())
+	m.fail = func(int) (bool, error) {
+		leave()
+		return false, fault.New(fault.NotRun, "table", "status 429", "")
+	}
+	h := confirming(m)
+	spec := &wire.JobSpec{Id: confirmedID, Steps: []*wire.StepSpec{{Count: 1}}}
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.Submit(ctx, clock.Now(), manifest.Queue{Name: "offers"}, spec)))
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
+}
+
+// lapsingLeaders is a view in which the renewals of the other cell stop counting as recent.
+type lapsingLeaders struct {
+	knowingLeaders
+	until time.Time
+}
+
+func (l lapsingLeaders) View() *intake.View {
+	l.farFresh = clock.Now().Before(l.until)
+	return l.knowingLeaders.View()
+}
+
+// A hall that is cut off loses the table 0.5 s before the leaders' last renewals are old. A job of which no transaction was
+// sent was answered 504 in that time, which its caller does not repeat.
+func TestCutOffHallRefusesOnceRenewalsAreOld(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	log, _ := logtest.NewNullLogger()
+	registry := metrics.NewRegistry()
+	client := store.New(m, func() []store.Peer { return []store.Peer{tablePeer{m}} }, registry, clock.Now())
+	leaders := lapsingLeaders{knowingLeaders{jobs: &sync.Map{}}, clock.Now().Add(1200 * time.Millisecond)}
+	h := confirmingHost{store: client, metrics: registry}
+	h.Intake = intake.New("hall", client, leaders, farLeader{silent: true}, log.WithField("test", true), registry, intake.WithConfirmation())
+	h.loseTable(t, m)
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
+	must.Between(t, 1200*time.Millisecond, clock.Now().Sub(leaders.until.Add(-1200*time.Millisecond)), 1800*time.Millisecond)
+	must.Eq(t, 0, m.commits)
+}
+
+// Operators must not take an overloaded table for an absent one.
+func TestRefusalByTableIsNotCountedAsAbsence(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	m.away, m.fail = true, func(int) (bool, error) { return false, fault.New(fault.NotRun, "table", "status 429", "") }
+	h := confirming(m)
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, 0, h.count("jobs.refused.table-away"))
+}
+
+// A call without an answer may write the job after the halls were evacuated, so a later submission is not refused.
+func TestEvacuationDoesNotRefuseJobWithUnknownOutcome(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	m.fail = func(int) (bool, error) { return false, errReset }
+	log, _ := logtest.NewNullLogger()
+	registry, evacuated := metrics.NewRegistry(), map[string]bool{}
+	client := store.New(m, func() []store.Peer { return nil }, registry, clock.Now())
+	h := confirmingHost{store: client, metrics: registry}
+	h.Intake = intake.New("hall", client, evacuatedCells{evacuated: evacuated}, farLeader{}, log.WithField("test", true), registry, intake.WithConfirmation())
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	evacuated["hall"], evacuated["far"] = true, true
+	_, err := h.store.Read(t.Context(), table.Range{})
+	must.NoError(t, err)
+	must.Eq(t, fault.Unknown, fault.CodeOf(h.submit(confirmedID)))
+	must.Eq(t, 2, h.count("jobs.accept.unknown"))
+	must.Eq(t, fault.NotRun, fault.CodeOf(h.submit("00000000000000bb")))
+}
