A submission is not sent when its caller has no time for the answer

Callers share 3 s among all tries. On a slow table, most unknown outcomes were of last tries with some 100 ms left, whose transaction could not be answered. They are refused now without being sent, by twice the duration of the host's last reading. Retry-After is 1 s while the table is away, since a longer time costs callers their next try.

--- a/pkg/connection/store/single_call.go
+++ b/pkg/connection/store/single_call.go
@@ -21,6 +21,8 @@
 	// AnsweredAt is the time of the last answer, and DirectAnsweredAt that of the last one to a direct call; both are
 	// the client's start if there is none.
 	AnsweredAt, DirectAnsweredAt time.Time
+	// ReadTime is how long the last direct reading took.
+	ReadTime time.Duration
 }
 
 // Calls returns a description of the client's recent calls.
@@ -29,6 +31,7 @@
 		HasPeers: len(c.peers()) > 0, PeersFirst: c.peersFirst(),
 		AnsweredAt:       c.start.Add(time.Duration(c.lastAnswerAt.Load())),
 		DirectAnsweredAt: c.start.Add(time.Duration(c.lastDirectAnswerAt.Load())),
+		ReadTime:         time.Duration(c.lastReadTime.Load()),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/connection/store/store.go
+++ b/pkg/connection/store/store.go
@@ -62,6 +62,8 @@
 	lastAnswerAt atomic.Int64
 	// lastDirectAnswerAt is that of the last answer to a direct call.
 	lastDirectAnswerAt atomic.Int64
+	// lastReadTime is how long the last direct reading took, in nanoseconds.
+	lastReadTime atomic.Int64
 
 	mu         sync.Mutex
 	failures   int
@@ -156,8 +158,10 @@
 	var page table.Page
 	err := c.directThenPeers(ctx, "read", peerReadTimeout,
 		func(ctx context.Context) (time.Duration, error) {
+			began := clock.Now()
 			var err error
 			page, err = c.direct.Read(ctx, r)
+			c.lastReadTime.Store(int64(clock.Now().Sub(began)))
 			return page.StoreTime, err
 		},
 		func(ctx context.Context, p Peer) (time.Duration, error) {
--- a/pkg/request/acceptance/acceptance.go
+++ b/pkg/request/acceptance/acceptance.go
@@ -18,10 +18,9 @@
 	// minFailures is the number of failed calls in a row that makes the table count as failing. One call fails
 	// whenever its connection breaks.
 	minFailures = 2
-	// minRetryAfter and maxRetryAfter bound the time after which callers are to ask again. Callers wait for one call
-	// as long as maxRetryAfter.
-	minRetryAfter = time.Second
-	maxRetryAfter = 3 * time.Second
+	// RetryAfter is when a submission that is refused while the table is away may be repeated. How long the table stays
+	// away is not known, and callers share 3 s among all their tries: a longer time would cost them the next one.
+	RetryAfter = time.Second
 )
 
 // Table describes a host's calls to the table.
@@ -34,6 +33,8 @@
 	PeersFirst bool
 	// AnsweredAt is the time of the last answer, and DirectAnsweredAt that of the last one to a direct call.
 	AnsweredAt, DirectAnsweredAt time.Time
+	// ReadTime is how long the last direct reading took.
+	ReadTime time.Duration
 }
 
 // Failing returns whether calls have failed in a row on each way to the table, without an answer since.
@@ -49,16 +50,14 @@
 // AwayFor returns the time since the table's last answer.
 func (t Table) AwayFor(now time.Time) time.Duration { return now.Sub(t.AnsweredAt) }
 
-// RetryAfter returns when a submission that is refused while the table is away may be repeated.
-func (t Table) RetryAfter(now time.Time) time.Duration {
-	return min(max(t.AwayFor(now), minRetryAfter), maxRetryAfter)
-}
-
 // AnswersDirectly returns whether the table answers direct calls of this host.
 func (t Table) AnswersDirectly(now time.Time) bool {
 	return now.Sub(t.DirectAnsweredAt) <= answerMaxAge
 }
 
+// commitTime returns how long a transaction takes at least: twice as long as a reading.
+func (t Table) commitTime() time.Duration { return max(minCall, 2*t.ReadTime) }
+
 // avoidsDirect returns whether the next call goes through a peer.
 func (t Table) avoidsDirect(now time.Time) bool {
 	return t.PeersFirst && t.HasPeers && !t.AnswersDirectly(now)
--- a/pkg/request/acceptance/submission.go
+++ b/pkg/request/acceptance/submission.go
@@ -133,10 +133,10 @@
 		return Step{Do: Refuse}
 	case s.calls > 0:
 		return s.afterRefusal(now, left, t)
-	case left < minCall && s.unknown:
+	case left < t.commitTime() && s.unknown:
 		return Step{Do: AnswerUnknown}
-	case left < minCall:
-		return Step{Do: Refuse}
+	case left < t.commitTime():
+		return Step{Do: Refuse} // a transaction that can't be answered in time would make the outcome unknown
 	case t.Failing() && left <= s.reserve:
 		return Step{Do: Refuse}
 	case t.Failing():
@@ -187,6 +187,11 @@
 	return s.sendAt(now, s.lastAt.Add(unknownPause), t)
 }
 
+// MayRead returns whether the caller has time for a reading of the table and for an answer of the cells' leaders after it.
+func (s Submission) MayRead(now time.Time, t Table) bool {
+	return s.deadline.Sub(now) >= t.commitTime()
+}
+
 // AsksAgain returns whether a submission that leaders could not rule out is kept to ask them again, as no call of its own may
 // take effect. While the table is away, the leaders' renewals soon count as old, or the table comes back.
 func (s Submission) AsksAgain(now time.Time, t Table) bool {
--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -149,7 +149,7 @@
 	id := spec.GetId()
 	state := i.tableState()
 	away, absent := state.Away(clock.Now()), false
-	if !away {
+	if !away && s.MayRead(clock.Now(), state) {
 		bounded, cancel := context.WithTimeout(ctx, anchorReadTimeout)
 		defer cancel()
 		_, found, err := i.homeCell(bounded, id)
@@ -177,7 +177,7 @@
 	f := fault.New(fault.NotRun, id, "the table did not take the job", "ask again")
 	if away {
 		i.increment("refused.table-away")
-		f = fault.New(fault.NotRun, id, "the table is away", "ask again later").WithRetryAfter(state.RetryAfter(clock.Now()))
+		f = fault.New(fault.NotRun, id, "the table is away", "ask again later").WithRetryAfter(acceptance.RetryAfter)
 	}
 	if cause != nil {
 		f = f.WithCause(cause)
