Hosts refuse jobs that would surely be too late

Under waves of two to three times the capacity, hosts accepted jobs that were worthless before they could start. With "refuseLate", a host refuses a job (503, not run) if each cell that could take it has a fresh forecast that says so.

--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -60,6 +60,7 @@
 	s.countDelegated(name, u, len(u.Tasks))
 	j := u.Job
 	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, u.Tasks...))
+	s.forecastBegan(j)
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
 	s.note(Note{
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -64,6 +64,7 @@
 	s.countDelegated(name, u, n)
 	j := u.Job
 	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, candidates[:n]...))
+	s.forecastBegan(j)
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
 	s.note(Note{
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -50,6 +50,8 @@
 	NoteWorkerHeard     NoteKind = "worker-heard"
 	NoteWorkerAside     NoteKind = "worker-aside"
 	NoteWorkerBack      NoteKind = "worker-back"
+	NoteRefusalBegan    NoteKind = "refusal-began"
+	NoteRefusalEnded    NoteKind = "refusal-ended"
 	NoteUnreadable      NoteKind = "unreadable"
 )
 
@@ -105,5 +107,7 @@
 	{NoteWorkerHeard, "a silent worker answers; age_ms: how long it was silent"},
 	{NoteWorkerAside, "a worker is in quarantine and gets no work for a while; detail: reason"},
 	{NoteWorkerBack, "a worker's quarantine has ended; detail: reason"},
+	{NoteRefusalBegan, "new jobs of a queue would surely come too late in this cell, so hosts may refuse them; detail: queue, size, forecast wait, how many recent jobs with such a forecast were worthless"},
+	{NoteRefusalEnded, "new jobs of a queue may come in time in this cell again; detail as above; age_ms: how long that was not so"},
 	{NoteUnreadable, "a message or row could not be used; detail: which"},
 }
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -58,6 +58,7 @@
 		}
 	}
 	j := t.Unit.Job
+	s.forecastBegan(j)
 	s.note(Note{
 		Kind: NoteStart, Job: j.Spec.GetId(), Task: t.Name(), Run: number, Worker: w.ID, AgeMs: now.Sub(w.LastAnswerAt).Milliseconds(),
 		Detail: fmt.Sprintf("after %s, %d millicores left, checkpoint %q", now.Sub(j.AcceptedAt).Round(time.Millisecond), w.FreeCapacity().Millicores, t.Checkpoint),
--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -101,6 +101,7 @@
 	l.FreeEach, l.LastingFreeEach = largest(l.GetFreeEach()), largest(l.GetLastingFreeEach())
 	l.Labels = slices.Sorted(maps.Keys(labels))
 	l.FillerRoomMillicores, l.FillerFreeMillicores = s.harmlessFillerCapacity, s.startableFillerCapacity
+	l.Forecasts = s.reportedForecasts(now)
 	if withBeliefs {
 		l.Beliefs = encodeBeliefs(s.interference.OwnBeliefs())
 	}
@@ -178,11 +179,13 @@
 	// Suspects are the tasks that are suspected of crashing workers.
 	Suspects int
 	Settled  bool
+	// Forecasts are those for new jobs, if the cell makes any.
+	Forecasts []*wire.QueueForecast `json:",omitempty"`
 }
 
 // Counts returns the summary of the cell as of now.
 func (s *State) Counts(now time.Time) Counts {
-	c := Counts{Settled: s.settled, Evacuated: s.evacuating()}
+	c := Counts{Settled: s.settled, Evacuated: s.evacuating(), Forecasts: s.reportedForecasts(now)}
 	for _, j := range s.jobs {
 		if !j.Ended() {
 			c.Jobs++
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -12,6 +12,7 @@
 //	      -> lost_runs.go (runs and workers that are presumed over), leaving.go, delegation.go (tasks for other cells)
 //	      -> placement.go, isolated_runs.go, evacuation.go, filler_places.go, filler_cost.go, advice.go (which tasks start, and where)
 //	      -> filler_pace.go (the pace of fillers)
+//	      -> forecasts.go (the wait of jobs that arrive now)
 //	      -> write_progress.go (progress that the table must hold) and effects
 //
 // Starts are not recorded in the table: workers list their runs. The leader acknowledges an end to its
@@ -28,6 +29,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/orderwindow"
 	"github.com/wrenferry/wrenferry/pkg/process/runtimes"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/request/admission"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -62,10 +64,10 @@
 
 // The treatments of new jobs that would surely come too late.
 const (
-	RefuseOff = "off"
+	RefuseOff = admission.Off
 	// RefuseLog accepts these jobs, and logs that they would have been refused.
-	RefuseLog = "log"
-	RefuseOn  = "on"
+	RefuseLog = admission.Log
+	RefuseOn  = admission.On
 )
 
 // Unsafe switches single safety mechanisms off, so that a test can show what each of them prevents.
@@ -240,6 +242,9 @@
 	// limit.
 	tenureUntil time.Time
 
+	// forecasts are the forecasts for new jobs; nil without Bounds.RefuseLate, and unless this process leads the cell.
+	forecasts *waitForecasts
+
 	// awaitedStarts is the capacity that the present placement pass has reserved for starts which await their records.
 	awaitedStarts []awaitedStart
 	// placementDue makes the next Decide place tasks, scanDue makes it run the scans of runScans.
@@ -295,6 +300,7 @@
 	s.hostCrashes = map[string][]hostCrash{}
 	s.implicated, s.verdicts = nil, map[*jobs.Task]time.Time{}
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
+	s.forecasts = nil
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
@@ -315,6 +321,7 @@
 		s.takeEvacuations(e)
 	case BoundsChanged:
 		s.bounds = e.Bounds
+		s.startForecasts(now)
 	case WorkersListed:
 		s.takeRegistry(now, e)
 	case LeadershipGained:
@@ -369,6 +376,7 @@
 	if s.tenureExpired(now) {
 		return s.effectsPastTenure()
 	}
+	s.updateForecasts(now)
 	if s.phase == leading || s.phase == releasing {
 		s.runScans(now)
 		if s.phase == leading {
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -170,6 +170,7 @@
 	for _, j := range s.jobs {
 		s.updateWaiting(now, j)
 	}
+	s.startForecasts(now)
 	s.pollAllNow(now)
 	s.note(Note{Kind: NoteLoaded, Detail: fmt.Sprintf("%d jobs, %d cancels, %d members awaited", len(s.jobs), len(e.Cancels), len(e.Members)), AgeMs: -1})
 }
@@ -278,6 +279,7 @@
 		Kind: NoteJobQueued, Job: id, AgeMs: age.Milliseconds(),
 		Detail: fmt.Sprintf("queue %s, %d tasks: %s", e.Spec.GetQueue(), tasks, describeSteps(e.Spec.GetSteps())),
 	})
+	s.forecastArrival(now, j)
 	if _, asked := s.pendingCancels[id]; asked {
 		s.takeCancel(now, CancelRequested{ID: id})
 	}
@@ -336,6 +338,7 @@
 		return
 	}
 	j.End(p, reason, now)
+	s.forecastEnd(now, j)
 	s.scanDue = true
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -86,6 +86,8 @@
 	grace    atomic.Int64 // grace period of a planned stop, in ns
 	outside  Adapters
 	self     election.Self
+	// refuseLate is the treatment of jobs that would be too late, which may change while the host runs.
+	refuseLate atomic.Pointer[string]
 
 	callerService                            suture.Service
 	callerServer, readyServer, metricsServer *http.Server
@@ -109,6 +111,7 @@
 		listeners: map[*http.Server]net.Listener{},
 	}
 	h.grace.Store(int64(config.Grace))
+	h.refuseLate.Store(&config.RefuseLate)
 	h.Hosts = &Hosts{Self: self, Peers: h.peers, Processors: config.Processors}
 	h.Store = store.New(outside.Table, h.Hosts.TablePeers, h.Metrics, now)
 	h.Hosts.Store = h.Store
@@ -240,9 +243,13 @@
 	return list
 }
 
+// RefuseLate returns the present treatment of jobs that would surely be too late.
+func (h *Host) RefuseLate() string { return *h.refuseLate.Load() }
+
 // Reconfigure applies the settings that may change while the host runs.
 func (h *Host) Reconfigure(c Config) {
 	h.grace.Store(int64(c.Grace))
+	h.refuseLate.Store(&c.RefuseLate)
 	if level, err := c.Level(); err == nil { // ParseConfig has checked it
 		h.eventLog.SetLevel(level)
 	}
--- a/pkg/process/fleet/reload.go
+++ b/pkg/process/fleet/reload.go
@@ -109,6 +109,6 @@
 // withFixedSettingsOf returns the other settings, with those that may change while the process runs taken from c.
 func (c Config) withFixedSettingsOf(other Config) Config {
 	other.MaxLease, other.Retention, other.Grace = c.MaxLease, c.Retention, c.Grace
-	other.MemoryMB, other.LogLevel = c.MemoryMB, c.LogLevel
+	other.MemoryMB, other.LogLevel, other.RefuseLate = c.MemoryMB, c.LogLevel, c.RefuseLate
 	return other
 }
--- a/pkg/process/fleet/status.go
+++ b/pkg/process/fleet/status.go
@@ -24,6 +24,15 @@
 			fmt.Sprintf("cell.%s.running %d", name, c.Running), fmt.Sprintf("cell.%s.workers %d", name, c.Workers),
 			fmt.Sprintf("cell.%s.usable %d", name, c.Usable), fmt.Sprintf("cell.%s.aside %d", name, c.Aside),
 			fmt.Sprintf("cell.%s.suspects %d", name, c.Suspects))
+		for _, f := range c.Forecasts {
+			of := f.GetQueue()
+			if f.GetLargest() {
+				of += ".largest"
+			}
+			lines = append(lines,
+				fmt.Sprintf("cell.%s.forecast.%s.wait_ms %d", name, of, f.GetWaitMs()),
+				fmt.Sprintf("cell.%s.forecast.%s.worthless %d", name, of, f.GetWorthless()))
+		}
 	}
 	sort.Strings(lines)
 	w.Header().Set("Content-Type", "text/plain")
--- a/pkg/request/cellchoice/board.go
+++ b/pkg/request/cellchoice/board.go
@@ -32,6 +32,8 @@
 	HasLeader bool
 	// Evacuated means that no task starts in the cell until operators say otherwise.
 	Evacuated bool
+	// Refuses means that the new job would surely be too late in the cell.
+	Refuses bool
 }
 
 // reportedLoad is a cell's load as its leader reported it at reportedAt, plus the demand of the
--- a/pkg/request/cellchoice/cost.go
+++ b/pkg/request/cellchoice/cost.go
@@ -27,6 +27,9 @@
 	noLeaderCost = 1e9
 	// evacuatedCost ranks a cell in an evacuated hall behind one without a leader, which gets one within seconds.
 	evacuatedCost = 1e10
+	// refusesCost ranks a cell where the job would be too late behind each cell where it may be in time, but before
+	// those that can't run it.
+	refusesCost = 1e6
 	// imageRankCost is the cost in ms of each rank in an image's order of cells, for a lasting
 	// job: as much as a sixth of the cell's capacity in lasting tasks.
 	imageRankCost = 500.0
@@ -74,6 +77,9 @@
 	if cells[name].Evacuated {
 		cost += evacuatedCost
 	}
+	if cells[name].Refuses {
+		cost += refusesCost
+	}
 	l := b.freshLoad(now, name)
 	if l == nil || l.GetCapacityMillicores() == 0 {
 		return cost
--- a/pkg/request/cellchoice/requirements.go
+++ b/pkg/request/cellchoice/requirements.go
@@ -1,6 +1,7 @@
 package cellchoice
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -57,6 +58,18 @@
 	return evacuated
 }
 
+// Takers returns the cells that could take a job, sorted: those with a leader that are not evacuated and that have
+// workers for each step, as far as is known.
+func (b *Board) Takers(now time.Time, spec *wire.JobSpec, cells map[string]Cell) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(cells)) {
+		if c := cells[name]; c.HasLeader && !c.Evacuated && b.mayRunAll(now, name, spec) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // mayRunAll reports whether a cell has workers for each step of a job, as far as its load is known.
 func (b *Board) mayRunAll(now time.Time, name string, spec *wire.JobSpec) bool {
 	l := b.freshLoad(now, name)
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -23,6 +23,7 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/request/admission"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -71,19 +72,30 @@
 	beliefsRequestedAt map[string]time.Time
 	// tableCounts holds the pending counts of cells whose leaders did not answer.
 	tableCounts map[string]*tableCounts
+	// refuseLate returns the treatment of jobs that would be too late, admission decides which these are.
+	refuseLate func() string
+	admission  *admission.Admission
 }
 
+// Option configures an Intake.
+type Option func(*Intake)
+
 // New returns the intake of a host in the given hall.
-func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry) *Intake {
+func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry, options ...Option) *Intake {
 	homeCells, _ := lru.New[string, string](maxCachedAnchors)              // fails for a negative size only
 	finalPhases, _ := lru.New[string, wire.JobPhase](maxCachedFinalPhases) // likewise
 	reasons, _ := lru.New[string, string](maxCachedReasons)                // likewise
-	return &Intake{
+	i := &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
 		tableCounts: map[string]*tableCounts{},
+		refuseLate:  func() string { return admission.Off }, admission: admission.New(),
+	}
+	for _, o := range options {
+		o(i)
 	}
+	return i
 }
 
 // Submit accepts a job. It returns nil once the table holds the job, fault.NotRun if the
@@ -100,6 +112,11 @@
 		i.logJob("job-refused", spec, now, "", err)
 		return err
 	}
+	if err := i.refuseIfLate(ctx, now, q, spec, cells); err != nil {
+		i.increment("refused.late")
+		i.logJob("job-refused", spec, now, "", err)
+		return err
+	}
 	chosen := i.chooseCell(now, spec, cells)
 	spec.Cell = chosen.Cell
 	spec.AcceptedStoreMs = i.store.StoreTime(now).Milliseconds()
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -107,7 +107,7 @@
 	return fleet.Adapters{
 		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Source: platform.Source{}, Dial: platform.Dial,
 		CallerAPI: func(h *fleet.Host) (http.Handler, suture.Service) {
-			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics)
+			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics, intake.WithLateRefusal(h.RefuseLate))
 			return &platform.JobsHandler{Jobs: jobs, Manifest: h.Manifest, Log: h.Log}, jobs
 		},
 	}
