--- a/tools/docs/main.go
+++ b/tools/docs/main.go
@@ -53,7 +53,7 @@
 	},
 	{
 		path: "docs/EVENTS.md", title: "Events",
-		intro:    "What the scheduler of a cell logs: one JSON object a line, on standard output.\nFields: at, event, host, life, cell, and where they fit job, task, run, worker, detail,\nage_ms (how old the information was, or how long ago the job came). Callers' calls log\njob-accepted, job-accepted-again, job-refused, job-cancel and call-refused, with why,\nstatus and ms; processes host-started, host-stopping, host-stopped, host-woke, manifest-in-force,\nmanifest-not-read, evacuation-ordered, evacuation-withdrawn, evacuation-ignored, lead-write-failed, cell-load-failed, cell-handed-over,\nsettings-reloaded, settings-refused, settings-unchanged, settings-need-restart and\nlog-lines-dropped.",
+		intro:    "What the scheduler of a cell logs: one JSON object a line, on standard output.\nFields: at, event, host, life, cell, and where they fit job, task, run, worker, detail,\nage_ms (how old the information was, or how long ago the job came). Callers' calls log\njob-accepted, job-accepted-again, job-refused, job-refusal-logged, job-cancel and call-refused, with why,\nstatus and ms; processes host-started, host-stopping, host-stopped, host-woke, manifest-in-force,\nmanifest-not-read, evacuation-ordered, evacuation-withdrawn, evacuation-ignored, lead-write-failed, cell-load-failed, cell-handed-over,\nsettings-reloaded, settings-refused, settings-unchanged, settings-need-restart and\nlog-lines-dropped.",
 		commands: [][]string{{"bin/wrenferry", "events"}},
 	},
 }
