Jobs with an unknown outcome are not refused as late

A host whose insert of a job got no answer may see no row of it on the caller's next try, although the transaction still takes effect afterwards. It refused such a job as not run. It keeps the ids whose outcome is unknown, at most 1024, and leaves these jobs to the insert. With "off" nothing is kept.

Test: TestSubmitAfterAnUnknownOutcomeIsNotRefusedAsLate got not-run without the check; go test -race ./pkg/request/intake passed.

--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -62,6 +62,8 @@
 	finalPhases *lru.Cache[string, wire.JobPhase]
 	// reasons holds the reasons of failed jobs by job id.
 	reasons *lru.Cache[string, string]
+	// undecided holds the ids of jobs whose insert is under way or has no known outcome.
+	undecided *lru.Cache[string, struct{}]
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -85,9 +87,10 @@
 	homeCells, _ := lru.New[string, string](maxCachedAnchors)              // fails for a negative size only
 	finalPhases, _ := lru.New[string, wire.JobPhase](maxCachedFinalPhases) // likewise
 	reasons, _ := lru.New[string, string](maxCachedReasons)                // likewise
+	undecided, _ := lru.New[string, struct{}](maxUndecided)                // likewise
 	i := &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
-		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
+		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons, undecided: undecided,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
 		tableCounts: map[string]*tableCounts{},
 		refuseLate:  func() string { return admission.Off }, admission: admission.New(),
@@ -120,7 +123,7 @@
 	chosen := i.chooseCell(now, spec, cells)
 	spec.Cell = chosen.Cell
 	spec.AcceptedStoreMs = i.store.StoreTime(now).Milliseconds()
-	err := i.insert(ctx, spec)
+	err := i.insertTracked(ctx, spec)
 	if err != nil {
 		i.increment("refused." + string(fault.CodeOf(err)))
 		i.logJob("job-refused", spec, now, chosen.Reason, err)
--- a/pkg/request/intake/late.go
+++ b/pkg/request/intake/late.go
@@ -15,6 +15,10 @@
 // comes at once, and the insert that follows otherwise needs the rest of the caller's time.
 const anchorTimeout = 300 * time.Millisecond
 
+// maxUndecided bounds the ids whose insert has no known outcome, in jobs: a slow table has some hundreds of them in doubt
+// at a time. Without its id here, a job is looked up in the table only.
+const maxUndecided = 1024
+
 // WithLateRefusal sets the source of the treatment of jobs that would surely be too late: admission.Off, Log or On.
 func WithLateRefusal(treatment func() string) Option {
 	return func(i *Intake) { i.refuseLate = treatment }
@@ -44,7 +48,7 @@
 		c.Refuses = true
 		cells[name] = c
 	}
-	if !d.Refuse || i.mayBeHeld(ctx, spec.GetId()) {
+	if !d.Refuse || i.undecided.Contains(spec.GetId()) || i.mayBeHeld(ctx, spec.GetId()) {
 		return nil
 	}
 	i.mu.Lock()
@@ -71,3 +75,19 @@
 	_, found, err := i.homeCell(ctx, id)
 	return err != nil || found
 }
+
+// insertTracked inserts a job, and keeps its id while the outcome is unknown: the transaction may still take effect, so
+// that a missing row does not prove that the job won't run. Only a row that is there settles such a doubt.
+func (i *Intake) insertTracked(ctx context.Context, spec *wire.JobSpec) error {
+	if i.refuseLate() == admission.Off {
+		return i.insert(ctx, spec)
+	}
+	doubted, _ := i.undecided.ContainsOrAdd(spec.GetId(), struct{}{})
+	err := i.insert(ctx, spec)
+	if err == nil || (!doubted && fault.CodeOf(err) == fault.NotRun) {
+		i.undecided.Remove(spec.GetId())
+	} else {
+		i.undecided.Add(spec.GetId(), struct{}{})
+	}
+	return err
+}
--- a/pkg/request/intake/late_test.go
+++ b/pkg/request/intake/late_test.go
@@ -36,29 +36,40 @@
 	return load
 }
 
-// submitLate submits a job to an intake that has the loads of all cells, and knows the sizes of the queue's jobs. It
-// returns the cell of the job, or the error.
-func submitLate(t *testing.T, treatment string, direct store.Direct, refusing map[string]bool) (string, error) {
-	t.Helper()
+// newLateIntake returns an intake that knows the sizes of the queue's jobs, as it was sent those with the ids 0 to 19.
+func newLateIntake(treatment string, direct store.Direct, refusing map[string]bool) *intake.Intake {
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
 	client := store.New(direct, func() []store.Peer { return nil }, metrics.NewRegistry(), clock.Now())
 	in := intake.New("hall", client, lateCells{refusing: refusing}, nil, silent.WithField("test", true), metrics.NewRegistry(),
 		intake.WithLateRefusal(func() string { return treatment }))
-	now := clock.Now()
-	spec := func(id int) *wire.JobSpec {
-		return &wire.JobSpec{Id: fmt.Sprintf("%016x", id), Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, EstimateMs: 500}}}
-	}
 	for id := range 20 {
-		_ = in.Submit(context.Background(), now, lateQueue, spec(id)) // not refused, as no load is known
+		_ = in.Submit(context.Background(), clock.Now(), lateQueue, lateSpec(id)) // not refused, as the sizes are not known
 	}
-	_, err := in.Pending(context.Background(), now, "offers") // fetches the loads
+	return in
+}
+
+func lateSpec(id int) *wire.JobSpec {
+	return &wire.JobSpec{Id: fmt.Sprintf("%016x", id), Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, EstimateMs: 500}}}
+}
+
+// submitKnowingLoads submits a job after the intake has fetched the loads of all cells. It returns the cell of the job, or
+// the error.
+func submitKnowingLoads(t *testing.T, in *intake.Intake, id int) (string, error) {
+	t.Helper()
+	_, err := in.Pending(context.Background(), clock.Now(), "offers") // fetches the loads
 	must.NoError(t, err)
-	s := spec(100)
+	s := lateSpec(id)
 	err = in.Submit(context.Background(), clock.Now(), lateQueue, s)
 	return s.GetCell(), err
 }
 
+// submitLate submits a job to a new intake.
+func submitLate(t *testing.T, treatment string, direct store.Direct, refusing map[string]bool) (string, error) {
+	t.Helper()
+	return submitKnowingLoads(t, newLateIntake(treatment, direct, refusing), 100)
+}
+
 func TestSubmitRefusesJobsThatWouldBeTooLate(t *testing.T) {
 	t.Parallel()
 	both := map[string]bool{"hall": true, "far": true}
@@ -106,3 +117,19 @@
 	_, err := submitLate(t, admission.On, anchorsUnreadable{}, map[string]bool{"hall": true, "far": true})
 	must.NoError(t, err)
 }
+
+// commitsUnanswered is a table whose transactions get no answer.
+type commitsUnanswered struct{ fixedTable }
+
+func (commitsUnanswered) Commit(context.Context, table.Transaction) (table.CommitResult, error) {
+	return table.CommitResult{}, fault.New(fault.Unknown, "table", "no answer", "")
+}
+
+// A transaction without an answer may still take effect after the table was read, so its job must not be reported as not
+// run.
+func TestSubmitAfterAnUnknownOutcomeIsNotRefusedAsLate(t *testing.T) {
+	t.Parallel()
+	in := newLateIntake(admission.On, commitsUnanswered{}, map[string]bool{"hall": true, "far": true})
+	_, err := submitKnowingLoads(t, in, 7)
+	must.Eq(t, fault.Unknown, fault.CodeOf(err))
+}
