--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -107,6 +107,7 @@
 	l.FreeEach, l.LastingFreeEach = largest(l.GetFreeEach()), largest(l.GetLastingFreeEach())
 	l.Labels = slices.Sorted(maps.Keys(labels))
 	l.FillerRoomMillicores, l.FillerFreeMillicores = s.harmlessFillerCapacity, s.startableFillerCapacity
+	l.Forecasts = s.reportedForecasts(now)
 	if withBeliefs {
 		l.Beliefs = encodeBeliefs(s.interference.OwnBeliefs())
 	}
@@ -186,6 +187,8 @@
 	Settled  bool
 	// Reserve is the capacity kept for urgent tasks; nil if none is.
 	Reserve *ReserveCounts
+	// Forecasts are those for new jobs, if the cell makes any.
+	Forecasts []*wire.QueueForecast `json:",omitempty"`
 }
 
 // ReserveCounts are the gaps for urgent tasks that the cell wants to be free, those that are, and how many lasting tasks
@@ -194,7 +197,7 @@
 
 // Counts returns the summary of the cell as of now.
 func (s *State) Counts(now time.Time) Counts {
-	c := Counts{Settled: s.settled, Evacuated: s.evacuating()}
+	c := Counts{Settled: s.settled, Evacuated: s.evacuating(), Forecasts: s.reportedForecasts(now)}
 	for _, j := range s.jobs {
 		if !j.Ended() {
 			c.Jobs++
--- a/pkg/process/fleet/status.go
+++ b/pkg/process/fleet/status.go
@@ -29,6 +29,15 @@
 				fmt.Sprintf("cell.%s.reserve.wanted %d", name, r.Wanted), fmt.Sprintf("cell.%s.reserve.free %d", name, r.Free),
 				fmt.Sprintf("cell.%s.reserve.stopped %d", name, r.Stopped))
 		}
+		for _, f := range c.Forecasts {
+			of := f.GetQueue()
+			if f.GetLargest() {
+				of += ".largest"
+			}
+			lines = append(lines,
+				fmt.Sprintf("cell.%s.forecast.%s.wait_ms %d", name, of, f.GetWaitMs()),
+				fmt.Sprintf("cell.%s.forecast.%s.worthless %d", name, of, f.GetWorthless()))
+		}
 	}
 	sort.Strings(lines)
 	w.Header().Set("Content-Type", "text/plain")
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -23,6 +23,7 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/request/admission"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -72,9 +73,12 @@
 	// tableCounts holds the pending counts of cells whose leaders did not answer.
 	tableCounts map[string]*tableCounts
 
-	// confirms is set by WithConfirmation. outcomes is empty without it.
+	// confirms is set by WithConfirmation. outcomes is empty without it and without a treatment of late jobs.
 	confirms bool
 	outcomes *openOutcomes
+	// refuseLate returns the treatment of jobs that would be too late, admission decides which these are.
+	refuseLate func() string
+	admission  *admission.Admission
 }
 
 // Option changes an Intake from its defaults.
@@ -94,6 +98,7 @@
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
 		tableCounts: map[string]*tableCounts{}, outcomes: newOpenOutcomes(),
+		refuseLate: func() string { return admission.Off }, admission: admission.New(),
 	}
 	for _, o := range options {
 		o(i)
@@ -115,6 +120,11 @@
 		i.logJob("job-refused", spec, now, "", err)
 		return err
 	}
+	if err := i.refuseIfLate(ctx, now, q, spec, cells); err != nil {
+		i.increment("refused.late")
+		i.logJob("job-refused", spec, now, "", err)
+		return err
+	}
 	chosen := i.chooseCell(now, spec, cells)
 	spec.Cell = chosen.Cell
 	spec.AcceptedStoreMs = i.store.StoreTime(now).Milliseconds()
@@ -131,8 +141,11 @@
 
 // accept writes the job into the table, with repetitions if they are enabled.
 func (i *Intake) accept(ctx context.Context, now time.Time, spec *wire.JobSpec) error {
-	if i.confirms {
+	switch {
+	case i.confirms:
 		return i.insertConfirmed(ctx, now, spec)
+	case i.refuseLate() != admission.Off:
+		return i.insertTracked(ctx, spec)
 	}
 	return i.insert(ctx, spec)
 }
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -107,15 +107,15 @@
 	return fleet.Adapters{
 		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Source: platform.Source{}, Dial: platform.Dial,
 		CallerAPI: func(h *fleet.Host) (http.Handler, suture.Service) {
-			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics, intakeOptions(config)...)
+			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics, intakeOptions(config, h)...)
 			return &platform.JobsHandler{Jobs: jobs, Manifest: h.Manifest, Log: h.Log}, jobs
 		},
 	}
 }
 
 // intakeOptions returns the options of the intake by the settings.
-func intakeOptions(config fleet.Config) []intake.Option {
-	var options []intake.Option
+func intakeOptions(config fleet.Config, h *fleet.Host) []intake.Option {
+	options := []intake.Option{intake.WithLateRefusal(h.RefuseLate)}
 	if config.ConfirmAcceptance {
 		options = append(options, intake.WithConfirmation())
 	}
