--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -26,10 +26,13 @@
 	down time.Time
 }
 
-// settings writes the host's settings file.
-func (h *host) settings(halls, ready, control, figures, table string) error {
+// overloadSettings enable the parts that deal with load at its worst (docs/operators/overload.md).
+const overloadSettings = `, "confirmAcceptance": true, "confirmedHandover": true, "urgentWait": "300ms", "refuseLate": "on"`
+
+// settings writes the host's settings file. more holds further settings, each after a comma.
+func (h *host) settings(halls, ready, control, figures, table, more string) error {
 	text := fmt.Sprintf(`{"name": %q, "hall": %q, "halls": [%s], "callers": %q, "ready": %q, "control": %q, "metrics": %q, "table": %q,
-		"retention": "5m", "grace": "4s", "processors": 0.5, "memoryMB": 256}`, h.name, h.hall, halls, h.callers, ready, control, figures, table)
+		"retention": "5m", "grace": "4s", "processors": 0.5, "memoryMB": 256%s}`, h.name, h.hall, halls, h.callers, ready, control, figures, table, more)
 	return os.WriteFile(h.file, []byte(text), 0o600)
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -149,8 +149,12 @@
 	for i := range 6 {
 		d.addWorker(i, halls[i%len(halls)])
 	}
+	more := ""
+	if seed%2 == 1 {
+		more = overloadSettings // the seeds of a usual run have days with these settings and without
+	}
 	for i := range 5 {
-		d.addHost(i, halls)
+		d.addHost(i, halls, more)
 	}
 	d.caller = newCaller(d.hosts, d.checker)
 	d.ready()
@@ -173,7 +177,7 @@
 	go w.writeRows()
 }
 
-func (d *day) addHost(i int, halls []string) {
+func (d *day) addHost(i int, halls []string, more string) {
 	free, err := platformtest.FreeAddresses(5)
 	must.NoError(d.t, err)
 	dir := d.t.TempDir()
@@ -182,7 +186,7 @@
 	must.NoError(d.t, err)
 	h.log, err = os.Create(filepath.Join(dir, h.name+".log"))
 	must.NoError(d.t, err)
-	must.NoError(d.t, h.settings(`"`+strings.Join(halls, `", "`)+`"`, free[1], free[2], free[3], free[4]))
+	must.NoError(d.t, h.settings(`"`+strings.Join(halls, `", "`)+`"`, free[1], free[2], free[3], free[4], more))
 	must.NoError(d.t, h.start())
 	d.hosts = append(d.hosts, h)
 }
