No release begins after a renewal without an answer

A release that waited for a renewal in flight began also when that renewal failed, as long as the one before it was at most 1 s old. The leader then started nothing, could not write the release before the next reading of its row, and had just seen that the table may be away. MayRelease now also requires that the last write was answered or the row read since. The new test failed before.

--- a/pkg/process/election/handover.go
+++ b/pkg/process/election/handover.go
@@ -26,9 +26,9 @@
 )
 
 // MayRelease returns whether this process leads and may begin to release the seat: the table has confirmed its
-// leadership recently.
+// leadership recently, and has answered the last write.
 func (s *Seat) MayRelease(now time.Time) bool {
-	return s.role == Leader && now.Sub(s.renewalKnownAt) <= maxReleaseRenewalAge
+	return s.role == Leader && !s.mustReadRow && now.Sub(s.renewalKnownAt) <= maxReleaseRenewalAge
 }
 
 // WritePending returns whether a write of the row has no answer yet.
--- a/pkg/process/election/handover_test.go
+++ b/pkg/process/election/handover_test.go
@@ -32,6 +32,19 @@
 	must.False(t, s.MayHandOver(at(9310)))
 }
 
+// Guards against a release right after a renewal that the table has not answered: it can't be written before the row is
+// read again, and the table may be away.
+func TestNoReleaseBeginsAfterAFailedRenewal(t *testing.T) {
+	t.Parallel()
+	s := newSeat("a")
+	lead(t, s)
+	w := s.NextWrite(at(500), nil, 0, false)
+	s.RowWritten(at(510), 0)
+	must.False(t, s.MayRelease(at(520)))
+	s.RowRead(at(600), at(590), w.Row, 2, storeAt(600))
+	must.True(t, s.MayRelease(at(600)))
+}
+
 // Guards against handovers to a stronger host in quick succession.
 func TestNoHandOverFromALeaderThatHasJustBegun(t *testing.T) {
 	t.Parallel()
