cell-handed-over is logged once the release begins

While a renewal is in flight, a release waits for its answer, and each round of a stopping host found a successor again and logged the event, also if no release followed. The event is now logged with the beginning of the release.

--- a/pkg/process/fleet/handover.go
+++ b/pkg/process/fleet/handover.go
@@ -60,10 +60,12 @@
 
 // releaseIf begins the release of a led cell to a successor. If a renewal is in flight, it begins with the answer, and only
 // if the condition holds then: the release can't be written earlier, and until it begins, the cell goes on starting tasks.
-func (c *Control) releaseIf(ctx context.Context, name string, condition cellCondition, successor *election.Acceptance) bool {
+// It returns whether the release has begun or waits for that answer.
+func (c *Control) releaseIf(ctx context.Context, name string, condition cellCondition, successor *election.Acceptance, why string) bool {
 	return c.ifLed(ctx, name, condition, func(s *localCell, now time.Time) {
 		s.afterWrite = func(now time.Time) {
 			if s.mayBeReleased() && condition(s, now) {
+				logHandover(c.log, name, successor.Host, why)
 				c.beginRelease(now, s, successor)
 			}
 		}
@@ -136,12 +138,10 @@
 
 // handOverTo releases a cell to a host that has agreed to lead it, if the condition holds.
 func (h *Host) handOverTo(ctx context.Context, name string, condition cellCondition, next *election.Acceptance, why string) bool {
-	if !h.Control.releaseIf(ctx, name, condition, next) {
+	if !h.Control.releaseIf(ctx, name, condition, next, why) {
 		return false
 	}
-	to := &wire.EntryHost{Name: next.Host, Address: next.Address}
-	h.logHandover(name, to, why)
-	h.askToTakeOver(ctx, to, name)
+	h.askToTakeOver(ctx, &wire.EntryHost{Name: next.Host, Address: next.Address}, name)
 	return true
 }
 
@@ -248,11 +248,11 @@
 		return
 	}
 	if next := h.Hosts.Successor(h.Control.View().Cells[name].Hall); next != nil {
-		h.logHandover(name, next, "stopping")
+		logHandover(h.Log, name, next.GetName(), "stopping")
 		h.askToTakeOver(ctx, next, name)
 	}
 }
 
-func (h *Host) logHandover(name string, next *wire.EntryHost, why string) {
-	h.Log.WithFields(logrus.Fields{"cell": name, "to": next.GetName(), "why": why}).Info("cell-handed-over")
+func logHandover(log *logrus.Entry, name, to, why string) {
+	log.WithFields(logrus.Fields{"cell": name, "to": to, "why": why}).Info("cell-handed-over")
 }
