Urgent tasks come before lasting ones while they wait

In a cell that is full of lasting tasks, late urgent tasks came after the lasting ones of their priority, workers were reserved for lasting tasks that wait, and of a step without a declared number one task could be away, so nearly nothing was stopped where some waited already.

--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -127,10 +127,10 @@
 
 // reserveFor reserves a worker for a lasting task, one that runs until its job is cancelled: of the workers
 // where the task fits beside the other lasting tasks, the one with the most free CPU. Without that, short
-// tasks would keep taking the capacity that a large task waits for.
+// tasks would keep taking the capacity that a large task waits for. No worker is reserved while urgent tasks wait.
 func (s *State) reserveFor(now time.Time, t *jobs.Task, service string, usable []*workers.Worker) {
 	u := t.Unit
-	if !s.enabled(HeldRoom) || !u.Lasting() || now.Sub(waitingSince(t)) < reserveAfter {
+	if !s.enabled(HeldRoom) || !u.Lasting() || now.Sub(waitingSince(t)) < reserveAfter || s.urgentWaits(service) {
 		return
 	}
 	var best *workers.Worker
--- a/pkg/process/cell/urgent_reserve.go
+++ b/pkg/process/cell/urgent_reserve.go
@@ -100,6 +100,11 @@
 	}
 }
 
+// urgentWaits reports whether this cell keeps capacity for urgent tasks of a service and some of them wait.
+func (s *State) urgentWaits(service string) bool {
+	return s.keepsReserve() && s.urgentReserve.waiting[service] > 0
+}
+
 // gapsFree returns how many gaps of a size the usable workers of a service have, as free returns their free capacity. No
 // urgent task may join the isolated run of another task.
 func (s *State) gapsFree(usable []*workers.Worker, service string, size ledger.Size, free func(*workers.Worker) ledger.Size) int {
@@ -146,7 +151,7 @@
 // notFreed returns the usable workers without those at which capacity is being freed for urgent tasks that still wait. Lasting
 // tasks that have waited for long, which don't yield, would come before urgent ones there.
 func (s *State) notFreed(now time.Time, service string, usable []*workers.Worker) []*workers.Worker {
-	if !s.keepsReserve() || len(s.urgentReserve.freedAt) == 0 || s.urgentReserve.waiting[service] == 0 {
+	if len(s.urgentReserve.freedAt) == 0 || !s.urgentWaits(service) {
 		return usable
 	}
 	return slices.DeleteFunc(slices.Clone(usable), func(w *workers.Worker) bool {
@@ -281,7 +286,7 @@
 			}
 			c := reserve.Candidate{
 				Task: r.Task.Name(), Worker: w.ID, Step: step.Name(), Size: workers.ReservedSize(step),
-				MoreAway: reserve.MoreAway(int(step.Spec.GetMayMiss()), away[step]),
+				MoreAway: reserve.MoreAway(int(step.Spec.GetMayMiss()), len(step.Tasks), away[step]),
 			}
 			c.Gaps = reserve.Gaps(free.Plus(c.Size), size) - reserve.Gaps(free, size)
 			candidates, runs[c.Task] = append(candidates, c), r
--- a/pkg/process/joborder/joborder.go
+++ b/pkg/process/joborder/joborder.go
@@ -24,6 +24,9 @@
 	// Priority is that of the queue: 0 comes first.
 	Priority int
 	Outlook  jobs.Outlook
+	// Yields is set for lasting tasks in a cell that keeps capacity for urgent ones: they come after all other work of
+	// their priority that can still earn something.
+	Yields bool
 	// WorkLeft is the work that the job's fillers have left, in millicore milliseconds, for fillers of a job that can
 	// still meet its objective under overload. It is 0 for all other work, which comes first.
 	WorkLeft int64
@@ -37,6 +40,8 @@
 		return v.Outlook == jobs.Hopeless
 	case w.Priority != v.Priority:
 		return w.Priority < v.Priority
+	case w.Yields != v.Yields:
+		return v.Yields
 	case w.Outlook != v.Outlook:
 		return w.Outlook < v.Outlook
 	case w.WorkLeft != v.WorkLeft:
--- a/pkg/process/joborder/joborder_test.go
+++ b/pkg/process/joborder/joborder_test.go
@@ -50,6 +50,15 @@
 	must.Eq(t, []string{"lasting", "urgent", "plain", "small", "large", "earlier late", "late", "hopeless"}, names)
 }
 
+// Guards against lasting tasks that take the capacity which late urgent tasks of their priority wait for.
+func TestLastingWorkYieldsWithinItsPriority(t *testing.T) {
+	t.Parallel()
+	lasting := joborder.Work{Name: "lasting", Yields: true, Due: start}
+	must.True(t, joborder.Work{Name: "late", Outlook: jobs.Late, Due: start.Add(time.Minute)}.Before(lasting))
+	must.True(t, lasting.Before(joborder.Work{Name: "next priority", Priority: 1}))
+	must.True(t, lasting.Before(joborder.Work{Name: "hopeless", Outlook: jobs.Hopeless}))
+}
+
 func TestOverloadIsMoreThanASecondOfWork(t *testing.T) {
 	t.Parallel()
 	work := map[string]int64{"a": 3_000_000, "b": 2_000_000}
--- a/pkg/process/reserve/stops.go
+++ b/pkg/process/reserve/stops.go
@@ -18,8 +18,9 @@
 	stopDivisor = 10
 	// restSpan is how long a task that was stopped is not stopped again.
 	restSpan = 30 * time.Second
-	// defaultMaxAway is how many tasks of a step that declares no number may be away at the same time.
-	defaultMaxAway = 1
+	// undeclaredAwayDivisor sets how many tasks of a step that declares no number may be away at the same time: one in so
+	// many, at least one. Its callers are served by the tasks that stay at work, which are most of the step.
+	undeclaredAwayDivisor = 4
 )
 
 // Overdue reports whether an urgent task has waited for so long that lasting tasks may be stopped for it. The other half of
@@ -27,9 +28,9 @@
 func Overdue(waited, urgentWait time.Duration) bool { return waited >= urgentWait/2 }
 
 // MoreAway returns how many more tasks of a step may be away. mayMiss is the number that its caller declared, 0 for none.
-func MoreAway(mayMiss, away int) int {
+func MoreAway(mayMiss, tasks, away int) int {
 	if mayMiss <= 0 {
-		mayMiss = defaultMaxAway
+		mayMiss = max(1, tasks/undeclaredAwayDivisor)
 	}
 	return max(0, mayMiss-away)
 }
