Tests that urgent tasks come before lasting ones

The order of placement, the reservations that urgent tasks prevent, and the quarter of a step that may be away had no test on cell.State.

--- a/pkg/process/cell/urgent_reserve_test.go
+++ b/pkg/process/cell/urgent_reserve_test.go
@@ -171,22 +171,37 @@
 		mayMiss   int32
 		away, max int
 	}{{0, 0, 1}, {0, 1, 0}, {3, 0, 3}, {3, 2, 1}} {
-		b := newEmptyCell()
-		b.keepReserve()
-		b.accept(delegatedJob, "watches", &wire.StepSpec{Count: 32, Millicores: 13000, MemoryMb: 1000, Lasting: true, MayMiss: c.mayMiss})
-		b.steps(50)
-		must.MapLen(t, 32, b.started)
-		b.heldStarts = true
-		for i := range c.away {
-			b.finish(fmt.Sprintf("%s.0.0.%d", delegatedJob, i), workers.EndedStopped)
-		}
-		b.steps(1)
-		b.acceptUrgent(urgentJob, 20, 7300)
-		b.steps(10)
-		must.Len(t, c.max, b.stoppedTasks(), must.Sprint(c))
+		must.Eq(t, c.max, stopsBesideAway(t, c.mayMiss, c.away), must.Sprint(c))
+	}
+}
+
+// A quarter of the 32 tasks of a step without a declared number may be away. Three stops are a tenth of the cell's lasting
+// tasks.
+func TestAQuarterOfAStepMayBeAwayIfItDeclaresNoNumber(t *testing.T) {
+	t.Parallel()
+	for away, stops := range map[int]int{0: 3, 5: 3, 6: 2, 7: 1, 8: 0} {
+		must.Eq(t, stops, stopsBesideAway(t, 0, away), must.Sprint(away))
 	}
 }
 
+// stopsBesideAway returns how many tasks are stopped for urgent ones in a cell full of a step of 32 lasting tasks, of which
+// a number is away anyway.
+func stopsBesideAway(t *testing.T, mayMiss int32, away int) int {
+	b := newEmptyCell()
+	b.keepReserve()
+	b.accept(delegatedJob, "watches", &wire.StepSpec{Count: 32, Millicores: 13000, MemoryMb: 1000, Lasting: true, MayMiss: mayMiss})
+	b.steps(50)
+	must.MapLen(t, 32, b.started)
+	b.heldStarts = true
+	for i := range away {
+		b.finish(fmt.Sprintf("%s.0.0.%d", delegatedJob, i), workers.EndedStopped)
+	}
+	b.steps(1)
+	b.acceptUrgent(urgentJob, 20, 7300)
+	b.steps(10)
+	return len(b.stoppedTasks())
+}
+
 // Guards against a stop in a target cell while the home cell, which knows all tasks of the step, has others away.
 func TestDelegatedTaskIsStoppedOnlyIfItsWholeStepIsHere(t *testing.T) {
 	t.Parallel()
@@ -364,3 +379,48 @@
 		must.LessEq(t, p95(off), p95(on))
 	}
 }
+
+// Guards against lasting tasks that take capacity which late urgent tasks of their priority wait for. In a cell of so few
+// lasting tasks, nothing is stopped or freed.
+func TestUrgentTaskComesBeforeALastingOneThatWaitedLonger(t *testing.T) {
+	t.Parallel()
+	const running, lasting = "0000000000000001", "0000000000000002"
+	b := newEmptyCell()
+	b.keepReserve()
+	b.accept(running, "offers", &wire.StepSpec{Count: 16, Millicores: 26000, MemoryMb: 500, EstimateMs: 60_000})
+	b.steps(5)
+	b.accept(lasting, "watches", &wire.StepSpec{Count: 1, Millicores: 20000, MemoryMb: 500, Lasting: true})
+	b.steps(50)
+	b.acceptUrgent(urgentJob, 1, 20000)
+	b.steps(1)
+	b.finish(running+".0.0.0", workers.EndedDone)
+	b.steps(2)
+	must.True(t, b.started[urgentJob+".0.0.0"])
+	must.False(t, b.started[lasting+".0.0.0"])
+}
+
+// newCellWithReservations returns a cell whose workers each run a lasting task and a short one, beside which 16 lasting tasks
+// have waited so long that a worker would be reserved for each.
+func newCellWithReservations() *testCell {
+	b := newEmptyCell()
+	b.keepReserve()
+	b.accept("0000000000000001", "watches", &wire.StepSpec{Count: 16, Millicores: 20000, MemoryMb: 500, Lasting: true})
+	b.steps(2)
+	b.accept("0000000000000002", "offers", &wire.StepSpec{Count: 16, Millicores: 6500, MemoryMb: 500, EstimateMs: 60_000})
+	b.steps(2)
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", 0xf00+i), "watches", &wire.StepSpec{Count: 1, Millicores: 10000, MemoryMb: 500, Lasting: true})
+	}
+	b.steps(50)
+	return b
+}
+
+// Guards against workers that are reserved for lasting tasks while urgent ones wait: nothing is stopped at these.
+func TestNoWorkerIsReservedForLastingTasksWhileUrgentOnesWait(t *testing.T) {
+	t.Parallel()
+	b := newCellWithReservations()
+	must.MapLen(t, 32, b.started)
+	b.acceptUrgent(urgentJob, 4, 7300)
+	b.steps(5)
+	must.SliceNotEmpty(t, b.stops)
+}
