--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -36,14 +36,14 @@
 	s.closeIsolatedWorkers(now)
 	defer s.releaseAwaitedStarts()
 	s.observeUrgent(now)
-	usable := s.usableWorkers(now)
+	usable, notFreed := s.usableWorkers(now), map[string][]*workers.Worker{}
 	for _, c := range s.rankedUnits(now) {
 		if len(usable) == 0 || !s.mayOrderStart(now) {
 			return
 		}
-		pool := usable
+		pool := s.poolFor(now, c.unit, usable, notFreed)
 		if _, needs := s.ticketValidity(c.unit); needs {
-			pool = s.workersWithTicket(now, c.unit, usable)
+			pool = s.workersWithTicket(now, c.unit, pool)
 		}
 		if c.unit.Spec.GetGang() {
 			s.placeGang(now, c.unit, pool)
@@ -89,16 +89,18 @@
 // placeTasks starts the waiting tasks of a unit that is not a gang, as far as they fit.
 func (s *State) placeTasks(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
 	service := s.serviceOf(u.Job)
-	if u.Lasting() {
-		usable = s.notFreed(now, service, usable)
-	}
+	unitYields := false
 	for _, t := range u.Waiting(now) {
 		if !s.mayOrderStart(now) {
 			return
 		}
+		if unitYields && s.mayYield(now, t, service) && !t.NeedsSpecificWorker() {
+			continue // it has no other place than the task that yielded before it
+		}
 		w, yields := s.chooseForWaiting(now, t, service, usable)
 		if yields {
-			continue // the unit's other tasks may have waited for longer
+			unitYields = unitYields || !s.urgentReserve.stops.Resting(now, t.Name())
+			continue // the unit's other tasks may have waited for longer, or were not stopped
 		}
 		if w == nil && t.NeedsSpecificWorker() {
 			s.logWait(now, t, service, usable)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -411,7 +411,9 @@
 		s.delegateWaiting(now)
 		s.paceFillers(now)
 		s.logLastingWaits(now)
-		s.observeUrgent(now)
+		if !s.placementDue {
+			s.observeUrgent(now)
+		}
 		s.logReserve(now)
 	}
 	s.stopObsoleteRuns(now)
--- a/pkg/process/cell/urgent_reserve.go
+++ b/pkg/process/cell/urgent_reserve.go
@@ -23,6 +23,10 @@
 	// wanted is how many gaps are to be free. waiting is the number of urgent tasks that wait. Both are as of the last
 	// observation, wanted less the urgent tasks started since.
 	wanted, waiting map[string]int
+	// runs is used by observeUrgent only, which would allocate it anew each time.
+	runs map[*jobs.Unit]int
+	// triedAt is when stopForUrgent last looked for tasks to stop.
+	triedAt time.Time
 	// freedAt is when a lasting task was last ordered to stop at a worker.
 	freedAt map[*workers.Worker]time.Time
 	// logged are the last numbers in the log by service, loggedAt is when they were logged.
@@ -39,7 +43,7 @@
 func newUrgentReserve() *urgentReserve {
 	return &urgentReserve{
 		demands: map[string]*reserve.Demand{}, wanted: map[string]int{}, waiting: map[string]int{}, freedAt: map[*workers.Worker]time.Time{},
-		logged: map[string]reserveNumbers{}, loggedAt: map[string]time.Time{},
+		runs: map[*jobs.Unit]int{}, logged: map[string]reserveNumbers{}, loggedAt: map[string]time.Time{},
 	}
 }
 
@@ -67,6 +71,7 @@
 	}
 	k := s.urgentReserve
 	present, running := map[string]map[ledger.Size]int{}, map[string]int{}
+	// The runs are counted by unit first: a cell has a thousand of them, and decides some hundred times a second.
 	count := func(u *jobs.Unit, n int) string {
 		service := s.serviceOf(u.Job)
 		if present[service] == nil {
@@ -75,17 +80,27 @@
 		present[service][u.Size] += n
 		return service
 	}
+	clear(k.runs)
 	for _, w := range s.workersByID() {
 		for _, r := range w.Runs {
-			if s.urgent(r.Task.Unit) {
-				running[count(r.Task.Unit, 1)]++
+			if !r.Task.Unit.Lasting() {
+				k.runs[r.Task.Unit]++
 			}
 		}
 	}
+	for u, n := range k.runs {
+		if s.urgent(u) {
+			running[count(u, n)] += n
+		}
+	}
+	clear(k.runs)
 	clear(k.waiting)
 	maps.DeleteFunc(k.freedAt, func(_ *workers.Worker, at time.Time) bool { return now.Sub(at) >= freedFor })
 	for u := range s.waitingUnits {
-		if n := len(u.Waiting(now)); n > 0 && s.urgent(u) {
+		if !s.urgent(u) {
+			continue
+		}
+		if n := waitingTasks(now, u); n > 0 {
 			k.waiting[count(u, n)] += n
 		}
 	}
@@ -100,6 +115,17 @@
 	}
 }
 
+// waitingTasks returns how many tasks of a unit wait, without the list of them.
+func waitingTasks(now time.Time, u *jobs.Unit) int {
+	n := 0
+	for _, t := range u.Tasks {
+		if t.Waiting(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // urgentWaits reports whether this cell keeps capacity for urgent tasks of a service and some of them wait.
 func (s *State) urgentWaits(service string) bool {
 	return s.keepsReserve() && s.urgentReserve.waiting[service] > 0
@@ -148,16 +174,24 @@
 // to 0.9 s, and placement a few attempts. A lasting task must run within three seconds where there is capacity for it.
 const freedFor = 2 * time.Second
 
-// notFreed returns the usable workers without those at which capacity is being freed for urgent tasks that still wait. Lasting
-// tasks that have waited for long, which don't yield, would come before urgent ones there.
-func (s *State) notFreed(now time.Time, service string, usable []*workers.Worker) []*workers.Worker {
-	if len(s.urgentReserve.freedAt) == 0 || !s.urgentWaits(service) {
+// poolFor returns the usable workers for a unit: without those at which capacity is being freed for urgent tasks that still
+// wait, if it is lasting. Lasting tasks that have waited for long, which don't yield, would take parts of it. notFreed holds
+// the result by service for one placement.
+func (s *State) poolFor(now time.Time, u *jobs.Unit, usable []*workers.Worker, notFreed map[string][]*workers.Worker) []*workers.Worker {
+	if !u.Lasting() || u.Spec.GetGang() || len(s.urgentReserve.freedAt) == 0 {
+		return usable
+	}
+	service := s.serviceOf(u.Job)
+	if !s.urgentWaits(service) {
 		return usable
 	}
-	return slices.DeleteFunc(slices.Clone(usable), func(w *workers.Worker) bool {
-		at, stopped := s.urgentReserve.freedAt[w]
-		return stopped && now.Sub(at) < freedFor
-	})
+	if _, known := notFreed[service]; !known {
+		notFreed[service] = slices.DeleteFunc(slices.Clone(usable), func(w *workers.Worker) bool {
+			at, stopped := s.urgentReserve.freedAt[w]
+			return stopped && now.Sub(at) < freedFor
+		})
+	}
+	return notFreed[service]
 }
 
 // mayYield reports whether a task is a lasting one that leaves capacity to urgent tasks where it has another choice. The
@@ -212,20 +246,28 @@
 	}
 }
 
+// stopInterval is the least time between two searches for lasting tasks to stop. A search examines all runs and, for units
+// that wait, all workers; a cell decides some hundred times a second. It is a small part of the wait that callers accept.
+const stopInterval = 20 * time.Millisecond
+
 // stopForUrgent stops lasting tasks for urgent ones that have waited too long for a place here and find none in another
 // cell. It stops nothing until it is known what earlier leaders started, nor while the table is away: the ends of these
 // runs could not be recorded. It is called after all waiting tasks have been placed that fit.
 func (s *State) stopForUrgent(now time.Time, usable []*workers.Worker) {
-	if !s.keepsReserve() || !s.settled || s.phase != leading || s.evacuating() || !s.tableAvailable(now) {
+	if !s.keepsReserve() || !s.settled || s.phase != leading || s.evacuating() || now.Sub(s.urgentReserve.triedAt) < stopInterval || !s.tableAvailable(now) {
 		return
 	}
+	s.urgentReserve.triedAt = now
 	short := map[string]*jobs.Unit{}
 	for u := range s.waitingUnits {
-		if !s.urgent(u) || !s.lacksPlace(now, u, usable) {
+		if !s.urgent(u) {
 			continue
 		}
 		service := s.serviceOf(u.Job)
-		if before := short[service]; before == nil || u.ReadyAt.Before(before.ReadyAt) || (u.ReadyAt.Equal(before.ReadyAt) && u.Name() < before.Name()) {
+		if before := short[service]; before != nil && (u.ReadyAt.After(before.ReadyAt) || (u.ReadyAt.Equal(before.ReadyAt) && u.Name() > before.Name())) {
+			continue // before lacksPlace, which examines each worker
+		}
+		if s.lacksPlace(now, u, usable) {
 			short[service] = u
 		}
 	}
@@ -266,7 +308,7 @@
 	k := s.urgentReserve
 	size, wanted := k.demands[service].Size(), k.wanted[service]
 	if !u.Size.Fits(size) {
-		size, wanted = u.Size, len(u.Waiting(now))
+		size, wanted = u.Size, waitingTasks(now, u)
 	}
 	missing := wanted - s.gapsFree(usable, service, size, freeSoon)
 	if missing <= 0 || len(hosts) == 0 {
@@ -360,7 +402,7 @@
 	}
 	for u := range s.waitingUnits {
 		if u.Lasting() {
-			n += len(u.Waiting(now))
+			n += waitingTasks(now, u)
 		}
 	}
 	return n
