Limits of the reserve hold for successors, repeated stops and hopeless tasks

A successor stopped tasks while those that its predecessor had ordered to stop were still listed as running, so that more tasks of a step than may be away could be: it now stops none in its first 2 s. Stops that followed each other at a worker kept its free capacity from lasting tasks without a bound: the next stop there now comes 4 s later. Urgent tasks that fit on no worker or are hopeless took the reservations of lasting tasks, which then waited without end: they no longer count. Lasting tasks came last of their priority also while no urgent task waited. Each has a test that failed before.

--- a/pkg/process/cell/order.go
+++ b/pkg/process/cell/order.go
@@ -45,7 +45,7 @@
 		since = now.Add(-s.wall.Sub(j.DueAt(u.Time)))
 	}
 	c := rankedUnit{unit: u, Work: joborder.Work{Name: u.Name(), Priority: q.Priority, Due: since.Add(objective)}}
-	c.Yields = u.Lasting() && s.keepsReserve()
+	c.Yields = u.Lasting() && s.urgentWaits(s.serviceOf(j))
 	if !u.Lasting() && s.enabled(OrderByOutlook) {
 		c.Outlook = joborder.OutlookOf(now, since, objective, j.ChainFrom(u.Step))
 	}
--- a/pkg/process/cell/urgent_reserve.go
+++ b/pkg/process/cell/urgent_reserve.go
@@ -95,10 +95,10 @@
 	}
 	clear(k.runs)
 	clear(k.waiting)
-	maps.DeleteFunc(k.freedAt, func(_ *workers.Worker, at time.Time) bool { return now.Sub(at) >= freedFor })
+	maps.DeleteFunc(k.freedAt, func(_ *workers.Worker, at time.Time) bool { return now.Sub(at) >= nextStopAfter })
 	for u := range s.waitingUnits {
-		if !s.urgent(u) {
-			continue
+		if !s.urgent(u) || u.Outlook == jobs.Hopeless || !s.fitsEmptyWorker(u) {
+			continue // nothing is kept for what earns nothing, or can't start
 		}
 		if n := waitingTasks(now, u); n > 0 {
 			k.waiting[count(u, n)] += n
@@ -115,6 +115,14 @@
 	}
 }
 
+// fitsEmptyWorker reports whether a worker of this cell could take a task of a unit if nothing else ran there.
+func (s *State) fitsEmptyWorker(u *jobs.Unit) bool {
+	service := s.serviceOf(u.Job)
+	return slices.ContainsFunc(s.workersByID(), func(w *workers.Worker) bool {
+		return w.Service == service && w.HasLabel(u.Spec.GetLabel()) && u.Size.Fits(w.Capacity)
+	})
+}
+
 // waitingTasks returns how many tasks of a unit wait, without the list of them.
 func waitingTasks(now time.Time, u *jobs.Unit) int {
 	n := 0
@@ -174,6 +182,10 @@
 // to 0.9 s, and placement a few attempts. A lasting task must run within three seconds where there is capacity for it.
 const freedFor = 2 * time.Second
 
+// nextStopAfter is the least time between two stops at a worker: after freedFor, lasting tasks have as long to take what
+// urgent ones leave free.
+const nextStopAfter = 2 * freedFor
+
 // poolFor returns the usable workers for a unit: without those at which capacity is being freed for urgent tasks that still
 // wait, if it is lasting. Lasting tasks that have waited for long, which don't yield, would take parts of it. notFreed holds
 // the result by service for one placement.
@@ -250,11 +262,15 @@
 // that wait, all workers; a cell decides some hundred times a second. It is a small part of the wait that callers accept.
 const stopInterval = 20 * time.Millisecond
 
+// stopsAfter is how long a leader stops nothing after it has begun. Workers list a task as running while it is being stopped,
+// which takes up to 0.9 s, and its predecessor may have ordered stops until the worker heard of the new leader.
+const stopsAfter = 2 * time.Second
+
 // stopForUrgent stops lasting tasks for urgent ones that have waited too long for a place here and find none in another
 // cell. It stops nothing until it is known what earlier leaders started, nor while the table is away: the ends of these
 // runs could not be recorded. It is called after all waiting tasks have been placed that fit.
 func (s *State) stopForUrgent(now time.Time, usable []*workers.Worker) {
-	if !s.keepsReserve() || !s.settled || s.phase != leading || s.evacuating() || now.Sub(s.urgentReserve.triedAt) < stopInterval || !s.tableAvailable(now) {
+	if !s.keepsReserve() || !s.settled || s.phase != leading || s.evacuating() || now.Sub(s.gainedAt) < stopsAfter || now.Sub(s.urgentReserve.triedAt) < stopInterval || !s.tableAvailable(now) {
 		return
 	}
 	s.urgentReserve.triedAt = now
@@ -306,12 +322,16 @@
 		}
 	}
 	k := s.urgentReserve
-	size, wanted := k.demands[service].Size(), k.wanted[service]
+	demand := k.demands[service]
+	if demand == nil || len(hosts) == 0 {
+		return
+	}
+	size, wanted := demand.Size(), k.wanted[service]
 	if !u.Size.Fits(size) {
 		size, wanted = u.Size, waitingTasks(now, u)
 	}
 	missing := wanted - s.gapsFree(usable, service, size, freeSoon)
-	if missing <= 0 || len(hosts) == 0 {
+	if missing <= 0 {
 		return
 	}
 	runs, lasting := map[string]*jobs.Run{}, s.lastingTasks(now)
@@ -347,13 +367,16 @@
 }
 
 // lacksOnlyCapacity reports whether a unit could start at a worker if lasting tasks were stopped there, at which no run is
-// being stopped.
+// being stopped, nor was within nextStopAfter.
 func (s *State) lacksOnlyCapacity(now time.Time, u *jobs.Unit, service string, w *workers.Worker) bool {
 	switch s.placementBlocker(now, u, service, w) {
 	case blockedByCapacity, blockedByMemory:
 	default:
 		return false
 	}
+	if _, stopped := s.urgentReserve.freedAt[w]; stopped {
+		return false // observeUrgent removes the entry after nextStopAfter
+	}
 	if s.closedWorkers[w] || s.reservedForLasting[w] || len(w.OrphanedRuns) > 0 || s.quarantined(now, w) {
 		return false
 	}
--- a/pkg/process/cell/urgent_reserve_test.go
+++ b/pkg/process/cell/urgent_reserve_test.go
@@ -399,6 +399,24 @@
 	must.False(t, b.started[lasting+".0.0.0"])
 }
 
+// Guards against lasting tasks that come last though no urgent task waits.
+func TestLastingTaskKeepsItsPlaceInTheOrderWithoutUrgentTasks(t *testing.T) {
+	t.Parallel()
+	const running, lasting, later = "0000000000000001", "0000000000000002", "0000000000000003"
+	b := newEmptyCell()
+	b.keepReserve()
+	b.accept(running, "offers", &wire.StepSpec{Count: 16, Millicores: 26000, MemoryMb: 500, EstimateMs: 60_000})
+	b.steps(5)
+	b.accept(lasting, "offers", &wire.StepSpec{Count: 1, Millicores: 20000, MemoryMb: 500, Lasting: true})
+	b.steps(10)
+	b.accept(later, "offers", &wire.StepSpec{Count: 1, Millicores: 20000, MemoryMb: 500, EstimateMs: 800})
+	b.steps(1)
+	b.finish(running+".0.0.0", workers.EndedDone)
+	b.steps(2)
+	must.True(t, b.started[lasting+".0.0.0"])
+	must.False(t, b.started[later+".0.0.0"])
+}
+
 // newCellWithReservations returns a cell whose workers each run a lasting task and a short one, beside which 16 lasting tasks
 // have waited so long that a worker would be reserved for each.
 func newCellWithReservations() *testCell {
@@ -424,3 +442,81 @@
 	b.steps(5)
 	must.SliceNotEmpty(t, b.stops)
 }
+
+// Guards against lasting tasks that lose their reservations, and so wait without end, to urgent tasks that no worker can
+// take, or that nobody needs any more.
+func TestUrgentTasksThatCannotBeServedTakeNoReservations(t *testing.T) {
+	t.Parallel()
+	const more = "0000000000000003"
+	for name, millicores := range map[string]int64{"fits on no worker": 33000, "is hopeless": 31000} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newCellWithReservations()
+			b.acceptUrgent(urgentJob, 4, millicores)
+			b.steps(100)
+			b.accept(more, "offers", &wire.StepSpec{Count: 1, Millicores: 5000, MemoryMb: 500, EstimateMs: 60_000})
+			b.steps(1)
+			must.False(t, b.started[more+".0.0.0"])
+		})
+	}
+}
+
+// A stop that the leader before ordered may still go on after a takeover. Guards against stops of other tasks of the same
+// steps meanwhile, which together would be more than may be away.
+func TestSuccessorWaitsForTheStopsOfItsPredecessor(t *testing.T) {
+	t.Parallel()
+	b := newFullOfLasting()
+	b.acceptUrgent(urgentJob, 4, 7300)
+	b.steps(3)
+	must.SliceNotEmpty(t, b.stops)
+	jobs := []cell.LoadedJob{{Spec: &wire.JobSpec{
+		Id: urgentJob, Queue: "watches", Service: "quotes", Cell: "hall",
+		Steps: []*wire.StepSpec{{Count: 4, Millicores: 7300, MemoryMb: 500, EstimateMs: 3000}},
+	}}}
+	for i := range 8 {
+		jobs = append(jobs, cell.LoadedJob{Spec: &wire.JobSpec{
+			Id: fmt.Sprintf("%016x", i), Queue: "watches", Service: "quotes", Cell: "hall",
+			Steps: []*wire.StepSpec{{Count: 4, Millicores: 13000, MemoryMb: 1000, Lasting: true}},
+		}})
+	}
+	var ids []string
+	var members []*wire.RosterEntry
+	for i := range 16 {
+		id := fmt.Sprintf("w%02d", i)
+		ids, members = append(ids, id), append(members, &wire.RosterEntry{Id: id})
+	}
+	b.stops = nil
+	b.state.Take(b.now, cell.LeadershipLost{})
+	b.register(16)
+	b.state.Take(b.now, cell.LeadershipGained{Epoch: 2, LeasesEndAt: b.now.Add(3 * time.Second)})
+	b.state.Take(b.now, cell.Loaded{Epoch: 2, Members: members, Jobs: jobs, Fences: testFences(), Wall: b.now})
+	b.state.Take(b.now, cell.MembershipRecorded{IDs: ids})
+	b.steps(9)
+	must.True(t, b.state.Settled())
+	must.SliceEmpty(t, b.stops)
+	b.steps(15)
+	must.SliceNotEmpty(t, b.stops)
+}
+
+// Guards against a worker at which one stop follows another, so that its free capacity is kept from lasting tasks for longer
+// than the three seconds within which they must run where there is capacity for them.
+func TestNextStopIsAtAnotherWorker(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.keepReserve()
+	for i := range 16 {
+		b.accept(fmt.Sprintf("%016x", i), "watches", &wire.StepSpec{Count: 3, Millicores: 10000, MemoryMb: 500, Lasting: true, MayMiss: 3})
+	}
+	b.steps(50)
+	hosts := map[string]bool{}
+	for i := range 3 {
+		b.acceptUrgent(fmt.Sprintf("%016x", 0xe00+i), 1, 7300)
+		b.steps(4)
+		stopped := b.stoppedTasks()
+		must.Len(t, i+1, stopped)
+		hosts[b.workerOf[stopped[i]]] = true
+		b.finish(stopped[i], workers.EndedStopped)
+		b.steps(4)
+	}
+	must.MapLen(t, 3, hosts)
+}
--- a/pkg/process/joborder/joborder.go
+++ b/pkg/process/joborder/joborder.go
@@ -24,8 +24,8 @@
 	// Priority is that of the queue: 0 comes first.
 	Priority int
 	Outlook  jobs.Outlook
-	// Yields is set for lasting tasks in a cell that keeps capacity for urgent ones: they come after all other work of
-	// their priority that can still earn something.
+	// Yields is set for lasting tasks while urgent ones wait in a cell that keeps capacity for these: they come after all
+	// other work of their priority that can still earn something.
 	Yields bool
 	// WorkLeft is the work that the job's fillers have left, in millicore milliseconds, for fillers of a job that can
 	// still meet its objective under overload. It is 0 for all other work, which comes first.
