--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -140,7 +140,7 @@
 		if s.reservedForLasting[w] || w.Service != service || !w.HasLabel(u.Spec.GetLabel()) || !u.Size.Fits(w.Capacity.Minus(w.LastingReserved())) {
 			continue
 		}
-		if most := int(u.Spec.GetSpread()); most > 0 && w.TaskCount(u) >= most {
+		if spreadReached(u, w) {
 			continue
 		}
 		if best == nil || w.FreeCapacity().Millicores > best.FreeCapacity().Millicores {
--- a/pkg/process/cell/placement_blockers.go
+++ b/pkg/process/cell/placement_blockers.go
@@ -44,7 +44,7 @@
 		return blockedByBusyProcessors
 	case u.Spec.GetFiller() && s.fillerNetCost(u, w) > s.maxNetCost(now, u):
 		return blockedByFillerCost
-	case u.Spec.GetSpread() > 0 && w.TaskCount(u) >= int(u.Spec.GetSpread()):
+	case spreadReached(u, w):
 		return blockedBySpread
 	case s.quarantined(now, w): // after its time in quarantine, a worker gets a single run as a probe
 		return blockedByQuarantine
@@ -52,6 +52,12 @@
 	return notBlocked
 }
 
+// spreadReached reports whether a worker has as many tasks of a unit as its step's spread allows.
+func spreadReached(u *jobs.Unit, w *workers.Worker) bool {
+	most := int(u.Spec.GetSpread())
+	return most > 0 && w.TaskCount(u) >= most
+}
+
 // capacityBlocker returns blockedByMemory for a worker on which a task would fit but for its memory, else
 // blockedByCapacity.
 func capacityBlocker(u *jobs.Unit, w *workers.Worker) blocker {
--- a/pkg/process/cell/testcell_test.go
+++ b/pkg/process/cell/testcell_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
@@ -211,3 +214,36 @@
 	}
 	return fences
 }
+
+// crashNotes returns evidence of two crashes, one at each of the hosts, after which a task may only run isolated.
+func crashNotes(hosts ...string) []*wire.CrashNote {
+	var list []*wire.CrashNote
+	for i, host := range hosts {
+		list = append(list, &wire.CrashNote{Worker: host, Run: int64(i + 1), Host: host, Born: 1, Began: true, Company: 9, Lives: 1})
+	}
+	return list
+}
+
+// newCellWithOneFreeWorker returns a cell of which all workers but one are full of lasting tasks, and the id of that one.
+func newCellWithOneFreeWorker(t *testing.T) (b *testCell, free string) {
+	t.Helper()
+	b = newEmptyCell()
+	b.accept("00000000000000aa", "watches", &wire.StepSpec{Count: 15, Millicores: 32000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	for range 20 {
+		b.step(50 * time.Millisecond)
+	}
+	must.MapLen(t, 15, b.started)
+	taken := map[string]bool{}
+	for _, worker := range b.workerOf {
+		taken[worker] = true
+	}
+	for id, report := range b.reports {
+		if !taken[id] {
+			free = id
+		}
+		for i := range report.Active {
+			report.Active[i].Percent = 100
+		}
+	}
+	return b, free
+}
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -30,6 +30,8 @@
 	WaitIsolatedRun WaitReason = "isolated-run"
 	// WaitWorkerKept: the workers with capacity are reserved for isolated runs of other tasks.
 	WaitWorkerKept WaitReason = "worker-kept"
+	// WaitOtherHost: the workers with capacity are at hosts that crashed under the task, and other hosts are usable.
+	WaitOtherHost WaitReason = "other-host"
 	// WaitOrdersHeld: start orders are held back because unanswered orders fill the order window.
 	WaitOrdersHeld WaitReason = "orders-held"
 	// WaitWorkerNotUsable: the workers with capacity are not usable for new work yet.
@@ -132,6 +134,8 @@
 		return WaitWorkerKept, fits.free
 	case fits.free > 0 && fits.usable == 0:
 		return WaitWorkerNotUsable, fits.free
+	case fits.usable > 0 && fits.usable == fits.avoided:
+		return WaitOtherHost, fits.free
 	}
 	return s.undelegatedReason(now, t), fits.free
 }
@@ -150,17 +154,19 @@
 }
 
 // localFits counts how many tasks of one size fit into the free capacity of this cell's workers: of all listed
-// workers (free), of those usable for new work, and of those reserved for isolated runs (reserved).
-type localFits struct{ free, usable, reserved int64 }
+// workers (free), of those usable for new work, of those reserved for isolated runs (reserved), and of the usable ones at
+// hosts that the task avoids because they crashed under it (avoided).
+type localFits struct{ free, usable, reserved, avoided int64 }
 
-// fitsHere counts how many times a task fits into the free capacity of the workers that belong to its service and have
-// its label.
+// fitsHere counts how many times a task fits into the free capacity of the workers that belong to its service, have
+// its label, and have fewer tasks of its step than the step's spread allows.
 func (s *State) fitsHere(now time.Time, t *jobs.Task) localFits {
 	c := localFits{}
 	u, service := t.Unit, s.serviceOf(t.Unit.Job)
 	size := workers.ReservedSize(u)
+	usable := s.usableWorkers(now)
 	for _, w := range s.workersByID() {
-		if w.Ended || !w.Listed || w.Leaving || w.Service != service || !w.HasLabel(u.Spec.GetLabel()) || !size.Fits(w.FreeCapacity()) {
+		if w.Ended || !w.Listed || w.Leaving || w.Service != service || !w.HasLabel(u.Spec.GetLabel()) || !size.Fits(w.FreeCapacity()) || spreadReached(u, w) {
 			continue
 		}
 		n := max(1, w.FreeCapacity().Millicores/max(1, size.Millicores))
@@ -170,6 +176,9 @@
 			c.reserved += n
 		case s.usable(now, w):
 			c.usable += n
+			if t.NeedsSpecificWorker() && awaitsOtherHost(now, t, w, usable) {
+				c.avoided += n
+			}
 		}
 	}
 	return c
--- a/pkg/process/cell/wait_reasons_test.go
+++ b/pkg/process/cell/wait_reasons_test.go
@@ -66,3 +66,34 @@
 	}
 	must.Between(t, 1, len(b.waitReasons()), 18)
 }
+
+// Guards against a wait that the log attributes to missing capacity, while the workers with capacity are at hosts that
+// the task avoids.
+func TestLogNamesTheWaitForAnotherHost(t *testing.T) {
+	t.Parallel()
+	b, free := newCellWithOneFreeWorker(t)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashNotes(free, "gone")}},
+	}})
+	for range 45 {
+		b.step(100 * time.Millisecond)
+	}
+	must.SliceContains(t, b.waitReasons(), cell.WaitOtherHost)
+}
+
+// Capacity that the step's spread does not allow the task to use is no capacity for it.
+func TestLogCountsNoCapacityBeyondTheSpread(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept("00000000000000aa", "watches", &wire.StepSpec{Count: 17, Millicores: 6000, Lasting: true, Spread: 1, TailTargetMs: 100, Image: "s1"})
+	for range 30 {
+		b.step(50 * time.Millisecond)
+	}
+	must.SliceContains(t, b.waitReasons(), cell.WaitCapacity)
+	for _, n := range b.notes {
+		if n.Kind == cell.NoteLastingWaits {
+			must.Eq(t, 0, n.FitsHere)
+		}
+	}
+}
