--- /dev/null
+++ b/pkg/process/cell/waits_across_owners_test.go
@@ -0,0 +1,107 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// returnedTo reports whether the cell has recorded that it returns a task of the delegated job to its home cell.
+func (b *testCell) returnedTo(t *testing.T, home string) bool {
+	t.Helper()
+	found := false
+	b.eachPut(t, rows.ReturnKey(home, delegatedJob, "hall"), func(table.Row) { found = true })
+	return found
+}
+
+// Guards against a task that is returned in the instant in which its cell settles, although it fits there: it was passed on
+// for over two seconds more.
+func TestDelegatedTaskStartsWhereItFitsOnceItsCellSettles(t *testing.T) {
+	t.Parallel()
+	v := newTakeoverOf(5*time.Second, cell.LoadedJob{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 1000}},
+	}})
+	v.state.Take(v.now, cell.MembershipRecorded{IDs: []string{"reached", "cut-off"}})
+	started := false
+	for range 80 {
+		v.state.Take(v.now, loadWithCapacity("third"))
+		if _, started = v.runUntilStart(100 * time.Millisecond); started {
+			break
+		}
+	}
+	must.True(t, started)
+}
+
+// Guards against a wait for an isolated run that each cell begins anew: a task that has been without a run for longer than
+// the rule allows starts where it is, and is not moved once more.
+func TestOverdueTaskStartsWithoutIsolationInTheCellThatHoldsIt(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	for i := range 5 { // as many isolated runs as the cell allows at a time
+		b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+			Id: fmt.Sprintf("%016x", 1+i), Queue: "offers", Service: "quotes", Cell: "hall", Home: "home",
+			Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashNotes("a", "b")}},
+		}})
+	}
+	for range 40 {
+		b.step(50 * time.Millisecond)
+	}
+	must.MapLen(t, 5, b.started)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 4500, Crashes: crashNotes("a", "b")}},
+	}})
+	for range 24 {
+		b.state.Take(b.now, loadWithCapacity("third"))
+		b.step(50 * time.Millisecond)
+	}
+	must.True(t, b.started[delegatedJob+".0.0.0"])
+	must.False(t, b.returnedTo(t, "home"))
+}
+
+// Guards against a wait for a host that has not crashed under a task while only hosts that have crashed under it have
+// capacity: a lasting task waited for ten seconds there.
+func TestOverdueTaskStartsAtAHostThatCrashedUnderIt(t *testing.T) {
+	t.Parallel()
+	b, free := newCellWithOneFreeWorker(t)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashNotes(free, "gone")}},
+	}})
+	for range 45 {
+		b.step(100 * time.Millisecond)
+	}
+	must.SliceContains(t, b.waitReasons(), cell.WaitOtherHost)
+	for range 10 {
+		b.step(100 * time.Millisecond)
+	}
+	must.Eq(t, free, b.workerOf[delegatedJob+".0.0.0"])
+}
+
+// Guards against capacity beside an isolated run that other cells learn of too late to use it within three seconds.
+func TestLoadReportsCapacityBesideAnIsolatedRunSoonAfterItsStart(t *testing.T) {
+	t.Parallel()
+	b, _ := newCellWithOneFreeWorker(t)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "offers", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashNotes("a", "b")}},
+	}})
+	began := b.now
+	for !b.started[delegatedJob+".0.0.0"] && b.now.Sub(began) < 5*time.Second {
+		b.step(50 * time.Millisecond)
+	}
+	must.True(t, b.started[delegatedJob+".0.0.0"])
+	must.SliceEmpty(t, b.state.Load(b.now, false).GetLastingFreeEach())
+	for range 32 {
+		b.step(50 * time.Millisecond)
+	}
+	must.Eq(t, []int64{26000}, b.state.Load(b.now, false).GetLastingFreeEach())
+}
