A lasting task is not handed over while it can start where it is

Its cell settled at 28.566 s with room for it three times over, and returned it in that instant, since the wait before a return was long over and delegations are decided before placement. Its home cell then passed that cell over for 2.2 s.

A task that the next placement pass starts is neither returned nor delegated now.

--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -107,6 +107,7 @@
 		for _, t := range u.Waiting(now) {
 			waited := now.Sub(waitingSince(t))
 			switch {
+			case s.startsHere(now, t):
 			case u.Job.Delegated() && now.Sub(waitingHereSince(t)) >= s.unlessEvacuating(returnAfter):
 				s.returnTask(now, t)
 			case s.awaitsCrashOutcome(now, t) && t.Level() >= poisontask.NeedsIsolation:
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -178,6 +178,24 @@
 	return best
 }
 
+// startsHere reports whether the next placement pass starts a waiting lasting task: to hand it over would only prolong its
+// wait. It is false for a task that has conditions beyond a worker with capacity.
+func (s *State) startsHere(now time.Time, t *jobs.Task) bool {
+	if s.manifest == nil {
+		return false
+	}
+	_, needsTicket := s.ticketValidity(t.Unit)
+	ordersHeld := s.enabled(OrderWindow) && !s.startWindow.MaySend()
+	if needsTicket || ordersHeld || s.needsIsolation(t) || s.yieldsToUrgent(now, t) {
+		return false
+	}
+	service := s.serviceOf(t.Unit.Job)
+	pool := s.poolFor(now, t.Unit, s.usableWorkers(now), map[string][]*workers.Worker{})
+	return slices.ContainsFunc(pool, func(w *workers.Worker) bool {
+		return s.fits(now, t.Unit, service, w) && !(t.NeedsSpecificWorker() && awaitsOtherHost(now, t, w, pool))
+	})
+}
+
 // fits reports whether one more task of a unit may go to a worker.
 func (s *State) fits(now time.Time, u *jobs.Unit, service string, w *workers.Worker) bool {
 	return s.placementBlocker(now, u, service, w) == notBlocked
