A lasting task's wait for isolation is bounded over all cells

It was to run isolated; the bound of three seconds on that wait belonged to the cell, each cell returned the task after 1.5 to 2.3 s, and the next one began the wait anew: hall-1, hall-2, hall-1, hall-2, hall-1.

The time without a run goes with the task already.

--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -146,12 +146,15 @@
 // identified without one, too, and most suspects are not poisonous.
 const maxIsolatedWait = 3 * time.Second
 
-// waiveIsolation lets lasting tasks that have waited maxIsolatedWait for an isolated run start without isolation.
+// waiveIsolation lets lasting tasks that are overdue, or have waited maxIsolatedWait for an isolated run in this cell, start
+// without isolation.
 func (s *State) waiveIsolation(now time.Time) {
 	for _, t := range s.implicated {
 		switch {
 		case !t.Unit.Lasting() || t.Level() != poisontask.NeedsIsolation || !t.Waiting(now) || s.awaitsCrashOutcome(now, t):
 			t.IsolationWaived, t.IsolationWaitSince = false, time.Time{}
+		case overdue(now, t):
+			t.IsolationWaived = true
 		case t.IsolationWaitSince.IsZero():
 			t.IsolationWaitSince = now
 		case now.Sub(t.IsolationWaitSince) >= maxIsolatedWait:
--- /dev/null
+++ b/pkg/process/cell/overdue.go
@@ -0,0 +1,29 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+)
+
+// Bound on all waits of a lasting task together. Each wait for something better than a worker with capacity, such as an
+// isolated run, has a bound of its own, which begins anew when another cell takes the task. The time without a run goes with
+// the task, so this bound does not.
+
+// overdueAfter is the time without a run after which a lasting task starts at any worker that it fits on. By the
+// platform's rules it is late after six seconds; a handover and an order take up to one.
+const overdueAfter = 5 * time.Second
+
+// overdue reports whether a lasting task has been without a run for overdueAfter, over all cells that have held it.
+func overdue(now time.Time, t *jobs.Task) bool {
+	return t.Unit.Lasting() && now.Sub(withoutRunSince(t)) >= overdueAfter
+}
+
+// withoutRunSince returns since when a task is known to have had no run. A leader that does not know when the last run
+// ended counts from the time at which it found the task's unit ready.
+func withoutRunSince(t *jobs.Task) time.Time {
+	if t.WaitingSince.IsZero() {
+		return t.Unit.ReadyAt
+	}
+	return t.WaitingSince
+}
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -186,7 +186,7 @@
 	}
 	_, needsTicket := s.ticketValidity(t.Unit)
 	ordersHeld := s.enabled(OrderWindow) && !s.startWindow.MaySend()
-	if needsTicket || ordersHeld || s.needsIsolation(t) || s.yieldsToUrgent(now, t) {
+	if needsTicket || ordersHeld || (s.needsIsolation(t) && !overdue(now, t)) || s.yieldsToUrgent(now, t) {
 		return false
 	}
 	service := s.serviceOf(t.Unit.Job)
