An overdue lasting task no longer avoids hosts that crashed under it

From 56.1 to 58.0 s it might start without isolation, and fitted twice; it waited for a host that had not crashed under it, for up to ten seconds, although no such host had capacity (log: other-host).

That wait ends once the task has been without a run for five seconds.

--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -264,7 +264,7 @@
 // awaitsOtherHost reports whether a task should wait for a host that has not crashed under it, and not start at a given
 // worker: one more crash of the same host would be weak evidence, as the host itself may be at fault.
 func awaitsOtherHost(now time.Time, t *jobs.Task, w *workers.Worker, usable []*workers.Worker) bool {
-	return t.CrashedAt(w.Host) && currentWait(now, t) < otherHostWait(t) &&
+	return t.CrashedAt(w.Host) && !overdue(now, t) && currentWait(now, t) < otherHostWait(t) &&
 		slices.ContainsFunc(usable, func(other *workers.Worker) bool { return !t.CrashedAt(other.Host) })
 }
 
