--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -53,13 +53,10 @@
 	}
 }
 
-// shareIsolatedAfter is the age of an isolated run from which a lasting task may join its worker: most tasks that crash
-// their workers do so within a fraction of that, and lasting tasks are to use free capacity within three seconds.
-const shareIsolatedAfter = 2 * time.Second
-
 // mayJoinIsolated reports whether a unit of lasting tasks may start at a worker that is closed for an isolated run. The
 // unit must have waited for reserveAfter, or for maxIsolatedWait if it has a suspect, and any isolated run there must
-// be older than shareIsolatedAfter. To wait until that run exonerates its task would take longer.
+// be too old to count as company of a run that starts now. To wait until that run exonerates its task would take longer
+// than lasting tasks may leave free capacity unused.
 func (s *State) mayJoinIsolated(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
 	minWait := reserveAfter
 	if slices.ContainsFunc(u.Tasks, (*jobs.Task).Suspected) {
@@ -83,7 +80,7 @@
 // mayShareIsolated reports whether every isolated run at a worker is old enough for other tasks to join.
 func mayShareIsolated(w *workers.Worker) bool {
 	return !slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
-		return r.Isolated && minRunAge(r) < shareIsolatedAfter
+		return r.Isolated && !poisontask.LongRunning(minRunAge(r))
 	})
 }
 
