An overdue task is held only where it starts, and gets time for an isolated run

A task whose starts are refused for a reason other than capacity was judged to start at the next pass, again and again, and never handed over (134 orders in 20 s); at home it had been so before, since each refusal began the wait in the cell anew. An overdue task that awaits the outcome of a silent worker was neither started nor returned (6.45 s). And after a lost lease an overdue task had 1.3 s left, too little for an isolated run: it started beside young runs.

A refused start no longer begins the wait anew, and ends the hold; so does the wait for an outcome. Isolation is waived for an overdue task after 1.5 s in a cell.

TestTaskWhoseStartsAreRefusedIsHandedOver, TestOverdueTaskThatAwaitsACrash- OutcomeIsReturned and TestWaitBeforeAnOldHandoverDoesNotWaiveIsolationAtOnce failed before. TestOverdueTaskStartsInTimeAcrossATakeover stays red and is listed.

--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -107,7 +107,6 @@
 		for _, t := range u.Waiting(now) {
 			waited := now.Sub(waitingSince(t))
 			switch {
-			case s.startsHere(now, t):
 			case u.Job.Delegated() && now.Sub(waitingHereSince(t)) >= s.unlessEvacuating(returnAfter):
 				s.returnTask(now, t)
 			case s.awaitsCrashOutcome(now, t) && t.Level() >= poisontask.NeedsIsolation:
@@ -144,7 +143,7 @@
 	if name == "" && now.Sub(waitingSince(t)) >= s.unlessEvacuating(delegateToFreeCapacityAfter) {
 		name = s.peerToFreeCapacity(now, t.Unit, t.ReturnedAt)
 	}
-	if name == "" {
+	if name == "" || s.startsHere(now, t) {
 		return
 	}
 	o := s.peerLoads[name]
@@ -168,7 +167,7 @@
 func (s *State) returnTask(now time.Time, t *jobs.Task) {
 	j := t.Unit.Job
 	name := s.peerForTask(now, t.Unit, nil)
-	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 {
+	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 || s.startsHere(now, t) {
 		return
 	}
 	t.WaitedBeforeHandover = now.Sub(waitingSince(t))
--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -139,22 +139,28 @@
 	return t.Level() == poisontask.NeedsIsolation && !s.tooWideToIsolate(t.Unit) && !t.IsolationWaived
 }
 
-// maxIsolatedWait is how long a lasting task waits for an isolated run. It is short because a poisonous task is
-// identified without one, too, and most suspects are not poisonous.
-const maxIsolatedWait = 3 * time.Second
+const (
+	// maxIsolatedWait is how long a lasting task waits for an isolated run. It is short because a poisonous task is
+	// identified without one, too, and most suspects are not poisonous.
+	maxIsolatedWait = 3 * time.Second
+	// overdueIsolatedWait is the same for an overdue task: the time in which the runs at a worker become old enough for an
+	// isolated run, and the run is recorded.
+	overdueIsolatedWait = 1500 * time.Millisecond
+)
 
-// waiveIsolation lets lasting tasks that are overdue, or have waited maxIsolatedWait for an isolated run in this cell, start
-// without isolation.
+// waiveIsolation lets lasting tasks that have waited long enough for an isolated run start without isolation.
 func (s *State) waiveIsolation(now time.Time) {
 	for _, t := range s.implicated {
+		maxWait := maxIsolatedWait
+		if overdue(now, t) {
+			maxWait = overdueIsolatedWait
+		}
 		switch {
 		case !t.Unit.Lasting() || t.Level() != poisontask.NeedsIsolation || !t.Waiting(now) || s.awaitsCrashOutcome(now, t):
 			t.IsolationWaived, t.IsolationWaitSince = false, time.Time{}
-		case overdue(now, t):
-			t.IsolationWaived = true
 		case t.IsolationWaitSince.IsZero():
 			t.IsolationWaitSince = now
-		case now.Sub(t.IsolationWaitSince) >= maxIsolatedWait:
+		case now.Sub(t.IsolationWaitSince) >= maxWait:
 			t.IsolationWaived = true
 		}
 	}
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -189,7 +189,9 @@
 		w.Health.StartRefused(why, now)
 		s.noteQuarantined(w)
 	}
+	since := t.Unit.ReadyAt
 	s.updateWaiting(now, t.Unit.Job)
+	t.Unit.ReadyAt = since // nothing ran, so the wait goes on
 }
 
 // retryStart handles a start order without an answer: the run may have begun. The order is sent
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -179,14 +179,17 @@
 }
 
 // startsHere reports whether the next placement pass starts a waiting lasting task: to hand it over would only prolong its
-// wait. It is false for a task that has conditions beyond a worker with capacity.
+// wait. It is false for a task that has conditions beyond a worker with capacity, and after a start of it was refused here.
 func (s *State) startsHere(now time.Time, t *jobs.Task) bool {
-	if s.manifest == nil {
+	if s.manifest == nil || !t.Unit.Lasting() || t.RetryAt.After(waitingHereSince(t)) {
 		return false
 	}
 	_, needsTicket := s.ticketValidity(t.Unit)
 	ordersHeld := s.enabled(OrderWindow) && !s.startWindow.MaySend()
-	if needsTicket || ordersHeld || (s.needsIsolation(t) && !overdue(now, t)) || s.yieldsToUrgent(now, t) {
+	if needsTicket || ordersHeld || s.yieldsToUrgent(now, t) {
+		return false
+	}
+	if s.needsIsolation(t) && (!overdue(now, t) || s.awaitsCrashOutcome(now, t)) {
 		return false
 	}
 	service := s.serviceOf(t.Unit.Job)
