The return of one task does not prolong the wait of its siblings

A return restored the evidence of all tasks of its job, and with it, after a takeover, the wait for the outcome of a silent worker from then on: a lasting task beside free capacity stood for 30 s and longer while a sibling came back every 1.5 s. A silent run that is tracked keeps its time. The test failed before.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -251,9 +251,11 @@
 	}
 }
 
-// trackSilentRun tracks a run on a silent worker until it is known whether the worker crashed.
+// trackSilentRun tracks a run on a silent worker until it is known whether the worker crashed. A run that is tracked
+// already keeps its time: the evidence of all tasks of a job is restored again whenever one of them is returned.
 func (s *State) trackSilentRun(now, since time.Time, t *jobs.Task, c poisontask.Crash) {
-	if c.Silent {
+	tracked := slices.ContainsFunc(s.silentRuns, func(r silentRun) bool { return r.task == t && r.worker == c.Worker && r.run == c.Run })
+	if c.Silent && !tracked {
 		s.silentRuns = append(s.silentRuns, silentRun{task: t, run: c.Run, worker: c.Worker, host: c.Host, born: c.Born, at: now, since: since})
 	}
 }
