The age of a job is not handed over as the wait of its task

After a takeover the leader of a home cell does not know when a lasting task last ran, and handed over the time since the job was accepted: 3,600 s for a run that had ended 0.35 s before. The target cell took the task for overdue. It hands over what it has seen itself if the job has started.

--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -127,6 +127,15 @@
 	return t.WaitingSince
 }
 
+// waitBeforeHandover returns how long a task has been without a run, for the cell that takes it over. A leader that took
+// over a job that runs does not know when the task last ran: it counts what it has seen itself.
+func waitBeforeHandover(now time.Time, t *jobs.Task) time.Duration {
+	if t.Unit.Job.HasStarted {
+		return now.Sub(withoutRunSince(t))
+	}
+	return now.Sub(waitingSince(t))
+}
+
 // waitingHereSince returns since when a task has waited in this cell. Where that is not known, it is the time at which
 // this leader found the task's unit ready.
 func waitingHereSince(t *jobs.Task) time.Time {
@@ -150,7 +159,7 @@
 	o.delegatedLasting += size
 	s.peerLoads[name] = o
 	j := t.Unit.Job
-	t.WaitedBeforeHandover = now.Sub(waitingSince(t))
+	t.WaitedBeforeHandover = waitBeforeHandover(now, t)
 	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, t))
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
@@ -170,7 +179,7 @@
 	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 || s.startsHere(now, t) {
 		return
 	}
-	t.WaitedBeforeHandover = now.Sub(waitingSince(t))
+	t.WaitedBeforeHandover = waitBeforeHandover(now, t)
 	j.ReturnTask(t)
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -98,7 +98,7 @@
 		if mayHaveRunBefore(t) && !s.surelyOver(now, t) {
 			continue
 		}
-		t.WaitedBeforeHandover = now.Sub(waitingSince(t))
+		t.WaitedBeforeHandover = waitBeforeHandover(now, t)
 		u.Job.ReturnTask(t)
 		returned++
 	}
