A delegated gang waits in its cell before it is returned

The wait before a return was counted from the gang's last run, so a gang that had waited elsewhere was returned at its arrival, 50 ms later, while the record of its start was being written, and waited for a lease anew at home. It counts from the arrival, as for lasting tasks. The test failed before.

--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -43,7 +43,7 @@
 		return // the gang may be given up once it is known whether a silent worker crashed
 	}
 	if u.Job.Delegated() {
-		if now.Sub(waitingSince(first)) >= s.unlessEvacuating(returnAfter) {
+		if now.Sub(waitingHereSince(first)) >= s.unlessEvacuating(returnAfter) {
 			for _, t := range u.Tasks {
 				s.returnTask(now, t)
 			}
