Emulator: scripts hold workers that leave and join, and lasting jobs

Departures and joins are now kinds of faults (leave-worker, join-worker with a cell), the faults near leaders are injected as faults, the time for which a row stays is drawn from a stream, and lasting and urgent jobs and their cancels are recorded. Checks refuse faults of a worker before it joins, names used twice, unknown cells and a second departure.

--- a/pkg/emulator/fault_kinds.go
+++ b/pkg/emulator/fault_kinds.go
@@ -44,6 +44,10 @@
 	SpoilRow FaultKind = "spoil-row"
 	// EvacuateHall orders that no task starts at the workers of a hall, and withdraws the order after the duration.
 	EvacuateHall FaultKind = "evacuate-hall"
+	// LeaveWorker makes a worker leave for good, in the way How, a LeaveKind. It serves on for the duration.
+	LeaveWorker FaultKind = "leave-worker"
+	// JoinWorker adds a worker of a new name to a cell. The duration has no meaning.
+	JoinWorker FaultKind = "join-worker"
 )
 
 // Fault is a fault with its time, counted from the beginning of the day.
@@ -52,11 +56,13 @@
 	Kind FaultKind
 	// Target is the name of a host, a worker or a cell; it is empty for the table. Peer is the other end of a link. For
 	// is the duration.
-	Target string        `json:",omitempty"`
-	Peer   string        `json:",omitempty"`
-	For    time.Duration `json:",omitempty"`
-	// How is the number of quarters that ShrinkWorker removes, the index of the change that SpoilRow makes, or the
-	// index of the delays of LateWorker.
+	Target string `json:",omitempty"`
+	Peer   string `json:",omitempty"`
+	// Cell is the cell of a worker that joins.
+	Cell string        `json:",omitempty"`
+	For  time.Duration `json:",omitempty"`
+	// How is the number of quarters that ShrinkWorker removes, the index of the change that SpoilRow makes, the index
+	// of the delays of LateWorker, or the LeaveKind of LeaveWorker.
 	How int `json:",omitempty"`
 }
 
@@ -69,6 +75,12 @@
 	if f.Peer != "" {
 		text += " from " + f.Peer
 	}
+	switch f.Kind {
+	case LeaveWorker:
+		return fmt.Sprintf("%s (%s) after %s", text, LeaveKind(f.How), f.For)
+	case JoinWorker:
+		return text + " in " + f.Cell
+	}
 	if f.Kind == ShrinkWorker || f.Kind == SpoilRow || (f.Kind == LateWorker && f.How > 0) {
 		text += fmt.Sprintf(" by %d", f.How)
 	}
@@ -83,6 +95,8 @@
 	targetHost
 	targetWorker
 	targetCell
+	// targetNewWorker is a worker that the fault adds.
+	targetNewWorker
 )
 
 // faultSpec describes a kind of fault.
@@ -112,6 +126,8 @@
 	FailRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsFail, until) }},
 	ShrinkWorker: {targetWorker, quarters + 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).shrinkCapacity(int64(f.How), f.For) }},
 	EvacuateHall: {targetCell, 1, func(w *World, f Fault, _ time.Time) { w.orderEvacuation(f.Target, f.For) }},
+	LeaveWorker:  {targetWorker, leaveKinds, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).beginLeave(LeaveKind(f.How), f.For) }},
+	JoinWorker:   {targetNewWorker, 1, func(w *World, f Fault, _ time.Time) { w.addWorker(f.Target, f.Cell) }},
 	SpoilRow:     {targetWorker, len(spoilings), func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).startSpoilingRow(f.How, until) }},
 }
 
--- a/pkg/emulator/lasting_rule.go
+++ b/pkg/emulator/lasting_rule.go
@@ -43,10 +43,17 @@
 		spec := w.lastingJob(fmt.Sprintf("%016x", 0x1000+i))
 		step := spec.GetSteps()[0]
 		left -= int64(step.GetCount()) * step.GetMillicores()
-		w.after(w.between(time.Second, lastingSubmittedBy), func() { w.submit(spec, 0) })
-		w.after(w.plan.Trouble+lastingStaysAfterTrouble, func() { w.cancelUntilAccepted(spec.GetId()) })
+		w.scheduleJob(ScriptJob{At: w.between(time.Second, lastingSubmittedBy), Spec: JobSpec{spec}})
+		w.scheduleCancel(Cancel{At: w.plan.Trouble + lastingStaysAfterTrouble, Job: spec.GetId(), Surely: true})
+	}
+	w.scheduleLastingChecks()
+}
+
+// scheduleLastingChecks has the rule LOST checked for lasting tasks, on a day with lasting tasks that stay.
+func (w *World) scheduleLastingChecks() {
+	if w.plan.Lasting > 0 {
+		w.after(lastingCheckEvery, w.checker.watchLasting)
 	}
-	w.after(lastingCheckEvery, w.checker.watchLasting)
 }
 
 // lastingJob draws a job of one step of lasting tasks.
--- a/pkg/emulator/leaving.go
+++ b/pkg/emulator/leaving.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -24,6 +23,9 @@
 	LeaveUnannounced
 )
 
+// leaveKinds is the number of kinds.
+const leaveKinds = int(LeaveUnannounced) + 1
+
 func (l LeaveKind) String() string {
 	return [...]string{"released", "scaled in", "spot", "unsaid"}[l]
 }
@@ -123,27 +125,25 @@
 	if h == nil {
 		h = w.hosts[w.rand.IntN(len(w.hosts))]
 	}
-	kind := w.rand.IntN(8)
-	w.logf("FAULT %d of %s near %s for %s", kind, cell, h.name, span)
-	switch kind {
+	switch w.rand.IntN(8) {
 	case 0:
-		h.kill(span)
+		w.injectFault(Fault{Kind: KillHost, Target: h.name, For: span})
 	case 1:
 		w.cutLeader(cell, span)
 	case 2:
-		h.freeze(span)
+		w.injectFault(Fault{Kind: FreezeHost, Target: h.name, For: span})
 	case 3:
-		h.suspend(span)
+		w.injectFault(Fault{Kind: SuspendHost, Target: h.name, For: span})
 	case 4:
 		w.crashOneWorker()
 	case 5:
 		w.crashHalfOfWorkers()
 	case 6:
 		for _, each := range w.hosts {
-			each.kill(w.between(500*time.Millisecond, 1500*time.Millisecond))
+			w.injectFault(Fault{Kind: KillHost, Target: each.name, For: w.between(500*time.Millisecond, 1500*time.Millisecond)})
 		}
 	case 7:
-		w.table.downUntil = w.now.Add(span)
+		w.injectFault(Fault{Kind: TableDown, For: span})
 	}
 	if until := w.now.Add(span); until.After(w.troubleUntil) {
 		w.troubleUntil = until
@@ -166,29 +166,33 @@
 		return
 	}
 	k := stay[w.rand.IntN(len(stay))]
-	k.beginLeave(kind)
+	w.injectFault(Fault{Kind: LeaveWorker, Target: k.name, For: w.drawServiceTime(kind), How: int(kind)})
 	switch kind {
 	case LeaveSpot:
-		w.after(spotReplacementDelay, func() { w.startReplacement(k.Machine) })
+		w.after(spotReplacementDelay, func() { w.startReplacement(k.Hall) })
 	case LeaveReleased, LeaveUnannounced:
-		w.startReplacement(k.Machine)
+		w.startReplacement(k.Hall)
 	case LeaveScaledIn:
 	}
 	w.after(leaveInterval, func() { w.leaveOneByOne(kind, count-1) })
 }
 
-// startReplacement starts a worker on a new machine, after a random start-up time.
-func (w *World) startReplacement(m Machine) {
+// startReplacement has a worker join a cell after a random start-up time.
+func (w *World) startReplacement(cell string) {
 	w.after(w.between(minStartupTime, maxStartupTime), func() {
-		k := newWorker(w, fmt.Sprintf("worker-%d", len(w.workers)), m)
-		w.workers = append(w.workers, k)
-		w.logf("%s joins %s", k.id(), k.Hall)
+		w.injectFault(Fault{Kind: JoinWorker, Target: workerName(len(w.workers)), Cell: cell})
 	})
 }
 
-// beginLeave makes the worker leave. It serves until a random end, which may come after the drain time.
-func (k *worker) beginLeave(kind LeaveKind) {
-	w := k.world
+// addWorker adds a worker on a new machine.
+func (w *World) addWorker(name, cell string) {
+	k := newWorker(w, name, usualMachine(cell))
+	w.workers = append(w.workers, k)
+	w.logf("%s joins %s", k.id(), k.Hall)
+}
+
+// drawServiceTime draws how long a leaving worker serves on, which may be longer than the drain time.
+func (w *World) drawServiceTime(kind LeaveKind) time.Duration {
 	serves := drainTime + w.between(0, drainTimeSpread)
 	switch {
 	case kind == LeaveSpot:
@@ -196,6 +200,12 @@
 	case w.rand.IntN(6) == 0:
 		serves = w.between(drainTime, maxDrainTime)
 	}
+	return serves
+}
+
+// beginLeave makes the worker leave, and serve on for a time.
+func (k *worker) beginLeave(kind LeaveKind, serves time.Duration) {
+	w := k.world
 	k.leave.begunAt, k.leave.endsAt = w.now, w.now.Add(serves)
 	k.leave.unannounced = kind == LeaveUnannounced
 	w.logf("%s leaves (%s), and serves on for %s", k.id(), kind, serves)
@@ -211,7 +221,7 @@
 	k.leave.ended = true
 	if k.up {
 		w.logf("%s is gone", k.id())
-		k.leave.rowUntil = w.now.Add(w.between(0, maxRowRetention))
+		k.leave.rowUntil = w.now.Add(w.draws.between("row "+k.name, 0, maxRowRetention))
 		k.endIncarnation("gone")
 		k.failPendingCalls()
 	}
--- a/pkg/emulator/script.go
+++ b/pkg/emulator/script.go
@@ -21,8 +21,9 @@
 	Version int
 	// Plan configures the day. Its numbers of jobs, faults, hosts and workers are those that the day was generated
 	// from. Play ignores them and plays the lists below.
-	Plan    Plan
-	Hosts   []Node
+	Plan  Plan
+	Hosts []Node
+	// Workers are the workers at the beginning of the day. Faults of the kind JoinWorker add more.
 	Workers []Node
 	Jobs    []ScriptJob
 	Cancels []Cancel
@@ -61,14 +62,11 @@
 }
 
 // Record plays a day and returns its script, the world after the day, and the broken rules. It returns a BadInput error
-// for a day of a given load and for a day with leaving workers or lasting tasks that stay, which no script can hold.
+// for a day of a given load, which no script can hold.
 func Record(plan Plan) (*Script, *World, []string, error) {
 	if plan.Load != nil {
 		return nil, nil, nil, fault.New(fault.BadInput, "Plan.Load", "a day of a given load can't be recorded", "")
 	}
-	if plan.Lasting > 0 || plan.Leaving.Series > 0 {
-		return nil, nil, nil, fault.New(fault.BadInput, "Plan.Leaving", "a day of workers that leave can't be recorded", "play it by its seed")
-	}
 	w := seededWorld(plan, true)
 	w.script = &Script{Version: ScriptVersion, Plan: plan}
 	broken := w.playDrawn()
@@ -93,6 +91,7 @@
 	for _, c := range s.Cancels {
 		w.scheduleCancel(c)
 	}
+	w.scheduleLastingChecks()
 	for _, f := range s.Faults {
 		w.after(f.At, func() { w.injectFault(f) })
 	}
--- a/pkg/emulator/script_check.go
+++ b/pkg/emulator/script_check.go
@@ -34,8 +34,6 @@
 		return "Plan.Cells", fmt.Sprintf("%d is not from 1 to %d", p.Cells, maxCells)
 	case p.End <= 0 || p.End > maxDayLength:
 		return "Plan.End", fmt.Sprintf("%s is not a valid length of a day", p.End)
-	case p.Lasting > 0 || p.Leaving.Series > 0:
-		return "Plan.Leaving", "a day of workers that leave can't be recorded"
 	case p.LinkRate < 0:
 		return "Plan.LinkRate", fmt.Sprintf("%v is below 0", p.LinkRate)
 	}
@@ -70,8 +68,10 @@
 	return slices.ContainsFunc(s.Hosts, func(p Node) bool { return p.Name == name })
 }
 
+// hasWorker returns whether a worker of that name is there from the beginning of the day, or joins.
 func (s *Script) hasWorker(name string) bool {
-	return slices.ContainsFunc(s.Workers, func(p Node) bool { return p.Name == name })
+	return slices.ContainsFunc(s.Workers, func(p Node) bool { return p.Name == name }) ||
+		slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == JoinWorker && f.Target == name })
 }
 
 func (s *Script) hasJob(id string) bool {
@@ -145,15 +145,24 @@
 }
 
 func (s *Script) checkFaults() (field, problem string) {
+	left := map[string]bool{}
 	for i, f := range s.Faults {
-		if field, problem := s.checkFault(f); problem != "" {
+		field, problem := s.checkFault(f, i)
+		if problem == "" && f.Kind == LeaveWorker {
+			if left[f.Target] {
+				field, problem = "Target", quote(f.Target)+" leaves twice"
+			}
+			left[f.Target] = true
+		}
+		if problem != "" {
 			return fmt.Sprintf("Faults[%d].%s", i, field), problem
 		}
 	}
 	return "", ""
 }
 
-func (s *Script) checkFault(f Fault) (field, problem string) {
+// checkFault checks the fault f, which is the one of index i.
+func (s *Script) checkFault(f Fault, i int) (field, problem string) {
 	kind, ok := faultSpecs[f.Kind]
 	switch {
 	case !ok:
@@ -164,27 +173,67 @@
 		return "For", f.For.String() + " is below 0"
 	case f.How < 0 || f.How >= kind.variants:
 		return "How", fmt.Sprintf("%d is not valid for %s", f.How, f.Kind)
-	case !s.hasTarget(kind.target, f.Target):
-		return "Target", quote(f.Target) + " is not of the type that " + string(f.Kind) + " affects"
 	case f.Kind == CutLink && !s.isLinkEnd(f.Peer):
 		return "Peer", quote(f.Peer) + " is not an end of a link"
 	case f.Kind != CutLink && f.Peer != "":
 		return "Peer", string(f.Kind) + " takes no peer"
+	case f.Kind == JoinWorker && !s.hasCell(f.Cell):
+		return "Cell", quote(f.Cell) + " is not a cell"
+	case f.Kind != JoinWorker && f.Cell != "":
+		return "Cell", string(f.Kind) + " takes no cell"
+	}
+	if problem := s.checkTarget(kind.target, f, i); problem != "" {
+		return "Target", problem
+	}
+	if f.Kind == CutLink && s.joinsAfter(f.Peer, i) {
+		return "Peer", quote(f.Peer) + " joins later"
 	}
 	return "", ""
 }
 
-func (s *Script) hasTarget(kind targetType, name string) bool {
+// checkTarget checks the target of the fault f, which is the one of index i.
+func (s *Script) checkTarget(kind targetType, f Fault, i int) (problem string) {
+	has := false
 	switch kind {
+	case targetNewWorker:
+		return s.checkNewName(f.Target, i)
 	case targetHost:
-		return s.hasHost(name)
+		has = s.hasHost(f.Target)
 	case targetWorker:
-		return s.hasWorker(name)
+		if s.joinsAfter(f.Target, i) {
+			return quote(f.Target) + " joins later"
+		}
+		has = s.hasWorker(f.Target)
 	case targetCell:
-		return s.hasCell(name)
-	default:
-		return name == ""
+		has = s.hasCell(f.Target)
+	case targetTable:
+		has = f.Target == ""
+	}
+	if !has {
+		return quote(f.Target) + " is not of the type that " + string(f.Kind) + " affects"
+	}
+	return ""
+}
+
+// checkNewName checks the name of the worker that joins with the fault of index i.
+func (s *Script) checkNewName(name string, i int) (problem string) {
+	sameName := func(p Node) bool { return p.Name == name }
+	joinsBefore := slices.ContainsFunc(s.Faults[:i], func(f Fault) bool { return f.Kind == JoinWorker && f.Target == name })
+	if name == "" || name == "table" || joinsBefore || s.hasHost(name) || slices.ContainsFunc(s.Workers, sameName) {
+		return quote(name) + " is empty or used twice"
+	}
+	return ""
+}
+
+// joinsAfter returns whether a worker of that name joins after the fault of index i. Faults of the same time are
+// injected in the order of the list.
+func (s *Script) joinsAfter(name string, i int) bool {
+	join := slices.IndexFunc(s.Faults, func(f Fault) bool { return f.Kind == JoinWorker && f.Target == name })
+	if join < 0 {
+		return false
 	}
+	at, joinsAt := s.Faults[i].At, s.Faults[join].At
+	return joinsAt > at || (joinsAt == at && join > i)
 }
 
 // isLinkEnd returns whether a link may end at the table, host or worker of that name.
--- a/pkg/emulator/urgent_plans.go
+++ b/pkg/emulator/urgent_plans.go
@@ -61,7 +61,7 @@
 		for range w.plan.UrgentJobs {
 			spec := w.urgentJob(fmt.Sprintf("%016x", number))
 			number++
-			w.after(from+w.between(0, urgentWaveSpan), func() { w.submit(spec, 0) })
+			w.scheduleJob(ScriptJob{At: from + w.between(0, urgentWaveSpan), Spec: JobSpec{spec}})
 		}
 	}
 }
