Reduce: a worker's faults are dropped together with its join

A candidate without a join but with faults of that worker is invalid and was never played, and cutting nodes dropped the faults of joined workers and of evacuated halls, whose names are not in the lists of nodes.

Cutting faults drops those whose worker no longer joins; joined workers and evacuated halls count as targets that exist. A test of the function shows it.

--- a/pkg/emulator/reduce/reduce.go
+++ b/pkg/emulator/reduce/reduce.go
@@ -231,6 +231,7 @@
 	minimize(r.best.Faults, func(faults []emulator.Fault) bool {
 		s := *r.best
 		s.Faults = faults
+		dropFaultsWithoutTarget(&s)
 		return r.tryWithAlternatives("faults", &s)
 	})
 }
@@ -258,14 +259,20 @@
 	})
 }
 
-// dropFaultsWithoutTarget removes the faults whose host or worker is not in the script.
+// dropFaultsWithoutTarget removes the faults whose host or worker is not in the script and doesn't join.
 func dropFaultsWithoutTarget(s *emulator.Script) {
 	there := map[string]bool{"": true, "table": true}
 	for _, p := range slices.Concat(s.Hosts, s.Workers) {
 		there[p.Name] = true
 	}
+	for _, f := range s.Faults {
+		if f.Kind == emulator.JoinWorker {
+			there[f.Target] = true
+		}
+	}
 	s.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f emulator.Fault) bool {
-		return !there[f.Peer] || (f.Kind != emulator.CutCell && !there[f.Target])
+		ofCell := f.Kind == emulator.CutCell || f.Kind == emulator.EvacuateHall
+		return !there[f.Peer] || (!ofCell && !there[f.Target])
 	})
 }
 
