A task that waits for isolation is not handed over where it fits

It stays in a cell where it fits, as it starts there once the wait for isolation is over, and counts as overdue after four seconds, so that 1.5 s for an isolated run fit into the six that the rule allows.

--- a/pkg/process/cell/overdue.go
+++ b/pkg/process/cell/overdue.go
@@ -10,9 +10,9 @@
 // isolated run, has a bound of its own, which begins anew when another cell takes the task. The time without a run goes with
 // the task, so this bound does not.
 
-// overdueAfter is the time without a run after which a lasting task starts at any worker that it fits on. By the
-// platform's rules it is late after six seconds; a handover and an order take up to one.
-const overdueAfter = 5 * time.Second
+// overdueAfter is the time without a run after which a lasting task starts at any worker that it fits on, once it has had
+// overdueIsolatedWait for an isolated run if it needs one. By the platform's rules it is late after six seconds.
+const overdueAfter = 4 * time.Second
 
 // overdue reports whether a lasting task has been without a run for overdueAfter, over all cells that have held it.
 func overdue(now time.Time, t *jobs.Task) bool {
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -178,8 +178,9 @@
 	return best
 }
 
-// startsHere reports whether the next placement pass starts a waiting lasting task: to hand it over would only prolong its
-// wait. It is false for a task that has conditions beyond a worker with capacity, and after a start of it was refused here.
+// startsHere reports whether a waiting lasting task starts in this cell at the next placement pass, or once its wait for an
+// isolated run is over: to hand it over would only prolong its wait, and the next cell would begin the wait for isolation
+// anew. It is false for a task that has conditions beyond a worker with capacity, and after a start of it was refused here.
 func (s *State) startsHere(now time.Time, t *jobs.Task) bool {
 	if s.manifest == nil || !t.Unit.Lasting() || t.RetryAt.After(waitingHereSince(t)) {
 		return false
@@ -189,7 +190,7 @@
 	if needsTicket || ordersHeld || s.yieldsToUrgent(now, t) {
 		return false
 	}
-	if s.needsIsolation(t) && (!overdue(now, t) || s.awaitsCrashOutcome(now, t)) {
+	if s.needsIsolation(t) && s.awaitsCrashOutcome(now, t) {
 		return false
 	}
 	service := s.serviceOf(t.Unit.Job)
