Suspects of which one needs isolation do not start together at a worker

No number of crashes tells tasks apart that always start together.

A suspect starts at a worker only when each other suspect there is old enough to be no company, if one of the two needs isolation: 1.3 s apart.

--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -307,3 +307,14 @@
 func suspectScore(w *workers.Worker) float64 {
 	return float64(w.FreeCapacity().Millicores)/float64(max(1, w.Capacity.Millicores)) - otherSuspectPenalty*float64(suspectRuns(w))
 }
+
+// startsBesideSuspect reports whether a start of a suspect at a worker would be at about the same age as a run of another
+// one there, and one of the two needs isolation. If they start together each time, no number of crashes tells them apart.
+// Members of a gang have to start together.
+func startsBesideSuspect(t *jobs.Task, w *workers.Worker) bool {
+	return t.Suspected() && slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
+		sameGang := r.Task.Unit == t.Unit && t.Unit.Spec.GetGang()
+		strong := t.Level() == poisontask.NeedsIsolation || r.Task.Level() == poisontask.NeedsIsolation
+		return !sameGang && strong && r.Task.Suspected() && !poisontask.LongRunning(minRunAge(r))
+	})
+}
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -167,7 +167,7 @@
 	bestScore := 0.0
 	needsSpecific := t.NeedsSpecificWorker()
 	for _, w := range usable {
-		if !s.fits(now, t.Unit, service, w) || (needsSpecific && awaitsOtherHost(now, t, w, usable)) {
+		if !s.fits(now, t.Unit, service, w) || (needsSpecific && (awaitsOtherHost(now, t, w, usable) || startsBesideSuspect(t, w))) {
 			continue
 		}
 		score := s.score(t, w)
--- a/pkg/process/cell/start_records.go
+++ b/pkg/process/cell/start_records.go
@@ -63,7 +63,7 @@
 		return nil
 	}
 	for _, w := range usable {
-		if w.ID == t.StartAt.Worker && w.Born == t.StartAt.Born && s.fits(now, t.Unit, service, w) && !awaitsOtherHost(now, t, w, usable) {
+		if w.ID == t.StartAt.Worker && w.Born == t.StartAt.Born && s.fits(now, t.Unit, service, w) && !awaitsOtherHost(now, t, w, usable) && !startsBesideSuspect(t, w) {
 			return w
 		}
 	}
--- a/pkg/process/cell/waits_across_owners_test.go
+++ b/pkg/process/cell/waits_across_owners_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -107,3 +108,33 @@
 	}
 	must.Eq(t, []int64{26000}, b.state.Load(b.now, false).GetLastingFreeEach())
 }
+
+// Guards against suspects that start together each time, once both may start without isolation: five crashes gave up the
+// jobs of the harmless ones with that of the task that crashed its workers.
+func TestSuspectsWithoutIsolationStartOneAfterTheOther(t *testing.T) {
+	t.Parallel()
+	b, _ := newCellWithOneFreeWorker(t)
+	b.accept("00000000000000bb", "offers", &wire.StepSpec{Count: 1, Millicores: 32000, MemoryMb: 1000, EstimateMs: 60000})
+	b.step(100 * time.Millisecond)
+	must.MapLen(t, 16, b.started)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 2, Millicores: 6000, Lasting: true}},
+		Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 3500, Crashes: crashNotes("a", "b")}, {Index: 1, Lending: 1, WaitedMs: 3500, Crashes: crashNotes("a", "b")}},
+	}})
+	for range 40 {
+		b.step(50 * time.Millisecond)
+	}
+	must.MapLen(t, 16, b.started)
+	b.finish("00000000000000bb.0.0.0", workers.EndedDone)
+	starts := func() int { return len(b.started) - 16 }
+	for starts() == 0 {
+		b.step(50 * time.Millisecond)
+	}
+	first := b.now
+	must.Eq(t, 1, starts())
+	for starts() == 1 && b.now.Sub(first) < 3*time.Second {
+		b.step(50 * time.Millisecond)
+	}
+	must.Between(t, 1300*time.Millisecond, b.now.Sub(first), 2*time.Second)
+}
