--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -33,6 +33,8 @@
 //	ROW      a start order to a worker whose row is invalid, by a host that has read that
 //	LOST     an accepted job that has not ended when the day ends; a lasting task without a run for
 //	         long while there is capacity for it
+//	HELD     a task of an accepted job that for long neither runs nor is held by the leader that
+//	         has to start it, or that is held back for too long
 type checker struct {
 	world            *World
 	broken           []string
@@ -64,6 +66,7 @@
 	cancelWaits     map[string]cancelWait
 	cancelOverdueAt map[string]time.Time
 	watchedCancels  map[string]bool
+	held            heldRule
 }
 
 func newChecker(w *World) *checker {
@@ -73,7 +76,7 @@
 		crashes: map[string]int{}, startsAfterLimit: map[string]int{}, failures: map[string]map[int64]bool{}, maxFailures: map[string]int{},
 		acceptedAt: map[string]time.Time{}, lastEndAt: map[string]time.Time{}, lastingWaits: map[string]*lastingWait{},
 		cancelWaits: map[string]cancelWait{}, cancelOverdueAt: map[string]time.Time{}, watchedCancels: map[string]bool{},
-		brokenAt: map[string]time.Duration{},
+		brokenAt: map[string]time.Duration{}, held: newHeldRule(),
 	}
 }
 
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -5,7 +5,7 @@
 // random_streams.go the random draws; plans.go, script*.go and load.go the input of days; fault_schedule.go and fault_kinds.go the
 // faults; host.go, handover.go, effects.go, leader_messages.go, intake.go, contact.go and predecessors.go the hosts; table.go the table;
 // worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go and crash_tasks.go the workers; checker.go,
-// cancel_rule.go, lasting_rule.go and evacuations.go the rules.
+// cancel_rule.go, lasting_rule.go, held_rule.go and evacuations.go the rules.
 package emulator
 
 import (
@@ -89,6 +89,9 @@
 
 // run executes events in order of time until the day ends, and returns the broken rules.
 func (w *World) run() []string {
+	if w.plan.Load == nil {
+		w.after(heldCheckEvery, w.checker.watchHeld)
+	}
 	for len(w.events) > 0 {
 		e, ok := heap.Pop(&w.events).(*event)
 		if !ok || e.at.Sub(w.start) > w.plan.End {
--- /dev/null
+++ b/pkg/emulator/held_test.go
@@ -0,0 +1,63 @@
+package emulator_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/emulator"
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+)
+
+// Guards against a rule HELD that does not see a task in nobody's hands: with a safeguard switched off, some day breaks
+// the rule long before it ends, for the reason that the switch leads to.
+func TestHeldRuleSeesTasksThatNobodyHolds(t *testing.T) {
+	t.Parallel()
+	const most = 60
+	for _, c := range []struct {
+		name   string
+		unsafe cell.Unsafe
+		plan   func(seed uint64) emulator.Plan
+		says   []string
+	}{
+		{name: "returned task, home takes it for delegated", unsafe: cell.Unsafe{NoReports: true}, plan: emulator.SuspendsPlan, says: []string{"says delegated", "says returned"}},
+		{name: "done task, home takes it for delegated", unsafe: cell.Unsafe{NoReports: true}, plan: emulator.TwoCellPlan, says: []string{"says delegated", "says done"}},
+		{name: "task taken for running", unsafe: cell.Unsafe{NoLostRuns: true}, plan: emulator.TwoCellPlan, says: []string{"says running"}},
+		{name: "task not queued again", unsafe: cell.Unsafe{NoRequeue: true}, plan: emulator.TwoCellPlan, says: []string{"says not-queued"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(most) {
+				plan := c.plan(seed)
+				plan.Unsafe = c.unsafe
+				_, broken := emulator.Play(plan)
+				for _, each := range broken {
+					if strings.HasPrefix(each, "HELD: ") && containsAll(each, c.says) {
+						t.Logf("seed %d: %s", seed, each)
+						return
+					}
+				}
+			}
+			t.Errorf("none of %d days breaks HELD with %q", most, c.says)
+		})
+	}
+}
+
+func containsAll(text string, parts []string) bool {
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a rule that breaks on days that keep it, and against one that is not checked on days of a single cell.
+func TestHeldRuleIsKept(t *testing.T) {
+	t.Parallel()
+	for _, plan := range []emulator.Plan{emulator.DefaultPlan(1), emulator.SuspendsPlan(1), emulator.CancelsPlan(1), emulator.HandoverPlan(1)} {
+		_, broken := emulator.Play(plan)
+		must.SliceEmpty(t, broken)
+	}
+}
--- a/pkg/emulator/lasting_rule.go
+++ b/pkg/emulator/lasting_rule.go
@@ -159,7 +159,8 @@
 	return n
 }
 
-// impaired returns whether a fault is active. Workers that leave or join don't count as a fault.
+// impaired returns whether a fault is active. Workers that leave or join don't count as a fault, and neither do hosts that
+// were removed for good.
 func (w *World) impaired() bool {
 	t := w.table
 	if w.now.Before(t.downUntil) || w.now.Before(t.losesUntil) || w.now.Before(t.slowUntil) {
@@ -176,7 +177,7 @@
 		}
 	}
 	for _, h := range w.hosts {
-		if !h.up || w.now.Before(h.frozenUntil) {
+		if (!h.up && !h.removed()) || w.now.Before(h.frozenUntil) {
 			return true
 		}
 	}
--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -185,7 +185,7 @@
 // that are done, and a final failure, which fails the job.
 func (s *State) takeTasksReturned(now time.Time, r *wire.ReturnedTasks) {
 	j := s.jobs[r.GetId()]
-	if j == nil || s.phase != leading {
+	if j == nil || s.phase != leading || s.unsafe.NoReports {
 		return
 	}
 	if j.Ended() {
--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -64,6 +64,9 @@
 // known.
 func (s *State) loseRun(now time.Time, w *workers.Worker, r *jobs.Run, why string) {
 	t := r.Task
+	if s.unsafe.NoLostRuns {
+		return
+	}
 	if w != nil {
 		w.Remove(r)
 	}
@@ -73,7 +76,9 @@
 		Kind: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: r.Worker, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
 	})
-	s.updateWaiting(now, t.Unit.Job)
+	if !s.unsafe.NoRequeue {
+		s.updateWaiting(now, t.Unit.Job)
+	}
 }
 
 // lastAnswer returns when a worker whose runs are presumed over last answered: until then they went on for sure. It
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -97,6 +97,12 @@
 	NoEvacuation bool
 	// NoLateStops leaves runs going that the leader discovers only after their jobs have ended.
 	NoLateStops bool
+	// NoReports ignores what other cells report of the tasks delegated to them.
+	NoReports bool
+	// NoLostRuns takes runs for going on that have no worker any more.
+	NoLostRuns bool
+	// NoRequeue does not queue a task again whose run is presumed over.
+	NoRequeue bool
 }
 
 // State holds what a process knows of one cell, and takes the cell's decisions while the process leads it.
