--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -35,6 +35,8 @@
 //	         long while there is capacity for it
 //	HELD     a task of an accepted job that for long neither runs nor is held by the leader that
 //	         has to start it, or that is held back for too long
+//	IDLE     a job that for long has no run although a task of it could start and most of the
+//	         capacity is free
 type checker struct {
 	world            *World
 	broken           []string
@@ -213,6 +215,9 @@
 	if how == workers.EndedDone && !r.spec.GetLasting() {
 		c.done[r.task] = true
 	}
+	if how != workers.EndedDone && how != workers.EndedFailed && how != workers.EndedStopped {
+		c.held.lostRuns[r.task]++
+	}
 	if how == workers.EndedFailed {
 		c.countFailure(r)
 	}
--- a/pkg/emulator/held_rule.go
+++ b/pkg/emulator/held_rule.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -14,6 +15,10 @@
 // answers for it: the leader of the job's home cell, or that of the cell to which the home cell has delegated it. The
 // rule is checked at each interval, so that it finds a task that no leader would start long before the day ends. It
 // relies on what leaders say of their own tasks (cell.State.HoldingOf), and on the runs that the checker sees.
+//
+// The rule IDLE, on days with Plan.Idle: once the time of faults is over, no job without lasting tasks stays without a run for maxIdle while one
+// of its tasks could start and there is capacity for it twice over, with less than half of all capacity in use. A task
+// that a leader holds, but does not start, breaks this rule and not HELD.
 
 const (
 	// heldCheckEvery is the interval between checks of the rule.
@@ -24,9 +29,12 @@
 	maxUnheld = maxWaitForRun + longestLease
 	// longestLease bounds the leases that leaders grant, with the tenth that a successor adds.
 	longestLease = 5 * time.Second
-	// maxHeldBack is how long a leader may hold a task back: for its settlement, for a record or an outcome. The longest
-	// wait of a task for an outcome is 12 s, for that of a silent worker under a task that may crash its workers.
+	// maxHeldBack is how long a leader may hold a task back: for its settlement, for a record or a verdict. The longest of
+	// these is the wait for a verdict: 10 s for a silent worker, and then for the polls of the others.
 	maxHeldBack = maxWaitForRun + 12*time.Second
+	// maxIdle is how long a job may be idle. As for lasting tasks, there must have been no fault for calmBeforeCapacity
+	// before that.
+	maxIdle = 3 * time.Second
 )
 
 // heldWait is the checker's record of a task that nobody is seen to hold.
@@ -41,6 +49,13 @@
 	waits map[string]*heldWait
 	// leaders holds for each cell the leader at the last check, and since when it leads.
 	leaders map[string]leaderSince
+	// impairedAt is the last time at which a fault was active. idleSince is since when a job is idle, by its id.
+	impairedAt time.Time
+	idleSince  map[string]time.Time
+	// idleReported holds the jobs that have broken the rule IDLE, which are reported once.
+	idleReported map[string]bool
+	// lostRuns counts the runs of each task that ended with their worker or its lease.
+	lostRuns map[string]int
 }
 
 // leaderSince is a leader that has loaded its cell, and when it was first seen.
@@ -51,7 +66,7 @@
 }
 
 func newHeldRule() heldRule {
-	return heldRule{waits: map[string]*heldWait{}, leaders: map[string]leaderSince{}}
+	return heldRule{waits: map[string]*heldWait{}, leaders: map[string]leaderSince{}, idleSince: map[string]time.Time{}, idleReported: map[string]bool{}, lostRuns: map[string]int{}}
 }
 
 // watchHeld checks the rule for all tasks at each interval. A fault restarts the time of each task.
@@ -61,13 +76,19 @@
 	c.noteLeaders()
 	if w.impaired() {
 		clear(c.held.waits)
+		clear(c.held.idleSince)
+		c.held.impairedAt = w.now
 		return
 	}
+	mostlyFree := w.plan.Idle && w.mostlyFree()
 	for _, id := range slices.Sorted(maps.Keys(c.acceptedJobs)) {
 		if c.cancelAsked[id] || c.phases[id] >= wire.JobPhase_JOB_PHASE_COMPLETED {
 			continue
 		}
 		spec := w.jobs[id]
+		if w.plan.Idle {
+			c.checkIdle(id, spec, mostlyFree)
+		}
 		for occurrence := range max(1, int(spec.GetRepeats())) {
 			for step, each := range spec.GetSteps() {
 				for i := range int(each.GetCount()) {
@@ -150,3 +171,118 @@
 		return how, maxUnheld, held, leader.at
 	}
 }
+
+// checkIdle breaks the rule IDLE for a job that has been idle for too long.
+func (c *checker) checkIdle(id string, spec *wire.JobSpec, mostlyFree bool) {
+	w := c.world
+	task := ""
+	if mostlyFree && c.calm() && w.now.Sub(c.held.impairedAt) >= calmBeforeCapacity {
+		task = c.idleTask(id, spec)
+	}
+	since, known := c.held.idleSince[id]
+	switch {
+	case task == "":
+		delete(c.held.idleSince, id)
+	case !known:
+		c.held.idleSince[id] = w.now
+	case w.now.Sub(since) > maxIdle && !c.held.idleReported[id]:
+		c.held.idleReported[id] = true
+		how, _, _ := c.whoHolds(spec.GetCell(), task)
+		c.breakRule("IDLE", "%s could run and doesn't for %s, with most of the workers' capacity free; it needs %d in its step, %s: %s",
+			task, w.now.Sub(since), c.stepSpec(task).GetMillicores(), c.historyOf(task), how)
+	}
+}
+
+// historyOf describes what a task is and what became of its runs, which decides whether it may go to another cell.
+func (c *checker) historyOf(task string) string {
+	spec, kind := c.stepSpec(task), "plain"
+	switch {
+	case spec.GetGang():
+		kind = "gang"
+	case spec.GetFiller():
+		kind = "filler"
+	}
+	return fmt.Sprintf("%s, %d lost runs, %d failed, %s saved", kind, c.held.lostRuns[task], len(c.failed[task]), c.world.saved[task])
+}
+
+// idleTask returns a task of a job that could start and has capacity, if no task of the job runs; else "".
+func (c *checker) idleTask(id string, spec *wire.JobSpec) string {
+	w, found := c.world, ""
+	for occurrence := range max(1, int(spec.GetRepeats())) {
+		for step, each := range spec.GetSteps() {
+			for i := range int(each.GetCount()) {
+				task := taskName(id, occurrence, step, i)
+				if len(c.running[task]) > 0 || each.GetLasting() {
+					return ""
+				}
+				if found == "" && !c.unitDone(id, occurrence, step, i) && !w.now.Before(c.dueAt(id, occurrence)) && c.stepsBeforeDone(id, occurrence, each) && w.fitsTwice(task, each) {
+					found = task
+				}
+			}
+		}
+	}
+	return found
+}
+
+// stepsBeforeDone returns whether all tasks of the steps that a step depends on have ended well.
+func (c *checker) stepsBeforeDone(id string, occurrence int, spec *wire.StepSpec) bool {
+	for _, before := range spec.GetAfter() {
+		for i := range int(c.world.jobs[id].GetSteps()[before].GetCount()) {
+			if !c.unitDone(id, occurrence, int(before), i) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// fitsTwice returns whether there is capacity for two tasks of a step, or for twice its gang. The runs of fillers use
+// their capacity here, although they reserve none.
+func (w *World) fitsTwice(task string, spec *wire.StepSpec) bool {
+	fits, needed := int64(0), int64(requiredFit)
+	if spec.GetGang() {
+		needed *= int64(spec.GetCount())
+	}
+	for _, k := range w.workers {
+		if !k.takesNewWork() {
+			continue
+		}
+		n := fittingTasks(k.unused(), spec)
+		if most := int64(spec.GetSpread()); most > 0 {
+			n = min(n, most-k.runningOf(taskOf(task)))
+		}
+		fits += max(0, n)
+	}
+	return fits >= needed
+}
+
+// mostlyFree returns whether less than half of the capacity of the workers that take new work is in use.
+func (w *World) mostlyFree() bool {
+	total, unused := int64(0), int64(0)
+	for _, k := range w.workers {
+		if k.takesNewWork() {
+			total, unused = total+k.capacity().Millicores, unused+max(0, k.unused().Millicores)
+		}
+	}
+	return 2*unused > total
+}
+
+// takesNewWork returns whether the worker is up and stays, in a hall that is not evacuated.
+func (k *worker) takesNewWork() bool {
+	return k.up && !k.leave.isLeaving() && k.world.evacuations[k.Hall] == nil
+}
+
+// unused returns the capacity that the worker's runs leave, by what their steps ask for.
+func (k *worker) unused() ledger.Size {
+	left := k.capacity()
+	for _, r := range k.runs {
+		left = left.Minus(ledger.Size{Millicores: r.spec.GetMillicores(), MemoryMB: r.spec.GetMemoryMb()})
+	}
+	return left
+}
+
+// stepSpec returns the step of a task.
+func (c *checker) stepSpec(task string) *wire.StepSpec {
+	job, _, step := parseTaskName(task)
+	return c.world.jobs[job].GetSteps()[step]
+}
--- a/pkg/emulator/held_test.go
+++ b/pkg/emulator/held_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// Guards against a rule IDLE that does not see a job whose task could start and that no leader starts.
+func TestIdleRuleSeesJobsThatNobodyStarts(t *testing.T) {
+	t.Parallel()
+	const most = 60
+	for seed := range uint64(most) {
+		plan := emulator.TwoCellPlan(seed)
+		plan.Idle, plan.Unsafe = true, cell.Unsafe{NoRequeue: true}
+		_, broken := emulator.Play(plan)
+		if strings.Contains(strings.Join(broken, ";"), "IDLE: ") {
+			t.Logf("seed %d: %s", seed, broken[0])
+			return
+		}
+	}
+	t.Errorf("none of %d days breaks IDLE", most)
+}
+
 func containsAll(text string, parts []string) bool {
 	for _, part := range parts {
 		if !strings.Contains(text, part) {
@@ -53,10 +69,11 @@
 	return true
 }
 
-// Guards against a rule that breaks on days that keep it, and against one that is not checked on days of a single cell.
-func TestHeldRuleIsKept(t *testing.T) {
+// Guards against rules that break on days that keep them.
+func TestHeldAndIdleRulesAreKept(t *testing.T) {
 	t.Parallel()
 	for _, plan := range []emulator.Plan{emulator.DefaultPlan(1), emulator.SuspendsPlan(1), emulator.CancelsPlan(1), emulator.HandoverPlan(1)} {
+		plan.Idle = true
 		_, broken := emulator.Play(plan)
 		must.SliceEmpty(t, broken)
 	}
--- a/pkg/emulator/incarnations.go
+++ b/pkg/emulator/incarnations.go
@@ -89,7 +89,7 @@
 		w.after(w.draws.messageDelay(stream), func() { answer(none, workers.NotRefused, false) })
 		return
 	}
-	if w.plan.CrashTasks > 0 || w.plan.Resets || w.plan.Leaving.Series > 0 {
+	if w.plan.CrashTasks > 0 || w.plan.Resets || w.plan.Leaving.Series > 0 || w.plan.Leaving.WholeHall {
 		k.pendingCalls = append(k.pendingCalls, func() { answer(none, workers.NotRefused, false) })
 	}
 	delay := queued + w.draws.messageDelay(stream)
--- a/pkg/emulator/leaving.go
+++ b/pkg/emulator/leaving.go
@@ -39,6 +39,8 @@
 	// Before is the number of faults that are injected near each series: most in the seconds before, some in its first
 	// seconds.
 	Before int
+	// WholeHall means that all workers of one hall leave within a second, in one of the ways of Kinds, and are not replaced.
+	WholeHall bool
 }
 
 const (
@@ -78,6 +80,9 @@
 // scheduleLeaving schedules the plan's series of leaving workers.
 func (w *World) scheduleLeaving() {
 	l := w.plan.Leaving
+	if l.WholeHall {
+		w.scheduleLossOfHall()
+	}
 	if l.Series == 0 {
 		return
 	}
@@ -94,6 +99,18 @@
 	}
 }
 
+// scheduleLossOfHall schedules that all workers of a hall leave. It falls into the time of traffic, when cells have
+// delegated tasks to each other.
+func (w *World) scheduleLossOfHall() {
+	at := w.between(w.plan.Traffic/2, w.plan.Traffic)
+	hall, kind := w.cells[w.rand.IntN(len(w.cells))], w.plan.Leaving.Kinds[w.rand.IntN(len(w.plan.Leaving.Kinds))]
+	for _, k := range w.workers {
+		if k.Hall == hall {
+			w.after(at+w.between(0, leaveInterval), func() { k.beginLeave(kind) })
+		}
+	}
+}
+
 const (
 	// minFaultLead and maxFaultLead bound the time from a fault to the series that follows. maxFaultLag bounds the time
 	// from the beginning of a series to the faults in it.
--- a/pkg/emulator/leaving_plans.go
+++ b/pkg/emulator/leaving_plans.go
@@ -39,3 +39,13 @@
 	plan.Leaving.Series, plan.Leaving.Most, plan.Leaving.Least, plan.Leaving.Kinds = 2, 16, 12, []LeaveKind{LeaveReleased}
 	return plan
 }
+
+// LostHallPlan returns the plan of a day of three cells, one of which loses all its workers for good while it has tasks of
+// its own and of other cells. There are no other faults.
+func LostHallPlan(seed uint64) Plan {
+	plan := TwoCellPlan(seed)
+	plan.Cells, plan.Hosts, plan.Workers, plan.Jobs, plan.Faults = 3, 9, 15, 70, 0
+	plan.Idle = true
+	plan.Leaving = Leaving{WholeHall: true, Kinds: []LeaveKind{LeaveScaledIn, LeaveSpot, LeaveUnannounced}}
+	return plan
+}
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -72,6 +72,8 @@
 	// restarted, one after the other, while the table is slow at times.
 	ConfirmedHandover bool
 	Restarts          int
+	// Idle means that the rule IDLE is checked.
+	Idle bool
 	// UrgentWait is the setting urgentWait of all hosts. UrgentJobs is the number of urgent jobs in each of the waves that
 	// come beside the other jobs until Traffic.
 	UrgentWait time.Duration
--- a/pkg/emulator/script.go
+++ b/pkg/emulator/script.go
@@ -66,7 +66,7 @@
 	if plan.Load != nil {
 		return nil, nil, nil, fault.New(fault.BadInput, "Plan.Load", "a day of a given load can't be recorded", "")
 	}
-	if plan.Lasting > 0 || plan.Leaving.Series > 0 {
+	if plan.Lasting > 0 || plan.Leaving.Series > 0 || plan.Leaving.WholeHall {
 		return nil, nil, nil, fault.New(fault.BadInput, "Plan.Leaving", "a day of workers that leave can't be recorded", "play it by its seed")
 	}
 	w := seededWorld(plan, true)
--- a/pkg/emulator/script_check.go
+++ b/pkg/emulator/script_check.go
@@ -34,7 +34,7 @@
 		return "Plan.Cells", fmt.Sprintf("%d is not from 1 to %d", p.Cells, maxCells)
 	case p.End <= 0 || p.End > maxDayLength:
 		return "Plan.End", fmt.Sprintf("%s is not a valid length of a day", p.End)
-	case p.Lasting > 0 || p.Leaving.Series > 0:
+	case p.Lasting > 0 || p.Leaving.Series > 0 || p.Leaving.WholeHall:
 		return "Plan.Leaving", "a day of workers that leave can't be recorded"
 	case p.LinkRate < 0:
 		return "Plan.LinkRate", fmt.Sprintf("%v is below 0", p.LinkRate)
