--- a/pkg/emulator/held_test.go
+++ b/pkg/emulator/held_test.go
@@ -78,3 +78,11 @@
 		must.SliceEmpty(t, broken)
 	}
 }
+
+// Guards against short tasks that wait to the end of the day in a hall without workers while the other halls are mostly
+// free: tasks delegated there are not returned, and tasks with a checkpoint or a failed run are not delegated.
+func TestNoTaskStaysInHallThatLostItsWorkers(t *testing.T) {
+	t.Parallel()
+	const days = 4
+	playSomeDays(t, emulator.LostHallPlan, days)
+}
