Short tasks leave a hall that has lost its workers

A cell that has had no worker for five seconds hands over as an evacuated one does. Rows that lapse with the store are back within two seconds of its return.

--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -81,7 +81,7 @@
 	}
 	var units []*jobs.Unit
 	for u := range s.waitingUnits {
-		if (u.Lasting() && s.enabled(LendLasting)) || s.mayDelegateShort(u) || s.mayDelegateGang(u) || s.mustReturnShort(u) {
+		if (u.Lasting() && s.enabled(LendLasting)) || s.mayDelegateShort(now, u) || s.mayDelegateGang(u) || s.mustReturnShort(now, u) {
 			units = append(units, u)
 		}
 	}
@@ -96,7 +96,7 @@
 			s.delegateGang(now, u)
 			continue
 		}
-		if s.mustReturnShort(u) {
+		if s.mustReturnShort(now, u) {
 			s.returnShort(now, u)
 			continue
 		}
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -24,14 +24,14 @@
 
 // mayDelegateShort reports whether each task of a unit may run by itself in any cell. Lasting tasks, gangs, tasks that
 // require a label or rack, tasks whose starts need an advice ticket, and tasks delegated to this cell may not. A label or
-// rack does not keep a task in an evacuated hall.
-func (s *State) mayDelegateShort(u *jobs.Unit) bool {
+// rack does not keep a task in a hall that it has to leave.
+func (s *State) mayDelegateShort(now time.Time, u *jobs.Unit) bool {
 	if (u.Spec.GetFiller() && !s.enabled(LendFillers)) || (!u.Spec.GetFiller() && !s.enabled(LendPlain)) {
 		return false
 	}
 	_, advised := s.ticketValidity(u)
 	bound := u.Spec.GetLabel() != "" || u.Spec.GetRack() != ""
-	return !u.Lasting() && !u.Spec.GetGang() && (!bound || s.evacuating()) && !advised && !u.Job.Delegated()
+	return !u.Lasting() && !u.Spec.GetGang() && (!bound || s.mustLeave(now)) && !advised && !u.Job.Delegated()
 }
 
 // delegateUnheardAfter is how long a short task that may have run here waits before it is delegated. After the longest
@@ -52,7 +52,7 @@
 	}
 	var candidates []*jobs.Task
 	for _, t := range u.Waiting(now) {
-		if !mayHaveRunBefore(t) || s.lostLongAgo(now, t) || (s.evacuating() && s.surelyOver(now, t)) {
+		if !mayHaveRunBefore(t) || s.lostLongAgo(now, t) || (s.mustLeave(now) && s.surelyOver(now, t)) {
 			candidates = append(candidates, t)
 		}
 	}
@@ -95,8 +95,8 @@
 }
 
 // peerForShort returns the cell where most tasks of a unit could start at once, and how many may be delegated to it
-// on its last load message; "" and 0 if there is none. Out of an evacuated hall, all tasks may go to the least loaded
-// cell if they could start in none.
+// on its last load message; "" and 0 if there is none. Out of a hall that they have to leave, all tasks may go to the
+// least loaded cell if they could start in none.
 func (s *State) peerForShort(now time.Time, u *jobs.Unit) (best string, most int) {
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
@@ -107,7 +107,7 @@
 			best, most = name, delegable
 		}
 	}
-	if most > 0 || !s.evacuating() {
+	if most > 0 || !s.mustLeave(now) {
 		return best, most
 	}
 	if best = s.leastLoadedPeer(now, u); best != "" {
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -86,9 +86,9 @@
 }
 
 // mustReturnShort reports whether a unit has short tasks that another cell delegated here and that this cell has to
-// return, because its hall is evacuated. Gangs are returned by delegateGang.
-func (s *State) mustReturnShort(u *jobs.Unit) bool {
-	return s.evacuating() && u.Job.Delegated() && !u.Lasting() && !u.Spec.GetGang() && u.Job.Spec.GetHome() != ""
+// return, because they have to leave its hall. Gangs are returned by delegateGang.
+func (s *State) mustReturnShort(now time.Time, u *jobs.Unit) bool {
+	return s.mustLeave(now) && u.Job.Delegated() && !u.Lasting() && !u.Spec.GetGang() && u.Job.Spec.GetHome() != ""
 }
 
 // returnShort returns the waiting tasks of a unit to their home cell, except those that may still run here.
@@ -109,6 +109,6 @@
 	s.updateWaiting(now, u.Job)
 	s.note(Note{
 		Kind: NoteGivenBack, Job: u.Job.Spec.GetId(), Task: u.Name(), AgeMs: -1,
-		Detail: fmt.Sprintf("%d tasks to %s, since this hall is evacuated", returned, u.Job.Spec.GetHome()),
+		Detail: fmt.Sprintf("%d tasks to %s, since this hall is evacuated or has no workers", returned, u.Job.Spec.GetHome()),
 	})
 }
--- /dev/null
+++ b/pkg/process/cell/lost_hall_test.go
@@ -0,0 +1,62 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/table"
+	"github.com/wrenferry/wrenferry/pkg/wire"
+)
+
+// loseWorkers removes the registry rows of all workers and lets their leases expire, beside another cell that has
+// workers, none of them with free capacity.
+func (b *testCell) loseWorkers(span time.Duration) {
+	for id := range b.reports {
+		b.silent[id] = true
+	}
+	b.state.Take(b.now, cell.WorkersListed{})
+	other := &wire.CellLoad{Leading: true, Cell: "other", CapacityMillicores: 64000, Labels: []string{"gpu"}}
+	for until := b.now.Add(span); b.now.Before(until); {
+		b.state.Take(b.now, cell.PeerLoad{Load: other})
+		b.step(100 * time.Millisecond)
+	}
+}
+
+// Guards against short tasks that wait without end in a hall that has lost its workers: tasks with a failed run, bound to
+// a label, and fillers of an image of which other cells report no capacity.
+func TestShortTasksLeaveAHallWithoutWorkers(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept(delegatedJob, "offers",
+		&wire.StepSpec{Count: 1, Millicores: 3000, EstimateMs: 60_000},
+		&wire.StepSpec{Count: 1, Millicores: 3000, EstimateMs: 1000, Label: "gpu"},
+		&wire.StepSpec{Count: 1, Millicores: 3000, EstimateMs: 60_000, Filler: true, Image: "unknown"})
+	b.step(50 * time.Millisecond)
+	must.True(t, b.started[delegatedJob+".0.0.0"])
+	b.finish(delegatedJob+".0.0.0", workers.EndedFailed)
+	b.step(50 * time.Millisecond)
+	b.loseWorkers(4 * time.Second)
+	b.eachPut(t, rows.SpecKey("other", delegatedJob), func(table.Row) { t.Error("delegated before a lapsed row could return") })
+	b.loseWorkers(12 * time.Second)
+	delegated := &wire.JobSpec{}
+	b.eachPut(t, rows.SpecKey("other", delegatedJob), func(r table.Row) { must.NoError(t, rows.Read(r, delegated)) })
+	must.Len(t, 3, delegated.GetGuest())
+}
+
+// Guards against a short task of another cell that waits without end in a hall that has lost its workers.
+func TestDelegatedShortTaskIsReturnedFromAHallWithoutWorkers(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.loseWorkers(100 * time.Millisecond)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "offers", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 3000, EstimateMs: 1000}}, Guest: []*wire.TaskRef{{Lending: 1}},
+	}})
+	b.loseWorkers(12 * time.Second)
+	must.True(t, b.returnedTo(t, "home"))
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -244,6 +244,8 @@
 	mostlyFree bool
 	// reservedForLasting are the workers whose capacity is reserved for lasting tasks, as of the last placement.
 	reservedForLasting map[*workers.Worker]bool
+	// withoutWorkersSince is since when the cell has had no worker that could take work; zero: it has one.
+	withoutWorkersSince time.Time
 	// releasingSince is when this process began to hand the cell over, as of the phase releasing.
 	releasingSince time.Time
 	// urgentReserve is what this leadership knows of the capacity that it keeps for urgent tasks.
@@ -316,6 +318,7 @@
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
 	s.urgentReserve = newUrgentReserve()
 	s.forecasts = nil
+	s.withoutWorkersSince = time.Time{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
@@ -431,6 +434,7 @@
 	if s.phase == leading {
 		s.openDueOccurrences(now)
 		s.stopOnLeavingWorkers(now)
+		s.trackWorkers(now)
 		s.delegateWaiting(now)
 		s.paceFillers(now)
 		s.logLastingWaits(now)
--- a/pkg/process/cell/urgent_reserve.go
+++ b/pkg/process/cell/urgent_reserve.go
@@ -305,7 +305,7 @@
 	if slices.ContainsFunc(usable, func(w *workers.Worker) bool { return s.fits(now, u, service, w) }) {
 		return false
 	}
-	if !s.mayDelegateShort(u) {
+	if !s.mayDelegateShort(now, u) {
 		return true
 	}
 	name, _ := s.peerForShort(now, u)
