--- a/pkg/process/cell/refused_starts_test.go
+++ b/pkg/process/cell/refused_starts_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test"
 
+	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -76,3 +77,17 @@
 		}
 	}
 }
+
+// Guards against a task that stays for good in a cell whose workers do not answer its start orders: each order that never
+// began a run begins its wait anew, and the log has no line about it.
+func TestTaskWhoseStartsAreNotAnsweredIsHandedOver(t *testing.T) {
+	t.Parallel()
+	guest := &wire.JobSpec{Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home", Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 2100}}}
+	home := &wire.JobSpec{Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}}
+	for name, spec := range map[string]*wire.JobSpec{"delegated": guest, "home": home} {
+		lent := playUnstartable(t, spec, func(_ time.Time, e cell.SendStart) cell.StartAnswered {
+			return cell.StartAnswered{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Err: fault.New(fault.Unknown, "w", "no answer", ""), Bytes: e.Bytes}
+		})
+		test.SliceNotEmpty(t, lent, test.Sprint(name))
+	}
+}
