Short tasks leave a hall only for cells with workers large enough

The load message names the largest worker. A cell that returned a short task is also passed over for 2.2 s: 100 delegations in 10 s went to and fro on an old load message.

TestShortTasksStayWhereTheOnlyOther- CellCannotRunThem failed before.

--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -100,7 +100,7 @@
 func (s *State) peerForShort(now time.Time, u *jobs.Unit) (best string, most int) {
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
-		if name == s.name || !o.mayReceive(now) || !o.hasLabelFor(u) {
+		if name == s.name || !o.mayReceive(now) || !o.hasLabelFor(u) || returnedLately(now, u, name) {
 			continue
 		}
 		if delegable := o.delegableTasks(u); delegable > most {
@@ -116,6 +116,11 @@
 	return best, most
 }
 
+// returnedLately reports whether a cell returned a waiting task of a unit within returnBackoff.
+func returnedLately(now time.Time, u *jobs.Unit, name string) bool {
+	return slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return now.Sub(t.ReturnedAt[name]) < returnBackoff })
+}
+
 // delegableTasks returns how many more tasks of a unit may be delegated to the cell on its last load message.
 func (o peerLoad) delegableTasks(u *jobs.Unit) int {
 	size := max(1, u.Size.Millicores)
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -67,13 +67,19 @@
 	return now.Sub(since) >= delegateUnheardAfter && !s.awaitsCrashOutcome(now, t)
 }
 
+// tooSmallFor reports whether no worker of the cell is large enough for a task of a unit.
+func (o peerLoad) tooSmallFor(u *jobs.Unit) bool {
+	largest := o.load.GetWorker()
+	return largest.GetMillicores() > 0 && (largest.GetMillicores() < u.Size.Millicores || largest.GetMemoryMb() < u.Size.MemoryMB || largest.GetAccelerators() < u.Size.Accelerators)
+}
+
 // leastLoadedPeer returns the cell with the least short work for its capacity, among the cells in halls that are not
-// evacuated and that have the label of a unit; "" if there is none.
+// evacuated and that have the label of a unit and workers large enough for it; "" if there is none.
 func (s *State) leastLoadedPeer(now time.Time, u *jobs.Unit) string {
 	best, least := "", 0.0
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
-		if name == s.name || s.evacuatedCells[name] || !o.mayReceive(now) || !o.hasLabelFor(u) || o.load.GetCapacityMillicores() == 0 {
+		if name == s.name || s.evacuatedCells[name] || !o.mayReceive(now) || !o.hasLabelFor(u) || o.load.GetCapacityMillicores() == 0 || o.tooSmallFor(u) {
 			continue
 		}
 		const millis = 1000
