Short suspects don't keep a lasting one out, and its own reserved worker counts

A lasting task that may start without isolation never started beside short suspects of which one began each 0.6 s (17 s and longer), and was held in its cell: only lasting suspects are kept apart now. And a task was handed over while a worker was reserved for its own isolated run.

--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -308,13 +308,14 @@
 	return float64(w.FreeCapacity().Millicores)/float64(max(1, w.Capacity.Millicores)) - otherSuspectPenalty*float64(suspectRuns(w))
 }
 
-// startsBesideSuspect reports whether a start of a suspect at a worker would be at about the same age as a run of another
-// one there, and one of the two needs isolation. If they start together each time, no number of crashes tells them apart.
-// Members of a gang have to start together.
+// startsBesideSuspect reports whether a start of a lasting suspect at a worker would be at about the same age as a run of
+// another one there, and one of the two needs isolation. If they start together each time, no number of crashes tells them
+// apart. Members of a gang have to start together. Short suspects don't count: a stream of them would keep a lasting task
+// from its run, and those that need isolation start isolated.
 func startsBesideSuspect(t *jobs.Task, w *workers.Worker) bool {
-	return t.Suspected() && slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
+	return t.Suspected() && t.Unit.Lasting() && slices.ContainsFunc(w.Runs, func(r *jobs.Run) bool {
 		sameGang := r.Task.Unit == t.Unit && t.Unit.Spec.GetGang()
 		strong := t.Level() == poisontask.NeedsIsolation || r.Task.Level() == poisontask.NeedsIsolation
-		return !sameGang && strong && r.Task.Suspected() && !poisontask.LongRunning(minRunAge(r))
+		return !sameGang && strong && r.Task.Suspected() && r.Task.Unit.Lasting() && !poisontask.LongRunning(minRunAge(r))
 	})
 }
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -193,6 +193,9 @@
 	if s.needsIsolation(t) && s.awaitsCrashOutcome(now, t) {
 		return false
 	}
+	if _, reserved := s.isolationReservations[t]; reserved {
+		return true
+	}
 	service := s.serviceOf(t.Unit.Job)
 	pool := s.poolFor(now, t.Unit, s.usableWorkers(now), map[string][]*workers.Worker{})
 	return slices.ContainsFunc(pool, func(w *workers.Worker) bool {
