--- a/pkg/process/cell/lost_hall.go
+++ b/pkg/process/cell/lost_hall.go
@@ -18,8 +18,8 @@
 	}
 }
 
-// withoutWorkers reports whether the cell has had no worker for delegateUnheardAfter, the longest lease. Rows that lapse with the store are
-// back within two seconds of its return, and no lease of a worker that left is still valid then.
+// withoutWorkers reports whether the cell has had no worker for delegateUnheardAfter, the longest lease. Rows that lapse
+// with the store are back within two seconds of its return, and no lease of a worker that left is still valid then.
 func (s *State) withoutWorkers(now time.Time) bool {
 	return !s.withoutWorkersSince.IsZero() && now.Sub(s.withoutWorkersSince) >= delegateUnheardAfter
 }
