A handover is put off for 0.3 s only, and the wait of a job that began here is known

A handover is put off for at most 0.3 s, and for the wait for isolation beside that. TestTaskIsDelegatedFromACellWhereOthersTakeEachFreePlace failed before. The wait that is handed over is cut to what the leader has seen only for jobs accepted before its leadership: others have their acceptance as a bound.

--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -129,8 +129,8 @@
 
 // waitBeforeHandover returns how long a task has been without a run, for the cell that takes it over. A leader that took
 // over a job that runs does not know when the task last ran: it counts what it has seen itself.
-func waitBeforeHandover(now time.Time, t *jobs.Task) time.Duration {
-	if t.Unit.Job.HasStarted {
+func (s *State) waitBeforeHandover(now time.Time, t *jobs.Task) time.Duration {
+	if t.Unit.Job.HasStarted && t.Unit.Job.AcceptedAt.Before(s.gainedAt) {
 		return now.Sub(withoutRunSince(t))
 	}
 	return now.Sub(waitingSince(t))
@@ -152,14 +152,14 @@
 	if name == "" && now.Sub(waitingSince(t)) >= s.unlessEvacuating(delegateToFreeCapacityAfter) {
 		name = s.peerToFreeCapacity(now, t.Unit, t.ReturnedAt)
 	}
-	if name == "" || s.startsHere(now, t) {
+	if name == "" || s.holdHere(now, t) {
 		return
 	}
 	o := s.peerLoads[name]
 	o.delegatedLasting += size
 	s.peerLoads[name] = o
 	j := t.Unit.Job
-	t.WaitedBeforeHandover = waitBeforeHandover(now, t)
+	t.WaitedBeforeHandover = s.waitBeforeHandover(now, t)
 	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, t))
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
@@ -176,10 +176,10 @@
 func (s *State) returnTask(now time.Time, t *jobs.Task) {
 	j := t.Unit.Job
 	name := s.peerForTask(now, t.Unit, nil)
-	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 || s.startsHere(now, t) {
+	if name == "" || j.Spec.GetHome() == "" || len(t.Runs) > 0 || s.holdHere(now, t) {
 		return
 	}
-	t.WaitedBeforeHandover = waitBeforeHandover(now, t)
+	t.WaitedBeforeHandover = s.waitBeforeHandover(now, t)
 	j.ReturnTask(t)
 	s.markDirty(j, true)
 	s.updateWaiting(now, j)
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -104,7 +104,7 @@
 		if mayHaveRunBefore(t) && !s.surelyOver(now, t) {
 			continue
 		}
-		t.WaitedBeforeHandover = waitBeforeHandover(now, t)
+		t.WaitedBeforeHandover = s.waitBeforeHandover(now, t)
 		u.Job.ReturnTask(t)
 		returned++
 	}
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/poisontask"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
 )
@@ -178,10 +179,29 @@
 	return best
 }
 
-// startsHere reports whether a waiting lasting task starts in this cell at the next placement pass, or once its wait for an
-// isolated run is over: to hand it over would only prolong its wait, and the next cell would begin the wait for isolation
+// maxHold is how long a handover is put off because a task can start in this cell. In a full cell, tasks that are placed
+// before it may take each place that becomes free.
+const maxHold = 300 * time.Millisecond
+
+// holdHere reports whether the handover of a waiting lasting task is put off because the task can start in this cell.
+func (s *State) holdHere(now time.Time, t *jobs.Task) bool {
+	if !s.canStartHere(now, t) {
+		return false
+	}
+	if !t.HeldSince.After(waitingHereSince(t)) {
+		t.HeldSince = now
+	}
+	longest := maxHold
+	if t.Level() == poisontask.NeedsIsolation {
+		longest += maxIsolatedWait
+	}
+	return now.Sub(t.HeldSince) < longest
+}
+
+// canStartHere reports whether a waiting lasting task can start in this cell at the next placement pass, or once its wait for
+// an isolated run is over: to hand it over would only prolong its wait, and the next cell would begin the wait for isolation
 // anew. It is false for a task that has conditions beyond a worker with capacity, and after a start of it was refused here.
-func (s *State) startsHere(now time.Time, t *jobs.Task) bool {
+func (s *State) canStartHere(now time.Time, t *jobs.Task) bool {
 	if s.manifest == nil || !t.Unit.Lasting() || t.RetryAt.After(waitingHereSince(t)) {
 		return false
 	}
--- a/pkg/process/cell/waits_across_owners_test.go
+++ b/pkg/process/cell/waits_across_owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,3 +143,27 @@
 	}
 	must.Between(t, 1300*time.Millisecond, b.now.Sub(first), 2*time.Second)
 }
+
+// Guards against a lasting task that is kept in a full cell because a place is free whenever its handover is decided, while
+// tasks that are placed before it take each of them.
+func TestTaskIsDelegatedFromACellWhereOthersTakeEachFreePlace(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept("00000000000000bb", "watches", &wire.StepSpec{Count: 2000, Millicores: 32000, MemoryMb: 1000, EstimateMs: 1000})
+	b.step(50 * time.Millisecond)
+	b.accept(delegatedJob, "offers", &wire.StepSpec{Count: 1, Millicores: 6000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	delegated, done := false, map[string]bool{}
+	for i := range 60 {
+		for task := range b.started {
+			firstHalf := b.workerOf[task] < "w08"
+			if !done[task] && !strings.HasPrefix(task, delegatedJob) && firstHalf == (i%2 == 0) {
+				done[task] = true
+				b.finish(task, workers.EndedDone)
+			}
+		}
+		b.state.Take(b.now, loadWithCapacity("third"))
+		b.step(50 * time.Millisecond)
+		b.eachPut(t, rows.SpecKey("third", delegatedJob), func(table.Row) { delegated = true })
+	}
+	must.True(t, delegated)
+}
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -124,6 +124,9 @@
 	// task had been without a run when it was last handed over to another cell.
 	InCellSince          time.Time
 	WaitedBeforeHandover time.Duration
+	// HeldSince is the time at which a handover of the task was first put off because it can start in this cell. A time
+	// before the present wait in this cell has no meaning.
+	HeldSince time.Time
 
 	name string
 }
