--- a/pkg/process/cell/lasting_suspects_test.go
+++ b/pkg/process/cell/lasting_suspects_test.go
@@ -25,8 +25,8 @@
 	return spec
 }
 
-// Guards against a lasting task that never starts, nor leaves, beside short suspects of which one starts each 0.6 s at the only
-// worker with capacity, which keeps 20 free processors.
+// Guards against a lasting task that never starts, nor leaves, beside short suspects of which one after the other starts at
+// the only worker with capacity.
 func TestLastingSuspectIsNotKeptOutByShortSuspects(t *testing.T) {
 	t.Parallel()
 	for name, elsewhere := range map[string]bool{"no capacity elsewhere": false, "capacity elsewhere": true} {
@@ -74,7 +74,7 @@
 	}
 }
 
-// Guards against suspects of which the last starts late beside free capacity: they start 1.5 s apart.
+// Guards against suspects of which the last starts late beside free capacity, as they start one after the other.
 func TestSuspectsAtOneWorkerAllStartInTime(t *testing.T) {
 	t.Parallel()
 	b, _ := newCellWithOneFreeWorker(t)
--- a/pkg/process/cell/lost_hall_test.go
+++ b/pkg/process/cell/lost_hall_test.go
@@ -63,7 +63,7 @@
 	must.True(t, b.returnedTo(t, "home"))
 }
 
-// Guards against short tasks that leave a hall whose workers are away for 7 s for a cell whose workers are too small for them.
+// Guards against short tasks that leave a hall, whose workers come back, for a cell whose workers are too small for them.
 func TestShortTasksStayWhereTheOnlyOtherCellCannotRunThem(t *testing.T) {
 	t.Parallel()
 	b := newEmptyCell()
