Log names the worker that a lasting task waits for

A task that is held back until a member answers, or for which the only worker with capacity is kept for an isolated run, left a line without either: waits that follow each other could not be told apart. lasting-task-waits gets worker, left_ms and kept_for.

--- a/pkg/cli/logs.go
+++ b/pkg/cli/logs.go
@@ -49,6 +49,9 @@
 	Reason        string `json:"reason,omitempty"`
 	FitsHere      int64  `json:"fits_here,omitempty"`
 	FitsElsewhere int64  `json:"fits_elsewhere,omitempty"`
+	// LeftMs is how much longer the task may wait for Worker, and KeptFor the task for which that worker is kept.
+	LeftMs  int64  `json:"left_ms,omitempty"`
+	KeptFor string `json:"kept_for,omitempty"`
 }
 
 // cellEventPrefix is the prefix of events about a cell as a whole. They concern each of
@@ -168,6 +171,8 @@
 	add(l.Detail != "", "%s", l.Detail)
 	add(l.Why != "", "%s", l.Why)
 	add(l.Reason != "", "%s; fits %d times here, %d elsewhere", l.Reason, l.FitsHere, l.FitsElsewhere)
+	add(l.LeftMs != 0, "for %d ms more", l.LeftMs)
+	add(l.KeptFor != "", "kept for %s", l.KeptFor)
 	add(l.Status != 0, "status %d", l.Status)
 	add(l.Lines != 0, "%d lines are missing here", l.Lines)
 	if l.AgeMs != nil {
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -90,7 +90,14 @@
 	if n.Reason == "" {
 		return n.Detail
 	}
-	return fmt.Sprintf("%s; fits %d times here, %d elsewhere", n.Reason, n.FitsHere, n.FitsElsewhere)
+	text := fmt.Sprintf("%s; fits %d times here, %d elsewhere", n.Reason, n.FitsHere, n.FitsElsewhere)
+	if n.Left > 0 {
+		text += fmt.Sprintf("; %s left", n.Left)
+	}
+	if n.KeptFor != "" {
+		text += "; kept for " + n.KeptFor
+	}
+	return text
 }
 
 // loggedNotes are the kinds of notes that the day's log holds.
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -77,8 +77,9 @@
 				return
 			}
 			reason, here := s.waitReason(now, t)
+			worker, left, keptFor := s.waitsForWorker(now, t, reason)
 			s.note(Note{
-				Kind: NoteLastingWaits, Job: id, Task: t.Name(), AgeMs: waited.Milliseconds(), Reason: reason,
+				Kind: NoteLastingWaits, Job: id, Task: t.Name(), AgeMs: waited.Milliseconds(), Reason: reason, Worker: worker, Left: left, KeptFor: keptFor,
 				FitsHere: here, FitsElsewhere: max(0, s.fitsElsewhere(now, t.Unit)),
 			})
 		}
@@ -140,6 +141,36 @@
 	return s.undelegatedReason(now, t), fits.free
 }
 
+// waitsForWorker returns the worker that a task waits for, how much longer that may take, and the task for whose isolated
+// run the worker is kept. It returns "" if the reason names no single worker.
+func (s *State) waitsForWorker(now time.Time, t *jobs.Task, reason WaitReason) (worker string, left time.Duration, keptFor string) {
+	switch reason {
+	case WaitUnsettled:
+		for _, id := range slices.Sorted(maps.Keys(s.awaitedMembers)) {
+			w := s.workers[id]
+			if w == nil || w.HasAnswered || s.earlierRunsOver(now, w) || (w.RunsKnown && !slices.Contains(w.MayRun, t.Name())) {
+				continue
+			}
+			if lease := max(0, s.lastLeaseEndAt(id).Sub(now)); worker == "" || lease > left {
+				worker, left = id, lease
+			}
+		}
+	case WaitWorkerKept:
+		for _, other := range s.implicated {
+			reservation, reserved := s.isolationReservations[other]
+			switch {
+			case reserved:
+				return reservation.worker.ID, max(0, reservation.since.Add(maxReservation).Sub(now)), other.Name()
+			case slices.ContainsFunc(other.Runs, func(r *jobs.Run) bool { return r.Isolated }):
+				worker, keptFor = other.Runs[0].Worker, other.Name()
+			}
+		}
+	default:
+		// The wait is for capacity or for a decision.
+	}
+	return worker, left, keptFor
+}
+
 // undelegatedReason returns why a task for which this cell has no capacity is not delegated to another cell.
 func (s *State) undelegatedReason(now time.Time, t *jobs.Task) WaitReason {
 	switch {
--- a/pkg/process/cell/wait_reasons_test.go
+++ b/pkg/process/cell/wait_reasons_test.go
@@ -97,3 +97,46 @@
 		}
 	}
 }
+
+// lastWaitFor returns the newest log line with a given reason on the wait of a lasting task.
+func (b *testCell) lastWaitFor(reason cell.WaitReason) cell.Note {
+	last := cell.Note{}
+	for _, n := range b.notes {
+		if n.Kind == cell.NoteLastingWaits && n.Reason == reason {
+			last = n
+		}
+	}
+	return last
+}
+
+// Guards against an unsettled task of which the log does not say for which member it waits, and for how much longer.
+func TestLogNamesTheMemberThatAnUnsettledTaskWaitsFor(t *testing.T) {
+	t.Parallel()
+	successor, left := takeOverFromLeavingWorker(t, lastingJob("00000000000000ff"))
+	for range 30 {
+		successor.step(100 * time.Millisecond)
+	}
+	wait := successor.lastWaitFor(cell.WaitUnsettled)
+	must.Eq(t, left, wait.Worker)
+	must.Between(t, 12*time.Second, wait.Left, 15*time.Second)
+}
+
+// Guards against a wait for a kept worker of which the log does not say for which task's isolated run it is kept.
+func TestLogNamesTheTaskForWhichAWorkerIsKept(t *testing.T) {
+	t.Parallel()
+	b, free := newCellWithOneFreeWorker(t)
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "offers", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashNotes("a", "b")}},
+	}})
+	for began := b.now; !b.started[delegatedJob+".0.0.0"] && b.now.Sub(began) < 5*time.Second; {
+		b.step(50 * time.Millisecond)
+	}
+	b.accept("00000000000000bb", "watches", &wire.StepSpec{Count: 1, Millicores: 6000, Lasting: true})
+	for range 40 {
+		b.step(50 * time.Millisecond)
+	}
+	wait := b.lastWaitFor(cell.WaitWorkerKept)
+	must.Eq(t, free, wait.Worker)
+	must.Eq(t, delegatedJob+".0.0.0", wait.KeptFor)
+}
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -183,6 +183,10 @@
 	if n.Reason != "" {
 		fields["reason"], fields["fits_here"], fields["fits_elsewhere"] = string(n.Reason), n.FitsHere, n.FitsElsewhere
 	}
+	if n.Left > 0 {
+		fields["left_ms"] = n.Left.Milliseconds()
+	}
+	add("kept_for", n.KeptFor)
 	metrics.GetOrRegisterCounter("note."+string(n.Kind), c.metrics).Inc(1)
 	c.log.WithFields(fields).Info(string(n.Kind))
 }
