The wait of a lasting task goes on across leaders

Callers saw a lasting task without a run for 8.5 s beside a worker with capacity. A successor did not know since when the task had no run: the bounds on its waits (overdue, joining the worker of an isolated run) began when the cell settled, so they came on top of the wait for the lease of a member that does not answer.

The progress row now says since when a lasting task has had no run, by the table's clock. A leader that finds no such record counts from its takeover, and has that recorded.

--- a/pkg/process/cell/delegation_test.go
+++ b/pkg/process/cell/delegation_test.go
@@ -173,7 +173,7 @@
 	spec := &wire.JobSpec{Id: delegatedJob, Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Lasting: true}}}
 	j := jobs.New(spec, time.Unix(0, 0))
 	must.NotNil(t, j.Delegate("full", j.Task(0, 0, 1)))
-	again := jobs.Restore(spec, j.Progress(), 1, time.Unix(0, 0), time.Unix(0, 0))
+	again := jobs.Restore(spec, j.Progress(jobs.StoreClock{}), 1, time.Unix(0, 0), time.Unix(0, 0))
 	back := &wire.ReturnedTasks{Id: delegatedJob, From: "full", Tasks: []*wire.TaskRef{{Index: 1, Lending: 1}}}
 	must.True(t, again.ApplyReturned(back, time.Unix(1, 0), true))
 	must.False(t, again.ApplyReturned(back, time.Unix(2, 0), true))
@@ -214,7 +214,7 @@
 	j.ReturnTask(j.Task(0, 0, 1))
 	must.Len(t, 0, j.Units[0].Waiting(time.Unix(1, 0)))
 	must.Eq(t, 1, j.DelegationReport().GetTasks()[0].GetLending())
-	gaveBack := j.Progress()
+	gaveBack := j.Progress(jobs.StoreClock{})
 	must.False(t, j.AddDelegated(spec(1), time.Unix(1, 0), true))
 	must.True(t, j.AddDelegated(spec(2), time.Unix(1, 0), true))
 	must.Len(t, 1, j.Units[0].Waiting(time.Unix(1, 0)))
@@ -262,7 +262,7 @@
 	spec := &wire.JobSpec{Id: "00000000000000ff", Steps: []*wire.StepSpec{{Count: 2, Lasting: true}}}
 	j := jobs.New(spec, time.Unix(0, 0))
 	must.NotNil(t, j.Delegate("other", j.Task(0, 0, 1)))
-	again := jobs.Restore(spec, j.Progress(), 1, time.Unix(0, 0), time.Unix(0, 0))
+	again := jobs.Restore(spec, j.Progress(jobs.StoreClock{}), 1, time.Unix(0, 0), time.Unix(0, 0))
 	must.Eq(t, []string{"other"}, again.TargetCells())
 	must.Eq(t, "other", again.Task(0, 0, 1).DelegatedTo)
 }
--- a/pkg/process/cell/isolated_runs.go
+++ b/pkg/process/cell/isolated_runs.go
@@ -70,9 +70,7 @@
 func longestWait(now time.Time, u *jobs.Unit) time.Duration {
 	longest := now.Sub(u.ReadyAt)
 	for _, t := range u.Waiting(now) {
-		if !t.WaitingSince.IsZero() {
-			longest = max(longest, now.Sub(t.WaitingSince))
-		}
+		longest = max(longest, now.Sub(withoutRunSince(t)))
 	}
 	return longest
 }
--- a/pkg/process/cell/overdue.go
+++ b/pkg/process/cell/overdue.go
@@ -20,10 +20,21 @@
 }
 
 // withoutRunSince returns since when a task is known to have had no run. A leader that does not know when the last run
-// ended counts from the time at which it found the task's unit ready.
+// ended counts from its takeover: while it holds the task back, no other run of it can begin.
 func withoutRunSince(t *jobs.Task) time.Time {
-	if t.WaitingSince.IsZero() {
-		return t.Unit.ReadyAt
+	switch {
+	case !t.WaitingSince.IsZero():
+		return t.WaitingSince
+	case !t.TakenOverAt.IsZero():
+		return t.TakenOverAt
+	}
+	return t.Unit.ReadyAt
+}
+
+// recordWait has the table record since when a task that no worker lists has had no run, so that further takeovers do not
+// begin its wait anew.
+func (s *State) recordWait(t *jobs.Task) {
+	if t.WaitingSince.IsZero() && !t.TakenOverAt.IsZero() {
+		s.markDirty(t.Unit.Job, false)
 	}
-	return t.WaitingSince
 }
--- a/pkg/process/cell/settle.go
+++ b/pkg/process/cell/settle.go
@@ -80,6 +80,9 @@
 				if len(t.Runs) == 0 && j.HasStarted {
 					listedNowhere++
 				}
+				if u.Lasting() && len(t.Runs) == 0 && t.DelegatedTo == "" && !j.Ended() {
+					s.recordWait(t)
+				}
 			}
 		}
 		if changed {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -254,6 +254,8 @@
 	// presumed over without a report from its worker must have ended before that time: otherwise a later leader may
 	// have renewed the worker's lease or acknowledged the run's end.
 	leadershipConfirmedAt time.Time
+	// storeClock relates this process's clock to the table's, as of the last event that told the table's.
+	storeClock jobs.StoreClock
 	// tenureUntil is when the tenure ends, and with it the leadership unless it is renewed. The zero time sets no
 	// limit.
 	tenureUntil time.Time
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -146,6 +146,7 @@
 	for name, version := range e.Fences {
 		s.writer(name).fence = version
 	}
+	s.storeClock = jobs.StoreClock{At: now, Store: e.StoreNow}
 	s.addEarlierMembers(now, e.Members)
 	announced := s.jobs // by other hosts, while the table was read
 	s.jobs = map[string]*jobs.Job{}
@@ -181,6 +182,7 @@
 	age := e.StoreNow - time.Duration(l.Spec.GetAcceptedStoreMs())*time.Millisecond
 	j := jobs.Restore(l.Spec, l.Progress, l.Recorded, now.Add(-max(0, age)), e.Wall)
 	j.MarkArrived(now)
+	j.RestoreWaits(now, s.gainedAt, l.Progress, s.storeClock)
 	s.restoreEvidence(now, j)
 	if j.Ended() {
 		j.EndedAt = now
@@ -249,6 +251,7 @@
 	if s.phase == following || s.phase == releasing {
 		return
 	}
+	s.storeClock = jobs.StoreClock{At: now, Store: e.StoreNow}
 	if known := s.jobs[id]; known != nil {
 		s.mergeHomeEvidence(now, known, e.Spec)
 		if known.AddDelegated(e.Spec, now, s.newTasksSettled()) {
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		for _, t := range waitingLastingTasks(j) {
-			waited := now.Sub(waitingSince(t))
+			waited := now.Sub(withoutRunSince(t))
 			if waited < lastingWaitLogInterval {
 				continue
 			}
--- a/pkg/process/cell/waits_across_leaders_test.go
+++ b/pkg/process/cell/waits_across_leaders_test.go
@@ -70,10 +70,13 @@
 	}
 	began := b.now
 	for epoch := int64(2); epoch < 4; epoch++ {
-		takeOverFrom(b, epoch, time.Hour, aa, job)
+		takeOverFrom(b, epoch, time.Hour+b.now.Sub(began), aa, job)
 		for until := b.now.Add(3500 * time.Millisecond); b.now.Before(until) && !b.started[delegatedJob+".0.0.0"]; {
 			b.step(50 * time.Millisecond)
 		}
+		if progress := b.lastProgress(t, delegatedJob); progress != nil {
+			job.Progress = progress // as the next leader reads it
+		}
 	}
 	for !b.started[delegatedJob+".0.0.0"] && b.now.Sub(began) < 20*time.Second {
 		b.step(50 * time.Millisecond)
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -187,7 +187,7 @@
 func (s *State) addProgress(tx *table.Transaction, j *jobs.Job) sentJob {
 	id := j.Spec.GetId()
 	key := rows.ProgressKey(s.name, id)
-	row := rows.Row(key, j.Progress())
+	row := rows.Row(key, j.Progress(s.storeClock))
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.ProgressVersion})
 	tx.Puts = append(tx.Puts, row)
 	sent := sentJob{job: j, value: row.Value, final: j.Ended(), delegations: len(s.pendingDelegations[j])}
--- a/pkg/process/jobs/delegation_test.go
+++ b/pkg/process/jobs/delegation_test.go
@@ -28,7 +28,7 @@
 	must.Eq(t, "half", delegated.Units[0].Tasks[0].Checkpoint)
 	must.Eq(t, 2, delegated.Units[0].Tasks[0].MarkFailed(1_000_001)) // the same run number as in the home cell
 
-	successor := jobs.Restore(delegatedSpec, delegated.Progress(), 1, now, now)
+	successor := jobs.Restore(delegatedSpec, delegated.Progress(jobs.StoreClock{}), 1, now, now)
 	for _, member := range successor.Units[0].Tasks {
 		must.Eq(t, 2, member.Failures())
 		successor.ReturnTask(member)
@@ -37,6 +37,6 @@
 	must.Eq(t, 2, gang[0].Failures())
 	must.Eq(t, 3, gang[0].MarkFailed(1_000_002))
 
-	restored := jobs.Restore(spec, home.Progress(), 1, now, now)
+	restored := jobs.Restore(spec, home.Progress(jobs.StoreClock{}), 1, now, now)
 	must.Eq(t, 3, restored.Units[0].Tasks[0].Failures())
 }
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -118,8 +118,10 @@
 	// MayHaveRun is true if the task has had a run in this cell, or may have had one.
 	MayHaveRun bool
 	// WaitingSince is the time at which the task last lost a run, in any cell. It is zero if the task has never
-	// had a run.
+	// had a run, or if that time is not known.
 	WaitingSince time.Time
+	// TakenOverAt is the time from which this process has led the cell, if an earlier leader may have run the task.
+	TakenOverAt time.Time
 	// InCellSince is the time from which the task has waited in this cell. WaitedBeforeHandover is how long the
 	// task had been without a run when it was last handed over to another cell.
 	InCellSince          time.Time
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -7,21 +7,21 @@
 )
 
 // Progress returns the state that a successor needs: done tasks, failed runs, checkpoints, delegations, crash
-// evidence, and the phase. Runs are not included, because workers list them.
-func (j *Job) Progress() *wire.JobProgress {
+// evidence, since when lasting tasks have had no run, and the phase. Runs are not included, because workers list them.
+func (j *Job) Progress(clock StoreClock) *wire.JobProgress {
 	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason}
 	if j.Ended() {
 		return p
 	}
 	for _, u := range j.Units {
-		if up := u.progress(); up != nil {
+		if up := u.progress(clock); up != nil {
 			p.Units = append(p.Units, up)
 		}
 	}
 	return p
 }
 
-func (u *Unit) progress() *wire.UnitProgress {
+func (u *Unit) progress(clock StoreClock) *wire.UnitProgress {
 	up := &wire.UnitProgress{Time: int32(u.Time), Step: int32(u.Step)}
 	if u.done > 0 {
 		up.Done = make([]byte, (len(u.Tasks)+7)/8)
@@ -35,12 +35,14 @@
 		if targetCell == notDelegatedHere {
 			targetCell = "" // the specification implies it
 		}
-		if len(t.FailedRuns) > 0 || t.FailedElsewhere > 0 || t.Checkpoint != "" || targetCell != "" || t.Delegations > 0 || t.NeedsStartRecord() {
+		since := clock.millis(t.recordedWait())
+		if since > 0 || len(t.FailedRuns) > 0 || t.FailedElsewhere > 0 || t.Checkpoint != "" || targetCell != "" || t.Delegations > 0 || t.NeedsStartRecord() {
 			at, starts := t.recordedStart()
 			up.Notes = append(up.Notes, &wire.TaskNote{
 				Index: int32(i), FailedRuns: t.FailedRuns, FailedElsewhere: int32(t.FailedElsewhere), Checkpoint: t.Checkpoint, LentTo: targetCell, Lending: t.Delegations,
 				Crashes: encodeCrashes(t.Crashes), Trial: starts, TrialWorker: at.Worker, TrialBorn: at.Born, TrialHost: at.Host,
 				UnreachedWorker: t.UnreachedAt.Worker, UnreachedBorn: t.UnreachedAt.Born, UnreachedHost: t.UnreachedAt.Host,
+				WithoutRunSinceStoreMs: since,
 			})
 		}
 	}
@@ -50,6 +52,39 @@
 	return up
 }
 
+// recordedWait returns since when a lasting task is without a run, for the record, or the zero time. A start that the
+// record allows may end that wait, so none is recorded beside it.
+func (t *Task) recordedWait() time.Time {
+	if !t.Unit.Lasting() || len(t.Runs) > 0 || t.DelegatedTo != "" || t.StartRecord != NoStartRecord {
+		return time.Time{}
+	}
+	if t.WaitingSince.IsZero() {
+		return t.TakenOverAt
+	}
+	return t.WaitingSince
+}
+
+// RestoreWaits restores since when lasting tasks have had no run, from the progress that a predecessor recorded. takenOverAt
+// is the time from which this process leads the cell.
+func (j *Job) RestoreWaits(now, takenOverAt time.Time, p *wire.JobProgress, clock StoreClock) {
+	for _, u := range j.Units {
+		for _, t := range u.Tasks {
+			if u.Lasting() && u.Ready() {
+				t.TakenOverAt = takenOverAt
+			}
+		}
+	}
+	for _, up := range p.GetUnits() {
+		for _, n := range up.GetNotes() {
+			t := j.Task(int(up.GetTime()), int(up.GetStep()), int(n.GetIndex()))
+			since := clock.local(now, n.GetWithoutRunSinceStoreMs())
+			if t != nil && t.DelegatedTo == "" && t.Delegations == n.GetLending() && !since.IsZero() {
+				t.WaitingSince = since
+			}
+		}
+	}
+}
+
 // Restore returns a job with the progress that a predecessor recorded. Every task that is not done is unsettled:
 // it may be running at some worker. wall is the wall-clock time.
 func Restore(spec *wire.JobSpec, p *wire.JobProgress, recorded int64, acceptedAt, wall time.Time) *Job {
