--- a/pkg/process/cell/delegation_wait_test.go
+++ b/pkg/process/cell/delegation_wait_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -137,3 +138,21 @@
 		})
 	}
 }
+
+// Guards against an overdue task that stays in its cell beside capacity that it can't use, while the only place that it could
+// use in other cells is left to short tasks: by the platform's rules it fits twice.
+func TestOverdueTaskTakesTheLastPlaceElsewhereBesideUnusableCapacity(t *testing.T) {
+	t.Parallel()
+	b := newBusyCell()
+	b.reports["w16"] = &workers.Report{}
+	b.register(17) // the membership does not name the new worker yet, so it gets no work
+	b.accept(delegatedJob, "watches", &wire.StepSpec{Count: 1, Millicores: 30000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	began, delegated := b.now, false
+	for !delegated && b.now.Sub(began) < 8*time.Second {
+		b.state.Take(b.now, cell.PeerLoad{Load: &wire.CellLoad{Leading: true, Cell: "other", LargestFreeMillicores: 32000, FreeMillicores: 40_000, FreeEach: []int64{32000, 8000}}})
+		b.step(100 * time.Millisecond)
+		b.eachPut(t, rows.SpecKey("other", delegatedJob), func(table.Row) { delegated = true })
+	}
+	must.True(t, delegated)
+	must.Between(t, 4*time.Second, b.now.Sub(began), 5*time.Second)
+}
