A start order that never began a run does not begin a wait anew

Callers saw a lasting task without a run for 20 s in a cell whose worker answered polls but no start orders, while other cells had capacity: each order that expired set the time since which the task waits, so it was never handed over.

Its comment no longer says that the log has no line.

--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// loseUnbegunRun drops a run that never began. The wait of its task goes on.
+func (s *State) loseUnbegunRun(now time.Time, w *workers.Worker, r *jobs.Run) {
+	t := r.Task
+	withoutRun, inCell, ready := t.WaitingSince, t.InCellSince, t.Unit.ReadyAt
+	s.loseRun(now, w, r, "it never began, and its order has expired")
+	t.WaitingSince, t.InCellSince, t.Unit.ReadyAt = withoutRun, inCell, ready
+}
+
 // lastAnswer returns when a worker whose runs are presumed over last answered: until then they went on for sure. It
 // returns now if the worker is unknown or never answered.
 func lastAnswer(now time.Time, w *workers.Worker) time.Time {
--- a/pkg/process/cell/refused_starts_test.go
+++ b/pkg/process/cell/refused_starts_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Guards against a task that stays for good in a cell whose workers do not answer its start orders: each order that never
-// began a run begins its wait anew, and the log has no line about it.
+// Guards against a task that stays for good in a cell whose workers do not answer its start orders, because each order that
+// never began a run begins its wait anew.
 func TestTaskWhoseStartsAreNotAnsweredIsHandedOver(t *testing.T) {
 	t.Parallel()
 	guest := &wire.JobSpec{Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home", Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 2100}}}
