--- a/pkg/emulator/days/days.go
+++ b/pkg/emulator/days/days.go
@@ -189,7 +189,7 @@
 	"LeaderEndsPlan": emulator.LeaderEndsPlan, "LeaderEndsInWavesPlan": emulator.LeaderEndsInWavesPlan, "UnrecordedEndsPlan": emulator.UnrecordedEndsPlan,
 	"CancelsPlan": emulator.CancelsPlan, "DeposedPlan": emulator.DeposedPlan, "HallCutPlan": emulator.HallCutPlan, "AllTroublesPlan": emulator.AllTroublesPlan,
 	"HandoverPlan": emulator.HandoverPlan, "LostHallPlan": emulator.LostHallPlan, "EvacuationPlan": emulator.EvacuationPlan, "EvacuationLeavingPlan": emulator.EvacuationLeavingPlan,
-	"LeavingPlan": emulator.LeavingPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
+	"LeavingPlan": emulator.LeavingPlan, "LeavingTakeoverPlan": emulator.LeavingTakeoverPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
 	"RelayPlan": emulator.RelayPlan, "UrgentPlan": emulator.UrgentPlan, "UrgentTroublePlan": emulator.UrgentTroublePlan,
 }
 
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -4,7 +4,7 @@
 // cellchoice.Board; the checker shares no code with the product. emulator.go has the clock and the traffic;
 // random_streams.go the random draws; plans.go, script*.go and load.go the input of days; fault_schedule.go and fault_kinds.go the
 // faults; host.go, handover.go, relays.go, effects.go, leader_messages.go, intake.go, contact.go and predecessors.go the hosts; table.go the table;
-// worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go and crash_tasks.go the workers; checker.go,
+// worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go, leaving_takeovers.go and crash_tasks.go the workers; checker.go,
 // cancel_rule.go, lasting_rule.go, held_rule.go and evacuations.go the rules.
 package emulator
 
@@ -60,6 +60,11 @@
 	// afterCrash and afterEnd, if set, are called at each crash of a worker and at each reported end of a run.
 	afterCrash func(k *worker)
 	afterEnd   func(task string)
+	// suspects counts the jobs of scheduleSuspectBefore. suspectCell is the cell of the last one.
+	suspects    int
+	suspectCell string
+	// afterLeave, if set, is called when a worker begins to leave.
+	afterLeave func(k *worker)
 	results    map[string]*JobResult
 	script     *Script // records the day, nil if it is not recorded
 	// passedReadings counts the recent readings that relays have passed on.
@@ -86,6 +91,7 @@
 	}
 	w.scheduleFaults()
 	w.scheduleAftermath()
+	w.scheduleTakeovers()
 	return w.run()
 }
 
--- a/pkg/emulator/leaving.go
+++ b/pkg/emulator/leaving.go
@@ -96,6 +96,9 @@
 		if l.Before > 0 {
 			w.scheduleFaultsBefore(at, l.Before)
 		}
+		if w.plan.Takeovers.Suspects {
+			w.scheduleSuspectBefore(at)
+		}
 		w.after(at, func() { w.leaveOneByOne(kind, count) })
 		at += time.Duration(count)*leaveInterval + l.Apart
 	}
@@ -229,6 +232,9 @@
 	k.leave.unannounced = kind == LeaveUnannounced
 	w.logf("%s leaves (%s), and serves on for %s", k.id(), kind, serves)
 	w.after(serves, k.endDeparted)
+	if w.afterLeave != nil {
+		w.afterLeave(k)
+	}
 }
 
 // endDeparted ends a leaving worker with all its runs. No incarnation follows.
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -61,6 +61,8 @@
 	LostAnswers bool
 	// Aftermath configures faults that follow crashes.
 	Aftermath Aftermath
+	// Takeovers configures leaders that end after workers begin to leave.
+	Takeovers Takeovers
 	// OddRows means that rows of the worker registry become invalid for a while, and that the registry holds rows of
 	// unknown workers.
 	OddRows bool
--- a/pkg/emulator/script_test.go
+++ b/pkg/emulator/script_test.go
@@ -22,7 +22,7 @@
 	"troubled cells": emulator.TroubledCellsPlan, "odd rows": emulator.OddRowsPlan, "crash tasks": emulator.CrashTasksPlan,
 	"crash waves": emulator.CrashWavesPlan, "reset waves": emulator.ResetWavesPlan, "crash tasks in reset waves": emulator.ResetWavesCrashTasksPlan,
 	"rooms": emulator.RoomsPlan, "suspends": emulator.SuspendsPlan,
-	"leaving": emulator.LeavingPlan, "leaving trouble": emulator.LeavingTroublePlan, "release": emulator.ReleasePlan,
+	"leaving": emulator.LeavingPlan, "leaving trouble": emulator.LeavingTroublePlan, "leaving takeover": emulator.LeavingTakeoverPlan, "release": emulator.ReleasePlan,
 	"evacuation leaving": emulator.EvacuationLeavingPlan, "urgent trouble": emulator.UrgentTroublePlan,
 	"cancels": emulator.CancelsPlan, "deposed": emulator.DeposedPlan, "hall cut": emulator.HallCutPlan, "all troubles": emulator.AllTroublesPlan,
 }
@@ -181,7 +181,7 @@
 
 // leavingPlans are the plans on which workers leave or lasting tasks stay, by name.
 var leavingPlans = map[string]func(seed uint64) emulator.Plan{
-	"leaving": emulator.LeavingPlan, "leaving trouble": emulator.LeavingTroublePlan, "release": emulator.ReleasePlan,
+	"leaving": emulator.LeavingPlan, "leaving trouble": emulator.LeavingTroublePlan, "leaving takeover": emulator.LeavingTakeoverPlan, "release": emulator.ReleasePlan,
 	"evacuation leaving": emulator.EvacuationLeavingPlan, "urgent trouble": emulator.UrgentTroublePlan,
 }
 
