Target cells return short tasks that none of their workers could run

Cause: a short task delegated to a cell whose workers are too small, lack its label or are of another service waited there without end. Short tasks were returned only from a hall that is evacuated or without workers, and load messages do not name services, so that the home cell can't avoid such a cell.

At home, the backoff of a returned short task doubles with each of its delegations and holds for the least loaded cell, too; a cell whose largest worker is too small gets no short task, also if the memory or accelerators are lacking.

--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -100,7 +100,7 @@
 func (s *State) peerForShort(now time.Time, u *jobs.Unit) (best string, most int) {
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
-		if name == s.name || !o.mayReceive(now) || !o.hasLabelFor(u) || returnedLately(now, u, name) {
+		if name == s.name || !o.mayReceive(now) || !o.hasLabelFor(u) || o.tooSmallFor(u) || returnedLately(now, u, name) {
 			continue
 		}
 		if delegable := o.delegableTasks(u); delegable > most {
@@ -116,9 +116,21 @@
 	return best, most
 }
 
-// returnedLately reports whether a cell returned a waiting task of a unit within returnBackoff.
+// returnedLately reports whether a cell returned a waiting task of a unit within the task's backoff.
 func returnedLately(now time.Time, u *jobs.Unit, name string) bool {
-	return slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return now.Sub(t.ReturnedAt[name]) < returnBackoff })
+	return slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return now.Sub(t.ReturnedAt[name]) < shortReturnBackoff(t) })
+}
+
+// maxReturnDoublings bounds the backoff of a returned short task, to about 37 minutes.
+const maxReturnDoublings = 10
+
+// shortReturnBackoff returns how long a short task is not delegated again to a cell that returned it. Load messages name
+// neither services nor the sizes of workers by label, so the home cell can't tell that the other cell could never run the
+// task. The backoff doubles with each delegation, so that the task does not go to and fro every few seconds. The number
+// of delegations outlasts the leader.
+func shortReturnBackoff(t *jobs.Task) time.Duration {
+	doublings := min(max(0, t.Delegations-1), maxReturnDoublings)
+	return returnBackoff << doublings
 }
 
 // delegableTasks returns how many more tasks of a unit may be delegated to the cell on its last load message.
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 )
 
 // Evacuation of a cell's hall. While it lasts, no run starts at the cell's workers, for whatever reason: usable excludes
@@ -75,16 +76,18 @@
 // tooSmallFor reports whether no worker of the cell is large enough for a task of a unit.
 func (o peerLoad) tooSmallFor(u *jobs.Unit) bool {
 	largest := o.load.GetWorker()
-	return largest.GetMillicores() > 0 && (largest.GetMillicores() < u.Size.Millicores || largest.GetMemoryMb() < u.Size.MemoryMB || largest.GetAccelerators() < u.Size.Accelerators)
+	capacity := ledger.Size{Millicores: largest.GetMillicores(), MemoryMB: largest.GetMemoryMb(), Accelerators: largest.GetAccelerators()}
+	return capacity.Millicores > 0 && !fitsCapacity(u, capacity)
 }
 
 // leastLoadedPeer returns the cell with the least short work for its capacity, among the cells in halls that are not
-// evacuated and that have the label of a unit and workers large enough for it; "" if there is none.
+// evacuated, that have the label of a unit and workers large enough for it, and that returned none of its tasks lately; ""
+// if there is none.
 func (s *State) leastLoadedPeer(now time.Time, u *jobs.Unit) string {
 	best, least := "", 0.0
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
-		if name == s.name || s.evacuatedCells[name] || !o.mayReceive(now) || !o.hasLabelFor(u) || o.load.GetCapacityMillicores() == 0 || o.tooSmallFor(u) {
+		if name == s.name || s.evacuatedCells[name] || !o.mayReceive(now) || !o.hasLabelFor(u) || o.load.GetCapacityMillicores() == 0 || o.tooSmallFor(u) || returnedLately(now, u, name) {
 			continue
 		}
 		const millis = 1000
@@ -97,9 +100,15 @@
 }
 
 // mustReturnShort reports whether a unit has short tasks that another cell delegated here and that this cell has to
-// return, because they have to leave its hall. Gangs are returned by delegateGang.
+// return, because they have to leave its hall or none of its workers could ever run them.
 func (s *State) mustReturnShort(now time.Time, u *jobs.Unit) bool {
-	return s.mustLeave(now) && u.Job.Delegated() && !u.Lasting() && !u.Spec.GetGang() && u.Job.Spec.GetHome() != ""
+	return returnableShort(u) && (s.mustLeave(now) || s.isMisfit(now, u))
+}
+
+// returnableShort reports whether a unit has short tasks that another cell delegated here. Gangs are returned by
+// delegateGang.
+func returnableShort(u *jobs.Unit) bool {
+	return u.Job.Delegated() && !u.Lasting() && !u.Spec.GetGang() && u.Job.Spec.GetHome() != ""
 }
 
 // returnShort returns the waiting tasks of a unit to their home cell, except those that may still run here.
@@ -116,10 +125,14 @@
 	if returned == 0 {
 		return
 	}
+	reason := "no worker here could ever run them"
+	if s.mustLeave(now) {
+		reason = "this hall is evacuated or has no workers"
+	}
 	s.markDirty(u.Job, true)
 	s.updateWaiting(now, u.Job)
 	s.note(Note{
 		Kind: NoteGivenBack, Job: u.Job.Spec.GetId(), Task: u.Name(), AgeMs: -1,
-		Detail: fmt.Sprintf("%d tasks to %s, since this hall is evacuated or has no workers", returned, u.Job.Spec.GetHome()),
+		Detail: fmt.Sprintf("%d tasks to %s, since %s", returned, u.Job.Spec.GetHome(), reason),
 	})
 }
--- /dev/null
+++ b/pkg/process/cell/misfits.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
+)
+
+// Misfits: short tasks that another cell delegated here and that no worker of this cell could ever run, because the
+// workers are too small, lack the label or are of another service. The home cell may have delegated them on a load
+// message that does not tell services apart, or the workers that fit may have left since. They are returned.
+
+// trackMisfits keeps since when each waiting unit of delegated short tasks has been a misfit.
+func (s *State) trackMisfits(now time.Time) {
+	for u := range s.misfits {
+		if _, waits := s.waitingUnits[u]; !waits {
+			delete(s.misfits, u)
+		}
+	}
+	if s.manifest == nil {
+		return // the services of queues are not known
+	}
+	for u := range s.waitingUnits {
+		if !returnableShort(u) {
+			continue
+		}
+		if _, known := s.misfits[u]; s.couldEverRun(u) {
+			delete(s.misfits, u)
+		} else if !known {
+			s.misfits[u] = now
+		}
+	}
+}
+
+// couldEverRun reports whether a worker that is listed and stays could run a task of a unit if nothing else ran there.
+func (s *State) couldEverRun(u *jobs.Unit) bool {
+	service := s.serviceOf(u.Job)
+	for _, w := range s.workers {
+		if w.Listed && !w.Leaving && !w.Ended && w.Service == service && w.HasLabel(u.Spec.GetLabel()) && fitsCapacity(u, w.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// fitsCapacity reports whether a worker of the given capacity could run a task of a unit if nothing else ran there. A
+// filler reserves no processors, but starts only where a share of what it asks for is unused.
+func fitsCapacity(u *jobs.Unit, capacity ledger.Size) bool {
+	enoughCPU := !u.Spec.GetFiller() || float64(capacity.Millicores) >= minUnusedShare*float64(u.Size.Millicores)
+	return enoughCPU && workers.ReservedSize(u).Fits(capacity)
+}
+
+// isMisfit reports whether a unit has been a misfit for delegateUnheardAfter. As in withoutWorkers, rows of workers that
+// lapse with the store are back by then.
+func (s *State) isMisfit(now time.Time, u *jobs.Unit) bool {
+	since, known := s.misfits[u]
+	return known && now.Sub(since) >= delegateUnheardAfter
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -246,6 +246,9 @@
 	reservedForLasting map[*workers.Worker]bool
 	// withoutWorkersSince is since when the cell has had no worker that could take work; zero: it has one.
 	withoutWorkersSince time.Time
+	// misfits are the waiting units of short tasks that other cells delegated here and that no worker could ever run, with
+	// since when that is so.
+	misfits map[*jobs.Unit]time.Time
 	// releasingSince is when this process began to hand the cell over, as of the phase releasing.
 	releasingSince time.Time
 	// urgentReserve is what this leadership knows of the capacity that it keeps for urgent tasks.
@@ -320,7 +323,7 @@
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
 	s.urgentReserve = newUrgentReserve()
 	s.forecasts = nil
-	s.withoutWorkersSince = time.Time{}
+	s.withoutWorkersSince, s.misfits = time.Time{}, map[*jobs.Unit]time.Time{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
@@ -437,6 +440,7 @@
 		s.openDueOccurrences(now)
 		s.stopOnLeavingWorkers(now)
 		s.trackWorkers(now)
+		s.trackMisfits(now)
 		s.delegateWaiting(now)
 		s.paceFillers(now)
 		s.logLastingWaits(now)
--- a/pkg/process/cell/testcell_test.go
+++ b/pkg/process/cell/testcell_test.go
@@ -59,9 +59,14 @@
 
 // newEmptyCell returns a cell whose leader has loaded the table and polled the workers; nothing runs.
 func newEmptyCell(options ...cell.Option) *testCell {
+	return newEmptyCellOf("hall", "quotes", options...)
+}
+
+// newEmptyCellOf returns an empty cell of the given name, whose workers are of the given service.
+func newEmptyCellOf(name, service string, options ...cell.Option) *testCell {
 	b := &testCell{
 		started: map[string]bool{}, workerOf: map[string]string{}, silent: map[string]bool{},
-		state: cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}, options...), now: time.Unix(1000, 0),
+		state: cell.New(name, cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute}, options...), now: time.Unix(1000, 0),
 		reports: map[string]*workers.Report{},
 	}
 	records := make([]workers.Record, 16)
@@ -69,7 +74,7 @@
 	for i := range records {
 		ids[i] = fmt.Sprintf("w%02d", i)
 		records[i] = workers.Record{
-			ID: ids[i], Service: "quotes", Address: "x", Hall: "hall", Ready: true, Host: ids[i],
+			ID: ids[i], Service: service, Address: "x", Hall: "hall", Ready: true, Host: ids[i],
 			Capacity: ledger.Size{Millicores: 32000, MemoryMB: 128000},
 		}
 		b.reports[ids[i]] = &workers.Report{}
