--- a/pkg/process/cell/urgent_reserve_test.go
+++ b/pkg/process/cell/urgent_reserve_test.go
@@ -227,6 +227,13 @@
 // yieldingCell returns a cell with 16 gaps, as many as a wave needed that is over, and the job of a waiting lasting task that
 // fits only into these.
 func yieldingCell(options ...cell.Option) *testCell {
+	b := newCellWithGaps(options...)
+	b.accept(delegatedJob, "watches", &wire.StepSpec{Count: 1, Millicores: 13000, MemoryMb: 1000, Lasting: true})
+	return b
+}
+
+// newCellWithGaps returns a cell with 16 gaps that are kept, as many as a wave needed that is over.
+func newCellWithGaps(options ...cell.Option) *testCell {
 	b := newEmptyCell(options...)
 	b.keepReserve()
 	b.accept("0000000000000001", "watches", &wire.StepSpec{Count: 16, Millicores: 18000, MemoryMb: 1000, Lasting: true})
@@ -237,10 +244,27 @@
 		b.finish(fmt.Sprintf("%s.0.0.%d", urgentJob, i), workers.EndedDone)
 	}
 	b.steps(2)
-	b.accept(delegatedJob, "watches", &wire.StepSpec{Count: 1, Millicores: 13000, MemoryMb: 1000, Lasting: true})
 	return b
 }
 
+// Guards against a delegated lasting task that is returned although it fits, because the capacity is kept for urgent tasks:
+// where each cell keeps some and reports it, the task went to and fro between them without a run.
+func TestDelegatedTaskIsNotReturnedFromCapacityThatItYields(t *testing.T) {
+	t.Parallel()
+	b := newCellWithGaps()
+	b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 13000, MemoryMb: 1000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, WaitedMs: 2100}},
+	}})
+	began := b.now
+	for !b.started[delegatedJob+".0.0.0"] && b.now.Sub(began) < 5*time.Second {
+		b.state.Take(b.now, loadWithCapacity("third"))
+		b.steps(1)
+	}
+	must.False(t, b.returnedTo(t, "home"))
+	must.Between(t, 1800*time.Millisecond, b.now.Sub(began), 2200*time.Millisecond, must.Sprint("four seconds after its last run"))
+}
+
 // Guards against a lasting task that takes the last gaps though another cell can take it, and against one that waits for
 // longer than the platform's rules allow.
 func TestLastingTaskLeavesTheReserveForFourSeconds(t *testing.T) {
