Delegated tasks stay where they yield to urgent ones

Callers saw lasting tasks without a run for seven seconds and more, in calm, while several cells had capacity: each cell keeps some for urgent tasks, and a lasting task yields it until it has had no run for four seconds. Delegated after two seconds, the task was returned after 1.5 s more, since other cells reported capacity, and went on to the next one, which kept its capacity as well.

A cell no longer returns a task that it can start once the task yields no more. The bound of four seconds goes with the task over all cells.

--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -188,7 +188,8 @@
 	if !s.canStartHere(now, t) {
 		return false
 	}
-	if !t.HeldSince.After(waitingHereSince(t)) {
+	// A task that yields may start here once it no longer does.
+	if !t.HeldSince.After(waitingHereSince(t)) || s.yieldsToUrgent(now, t) {
 		t.HeldSince = now
 	}
 	longest := maxHold
@@ -200,14 +201,16 @@
 
 // canStartHere reports whether a waiting lasting task can start in this cell at the next placement pass, or once its wait for
 // an isolated run is over: to hand it over would only prolong its wait, and the next cell would begin the wait for isolation
-// anew. It is false for a task that has conditions beyond a worker with capacity, and after a start of it was refused here.
+// anew. A delegated task that yields its capacity to urgent tasks can start here, too: the bound on that goes with the task,
+// and its home cell has no capacity. It is false for a task that has conditions beyond a worker with capacity, and after a
+// start of it was refused here.
 func (s *State) canStartHere(now time.Time, t *jobs.Task) bool {
 	if s.manifest == nil || !t.Unit.Lasting() || t.RetryAt.After(waitingHereSince(t)) {
 		return false
 	}
 	_, needsTicket := s.ticketValidity(t.Unit)
 	ordersHeld := s.enabled(OrderWindow) && !s.startWindow.MaySend()
-	if needsTicket || ordersHeld || s.yieldsToUrgent(now, t) {
+	if needsTicket || ordersHeld || (!t.Unit.Job.Delegated() && s.yieldsToUrgent(now, t)) {
 		return false
 	}
 	if s.needsIsolation(t) && s.awaitsCrashOutcome(now, t) {
