Fillers leave a full cell for cells that are mostly free

Cause: a filler is delegated only where load messages report a harmless place for its image, and these list only images that ran beside serving images, and only harmless places. In a hall that lost most of its workers, and whose last one is full of lasting tasks, fillers waited while the other halls were mostly free.

Change: a filler that has waited for 2 s and has no harmless place elsewhere goes by unreserved capacity, as other short tasks do, to a cell that by itself is mostly free. That cell gives it a place by its own rule. New plan PartLostHallPlan: a LostHallPlan on which one worker of the hall stays and lasting tasks reserve 0.35 of all capacity.

--- a/pkg/emulator/held_test.go
+++ b/pkg/emulator/held_test.go
@@ -86,3 +86,14 @@
 	const days = 4
 	playSomeDays(t, emulator.LostHallPlan, days)
 }
+
+// Guards against fillers that wait in a hall whose last worker is full of lasting tasks while the other halls are mostly
+// free: these report no harmless place for an image that ran beside no serving image.
+func TestNoTaskStaysInHallThatLostMostWorkers(t *testing.T) {
+	t.Parallel()
+	const days = 4
+	for i := range uint64(days) {
+		_, broken := emulator.Play(emulator.PartLostHallPlan(810006 + i))
+		must.SliceEmpty(t, broken)
+	}
+}
--- a/pkg/emulator/leaving.go
+++ b/pkg/emulator/leaving.go
@@ -42,7 +42,9 @@
 	// seconds.
 	Before int
 	// WholeHall means that all workers of one hall leave within a second, in one of the ways of Kinds, and are not replaced.
+	// Spared is how many of them stay.
 	WholeHall bool
+	Spared    int
 }
 
 const (
@@ -104,13 +106,18 @@
 	}
 }
 
-// scheduleLossOfHall schedules that all workers of a hall leave. It falls into the time of traffic, when cells have
-// delegated tasks to each other.
+// scheduleLossOfHall schedules that all workers of a hall leave, or all but some. It falls into the time of traffic, when
+// cells have delegated tasks to each other.
 func (w *World) scheduleLossOfHall() {
 	at := w.between(w.plan.Traffic/2, w.plan.Traffic)
 	hall, kind := w.cells[w.rand.IntN(len(w.cells))], w.plan.Leaving.Kinds[w.rand.IntN(len(w.plan.Leaving.Kinds))]
+	spared := w.plan.Leaving.Spared
 	for _, k := range w.workers {
-		if k.Hall == hall {
+		switch {
+		case k.Hall != hall:
+		case spared > 0:
+			spared--
+		default:
 			w.after(at+w.between(0, leaveInterval), func() {
 				w.injectFault(Fault{Kind: LeaveWorker, Target: k.name, For: w.drawServiceTime(kind), How: int(kind)})
 			})
--- a/pkg/emulator/leaving_plans.go
+++ b/pkg/emulator/leaving_plans.go
@@ -49,3 +49,11 @@
 	plan.Leaving = Leaving{WholeHall: true, Kinds: []LeaveKind{LeaveScaledIn, LeaveSpot, LeaveUnannounced}}
 	return plan
 }
+
+// PartLostHallPlan returns a LostHallPlan on which one worker of the hall stays, and lasting tasks fill about a third of all
+// capacity, and so that worker.
+func PartLostHallPlan(seed uint64) Plan {
+	plan := LostHallPlan(seed)
+	plan.Leaving.Spared, plan.Lasting = 1, 0.35
+	return plan
+}
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -20,6 +20,9 @@
 	// delegatePlainAfter is how long other short tasks wait before they are delegated. It is less than
 	// delegateFillerAfter because their objectives are the tightest.
 	delegatePlainAfter = 100 * time.Millisecond
+	// delegateToHarmfulAfter is how long a filler waits before it may go to a cell without a harmless place for it. Before
+	// that, its own cell may give it a place whatever that costs (harmfulPlaceAfter).
+	delegateToHarmfulAfter = harmfulPlaceAfter + 500*time.Millisecond
 )
 
 // mayDelegateShort reports whether each task of a unit may run by itself in any cell. Lasting tasks, gangs, tasks that
@@ -107,6 +110,9 @@
 			best, most = name, delegable
 		}
 	}
+	if most == 0 && u.Spec.GetFiller() && now.Sub(u.ReadyAt) >= delegateToHarmfulAfter {
+		best, most = s.mostlyFreePeer(now, u)
+	}
 	if most > 0 || !s.mustLeave(now) {
 		return best, most
 	}
@@ -116,6 +122,23 @@
 	return best, most
 }
 
+// mostlyFreePeer returns the cell with unreserved capacity for the most tasks of a unit of fillers, among the cells that
+// are mostly free, and how many may be delegated to it on its last load message; "" and 0 if there is none. Load messages
+// list only harmless places, and only for images that have run beside serving images. A cell that is mostly free also gives
+// fillers places that cost their neighbours more than they earn (maxNetCost).
+func (s *State) mostlyFreePeer(now time.Time, u *jobs.Unit) (best string, most int) {
+	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
+		o := s.peerLoads[name]
+		if name == s.name || !o.isMostlyFree() || !o.mayReceive(now) || !o.hasLabelFor(u) || o.tooSmallFor(u) || returnedLately(now, u, name) {
+			continue
+		}
+		if delegable := o.delegableByRoom(u); delegable > most {
+			best, most = name, delegable
+		}
+	}
+	return best, most
+}
+
 // returnedLately reports whether a cell returned a waiting task of a unit within the task's backoff.
 func returnedLately(now time.Time, u *jobs.Unit, name string) bool {
 	return slices.ContainsFunc(u.Waiting(now), func(t *jobs.Task) bool { return now.Sub(t.ReturnedAt[name]) < shortReturnBackoff(t) })
@@ -139,9 +162,26 @@
 	if u.Spec.GetFiller() {
 		return int((o.load.GetFillerFreeMillicores()[u.Image()] - o.delegatedFillers) / size)
 	}
+	return o.delegableByRoom(u)
+}
+
+// isMostlyFree reports whether the cell by itself has spare capacity.
+func (o peerLoad) isMostlyFree() bool {
+	capacity := o.load.GetCapacityMillicores()
+	return capacity > 0 && float64(capacity-o.load.GetFreeMillicores()) < mostlyFreeBelow*float64(capacity)
+}
+
+// delegableByRoom returns how many more tasks of a unit may be delegated to the cell by the unreserved capacity of its
+// workers.
+func (o peerLoad) delegableByRoom(u *jobs.Unit) int {
+	size := max(1, u.Size.Millicores)
 	fit := int64(0)
 	for _, free := range o.load.GetFreeEach() {
 		fit += free / size
 	}
-	return int(fit/peerFreeDivisor - o.delegatedShort/size)
+	delegated := o.delegatedShort
+	if u.Spec.GetFiller() {
+		delegated += o.delegatedFillers
+	}
+	return int(fit/peerFreeDivisor - delegated/size)
 }
--- a/pkg/process/cell/delegation_short_test.go
+++ b/pkg/process/cell/delegation_short_test.go
@@ -86,6 +86,35 @@
 	must.True(t, cancelled, must.Sprint("the other cell is asked to drop the job"))
 }
 
+// Guards against fillers that wait in a full cell while the other cells are mostly free and report no harmless place for
+// their image, as of an image that ran beside no serving image.
+func TestFillersLeaveAFullCellForAHarmfulPlace(t *testing.T) {
+	t.Parallel()
+	for name, each := range map[string]struct {
+		free      int64
+		delegated int
+	}{
+		"mostly free": {free: 900_000, delegated: 3},
+		"mostly used": {free: 64_000, delegated: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newEmptyCell()
+			b.fillWorkers()
+			b.accept(delegatedJob, "offers", &wire.StepSpec{Count: 3, Millicores: 3500, Filler: true, EstimateMs: 1000, Image: "unknown"})
+			load := cell.PeerLoad{Load: &wire.CellLoad{Leading: true, Cell: "other", CapacityMillicores: 1_024_000, FreeMillicores: each.free, FreeEach: []int64{32000, 32000}}}
+			accepted := b.now
+			for b.now.Sub(accepted) < 5*time.Second {
+				b.state.Take(b.now, load)
+				b.step(50 * time.Millisecond)
+				if b.now.Sub(accepted) < 1900*time.Millisecond {
+					must.SliceEmpty(t, b.lastDelegated(t, "other", delegatedJob), must.Sprint("its own cell may have a place"))
+				}
+			}
+			must.Len(t, each.delegated, b.lastDelegated(t, "other", delegatedJob))
+		})
+	}
+}
+
 // delegatedSpec is the specification that cell "home" writes when it delegates two tasks to cell "hall".
 func delegatedSpec() *wire.JobSpec {
 	return &wire.JobSpec{
