An overdue lasting task does not wait to learn whether its silent worker crashed

A lasting task that would be poisonous if its silent worker had crashed waited ten seconds for the outcome, for its next start and for the verdict. The rule has no exception for suspects.

Once the task has been without a run for four seconds over all cells, it starts isolated with its record, or the verdict is reached on what is known. A task that may still run, or that is not settled after a takeover, is not overdue: else a verdict would count the wait before the run, or be reached before the silent worker could answer. Short tasks wait as before.

--- a/pkg/process/cell/crashes.go
+++ b/pkg/process/cell/crashes.go
@@ -38,7 +38,7 @@
 	// silent worker crashed.
 	maxSilentWait = 10 * time.Second
 	// maxSilentWaitLasting is the same for a lasting task, which is soon late. A lasting task that
-	// would be poisonous if the worker crashed waits for maxSilentWait.
+	// would be poisonous if the worker crashed waits until it is overdue.
 	maxSilentWaitLasting = 3 * time.Second
 )
 
@@ -274,8 +274,12 @@
 	s.silentRuns = slices.DeleteFunc(s.silentRuns, func(r silentRun) bool { return now.Sub(r.at) >= silentRunMemory })
 }
 
-// awaitsCrashOutcome reports whether a task still waits to learn if a silent worker that ran it crashed.
+// awaitsCrashOutcome reports whether a task still waits to learn if a silent worker that ran it crashed. An overdue task
+// does not: the worker may never answer again.
 func (s *State) awaitsCrashOutcome(now time.Time, t *jobs.Task) bool {
+	if overdue(now, t) {
+		return false
+	}
 	maxWait := maxSilentWait
 	if t.Unit.Lasting() && !t.PoisonousIfSilentCrashed() {
 		maxWait = maxSilentWaitLasting
--- a/pkg/process/cell/overdue.go
+++ b/pkg/process/cell/overdue.go
@@ -14,9 +14,11 @@
 // overdueIsolatedWait for an isolated run if it needs one. By the platform's rules it is late after six seconds.
 const overdueAfter = 4 * time.Second
 
-// overdue reports whether a lasting task has been without a run for overdueAfter, over all cells that have held it.
+// overdue reports whether a lasting task that this cell has to run has been without a run for overdueAfter, over all cells
+// that have held it. A task that may still run somewhere is not overdue.
 func overdue(now time.Time, t *jobs.Task) bool {
-	return t.Unit.Lasting() && now.Sub(withoutRunSince(t)) >= overdueAfter
+	withoutRun := t.Settled && t.DelegatedTo == "" && len(t.Runs) == 0
+	return t.Unit.Lasting() && withoutRun && now.Sub(withoutRunSince(t)) >= overdueAfter
 }
 
 // withoutRunSince returns since when a task is known to have had no run. A leader that does not know when the last run
