--- a/pkg/emulator/held_test.go
+++ b/pkg/emulator/held_test.go
@@ -21,7 +21,7 @@
 		plan   func(seed uint64) emulator.Plan
 		says   []string
 	}{
-		{name: "returned task, home takes it for delegated", unsafe: cell.Unsafe{NoReports: true}, plan: emulator.SuspendsPlan, says: []string{"says delegated", "says returned"}},
+		{name: "returned task, home takes it for delegated", unsafe: cell.Unsafe{NoReports: true}, plan: emulator.EvacuationPlan, says: []string{"says delegated", "says returned"}},
 		{name: "done task, home takes it for delegated", unsafe: cell.Unsafe{NoReports: true}, plan: emulator.TwoCellPlan, says: []string{"says delegated", "says done"}},
 		{name: "task taken for running", unsafe: cell.Unsafe{NoLostRuns: true}, plan: emulator.TwoCellPlan, says: []string{"says running"}},
 		{name: "task not queued again", unsafe: cell.Unsafe{NoRequeue: true}, plan: emulator.TwoCellPlan, says: []string{"says not-queued"}},
