Waits of delegated tasks and of lost runs are recorded

Found by a review: the record of a lasting task's wait was written with the end of a run only. A target cell counted the wait of a delegated task anew with each of its leaders (11.05 s with three leaders), and so did any cell after it had presumed a run lost (no record 9 s after the silence of the worker). The arrival of delegated lasting tasks and the loss of a run are now recorded, too.

TestDelegatedTaskStartsInTimeAcrossTakeoversOfItsTargetCell and TestWaitOfALostRunIsRecorded fail without it. A reading of the table's clock that is missing no longer replaces one that is there.

--- a/pkg/process/cell/active_runs.go
+++ b/pkg/process/cell/active_runs.go
@@ -60,7 +60,7 @@
 			// Use the clock in this answer, not its estimate for now: the answer may have waited here, and
 			// the order may have reached the worker meanwhile.
 			if workers.ClockPassed(e.Report.Clock, r.ValidUntil) {
-				s.loseUnbegunRun(now, w, r)
+				s.dropUnstartedRun(now, w, r)
 			}
 		case r.AckedAt.Before(e.SentAt):
 			s.loseRun(now, w, r, "no longer listed by its worker")
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -149,7 +149,7 @@
 
 // shortReturnBackoff returns how long a short task is not delegated again to a cell that returned it. Load messages name
 // neither services nor the sizes of workers by label, so the home cell can't tell that the other cell could never run the
-// task. The backoff doubles with each delegation, so that the task does not go to and fro every few seconds. The number
+// task. The backoff doubles with each delegation, so that the task is not delegated again every few seconds. The number
 // of delegations outlasts the leader.
 func shortReturnBackoff(t *jobs.Task) time.Duration {
 	doublings := min(max(0, t.Delegations-1), maxReturnDoublings)
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -51,14 +51,14 @@
 // left to short tasks, which earn more there, unless the task can't start in this cell at all, or is overdue beside free
 // capacity of this cell that it can't use.
 func (s *State) minFitsElsewhere(now time.Time, t *jobs.Task) int64 {
-	const enough = 2
+	const minPlaces = 2
 	switch {
 	case s.evacuating():
 		return 1
 	case overdue(now, t):
-		return max(1, enough-s.fitsHere(now, t).free)
+		return max(1, minPlaces-s.fitsHere(now, t).free)
 	}
-	return enough
+	return minPlaces
 }
 
 // surelyOver reports whether no run of a waiting task can still go on: it has waited here for as long as any lease lasts,
@@ -102,7 +102,7 @@
 // mustReturnShort reports whether a unit has short tasks that another cell delegated here and that this cell has to
 // return, because they have to leave its hall or none of its workers could ever run them.
 func (s *State) mustReturnShort(now time.Time, u *jobs.Unit) bool {
-	return returnableShort(u) && (s.mustLeave(now) || s.isMisfit(now, u))
+	return returnableShort(u) && (s.mustLeave(now) || s.isUnplaceable(now, u))
 }
 
 // returnableShort reports whether a unit has short tasks that another cell delegated here. Gangs are returned by
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -250,8 +250,8 @@
 	// free capacity of this cell's workers and of other cells.
 	Reason                  WaitReason
 	FitsHere, FitsElsewhere int64
-	// Worker is then the one that it waits for, if there is such a one: a member that has not answered, or a worker kept for
-	// an isolated run. Left is the longest time for which it still waits for that worker, KeptFor the task of that run.
+	// Worker is then the worker that the task waits for, if there is one: a member that has not answered, or one kept for an
+	// isolated run. Left is the longest time for which it still waits for that worker, KeptFor the task of that run.
 	Left    time.Duration
 	KeptFor string
 }
--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -72,6 +72,9 @@
 	}
 	t.RemoveRun(r)
 	t.WaitingSince, t.InCellSince = lastAnswer(now, w), now
+	if t.Unit.Lasting() {
+		s.markDirty(t.Unit.Job, false) // the record says since when it has had no run
+	}
 	s.note(Note{
 		Kind: NoteLost, Job: t.Unit.Job.Spec.GetId(), Task: t.Name(), Run: r.Number, Worker: r.Worker, Detail: why,
 		AgeMs: now.Sub(r.SentAt).Milliseconds(),
@@ -81,8 +84,8 @@
 	}
 }
 
-// loseUnbegunRun drops a run that never began. The wait of its task goes on.
-func (s *State) loseUnbegunRun(now time.Time, w *workers.Worker, r *jobs.Run) {
+// dropUnstartedRun drops a run that never began. The wait of its task goes on.
+func (s *State) dropUnstartedRun(now time.Time, w *workers.Worker, r *jobs.Run) {
 	t := r.Task
 	withoutRun, inCell, ready := t.WaitingSince, t.InCellSince, t.Unit.ReadyAt
 	s.loseRun(now, w, r, "it never began, and its order has expired")
--- a/pkg/process/cell/overdue.go
+++ b/pkg/process/cell/overdue.go
@@ -40,3 +40,18 @@
 		s.markDirty(t.Unit.Job, false)
 	}
 }
+
+// recordArrival has the table record since when the lasting tasks of a delegated job have had no run. The specification
+// says how long that was at the handover, but not when the handover was.
+func (s *State) recordArrival(j *jobs.Job) {
+	if j.Delegated() && hasLastingStep(j) {
+		s.markDirty(j, false)
+	}
+}
+
+// setStoreClock updates the relation of the clocks by a reading of the table's clock; 0: there is none yet.
+func (s *State) setStoreClock(now time.Time, reading time.Duration) {
+	if reading > 0 {
+		s.storeClock = jobs.StoreClock{At: now, Store: reading}
+	}
+}
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -202,7 +202,7 @@
 // canStartHere reports whether a waiting lasting task can start in this cell at the next placement pass, or once its wait for
 // an isolated run is over: to hand it over would only prolong its wait, and the next cell would begin the wait for isolation
 // anew. A delegated task that yields its capacity to urgent tasks can start here, too: the bound on that goes with the task,
-// and its home cell has no capacity. It is false for a task that has conditions beyond a worker with capacity, and after a
+// and its home cell had no capacity when it delegated the task. It is false for a task that has conditions beyond a worker with capacity, and after a
 // start of it was refused here.
 func (s *State) canStartHere(now time.Time, t *jobs.Task) bool {
 	if s.manifest == nil || !t.Unit.Lasting() || t.RetryAt.After(waitingHereSince(t)) {
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -246,9 +246,9 @@
 	reservedForLasting map[*workers.Worker]bool
 	// withoutWorkersSince is since when the cell has had no worker that could take work; zero: it has one.
 	withoutWorkersSince time.Time
-	// misfits are the waiting units of short tasks that other cells delegated here and that no worker could ever run, with
+	// unplaceable are the waiting units of short tasks that other cells delegated here and that no worker could ever run, with
 	// since when that is so.
-	misfits map[*jobs.Unit]time.Time
+	unplaceable map[*jobs.Unit]time.Time
 	// releasingSince is when this process began to hand the cell over, as of the phase releasing.
 	releasingSince time.Time
 	// urgentReserve is what this leadership knows of the capacity that it keeps for urgent tasks.
@@ -257,7 +257,7 @@
 	// presumed over without a report from its worker must have ended before that time: otherwise a later leader may
 	// have renewed the worker's lease or acknowledged the run's end.
 	leadershipConfirmedAt time.Time
-	// storeClock relates this process's clock to the table's, as of the last event that told the table's.
+	// storeClock relates this process's clock to the table's, as of the last event with a reading of the table's.
 	storeClock jobs.StoreClock
 	// tenureUntil is when the tenure ends, and with it the leadership unless it is renewed. The zero time sets no
 	// limit.
@@ -323,7 +323,7 @@
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
 	s.urgentReserve = newUrgentReserve()
 	s.forecasts = nil
-	s.withoutWorkersSince, s.misfits = time.Time{}, map[*jobs.Unit]time.Time{}
+	s.withoutWorkersSince, s.unplaceable = time.Time{}, map[*jobs.Unit]time.Time{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
@@ -440,7 +440,7 @@
 		s.openDueOccurrences(now)
 		s.stopOnLeavingWorkers(now)
 		s.trackWorkers(now)
-		s.trackMisfits(now)
+		s.trackUnplaceable(now)
 		s.delegateWaiting(now)
 		s.paceFillers(now)
 		s.logLastingWaits(now)
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -146,7 +146,7 @@
 	for name, version := range e.Fences {
 		s.writer(name).fence = version
 	}
-	s.storeClock = jobs.StoreClock{At: now, Store: e.StoreNow}
+	s.setStoreClock(now, e.StoreNow)
 	s.addEarlierMembers(now, e.Members)
 	announced := s.jobs // by other hosts, while the table was read
 	s.jobs = map[string]*jobs.Job{}
@@ -251,12 +251,13 @@
 	if s.phase == following || s.phase == releasing {
 		return
 	}
-	s.storeClock = jobs.StoreClock{At: now, Store: e.StoreNow}
+	s.setStoreClock(now, e.StoreNow)
 	if known := s.jobs[id]; known != nil {
 		s.mergeHomeEvidence(now, known, e.Spec)
 		if known.AddDelegated(e.Spec, now, s.newTasksSettled()) {
 			s.restoreEvidence(now, known)
 			s.holdBackTasks(known)
+			s.recordArrival(known)
 			s.adoptOrphans(now, known) // a predecessor may have received them first, and have started them
 			s.updateWaiting(now, known)
 		}
@@ -273,6 +274,7 @@
 		markUnsettled(j.Units)
 	}
 	s.holdBackTasks(j)
+	s.recordArrival(j)
 	s.adoptOrphans(now, j)
 	tasks := 0
 	for _, step := range e.Spec.GetSteps() {
--- a/pkg/process/cell/misfits.go
+++ b/pkg/process/cell/unplaceable.go
@@ -8,15 +8,15 @@
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
-// Misfits: short tasks that another cell delegated here and that no worker of this cell could ever run, because the
+// Unplaceable units: short tasks that another cell delegated here and that no worker of this cell could ever run, because the
 // workers are too small, lack the label or are of another service. The home cell may have delegated them on a load
 // message that does not tell services apart, or the workers that fit may have left since. They are returned.
 
-// trackMisfits keeps since when each waiting unit of delegated short tasks has been a misfit.
-func (s *State) trackMisfits(now time.Time) {
-	for u := range s.misfits {
+// trackUnplaceable keeps since when each waiting unit of delegated short tasks has been unplaceable.
+func (s *State) trackUnplaceable(now time.Time) {
+	for u := range s.unplaceable {
 		if _, waits := s.waitingUnits[u]; !waits {
-			delete(s.misfits, u)
+			delete(s.unplaceable, u)
 		}
 	}
 	if s.manifest == nil {
@@ -26,10 +26,10 @@
 		if !returnableShort(u) {
 			continue
 		}
-		if _, known := s.misfits[u]; s.couldEverRun(u) {
-			delete(s.misfits, u)
+		if _, known := s.unplaceable[u]; s.couldEverRun(u) {
+			delete(s.unplaceable, u)
 		} else if !known {
-			s.misfits[u] = now
+			s.unplaceable[u] = now
 		}
 	}
 }
@@ -52,9 +52,9 @@
 	return enoughCPU && workers.ReservedSize(u).Fits(capacity)
 }
 
-// isMisfit reports whether a unit has been a misfit for delegateUnheardAfter. As in withoutWorkers, rows of workers that
+// isUnplaceable reports whether a unit has been unplaceable for delegateUnheardAfter. As in withoutWorkers, rows of workers that
 // lapse with the store are back by then.
-func (s *State) isMisfit(now time.Time, u *jobs.Unit) bool {
-	since, known := s.misfits[u]
+func (s *State) isUnplaceable(now time.Time, u *jobs.Unit) bool {
+	since, known := s.unplaceable[u]
 	return known && now.Sub(since) >= delegateUnheardAfter
 }
--- a/pkg/process/cell/misfits_test.go
+++ b/pkg/process/cell/unplaceable_test.go
@@ -35,9 +35,9 @@
 	return len(from.records)
 }
 
-// Guards against a short task that goes to and fro between a home cell without capacity and a cell whose workers are of
+// Guards against a short task that is delegated repeatedly between a home cell without capacity and a cell whose workers are of
 // another service: load messages do not name services. Without a growing backoff it is delegated 20 times in two minutes.
-func TestShortTaskDoesNotGoToAndFroBetweenCells(t *testing.T) {
+func TestShortTaskIsNotDelegatedRepeatedly(t *testing.T) {
 	t.Parallel()
 	for name, loseCapacity := range map[string]func(home *testCell){
 		"full": (*testCell).fillWorkers,
--- a/pkg/process/cell/urgent_reserve_test.go
+++ b/pkg/process/cell/urgent_reserve_test.go
@@ -248,7 +248,7 @@
 }
 
 // Guards against a delegated lasting task that is returned although it fits, because the capacity is kept for urgent tasks:
-// where each cell keeps some and reports it, the task went to and fro between them without a run.
+// where each cell keeps some and reports it, the task was handed over repeatedly without a run.
 func TestDelegatedTaskIsNotReturnedFromCapacityThatItYields(t *testing.T) {
 	t.Parallel()
 	b := newCellWithGaps()
--- a/pkg/process/cell/waits_across_leaders_test.go
+++ b/pkg/process/cell/waits_across_leaders_test.go
@@ -84,6 +84,37 @@
 	must.LessEq(t, 6*time.Second, b.now.Sub(began))
 }
 
+// Guards against a bound on the wait of a delegated lasting task that begins anew with each leader of its target cell.
+func TestDelegatedTaskStartsInTimeAcrossTakeoversOfItsTargetCell(t *testing.T) {
+	t.Parallel()
+	b, free := newCellWithOneFreeWorker(t)
+	aa := cell.LoadedJob{Spec: &wire.JobSpec{Id: "00000000000000aa", Queue: "watches", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 15, Millicores: 32000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: "s1"}}}, Progress: &wire.JobProgress{Id: "00000000000000aa", Phase: wire.JobPhase_JOB_PHASE_RUNNING}, Recorded: 1}
+	spec := &wire.JobSpec{
+		Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashNotes(free, "gone")}},
+	}
+	began := b.now
+	run := func() {
+		for until := b.now.Add(3500 * time.Millisecond); b.now.Before(until) && !b.started[delegatedJob+".0.0.0"]; {
+			b.step(50 * time.Millisecond)
+		}
+	}
+	b.state.Take(b.now, cell.JobAccepted{Spec: spec, StoreNow: time.Hour})
+	run()
+	for epoch := int64(2); epoch < 4; epoch++ {
+		job := cell.LoadedJob{Spec: spec, Progress: b.lastProgress(t, delegatedJob)}
+		if job.Progress != nil {
+			job.Recorded = 1
+		}
+		takeOverFrom(b, epoch, time.Hour+b.now.Sub(began), aa, job)
+		run()
+	}
+	for !b.started[delegatedJob+".0.0.0"] && b.now.Sub(began) < 20*time.Second {
+		b.step(50 * time.Millisecond)
+	}
+	must.LessEq(t, 6*time.Second, b.now.Sub(began))
+}
+
 // Guards against an overdue task that is neither started nor returned while it awaits the outcome of a silent worker.
 func TestOverdueTaskThatAwaitsACrashOutcomeIsReturned(t *testing.T) {
 	t.Parallel()
--- a/pkg/process/cell/waits_after_settlement_test.go
+++ b/pkg/process/cell/waits_after_settlement_test.go
@@ -75,7 +75,8 @@
 	b, free := newCellWithOneFreeWorker(t)
 	step := &wire.StepSpec{Count: 1, Millicores: 6000, Lasting: true}
 	accepted := b.now
-	b.accept(delegatedJob, "watches", step)
+	spec := &wire.JobSpec{Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{step}}
+	b.state.Take(b.now, cell.JobAccepted{Spec: spec, StoreNow: time.Hour})
 	b.step(50 * time.Millisecond)
 	must.Eq(t, free, b.workerOf[delegatedJob+".0.0.0"])
 	for range 60 {
@@ -91,10 +92,9 @@
 
 	full := &wire.JobSpec{Id: "00000000000000aa", Queue: "watches", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 15, Millicores: 32000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: "s1"}}}
 	progress := &wire.JobProgress{Id: full.GetId(), Phase: wire.JobPhase_JOB_PHASE_RUNNING}
-	spec := &wire.JobSpec{Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{step}}
 	successor := newEmptyCell()
 	successor.now, successor.clock, successor.reports = b.now, b.clock, b.reports
-	takeOverFrom(successor, 2, b.now.Sub(accepted), cell.LoadedJob{Spec: full, Progress: progress, Recorded: 1}, cell.LoadedJob{Spec: spec, Progress: b.lastProgress(t, delegatedJob), Recorded: 1})
+	takeOverFrom(successor, 2, time.Hour+b.now.Sub(accepted), cell.LoadedJob{Spec: full, Progress: progress, Recorded: 1}, cell.LoadedJob{Spec: spec, Progress: b.lastProgress(t, delegatedJob), Recorded: 1})
 	successor.register(16, free)
 	for range 30 {
 		successor.step(50 * time.Millisecond)
@@ -102,3 +102,28 @@
 	age := time.Duration(successor.lastWaitFor(cell.WaitCapacity).AgeMs) * time.Millisecond
 	must.Between(t, 3*time.Second, age, successor.now.Sub(ended)+100*time.Millisecond)
 }
+
+// Guards against the wait of a task whose worker went silent for good, of which the record says nothing.
+func TestWaitOfALostRunIsRecorded(t *testing.T) {
+	t.Parallel()
+	for name, crashes := range map[string][]*wire.CrashNote{"suspect": crashNotes("a", "b"), "no evidence": nil} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b, free := newCellWithOneFreeWorker(t)
+			b.state.Take(b.now, cell.JobAccepted{StoreNow: time.Hour, Spec: &wire.JobSpec{
+				Id: delegatedJob, Queue: "watches", Service: "quotes", Cell: "hall", Home: "home",
+				Steps: []*wire.StepSpec{{Count: 1, Millicores: 6000, Lasting: true}}, Guest: []*wire.TaskRef{{Lending: 1, Crashes: crashes}},
+			}})
+			for range 100 {
+				b.step(50 * time.Millisecond)
+			}
+			must.Eq(t, free, b.workerOf[delegatedJob+".0.0.0"])
+			b.silent[free] = true
+			for range 180 {
+				b.step(50 * time.Millisecond)
+			}
+			notes := b.lastProgress(t, delegatedJob).GetUnits()[0].GetNotes()
+			must.Positive(t, notes[0].GetWithoutRunSinceStoreMs())
+		})
+	}
+}
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -118,7 +118,7 @@
 	// MayHaveRun is true if the task has had a run in this cell, or may have had one.
 	MayHaveRun bool
 	// WaitingSince is the time at which the task last lost a run, in any cell. It is zero if the task has never
-	// had a run, or if that time is not known.
+	// had a run and was never delegated, or if that time is not known.
 	WaitingSince time.Time
 	// TakenOverAt is the time from which this process has led the cell, if an earlier leader may have run the task.
 	TakenOverAt time.Time
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -65,7 +65,8 @@
 }
 
 // RestoreWaits restores since when lasting tasks have had no run, from the progress that a predecessor recorded. takenOverAt
-// is the time from which this process leads the cell.
+// is the time from which this process leads the cell. A recorded time may be that of a wait that has ended since: a start
+// that needs no record does not change the row.
 func (j *Job) RestoreWaits(now, takenOverAt time.Time, p *wire.JobProgress, clock StoreClock) {
 	for _, u := range j.Units {
 		for _, t := range u.Tasks {
