--- a/pkg/process/cell/waits_after_settlement_test.go
+++ b/pkg/process/cell/waits_after_settlement_test.go
@@ -26,8 +26,8 @@
 	return last
 }
 
-// Guards against a wait that begins anew when a cell settles late: a task that was held back for five seconds, for a worker
-// that left under the predecessor, then waited for 2.5 s more beside an isolated run at the only worker with capacity.
+// Guards against a wait that begins anew when a cell settles late: a task that was held back for a worker that left under the
+// predecessor then waits beside an isolated run at the only worker with capacity.
 func TestTaskThatWasHeldBackJoinsAnIsolatedRunInTime(t *testing.T) {
 	t.Parallel()
 	full := &wire.StepSpec{Count: 14, Millicores: 32000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: "s1"}
