--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -48,17 +48,12 @@
 
 // minFitsElsewhere is how many times a lasting task must fit into the free capacity of all other cells together
 // before it is delegated. By the platform's rules the task has to run where it fits twice. The last place is
-// left to short tasks, which earn more there, unless the task can't start in this cell at all, or is overdue beside free
-// capacity of this cell that it can't use.
-func (s *State) minFitsElsewhere(now time.Time, t *jobs.Task) int64 {
-	const minPlaces = 2
-	switch {
-	case s.evacuating():
+// left to short tasks, which earn more there, unless the task can't start in this cell at all.
+func (s *State) minFitsElsewhere() int64 {
+	if s.evacuating() {
 		return 1
-	case overdue(now, t):
-		return max(1, minPlaces-s.fitsHere(now, t).free)
 	}
-	return minPlaces
+	return 2
 }
 
 // surelyOver reports whether no run of a waiting task can still go on: it has waited here for as long as any lease lasts,
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -174,11 +174,11 @@
 // undelegatedReason returns why a task for which this cell has no capacity is not delegated to another cell.
 func (s *State) undelegatedReason(now time.Time, t *jobs.Task) WaitReason {
 	switch {
-	case s.fitsElsewhere(now, t.Unit) < s.minFitsElsewhere(now, t):
+	case s.fitsElsewhere(now, t.Unit) < s.minFitsElsewhere():
 		return WaitCapacity
 	case !s.tableAvailable(now):
 		return WaitTableSilent
-	case s.peerForTask(now, t, t.ReturnedAt) == "" && s.peerForTask(now, t, nil) != "":
+	case s.peerForTask(now, t.Unit, t.ReturnedAt) == "" && s.peerForTask(now, t.Unit, nil) != "":
 		return WaitReturned
 	}
 	return WaitDelegation
