--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -188,7 +188,7 @@
 	if !s.canStartHere(now, t) {
 		return false
 	}
-	// A task that yields may start here once it no longer does.
+	// The hold begins when the task no longer yields, as placement starts it only then.
 	if !t.HeldSince.After(waitingHereSince(t)) || s.yieldsToUrgent(now, t) {
 		t.HeldSince = now
 	}
