--- a/review/testdata/stand/clients.go
+++ b/review/testdata/stand/clients.go
@@ -78,7 +78,12 @@
 }
 
 func (c *clients) call(h *host, method, id string, body []byte) (int, string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	return c.callFor(context.Background(), h, method, id, body)
+}
+
+// callFor makes a call that ends early if the client leaves.
+func (c *clients) callFor(ctx context.Context, h *host, method, id string, body []byte) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.frontend+queuePath+id, bytes.NewReader(body))
 	if err != nil {
@@ -133,6 +138,30 @@
 	return false
 }
 
+// submitOnce hands a job in once, and returns whether it was accepted before the client left.
+func (c *clients) submitOnce(ctx context.Context, j *job) bool {
+	j.id = fmt.Sprintf("%016x", rand.Uint64())
+	body, err := json.Marshal(j)
+	if err != nil {
+		cantRun("%v", err)
+	}
+	c.load.mu.Lock()
+	c.load.jobs[j.id] = j
+	c.load.mu.Unlock()
+	h := c.any()
+	status, _, err := c.callFor(ctx, h, "POST", j.id, body)
+	c.rec.line("client: POST %s at %s: %d %v", j.id, h.name, status, err)
+	return err == nil && status/100 == 2
+}
+
+// cancelOnce cancels a job and returns the status, or 0 without an answer.
+func (c *clients) cancelOnce(j *job) int {
+	h := c.any()
+	status, _, err := c.call(h, "DELETE", j.id, nil)
+	c.rec.line("client: DELETE %s at %s: %d %v", j.id, h.name, status, err)
+	return status
+}
+
 // state asks for a job's state.
 func (c *clients) state(j *job, tries int) string {
 	for range tries {
--- a/review/testdata/stand/judge.go
+++ b/review/testdata/stand/judge.go
@@ -160,3 +160,16 @@
 	}
 	return n
 }
+
+// startsOf returns the starts of a job's tasks.
+func (j *judge) startsOf(id string) []*runSeen {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var list []*runSeen
+	for _, name := range j.names() {
+		if len(name) > len(id) && name[:len(id)] == id {
+			list = append(list, j.runs[name]...)
+		}
+	}
+	return list
+}
--- a/review/testdata/stand/store.go
+++ b/review/testdata/stand/store.go
@@ -36,17 +36,18 @@
 
 // store stands in for the platform's metadata store. A part takes its writes in turn.
 type store struct {
-	rec      *record
-	address  string
-	mu       sync.Mutex
-	rows     map[rowKey]row
-	changes  []row
-	ver      int64
-	start    time.Time
-	changed  chan struct{}
-	parts    map[string]*sync.Mutex
-	down     bool
-	lateNext func(tx txMessage) time.Duration
+	rec     *record
+	address string
+	mu      sync.Mutex
+	rows    map[rowKey]row
+	changes []row
+	ver     int64
+	start   time.Time
+	changed chan struct{}
+	parts   map[string]*sync.Mutex
+	down    bool
+	// late returns by how much a writing call is done late, in which case it gets no answer; 0: it is done and answered.
+	late     func() time.Duration
 	tooLarge int
 }
 
@@ -192,6 +193,39 @@
 			return
 		}
 	}
+	if span := s.lateness(); span > 0 {
+		s.rec.line("store: a call of %d rows is not answered, and done in %d ms", len(all), span.Milliseconds())
+		time.AfterFunc(span, func() {
+			status, _, _ := s.commit(tx)
+			s.rec.line("store: a call that was not answered is done %d ms late: %d, puts %s", span.Milliseconds(), status, keysOf(tx.Put))
+		})
+		<-r.Context().Done() // the caller gives up
+		return
+	}
+	status, rows, ver := s.commit(tx)
+	s.answer(w, status, rows, false, ver)
+}
+
+func (s *store) lateness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.late == nil {
+		return 0
+	}
+	return s.late()
+}
+
+func keysOf(rows []row) string {
+	text := ""
+	for _, r := range rows {
+		text += " " + r.Table + "/" + r.Key
+	}
+	return text
+}
+
+// commit does a transaction whose entries share a part.
+func (s *store) commit(tx txMessage) (status int, rows []row, ver int64) {
+	all := append(append(append([]row(nil), tx.Expected...), tx.Put...), tx.Remove...)
 	part := s.part(all[0].Part)
 	part.Lock()
 	defer part.Unlock()
@@ -209,8 +243,7 @@
 			}
 			ver := s.ver
 			s.mu.Unlock()
-			s.answer(w, http.StatusPreconditionFailed, now, false, ver)
-			return
+			return http.StatusPreconditionFailed, now, ver
 		}
 	}
 	s.ver++
@@ -221,9 +254,9 @@
 		s.removeRow(p.key())
 	}
 	s.notify()
-	ver := s.ver
+	ver = s.ver
 	s.mu.Unlock()
-	s.answer(w, http.StatusOK, nil, false, ver)
+	return http.StatusOK, nil, ver
 }
 
 func (s *store) serveGet(w http.ResponseWriter, r *http.Request) {
