--- a/review/testdata/stand/clients.go
+++ b/review/testdata/stand/clients.go
@@ -32,6 +32,7 @@
 	Gang        bool   `json:"gang,omitempty"`
 	Spread      int    `json:"anti-affinity,omitempty"`
 	Image       string `json:"image,omitempty"`
+	Needs       string `json:"requirements,omitempty"`
 
 	takes time.Duration
 }
@@ -48,7 +49,8 @@
 	accepted   time.Time
 	refused    int
 	unanswered int
-	state      string
+	// cancelAsked is when its cancel was first sent, cancelled when that was acknowledged.
+	cancelAsked, cancelled time.Time
 }
 
 func (j *job) isAccepted() bool { j.mu.Lock(); defer j.mu.Unlock(); return !j.accepted.IsZero() }
--- a/review/testdata/stand/judge.go
+++ b/review/testdata/stand/judge.go
@@ -56,6 +56,15 @@
 	j.rec.line("%s end %d %s run %d %s", runner, e.n, e.task, e.run, e.how)
 }
 
+// died marks a run that ended with its runner's life.
+func (j *judge) died(runner, task string, run int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r := j.find(runner, task, run); r != nil {
+		r.ended, r.how = time.Now(), "lost"
+	}
+}
+
 func (j *judge) listed(runner string, e endedRun) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -173,3 +182,80 @@
 	}
 	return list
 }
+
+// notDone returns the tasks of a job that no run has ended done, and so breaks MIXED if the job is shown as completed.
+func (j *judge) notDone(of *job) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var broken []string
+	for k := range max(1, of.Repeat) {
+		for s, st := range of.Steps {
+			gangDone := false
+			for i := range st.Count {
+				done := false
+				for _, r := range j.runs[fmt.Sprintf("%s.%d.%d.%d", of.id, k, s, i)] {
+					done = done || r.how == "done"
+				}
+				gangDone = gangDone || done
+				if !done && !st.Gang {
+					broken = append(broken, fmt.Sprintf("MIXED %s.%d.%d.%d: the job is shown as completed, and no run of it ended done", of.id, k, s, i))
+				}
+			}
+			if st.Gang && !gangDone {
+				broken = append(broken, fmt.Sprintf("MIXED %s.%d.%d: the job is shown as completed, and no run of the gang ended done", of.id, k, s))
+			}
+		}
+	}
+	return broken
+}
+
+// other checks what is started out of turn, unasked, or after a cancel.
+func (j *judge) other(s *site) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var broken []string
+	for _, name := range j.names() {
+		id, k, st, _ := parse(name)
+		of := s.load.jobs[id]
+		for _, r := range j.runs[name] {
+			if r.unknown || of == nil {
+				broken = append(broken, fmt.Sprintf("UNASKED %s: started at %s, and nobody sent it so", name, r.runner))
+				continue
+			}
+			if of.accepted.IsZero() && of.unanswered == 0 {
+				broken = append(broken, fmt.Sprintf("REFUSED %s: started at %s, and all %d attempts were rejected", name, r.runner, of.refused))
+			}
+			if !of.cancelled.IsZero() && r.began.Sub(of.cancelled) > 3*time.Second {
+				broken = append(broken, fmt.Sprintf("UNASKED %s: started at %s %d ms after its cancel was acknowledged", name, r.runner, r.began.Sub(of.cancelled).Milliseconds()))
+			}
+			if of.Repeat > 0 && r.began.UnixMilli() < of.StartAt+int64(k)*of.Interval-250 {
+				broken = append(broken, fmt.Sprintf("ORDER %s: started at %s before its time", name, r.runner))
+			}
+			for _, d := range of.Steps[st].DependsOn {
+				for i := range of.Steps[d].Count {
+					if !j.doneBefore(fmt.Sprintf("%s.%d.%d.%d", id, k, d, i), r.began) && !of.Steps[d].Gang {
+						broken = append(broken, fmt.Sprintf("ORDER %s: started at %s before task %d of step %d was done", name, r.runner, i, d))
+					}
+				}
+			}
+		}
+	}
+	return broken
+}
+
+func (j *judge) doneBefore(name string, at time.Time) bool {
+	for _, r := range j.runs[name] {
+		if r.how == "done" && !r.ended.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+func parse(name string) (id string, k, step, index int) {
+	_, err := fmt.Sscanf(name, "%16s.%d.%d.%d", &id, &k, &step, &index)
+	if err != nil {
+		return "", 0, 0, 0
+	}
+	return id, k, step, index
+}
--- a/review/testdata/stand/main.go
+++ b/review/testdata/stand/main.go
@@ -83,6 +83,33 @@
 	clients *clients
 	dir     string
 	trouble bool
+
+	mu     sync.Mutex
+	lives  int
+	former []*runner
+}
+
+func (s *site) runnerAt(k int) *runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runners[k]
+}
+
+// reborn starts the next life of a machine's runner, under a new id, and takes the entry of the last one away.
+func (s *site) reborn(k int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.runners[k]
+	if !old.unanswered() {
+		return
+	}
+	s.lives++
+	r := newRunner(fmt.Sprintf("%s-%d", old.id, s.lives), old.zone, old.capacity, s.load, s.rec, s.judge)
+	r.machine, r.label = old.machine, old.label
+	s.store.remove("servers", old.id)
+	s.store.put("servers", r.id, r.entry())
+	s.runners[k], s.former = r, append(s.former, old)
+	s.rec.add("%s begins", r.id)
 }
 
 // newSite starts a store, runners and entry hosts, in turn over the zones.
--- a/review/testdata/stand/runner.go
+++ b/review/testdata/stand/runner.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strings"
@@ -29,8 +31,9 @@
 
 // workload is what clients have handed in, by job. Runners and the judge look tasks up in it.
 type workload struct {
-	mu   sync.Mutex
-	jobs map[string]*job
+	mu    sync.Mutex
+	jobs  map[string]*job
+	gangs map[string]*gangRun
 }
 
 func (w *workload) task(name string) (task, bool) {
@@ -55,6 +58,8 @@
 	began   time.Time
 	worked  time.Duration // work that a checkpoint brought
 	stopped bool
+	waits   bool // a member of a gang that is not complete
+	fails   bool
 }
 
 type endedRun struct {
@@ -87,6 +92,16 @@
 	clockOff time.Duration
 	timer    *time.Timer
 	lapsedAt time.Duration
+	// dead says that this life is over, cut that it is reached by nobody and runs on. draining is what its entry says.
+	dead, cut bool
+	draining  bool
+	// lateShare is the share of orders that get no answer and are carried out 2 to 12 s late.
+	lateShare float64
+	failShare float64
+	slowClock float64
+	server    *http.Server
+	// label is one that few machines have; "" for none.
+	label string
 }
 
 type size struct {
@@ -108,14 +123,33 @@
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
+			if span := r.later(); span > 0 {
+				rec.line("%s: order %s for %s run %d is carried out %d ms late", r.id, path, o.Task, o.Run, span.Milliseconds())
+				time.AfterFunc(span, func() {
+					if !r.unanswered() {
+						r.execute(o, do)
+					}
+				})
+				<-in.Context().Done()
+				return
+			}
 			status, answer := r.execute(o, do)
+			if r.unanswered() {
+				<-in.Context().Done()
+				return
+			}
 			writeJSON(w, status, answer)
 		})
 	}
 	mux.HandleFunc("POST /hold", r.serveHold)
 	l := listen()
 	r.address = l.Addr().String()
-	serve(l, http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+	r.server = serve(l, http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+		if r.unanswered() {
+			_, _ = io.Copy(io.Discard, in.Body)
+			<-in.Context().Done()
+			return
+		}
 		if want := in.Header.Get("Expect-Instance"); want != "" && want != r.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -128,12 +162,23 @@
 // entry is the runner's own row under servers/.
 func (r *runner) entry() map[string]any {
 	return map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
-		"sequence": 1, "machine": r.machine, "capacity": r.capacity, "labels": []string{"a", "r-" + r.zone}, "clock-ms": r.clock().Milliseconds(),
+		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": map[bool]string{false: "ready", true: "draining"}[r.draining], "cold-remaining-ms": 0,
+		"sequence": 1, "machine": r.machine, "capacity": r.capacity, "labels": r.labels(), "clock-ms": r.clock().Milliseconds(), "remaining-ms": 4000,
 	}
 }
 
-func (r *runner) clock() time.Duration { return r.clockOff + time.Since(r.start) }
+// labels returns the kind and the rack, and the machine's own label.
+func (r *runner) labels() []string {
+	list := []string{"a", "r-" + r.zone}
+	if r.label != "" {
+		list = append(list, r.label)
+	}
+	return list
+}
+
+func (r *runner) clock() time.Duration {
+	return r.clockOff + time.Duration(float64(time.Since(r.start))*(1-r.slowClock))
+}
 
 type order struct {
 	Task       string `json:"task"`
@@ -147,6 +192,47 @@
 	Percent    int    `json:"percent"`
 }
 
+// unanswered says whether the life answers nobody.
+func (r *runner) unanswered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dead || r.cut
+}
+
+// later returns by how much an order is carried out late, or 0.
+func (r *runner) later() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lateShare == 0 || rand.Float64() >= r.lateShare {
+		return 0
+	}
+	return 2*time.Second + time.Duration(rand.Int64N(int64(10*time.Second)))
+}
+
+// crash ends this life with all its runs.
+func (r *runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dead = true
+	for _, a := range r.sortedRuns() {
+		delete(r.runs, a.task)
+		r.judge.died(r.id, a.task, a.number)
+	}
+	r.rec.add("%s crashes", r.id)
+}
+
+// crashWithReset ends this life as the end of a process does: its connections are reset, and new ones are refused.
+func (r *runner) crashWithReset() {
+	r.crash()
+	_ = r.server.Close()
+}
+
+func (r *runner) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
 // execute carries out an order unless the runner has seen a higher fencing token.
 func (r *runner) execute(o order, do func(order) (int, map[string]any)) (int, map[string]any) {
 	r.mu.Lock()
@@ -210,6 +296,9 @@
 
 // progress returns how much of a run's work is done.
 func (a *activeRun) progress() time.Duration {
+	if a.waits {
+		return a.worked
+	}
 	return min(a.t.takes, a.worked+time.Since(a.began))
 }
 
@@ -249,6 +338,9 @@
 		return
 	}
 	delete(r.runs, a.task)
+	if a.t.step.Gang {
+		go r.load.memberEnded(a.task, a.number, how, r)
+	}
 	r.highest[a.task] = max(r.highest[a.task], a.number)
 	r.number++
 	e := endedRun{n: r.number, task: a.task, run: a.number, how: how, at: time.Now()}
@@ -293,17 +385,37 @@
 			left = max(0, t.takes-a.worked)
 		}
 	}
-	if !t.step.Lasting {
-		time.AfterFunc(left, func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.lapse()
-			r.end(a, "done")
-		})
+	a.fails = r.failShare > 0 && rand.Float64() < r.failShare
+	switch {
+	case t.step.Gang:
+		a.waits = true
+		go r.load.memberHere(a, r, left)
+	case !t.step.Lasting || a.fails:
+		if a.fails {
+			left /= 2
+		}
+		r.endIn(a, left)
 	}
 	return http.StatusOK, nil
 }
 
+// endIn ends a run once it has done its work.
+func (r *runner) endIn(a *activeRun, left time.Duration) {
+	time.AfterFunc(left, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.dead {
+			return
+		}
+		r.lapse()
+		if a.fails {
+			r.end(a, "failed")
+			return
+		}
+		r.end(a, "done")
+	})
+}
+
 func (r *runner) stopRun(o order) (int, map[string]any) {
 	a := r.runs[o.Task]
 	if a == nil || a.number != o.Run {
@@ -343,6 +455,10 @@
 		o.Expires = 0
 		status, answer = r.execute(o, r.hold)
 	}
+	if r.unanswered() {
+		<-in.Context().Done()
+		return
+	}
 	writeJSON(w, status, answer)
 }
 
--- a/review/testdata/stand/store.go
+++ b/review/testdata/stand/store.go
@@ -83,8 +83,10 @@
 	return l
 }
 
-func serve(l net.Listener, h http.Handler) {
-	go func() { _ = (&http.Server{Handler: h, ReadHeaderTimeout: time.Minute}).Serve(l) }()
+func serve(l net.Listener, h http.Handler) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }() // until it is closed
+	return server
 }
 
 func (s *store) isDown() bool {
@@ -101,6 +103,15 @@
 	s.rec.add("platform's store down: %v", down)
 }
 
+// remove removes a row of the runners' or the operator's.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.removeRow(rowKey{table: table, key: key})
+	s.notify()
+}
+
 // put writes a row as the operator and the runners do.
 func (s *store) put(table, key string, value any) {
 	b, err := json.Marshal(value)
@@ -206,6 +217,12 @@
 	s.answer(w, status, rows, false, ver)
 }
 
+func (s *store) setLate(late func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
 func (s *store) lateness() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
