Review case 4: a completed job is shown as cancelled after a change of leader

A cell that had borrowed tasks of a job answers for it as its home after a takeover, and an entry host that asks while the table is away keeps that answer.

--- a/review/testdata/stand/clients.go
+++ b/review/testdata/stand/clients.go
@@ -140,6 +140,17 @@
 	return false
 }
 
+// sendAgain hands a job in once more, as clients may seconds after its 2xx.
+func (c *clients) sendAgain(j *job) {
+	body, err := json.Marshal(j)
+	if err != nil {
+		cantRun("%v", err)
+	}
+	h := c.any()
+	status, text, err := c.call(h, "POST", j.id, body)
+	c.rec.line("client: POST %s again at %s: %d %v %.80q", j.id, h.name, status, err, text)
+}
+
 // submitOnce hands a job in once, and returns whether it was accepted before the client left.
 func (c *clients) submitOnce(ctx context.Context, j *job) bool {
 	j.id = fmt.Sprintf("%016x", rand.Uint64())
--- a/review/testdata/stand/hosts.go
+++ b/review/testdata/stand/hosts.go
@@ -29,18 +29,37 @@
 
 var zones = []string{"mtl-a", "mtl-b", "lvl-c"}
 
-func freePort() int {
-	l := listen()
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// freePorts returns free ports, all different. They lie below those that the kernel gives to outgoing connections, so that
+// a host finds its own still free when it is started again.
+func freePorts(n int) []int {
+	var list []int
+	for port := 20000 + os.Getpid()%1000*10; len(list) < n && port < 32000; port++ {
+		if taken[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		taken[port] = true
+		list = append(list, port)
+	}
+	if len(list) < n {
+		cantRun("no free ports")
+	}
+	return list
 }
 
+var taken = map[int]bool{}
+
 // newHost fills deploy/settings.jsonc.template with the fields of DEPLOY.md, with the bounds of sites/bcb-quotes.toml.
 func newHost(dir string, n int, zone, table string, rec *record) *host {
 	h := &host{name: fmt.Sprintf("edge-%s-%d", zone, n), zone: zone, ip: "127.0.0.1", table: table, rec: rec}
-	h.frontend = fmt.Sprintf("127.0.0.1:%d", freePort())
-	h.ready = fmt.Sprintf("127.0.0.1:%d", freePort())
-	h.ports = [2]int{freePort(), freePort()}
+	ports := freePorts(4)
+	h.frontend = fmt.Sprintf("127.0.0.1:%d", ports[0])
+	h.ready = fmt.Sprintf("127.0.0.1:%d", ports[1])
+	h.ports = [2]int{ports[2], ports[3]}
 	h.file = filepath.Join(dir, h.name+".jsonc")
 	text, err := os.ReadFile("deploy/settings.jsonc.template")
 	if err != nil {
