--- a/review/testdata/stand/hosts.go
+++ b/review/testdata/stand/hosts.go
@@ -33,7 +33,7 @@
 // a host finds its own still free when it is started again.
 func freePorts(n int) []int {
 	var list []int
-	for port := 20000 + os.Getpid()%1000*10; len(list) < n && port < 32000; port++ {
+	for port := 20000 + os.Getpid()%110*100; len(list) < n && port < 32000; port++ {
 		if taken[port] {
 			continue
 		}
--- a/review/testdata/stand/main.go
+++ b/review/testdata/stand/main.go
@@ -10,9 +10,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -191,6 +193,9 @@
 		cantRun("%v", err)
 	}
 	rec := newRecord(*out)
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() { <-ended; rec.close(); cantRun("ended by a signal") }()
 	time.AfterFunc(115*time.Second, func() { rec.add("takes too long"); rec.close(); cantRun("over 115 s") })
 	l := layouts[*name]
 	s := newSite(rec, dir, l.runners, l.hosts, l.capacity, *trouble)
