--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 test -x target/stand && test -x target/wrenferryd || { echo "build first: the build of deploy/system.toml, then review/build.sh" >&2; exit 2; }
 trouble=true
 test "$TROUBLE" = 0 && trouble=false
-exec target/stand -case large-row -trouble=$trouble -out review/5/record.txt
+exec target/stand -case wrong-state -trouble=$trouble -out review/5/record.txt
--- a/review/testdata/stand/hosts.go
+++ b/review/testdata/stand/hosts.go
@@ -54,7 +54,7 @@
 var taken = map[int]bool{}
 
 // newHost fills deploy/settings.jsonc.template with the fields of DEPLOY.md, with the bounds of sites/bcb-quotes.toml.
-func newHost(dir string, n int, zone, table string, rec *record) *host {
+func newHost(dir string, n int, zone, table, advice string, rec *record) *host {
 	h := &host{name: fmt.Sprintf("edge-%s-%d", zone, n), zone: zone, ip: "127.0.0.1", table: table, rec: rec}
 	ports := freePorts(4)
 	h.frontend = fmt.Sprintf("127.0.0.1:%d", ports[0])
@@ -72,7 +72,7 @@
 	filled := regexp.MustCompile(`\{\{#zones\}\}.*?\{\{/zones\}\}`).ReplaceAllString(string(text), strings.Join(list, ", "))
 	for gap, value := range map[string]string{
 		"node-name": h.name, "zone": zone, "bind-addresses.frontend": h.frontend, "bind-addresses.ready": h.ready, "ip": h.ip,
-		"port-range.0": fmt.Sprint(h.ports[0]), "port-range.1": fmt.Sprint(h.ports[1]), "platform.address": table, "advice": "",
+		"port-range.0": fmt.Sprint(h.ports[0]), "port-range.1": fmt.Sprint(h.ports[1]), "platform.address": table, "advice": advice,
 		"bounds.hold-max-ms": "10000", "bounds.status_s": "120", "bounds.grace-s": "6", "limits.memory-mb": "284", "limits.cpu-share": "0.4",
 	} {
 		filled = strings.ReplaceAll(filled, "{{"+gap+"}}", value)
--- a/review/testdata/stand/judge.go
+++ b/review/testdata/stand/judge.go
@@ -27,6 +27,7 @@
 
 	mu   sync.Mutex
 	runs map[string][]*runSeen
+	over []string
 }
 
 func newJudge(rec *record) *judge { return &judge{rec: rec, runs: map[string][]*runSeen{}} }
@@ -56,6 +57,14 @@
 	j.rec.line("%s end %d %s run %d %s", runner, e.n, e.task, e.run, e.how)
 }
 
+// overCapacity notes a start that takes a runner beyond its capacity.
+func (j *judge) overCapacity(runner, task string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.over = append(j.over, fmt.Sprintf("LIMIT %s: its start takes %s beyond its capacity", task, runner))
+	j.rec.line("%s is beyond its capacity with %s", runner, task)
+}
+
 // died marks a run that ended with its runner's life.
 func (j *judge) died(runner, task string, run int64) {
 	j.mu.Lock()
@@ -213,7 +222,7 @@
 func (j *judge) other(s *site) []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var broken []string
+	broken := append([]string(nil), j.over...)
 	for _, name := range j.names() {
 		id, k, st, _ := parse(name)
 		of := s.load.jobs[id]
--- a/review/testdata/stand/main.go
+++ b/review/testdata/stand/main.go
@@ -83,6 +83,7 @@
 	runners []*runner
 	hosts   []*host
 	clients *clients
+	advisor *advisor
 	dir     string
 	trouble bool
 
@@ -107,7 +108,7 @@
 	}
 	s.lives++
 	r := newRunner(fmt.Sprintf("%s-%d", old.id, s.lives), old.zone, old.capacity, s.load, s.rec, s.judge)
-	r.machine, r.label = old.machine, old.label
+	r.machine, r.label, r.unguarded = old.machine, old.label, old.unguarded
 	s.store.remove("servers", old.id)
 	s.store.put("servers", r.id, r.entry())
 	s.runners[k], s.former = r, append(s.former, old)
@@ -118,6 +119,7 @@
 func newSite(rec *record, dir string, runnersPerZone, hostsPerZone int, capacity size, trouble bool) *site {
 	s := &site{rec: rec, store: newStore(rec), load: &workload{jobs: map[string]*job{}}, judge: newJudge(rec), dir: dir, trouble: trouble}
 	s.store.put("op", "config", manifest(3))
+	s.advisor = newAdvisor(rec)
 	for n := range runnersPerZone {
 		for _, z := range zones {
 			r := newRunner(fmt.Sprintf("i-%s-%d", z, n), z, capacity, s.load, rec, s.judge)
@@ -127,7 +129,7 @@
 	}
 	for n := range hostsPerZone {
 		for _, z := range zones {
-			h := newHost(dir, n, z, s.store.address, rec)
+			h := newHost(dir, n, z, s.store.address, s.advisor.address, rec)
 			s.hosts = append(s.hosts, h)
 		}
 	}
--- a/review/testdata/stand/mix.go
+++ b/review/testdata/stand/mix.go
@@ -53,6 +53,14 @@
 
 func playMix(s *site) []string {
 	r := rand.New(rand.NewPCG(*mixSeed, 7))
+	if *mixSeed%2 == 0 {
+		m := manifest(5)
+		m["services"].([]map[string]any)[0]["rejects-overload"] = false
+		s.store.put("op", "config", m)
+		for _, each := range s.runners {
+			each.unguarded = true
+		}
+	}
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	var list []*job
@@ -77,7 +85,7 @@
 			h := s.hosts[fr.IntN(len(s.hosts))]
 			k := fr.IntN(len(s.runners))
 			run := s.runnerAt(k)
-			switch fr.IntN(11) {
+			switch fr.IntN(14) {
 			case 0, 1:
 				fault("kill "+h.name, time.Duration(100+fr.IntN(3000))*time.Millisecond, h.kill, h.start)
 			case 2:
@@ -101,6 +109,12 @@
 				fault("cut "+run.id, time.Duration(1000+fr.IntN(5000))*time.Millisecond, func() { run.set(func() { run.cut = true }) }, func() { run.set(func() { run.cut = false }) })
 			case 9:
 				fault("late orders "+run.id, 5*time.Second, func() { run.set(func() { run.lateShare = 0.2 }) }, func() { run.set(func() { run.lateShare = 0 }) })
+			case 11:
+				fault("silent channels of the store", time.Second, s.store.channels.silence, func() {})
+			case 12:
+				fault("silent channels of "+run.id, time.Second, run.channels.silence, func() {})
+			case 13:
+				fault("slow store", time.Duration(1000+fr.IntN(3500))*time.Millisecond, func() { s.store.setSlow(60) }, func() { s.store.setSlow(1) })
 			case 10:
 				fault("kill all", time.Duration(100+fr.IntN(1200))*time.Millisecond, func() {
 					for _, h := range s.hosts {
--- a/review/testdata/stand/runner.go
+++ b/review/testdata/stand/runner.go
@@ -100,8 +100,13 @@
 	failShare float64
 	slowClock float64
 	server    *http.Server
+	channels  *silentListener
 	// label is one that few machines have; "" for none.
 	label string
+	// tickets says that a start needs the ticket of its step.
+	tickets bool
+	// unguarded says that it starts whatever it is told.
+	unguarded bool
 }
 
 type size struct {
@@ -144,7 +149,7 @@
 	mux.HandleFunc("POST /hold", r.serveHold)
 	l := listen()
 	r.address = l.Addr().String()
-	r.server = serve(l, http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+	r.server, r.channels = serve(l, http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		if r.unanswered() {
 			_, _ = io.Copy(io.Discard, in.Body)
 			<-in.Context().Done()
@@ -190,6 +195,7 @@
 	LastSeen   int64  `json:"last-seen"`
 	WaitMs     int64  `json:"wait-ms"`
 	Percent    int    `json:"percent"`
+	Ticket     string `json:"ticket"`
 }
 
 // unanswered says whether the life answers nobody.
@@ -364,6 +370,9 @@
 	if r.runs[o.Task] != nil || r.highest[o.Task] >= o.Run {
 		return refuse("old")
 	}
+	if step := o.Task[:strings.LastIndex(o.Task, ".")]; r.tickets && o.Ticket != ticketFor(step, r.id) {
+		return refuse("ticket")
+	}
 	t, known := r.load.task(o.Task)
 	var taken size
 	for _, a := range r.runs {
@@ -371,7 +380,10 @@
 		taken.MemMB += a.t.step.MemMB
 	}
 	if taken.CPU+t.step.CPU > r.capacity.CPU || taken.MemMB+t.step.MemMB > r.capacity.MemMB {
-		return refuse("room")
+		if !r.unguarded {
+			return refuse("room")
+		}
+		r.judge.overCapacity(r.id, o.Task)
 	}
 	a := &activeRun{task: o.Task, number: o.Run, t: t, began: time.Now()}
 	r.runs[o.Task] = a
--- a/review/testdata/stand/store.go
+++ b/review/testdata/stand/store.go
@@ -49,6 +49,9 @@
 	// late returns by how much a writing call is done late, in which case it gets no answer; 0: it is done and answered.
 	late     func() time.Duration
 	tooLarge int
+	channels *silentListener
+	// slow multiplies the time that calls take; 0 and 1: they take the usual time.
+	slow int
 }
 
 type txMessage struct {
@@ -65,7 +68,7 @@
 	mux.HandleFunc("GET /rows-feed", s.serveFeed)
 	l := listen()
 	s.address = l.Addr().String()
-	serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	_, s.channels = serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isDown() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -83,10 +86,11 @@
 	return l
 }
 
-func serve(l net.Listener, h http.Handler) *http.Server {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(l) }() // until it is closed
-	return server
+// serve serves a port until the server is closed. channels can be made silent.
+func serve(l net.Listener, h http.Handler) (server *http.Server, channels *silentListener) {
+	server, channels = &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}, &silentListener{Listener: l}
+	go func() { _ = server.Serve(channels) }()
+	return server, channels
 }
 
 func (s *store) isDown() bool {
@@ -217,6 +221,18 @@
 	s.answer(w, status, rows, false, ver)
 }
 
+func (s *store) slowness() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, s.slow)
+}
+
+func (s *store) setSlow(x int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = x
+}
+
 func (s *store) setLate(late func() time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -246,7 +262,7 @@
 	part := s.part(all[0].Part)
 	part.Lock()
 	defer part.Unlock()
-	time.Sleep(txTime)
+	time.Sleep(txTime * time.Duration(s.slowness()))
 	s.mu.Lock()
 	for _, e := range tx.Expected {
 		if s.rows[e.key()].Ver != e.Ver {
@@ -282,7 +298,7 @@
 	if n, err := strconv.Atoi(q.Get("limit")); err == nil && n > 0 {
 		limit = min(n, pageRows)
 	}
-	time.Sleep(readTime)
+	time.Sleep(readTime * time.Duration(s.slowness()))
 	s.mu.Lock()
 	var list []row
 	for _, each := range s.rows {
