Gangs with advice and gangs of fillers leave a cell that can't start them

Callers saw gangs that were never started: on a queue with advice, in a cell none of whose workers the service approves, a gang stayed `queued` for good beside approved workers in another cell; so did a gang of fillers in a cell that has lost its label or has no free memory. Single tasks left these cells. Cause: mayDelegateGang kept gangs with advice and gangs of fillers in their cell for good, a case apart from the rule that a waiting task belongs where it can start next.

A gang leaves as a whole, with its evidence, to a cell that could start all of it: after two seconds, or four on a queue with advice, as single tasks do; no ticket goes with it. For gangs of fillers the other cell's waiting fillers and harmless places count. A cell returns a gang that has waited for 1.5 s if another cell could start all of it, but not while the service may still approve workers that all of it fits on. The backoff after a return is that of other short tasks. Each wait for a lease is as long as before.

TestAdvisedGangLeavesACellWithoutAnApprovedWorker, TestDelegatedAdvisedGangIsReturnedOnceAllWorkersAreTurnedDown, TestGangOfFillersLeavesACellThatCannotStartIt and TestGangOfFillersIsNotDelegatedToABacklogOfFillers fail without the change.

--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -50,6 +50,8 @@
 			h.state.Take(h.clock(), answered)
 			h.act()
 		})
+	case cell.SendAdviceRequest:
+		h.advise(e)
 	case cell.SendPoll:
 		sentAt := h.clock()
 		h.callWorker(e.To, e.Timeout, e.Poll.Wait, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.poll(k.pollFor(e.To, e.Poll))) },
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -43,6 +43,7 @@
 	workers []*worker
 	hosts   []*host
 	jobs    map[string]*wire.JobSpec
+	tickets map[string]ticket
 	checker *checker
 	cuts    map[[2]string]time.Time // when the partition between two names ends
 	// hallCuts holds when the partition between two halls ends.
@@ -242,6 +243,7 @@
 	w.planBacklog()
 	w.planScarceMemory()
 	w.planLabelJobs()
+	w.planAdvisedJobs()
 }
 
 // newJob draws a job of one to three steps, or one with lasting tasks, or a repeated one.
@@ -351,7 +353,10 @@
 	if w.plan.Load != nil {
 		return manifest.New(1, w.plan.Load.Queues, []manifest.Service{{Name: serviceName, GuardsCapacity: true}}, manifest.Limits{})
 	}
-	return manifest.New(1, []manifest.Queue{{
-		Name: queueName, Service: serviceName, MaxAttempts: maxAttempts, Stretch: 2, Slack: time.Second,
-	}}, []manifest.Service{{Name: serviceName, GuardsCapacity: !w.plan.Unguarded}}, manifest.Limits{})
+	queues := []manifest.Queue{{Name: queueName, Service: serviceName, MaxAttempts: maxAttempts, Stretch: 2, Slack: time.Second}}
+	if w.plan.AdvisedJobs > 0 {
+		queues = append(queues, queues[0])
+		queues[1].Name, queues[1].Advice = advisedQueueName, &advice
+	}
+	return manifest.New(1, queues, []manifest.Service{{Name: serviceName, GuardsCapacity: !w.plan.Unguarded}}, manifest.Limits{})
 }
--- a/pkg/emulator/held_rule.go
+++ b/pkg/emulator/held_rule.go
@@ -243,7 +243,7 @@
 		needed *= int64(spec.GetCount())
 	}
 	for _, k := range w.workers {
-		if !k.takesNewWork() || !k.hasLabelFor(spec) {
+		if !k.takesNewWork() || !k.mayRun(task, spec) {
 			continue
 		}
 		n := fittingTasks(k.unused(), spec)
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -26,6 +26,7 @@
 	board          *cellchoice.Board
 	beliefsAskedAt map[string]time.Time
 	frozenUntil    time.Time
+	adviceFreeAt   time.Time // the advice service takes one call of the host at a time
 	// leaving says that this incarnation is stopping as planned.
 	leaving bool
 	// connected holds the worker incarnations that this incarnation of the host has called.
--- a/pkg/emulator/lost_label_plans.go
+++ b/pkg/emulator/lost_label_plans.go
@@ -46,6 +46,8 @@
 			step.Filler, step.Image = true, fmt.Sprintf("image-%d", w.rand.IntN(2))
 		case 2:
 			step.Gang = true
+		case 3:
+			step.Gang, step.Filler, step.Image = true, true, fmt.Sprintf("image-%d", w.rand.IntN(2))
 		}
 		if i > 0 {
 			step.After = []int32{int32(w.rand.IntN(i))}
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -90,6 +90,9 @@
 	// LabelJobs is the number of jobs whose tasks need a label that one worker of each cell has. That of the first cell
 	// leaves for good.
 	LabelJobs int
+	// AdvisedJobs is the number of jobs whose starts need a ticket of the advice service, which approves no worker of the first
+	// cell.
+	AdvisedJobs int
 	// UrgentWait is the setting urgentWait of all hosts. UrgentJobs is the number of urgent jobs in each of the waves that
 	// come beside the other jobs until Traffic.
 	UrgentWait time.Duration
--- a/pkg/emulator/script.go
+++ b/pkg/emulator/script.go
@@ -102,7 +102,7 @@
 func newWorld(plan Plan, d *randomStreams) *World {
 	w := &World{
 		plan: plan, draws: d, start: time.Unix(1_000_000, 0),
-		jobs: map[string]*wire.JobSpec{}, cuts: map[[2]string]time.Time{}, hallCuts: map[string]time.Time{}, evacuations: map[string]*evacuation{},
+		jobs: map[string]*wire.JobSpec{}, tickets: map[string]ticket{}, cuts: map[[2]string]time.Time{}, hallCuts: map[string]time.Time{}, evacuations: map[string]*evacuation{},
 		truths: map[string]*TaskBehavior{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
 		crashTaskDelays: map[string]time.Duration{}, Noted: map[cell.NoteKind]int{},
 	}
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -285,6 +285,9 @@
 		k.world.checker.startOfUnknownTask(k, s)
 		return k.clock(), workers.RefusedMalformed
 	}
+	if !k.allowsStart(s) {
+		return k.clock(), workers.RefusedTicket
+	}
 	w := k.world
 	if !w.plan.Unguarded && !size.Fits(k.free()) {
 		return k.clock(), workers.RefusedNoCapacity
--- a/pkg/process/cell/advice.go
+++ b/pkg/process/cell/advice.go
@@ -129,6 +129,19 @@
 	return approved
 }
 
+// fitsUnlessTurnedDown reports whether a unit, if it is a gang all of it, fits on usable workers that the advice service has not
+// turned down.
+func (s *State) fitsUnlessTurnedDown(now time.Time, u *jobs.Unit, usable []*workers.Worker) bool {
+	a := s.ticketsByUnit[u.Name()]
+	return s.anyFits(now, u, slices.DeleteFunc(slices.Clone(usable), func(w *workers.Worker) bool { return a.statusOf(w) == turnedDown }))
+}
+
+// awaitsAdvice reports whether a unit may start here once the advice service has answered.
+func (s *State) awaitsAdvice(now time.Time, u *jobs.Unit, usable []*workers.Worker) bool {
+	_, advised := s.ticketValidity(u)
+	return advised && s.fitsUnlessTurnedDown(now, u, usable)
+}
+
 // requestAdvice calls the advice service for a unit, unless a call is in flight.
 func (s *State) requestAdvice(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
 	if s.adviceRequested != "" {
--- a/pkg/process/cell/advice_test.go
+++ b/pkg/process/cell/advice_test.go
@@ -245,3 +245,58 @@
 	}
 	must.Len(t, 1, a.sent)
 }
+
+// advisedGang is a gang of two whose starts need tickets.
+var advisedGang = &wire.StepSpec{Count: 2, Millicores: 1000, Gang: true}
+
+// Guards against a gang that waits without end in a cell none of whose workers the service approves, while other cells have
+// workers that may be approved.
+func TestAdvisedGangLeavesACellWithoutAnApprovedWorker(t *testing.T) {
+	t.Parallel()
+	a := newAdvisedCell()
+	a.state.Take(a.now, cell.JobAccepted{Spec: &wire.JobSpec{Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{advisedGang}}})
+	other := newAdvisedCell()
+	for range 120 {
+		other.step()
+		a.state.Take(a.now, cell.PeerLoad{Load: named(other.state.Load(other.now, false), "other")})
+		a.step()
+		a.answer()
+	}
+	must.SliceEmpty(t, a.sent)
+	must.True(t, slices.ContainsFunc(a.notified, func(n cell.NotifyLeader) bool {
+		return n.Cell == "other" && len(n.Delegated.GetGuest()) == 2
+	}), must.Sprint("the gang leaves as a whole"))
+}
+
+// Guards against a delegated gang that stays in a cell none of whose workers the service approves, and against one that is
+// returned before the service was asked about all of them.
+func TestDelegatedAdvisedGangIsReturnedOnceAllWorkersAreTurnedDown(t *testing.T) {
+	t.Parallel()
+	for name, each := range map[string]struct {
+		approved []string
+		started  int
+		returned bool
+	}{
+		"none is approved":            {returned: true},
+		"the last worker is approved": {approved: []string{"w16"}, started: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newAdvisedCellOf(16)
+			a.state.Take(a.now, cell.JobAccepted{Spec: &wire.JobSpec{
+				Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Home: "home", Steps: []*wire.StepSpec{advisedGang},
+				Guest: []*wire.TaskRef{{Lending: 1}, {Index: 1, Lending: 1}},
+			}})
+			other := newAdvisedCell()
+			for i := range 100 {
+				other.step()
+				a.state.Take(a.now, cell.PeerLoad{Load: named(other.state.Load(other.now, false), "home")})
+				a.step()
+				if i%20 == 19 { // a call takes up to a second
+					a.answer(each.approved...)
+				}
+			}
+			must.Len(t, each.started, a.sent)
+			must.Eq(t, each.returned, slices.ContainsFunc(a.notified, func(n cell.NotifyLeader) bool { return len(n.Returned.GetTasks()) == 2 }))
+		})
+	}
+}
--- a/pkg/process/cell/delegation.go
+++ b/pkg/process/cell/delegation.go
@@ -95,7 +95,7 @@
 	})
 	for _, u := range units {
 		if s.mayDelegateGang(u) {
-			s.delegateGang(now, u)
+			s.delegateGang(now, u, usable)
 			continue
 		}
 		if mustReturn[u] {
--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -7,53 +7,60 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
 // Delegation of gangs. In a cell full of lasting tasks, capacity for all tasks of a gang at once may never become
 // free. So the gang is delegated as a whole to a cell that reports capacity for all of its tasks. Its failure counts,
-// crash evidence and checkpoint go with it. A gang that has run here, or may have, waits longer before that, because
-// this cell may still learn that it ended well. A target cell without free capacity returns the gang as a whole.
+// crash evidence and checkpoint go with it; tickets of the advice service don't, because they are for workers of this
+// cell. A gang that has run here, or may have, waits longer before that, because this cell may still learn that it ended
+// well. A target cell that can't start the gang returns it as a whole.
 
 // delegateStartedGangAfter is how long a gang that may have run here waits before it is delegated. After the longest
 // lease, no run of it can still go on.
 const delegateStartedGangAfter = LongestLease
 
-// mayDelegateGang reports whether a unit is a gang that another cell may run. Gangs of fillers, lasting gangs and gangs
-// whose starts need an advice ticket stay in their cell.
+// mayDelegateGang reports whether a unit is a gang that another cell may run. Lasting gangs stay in their cell.
 func (s *State) mayDelegateGang(u *jobs.Unit) bool {
-	_, advised := s.ticketValidity(u)
-	return u.Spec.GetGang() && !u.Spec.GetFiller() && !u.Lasting() && !advised && s.enabled(LendPlain)
+	return u.Spec.GetGang() && !u.Lasting() && s.mayDelegateKind(u)
 }
 
-// delegateGang delegates a gang that has waited long enough to a cell with capacity for all of its tasks. A gang that
-// was delegated to this cell is returned after returnAfter.
-func (s *State) delegateGang(now time.Time, u *jobs.Unit) {
-	if len(u.Waiting(now)) < len(u.Tasks) {
-		return
+// delegateGangAfter returns how long a gang waits before it is delegated.
+func (s *State) delegateGangAfter(now time.Time, u *jobs.Unit) time.Duration {
+	after := s.unlessEvacuating(delegateAfter)
+	if _, advised := s.ticketValidity(u); advised {
+		after = s.unlessEvacuating(delegateUnheardAfter) // the advice service is asked about some workers at a time
 	}
-	first := u.Tasks[0]
-	waited, after := now.Sub(u.ReadyAt), s.unlessEvacuating(delegateAfter)
 	if slices.ContainsFunc(u.Tasks, mayHaveRunBefore) {
 		after = delegateStartedGangAfter
 	}
 	if slices.ContainsFunc(u.Tasks, s.needsIsolation) {
 		after = max(after, s.unlessEvacuating(isolatedOtherHostWait)) // another cell would have to run it isolated, too
 	}
+	return after
+}
+
+// delegateGang delegates a gang that has waited long enough to a cell with capacity for all of its tasks. A gang that
+// was delegated to this cell is returned after returnAfter.
+func (s *State) delegateGang(now time.Time, u *jobs.Unit, usable []*workers.Worker) {
+	if len(u.Waiting(now)) < len(u.Tasks) {
+		return
+	}
 	if slices.ContainsFunc(u.Tasks, func(t *jobs.Task) bool { return s.awaitsCrashOutcome(now, t) }) {
 		return // the gang may be given up once it is known whether a silent worker crashed
 	}
+	first := u.Tasks[0]
 	if u.Job.Delegated() {
-		if now.Sub(waitingHereSince(first)) >= s.unlessEvacuating(returnAfter) {
-			for _, t := range u.Tasks {
-				s.returnTask(now, t)
-			}
+		if s.mustReturnGang(now, u, usable) {
+			s.returnTasks(now, u, u.Tasks)
 		}
 		return
 	}
-	if waited < after {
+	waited := now.Sub(u.ReadyAt)
+	if waited < s.delegateGangAfter(now, u) {
 		return
 	}
-	name, fits := s.peerForGang(now, u, first.ReturnedAt)
+	name, fits := s.peerForGang(now, u)
 	if name == "" {
 		return
 	}
@@ -69,6 +76,19 @@
 	})
 }
 
+// mustReturnGang reports whether a gang that another cell delegated here has to go back: it has to leave the hall, or it has
+// waited for returnAfter and another cell could start all of it.
+func (s *State) mustReturnGang(now time.Time, u *jobs.Unit, usable []*workers.Worker) bool {
+	if u.Job.Spec.GetHome() == "" {
+		return false
+	}
+	if s.mustLeave(now) {
+		return true
+	}
+	peer, _ := s.peerForGang(now, u)
+	return peer != "" && now.Sub(waitingHereSince(u.Tasks[0])) >= returnAfter && !s.awaitsAdvice(now, u, usable)
+}
+
 // mayHaveRunBefore reports whether a task has run, or may have: it may have been started here, or a crash, a failed run
 // or a checkpoint of it is known.
 func mayHaveRunBefore(t *jobs.Task) bool {
@@ -76,18 +96,28 @@
 }
 
 // peerForGang returns the cell with capacity for the most tasks of a gang, and for how many. It returns "" if no cell
-// has capacity for the whole gang. Cells that returned the gang within returnBackoff are skipped.
-func (s *State) peerForGang(now time.Time, u *jobs.Unit, returnedAt map[string]time.Time) (best string, most int64) {
-	size, service := max(1, u.Size.Millicores), s.serviceOf(u.Job)
+// has capacity for the whole gang. Cells that returned the gang within its backoff are skipped.
+func (s *State) peerForGang(now time.Time, u *jobs.Unit) (best string, most int64) {
+	service, waited := s.serviceOf(u.Job), now.Sub(u.ReadyAt)
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
-		if name == s.name || now.Sub(returnedAt[name]) < returnBackoff || !o.mayReceive(now) || !o.hasLabelFor(u) {
+		if name == s.name || !o.mayReceive(now) || !o.hasLabelFor(u) || s.returnedLately(now, u.Tasks[0], name) {
 			continue
 		}
-		fits := o.startable(u, service) - o.delegatedShort/size
+		fits := o.startableGang(u, service, waited)
 		if fits >= int64(len(u.Tasks)) && fits > most {
 			best, most = name, fits
 		}
 	}
 	return best, most
 }
+
+// startableGang returns how many tasks of a gang could start in the cell, less what was delegated there since its load
+// message. A gang of fillers needs harmless places, or later a cell that is mostly free (mostlyFreePeer).
+func (o peerLoad) startableGang(u *jobs.Unit, service string, waited time.Duration) int64 {
+	startable, delegated := o.unclaimed(u, service)
+	if u.Spec.GetFiller() && !(waited >= delegateToHarmfulAfter && o.isMostlyFree()) {
+		return int64(o.delegableTasks(u, service, waited))
+	}
+	return startable - delegated
+}
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -28,10 +28,15 @@
 // mayDelegateShort reports whether each task of a unit may run by itself in any cell. Lasting tasks, gangs and tasks
 // delegated to this cell may not.
 func (s *State) mayDelegateShort(u *jobs.Unit) bool {
-	if (u.Spec.GetFiller() && !s.enabled(LendFillers)) || (!u.Spec.GetFiller() && !s.enabled(LendPlain)) {
-		return false
+	return !u.Lasting() && !u.Spec.GetGang() && !u.Job.Delegated() && s.mayDelegateKind(u)
+}
+
+// mayDelegateKind reports whether the mechanism that delegates tasks of a unit's kind, fillers or other short tasks, is enabled.
+func (s *State) mayDelegateKind(u *jobs.Unit) bool {
+	if u.Spec.GetFiller() {
+		return s.enabled(LendFillers)
 	}
-	return !u.Lasting() && !u.Spec.GetGang() && !u.Job.Delegated()
+	return s.enabled(LendPlain)
 }
 
 // delegateUnheardAfter is how long a short task that may have run here waits before it is delegated. After the longest
@@ -195,14 +200,21 @@
 // free. For fillers that is less what the waiting fillers of the cell will take. A unit that has waited for long takes the
 // last place, too.
 func (o peerLoad) delegableByRoom(u *jobs.Unit, service string, waited time.Duration) int {
-	size := max(1, u.Size.Millicores)
-	startable, delegated := o.startable(u, service), o.delegatedShort
-	if u.Spec.GetFiller() {
-		startable -= o.load.GetWaitingFillerMillicores()[service] / size
-		delegated += o.delegatedFillers
-	}
+	startable, delegated := o.unclaimed(u, service)
 	if waited < delegateUnheardAfter || startable > 1 {
 		startable /= peerFreeDivisor
 	}
-	return int(startable - delegated/size)
+	return int(startable - delegated)
+}
+
+// unclaimed returns how many tasks of a unit of a service could start in the cell beside its own waiting fillers, and how many
+// would take the place of what was delegated there since its last load message.
+func (o peerLoad) unclaimed(u *jobs.Unit, service string) (startable, delegated int64) {
+	size, millicores := max(1, u.Size.Millicores), o.delegatedShort
+	startable = o.startable(u, service)
+	if u.Spec.GetFiller() {
+		startable -= o.load.GetWaitingFillerMillicores()[service] / size
+		millicores += o.delegatedFillers
+	}
+	return startable, millicores / size
 }
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -124,10 +124,7 @@
 	if peer, _ := s.peerForShort(now, u); peer == "" {
 		return false
 	}
-	service, tickets := s.serviceOf(u.Job), s.ticketsByUnit[u.Name()]
-	return !slices.ContainsFunc(usable, func(w *workers.Worker) bool {
-		return s.fits(now, u, service, w) && tickets.statusOf(w) != turnedDown
-	})
+	return !s.fitsUnlessTurnedDown(now, u, usable)
 }
 
 // waitsTooLongHere reports whether a delegated short task has waited here for returnAfter, and nothing else keeps it.
@@ -143,17 +140,23 @@
 
 // returnShort returns the waiting tasks of a unit to their home cell, except those that may still run here.
 func (s *State) returnShort(now time.Time, u *jobs.Unit) {
-	returned, all := 0, s.mustLeave(now) || s.isUnplaceable(now, u)
+	all := s.mustLeave(now) || s.isUnplaceable(now, u)
+	var list []*jobs.Task
 	for _, t := range u.Waiting(now) {
-		if (mayHaveRunBefore(t) && !s.surelyOver(now, t)) || (!all && !waitsTooLongHere(now, t)) {
-			continue
+		if (!mayHaveRunBefore(t) || s.surelyOver(now, t)) && (all || waitsTooLongHere(now, t)) {
+			list = append(list, t)
 		}
+	}
+	if len(list) > 0 {
+		s.returnTasks(now, u, list)
+	}
+}
+
+// returnTasks returns tasks of a unit to their home cell.
+func (s *State) returnTasks(now time.Time, u *jobs.Unit, list []*jobs.Task) {
+	for _, t := range list {
 		t.WaitedBeforeHandover = s.waitBeforeHandover(now, t)
 		u.Job.ReturnTask(t)
-		returned++
-	}
-	if returned == 0 {
-		return
 	}
 	reason := "they could start in another cell and not here"
 	switch {
@@ -166,6 +169,6 @@
 	s.updateWaiting(now, u.Job)
 	s.note(Note{
 		Kind: NoteGivenBack, Job: u.Job.Spec.GetId(), Task: u.Name(), AgeMs: -1,
-		Detail: fmt.Sprintf("%d tasks to %s, since %s", returned, u.Job.Spec.GetHome(), reason),
+		Detail: fmt.Sprintf("%d tasks to %s, since %s", len(list), u.Job.Spec.GetHome(), reason),
 	})
 }
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -240,6 +240,27 @@
 	return s.placementBlocker(now, u, service, w) == notBlocked
 }
 
+// anyFits reports whether a task of a unit may go to a worker of the pool, or all tasks of a gang together.
+func (s *State) anyFits(now time.Time, u *jobs.Unit, pool []*workers.Worker) bool {
+	service, needed := s.serviceOf(u.Job), 1
+	if u.Spec.GetGang() {
+		needed = len(u.Tasks)
+	}
+	for _, w := range pool {
+		var reserved []*jobs.Run
+		for needed > 0 && s.fits(now, u, service, w) {
+			needed--
+			r := &jobs.Run{Task: u.Tasks[needed], Worker: w.ID}
+			w.Add(r)
+			reserved = append(reserved, r)
+		}
+		for _, r := range reserved {
+			w.Remove(r)
+		}
+	}
+	return needed == 0
+}
+
 const (
 	// remotePenalty is subtracted from the score of a worker outside the rack of the task's data. It
 	// outweighs any difference in free CPU.
--- a/pkg/process/cell/stranded_tasks_test.go
+++ b/pkg/process/cell/stranded_tasks_test.go
@@ -329,20 +329,66 @@
 	}
 }
 
-// Guards against tasks that bear evidence of the crash of the only worker with their label and never leave its cell.
+// Guards against tasks and gangs that bear evidence of the crash of the only worker with their label and never leave its cell.
 func TestTasksOfACrashedWorkerLeaveACellThatHasLostTheirLabel(t *testing.T) {
 	t.Parallel()
-	home, other := newEmptyCell(), newEmptyCellOf("other", "quotes")
-	home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 1)})
-	other.state.Take(other.now, cell.WorkersListed{Records: labelledRecords(other, "gpu", 2)})
-	home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 3, Millicores: 3500, MemoryMb: 6400, EstimateMs: 6800, Label: "gpu"})
-	home.step(50 * time.Millisecond)
-	must.MapLen(t, 3, home.started)
-	home.silent["w00"] = true
-	exchange(t, home, other, 4*time.Second)
-	home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 1)[1:]})
-	exchange(t, home, other, 20*time.Second)
-	for i := range 3 {
-		must.True(t, other.started[fmt.Sprintf("%s.0.0.%d", delegatedJob, i)])
+	for name, gang := range map[string]bool{"short": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			home, other := newEmptyCell(), newEmptyCellOf("other", "quotes")
+			home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 1)})
+			other.state.Take(other.now, cell.WorkersListed{Records: labelledRecords(other, "gpu", 2)})
+			home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 3, Millicores: 3500, MemoryMb: 6400, EstimateMs: 6800, Label: "gpu", Gang: gang})
+			home.step(50 * time.Millisecond)
+			must.MapLen(t, 3, home.started)
+			home.silent["w00"] = true
+			exchange(t, home, other, 4*time.Second)
+			home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 1)[1:]})
+			exchange(t, home, other, 20*time.Second)
+			for i := range 3 {
+				must.True(t, other.started[fmt.Sprintf("%s.0.0.%d", delegatedJob, i)])
+			}
+		})
+	}
+}
+
+// Guards against gangs of fillers that never leave a cell that can't start them, while another cell could start all of each.
+func TestGangOfFillersLeavesACellThatCannotStartIt(t *testing.T) {
+	t.Parallel()
+	for name, strand := range map[string]func(home *testCell){
+		"full memory": func(home *testCell) { home.fillMemory() },
+		"lost label": func(home *testCell) {
+			home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 0)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			home, other := newEmptyCell(), newEmptyCellOf("other", "quotes")
+			other.state.Take(other.now, cell.WorkersListed{Records: labelledRecords(other, "gpu", 2)})
+			strand(home)
+			home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 4, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Filler: true, Image: "f1", Gang: true, Label: "gpu"})
+			exchange(t, home, other, 6*time.Second)
+			for i := range 4 {
+				must.True(t, other.started[fmt.Sprintf("%s.0.0.%d", delegatedJob, i)])
+			}
+		})
+	}
+}
+
+// Guards against a gang of fillers that is delegated to a cell whose waiting fillers take the processors that it needs.
+func TestGangOfFillersIsNotDelegatedToABacklogOfFillers(t *testing.T) {
+	t.Parallel()
+	for name, queued := range map[string]int64{"backlog": 30_000, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			home := newEmptyCell()
+			home.fillMemory()
+			home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 4, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Filler: true, Image: "f1", Gang: true})
+			load := loadOfOneWorker("other", "", 32_000)
+			load.Load.WaitingFillerMillicores = map[string]int64{"quotes": queued}
+			for range 60 {
+				home.state.Take(home.now, load)
+				home.step(100 * time.Millisecond)
+			}
+			delegated := len(home.lastDelegated(t, "other", delegatedJob))
+			must.Eq(t, map[bool]int{true: 4, false: 0}[queued == 0], delegated)
+		})
 	}
 }
