The advice service is asked until all of a gang fits

A gang whose first approved worker had capacity for one of its tasks waited until its ticket expired, 2.7 s for each call, before the service was asked about further workers. Cause: calls ended once any task fitted on an approved worker, which is the condition of single tasks. Found while the conditions of gangs with advice were read.

Calls end once all of the gang fits on approved workers. A call that approves too few for that counts as one that approves none, so that its pause grows and calls are left to others. TestAdviceIsAskedUntilTheWholeGangFits fails without the change; TestGangBeyondItsApprovedWorkersLeavesCallsToOthers bounds the calls.

--- a/pkg/process/cell/advice.go
+++ b/pkg/process/cell/advice.go
@@ -24,8 +24,8 @@
 	// name that many.
 	namedWorkersPerTask = 3
 	maxNamedWorkers     = 30
-	// adviceRetryPause is the pause of a unit after a call that failed or approved no worker. It doubles with each further call
-	// that approves none, maxAdviceDoublings times at most, so that such units leave calls to others.
+	// adviceRetryPause is the pause of a unit after a call that failed or approved too few workers. It doubles with each further
+	// call that approves too few, maxAdviceDoublings times at most, so that such units leave calls to others.
 	adviceRetryPause   = 300 * time.Millisecond
 	maxAdviceDoublings = 4
 	// ticketMargin is taken off a ticket's validity, for the time that a start order takes to reach its worker.
@@ -59,7 +59,7 @@
 	retryAt time.Time
 	// answers are the last answers about workers, by incarnation.
 	answers map[jobs.Incarnation]adviceAnswer
-	// refusals is how many calls in a row approved no worker.
+	// refusals is how many calls in a row approved too few workers: none, or for a gang not enough for all of its tasks.
 	refusals int
 }
 
@@ -101,6 +101,14 @@
 	return a.answers[incarnationOf(v)].at.Compare(a.answers[incarnationOf(w)].at)
 }
 
+// approvedOf returns the workers for which there is a valid ticket.
+func (a *unitTickets) approvedOf(now time.Time, list []*workers.Worker) []*workers.Worker {
+	if a == nil || now.After(a.validUntil) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(w *workers.Worker) bool { return a.tickets[w.ID] == "" })
+}
+
 // ticketValidity reports whether starts of a unit need a ticket, and for how long a ticket is valid.
 func (s *State) ticketValidity(u *jobs.Unit) (valid time.Duration, needs bool) {
 	q := s.queueOf(u.Job)
@@ -110,20 +118,12 @@
 	return q.Advice.Valid, true
 }
 
-// workersWithTicket returns the usable workers for which a unit has a valid ticket. If none of them has capacity for
-// one more of its tasks, it asks the advice service for more tickets.
+// workersWithTicket returns the usable workers for which a unit has a valid ticket. If they have no capacity for one more of
+// its tasks, or for the whole gang, it asks the advice service for more tickets.
 func (s *State) workersWithTicket(now time.Time, u *jobs.Unit, usable []*workers.Worker) []*workers.Worker {
 	a := s.ticketsByUnit[u.Name()]
-	var approved []*workers.Worker
-	hasCapacity := false
-	for _, w := range usable {
-		if a == nil || a.tickets[w.ID] == "" || now.After(a.validUntil) {
-			continue
-		}
-		approved = append(approved, w)
-		hasCapacity = hasCapacity || s.fits(now, u, s.serviceOf(u.Job), w)
-	}
-	if !hasCapacity && (a == nil || !now.Before(a.retryAt)) {
+	approved := a.approvedOf(now, usable)
+	if !s.anyFits(now, u, approved) && (a == nil || !now.Before(a.retryAt)) {
 		s.requestAdvice(now, u, usable)
 	}
 	return approved
@@ -179,11 +179,6 @@
 		a.answers, a.refusals = before.answers, before.refusals
 	}
 	a.retryAt = now.Add(adviceRetryPause << min(a.refusals, maxAdviceDoublings))
-	if e.Err == nil && len(e.Tickets) == 0 {
-		a.refusals++
-	} else if e.Err == nil {
-		a.refusals = 0
-	}
 	s.ticketsByUnit[e.Unit] = a
 	if e.Err != nil {
 		s.note(Note{Kind: NoteAdvice, Task: e.Unit, Detail: e.Err.Error(), Code: fault.CodeOf(e.Err), AgeMs: -1})
@@ -192,13 +187,19 @@
 	for _, w := range s.adviceNamed {
 		a.answers[w] = adviceAnswer{approved: e.Tickets[w.Worker] != "", at: now}
 	}
+	enough := len(e.Tickets) > 0
 	id, ok := jobs.ParseTaskName(e.Unit + ".0")
 	if j := s.jobs[id.Job]; ok && j != nil {
 		if t := j.Task(id.Time, id.Step, 0); t != nil {
 			valid, _ := s.ticketValidity(t.Unit)
 			a.validUntil = now.Add(max(0, valid-ticketMargin))
+			enough = enough && (!t.Unit.Spec.GetGang() || s.anyFits(now, t.Unit, a.approvedOf(now, s.usableWorkers(now))))
 		}
 	}
+	a.refusals++
+	if enough {
+		a.refusals = 0
+	}
 	s.note(Note{Kind: NoteAdvice, Job: id.Job, Task: e.Unit, Detail: fmt.Sprintf("%d workers approved", len(e.Tickets)), AgeMs: -1})
 }
 
--- a/pkg/process/cell/advice_test.go
+++ b/pkg/process/cell/advice_test.go
@@ -300,3 +300,34 @@
 		})
 	}
 }
+
+// Guards against a gang that waits for its tickets to expire, because calls stop once a worker is approved that has capacity for
+// one member.
+func TestAdviceIsAskedUntilTheWholeGangFits(t *testing.T) {
+	t.Parallel()
+	a := newAdvisedCellOf(16)
+	a.state.Take(a.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Millicores: 5000, Gang: true}},
+	}})
+	for range 20 { // one second
+		a.step()
+		a.answer("w1", "w16")
+	}
+	must.Len(t, 2, a.sent)
+}
+
+// Guards against a gang that no approved workers can take and that asks again and again, so that a step behind it is never
+// asked about.
+func TestGangBeyondItsApprovedWorkersLeavesCallsToOthers(t *testing.T) {
+	t.Parallel()
+	a := newAdvisedCellOf(16)
+	a.state.Take(a.now, cell.JobAccepted{Spec: &wire.JobSpec{
+		Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Millicores: 5000, Gang: true}},
+	}})
+	for range 600 { // thirty seconds
+		a.step()
+		a.answer("w1")
+	}
+	must.SliceEmpty(t, a.sent)
+	must.LessEq(t, 20, len(a.asked))
+}
