A step does not wait anew for a label that its cell has lost before

Cause: that no worker could run a unit was counted from the time at which the unit was ready, although the cell had learned it at the first step. The four seconds are for a registry row that lapses with the store; they are no lease.

The cell keeps when it last had a worker with each label. A unit is unplaceable once that is as long ago as the longest lease, whenever it became ready, and then waits only as long as a unit without a label. Tasks that may have run still wait for the longest lease. Gangs count, too.

TestNextStepLeavesACellThatHasLostItsLabelAtOnce fails without the change, for plain tasks and gangs; TestNextStepAwaitsTheRowOfAWorkerWithItsLabel holds before and after.

--- a/pkg/emulator/lost_label_test.go
+++ b/pkg/emulator/lost_label_test.go
@@ -15,3 +15,13 @@
 	t.Parallel()
 	playSomeDays(t, emulator.LostLabelPlan, lostLabelDays)
 }
+
+// Guards against jobs of several steps of which each waits anew for the label that its hall has lost.
+func TestNoStepWaitsAnewForALostLabel(t *testing.T) {
+	t.Parallel()
+	playSomeDays(t, func(seed uint64) emulator.Plan {
+		plan := emulator.LostLabelPlan(seed)
+		plan.LabelJobs = 40
+		return plan
+	}, lostLabelDays)
+}
--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -25,14 +25,18 @@
 	return u.Spec.GetGang() && !u.Lasting() && s.mayDelegateKind(u)
 }
 
-// delegateGangAfter returns how long a gang waits before it is delegated.
+// delegateGangAfter returns how long a gang waits before it is delegated. One that no worker of this cell could run does not wait
+// for capacity.
 func (s *State) delegateGangAfter(now time.Time, u *jobs.Unit) time.Duration {
 	after := s.unlessEvacuating(delegateAfter)
-	if _, advised := s.ticketValidity(u); advised {
-		after = s.unlessEvacuating(delegateUnheardAfter) // the advice service is asked about some workers at a time
-	}
-	if slices.ContainsFunc(u.Tasks, mayHaveRunBefore) {
+	_, advised := s.ticketValidity(u)
+	switch {
+	case slices.ContainsFunc(u.Tasks, mayHaveRunBefore):
 		after = delegateStartedGangAfter
+	case s.isUnplaceable(now, u):
+		after = 0
+	case advised:
+		after = s.unlessEvacuating(delegateUnheardAfter) // the advice service is asked about some workers at a time
 	}
 	if slices.ContainsFunc(u.Tasks, s.needsIsolation) {
 		after = max(after, s.unlessEvacuating(isolatedOtherHostWait)) // another cell would have to run it isolated, too
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -44,13 +44,13 @@
 const delegateUnheardAfter = LongestLease
 
 // delegateShortAfter returns how long the tasks of a unit wait before they are delegated. Tasks that require a label or a
-// rack wait longer, because the registry rows of the workers that have it may only have lapsed. So do tasks whose starts
-// need a ticket, because the advice service is asked about some workers at a time.
+// rack wait longer, because the registry rows of the workers that have it may only have lapsed, unless they have been missing for
+// as long. So do tasks whose starts need a ticket, because the advice service is asked about some workers at a time.
 func (s *State) delegateShortAfter(now time.Time, u *jobs.Unit) time.Duration {
 	_, advised := s.ticketValidity(u)
 	bound := advised || u.Spec.GetLabel() != "" || u.Spec.GetRack() != ""
 	switch {
-	case bound && !s.mustLeave(now):
+	case bound && !s.mustLeave(now) && !s.isUnplaceable(now, u):
 		return delegateUnheardAfter
 	case u.Spec.GetFiller():
 		return s.unlessEvacuating(delegateFillerAfter)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -252,9 +252,10 @@
 	placeElsewhere map[*jobs.Unit]bool
 	// withoutWorkersSince is since when the cell has had no worker that could take work; zero: it has one.
 	withoutWorkersSince time.Time
-	// unplaceable are the waiting units of short tasks that other cells delegated here and that no worker could ever run, with
-	// since when that is so.
-	unplaceable map[*jobs.Unit]time.Time
+	// unplaceable are the waiting units of short tasks and gangs that no worker of the cell could ever run, with since when that
+	// is so. labelsSeenAt is when the cell last had a worker with a label.
+	unplaceable  map[*jobs.Unit]time.Time
+	labelsSeenAt map[workerLabel]time.Time
 	// releasingSince is when this process began to hand the cell over, as of the phase releasing.
 	releasingSince time.Time
 	// urgentReserve is what this leadership knows of the capacity that it keeps for urgent tasks.
@@ -329,7 +330,7 @@
 	s.closedWorkers, s.isolationReservations = map[*workers.Worker]bool{}, map[*jobs.Task]isolationReservation{}
 	s.urgentReserve = newUrgentReserve()
 	s.forecasts = nil
-	s.withoutWorkersSince, s.unplaceable = time.Time{}, map[*jobs.Unit]time.Time{}
+	s.withoutWorkersSince, s.unplaceable, s.labelsSeenAt = time.Time{}, map[*jobs.Unit]time.Time{}, map[workerLabel]time.Time{}
 	s.phase = following
 	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
--- a/pkg/process/cell/stranded_tasks_test.go
+++ b/pkg/process/cell/stranded_tasks_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
@@ -392,3 +393,40 @@
 		})
 	}
 }
+
+// Guards against each step of a job waiting anew for a label that its cell has long lost.
+func TestNextStepLeavesACellThatHasLostItsLabelAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, step := range map[string]*wire.StepSpec{
+		"plain": {Count: 1, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Label: "gpu"},
+		"gang":  {Count: 2, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Label: "gpu", Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			home, other := newEmptyCell(), newEmptyCellOf("other", "quotes")
+			home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 0)})
+			other.state.Take(other.now, cell.WorkersListed{Records: labelledRecords(other, "gpu", 2)})
+			next := proto.CloneOf(step)
+			next.After = []int32{0}
+			home.accept(delegatedJob, "offers", step, next)
+			exchange(t, home, other, 6*time.Second)
+			for i := range step.GetCount() {
+				other.finish(fmt.Sprintf("%s.0.0.%d", delegatedJob, i), workers.EndedDone)
+			}
+			exchange(t, home, other, time.Second)
+			must.True(t, other.started[delegatedJob+".0.1.0"])
+		})
+	}
+}
+
+// Guards against a task that leaves its cell at once because the row of the worker with its label is missing for a moment.
+func TestNextStepAwaitsTheRowOfAWorkerWithItsLabel(t *testing.T) {
+	t.Parallel()
+	home, other := newEmptyCell(), newEmptyCellOf("other", "quotes")
+	home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 1)})
+	other.state.Take(other.now, cell.WorkersListed{Records: labelledRecords(other, "gpu", 2)})
+	exchange(t, home, other, 6*time.Second)
+	home.state.Take(home.now, cell.WorkersListed{Records: labelledRecords(home, "gpu", 1)[1:]})
+	home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 1, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Label: "gpu"})
+	exchange(t, home, other, 3*time.Second)
+	must.SliceEmpty(t, home.lastDelegated(t, "other", delegatedJob))
+}
