Crash evidence no longer keeps a gang in a cell that has no worker with its label

A gang that needs an isolated run waited for ten seconds in a cell that had lost the label that it requires, although no run there was possible. Single tasks left after four; gangs were not among the units that count as unplaceable. The ten seconds are for a host that has not crashed under the task, which this cell can't offer; the longest lease is still waited for.

TestGangWithCrashEvidenceLeavesACellThatHasLostItsLabel fails without the change (10 s) and passes.

--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -38,7 +38,7 @@
 	case advised:
 		after = s.unlessEvacuating(delegateUnheardAfter) // the advice service is asked about some workers at a time
 	}
-	if slices.ContainsFunc(u.Tasks, s.needsIsolation) {
+	if slices.ContainsFunc(u.Tasks, s.needsIsolation) && !s.isUnplaceable(now, u) {
 		after = max(after, s.unlessEvacuating(isolatedOtherHostWait)) // another cell would have to run it isolated, too
 	}
 	return after
--- a/pkg/process/cell/stranded_tasks_test.go
+++ b/pkg/process/cell/stranded_tasks_test.go
@@ -430,3 +430,28 @@
 	exchange(t, home, other, 3*time.Second)
 	must.SliceEmpty(t, home.lastDelegated(t, "other", delegatedJob))
 }
+
+// Guards against a gang with crash evidence that waits for an isolated run in a cell that has no worker with its label.
+func TestGangWithCrashEvidenceLeavesACellThatHasLostItsLabel(t *testing.T) {
+	t.Parallel()
+	home := newEmptyCell()
+	home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 2, Millicores: 3000, EstimateMs: 1000, Gang: true, Label: "gpu"})
+	delegated := func() []*wire.TaskRef {
+		home.state.Take(home.now, loadOfOneWorker("other", "gpu", 32_000))
+		home.step(100 * time.Millisecond)
+		return home.lastDelegated(t, "other", delegatedJob)
+	}
+	for range 50 {
+		delegated()
+	}
+	returned := delegated()
+	must.Len(t, 2, returned)
+	for _, r := range returned {
+		r.Crashes = crashNotes("h1", "h2")
+	}
+	home.state.Take(home.now, cell.TasksReturned{Tasks: &wire.ReturnedTasks{Id: delegatedJob, From: "other", Home: "hall", Tasks: returned}})
+	began := home.now
+	for home.now.Sub(began) < 15*time.Second && delegated()[0].GetLending() == 1 {
+	}
+	must.Between(t, cell.LongestLease, home.now.Sub(began), 6*time.Second)
+}
