A lasting gang leaves a full cell as a whole

The tasks of a lasting gang were delegated one by one, each to the cell with the most free capacity. Two cells got one task each, where none could start, as a gang starts only as a whole; both returned them, and the next round went the same way. mayDelegateGang left lasting gangs out, and the branch of single lasting tasks took them. Found while the conditions of gangs were read; the comment there said that lasting gangs stay in their cell.

Lasting gangs take the path of other gangs, with the capacity that lasting tasks may use, and their wait goes with them.

--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -20,10 +20,8 @@
 // lease, no run of it can still go on.
 const delegateStartedGangAfter = LongestLease
 
-// mayDelegateGang reports whether a unit is a gang that another cell may run. Lasting gangs stay in their cell.
-func (s *State) mayDelegateGang(u *jobs.Unit) bool {
-	return u.Spec.GetGang() && !u.Lasting() && s.mayDelegateKind(u)
-}
+// mayDelegateGang reports whether a unit is a gang that another cell may run.
+func (s *State) mayDelegateGang(u *jobs.Unit) bool { return u.Spec.GetGang() && s.mayDelegateKind(u) }
 
 // delegateGangAfter returns how long a gang waits before it is delegated. One that no worker of this cell could run does not wait
 // for capacity.
@@ -69,6 +67,9 @@
 		return
 	}
 	s.countDelegated(name, u, len(u.Tasks))
+	for _, t := range u.Tasks {
+		t.WaitedBeforeHandover = s.waitBeforeHandover(now, t)
+	}
 	j := u.Job
 	s.pendingDelegations[j] = append(s.pendingDelegations[j], j.Delegate(name, u.Tasks...))
 	s.forecastBegan(j)
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -31,9 +31,12 @@
 	return !u.Lasting() && !u.Spec.GetGang() && !u.Job.Delegated() && s.mayDelegateKind(u)
 }
 
-// mayDelegateKind reports whether the mechanism that delegates tasks of a unit's kind, fillers or other short tasks, is enabled.
+// mayDelegateKind reports whether the mechanism that delegates tasks of a unit's kind is enabled.
 func (s *State) mayDelegateKind(u *jobs.Unit) bool {
-	if u.Spec.GetFiller() {
+	switch {
+	case u.Lasting():
+		return s.enabled(LendLasting)
+	case u.Spec.GetFiller():
 		return s.enabled(LendFillers)
 	}
 	return s.enabled(LendPlain)
@@ -95,13 +98,17 @@
 	return len(t.Crashes) > 0 && now.Sub(waitingHereSince(t)) < isolatedOtherHostWait
 }
 
-// countDelegated adds n short tasks of a unit to what was delegated to a cell since its last load message.
+// countDelegated adds n tasks of a unit to what was delegated to a cell since its last load message.
 func (s *State) countDelegated(name string, u *jobs.Unit, n int) {
 	o := s.peerLoads[name]
-	if u.Spec.GetFiller() {
-		o.delegatedFillers += int64(n) * u.Size.Millicores
-	} else {
-		o.delegatedShort += int64(n) * u.Size.Millicores
+	millicores := int64(n) * u.Size.Millicores
+	switch {
+	case u.Lasting():
+		o.delegatedLasting += millicores
+	case u.Spec.GetFiller():
+		o.delegatedFillers += millicores
+	default:
+		o.delegatedShort += millicores
 	}
 	s.peerLoads[name] = o
 }
@@ -212,7 +219,10 @@
 func (o peerLoad) unclaimed(u *jobs.Unit, service string) (startable, delegated int64) {
 	size, millicores := max(1, u.Size.Millicores), o.delegatedShort
 	startable = o.startable(u, service)
-	if u.Spec.GetFiller() {
+	switch {
+	case u.Lasting():
+		millicores = o.delegatedLasting
+	case u.Spec.GetFiller():
 		startable -= o.load.GetWaitingFillerMillicores()[service] / size
 		millicores += o.delegatedFillers
 	}
