The progress of a wide job takes as many rows as it needs

A job of which some 2,700 tasks had saved checkpoints outgrew a row of the table (64 KiB). Cause: a transaction was bounded by its entries, not by its bytes, and a row not at all.

A transaction takes jobs up to 600 kB of values. Rows that a smaller progress no longer needs are removed with it.

The emulator's table checks both sizes (SIZE). Not bounded yet: rows of delegated tasks and of reports on them, which hold a reference for each task.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -285,6 +285,25 @@
 	c.breakRule("UNASKED", "%s is ordered to start %s, which no caller submitted", k.id(), s.Task)
 }
 
+const (
+	// maxRowBytes is the size of a row's value that the platform's table takes.
+	maxRowBytes = 64 << 10
+	// maxCallBytes is what the table takes of the values of a transaction, which are a third larger in a call of 1 MB.
+	maxCallBytes = 750_000
+)
+
+// checkSizes breaks the rule SIZE for a transaction that the platform's table refuses for its size.
+func (c *checker) checkSizes(tx table.Transaction) {
+	for _, r := range tx.Puts {
+		if len(r.Value) > maxRowBytes {
+			c.breakRule("SIZE", "the row %s of %s has %d bytes", r.Key.Key, r.Table, len(r.Value))
+		}
+	}
+	if tx.Bytes() > maxCallBytes {
+		c.breakRule("SIZE", "a transaction has values of %d bytes", tx.Bytes())
+	}
+}
+
 // checkWrite checks each job progress row that is written, since callers are told its content.
 func (c *checker) checkWrite(r table.Row) {
 	id := r.Key.Key
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -261,16 +261,16 @@
 			order = append(order, spec.GetId())
 		}
 	}
-	for _, r := range progress {
-		p := &wire.JobProgress{}
-		if rows.Read(r, p) != nil {
+	for _, p := range rows.ReadProgress(progress) {
+		if p.Err != nil {
 			continue
 		}
-		if known[r.Key.Key] == nil {
-			known[r.Key.Key] = &cell.LoadedJob{Spec: jobs.SpecOfEnded(r.Key.Key, p)}
-			order = append(order, r.Key.Key)
+		id := p.First.Key.Key
+		if known[id] == nil {
+			known[id] = &cell.LoadedJob{Spec: jobs.SpecOfEnded(id, p.JobProgress)}
+			order = append(order, id)
 		}
-		known[r.Key.Key].Progress, known[r.Key.Key].Recorded = p, r.Version
+		known[id].Progress, known[id].Recorded = p.JobProgress, p.First.Version
 	}
 	list := make([]cell.LoadedJob, 0, len(order))
 	for _, id := range order {
--- a/pkg/emulator/table.go
+++ b/pkg/emulator/table.go
@@ -90,6 +90,7 @@
 		}
 	}
 	t.version++
+	t.world.checker.checkSizes(tx)
 	for _, r := range tx.Puts {
 		r.Version = t.version
 		t.rows[r.Key] = r
--- a/pkg/process/cell/stranded_tasks_test.go
+++ b/pkg/process/cell/stranded_tasks_test.go
@@ -451,7 +451,8 @@
 	}
 	home.state.Take(home.now, cell.TasksReturned{Tasks: &wire.ReturnedTasks{Id: delegatedJob, From: "other", Home: "hall", Tasks: returned}})
 	began := home.now
-	for home.now.Sub(began) < 15*time.Second && delegated()[0].GetLending() == 1 {
+	for delegated()[0].GetLending() == 1 {
+		must.Less(t, 15*time.Second, home.now.Sub(began))
 	}
 	must.Between(t, cell.LongestLease, home.now.Sub(began), 6*time.Second)
 }
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -27,8 +27,10 @@
 	writeInterval = 120 * time.Millisecond
 	// writeRetryDelay is the delay before the next transaction after one that failed.
 	writeRetryDelay = 150 * time.Millisecond
-	// maxTransactionEntries is the most entries that the platform takes in a transaction (100).
+	// maxTransactionEntries is the most entries that the platform takes in a transaction (100). maxTransactionBytes bounds the
+	// values of those that a transaction puts: the platform takes 1 MB in all, and values are a third larger in a call.
 	maxTransactionEntries = 100
+	maxTransactionBytes   = 600 << 10
 )
 
 // partWriter holds the unwritten changes of one part of the table, and the transaction in flight.
@@ -63,8 +65,9 @@
 // sentJob is a job's share of the transaction in flight.
 type sentJob struct {
 	job *jobs.Job
-	// value is the progress row.
+	// value is the first progress row, rows the number of progress rows.
 	value []byte
+	rows  int
 	// final says that the progress row holds the job's last phase.
 	final bool
 	// expired says that the job's rows are removed.
@@ -154,17 +157,20 @@
 	p.sent = map[string]sentJob{}
 	tx := table.Transaction{Conditions: []table.Condition{{Key: rows.FenceKey(s.name, p.name), Version: p.fence}}}
 	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
-		if tx.Entries()+s.maxEntries(p.dirty[id]) > maxTransactionEntries {
+		entries, sent := s.progressEntries(p.dirty[id])
+		if !p.takes(tx.With(entries)) {
 			break
 		}
-		p.sent[id] = s.addProgress(&tx, p.dirty[id])
+		tx, p.sent[id] = tx.With(entries), sent
+		sent.job.ProgressRows = max(sent.job.ProgressRows, sent.rows)
 		delete(p.dirty, id)
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.expired)) {
-		if tx.Entries()+maxEntriesExpired > maxTransactionEntries {
+		entries, sent := s.expiryEntries(p.expired[id])
+		if !p.takes(tx.With(entries)) {
 			break
 		}
-		p.sent[id] = s.removeExpired(&tx, p.expired[id])
+		tx, p.sent[id] = tx.With(entries), sent
 		delete(p.expired, id)
 	}
 	p.urgent = false
@@ -181,16 +187,21 @@
 	s.emitTransaction(now, p)
 }
 
-// addProgress adds a job's changes to a transaction: its progress, specifications of newly delegated tasks,
-// and the report on a delegated job to its home cell. For an ended job it adds the removal of its
+// takes reports whether a transaction of the part may have the given size. One with a single job may have any size: no later one
+// would be smaller.
+func (p *partWriter) takes(tx table.Transaction) bool {
+	return len(p.sent) == 0 || (tx.Entries() <= maxTransactionEntries && tx.Bytes() <= maxTransactionBytes)
+}
+
+// progressEntries returns the entries that record a job's changes: its progress, specifications of newly delegated tasks,
+// and the report on a delegated job to its home cell. For an ended job they include the removal of its
 // specification and cancel, and a cancel for each cell that tasks were delegated to.
-func (s *State) addProgress(tx *table.Transaction, j *jobs.Job) sentJob {
+func (s *State) progressEntries(j *jobs.Job) (tx table.Transaction, sent sentJob) {
 	id := j.Spec.GetId()
-	key := rows.ProgressKey(s.name, id)
-	row := rows.Row(key, j.Progress(s.storeClock))
-	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.ProgressVersion})
-	tx.Puts = append(tx.Puts, row)
-	sent := sentJob{job: j, value: row.Value, final: j.Ended(), delegations: len(s.pendingDelegations[j])}
+	tx.Conditions = append(tx.Conditions, table.Condition{Key: rows.ProgressKey(s.name, id), Version: j.ProgressVersion})
+	tx.Puts = rows.ProgressRows(s.name, j.Progress(s.storeClock))
+	sent = sentJob{job: j, value: tx.Puts[0].Value, rows: len(tx.Puts), final: j.Ended(), delegations: len(s.pendingDelegations[j])}
+	tx.Removes = rows.ProgressPieces(s.name, id, sent.rows, j.ProgressRows)
 	sent.starts = j.StartRecordsWanted()
 	for _, spec := range latestByCell(s.pendingDelegations[j]) {
 		tx.Puts = append(tx.Puts, rows.Row(rows.SpecKey(spec.GetCell(), id), spec))
@@ -209,7 +220,7 @@
 		}
 		tx.Removes = append(tx.Removes, s.unusedCancels(j)...)
 	}
-	return sent
+	return tx, sent
 }
 
 // unusedCancels returns the rows of a job's cancel for cells that never had tasks of it. The host that
@@ -230,23 +241,6 @@
 	return list
 }
 
-const (
-	// entriesPerJob are the condition and the row of a job's progress, the removal of its specification and
-	// of its cancel, and a report.
-	entriesPerJob = 5
-	// entriesPerTargetCell are the removal of a cell's report on delegated tasks, and a cancel for the cell.
-	entriesPerTargetCell = 2
-)
-
-// maxEntries returns the most entries that a job takes in a transaction: its own, those of each cell that
-// tasks were delegated to, the cancel's rows for the other cells, and specifications of delegated tasks.
-func (s *State) maxEntries(j *jobs.Job) int {
-	return entriesPerJob + len(s.peers) + entriesPerTargetCell*len(j.TargetCells()) + len(latestByCell(s.pendingDelegations[j]))
-}
-
-// maxEntriesExpired is the most entries that an expired job takes in a transaction.
-const maxEntriesExpired = 4
-
 // latestByCell returns the last specification for each cell. It names all tasks that are delegated to the
 // cell, and a transaction can put each row only once.
 func latestByCell(specs []*wire.JobSpec) []*wire.JobSpec {
@@ -260,20 +254,19 @@
 	return list
 }
 
-// removeExpired adds the removal of an expired job's remaining rows to a transaction. The job's id may be
-// used again afterwards.
-func (s *State) removeExpired(tx *table.Transaction, j *jobs.Job) sentJob {
+// expiryEntries returns the entries that remove an expired job's remaining rows. The job's id may be used again afterwards.
+func (s *State) expiryEntries(j *jobs.Job) (tx table.Transaction, sent sentJob) {
 	id := j.Spec.GetId()
 	key := rows.ProgressKey(s.name, id)
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.ProgressVersion})
-	tx.Removes = append(tx.Removes, key)
+	tx.Removes = append(rows.ProgressPieces(s.name, id, 1, j.ProgressRows), key)
 	if j.Delegated() {
 		// The home cell may have cancelled the job after it had ended here.
 		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
 	} else {
 		tx.Removes = append(tx.Removes, rows.AnchorKey(id))
 	}
-	return sentJob{job: j, expired: true}
+	return tx, sentJob{job: j, expired: true}
 }
 
 // emitTransaction emits a part's transaction under a new serial number.
@@ -383,7 +376,7 @@
 // the isolated runs that were recorded.
 func (s *State) markJobDurable(sent sentJob, version int64) {
 	j := sent.job
-	j.ProgressVersion = version
+	j.ProgressVersion, j.ProgressRows = version, sent.rows
 	if rest := s.pendingDelegations[j]; sent.delegations < len(rest) {
 		s.pendingDelegations[j] = rest[sent.delegations:]
 	} else {
--- a/pkg/process/fleet/load.go
+++ b/pkg/process/fleet/load.go
@@ -147,18 +147,18 @@
 		}
 		known[spec.GetId()] = cell.LoadedJob{Spec: spec}
 	}
-	for _, r := range progress {
-		p := &wire.JobProgress{}
-		if err := rows.Read(r, p); err != nil {
-			c.logUnreadable(r, err)
+	for _, p := range rows.ReadProgress(progress) {
+		if p.Err != nil {
+			c.logUnreadable(p.First, p.Err)
 			continue
 		}
-		j := known[r.Key.Key]
+		id := p.First.Key.Key
+		j := known[id]
 		if j.Spec == nil {
-			j.Spec = jobs.SpecOfEnded(r.Key.Key, p)
+			j.Spec = jobs.SpecOfEnded(id, p.JobProgress)
 		}
-		j.Progress, j.Recorded = p, r.Version
-		known[r.Key.Key] = j
+		j.Progress, j.Recorded = p.JobProgress, p.First.Version
+		known[id] = j
 	}
 	list := make([]cell.LoadedJob, 0, len(known))
 	for _, j := range known {
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -21,8 +21,10 @@
 	Spec *wire.JobSpec
 	// Phase is the job's current phase. Callers are told of it once a progress row with this phase is durable.
 	Phase wire.JobPhase
-	// ProgressVersion is the version of the job's progress row, 0 before the first.
+	// ProgressVersion is the version of the job's first progress row, 0 before the first. ProgressRows is the most progress rows
+	// that the table may hold of the job.
 	ProgressVersion int64
+	ProgressRows    int
 	// DurablePhase is the phase in the progress row.
 	DurablePhase wire.JobPhase
 	// AcceptedAt is the local monotonic time at which the job was accepted.
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -95,7 +95,7 @@
 // it may be running at some worker. wall is the wall-clock time.
 func Restore(spec *wire.JobSpec, p *wire.JobProgress, recorded int64, acceptedAt, wall time.Time) *Job {
 	j := New(spec, acceptedAt)
-	j.ProgressVersion = recorded
+	j.ProgressVersion, j.ProgressRows = recorded, int(p.GetRows())
 	j.OpenDue(wall)
 	if p != nil {
 		j.Phase, j.DurablePhase, j.Reason = p.GetPhase(), p.GetPhase(), p.GetReason()
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/fault"
@@ -47,6 +48,22 @@
 // Entries returns the number of entries that count toward the service's limit for one transaction.
 func (t Transaction) Entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Removes) }
 
+// Bytes returns the size of the values that the transaction puts.
+func (t Transaction) Bytes() int {
+	sum := 0
+	for _, r := range t.Puts {
+		sum += len(r.Value)
+	}
+	return sum
+}
+
+// With returns the transaction with the entries of another one added.
+func (t Transaction) With(other Transaction) Transaction {
+	return Transaction{
+		Conditions: slices.Concat(t.Conditions, other.Conditions), Puts: slices.Concat(t.Puts, other.Puts), Removes: slices.Concat(t.Removes, other.Removes),
+	}
+}
+
 // CommitResult is the answer to a transaction.
 type CommitResult struct {
 	// Conflict means that nothing was written, since a condition did not hold.
