--- a/pkg/process/cell/advice_test.go
+++ b/pkg/process/cell/advice_test.go
@@ -165,6 +165,23 @@
 	must.LessEq(t, 3, len(a.asked))
 }
 
+// Guards against calls that name the same workers again and again in a cell of more workers than a call names.
+func TestAdviceIsAskedAboutAllWorkersOfALargeCell(t *testing.T) {
+	t.Parallel()
+	for _, approved := range []string{"w1", "w57", "w100"} {
+		a := newAdvisedCellOf(100)
+		a.state.Take(a.now, cell.JobAccepted{Spec: &wire.JobSpec{
+			Id: "00000000000000aa", Queue: "queue", Service: "pool", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000}},
+		}})
+		for range 200 { // ten seconds
+			a.step()
+			a.answer(approved)
+		}
+		must.Len(t, 1, a.sent, must.Sprint(approved))
+		must.LessEq(t, 5, len(a.asked), must.Sprint(approved))
+	}
+}
+
 // Guards against tasks that wait without end in a cell none of whose workers the service approves, while other cells have
 // workers that may be approved.
 func TestAdvisedTaskLeavesACellWithoutAnApprovedWorker(t *testing.T) {
--- a/pkg/process/cell/stranded_tasks_test.go
+++ b/pkg/process/cell/stranded_tasks_test.go
@@ -410,7 +410,9 @@
 			home.accept(delegatedJob, "offers", step, next)
 			exchange(t, home, other, 6*time.Second)
 			for i := range step.GetCount() {
-				other.finish(fmt.Sprintf("%s.0.0.%d", delegatedJob, i), workers.EndedDone)
+				task := fmt.Sprintf("%s.0.0.%d", delegatedJob, i)
+				must.True(t, other.started[task])
+				other.finish(task, workers.EndedDone)
 			}
 			exchange(t, home, other, time.Second)
 			must.True(t, other.started[delegatedJob+".0.1.0"])
@@ -431,28 +433,32 @@
 	must.SliceEmpty(t, home.lastDelegated(t, "other", delegatedJob))
 }
 
-// Guards against a gang with crash evidence that waits for an isolated run in a cell that has no worker with its label.
-func TestGangWithCrashEvidenceLeavesACellThatHasLostItsLabel(t *testing.T) {
+// Guards against tasks and gangs with crash evidence that wait for an isolated run in a cell that has no worker with their label.
+func TestCrashEvidenceDoesNotKeepTasksInACellThatHasLostTheirLabel(t *testing.T) {
 	t.Parallel()
-	home := newEmptyCell()
-	home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 2, Millicores: 3000, EstimateMs: 1000, Gang: true, Label: "gpu"})
-	delegated := func() []*wire.TaskRef {
-		home.state.Take(home.now, loadOfOneWorker("other", "gpu", 32_000))
-		home.step(100 * time.Millisecond)
-		return home.lastDelegated(t, "other", delegatedJob)
-	}
-	for range 50 {
-		delegated()
-	}
-	returned := delegated()
-	must.Len(t, 2, returned)
-	for _, r := range returned {
-		r.Crashes = crashNotes("h1", "h2")
-	}
-	home.state.Take(home.now, cell.TasksReturned{Tasks: &wire.ReturnedTasks{Id: delegatedJob, From: "other", Home: "hall", Tasks: returned}})
-	began := home.now
-	for delegated()[0].GetLending() == 1 {
-		must.Less(t, 15*time.Second, home.now.Sub(began))
+	for name, gang := range map[string]bool{"short": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			home := newEmptyCell()
+			home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 2, Millicores: 3000, EstimateMs: 1000, Gang: gang, Label: "gpu"})
+			delegated := func() []*wire.TaskRef {
+				home.state.Take(home.now, loadOfOneWorker("other", "gpu", 32_000))
+				home.step(100 * time.Millisecond)
+				return home.lastDelegated(t, "other", delegatedJob)
+			}
+			for range 50 {
+				delegated()
+			}
+			returned := delegated()
+			must.Len(t, 2, returned)
+			for _, r := range returned {
+				r.Crashes = crashNotes("h1", "h2")
+			}
+			home.state.Take(home.now, cell.TasksReturned{Tasks: &wire.ReturnedTasks{Id: delegatedJob, From: "other", Home: "hall", Tasks: returned}})
+			began := home.now
+			for delegated()[0].GetLending() == 1 {
+				must.Less(t, 15*time.Second, home.now.Sub(began))
+			}
+			must.Between(t, cell.LongestLease, home.now.Sub(began), 6*time.Second)
+		})
 	}
-	must.Between(t, cell.LongestLease, home.now.Sub(began), 6*time.Second)
 }
