--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -259,7 +259,7 @@
 	id := j.Spec.GetId()
 	key := rows.ProgressKey(s.name, id)
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.ProgressVersion})
-	tx.Removes = append(rows.ProgressPieces(s.name, id, 1, j.ProgressRows), key)
+	tx.Removes = append(tx.Removes, key)
 	if j.Delegated() {
 		// The home cell may have cancelled the job after it had ended here.
 		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
