--- a/pkg/rows/progress_test.go
+++ b/pkg/rows/progress_test.go
@@ -71,6 +71,7 @@
 func TestDamagedProgressIsAnError(t *testing.T) {
 	t.Parallel()
 	whole := func() []table.Row { return versioned(rows.ProgressRows("hall", progressOf(10_000)), 7) }
+	must.Greater(t, 1, len(whole()))
 	older := whole()
 	older[1].Version = 6
 	damaged := whole()
