--- a/pkg/process/cell/wide_jobs_test.go
+++ b/pkg/process/cell/wide_jobs_test.go
@@ -20,12 +20,16 @@
 // maxCallBytes is what the table takes of the values of a transaction, which are a third larger in a call of 1 MB.
 const maxCallBytes = 750_000
 
-// saveAll has all runs save checkpoints that compress badly.
+// saveAll has all runs save checkpoints of 448 bytes that compress badly.
 func (b *testCell) saveAll() {
 	for id, report := range b.reports {
 		for i := range report.Active {
-			sum := sha256.Sum256(fmt.Append(nil, id, i))
-			report.Active[i].Checkpoint = hex.EncodeToString(sum[:8])
+			var text []byte
+			for n := range 7 {
+				sum := sha256.Sum256(fmt.Append(nil, id, i, n))
+				text = hex.AppendEncode(text, sum[:])
+			}
+			report.Active[i].Checkpoint = string(text)
 		}
 	}
 }
@@ -63,12 +67,12 @@
 // Guards against a wide job whose progress outgrows a row of the table: no end of a run in its part was acknowledged any more.
 func TestEndsAreAcknowledgedBesideAWideJob(t *testing.T) {
 	t.Parallel()
-	b := newLargeCell(64)
-	b.accept(delegatedJob, "offers", &wire.StepSpec{Count: 9000, Millicores: 100, MemoryMb: 10, EstimateMs: 90_000, Checkpointing: true})
+	b := newLargeCell(8)
+	b.accept(delegatedJob, "offers", &wire.StepSpec{Count: 600, Millicores: 100, MemoryMb: 10, EstimateMs: 90_000, Checkpointing: true})
 	for range 20 {
 		b.step(50 * time.Millisecond)
 	}
-	must.MapLen(t, 9000, b.started)
+	must.MapLen(t, 600, b.started)
 	b.saveAll()
 	b.step(time.Second)
 	b.finish(delegatedJob+".0.0.7", workers.EndedDone)
@@ -80,11 +84,11 @@
 	must.Len(t, 1, read)
 	must.NoError(t, read[0].Err)
 	must.Greater(t, 1, read[0].GetRows())
-	must.Len(t, 8999, read[0].GetUnits()[0].GetNotes())
+	must.Len(t, 599, read[0].GetUnits()[0].GetNotes())
 
 	successor := newProcess()
 	successor.lead(2, "before")
-	spec := &wire.JobSpec{Id: delegatedJob, Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 9000, Millicores: 100}}}
+	spec := &wire.JobSpec{Id: delegatedJob, Cell: "hall", Queue: "offers", Service: "quotes", Steps: []*wire.StepSpec{{Count: 600, Millicores: 100}}}
 	successor.state.Take(successor.now, cell.Loaded{
 		Epoch: 2, Wall: successor.now, Fences: testFences(), Jobs: []cell.LoadedJob{{Spec: spec, Progress: read[0].JobProgress, Recorded: read[0].First.Version}},
 	})
@@ -112,10 +116,10 @@
 // Guards against a transaction of many large jobs that the table refuses for its size.
 func TestTransactionsOfLargeJobsFitIntoACall(t *testing.T) {
 	t.Parallel()
-	b := newLargeCell(260)
+	b := newLargeCell(20)
 	ids := idsInOnePart(20)
 	for _, id := range ids {
-		b.accept(id, "offers", &wire.StepSpec{Count: 1800, Millicores: 100, MemoryMb: 10, EstimateMs: 90_000, Checkpointing: true})
+		b.accept(id, "offers", &wire.StepSpec{Count: 100, Millicores: 100, MemoryMb: 10, EstimateMs: 90_000, Checkpointing: true})
 	}
 	for range 20 {
 		b.step(50 * time.Millisecond)
