--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -10,7 +10,7 @@
 [ -s KNOWN-RED.txt ] && echo "known red (KNOWN-RED.txt):" && cat KNOWN-RED.txt
 [ "$code" = 0 ] && exit 0
 failed=$(grep -E '^--- FAIL: ' "$out" | awk '{print $3}' | sort -u)
-if [ -z "$failed" ] || grep -qE '^panic:|\[(build|setup) failed\]|DATA RACE' "$out"; then exit "$code"; fi
+if [ -z "$failed" ] || grep -qE '^panic:|^signal: |\[(build|setup) failed\]|DATA RACE' "$out"; then exit "$code"; fi
 for name in $failed; do
   if ! grep -qE "^$name( |$)" KNOWN-RED.txt; then echo "failed, and not known red: $name"; exit "$code"; fi
 done
