Later steps do not wait anew for the leases of an earlier leader

Jobs of several steps stood still for four seconds at each step, long after a takeover, in a cell that had lost the only worker with their label. Cause: a new leader marks all tasks that may have run at a member which it could not reach, those of steps that are not ready yet, too. Each of them then waited for the longest lease from when its step became ready, although no run of an earlier leader can go on for longer than that after the takeover.

The wait now counts from the beginning of the leadership, or from the last run or return of the task under this leader. Gangs count the same.

TestNextStepDoesNotAwaitLeasesOfAnEarlierLeaderAnew fails without the change for plain tasks, fillers and gangs. LostLabelTroublePlan is new: LostLabelPlan with 40 jobs that need the label, beside random faults or deposed leaders.

--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -286,6 +286,7 @@
 		{name: "no starts in evacuated halls", unsafe: cell.Unsafe{NoEvacuation: true}, plan: emulator.EvacuationPlan, rule: "EVAC"},
 		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.LeaderEndsPlan, rule: "BUDGET"},
 		{name: "stops of runs that are discovered late", unsafe: cell.Unsafe{NoLateStops: true}, plan: emulator.CancelsPlan, rule: "UNASKED"},
+		{name: "leases of tasks that leave a hall without their label", unsafe: cell.Unsafe{NoLeaseWait: true}, plan: emulator.LostLabelTroublePlan, rule: "TWICE"},
 		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true}, plan: emulator.UnrecordedEndsPlan, rule: "BUDGET"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/emulator/lost_label_plans.go
+++ b/pkg/emulator/lost_label_plans.go
@@ -25,6 +25,16 @@
 	return plan
 }
 
+// LostLabelTroublePlan returns a LostLabelPlan with more jobs that need the label, beside random faults or deposed leaders.
+func LostLabelTroublePlan(seed uint64) Plan {
+	plan := LostLabelPlan(seed)
+	plan.LabelJobs, plan.Faults = 40, 10
+	if seed%2 == 1 {
+		plan.Faults, plan.Deposed, plan.Touch = 2, 6, true
+	}
+	return plan
+}
+
 // planLabelJobs submits the jobs whose tasks need the label.
 func (w *World) planLabelJobs() {
 	for i := range w.plan.LabelJobs {
--- a/pkg/emulator/lost_label_test.go
+++ b/pkg/emulator/lost_label_test.go
@@ -25,3 +25,10 @@
 		return plan
 	}, lostLabelDays)
 }
+
+// Guards against steps that wait anew for the leases of earlier leaders in a hall that has lost its label, and against tasks that
+// leave it while a run of them goes on.
+func TestNoTaskStaysInHallThatLostItsLabelAndItsLeader(t *testing.T) {
+	t.Parallel()
+	playSomeDays(t, emulator.LostLabelTroublePlan, lostLabelDays)
+}
--- a/pkg/process/cell/delegation_takeover_test.go
+++ b/pkg/process/cell/delegation_takeover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/ledger"
@@ -142,3 +143,32 @@
 		}
 	}
 }
+
+// Guards against each later step that waits anew for the leases of an earlier leader's runs, in a cell that cannot start it.
+func TestNextStepDoesNotAwaitLeasesOfAnEarlierLeaderAnew(t *testing.T) {
+	t.Parallel()
+	for name, step := range map[string]*wire.StepSpec{
+		"plain":  {Count: 1, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Label: "gpu"},
+		"filler": {Count: 1, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Label: "gpu", Filler: true, Image: "f1"},
+		"gang":   {Count: 2, Millicores: 2300, MemoryMb: 4600, EstimateMs: 600, Label: "gpu", Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			before, home, other := newEmptyCell(), newEmptyCell(), newEmptyCellOf("other", "quotes")
+			other.state.Take(other.now, cell.WorkersListed{Records: labelledRecords(other, "gpu", 2)})
+			before.silent["w15"] = true
+			next := proto.CloneOf(step)
+			next.After = []int32{0}
+			spec := &wire.JobSpec{Id: delegatedJob, Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{step, next}}
+			home.takeOverWith(before, 5*time.Second, []*wire.RosterEntry{{Id: "w15", Address: "x", Host: "w15"}}, spec)
+			exchange(t, home, other, 15*time.Second)
+			for i := range step.GetCount() {
+				task := fmt.Sprintf("%s.0.0.%d", delegatedJob, i)
+				must.True(t, other.started[task])
+				other.finish(task, workers.EndedDone)
+			}
+			exchange(t, home, other, 3*time.Second)
+			must.True(t, other.started[delegatedJob+".0.1.0"])
+		})
+	}
+}
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -67,11 +67,12 @@
 	return s.minFitsElsewhere()
 }
 
-// surelyOver reports whether no run of a waiting task can still go on: it has waited here for as long as any lease lasts,
-// and it is known whether its last worker crashed.
+// surelyOver reports whether no run of a waiting task can still go on: it has waited here, under this leader, for as long as any
+// lease lasts, and it is known whether its last worker crashed. Runs of earlier leaders hold no longer leases, whenever the step
+// of the task becomes ready.
 func (s *State) surelyOver(now time.Time, t *jobs.Task) bool {
-	since := waitingHereSince(t)
-	for _, at := range []time.Time{t.Unit.ReadyAt, t.WaitingSince} {
+	since := s.gainedAt
+	for _, at := range []time.Time{t.InCellSince, t.WaitingSince} {
 		if at.After(since) {
 			since = at
 		}
