A task that is done where it is delegated again is reported

A cell had returned a task whose run turned out to have ended well. When the home cell delegated the task there once more, nothing started, as it was done, and nothing was reported, as it didn't change: reports were written on changes alone, and the last one was on the earlier delegation, which the home cell ignores.

A cell now reports at once if a task is done already when it is delegated to it. A new leader reports once more on jobs whose delegated tasks are all done, since the leader before may have ended in between.

AddDelegated returns the tasks that it adds; its two tests count them now.

--- a/pkg/process/cell/delegation_test.go
+++ b/pkg/process/cell/delegation_test.go
@@ -215,8 +215,8 @@
 	must.Len(t, 0, j.Units[0].Waiting(time.Unix(1, 0)))
 	must.Eq(t, 1, j.DelegationReport().GetTasks()[0].GetLending())
 	gaveBack := j.Progress(jobs.StoreClock{})
-	must.False(t, j.AddDelegated(spec(1), time.Unix(1, 0), true))
-	must.True(t, j.AddDelegated(spec(2), time.Unix(1, 0), true))
+	must.SliceEmpty(t, j.AddDelegated(spec(1), time.Unix(1, 0), true))
+	must.Len(t, 1, j.AddDelegated(spec(2), time.Unix(1, 0), true))
 	must.Len(t, 1, j.Units[0].Waiting(time.Unix(1, 0)))
 
 	same := jobs.Restore(spec(1), gaveBack, 1, time.Unix(0, 0), time.Unix(0, 0))
@@ -252,7 +252,7 @@
 	must.True(t, j.Delegated())
 	must.Len(t, 1, j.Units[0].Waiting(time.Unix(1, 0)))
 	more := &wire.JobSpec{Id: spec.GetId(), Steps: spec.GetSteps(), Guest: []*wire.TaskRef{{Index: 1}, {Index: 2}}}
-	must.True(t, j.AddDelegated(more, time.Unix(1, 0), true))
+	must.Len(t, 1, j.AddDelegated(more, time.Unix(1, 0), true))
 	must.Len(t, 2, j.Units[0].Waiting(time.Unix(1, 0)))
 }
 
--- a/pkg/process/cell/lost_hall_test.go
+++ b/pkg/process/cell/lost_hall_test.go
@@ -106,3 +106,56 @@
 		})
 	}
 }
+
+// Guards against a job that never ends: a task was returned, its run turns out to have ended well, and the home cell, which has not
+// learned of that, delegates the task here again.
+func TestTaskThatIsDoneHereIsReportedWhenItIsDelegatedAgain(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	delegate := func(lending int32) {
+		b.state.Take(b.now, cell.JobAccepted{Spec: &wire.JobSpec{
+			Id: delegatedJob, Queue: "offers", Service: "quotes", Cell: "hall", Home: "home",
+			Steps: []*wire.StepSpec{{Count: 2, Millicores: 3000, EstimateMs: 1000}},
+			Guest: []*wire.TaskRef{{Lending: lending}, {Index: 1, Lending: lending}},
+		}})
+	}
+	delegate(1)
+	b.step(50 * time.Millisecond)
+	must.True(t, b.started[delegatedJob+".0.0.0"])
+	b.loseWorkers(12 * time.Second)
+	must.True(t, b.returnedTo(t, "home"))
+	b.finish(delegatedJob+".0.0.0", workers.EndedDone)
+	b.silent = map[string]bool{}
+	b.register(len(b.reports))
+	for range 20 {
+		b.step(100 * time.Millisecond)
+	}
+	delegate(2)
+	for range 5 {
+		b.step(100 * time.Millisecond)
+	}
+	report := &wire.ReturnedTasks{}
+	b.eachPut(t, rows.ReturnKey("home", delegatedJob, "hall"), func(r table.Row) { must.NoError(t, rows.Read(r, report)) })
+	must.Len(t, 1, report.GetDone())
+	must.Eq(t, 2, report.GetDone()[0].GetLending())
+}
+
+// Guards against the same where the leader ends before it has reported.
+func TestSuccessorReportsTaskThatWasDoneHereBeforeItWasDelegatedAgain(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	spec := &wire.JobSpec{
+		Id: delegatedJob, Queue: "offers", Service: "quotes", Cell: "hall", Home: "home",
+		Steps: []*wire.StepSpec{{Count: 1, Millicores: 3000, EstimateMs: 1000}}, Guest: []*wire.TaskRef{{Lending: 2}},
+	}
+	progress := &wire.JobProgress{Id: delegatedJob, Home: "home", Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitProgress{{Done: []byte{1}}}}
+	b.state.Take(b.now, cell.LeadershipGained{Epoch: 2, LeasesEndAt: b.now})
+	b.state.Take(b.now, cell.Loaded{Epoch: 2, Wall: b.now, Fences: testFences(), Members: b.state.Members(), Jobs: []cell.LoadedJob{{Spec: spec, Progress: progress, Recorded: 3}}})
+	for range 20 {
+		b.step(100 * time.Millisecond)
+	}
+	report := &wire.ReturnedTasks{}
+	b.eachPut(t, rows.ReturnKey("home", delegatedJob, "hall"), func(r table.Row) { must.NoError(t, rows.Read(r, report)) })
+	must.Len(t, 1, report.GetDone())
+	must.Eq(t, 2, report.GetDone()[0].GetLending())
+}
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -170,6 +171,9 @@
 	}
 	for _, j := range s.jobs {
 		s.updateWaiting(now, j)
+		if j.DelegatedDone() && len(j.DelegationReport().GetDone()) > 0 && !j.Ended() {
+			s.markDirty(j, false) // the last report may be on an earlier delegation
+		}
 	}
 	s.startForecasts(now)
 	s.pollAllNow(now)
@@ -254,12 +258,15 @@
 	s.setStoreClock(now, e.StoreNow)
 	if known := s.jobs[id]; known != nil {
 		s.mergeHomeEvidence(now, known, e.Spec)
-		if known.AddDelegated(e.Spec, now, s.newTasksSettled()) {
+		if added := known.AddDelegated(e.Spec, now, s.newTasksSettled()); len(added) > 0 {
 			s.restoreEvidence(now, known)
 			s.holdBackTasks(known)
 			s.recordArrival(known)
 			s.adoptOrphans(now, known) // a predecessor may have received them first, and have started them
 			s.updateWaiting(now, known)
+			if slices.ContainsFunc(added, func(t *jobs.Task) bool { return t.Done }) {
+				s.markDirty(known, true) // the home cell has no report on this delegation
+			}
 		}
 		return
 	}
--- a/pkg/process/jobs/delegation.go
+++ b/pkg/process/jobs/delegation.go
@@ -84,24 +84,25 @@
 }
 
 // AddDelegated applies a later specification that delegates more of the job's tasks to this cell. It returns
-// whether the specification adds any. settled is true if no predecessor can have started them already.
-func (j *Job) AddDelegated(spec *wire.JobSpec, now time.Time, settled bool) bool {
+// the tasks that it adds. settled is true if no predecessor can have started them already.
+func (j *Job) AddDelegated(spec *wire.JobSpec, now time.Time, settled bool) []*Task {
 	if !j.Delegated() {
-		return false
+		return nil
 	}
-	added := false
+	var added []*Task
 	for _, r := range spec.GetGuest() {
 		j.openOccurrenceOf(r)
 		t := j.taskByRef(r)
 		if t == nil || (t.DelegatedTo != notDelegatedHere && (t.DelegatedTo == "" || r.GetLending() <= t.Delegations)) {
 			continue
 		}
-		t.DelegatedTo, t.Delegations, added = "", r.GetLending(), true
+		added = append(added, t)
+		t.DelegatedTo, t.Delegations = "", r.GetLending()
 		t.Settled = settled
 		t.setArrival(now, r)
 		t.copyStateFrom(r)
 	}
-	if added {
+	if len(added) > 0 {
 		j.Spec = spec
 	}
 	return added
