--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -29,7 +29,7 @@
 	after := s.unlessEvacuating(delegateAfter)
 	_, advised := s.ticketValidity(u)
 	switch {
-	case slices.ContainsFunc(u.Tasks, func(t *jobs.Task) bool { return mayHaveRunBefore(t) && !s.surelyOver(now, t) }):
+	case slices.ContainsFunc(u.Tasks, func(t *jobs.Task) bool { return s.mayStillRun(now, t) }):
 		after = delegateStartedGangAfter
 	case s.isUnplaceable(now, u):
 		after = 0
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -70,7 +70,7 @@
 	}
 	var candidates []*jobs.Task
 	for _, t := range u.Waiting(now) {
-		if !mayHaveRunBefore(t) || (s.surelyOver(now, t) && (s.mustLeave(now) || s.isUnplaceable(now, u) || !evidenceKeeps(now, t))) {
+		if !s.mayStillRun(now, t) && (s.mustLeave(now) || s.isUnplaceable(now, u) || !evidenceKeeps(now, t)) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/pkg/process/cell/evacuation.go
+++ b/pkg/process/cell/evacuation.go
@@ -67,17 +67,20 @@
 	return s.minFitsElsewhere()
 }
 
-// surelyOver reports whether no run of a waiting task can still go on: it has waited here, under this leader, for as long as any
-// lease lasts, and it is known whether its last worker crashed. Runs of earlier leaders hold no longer leases, whenever the step
-// of the task becomes ready.
-func (s *State) surelyOver(now time.Time, t *jobs.Task) bool {
+// mayStillRun reports whether a run of a waiting task may still go on: the task has had one, or may have, and has not waited here
+// for as long as any lease lasts, or it is not known whether its last worker crashed. Leases of earlier leaders count from the
+// takeover, whenever the step of the task becomes ready.
+func (s *State) mayStillRun(now time.Time, t *jobs.Task) bool {
+	if !mayHaveRunBefore(t) {
+		return false
+	}
 	since := s.gainedAt
 	for _, at := range []time.Time{t.InCellSince, t.WaitingSince} {
 		if at.After(since) {
 			since = at
 		}
 	}
-	return now.Sub(since) >= delegateUnheardAfter && !s.awaitsCrashOutcome(now, t)
+	return now.Sub(since) < delegateUnheardAfter || s.awaitsCrashOutcome(now, t)
 }
 
 // tooSmallFor reports whether no worker of the cell is large enough for a task of a unit.
@@ -144,7 +147,7 @@
 	all := s.mustLeave(now) || s.isUnplaceable(now, u)
 	var list []*jobs.Task
 	for _, t := range u.Waiting(now) {
-		if (!mayHaveRunBefore(t) || s.surelyOver(now, t)) && (all || waitsTooLongHere(now, t)) {
+		if !s.mayStillRun(now, t) && (all || waitsTooLongHere(now, t)) {
 			list = append(list, t)
 		}
 	}
