Pending answers that differ much from the last one are logged by cell

Only a count from the table was logged, so an answer that was too small left no trace of the cell whose jobs it lacked, nor of where that cell's count came from.

pending-changed: one line for an answer that is under half of the last one on its queue, or over twice as large, by three jobs at least, at most four a second a queue. For each cell it names the count, its source, its age, the leader's epoch, and how long ago that leader had read its table. What is answered is unchanged.

--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -98,6 +98,9 @@
 func (s *State) Load(now time.Time, withBeliefs bool) *wire.CellLoad {
 	labels := map[string]bool{}
 	l := &wire.CellLoad{SettlesInMs: s.timeToSettle(now).Milliseconds(), Worker: &wire.WorkerSize{}, Leading: s.Leading(), Holds: s.HoldsLeadership(), Cell: s.name, Pending: map[string]int32{}}
+	if s.Leading() {
+		l.Epoch, l.TableReadMs = s.epoch, now.Sub(s.tableReadAt()).Milliseconds()
+	}
 	for _, w := range s.workersByID() {
 		if w.Ended || !w.Listed || w.Leaving {
 			continue
@@ -144,6 +147,15 @@
 	return l
 }
 
+// tableReadAt returns a time up to which this leader knows all jobs that the cell's table held: that of its last reading of
+// new jobs, or that from which it leads, as it has read the whole table after that.
+func (s *State) tableReadAt() time.Time {
+	if s.caughtUpAt.IsZero() {
+		return s.gainedAt
+	}
+	return s.caughtUpAt
+}
+
 // maxFreeListed is the most workers whose free capacity a load message lists because they have the most. More than that can't
 // be filled by delegation before the next message, and the list would grow with the cell.
 const maxFreeListed = 64
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -71,7 +71,9 @@
 	loadRequested      map[string]bool
 	beliefsRequestedAt map[string]time.Time
 	// tableCounts holds the pending counts of cells whose leaders did not answer.
-	tableCounts map[string]*tableCounts
+	tableCounts map[string]*sharedCount
+	// pendingAnswers holds the last answers on pending jobs, by queue.
+	pendingAnswers map[string]pendingAnswer
 
 	// exchange is nil unless hosts pass on loads to each other.
 	exchange Exchange
@@ -113,7 +115,7 @@
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
-		tableCounts: map[string]*tableCounts{}, outcomes: newOpenOutcomes(),
+		tableCounts: map[string]*sharedCount{}, pendingAnswers: map[string]pendingAnswer{}, outcomes: newOpenOutcomes(),
 		refuseLate: func() string { return admission.Off }, admission: admission.New(),
 	}
 	for _, o := range options {
--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -24,93 +24,105 @@
 func (i *Intake) Pending(ctx context.Context, now time.Time, queue string) (int, error) {
 	sum := 0
 	view := i.leaders.View()
+	var counts []cellCount
 	for _, name := range slices.Sorted(maps.Keys(view.Cells)) {
-		n, err := i.pendingInCell(ctx, now, name, view.Cells[name], queue)
+		c, err := i.pendingInCell(ctx, now, name, view.Cells[name], queue)
 		if err != nil {
 			return 0, err
 		}
-		sum += n
+		sum += c.pending
+		counts = append(counts, c)
 	}
+	i.logPending(now, queue, sum, counts)
 	return sum, nil
 }
 
 // pendingInCell returns a queue's pending count in one cell: from the known load if it is fresh, otherwise from the
 // leader, otherwise from the table.
-func (i *Intake) pendingInCell(ctx context.Context, now time.Time, name string, c CellView, queue string) (int, error) {
+func (i *Intake) pendingInCell(ctx context.Context, now time.Time, name string, c CellView, queue string) (cellCount, error) {
 	i.mu.Lock()
 	known, age := i.board.Load(now, name)
 	i.mu.Unlock()
 	if known != nil && age <= maxPendingAge {
-		return int(known.GetPending()[queue]), nil
+		return countOfLoad(name, fromLoad, age, known, queue), nil
 	}
 	askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if reported := i.fetchLoad(askCtx, name, c, false); reported.GetLeading() && reported.GetCell() == name {
 		i.applyLoad(now, reported)
-		return int(reported.GetPending()[queue]), nil
+		return countOfLoad(name, fromLeader, 0, reported, queue), nil
 	}
-	counts, err := i.pendingFromTable(ctx, now, name)
-	return counts[queue], err
+	counted, err := i.pendingFromTable(ctx, now, name)
+	if err != nil {
+		return cellCount{}, err
+	}
+	return cellCount{cell: name, pending: counted.byQueue[queue], source: counted.source, age: now.Sub(counted.readAt)}, nil
 }
 
-// tableCounts are the pending counts of a cell's queues as counted in the table at readAt.
-type tableCounts struct {
-	mu      sync.Mutex
+// tableCount holds the pending counts of a cell's queues as counted in the table at readAt.
+type tableCount struct {
 	byQueue map[string]int
 	readAt  time.Time
+	source  countSource
+}
+
+// sharedCount is the last count of a cell in the table.
+type sharedCount struct {
+	mu   sync.Mutex
+	last tableCount
 }
 
 // pendingFromTable returns the pending counts of a cell's queues from the table, counted by a relay or by this host.
-func (i *Intake) pendingFromTable(ctx context.Context, now time.Time, name string) (map[string]int, error) {
-	counts, _, err := i.sharedCounts(now, name, func() (map[string]int, time.Time, error) {
+func (i *Intake) pendingFromTable(ctx context.Context, now time.Time, name string) (tableCount, error) {
+	return i.sharedCount(now, name, func() (tableCount, error) {
 		if i.exchange != nil {
 			if counts, readAt, ok := i.exchange.Pending(ctx, name); ok {
-				return counts, readAt, nil
+				return tableCount{byQueue: counts, readAt: readAt, source: fromRelay}, nil
 			}
 		}
 		return i.countNow(ctx, now, name)
 	})
-	return counts, err
 }
 
 // CountPending returns the pending counts of a cell's queues as this host has counted them in the table, and when it did.
 func (i *Intake) CountPending(ctx context.Context, name string) (counts map[string]int, readAt time.Time, err error) {
 	now := clock.Now()
-	return i.sharedCounts(now, name, func() (map[string]int, time.Time, error) { return i.countNow(ctx, now, name) })
+	c, err := i.sharedCount(now, name, func() (tableCount, error) { return i.countNow(ctx, now, name) })
+	return c.byQueue, c.readAt, err
 }
 
-// sharedCounts returns the counts of a cell's queues, and when they were read. A count reads all parts of two tables, so
-// callers that come at the same time, or soon after, share one.
-func (i *Intake) sharedCounts(now time.Time, name string, count func() (map[string]int, time.Time, error)) (map[string]int, time.Time, error) {
+// sharedCount returns the counts of a cell's queues. A count reads all parts of two tables, so callers that come at the same
+// time, or soon after, share one.
+func (i *Intake) sharedCount(now time.Time, name string, count func() (tableCount, error)) (tableCount, error) {
 	i.mu.Lock()
 	c := i.tableCounts[name]
 	if c == nil {
-		c = &tableCounts{}
+		c = &sharedCount{}
 		i.tableCounts[name] = c
 	}
 	i.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.readAt) <= maxPendingAge {
-		return c.byQueue, c.readAt, nil
+	if now.Sub(c.last.readAt) <= maxPendingAge {
+		return c.last, nil
 	}
-	counts, readAt, err := count()
+	counted, err := count()
 	if err != nil {
-		return nil, now, err
+		return tableCount{readAt: now}, err
 	}
-	c.byQueue, c.readAt = counts, readAt
-	return counts, readAt, nil
+	c.last = counted
+	return counted, nil
 }
 
 // countNow counts the pending jobs of a cell's queues in the table.
-func (i *Intake) countNow(ctx context.Context, now time.Time, name string) (map[string]int, time.Time, error) {
+func (i *Intake) countNow(ctx context.Context, now time.Time, name string) (tableCount, error) {
 	counts, err := i.countPendingInTable(ctx, name)
 	if err != nil {
-		return nil, now, err
+		return tableCount{}, err
 	}
 	i.increment("pending-from-table")
 	i.log.WithFields(logrus.Fields{"cell": name, "counts": counts}).Info("pending-from-table")
-	return counts, now, nil
+	return tableCount{byQueue: counts, readAt: now, source: fromTable}, nil
 }
 
 // countPendingInTable counts, by queue, the jobs in the table that have no progress row. Some of these may have begun
