Leaders log what they do late: polls, ends, records, next steps

Whether the ends of short steps are learned late because a leader's processor is full, because polls yield to start orders, or because the window holds orders back, the log did not tell. leader-delays sums it up every 3 s for a led cell, control-time does for the control goroutine. No change of decisions.

--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -27,6 +27,7 @@
 	NoteStartRefused    NoteKind = "task-start-refused"
 	NoteStartUnsure     NoteKind = "task-start-unsure"
 	NoteOrdersHeld      NoteKind = "orders-held"
+	NoteDelays          NoteKind = "leader-delays"
 	NoteAdopted         NoteKind = "task-adopted"
 	NoteStop            NoteKind = "task-stop"
 	NoteEnd             NoteKind = "task-end"
@@ -86,6 +87,7 @@
 	{NoteStartRefused, "the worker refused the start; detail: reason"},
 	{NoteStartUnsure, "the start got no answer, so the task may run; detail: until when the worker may carry the order out, error"},
 	{NoteOrdersHeld, "start orders are held back: tasks wait for the link, not for capacity; repeated once a second at most; detail: bytes in flight, the window, the time that answers take"},
+	{NoteDelays, "what this leader did late in the time age_ms, each with its number, mean and longest delay: polls after they were due, ends learned from a poll that was sent so long after the worker's last answer, records of ends and first starts of next steps after the end was learned; then for how long start orders were held back and polls yielded to them, and the number of decisions"},
 	{NoteAdopted, "a run that an earlier leader started was taken over"},
 	{NoteStop, "a run was ordered to stop; detail: reason"},
 	{NoteEnd, "a run ended; detail: how, progress in percent"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -45,6 +45,8 @@
 		s.isolatedRuns++
 	}
 	t.Runs = append(t.Runs, r)
+	s.countStart(now, t.Unit)
+	t.Unit.HasStarted = true
 	t.MayHaveRun, t.IsolationWaived, t.IsolationWaitSince = true, false, time.Time{}
 	w.Add(r)
 	s.urgentStarted(t.Unit)
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -172,6 +172,7 @@
 			l.Wait = 0
 		}
 	}
+	s.countPoll(now, w)
 	w.PollOutstanding, w.PollSentAt = true, now
 	to := target(w)
 	to.Address = w.PollAddress()
--- a/pkg/process/cell/run_ends.go
+++ b/pkg/process/cell/run_ends.go
@@ -17,6 +17,7 @@
 		return
 	}
 	w.LastEnd = e.Number
+	s.delays.unwatched.add(w.Unwatched)
 	if s.taskNamed(e.Task) == nil {
 		s.keepOrphanedEnd(now, w, e)
 		return
@@ -54,7 +55,7 @@
 		// The task waits for a new start and resumes from its checkpoint.
 	}
 	s.markDirty(j, false)
-	s.holdAcknowledgement(w, e.Number, j.Spec.GetId())
+	s.holdAcknowledgement(now, w, e.Number, j.Spec.GetId())
 	s.updateWaiting(now, j)
 }
 
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -225,6 +225,8 @@
 	startWindow *orderwindow.Window
 	// startsHeldAt is when a start order was last held back, startsHeldSince when that began, without long breaks.
 	startsHeldAt, startsHeldSince time.Time
+	// delays sums up what this leader does late.
+	delays delays
 	// startsHeldLoggedAt is when the log last reported that start orders are held back.
 	startsHeldLoggedAt time.Time
 	// runtimes estimates how long tasks run. It is kept when a leadership ends, too.
@@ -420,6 +422,7 @@
 	if s.phase != following && !s.releasingAtOnce() {
 		s.pollWorkers(now)
 	}
+	s.countDecision(now)
 	out := s.outbox
 	s.outbox = nil
 	return out
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -85,6 +85,8 @@
 	worker string
 	number int64
 	seq    int64
+	// learnedAt is when the leader learned of the end.
+	learnedAt time.Time
 }
 
 // writer returns the writer of a part, and creates it if needed.
@@ -107,9 +109,9 @@
 }
 
 // holdAcknowledgement holds back the acknowledgement of a run's end until the job's latest change is durable.
-func (s *State) holdAcknowledgement(w *workers.Worker, number int64, job string) {
+func (s *State) holdAcknowledgement(now time.Time, w *workers.Worker, number int64, job string) {
 	p := s.writer(rows.JobPart(job))
-	p.unrecordedEnds = append(p.unrecordedEnds, unrecordedEnd{worker: w.ID, number: number, seq: s.changeSeq})
+	p.unrecordedEnds = append(p.unrecordedEnds, unrecordedEnd{worker: w.ID, number: number, seq: s.changeSeq, learnedAt: now})
 }
 
 // lastRecordedEnd returns the number up to which all ends that a worker listed are durable.
@@ -407,6 +409,7 @@
 			keep = append(keep, e)
 			continue
 		}
+		s.delays.records.add(now.Sub(e.learnedAt))
 		if w := s.workers[e.worker]; w != nil && !w.PollOutstanding && w.SilentSince.IsZero() && s.phase == leading && !s.yielding(now) {
 			w.NextPollAt = now
 		}
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -60,6 +60,8 @@
 	// confirmedHandover is the setting of that name.
 	confirmedHandover bool
 	view              atomic.Pointer[intake.View]
+	// time sums up how the control goroutine spends its time.
+	time controlTime
 	// askForRelease asks the process at an address, a leader from another hall, to release a cell of this hall.
 	askForRelease  func(cell, address string)
 	releaseAskedAt map[string]time.Time
@@ -134,8 +136,8 @@
 		case m := <-c.inbox:
 			now := clock.Now()
 			m.apply(c, now)
-			c.applyWaiting(now)
-			c.decide(ctx, now)
+			messages := 1 + c.applyWaiting(now)
+			c.timed(now, messages, func() { c.decide(ctx, now) })
 		case <-ticker.C:
 			now := clock.Now()
 			for _, s := range c.cells {
@@ -143,21 +145,22 @@
 				s.needsDecision = true
 				c.leadershipChanged(now, s, s.seat.Expire(now))
 			}
-			c.decide(ctx, now)
+			c.timed(now, 0, func() { c.decide(ctx, now) })
 		}
 	}
 }
 
-// applyWaiting applies the messages that wait already, up to the size of a batch.
-func (c *Control) applyWaiting(now time.Time) {
-	for range maxBatch {
+// applyWaiting applies the messages that wait already, up to the size of a batch, and returns their number.
+func (c *Control) applyWaiting(now time.Time) int {
+	for i := range maxBatch {
 		select {
 		case m := <-c.inbox:
 			m.apply(c, now)
 		default:
-			return
+			return i
 		}
 	}
+	return maxBatch
 }
 
 // decide runs the decision of each cell whose state has changed, and the election of each cell.
--- a/pkg/process/jobs/job.go
+++ b/pkg/process/jobs/job.go
@@ -61,6 +61,8 @@
 
 	// ReadyAt is the time from which tasks of the unit could start.
 	ReadyAt time.Time
+	// HasStarted says that this process has ordered a start of one of its tasks.
+	HasStarted bool
 	// Outlook is the job's outlook at the last placement of the unit.
 	Outlook Outlook
 	// WaitLoggedAt is the time of the last log line on why tasks of the unit wait.
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -104,6 +104,8 @@
 	PollTimeout     time.Duration
 	PollOutstanding bool
 	NextPollAt      time.Time
+	// Unwatched is how long after the worker's last answer the last poll was sent.
+	Unwatched time.Duration
 	// LastEnd is the number of the newest end that was processed, LastRecordedEnd that of the
 	// newest end that is durable.
 	LastEnd, LastRecordedEnd int64
