The record of a job says whether it has begun

Nothing in a job's row said so: the phase stays QUEUED until the job ends, and a leader that took over set HasStarted from the phase. So it told callers that jobs wait which had begun, until it had heard their workers: 2 for 1 in TestSuccessorTellsThePendingCountOfItsPredecessor.

JobProgress has a field begun, written from HasStarted; the first of several rows has it, too. Restore takes it. Of rows of earlier versions, which lack it, these count as begun: done tasks, failed runs, a checkpoint, a crash of a run that is known to have begun, a phase beyond QUEUED (JobProgress.HasBegun).

What else reads HasStarted: forecasts no longer take begun jobs for new arrivals after a takeover; settle.go only counts for the log; waitBeforeHandover counts the wait that this leader has seen, as its comment says, also where no worker lists a run of a job that has begun. Until now that depended on whether one did.

--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -7,9 +7,9 @@
 )
 
 // Progress returns the state that a successor needs: done tasks, failed runs, checkpoints, delegations, crash
-// evidence, since when lasting tasks have had no run, and the phase. Runs are not included, because workers list them.
+// evidence, since when lasting tasks have had no run, the phase, and whether any task has begun. Runs are not included, because workers list them.
 func (j *Job) Progress(clock StoreClock) *wire.JobProgress {
-	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason, Home: j.Spec.GetHome()}
+	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason, Home: j.Spec.GetHome(), Begun: j.HasStarted}
 	if j.Ended() {
 		return p
 	}
@@ -99,7 +99,7 @@
 	j.OpenDue(wall)
 	if p != nil {
 		j.Phase, j.DurablePhase, j.Reason = p.GetPhase(), p.GetPhase(), p.GetReason()
-		j.HasStarted = p.GetPhase() != wire.JobPhase_JOB_PHASE_QUEUED
+		j.HasStarted = p.HasBegun()
 		for _, up := range p.GetUnits() {
 			j.restoreUnit(up)
 		}
--- a/pkg/rows/progress.go
+++ b/pkg/rows/progress.go
@@ -13,7 +13,7 @@
 
 // ProgressRows returns the rows of a job's progress in a cell, which one transaction writes. One that is too large for a row, that of
 // a job of thousands of tasks with checkpoints, is compressed, and spread over several rows if need be. The first row names
-// phase, reason and home cell in any case.
+// phase, reason and home cell in any case, and whether the job has begun.
 func ProgressRows(cell string, p *wire.JobProgress) []table.Row {
 	key := ProgressKey(cell, p.GetId())
 	if proto.Size(p) <= maxPlain {
@@ -24,7 +24,7 @@
 		_, _ = digest.Write(piece) // a hash never fails
 	}
 	list := []table.Row{Row(key, &wire.JobProgress{
-		Id: p.GetId(), Phase: p.GetPhase(), Reason: p.GetReason(), Home: p.GetHome(), Packed: pieces[0], Rows: int32(len(pieces)), Digest: digest.Sum(nil),
+		Id: p.GetId(), Phase: p.GetPhase(), Reason: p.GetReason(), Home: p.GetHome(), Begun: p.GetBegun(), Packed: pieces[0], Rows: int32(len(pieces)), Digest: digest.Sum(nil),
 	})}
 	for i, piece := range pieces[1:] {
 		list = append(list, Row(pieceKey(key, i+1), &wire.JobProgress{Id: p.GetId(), Packed: piece}))
