The table's pending count goes by what rows say, not by their presence

A job with any progress row counted as begun. Rows are also written when tasks are delegated, for waits of lasting tasks, for crash evidence and for starts that need a record, so a cell whose leader is out of reach counted short by all of these: 5 for 6 in TestPendingFromTableCountsRecordedJobsThatHaveNotBegun.

The count is rows.AddPending, a pure function over the rows of a part, for checkers, too. It reads the progress of jobs that have a specification only: the table also keeps that of ended jobs. Jobs of delegated tasks are left out by their home cell, too, as the leader does.

TestJobsAreCountedUntilARowSaysThatTheyHaveBegun is new.

--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -12,7 +12,6 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
-	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // maxPendingAge is the largest age of a known load whose count is used. Callers are promised two seconds.
@@ -125,8 +124,7 @@
 	return tableCount{byQueue: counts, readAt: now, source: fromTable}, nil
 }
 
-// countPendingInTable counts, by queue, the jobs in the table that have no progress row. Some of these may have begun
-// already.
+// countPendingInTable counts, by queue, the jobs in the table of which no task is known to have begun.
 func (i *Intake) countPendingInTable(ctx context.Context, cell string) (map[string]int, error) {
 	counts := map[string]int{}
 	for p := range rows.JobParts {
@@ -139,23 +137,7 @@
 		if err != nil {
 			return nil, err
 		}
-		addPendingRows(counts, specs.Rows, progress.Rows)
+		rows.AddPending(counts, specs.Rows, progress.Rows)
 	}
 	return counts, nil
 }
-
-// addPendingRows adds the specs without a progress row to the counts of their queues. Jobs of delegated tasks are left
-// out: their home cell counts them.
-func addPendingRows(counts map[string]int, specs, progress []table.Row) {
-	begun := map[string]bool{}
-	for _, r := range progress {
-		begun[r.Key.Key] = true
-	}
-	for _, r := range specs {
-		spec := &wire.JobSpec{}
-		if begun[r.Key.Key] || rows.Read(r, spec) != nil || len(spec.GetGuest()) > 0 {
-			continue // the cell's leader reports specs that can't be read
-		}
-		counts[spec.GetQueue()]++
-	}
-}
