A job's state by the table is QUEUED until its row says that it has begun

Any row that was not final was answered as RUNNING, so callers were told that a job runs of which nothing had begun, while its leader was out of reach. The leader tells QUEUED for the same job.

--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -343,7 +343,7 @@
 }
 
 // phaseFromTable reads a job's phase from the table, for a cell whose leader does not answer.
-// A job without a progress row is queued.
+// A job without a progress row is queued, and so is one whose row does not say that a task has begun.
 func (i *Intake) phaseFromTable(ctx context.Context, cell, id string) (wire.JobPhase, error) {
 	p, err := i.readProgress(ctx, cell, id)
 	switch {
@@ -351,10 +351,12 @@
 		return 0, err
 	case p == nil:
 		return wire.JobPhase_JOB_PHASE_QUEUED, nil
-	case !p.GetPhase().Terminal():
+	case p.GetPhase().Terminal():
+		return p.GetPhase(), nil
+	case p.HasBegun():
 		return wire.JobPhase_JOB_PHASE_RUNNING, nil
 	}
-	return p.GetPhase(), nil
+	return wire.JobPhase_JOB_PHASE_QUEUED, nil
 }
 
 // readProgress reads a job's progress row, or returns nil if there is none yet.
