A job whose row says that it waits is recorded once more when it begins

A row that is written before anything of its job begins (a delegation of some of its tasks, a lasting task's wait after a takeover, a start that needs a record) says that the job waits, and nothing changes it for as long as the job runs without an end: the table's count and a job's state would take a running job for a waiting one.

A start writes the row of such a job again, once, together with what else its part has to write. Jobs without a row are not written: they count as waiting in the table, as before, and their start costs no write. Nor are jobs of delegated tasks, which their home cell counts, nor jobs of a leader that releases: its successor hears of the run, and writes it.

--- a/pkg/process/cell/active_runs.go
+++ b/pkg/process/cell/active_runs.go
@@ -133,8 +133,21 @@
 		r.BeganAt, r.ProgressAt = now, now
 	}
 	j := r.Task.Unit.Job
-	if !j.HasStarted {
-		j.HasStarted = true
+	if j.HasStarted {
+		return
+	}
+	j.HasStarted = true
+	if j.ProgressVersion != 0 {
+		s.recordBegin(j)
+	}
+}
+
+// recordBegin has the table record that a job has begun whose row does not say so, as the row would be taken for that of a
+// job that waits. A job without a row is not recorded. A leader that releases leaves it to its successor, which hears of the
+// run from its worker.
+func (s *State) recordBegin(j *jobs.Job) {
+	if s.phase == leading && !j.Delegated() && !j.Ended() {
+		s.markDirty(j, false)
 	}
 }
 
--- a/pkg/process/cell/begun_test.go
+++ b/pkg/process/cell/begun_test.go
@@ -110,3 +110,30 @@
 	must.Zero(t, b.state.Load(b.now, false).GetPending()["offers"])
 	must.SliceEmpty(t, b.records)
 }
+
+// The wait of a lasting task is recorded after a takeover, and the task starts while the table still takes that record.
+func TestJobThatBeginsWhileItsRowIsWrittenIsRecordedAsBegun(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	lasting := waitingJob("00000000000000b1", 1)
+	lasting.Steps[0].Lasting = true
+	b.heldWrites = true
+	b.state.Take(b.now, cell.LeadershipGained{Epoch: 2, LeasesEndAt: b.now})
+	b.state.Take(b.now, cell.Loaded{Epoch: 2, Wall: b.now, Fences: testFences(), Jobs: []cell.LoadedJob{{Spec: lasting}}})
+	b.state.Take(b.now, cell.MembershipRecorded{IDs: slices.Collect(maps.Keys(b.reports))})
+	for range 40 {
+		b.step(20 * time.Millisecond)
+	}
+	must.MapLen(t, 1, b.started)
+	must.Zero(t, b.state.Load(b.now, false).GetPending()["offers"])
+	must.Len(t, 1, b.records)
+	must.Eq(t, 1, b.succeed(t, lasting), must.Sprint("the row was sent before the start"))
+	b.heldWrites = false
+	b.version++
+	b.state.Take(b.now, cell.WriteAnswered{Part: b.records[0].Part, Serial: b.records[0].Serial, Committed: table.CommitResult{Version: b.version}})
+	for range 20 {
+		b.step(20 * time.Millisecond)
+	}
+	must.Len(t, 2, b.records)
+	must.Zero(t, b.succeed(t, lasting))
+}
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -70,6 +70,8 @@
 	rows  int
 	// final says that the progress row holds the job's last phase.
 	final bool
+	// begun says that the progress row says that the job has begun.
+	begun bool
 	// expired says that the job's rows are removed.
 	expired bool
 	// delegations is the number of specifications of delegated tasks for other cells.
@@ -199,8 +201,9 @@
 func (s *State) progressEntries(j *jobs.Job) (tx table.Transaction, sent sentJob) {
 	id := j.Spec.GetId()
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: rows.ProgressKey(s.name, id), Version: j.ProgressVersion})
-	tx.Puts = rows.ProgressRows(s.name, j.Progress(s.storeClock))
-	sent = sentJob{job: j, value: tx.Puts[0].Value, rows: len(tx.Puts), final: j.Ended(), delegations: len(s.pendingDelegations[j])}
+	progress := j.Progress(s.storeClock)
+	tx.Puts = rows.ProgressRows(s.name, progress)
+	sent = sentJob{job: j, value: tx.Puts[0].Value, rows: len(tx.Puts), final: j.Ended(), begun: progress.GetBegun(), delegations: len(s.pendingDelegations[j])}
 	tx.Removes = rows.ProgressPieces(s.name, id, sent.rows, j.ProgressRows)
 	sent.starts = j.StartRecordsWanted()
 	for _, spec := range latestByCell(s.pendingDelegations[j]) {
@@ -390,6 +393,9 @@
 			s.placementDue = true
 		}
 	}
+	if j.HasStarted && !sent.begun {
+		s.recordBegin(j)
+	}
 	if sent.final && j.DurablePhase != j.Phase {
 		j.DurablePhase = j.Phase
 		s.note(Note{Kind: NoteJobRecorded, Job: j.Spec.GetId(), Detail: j.Phase.String(), AgeMs: -1})
