The count of a leader that has not read its table for three seconds is not used

A leader that is cut off from the table does not know the jobs accepted since, unless their notifications reach it, and its count was used for as long as it answered: 1 for 7 in TestLeaderThatHasNotReadItsTableIsNotCounted. The ages of a load and of its leader's reading did not add up, either.

A load is used if it is at most a second old, as before, and its leader's last reading of new jobs, the load's age and the time that its message may have taken (0.4 s) make at most three seconds. Otherwise the leader is asked, and then the table is counted; if that fails, the answer is 503. Leaders read each 0.7 s, by two calls, so no answer counts the table while a call takes less than about 0.6 s. Loads of earlier versions, which don't tell, are used as before. A count of the table needs no change: its age goes with it from the relay (TestSharedCountsOfARelayAreNotSharedForLonger).

The bound: the protocol lets a count be 2 s old, and a job be visible visible_ms (3 s on all sites) after it was accepted.

--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -14,8 +14,18 @@
 	"github.com/wrenferry/wrenferry/pkg/table"
 )
 
-// maxPendingAge is the largest age of a known load whose count is used. Callers are promised two seconds.
-const maxPendingAge = time.Second
+const (
+	// maxPendingAge is the largest age of a known load whose count is used, and of a count in the table. Callers are promised
+	// two seconds.
+	maxPendingAge = time.Second
+	// maxReadingAge is the largest time since a leader has read its cell's new jobs at which its count is used: it does not
+	// know jobs accepted since, if their notifications were lost. Callers are promised that a job is visible within three
+	// seconds.
+	maxReadingAge = 3 * time.Second
+	// maxMessageAge is how old a load message can be when it arrives: a leader sends it again for a tenth of a second, and it
+	// may be on its way for as long as a call may take.
+	maxMessageAge = 100*time.Millisecond + peerTimeout
+)
 
 // Pending returns the number of a queue's accepted jobs of which no task has begun. The counts
 // come from the cells' leaders, or from the table where a leader can't be reached. If neither
@@ -37,19 +47,24 @@
 }
 
 // pendingInCell returns a queue's pending count in one cell: from the known load if it is fresh, otherwise from the
-// leader, otherwise from the table.
+// leader, otherwise from the table. The count of a leader that has not read its table for too long is not used.
 func (i *Intake) pendingInCell(ctx context.Context, now time.Time, name string, c CellView, queue string) (cellCount, error) {
 	i.mu.Lock()
 	known, age := i.board.Load(now, name)
 	i.mu.Unlock()
 	if known != nil && age <= maxPendingAge {
-		return countOfLoad(name, fromLoad, age, known, queue), nil
+		if count := countOfLoad(name, fromLoad, age, known, queue); count.upToDate() {
+			return count, nil
+		}
 	}
 	askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if reported := i.fetchLoad(askCtx, name, c, false); reported.GetLeading() && reported.GetCell() == name {
 		i.applyLoad(now, reported)
-		return countOfLoad(name, fromLeader, 0, reported, queue), nil
+		if count := countOfLoad(name, fromLeader, 0, reported, queue); count.upToDate() {
+			return count, nil
+		}
+		i.increment("pending-leader-late")
 	}
 	counted, err := i.pendingFromTable(ctx, now, name)
 	if err != nil {
--- a/pkg/request/intake/pending_log.go
+++ b/pkg/request/intake/pending_log.go
@@ -41,6 +41,12 @@
 	}
 }
 
+// upToDate returns whether the count of a leader holds all jobs that must be visible. Leaders of earlier versions don't tell
+// when they have read their tables.
+func (c cellCount) upToDate() bool {
+	return c.epoch == 0 || c.tableReadAge+maxMessageAge <= maxReadingAge
+}
+
 // String renders the count for the log.
 func (c cellCount) String() string {
 	text := fmt.Sprintf("%s %d (%s, %d ms", c.cell, c.pending, c.source, c.age.Milliseconds())
