A leader that hands its cell over learns nothing from further readings of the table

A leader takes no jobs while it releases its cell, yet each reading of the table counted as if it knew all jobs that were there. So an orphaned end of a job that it had not taken was acknowledged to its worker, though nothing had recorded it: a successor that finds neither run nor end starts the task again. And its load said that its count was up to date.

TableCaughtUp has no effect unless the cell is led and loaded; the reading's time never counts as before the load.

--- a/pkg/process/cell/orphans.go
+++ b/pkg/process/cell/orphans.go
@@ -18,8 +18,12 @@
 
 func (TableCaughtUp) event() {}
 
-// takeTableCaughtUp drops the orphaned ends that belong to no job, so that they are acknowledged.
+// takeTableCaughtUp drops the orphaned ends that belong to no job, so that they are acknowledged. A leader that releases has not
+// taken the jobs that were read: they are its successor's.
 func (s *State) takeTableCaughtUp(e TableCaughtUp) {
+	if s.phase != leading {
+		return
+	}
 	s.caughtUpAt = e.At
 	for _, w := range s.workersByID() {
 		w.OrphanedEnds = slices.DeleteFunc(w.OrphanedEnds, func(h workers.OrphanedEnd) bool { return h.At.Before(e.At) && !s.isNotYetDue(h.Task) })
--- a/pkg/process/cell/orphans_test.go
+++ b/pkg/process/cell/orphans_test.go
@@ -61,6 +61,22 @@
 	must.Eq(t, 1, v.recorded)
 }
 
+// A leader that hands its cell over does not take the job of an orphaned end any more. Its readings of the table acknowledged
+// the end, which nothing had recorded, and the successor started the task again.
+func TestOrphanedEndIsNotAcknowledgedDuringARelease(t *testing.T) {
+	t.Parallel()
+	v := newRestartingWorker()
+	task := "0000000000000001.0.0.0"
+	v.ended = []workers.End{{Number: 1, Task: task, Run: 7, Outcome: workers.EndedDone}}
+	v.run(300 * time.Millisecond)
+	v.state.Take(v.now, cell.ReleaseRequested{})
+	must.Eq(t, task, v.accept(1))
+	v.state.Take(v.now, cell.TableCaughtUp{At: v.now})
+	v.run(time.Second)
+	must.True(t, v.state.Releasing())
+	must.Eq(t, 0, v.recorded)
+}
+
 // The job is known, but one of its occurrences falls due here a moment later than at the predecessor, whose clock is
 // ahead or which checked earlier. An end of that occurrence must not be dropped as belonging to no job: its worker
 // forgot it, and the task was started again.
--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -150,7 +150,7 @@
 // tableReadAt returns a time up to which this leader knows all jobs that the cell's table held: that of its last reading of
 // new jobs, or that from which it leads, as it has read the whole table after that.
 func (s *State) tableReadAt() time.Time {
-	if s.caughtUpAt.IsZero() {
+	if s.caughtUpAt.Before(s.gainedAt) {
 		return s.gainedAt
 	}
 	return s.caughtUpAt
