The emulator asks hosts for pending counts: rule PENDING

Nothing in the emulator asked how many jobs wait, so no search knew the sentence "1 jobs are said to wait". The product's intake puts the answer together from known loads, leaders and the table; an answer of under half of the jobs without times that were accepted over 5 s before and of which nothing has started breaks PENDING. State.Load refreshes cached parts, so the emulator asks with State.PendingLoad, which counts with the same code.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -31,6 +31,8 @@
 //	EVAC     a start in a hall long after its evacuation was ordered, by a host in contact
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause
+//	PENDING  a host in contact counts as pending under half of the jobs that have waited for long without
+//	         a start of any of their tasks
 //	ROW      a start order to a worker whose row is invalid, by a host that has read that
 //	LOST     an accepted job that has not ended when the day ends; a lasting task without a run for
 //	         long while there is capacity for it
@@ -71,6 +73,7 @@
 	cancelOverdueAt map[string]time.Time
 	watchedCancels  map[string]bool
 	held            heldRule
+	pending         pendingRule
 }
 
 func newChecker(w *World) *checker {
@@ -80,7 +83,7 @@
 		crashes: map[string]int{}, startsAfterLimit: map[string]int{}, failures: map[string]map[int64]bool{}, maxFailures: map[string]int{},
 		acceptedAt: map[string]time.Time{}, lastEndAt: map[string]time.Time{}, lastingWaits: map[string]*lastingWait{},
 		cancelWaits: map[string]cancelWait{}, cancelOverdueAt: map[string]time.Time{}, watchedCancels: map[string]bool{},
-		brokenAt: map[string]time.Duration{}, held: newHeldRule(),
+		brokenAt: map[string]time.Duration{}, held: newHeldRule(), pending: newPendingRule(),
 	}
 }
 
@@ -146,7 +149,7 @@
 		c.breakRule("TWICE", "%s was done when %s starts it", s.Task, k.id())
 	}
 	c.checkCrashBudget(s.Task)
-	c.startedAt[s.Task] = c.world.now
+	c.startedAt[s.Task], c.pending.begun[job] = c.world.now, true
 	if c.running[s.Task] == nil {
 		c.running[s.Task] = map[string]*startedRun{}
 	}
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -216,7 +216,7 @@
 
 // readCell reads the cell's tables and gives the state what was loaded; it calls retry if a read fails.
 func (h *seat) readCell(loaded cell.Loaded, retry func()) {
-	t, here := h.world.table, h.bindIncarnation()
+	t, here, askedAt := h.world.table, h.bindIncarnation(), h.clock()
 	t.scan(h.name, rows.SpecTable(h.cell), func(specs []table.Row, _ time.Duration, ok1 bool) {
 		t.scan(h.name, rows.ProgressTable(h.cell), func(progress []table.Row, _ time.Duration, ok2 bool) {
 			t.scan(h.name, rows.CancelTable(h.cell), func(cancels []table.Row, at time.Duration, ok3 bool) {
@@ -229,6 +229,7 @@
 					addCancels(&loaded, cancels)
 					loaded.Members = t.members(h.cell)
 					loaded.Wall, loaded.StoreNow = h.world.now, at
+					h.jobsReadAt = askedAt
 					h.state.Take(h.clock(), loaded)
 					h.act()
 				})
--- a/pkg/emulator/fault_schedule.go
+++ b/pkg/emulator/fault_schedule.go
@@ -24,6 +24,7 @@
 	for range w.plan.HallCuts {
 		w.after(w.between(earliestHallCut, w.plan.Trouble), w.cutOffFirstHall)
 	}
+	w.scheduleCutsInTurn()
 	for range w.plan.Rooms {
 		w.after(w.between(earliestFault, w.plan.Trouble), w.shrinkWorker)
 	}
@@ -170,6 +171,16 @@
 	}
 }
 
+// scheduleCutsInTurn has the halls cut off one after the other for Plan.CutsInTurn times.
+func (w *World) scheduleCutsInTurn() {
+	for i := range w.plan.CutsInTurn {
+		span := (w.plan.Trouble - earliestHallCut) / time.Duration(w.plan.CutsInTurn)
+		begin := earliestHallCut + time.Duration(i)*span
+		hall := w.cells[i%len(w.cells)]
+		w.after(w.between(begin, begin+span/4), func() { w.cutOffHall(hall, w.between(span/2, 2*span)) })
+	}
+}
+
 // cutOffHall cuts a hall's hosts and workers off from other halls, and its hosts from the table.
 func (w *World) cutOffHall(hall string, span time.Duration) {
 	w.injectFault(Fault{Kind: CutCell, Target: hall, For: span})
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -44,6 +44,8 @@
 	// storeAt is the table's time at the host's last read of it, storeRead the host's clock then.
 	storeAt   time.Duration
 	storeRead time.Time
+	// pending answers for pending jobs, on days with Plan.Pending.
+	pending *pendingAnswers
 	// leaderships is the newest reading of them, passedAt when a relay last passed on a recent one, avoided the relays that
 	// did not.
 	leaderships relay.Reading
@@ -57,6 +59,8 @@
 	listReadAt time.Time
 	// listFailedAt is when a read of the worker registry last failed.
 	listFailedAt time.Time
+	// jobsReadAt is when the jobs that the state holds were read from the cell's table.
+	jobsReadAt time.Time
 	*host
 	cell  string
 	seat  *election.Seat
@@ -94,6 +98,9 @@
 	if w.plan.Evacuations > 0 {
 		h.every(300*time.Millisecond, h.readEvacuations)
 	}
+	if w.plan.Pending {
+		h.pending = newPendingAnswers(h)
+	}
 	for _, name := range w.cells {
 		s := &seat{host: h, cell: name, seat: election.New(name, name, self, w.seatOptions()...)}
 		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute, ConfirmedHandover: w.plan.ConfirmedHandover, UrgentWait: w.plan.UrgentWait}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
@@ -107,6 +114,9 @@
 			h.every(250*time.Millisecond, s.askLoads)
 		}
 	}
+	if w.plan.Pending {
+		h.every(pendingRefreshEvery, h.pending.refresh)
+	}
 }
 
 // leads returns the seat of a cell if this host leads the cell with its jobs loaded, else nil.
@@ -374,6 +384,7 @@
 			}
 			if ok {
 				h.state.Take(h.clock(), cell.TableCaughtUp{At: askedAt})
+				h.jobsReadAt = askedAt
 			}
 		})
 	})
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -97,6 +97,10 @@
 	// come beside the other jobs until Traffic.
 	UrgentWait time.Duration
 	UrgentJobs int
+	// Pending means that hosts are asked for the counts of pending jobs, and that the rule PENDING is checked. CutsInTurn is
+	// how often a hall is cut off for some seconds, one after the other.
+	Pending    bool
+	CutsInTurn int
 	// Load, if set, replaces the random cells, workers and jobs.
 	Load *Load `json:"-"`
 }
--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -134,9 +134,7 @@
 		if j.Ended() {
 			continue
 		}
-		if !j.HasStarted && !j.Delegated() {
-			l.Pending[j.Spec.GetQueue()]++
-		}
+		addPending(l, j)
 		for _, u := range j.Units {
 			addUnitLoad(l, u)
 		}
@@ -144,6 +142,26 @@
 	return l
 }
 
+// PendingLoad returns the part of a load message that counts pending jobs. Unlike Load it changes nothing, not even what
+// is cached.
+func (s *State) PendingLoad() *wire.CellLoad {
+	l := &wire.CellLoad{Leading: s.Leading(), Cell: s.name, Pending: map[string]int32{}}
+	for _, j := range s.jobs {
+		if !j.Ended() {
+			addPending(l, j)
+		}
+	}
+	return l
+}
+
+// addPending counts a job that has not ended in a load message if it is pending. Jobs of delegated tasks are counted by
+// their home cell.
+func addPending(l *wire.CellLoad, j *jobs.Job) {
+	if !j.HasStarted && !j.Delegated() {
+		l.Pending[j.Spec.GetQueue()]++
+	}
+}
+
 // maxFreeListed is the most workers whose free capacity a load message lists because they have the most. More than that can't
 // be filled by delegation before the next message, and the list would grow with the cell.
 const maxFreeListed = 64
