--- a/pkg/emulator/pending_rule.go
+++ b/pkg/emulator/pending_rule.go
@@ -89,6 +89,7 @@
 	for _, queue := range slices.Sorted(maps.Keys(waiting)) {
 		told, err := h.pending.count(queue)
 		if err != nil {
+			c.world.logf("pending: %s refuses to count the jobs of %s: %v", h.name, queue, err)
 			continue
 		}
 		ids := waiting[queue]
