--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -97,10 +97,8 @@
 // interference that this cell has learned itself.
 func (s *State) Load(now time.Time, withBeliefs bool) *wire.CellLoad {
 	labels := map[string]bool{}
-	l := &wire.CellLoad{SettlesInMs: s.timeToSettle(now).Milliseconds(), Worker: &wire.WorkerSize{}, Leading: s.Leading(), Holds: s.HoldsLeadership(), Cell: s.name, Pending: map[string]int32{}}
-	if s.Leading() {
-		l.Epoch, l.TableReadMs = s.epoch, now.Sub(s.tableReadAt()).Milliseconds()
-	}
+	l := s.newLoad(now)
+	l.SettlesInMs, l.Worker, l.Holds = s.timeToSettle(now).Milliseconds(), &wire.WorkerSize{}, s.HoldsLeadership()
 	for _, w := range s.workersByID() {
 		if w.Ended || !w.Listed || w.Leaving {
 			continue
@@ -137,9 +135,7 @@
 		if j.Ended() {
 			continue
 		}
-		if !j.HasStarted && !j.Delegated() {
-			l.Pending[j.Spec.GetQueue()]++
-		}
+		addPending(l, j)
 		for _, u := range j.Units {
 			addUnitLoad(l, u)
 		}
@@ -156,6 +152,35 @@
 	return s.caughtUpAt
 }
 
+// newLoad returns a load message that says who tells it and how long ago the teller has read the cell's new jobs.
+func (s *State) newLoad(now time.Time) *wire.CellLoad {
+	l := &wire.CellLoad{Leading: s.Leading(), Cell: s.name, Pending: map[string]int32{}}
+	if s.Leading() {
+		l.Epoch, l.TableReadMs = s.epoch, now.Sub(s.tableReadAt()).Milliseconds()
+	}
+	return l
+}
+
+// PendingLoad returns the part of a load message that counts pending jobs. Unlike Load it changes nothing, not even what
+// is cached.
+func (s *State) PendingLoad(now time.Time) *wire.CellLoad {
+	l := s.newLoad(now)
+	for _, j := range s.jobs {
+		if !j.Ended() {
+			addPending(l, j)
+		}
+	}
+	return l
+}
+
+// addPending counts a job that has not ended in a load message if it is pending. Jobs of delegated tasks are counted by
+// their home cell.
+func addPending(l *wire.CellLoad, j *jobs.Job) {
+	if !j.HasStarted && !j.Delegated() {
+		l.Pending[j.Spec.GetQueue()]++
+	}
+}
+
 // maxFreeListed is the most workers whose free capacity a load message lists because they have the most. More than that can't
 // be filled by delegation before the next message, and the list would grow with the cell.
 const maxFreeListed = 64
