Polls and records yield to start orders only as far as jobs have slack

While start orders were held back, each worker that had listed an end was polled 0.75 s later, and records waited for 0.6 s. Ends learned late keep capacity, so that more orders are held back: at full size polls yielded all the time. Now the pause before a poll is bounded by the slack of the short tasks that run at the worker and can still be in time, and by when they may end; records of parts that hold up such a worker's ends keep their usual pause.

--- a/pkg/process/cell/order.go
+++ b/pkg/process/cell/order.go
@@ -48,13 +48,12 @@
 func (s *State) rankUnit(now time.Time, u *jobs.Unit, workLeft map[*jobs.Job]int64) rankedUnit {
 	j := u.Job
 	s.refreshEstimate(now, j)
-	q := s.queueOf(j)
-	objective := time.Duration(float64(j.LongestChain())*q.Stretch) + q.Slack
+	objective := s.objectiveOf(j)
 	since := j.AcceptedAt
 	if j.Spec.GetRepeats() > 0 {
 		since = now.Add(-s.wall.Sub(j.DueAt(u.Time)))
 	}
-	c := rankedUnit{unit: u, Work: joborder.Work{Name: u.Name(), Priority: q.Priority, Due: since.Add(objective)}}
+	c := rankedUnit{unit: u, Work: joborder.Work{Name: u.Name(), Priority: s.queueOf(j).Priority, Due: since.Add(objective)}}
 	c.Yields = u.Lasting() && s.urgentWaits(s.serviceOf(j))
 	if !u.Lasting() && s.enabled(OrderByOutlook) {
 		c.Outlook = joborder.OutlookOf(now, since, objective, j.ChainFrom(u.Step))
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -50,8 +50,8 @@
 	t.MayHaveRun, t.IsolationWaived, t.IsolationWaitSince = true, false, time.Time{}
 	w.Add(r)
 	s.urgentStarted(t.Unit)
-	if soon := now.Add(s.yieldToStarts(now, ackPause)); len(w.Runs) == 1 && w.NextPollAt.After(soon) {
-		w.NextPollAt = soon // it was idle, and may be polled seldom
+	if soon := now.Add(s.pollPause(now, w)); (len(w.Runs) == 1 || s.yielding(now)) && w.NextPollAt.After(soon) {
+		w.NextPollAt = soon // it was idle and may be polled seldom, or its polls yield and the run's may not
 	}
 	w.Health.ProbeStarted(now)
 	delete(s.neighboursByWorker, w)
@@ -103,31 +103,6 @@
 	return false
 }
 
-const (
-	// heldFor is how long start orders must have been held back before less urgent calls yield to them: a burst of
-	// orders fills the window of a fast link, too, for a moment.
-	heldFor = 300 * time.Millisecond
-	// heldRecently is how long after a start order was held back less urgent calls yield to start orders.
-	heldRecently = 500 * time.Millisecond
-	// yieldFactor multiplies the pauses between less urgent calls that yield.
-	yieldFactor = 5
-)
-
-// yieldToStarts returns the pause before a call that is less urgent than an order to start: longer than usual while
-// such orders are held back. The link and the processor carry what earns first; polls and records that come later carry
-// more each.
-func (s *State) yieldToStarts(now time.Time, usual time.Duration) time.Duration {
-	if !s.yielding(now) {
-		return usual
-	}
-	return yieldFactor * usual
-}
-
-// yielding reports whether less urgent calls yield to start orders now.
-func (s *State) yielding(now time.Time) bool {
-	return s.enabled(YieldToStarts) && now.Sub(s.startsHeldAt) < heldRecently && s.startsHeldAt.Sub(s.startsHeldSince) >= heldFor
-}
-
 // updateWindow updates the window of bytes in flight by the time that the answer to a start order took, or that
 // passed without an answer.
 func (s *State) updateWindow(now time.Time, e StartAnswered) {
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -229,7 +229,7 @@
 	case s.phase == releasing:
 		w.NextPollAt = now.Add(pollRetryPause)
 	case w.LastEnd > before || len(e.Report.Ended) > 0:
-		w.NextPollAt = now.Add(s.yieldToStarts(now, ackPause)) // partDurable makes the next poll due earlier
+		w.NextPollAt = now.Add(s.pollPause(now, w)) // partDurable makes the next poll due earlier
 	case len(w.Runs) == 0:
 		w.NextPollAt = now.Add(s.idlePollPause)
 	default:
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -54,6 +54,10 @@
 	// durable is the number up to which all changes are durable in this part.
 	durable int64
 	nextAt  time.Time
+	// yieldsUntil is when the next transaction is due that yields to start orders. awaited says that it does not: a worker
+	// that must be polled soon would list its ends again until they are acknowledged.
+	yieldsUntil time.Time
+	awaited     bool
 	// lastSent says that the last transaction before a release has been sent.
 	lastSent bool
 	// failing says that the last transaction failed.
@@ -111,6 +115,7 @@
 // holdAcknowledgement holds back the acknowledgement of a run's end until the job's latest change is durable.
 func (s *State) holdAcknowledgement(now time.Time, w *workers.Worker, number int64, job string) {
 	p := s.writer(rows.JobPart(job))
+	p.awaited = p.awaited || !s.pollsYield(now, w)
 	p.unrecordedEnds = append(p.unrecordedEnds, unrecordedEnd{worker: w.ID, number: number, seq: s.changeSeq, learnedAt: now})
 }
 
@@ -150,6 +155,9 @@
 		if now.Before(p.nextAt) && (p.failing || !p.urgent) {
 			continue
 		}
+		if now.Before(p.yieldsUntil) && !p.urgent && !p.awaited {
+			continue
+		}
 		s.sendTransaction(now, p)
 	}
 }
@@ -175,7 +183,7 @@
 		tx, p.sent[id] = tx.With(entries), sent
 		delete(p.expired, id)
 	}
-	p.urgent = false
+	p.urgent, p.awaited = false, false
 	for _, j := range p.dirty {
 		p.urgent = p.urgent || j.Ended()
 	}
@@ -275,7 +283,10 @@
 func (s *State) emitTransaction(now time.Time, p *partWriter) {
 	p.sending = true
 	p.serial++
-	p.nextAt = now.Add(s.yieldToStarts(now, writeInterval))
+	p.nextAt, p.yieldsUntil = now.Add(writeInterval), time.Time{}
+	if s.yielding(now) {
+		p.yieldsUntil = now.Add(yieldFactor * writeInterval)
+	}
 	s.emit(WriteProgress{Part: p.name, Serial: p.serial, Transaction: p.transaction})
 }
 
@@ -303,7 +314,7 @@
 		s.note(Note{Kind: NoteRecordFailed, Detail: p.name + ": " + err.Error(), Code: fault.CodeOf(err), AgeMs: -1})
 	}
 	p.failing = true
-	p.nextAt = now.Add(writeRetryDelay)
+	p.nextAt, p.yieldsUntil = now.Add(writeRetryDelay), time.Time{}
 	for id, sent := range p.sent {
 		p.requeue(id, sent)
 	}
@@ -358,7 +369,7 @@
 	if len(p.dirty) == 0 {
 		s.markPartDurable(now, p)
 	}
-	p.nextAt = now
+	p.nextAt, p.yieldsUntil = now, time.Time{}
 }
 
 // writeCommitted handles a transaction that was committed; version returns the new version of a row.
@@ -410,7 +421,7 @@
 			continue
 		}
 		s.delays.records.add(now.Sub(e.learnedAt))
-		if w := s.workers[e.worker]; w != nil && !w.PollOutstanding && w.SilentSince.IsZero() && s.phase == leading && !s.yielding(now) {
+		if w := s.workers[e.worker]; w != nil && !w.PollOutstanding && w.SilentSince.IsZero() && s.phase == leading && !s.pollsYield(now, w) {
 			w.NextPollAt = now
 		}
 	}
