A job has begun if a task that another cell returned has run there

A home cell learned of the start of a delegated task only from its success. After a failed run or a checkpoint elsewhere, its leader told that the job waits; its successor, which reads both from the job's row, that it has begun.

TestJobHasBegunIfItsReturnedTasksHaveRun failed first (a failed run), and passes now.

--- a/pkg/process/jobs/begun_test.go
+++ b/pkg/process/jobs/begun_test.go
@@ -63,3 +63,26 @@
 		must.Eq(t, each.begun, jobs.Restore(spec, each.progress, 1, now, now).HasStarted, must.Sprint(name))
 	}
 }
+
+// The home cell's leader told that a job waits of which a run in another cell had failed, and its successor that it does not.
+func TestJobHasBegunIfItsReturnedTasksHaveRun(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	for name, each := range map[string]struct {
+		ran   func(t *jobs.Task)
+		begun bool
+	}{
+		"nothing":      {func(*jobs.Task) {}, false},
+		"a failed run": {func(t *jobs.Task) { t.MarkFailed(7) }, true},
+		"a checkpoint": {func(t *jobs.Task) { t.Checkpoint = "half" }, true},
+	} {
+		spec := &wire.JobSpec{Id: "00000000000000aa", Cell: "home", Steps: []*wire.StepSpec{{Count: 1}}}
+		home := jobs.New(spec, now)
+		other := jobs.New(home.Delegate("other", home.Units[0].Tasks...), now)
+		each.ran(other.Units[0].Tasks[0])
+		other.ReturnTask(other.Units[0].Tasks[0])
+		must.True(t, home.ApplyReturned(other.DelegationReport(), now, true))
+		must.Eq(t, each.begun, home.HasStarted, must.Sprint(name))
+		must.Eq(t, each.begun, jobs.Restore(spec, home.Progress(jobs.StoreClock{}), 1, now, now).HasStarted, must.Sprint(name))
+	}
+}
--- a/pkg/process/jobs/delegation.go
+++ b/pkg/process/jobs/delegation.go
@@ -177,6 +177,7 @@
 		if t == nil {
 			continue
 		}
+		j.HasStarted = j.HasStarted || hasRun(ref)
 		if t.ReturnedAt == nil {
 			t.ReturnedAt = map[string]time.Time{}
 		}
@@ -201,6 +202,11 @@
 	return changed
 }
 
+// hasRun returns whether a run of a returned task is known.
+func hasRun(r *wire.TaskRef) bool {
+	return r.GetFailed() > 0 || r.GetCheckpoint() != "" || slices.ContainsFunc(r.GetCrashes(), (*wire.CrashNote).GetBegan)
+}
+
 func (j *Job) applyDone(r *wire.ReturnedTasks) bool {
 	changed := false
 	for _, ref := range r.GetDone() {
