What fillers cost at a worker is kept until its runs or readings change

A placement pass computed for each waiting filler and each worker what it would cost its neighbours, and dropped it all at the next pass; each start searched the whole cache for its worker's entries. Now costs are kept by worker for 0.2 s, unless a run there begins or ends or the worker answers. A count of where a lasting task fits no longer collects the usable workers when it does not ask for them.

--- a/pkg/process/cell/filler_cost.go
+++ b/pkg/process/cell/filler_cost.go
@@ -80,31 +80,52 @@
 	return n
 }
 
-// fillerPlace is a unit on a worker, the key under which its net cost is cached.
-type fillerPlace struct {
-	worker *workers.Worker
-	unit   *jobs.Unit
+// placeCosts caches what fillers would cost their neighbours at a worker, by unit.
+type placeCosts struct {
+	neighbours workerNeighbours
+	costs      map[*jobs.Unit]float64
+	// at is the time of the placement that computed the costs, changes and answeredAt those of the worker then.
+	at, answeredAt time.Time
+	changes        int64
+}
+
+// placeCostsMaxAge is the greatest age of cached costs: estimates of interference change with the answers of all workers.
+const placeCostsMaxAge = 200 * time.Millisecond
+
+// dropOutdatedCosts drops the cached costs at workers whose runs or readings have changed, and old ones.
+func (s *State) dropOutdatedCosts(now time.Time) {
+	s.placedAt = now
+	for w, c := range s.placeCosts {
+		if c.changes != w.Changes() || !c.answeredAt.Equal(w.LastAnswerAt) || now.Sub(c.at) > placeCostsMaxAge {
+			delete(s.placeCosts, w)
+		}
+	}
+}
+
+// costsAt returns the cached costs at a worker.
+func (s *State) costsAt(w *workers.Worker) *placeCosts {
+	c, ok := s.placeCosts[w]
+	if !ok {
+		c = &placeCosts{neighbours: s.neighboursOf(w), costs: map[*jobs.Unit]float64{}, at: s.placedAt, answeredAt: w.LastAnswerAt, changes: w.Changes()}
+		s.placeCosts[w] = c
+	}
+	return c
 }
 
 // fillerNetCost returns the net cost per second of starting a filler of a unit on a worker: what it costs its
-// neighbours, less what it earns. Above 0, the start loses more than it gains. The result is cached for the unit and
-// the worker until the next round of placement, or until a task starts on the worker.
+// neighbours, less what it earns. Above 0, the start loses more than it gains. What it costs is cached.
 func (s *State) fillerNetCost(u *jobs.Unit, w *workers.Worker) float64 {
 	if !s.enabled(WeighedPlaces) {
 		return -valueRate(u)
 	}
-	if cost, ok := s.fillerNetCosts[fillerPlace{w, u}]; ok {
-		return cost
-	}
-	n, ok := s.neighboursByWorker[w]
+	c := s.costsAt(w)
+	cost, ok := c.costs[u]
 	if !ok {
-		n = s.neighboursOf(w)
-		s.neighboursByWorker[w] = n
+		more := pressure(w, u) * fillerCPUFraction(w, u.Size.Millicores)
+		cost = overTargetCost * s.overTargetRise(c.neighbours.serving, u.Image(), more, predictionSD)
+		c.costs[u] = cost
 	}
-	more := pressure(w, u) * fillerCPUFraction(w, u.Size.Millicores)
-	cost := overTargetCost*s.overTargetRise(n.serving, u.Image(), more, predictionSD) - valueRate(u)
-	s.fillerNetCosts[fillerPlace{w, u}] = cost
-	return cost
+	return cost - valueRate(u)
 }
 
 // typicalFillerMillicores is the size of the filler for which a cell counts its capacity. harmlessShare is the largest
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -54,12 +54,7 @@
 		w.NextPollAt = soon // it was idle and may be polled seldom, or its polls yield and the run's may not
 	}
 	w.Health.ProbeStarted(now)
-	delete(s.neighboursByWorker, w)
-	for at := range s.fillerNetCosts {
-		if at.worker == w {
-			delete(s.fillerNetCosts, at)
-		}
-	}
+	delete(s.placeCosts, w)
 	j := t.Unit.Job
 	s.forecastBegan(j)
 	s.note(Note{
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -31,8 +31,7 @@
 	s.placementDue = false
 	s.mostlyFree = s.isMostlyFree(now)
 	s.interference.Merge(now)
-	clear(s.neighboursByWorker)
-	clear(s.fillerNetCosts)
+	s.dropOutdatedCosts(now)
 	clear(s.reservedForLasting)
 	clear(s.reservedForIdle)
 	clear(s.placeElsewhere)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -231,10 +231,9 @@
 	startsHeldLoggedAt time.Time
 	// runtimes estimates how long tasks run. It is kept when a leadership ends, too.
 	runtimes *runtimes.Estimates
-	// neighboursByWorker caches the tasks that a filler would run beside, by worker, and fillerNetCosts the net cost of
-	// a filler at a worker. Both are valid for one placement.
-	neighboursByWorker map[*workers.Worker]workerNeighbours
-	fillerNetCosts     map[fillerPlace]float64
+	// placeCosts caches by worker what fillers would cost their neighbours there. placedAt is the time of the last placement.
+	placeCosts map[*workers.Worker]*placeCosts
+	placedAt   time.Time
 	// reportedCapacity is the cached part of load messages.
 	reportedCapacity reportedCapacity
 	// lastingWaitsLoggedAt is when the log last gave the reasons why lasting tasks wait.
@@ -303,7 +302,7 @@
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{
 		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, interference: interference.NewPressureModel(), startWindow: orderwindow.NewWindow(), runtimes: runtimes.New(), peerLoads: map[string]peerLoad{},
-		neighboursByWorker: map[*workers.Worker]workerNeighbours{}, fillerNetCosts: map[fillerPlace]float64{}, reservedForLasting: map[*workers.Worker]bool{}, reservedForIdle: map[*workers.Worker]bool{}, placeElsewhere: map[*jobs.Unit]bool{}, endedIncarnations: map[string]int64{},
+		placeCosts: map[*workers.Worker]*placeCosts{}, reservedForLasting: map[*workers.Worker]bool{}, reservedForIdle: map[*workers.Worker]bool{}, placeElsewhere: map[*jobs.Unit]bool{}, endedIncarnations: map[string]int64{},
 	}
 	s.resetLeadership()
 	for _, o := range options {
@@ -334,7 +333,7 @@
 	s.forecasts = nil
 	s.withoutWorkersSince, s.unplaceable, s.labelsSeenAt = time.Time{}, map[*jobs.Unit]time.Time{}, map[workerLabel]time.Time{}
 	s.phase = following
-	s.workers = map[string]*workers.Worker{}
+	s.workers, s.placeCosts = map[string]*workers.Worker{}, map[*workers.Worker]*placeCosts{}
 	s.orderStale = true
 }
 
--- a/pkg/process/cell/wait_reasons.go
+++ b/pkg/process/cell/wait_reasons.go
@@ -196,7 +196,10 @@
 	c := localFits{}
 	u, service := t.Unit, s.serviceOf(t.Unit.Job)
 	size := workers.ReservedSize(u)
-	usable := s.usableWorkers(now)
+	var usable []*workers.Worker
+	if t.NeedsSpecificWorker() {
+		usable = s.usableWorkers(now)
+	}
 	for _, w := range s.workersByID() {
 		if w.Ended || !w.Listed || w.Leaving || w.Service != service || !w.HasLabel(u.Spec.GetLabel()) || !size.Fits(w.FreeCapacity()) || spreadReached(u, w) {
 			continue
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -155,6 +155,7 @@
 	requestedMillicores, fillerMillicores int64
 	latencyTasks, fillerTasks             int64
 	tasksByUnit                           map[*jobs.Unit]int64
+	changes                               int64
 }
 
 // New returns a listed worker that has not answered yet.
@@ -232,6 +233,9 @@
 	}
 }
 
+// Changes returns how often a run was added or removed.
+func (w *Worker) Changes() int64 { return w.changes }
+
 // RemoveAll removes all runs.
 func (w *Worker) RemoveAll() {
 	for _, r := range w.Runs {
@@ -242,6 +246,7 @@
 // addToTotals adds a number of tasks of a unit to the totals. They are kept because placement
 // reads them many times a second.
 func (w *Worker) addToTotals(u *jobs.Unit, by int64) {
+	w.changes++
 	size := ReservedSize(u)
 	w.reserved.Millicores += by * size.Millicores
 	w.reserved.MemoryMB += by * size.MemoryMB
