--- a/pkg/emulator/pending_answers.go
+++ b/pkg/emulator/pending_answers.go
@@ -141,7 +141,7 @@
 	}
 	for _, s := range a.host.seats {
 		if s.cell == name {
-			a.sent[name] = sentLoad{load: s.state.PendingLoad(), at: now, jobsAge: now.Sub(s.jobsReadAt)}
+			a.sent[name] = sentLoad{load: s.state.PendingLoad(now), at: now, jobsAge: now.Sub(s.jobsReadAt)}
 			return a.sent[name]
 		}
 	}
--- a/pkg/process/cell/pending_load_test.go
+++ b/pkg/process/cell/pending_load_test.go
@@ -21,9 +21,11 @@
 		}})
 	}
 	b.step(20 * time.Millisecond)
-	told, asked := b.state.Load(b.now, false), b.state.PendingLoad()
+	told, asked := b.state.Load(b.now, false), b.state.PendingLoad(b.now)
 	must.Eq(t, map[string]int32{"offers": 2, "others": 1}, told.GetPending())
 	must.Eq(t, told.GetPending(), asked.GetPending())
 	must.Eq(t, told.GetLeading(), asked.GetLeading())
 	must.Eq(t, told.GetCell(), asked.GetCell())
+	must.Eq(t, told.GetEpoch(), asked.GetEpoch())
+	must.Eq(t, told.GetTableReadMs(), asked.GetTableReadMs())
 }
--- a/pkg/process/cell/queries.go
+++ b/pkg/process/cell/queries.go
@@ -97,7 +97,8 @@
 // interference that this cell has learned itself.
 func (s *State) Load(now time.Time, withBeliefs bool) *wire.CellLoad {
 	labels := map[string]bool{}
-	l := &wire.CellLoad{SettlesInMs: s.timeToSettle(now).Milliseconds(), Worker: &wire.WorkerSize{}, Leading: s.Leading(), Holds: s.HoldsLeadership(), Cell: s.name, Pending: map[string]int32{}}
+	l := s.newLoad(now)
+	l.SettlesInMs, l.Worker, l.Holds = s.timeToSettle(now).Milliseconds(), &wire.WorkerSize{}, s.HoldsLeadership()
 	for _, w := range s.workersByID() {
 		if w.Ended || !w.Listed || w.Leaving {
 			continue
@@ -142,10 +143,19 @@
 	return l
 }
 
-// PendingLoad returns the part of a load message that counts pending jobs. Unlike Load it changes nothing, not even what
-// is cached.
-func (s *State) PendingLoad() *wire.CellLoad {
+// newLoad returns a load message that says which leader tells, and when it read its table.
+func (s *State) newLoad(now time.Time) *wire.CellLoad {
 	l := &wire.CellLoad{Leading: s.Leading(), Cell: s.name, Pending: map[string]int32{}}
+	if s.Leading() {
+		l.Epoch, l.TableReadMs = s.epoch, now.Sub(s.tableReadAt()).Milliseconds()
+	}
+	return l
+}
+
+// PendingLoad returns the part of a load message from which pending jobs are counted. Unlike Load it changes nothing, not
+// even what is cached.
+func (s *State) PendingLoad(now time.Time) *wire.CellLoad {
+	l := s.newLoad(now)
 	for _, j := range s.jobs {
 		if !j.Ended() {
 			addPending(l, j)
@@ -162,6 +172,15 @@
 	}
 }
 
+// tableReadAt returns a time up to which this leader knows all jobs that the cell's table held: that of its last reading of
+// new jobs, or that from which it leads, as it has read the whole table after that.
+func (s *State) tableReadAt() time.Time {
+	if s.caughtUpAt.Before(s.gainedAt) {
+		return s.gainedAt
+	}
+	return s.caughtUpAt
+}
+
 // maxFreeListed is the most workers whose free capacity a load message lists because they have the most. More than that can't
 // be filled by delegation before the next message, and the list would grow with the cell.
 const maxFreeListed = 64
