The emulator asks followers, too: loads and counts that relays pass on

CountPending takes the time as an argument, as it read the clock itself; one test passes it for that reason and is otherwise unchanged.

--- a/pkg/emulator/pending_answers.go
+++ b/pkg/emulator/pending_answers.go
@@ -15,6 +15,7 @@
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/relay"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -26,21 +27,22 @@
 
 const (
 	// pendingRefreshEvery is how often a host looks for loads to ask for again; the ages are loadsInterval and
-	// loadsIntervalWaiting.
-	pendingRefreshEvery = 250 * time.Millisecond
+	// loadsIntervalWaiting, or loadsIntervalRelaying at a relay.
+	pendingRefreshEvery   = 250 * time.Millisecond
+	loadsIntervalRelaying = time.Second
 	// maxSentLoadAge is the age at which a leader's host sends the same load again.
 	maxSentLoadAge = 100 * time.Millisecond
 	// staleJobs is the age from which a leader's reading of its table counts as late in the log.
 	staleJobs = 2 * time.Second
 )
 
-// pendingAnswers answers for one incarnation of a host. It implements intake.Leaders, intake.Peers and store.Direct.
+// pendingAnswers answers for one incarnation of a host. It implements intake.Leaders, intake.Peers, intake.Exchange and
+// store.Direct.
 type pendingAnswers struct {
 	host   *host
 	intake *intake.Intake
-	// loadAt is when the known load of each cell was reported, sent the last load that this host has sent as a leader.
-	loadAt map[string]time.Time
-	sent   map[string]sentLoad
+	// known holds the known load of each cell and when it was reported, sent the last load that this host has sent as a leader.
+	known, sent map[string]sentLoad
 	// sources holds where the newest count of each cell comes from.
 	sources map[string]pendingSource
 }
@@ -61,12 +63,16 @@
 }
 
 func newPendingAnswers(h *host) *pendingAnswers {
-	a := &pendingAnswers{host: h, loadAt: map[string]time.Time{}, sent: map[string]sentLoad{}, sources: map[string]pendingSource{}}
+	a := &pendingAnswers{host: h, known: map[string]sentLoad{}, sent: map[string]sentLoad{}, sources: map[string]pendingSource{}}
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
 	registry := metrics.NewRegistry()
 	client := store.New(a, func() []store.Peer { return nil }, registry, h.clock())
-	a.intake = intake.New(h.hall, client, a, a, logrus.NewEntry(silent), registry)
+	var options []intake.Option
+	if h.world.plan.Relays {
+		options = append(options, intake.WithExchange(a))
+	}
+	a.intake = intake.New(h.hall, client, a, a, logrus.NewEntry(silent), registry, options...)
 	return a
 }
 
@@ -101,13 +107,17 @@
 // refresh asks for the loads that have reached the age at which the product's hosts ask again.
 func (a *pendingAnswers) refresh() {
 	view, now := a.View(), a.host.clock()
+	a.follow()
 	limit := loadsInterval
-	if view.Waits {
+	switch {
+	case view.Waits:
 		limit = loadsIntervalWaiting
+	case a.Relaying():
+		limit = loadsIntervalRelaying
 	}
 	for _, name := range a.host.world.cells {
 		c := view.Cells[name]
-		if now.Sub(a.loadAt[name]) < limit || (!c.Fresh && !c.Mine) {
+		if now.Sub(a.known[name].at) < limit || (!c.Fresh && !c.Mine) {
 			continue
 		}
 		address := c.Address
@@ -173,7 +183,67 @@
 }
 
 // PeerLoad implements intake.Leaders. It takes note that the intake has a new load.
-func (a *pendingAnswers) PeerLoad(l *wire.CellLoad) { a.loadAt[l.GetCell()] = a.host.clock() }
+func (a *pendingAnswers) PeerLoad(l *wire.CellLoad) {
+	a.known[l.GetCell()] = sentLoad{load: l, at: a.host.clock(), jobsAge: a.sources[l.GetCell()].jobsAge}
+}
+
+// relay returns the relay that this host follows if it can be reached, or nil.
+func (a *pendingAnswers) relay() *host {
+	w := a.host.world
+	if !w.plan.Relays || !relay.Follows(a.host.situation()) {
+		return nil
+	}
+	to := relay.Choose(a.host.name, a.host.hall, w.relays(), func(string) bool { return false })
+	if to == nil {
+		return nil
+	}
+	other := w.hostAt(to.GetName())
+	if !other.up || w.now.Before(other.frozenUntil) || w.unreachable(a.host.name, other.name) {
+		return nil
+	}
+	return other
+}
+
+// follow takes the newer loads of the relay that this host follows.
+func (a *pendingAnswers) follow() {
+	from := a.relay()
+	if from == nil {
+		return
+	}
+	now := a.host.clock()
+	for _, name := range a.host.world.cells {
+		passed, known := from.pending.known[name]
+		at := now.Add(-from.clock().Sub(passed.at))
+		if !known || !at.After(a.known[name].at) {
+			continue
+		}
+		a.intake.TakeLoad(at, passed.load)
+		passed.at = at
+		a.known[name] = passed
+		a.sources[name] = pendingSource{leader: from, at: at, jobsAge: passed.jobsAge}
+	}
+}
+
+// Relaying implements intake.Exchange.
+func (a *pendingAnswers) Relaying() bool { return a.host.world.plan.Relays && a.host.isRelay() }
+
+// LoadReported implements intake.Exchange.
+func (*pendingAnswers) LoadReported(time.Time, *wire.CellLoad) {}
+
+// Pending implements intake.Exchange.
+func (a *pendingAnswers) Pending(ctx context.Context, name string) (counts map[string]int, readAt time.Time, ok bool) {
+	now, from := a.host.clock(), a.relay()
+	if from == nil || !from.pending.Relaying() {
+		return nil, now, false
+	}
+	counts, countedAt, err := from.pending.intake.CountPending(ctx, from.clock(), name)
+	if err != nil {
+		return nil, now, false
+	}
+	readAt = now.Add(-from.clock().Sub(countedAt))
+	a.sources[name] = pendingSource{at: readAt}
+	return counts, readAt, true
+}
 
 // JobAccepted implements intake.Leaders.
 func (*pendingAnswers) JobAccepted(*wire.JobSpec) {}
--- a/pkg/process/fleet/relays.go
+++ b/pkg/process/fleet/relays.go
@@ -46,7 +46,7 @@
 	Leaderships, Operators func(r relay.Reading)
 	// CountPending counts the pending jobs of a cell's queues in the table, and returns when it did. AskPending asks a relay
 	// for its counts.
-	CountPending func(ctx context.Context, cell string) (counts map[string]int, readAt time.Time, err error)
+	CountPending func(ctx context.Context, now time.Time, cell string) (counts map[string]int, readAt time.Time, err error)
 	AskPending   func(ctx context.Context, address, cell string) (*wire.PendingCounts, error)
 	// Load is called with the load of a cell that a relay has passed on; it may be nil.
 	Load    func(at time.Time, l *wire.CellLoad)
@@ -167,7 +167,7 @@
 	if r.CountPending == nil || !r.Relaying() {
 		return &wire.PendingCounts{}
 	}
-	counts, readAt, err := r.CountPending(ctx, cell)
+	counts, readAt, err := r.CountPending(ctx, clock.Now(), cell)
 	if err != nil {
 		return &wire.PendingCounts{}
 	}
--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 )
@@ -99,8 +98,7 @@
 }
 
 // CountPending returns the pending counts of a cell's queues as this host has counted them in the table, and when it did.
-func (i *Intake) CountPending(ctx context.Context, name string) (counts map[string]int, readAt time.Time, err error) {
-	now := clock.Now()
+func (i *Intake) CountPending(ctx context.Context, now time.Time, name string) (counts map[string]int, readAt time.Time, err error) {
 	c, err := i.sharedCount(now, name, func() (tableCount, error) { return i.countNow(ctx, now, name) })
 	return c.byQueue, c.readAt, err
 }
--- a/pkg/request/intake/pending_shared_test.go
+++ b/pkg/request/intake/pending_shared_test.go
@@ -55,7 +55,7 @@
 	if r.relay == nil {
 		return nil, time.Time{}, false
 	}
-	counts, readAt, err := r.relay.CountPending(ctx, cell)
+	counts, readAt, err := r.relay.CountPending(ctx, clock.Now(), cell)
 	return counts, readAt, err == nil
 }
 
