--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -71,7 +71,9 @@
 	loadRequested      map[string]bool
 	beliefsRequestedAt map[string]time.Time
 	// tableCounts holds the pending counts of cells whose leaders did not answer.
-	tableCounts map[string]*tableCounts
+	tableCounts map[string]*sharedCount
+	// pendingAnswers holds the last answers on pending jobs, by queue.
+	pendingAnswers map[string]pendingAnswer
 
 	// exchange is nil unless hosts pass on loads to each other.
 	exchange Exchange
@@ -113,7 +115,7 @@
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
-		tableCounts: map[string]*tableCounts{}, outcomes: newOpenOutcomes(),
+		tableCounts: map[string]*sharedCount{}, pendingAnswers: map[string]pendingAnswer{}, outcomes: newOpenOutcomes(),
 		refuseLate: func() string { return admission.Off }, admission: admission.New(),
 	}
 	for _, o := range options {
@@ -341,7 +343,7 @@
 }
 
 // phaseFromTable reads a job's phase from the table, for a cell whose leader does not answer.
-// A job without a progress row is queued.
+// A job without a progress row is queued, and so is one whose row does not say that a task has begun.
 func (i *Intake) phaseFromTable(ctx context.Context, cell, id string) (wire.JobPhase, error) {
 	p, err := i.readProgress(ctx, cell, id)
 	switch {
@@ -349,10 +351,12 @@
 		return 0, err
 	case p == nil:
 		return wire.JobPhase_JOB_PHASE_QUEUED, nil
-	case !p.GetPhase().Terminal():
+	case p.GetPhase().Terminal():
+		return p.GetPhase(), nil
+	case p.HasBegun():
 		return wire.JobPhase_JOB_PHASE_RUNNING, nil
 	}
-	return p.GetPhase(), nil
+	return wire.JobPhase_JOB_PHASE_QUEUED, nil
 }
 
 // readProgress reads a job's progress row, or returns nil if there is none yet.
