Costs of fillers are kept by the place of the worker in its cell

After costs were kept from one placement to the next, half of the time of a pass was spent on looking them up in maps.

--- a/pkg/process/cell/filler_cost.go
+++ b/pkg/process/cell/filler_cost.go
@@ -80,36 +80,83 @@
 	return n
 }
 
-// placeCosts caches what fillers would cost their neighbours at a worker, by unit.
+// placeCosts caches what fillers would cost their neighbours, by unit and worker.
 type placeCosts struct {
-	neighbours workerNeighbours
-	costs      map[*jobs.Unit]float64
-	// at is the time of the placement that computed the costs, changes and answeredAt those of the worker then.
+	// workers holds the workers' neighbours, by the workers' slots; nil: they are not known, or have changed.
+	workers []*neighbourhood
+	// units holds the costs of units, by the workers' slots. unit and row are the last one that was asked for.
+	units map[*jobs.Unit][]placeCost
+	unit  *jobs.Unit
+	row   []placeCost
+	// serial is that of the last neighbourhood, placedAt the time of the last placement.
+	serial   int64
+	placedAt time.Time
+}
+
+// neighbourhood is what fillers would run beside at a worker.
+type neighbourhood struct {
+	workerNeighbours
+	serial int64
+	// at is the time of the placement that needed it, changes and answeredAt those of the worker then.
 	at, answeredAt time.Time
 	changes        int64
 }
 
+// placeCost is the cost in the neighbourhood with that serial number.
+type placeCost struct {
+	serial int64
+	cost   float64
+}
+
 // placeCostsMaxAge is the greatest age of cached costs: estimates of interference change with the answers of all workers.
 const placeCostsMaxAge = 200 * time.Millisecond
 
-// dropOutdatedCosts drops the cached costs at workers whose runs or readings have changed, and old ones.
+// dropOutdatedCosts drops the cached costs at workers whose runs or readings have changed, old ones, and those of units that
+// no longer wait.
 func (s *State) dropOutdatedCosts(now time.Time) {
-	s.placedAt = now
-	for w, c := range s.placeCosts {
-		if c.changes != w.Changes() || !c.answeredAt.Equal(w.LastAnswerAt) || now.Sub(c.at) > placeCostsMaxAge {
-			delete(s.placeCosts, w)
+	p := &s.placeCosts
+	for i, w := range s.workersByID() {
+		if n := p.workers[i]; n != nil && (n.changes != w.Changes() || !n.answeredAt.Equal(w.LastAnswerAt) || now.Sub(n.at) > placeCostsMaxAge) {
+			p.workers[i] = nil
 		}
 	}
+	p.placedAt, p.unit, p.row = now, nil, nil
+	for u := range p.units {
+		if _, waits := s.waitingUnits[u]; !waits {
+			delete(p.units, u)
+		}
+	}
+}
+
+// neighbourhoodOf returns the cached neighbours at a worker.
+func (s *State) neighbourhoodOf(w *workers.Worker) *neighbourhood {
+	p := &s.placeCosts
+	n := p.workers[w.Slot]
+	if n == nil {
+		p.serial++
+		n = &neighbourhood{workerNeighbours: s.neighboursOf(w), serial: p.serial, at: p.placedAt, answeredAt: w.LastAnswerAt, changes: w.Changes()}
+		p.workers[w.Slot] = n
+	}
+	return n
 }
 
-// costsAt returns the cached costs at a worker.
-func (s *State) costsAt(w *workers.Worker) *placeCosts {
-	c, ok := s.placeCosts[w]
-	if !ok {
-		c = &placeCosts{neighbours: s.neighboursOf(w), costs: map[*jobs.Unit]float64{}, at: s.placedAt, answeredAt: w.LastAnswerAt, changes: w.Changes()}
-		s.placeCosts[w] = c
+// startedAt drops the cached neighbours at a worker.
+func (p *placeCosts) startedAt(w *workers.Worker) {
+	if w.Slot < len(p.workers) {
+		p.workers[w.Slot] = nil
+	}
+}
+
+// rowOf returns the cached costs of a unit.
+func (p *placeCosts) rowOf(u *jobs.Unit) []placeCost {
+	if p.unit != u {
+		p.unit, p.row = u, p.units[u]
+		if p.row == nil {
+			p.row = make([]placeCost, len(p.workers))
+			p.units[u] = p.row
+		}
 	}
-	return c
+	return p.row
 }
 
 // fillerNetCost returns the net cost per second of starting a filler of a unit on a worker: what it costs its
@@ -118,14 +165,14 @@
 	if !s.enabled(WeighedPlaces) {
 		return -valueRate(u)
 	}
-	c := s.costsAt(w)
-	cost, ok := c.costs[u]
-	if !ok {
+	s.workersByID() // a worker that has just become known has no slot yet
+	n := s.neighbourhoodOf(w)
+	c := &s.placeCosts.rowOf(u)[w.Slot]
+	if c.serial != n.serial {
 		more := pressure(w, u) * fillerCPUFraction(w, u.Size.Millicores)
-		cost = overTargetCost * s.overTargetRise(c.neighbours.serving, u.Image(), more, predictionSD)
-		c.costs[u] = cost
+		*c = placeCost{serial: n.serial, cost: overTargetCost * s.overTargetRise(n.serving, u.Image(), more, predictionSD)}
 	}
-	return cost - valueRate(u)
+	return c.cost - valueRate(u)
 }
 
 // typicalFillerMillicores is the size of the filler for which a cell counts its capacity. harmlessShare is the largest
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -54,7 +54,7 @@
 		w.NextPollAt = soon // it was idle and may be polled seldom, or its polls yield and the run's may not
 	}
 	w.Health.ProbeStarted(now)
-	delete(s.placeCosts, w)
+	s.placeCosts.startedAt(w)
 	j := t.Unit.Job
 	s.forecastBegan(j)
 	s.note(Note{
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -231,9 +231,8 @@
 	startsHeldLoggedAt time.Time
 	// runtimes estimates how long tasks run. It is kept when a leadership ends, too.
 	runtimes *runtimes.Estimates
-	// placeCosts caches by worker what fillers would cost their neighbours there. placedAt is the time of the last placement.
-	placeCosts map[*workers.Worker]*placeCosts
-	placedAt   time.Time
+	// placeCosts caches what fillers would cost their neighbours.
+	placeCosts placeCosts
 	// reportedCapacity is the cached part of load messages.
 	reportedCapacity reportedCapacity
 	// lastingWaitsLoggedAt is when the log last gave the reasons why lasting tasks wait.
@@ -302,7 +301,7 @@
 func New(name string, bounds Bounds, options ...Option) *State {
 	s := &State{
 		name: name, bounds: bounds, workers: map[string]*workers.Worker{}, interference: interference.NewPressureModel(), startWindow: orderwindow.NewWindow(), runtimes: runtimes.New(), peerLoads: map[string]peerLoad{},
-		placeCosts: map[*workers.Worker]*placeCosts{}, reservedForLasting: map[*workers.Worker]bool{}, reservedForIdle: map[*workers.Worker]bool{}, placeElsewhere: map[*jobs.Unit]bool{}, endedIncarnations: map[string]int64{},
+		reservedForLasting: map[*workers.Worker]bool{}, reservedForIdle: map[*workers.Worker]bool{}, placeElsewhere: map[*jobs.Unit]bool{}, endedIncarnations: map[string]int64{},
 	}
 	s.resetLeadership()
 	for _, o := range options {
@@ -333,7 +332,7 @@
 	s.forecasts = nil
 	s.withoutWorkersSince, s.unplaceable, s.labelsSeenAt = time.Time{}, map[*jobs.Unit]time.Time{}, map[workerLabel]time.Time{}
 	s.phase = following
-	s.workers, s.placeCosts = map[string]*workers.Worker{}, map[*workers.Worker]*placeCosts{}
+	s.workers = map[string]*workers.Worker{}
 	s.orderStale = true
 }
 
@@ -471,6 +470,12 @@
 			s.sortedWorkers = append(s.sortedWorkers, w)
 		}
 		sort.Slice(s.sortedWorkers, func(a, b int) bool { return s.sortedWorkers[a].ID < s.sortedWorkers[b].ID })
+		for i, w := range s.sortedWorkers {
+			w.Slot = i
+		}
+		s.placeCosts = placeCosts{
+			workers: make([]*neighbourhood, len(s.sortedWorkers)), units: map[*jobs.Unit][]placeCost{}, serial: s.placeCosts.serial, placedAt: s.placeCosts.placedAt,
+		}
 		s.orderStale = false
 	}
 	return s.sortedWorkers
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -81,6 +81,8 @@
 	RowRemovedAt time.Time
 	// LeavingAt is when this leader first learned that the worker is leaving.
 	LeavingAt time.Time
+	// Slot is the place of the worker in the order of its cell.
+	Slot int
 	// Runs are the runs that may be active on the worker.
 	Runs []*jobs.Run
 	// HasAnswered says that the worker has answered a poll of this leader.
