--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -222,7 +222,7 @@
 // the other hall's hosts is that its leader is killed.
 func HallCutPlan(seed uint64) Plan {
 	plan := TwoCellPlan(seed)
-	plan.Jobs, plan.Faults, plan.HallCuts, plan.Touch = 90, 0, 2, true
+	plan.Jobs, plan.Faults, plan.HallCuts, plan.Touch, plan.Pending = 90, 0, 2, true, true
 	return plan
 }
 
