Records that workers wait for stay due where jobs are left over; cached costs end with a worker's capacity

A transaction that leaves jobs of a part over dropped the note that ends there hold up polls, so while polls yield these ends waited for 0.6 s. Costs of fillers outlasted a change of capacity by up to 0.2 s. go test ./pkg/process/cell -run 'Yield|Held|Quotes|Record|Wide|Begin|Filler' passes; neither has a test of its own.

--- a/pkg/process/cell/filler_cost.go
+++ b/pkg/process/cell/filler_cost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/process/ledger"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 )
 
@@ -97,9 +98,10 @@
 type neighbourhood struct {
 	workerNeighbours
 	serial int64
-	// at is the time of the placement that needed it, changes and answeredAt those of the worker then.
+	// at is the time of the placement that needed it, changes, capacity and answeredAt those of the worker then.
 	at, answeredAt time.Time
 	changes        int64
+	capacity       ledger.Size
 }
 
 // placeCost is the cost in the neighbourhood with that serial number.
@@ -116,7 +118,7 @@
 func (s *State) dropOutdatedCosts(now time.Time) {
 	p := &s.placeCosts
 	for i, w := range s.workersByID() {
-		if n := p.workers[i]; n != nil && (n.changes != w.Changes() || !n.answeredAt.Equal(w.LastAnswerAt) || now.Sub(n.at) > placeCostsMaxAge) {
+		if n := p.workers[i]; n != nil && (n.changes != w.Changes() || n.capacity != w.Capacity || !n.answeredAt.Equal(w.LastAnswerAt) || now.Sub(n.at) > placeCostsMaxAge) {
 			p.workers[i] = nil
 		}
 	}
@@ -134,7 +136,7 @@
 	n := p.workers[w.Slot]
 	if n == nil {
 		p.serial++
-		n = &neighbourhood{workerNeighbours: s.neighboursOf(w), serial: p.serial, at: p.placedAt, answeredAt: w.LastAnswerAt, changes: w.Changes()}
+		n = &neighbourhood{workerNeighbours: s.neighboursOf(w), serial: p.serial, at: p.placedAt, answeredAt: w.LastAnswerAt, changes: w.Changes(), capacity: w.Capacity}
 		p.workers[w.Slot] = n
 	}
 	return n
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -185,7 +185,7 @@
 		tx, p.sent[id] = tx.With(entries), sent
 		delete(p.expired, id)
 	}
-	p.urgent, p.awaited = false, false
+	p.urgent, p.awaited = false, p.awaited && len(p.dirty) > 0
 	for _, j := range p.dirty {
 		p.urgent = p.urgent || j.Ended()
 	}
