--- a/pkg/process/cell/mechanisms.go
+++ b/pkg/process/cell/mechanisms.go
@@ -47,7 +47,7 @@
 	{WaitForCheapPlaces, "wait-for-cheap-places", "fillers wait for a place that costs no more than they earn"},
 	{Quarantine, "quarantine", "workers on which runs keep failing get no work for a while"},
 	{LearnedTimes, "learned-times", "declared run times are corrected by observed ones"},
-	{YieldToStarts, "yield-to-starts", "while start orders are held back, polls and records come less often"},
+	{YieldToStarts, "yield-to-starts", "while start orders are held back, polls and records come less often, as far as jobs have slack"},
 	{OrderWindow, "order-window", "start orders are held back while too many bytes of them are in transit"},
 	{UrgentReserve, "urgent-reserve", "with the setting urgentWait, capacity is kept for urgent tasks, and lasting tasks yield to them"},
 }
