--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -30,7 +30,8 @@
 //	         after its cancel, by a host in contact; a run that goes on after its cancel
 //	EVAC     a start in a hall long after its evacuation was ordered, by a host in contact
 //	MIXED    a job recorded as completed with a task that has not ended well,
-//	         or as failed or cancelled without cause
+//	         or as failed or cancelled without cause; an open job recorded as begun
+//	         before any of its tasks has started
 //	PENDING  a host in contact counts as pending under half of the jobs that have waited for long without
 //	         a start of any of their tasks
 //	ROW      a start order to a worker whose row is invalid, by a host that has read that
@@ -318,6 +319,9 @@
 		c.breakRule("MIXED", "the progress of %s can't be read", r.Key.Key)
 		return
 	}
+	if p.GetBegun() && !p.GetPhase().Terminal() && !c.pending.begun[id] {
+		c.breakRule("MIXED", "%s is recorded as begun, and nothing of it has started", id)
+	}
 	before := c.phases[id]
 	c.phases[id] = p.GetPhase()
 	c.world.recordPhase(id, p.GetPhase())
