Leaders of large cells pause between placement passes

A leader of 220 workers ran a pass after each end of a run that it learned, 700 to 900 decisions a second, and had no processor time left for the answers to start orders: the window of orders stayed full, and polls yielded.

That the pause wakes the control goroutine has no test of its own: the tick of 100 ms is the bound without it.

--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -87,6 +87,8 @@
 	seat          *election.Seat
 	state         *cell.State
 	needsDecision bool
+	// placementAwaited says that a placementPauseOver is to come.
+	placementAwaited bool
 	// lastLoad is the last load message without extras.
 	lastLoad atomic.Pointer[cachedLoad]
 	// writeCheckedAt is when the seat of a led cell was last asked for its next write.
@@ -177,11 +179,20 @@
 			for _, e := range s.state.Decide(now, wall) {
 				c.execute(ctx, now, s, e)
 			}
+			c.awaitPlacement(s, s.state.PlacementPausedFor(now))
 		}
 		c.runElection(ctx, now, s)
 	}
 }
 
+// awaitPlacement has a cell decide after a pause in which it places nothing.
+func (c *Control) awaitPlacement(s *localCell, pause time.Duration) {
+	if pause > 0 && !s.placementAwaited {
+		s.placementAwaited = true
+		time.AfterFunc(pause, func() { c.send(placementPauseOver{cell: s.name}) })
+	}
+}
+
 // runElection claims, renews or releases the leadership of a cell where that is due. It also asks a
 // leader from another hall to release a cell of this host's hall.
 func (c *Control) runElection(ctx context.Context, now time.Time, s *localCell) {
--- a/pkg/process/fleet/messages.go
+++ b/pkg/process/fleet/messages.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// placementPauseOver says that a cell may place tasks again.
+type placementPauseOver struct{ cell string }
+
+func (m placementPauseOver) apply(c *Control, _ time.Time) {
+	if s := c.cells[m.cell]; s != nil {
+		s.placementAwaited, s.needsDecision = false, true
+	}
+}
+
 // manifestChanged reports a newer manifest.
 type manifestChanged struct{ manifest *manifest.Manifest }
 
