--- a/pkg/process/cell/filler_cost.go
+++ b/pkg/process/cell/filler_cost.go
@@ -111,7 +111,7 @@
 }
 
 // placeCostsMaxAge is the greatest age of cached costs: estimates of interference change with the answers of all workers.
-const placeCostsMaxAge = 200 * time.Millisecond
+const placeCostsMaxAge = 100 * time.Millisecond
 
 // dropOutdatedCosts drops the cached costs at workers whose runs or readings have changed, old ones, and those of units that
 // no longer wait.
