--- a/pkg/process/cell/yield_to_starts.go
+++ b/pkg/process/cell/yield_to_starts.go
@@ -19,10 +19,10 @@
 	heldRecently = 500 * time.Millisecond
 	// yieldFactor multiplies the pauses between less urgent calls that yield.
 	yieldFactor = 5
-	// yieldSlackDivisor is the part of its slack that a job may lose by the pause before a poll. Each step may lose as much,
-	// and the wait for its start comes on top.
+	// A job may lose its slack divided by yieldSlackDivisor to the pause before a poll. Each step may lose as much, and the
+	// wait for its start comes on top.
 	yieldSlackDivisor = 4
-	// earliestEndDivisor is the part of its estimated time after which a run may end.
+	// A run may end after its estimated time divided by earliestEndDivisor.
 	earliestEndDivisor = 2
 )
 
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -60,8 +60,8 @@
 	// confirmedHandover is the setting of that name.
 	confirmedHandover bool
 	view              atomic.Pointer[intake.View]
-	// time sums up how the control goroutine spends its time.
-	time controlTime
+	// spent sums up how the control goroutine spends its time.
+	spent controlTime
 	// askForRelease asks the process at an address, a leader from another hall, to release a cell of this hall.
 	askForRelease  func(cell, address string)
 	releaseAskedAt map[string]time.Time
--- a/pkg/process/fleet/control_time.go
+++ b/pkg/process/fleet/control_time.go
@@ -32,7 +32,7 @@
 
 // logControlTime logs the sums of a process that leads a cell when that is due, and begins anew.
 func (c *Control) logControlTime(now time.Time) {
-	t := &c.time
+	t := &c.spent
 	if now.Sub(t.since) < controlTimeInterval {
 		return
 	}
@@ -43,7 +43,7 @@
 			"waiting": len(c.inbox),
 		}).Info("control-time")
 	}
-	c.time = controlTime{since: now}
+	c.spent = controlTime{since: now}
 }
 
 // timed has the cells decide on a batch of messages that was taken at began, and counts the time.
@@ -51,6 +51,6 @@
 	applied := clock.Now()
 	decide()
 	now := clock.Now()
-	c.time.add(messages, began, applied, now)
+	c.spent.add(messages, began, applied, now)
 	c.logControlTime(now)
 }
--- a/pkg/process/jobs/progress.go
+++ b/pkg/process/jobs/progress.go
@@ -7,7 +7,8 @@
 )
 
 // Progress returns the state that a successor needs: done tasks, failed runs, checkpoints, delegations, crash
-// evidence, since when lasting tasks have had no run, the phase, and whether any task has begun. Runs are not included, because workers list them.
+// evidence, since when lasting tasks have had no run, the phase, and whether any task has begun. Runs are not included,
+// because workers list them.
 func (j *Job) Progress(clock StoreClock) *wire.JobProgress {
 	p := &wire.JobProgress{Id: j.Spec.GetId(), Phase: j.Phase, Reason: j.Reason, Home: j.Spec.GetHome(), Begun: j.HasStarted}
 	if j.Ended() {
--- a/pkg/request/intake/pending.go
+++ b/pkg/request/intake/pending.go
@@ -19,7 +19,7 @@
 	maxPendingAge = time.Second
 	// maxReadingAge is the largest time since a leader has read its cell's new jobs at which its count is used: it does not
 	// know jobs accepted since, if their notifications were lost. Callers are promised that a job is visible within three
-	// seconds.
+	// seconds; the two seconds that an answer may be old come on top.
 	maxReadingAge = 3 * time.Second
 	// maxMessageAge is how old a load message can be when it arrives: a leader sends it again for a tenth of a second, and it
 	// may be on its way for as long as a call may take.
