The log tells late answers of a full link from those of a full processor

Why: the window of start orders, time-outs and silent workers look the same whether the link, a worker or this process is slow. Change: clock.LagMeter sums up how late a timer of the process runs; answers to polls and start orders carry the lag of their time. New line start-orders (each 3 s of a leader): orders, tasks that wait and have a place, what held them back, answer times on the way and in this process, bytes in flight. worker-silent and task-start-unsure say for how much of the wait this process had no processor, task-lost how many polls failed. No decision changes.

--- a/pkg/process/cell/delays.go
+++ b/pkg/process/cell/delays.go
@@ -41,6 +41,7 @@
 	// held and yielded are for how long start orders were held back, and polls and records yielded to them.
 	held, yielded time.Duration
 	decisions     int64
+	starts        startDelays
 }
 
 // countDecision adds the time since the last decision to those in which calls were held back, and logs the delays when
@@ -63,6 +64,9 @@
 	if s.yielding(now) {
 		d.yielded += passed
 	}
+	if s.PlacementPausedFor(now) > 0 {
+		d.starts.paused += passed
+	}
 	if now.Sub(d.since) < delayNoteInterval {
 		return
 	}
@@ -72,6 +76,7 @@
 			&d.polls, &d.unwatched, &d.records, &d.steps, d.held.Round(time.Millisecond), d.yielded.Round(time.Millisecond), d.decisions,
 		)})
 	}
+	s.noteStarts(now, now.Sub(d.since), d.held)
 	*d = delays{since: now, countedAt: now}
 }
 
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -110,6 +110,8 @@
 	Report  workers.Report
 	Refusal workers.Refusal
 	Err     error
+	// Lag is for how much of the time since SentAt this process had no processor.
+	Lag time.Duration
 }
 
 // StartAnswered is the outcome of a start order.
@@ -119,9 +121,10 @@
 	Run    int64
 	Reply  workers.Reply
 	Err    error
-	// RoundTrip is how long the call took. Bytes is the size of the order, as in SendStart.
-	RoundTrip time.Duration
-	Bytes     int
+	// RoundTrip is how long the call took, Lag for how much of that this process had no processor. Bytes is the size of
+	// the order, as in SendStart.
+	RoundTrip, Lag time.Duration
+	Bytes          int
 }
 
 // StopAnswered is the outcome of a stop order.
--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
@@ -126,7 +127,7 @@
 			s.workerSilent(now, w) // no further poll would find the runs here
 		}
 		for _, r := range w.Runs {
-			s.loseRun(now, w, r, "its worker's lease has expired")
+			s.loseRun(now, w, r, fmt.Sprintf("its worker's lease has expired, after %d failed polls", w.FailedPolls))
 		}
 	}
 	if !w.Listed && now.Sub(w.UnlistedAt) > unlistedGrace && len(w.Runs) == 0 && (over || s.earlierRunsOver(now, w)) {
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -29,6 +29,7 @@
 	NoteStartUnsure     NoteKind = "task-start-unsure"
 	NoteOrdersHeld      NoteKind = "orders-held"
 	NoteDelays          NoteKind = "leader-delays"
+	NoteStarts          NoteKind = "start-orders"
 	NoteAdopted         NoteKind = "task-adopted"
 	NoteStop            NoteKind = "task-stop"
 	NoteEnd             NoteKind = "task-end"
@@ -87,9 +88,10 @@
 	{NoteReserveChanged, "the capacity that is kept for urgent tasks changed; repeated once a second at most; detail: the service, gaps wanted, gaps free, the size of a gap"},
 	{NoteStart, "a start was ordered; detail: time since the job was accepted, free millicores, checkpoint"},
 	{NoteStartRefused, "the worker refused the start; detail: reason"},
-	{NoteStartUnsure, "the start got no answer, so the task may run; detail: until when the worker may carry the order out, error"},
+	{NoteStartUnsure, "the start got no answer, so the task may run; detail: until when the worker may carry the order out, error, for how much of the wait this process had no processor"},
 	{NoteOrdersHeld, "start orders are held back: tasks wait for the link, not for capacity; repeated once a second at most; detail: bytes in flight, the window, the time that answers take"},
 	{NoteDelays, "what this leader did late in the time age_ms, each with its number, mean and longest delay: polls after they were due, ends learned from a poll that was sent so long after the worker's last answer, records of ends and first starts of next steps after the end was learned; then for how long start orders were held back and polls yielded to them, and the number of decisions"},
+	{NoteStarts, "the start orders of the time age_ms, with their bytes; how many tasks wait, how many of them have a place, how many wait for the record of their start; for how long the window and pauses between placement passes held orders back; the number, mean and longest time of answers, without and then with only the time for which this process had no processor; bytes in flight, the window"},
 	{NoteAdopted, "a run that an earlier leader started was taken over"},
 	{NoteStop, "a run was ordered to stop; detail: reason"},
 	{NoteEnd, "a run ended; detail: how, progress in percent"},
@@ -111,7 +113,7 @@
 	{NoteCleared, "a task is no longer suspected of crashing workers; detail: reason"},
 	{NoteLostStart, "a predecessor recorded a start of a task, and no worker lists the run; detail: what is known of its worker"},
 	{NoteWorkerLeaves, "a worker leaves and takes no new work; detail: time left"},
-	{NoteWorkerSilent, "a worker does not answer, and its lease runs out; detail: error; age_ms: time since its last answer"},
+	{NoteWorkerSilent, "a worker does not answer, and its lease runs out; detail: error, for how much of the wait this process had no processor; age_ms: time since its last answer"},
 	{NoteWorkerHeard, "a silent worker answers; age_ms: how long it was silent"},
 	{NoteWorkerAside, "a worker is in quarantine and gets no work for a while; detail: reason"},
 	{NoteWorkerBack, "a worker's quarantine has ended; detail: reason"},
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -76,6 +76,8 @@
 	}
 	bytes := orderOverheadBytes + len(order.Body) + len(order.Checkpoint) + len(order.Ticket)
 	s.startWindow.Sent(bytes)
+	s.delays.starts.ordered++
+	s.delays.starts.bytes += int64(bytes)
 	s.emit(SendStart{To: target(w), Start: order, Timeout: s.startWindow.Timeout(), Bytes: bytes})
 }
 
@@ -102,6 +104,7 @@
 // updateWindow updates the window of bytes in flight by the time that the answer to a start order took, or that
 // passed without an answer.
 func (s *State) updateWindow(now time.Time, e StartAnswered) {
+	s.delays.starts.answered(e)
 	if e.Err != nil {
 		s.startWindow.Unanswered(now, e.RoundTrip, e.Bytes)
 	} else {
@@ -129,7 +132,7 @@
 	case e.Err != nil && fault.CodeOf(e.Err) == fault.NotRun && r.SendCount == 1:
 		s.undoRefusedStart(now, w, r, e.Err.Error())
 	case e.Err != nil:
-		s.retryStart(now, w, r, e.Err)
+		s.retryStart(now, w, r, e.Err, e.Lag)
 	case e.Reply.Refusal == workers.NotRefused:
 		r.AckedAt = now
 		s.runBegan(now, r, e.Reply.Clock)
@@ -170,12 +173,12 @@
 
 // retryStart handles a start order without an answer: the run may have begun. The order is sent
 // again, unless the worker takes no new work any more; a worker that has begun the run says so.
-func (s *State) retryStart(now time.Time, w *workers.Worker, r *jobs.Run, err error) {
+func (s *State) retryStart(now time.Time, w *workers.Worker, r *jobs.Run, err error, lag time.Duration) {
 	if r.State == jobs.Sent {
 		r.State = jobs.Unanswered
 		s.note(Note{
 			Kind: NoteStartUnsure, Job: r.Task.Unit.Job.Spec.GetId(), Task: r.Task.Name(), Run: r.Number, Worker: w.ID,
-			Detail: fmt.Sprintf("valid until the worker's clock shows %s, now at least %s: %s", r.ValidUntil.Round(time.Millisecond), w.MinClock(now).Round(time.Millisecond), err),
+			Detail: fmt.Sprintf("valid until the worker's clock shows %s, now at least %s: %s; %s without a processor", r.ValidUntil.Round(time.Millisecond), w.MinClock(now).Round(time.Millisecond), err, lag.Round(time.Millisecond)),
 			AgeMs:  now.Sub(r.SentAt).Milliseconds(),
 		})
 	}
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -189,7 +189,7 @@
 	w.PollOutstanding = false
 	switch {
 	case e.Err != nil:
-		s.pollFailed(now, w, e.Err.Error())
+		s.pollFailed(now, w, fmt.Sprintf("%s; %s without a processor", e.Err, e.Lag.Round(time.Millisecond)))
 		return
 	case e.Refusal == workers.RefusedFence:
 		s.emit(StepDown{Why: "worker " + w.ID + " knows a higher epoch"})
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -62,6 +62,8 @@
 	view              atomic.Pointer[intake.View]
 	// spent sums up how the control goroutine spends its time.
 	spent controlTime
+	// lag measures for how long calls in flight wait for this process's processor.
+	lag *clock.LagMeter
 	// askForRelease asks the process at an address, a leader from another hall, to release a cell of this hall.
 	askForRelease  func(cell, address string)
 	releaseAskedAt map[string]time.Time
@@ -104,7 +106,7 @@
 // NewControl returns the Control of a process. cells maps the name of each cell to its hall.
 func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, advisor workers.Advisor, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
 	c := &Control{
-		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now,
+		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now, lag: clock.NewLagMeter(),
 		inbox: make(chan message, inboxSize), cells: map[string]*localCell{}, releaseAskedAt: map[string]time.Time{},
 		askForRelease: func(string, string) {}, handicap: func() int { return 0 }, askLeadership: func(string, string, string) (predecessorAnswer, bool) { return predecessorAnswer{}, false },
 		notifyPeer:      func(context.Context, string, cell.NotifyLeader) error { return nil },
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -65,20 +65,22 @@
 func (c *Control) sendPoll(ctx context.Context, name string, e cell.SendPoll, sentAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
+	lag := c.lag.Begin()
 	report, refusal, err := c.caller.Poll(ctx, e.To, e.Poll)
+	answer := cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err, Lag: lag.End()}
 	c.countCall("look", refusal, err)
-	c.send(cellEvent{name, cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err}})
+	c.send(cellEvent{name, answer})
 }
 
 func (c *Control) sendStart(ctx context.Context, name string, e cell.SendStart) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	began := clock.Now()
+	began, lag := clock.Now(), c.lag.Begin()
 	reply, err := c.caller.Start(ctx, e.To, e.Start)
-	roundTrip := clock.Now().Sub(began)
+	roundTrip, waited := clock.Now().Sub(began), lag.End()
 	metrics.GetOrRegisterTimer("worker.start", c.metrics).Update(roundTrip)
 	c.countCall("start", reply.Refusal, err)
-	c.send(cellEvent{name, cell.StartAnswered{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: reply, Err: err, RoundTrip: roundTrip, Bytes: e.Bytes}})
+	c.send(cellEvent{name, cell.StartAnswered{Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: reply, Err: err, RoundTrip: roundTrip, Lag: min(waited, roundTrip), Bytes: e.Bytes}})
 }
 
 func (c *Control) sendStop(ctx context.Context, name string, e cell.SendStop) {
