Emulated leaders with little processor time: tasks wait beside free capacity, and ended runs start again

Plan.Processor gives decisions, calls and answers of a host's process virtual time, one after the other; answers wait meanwhile and time-outs go on.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -265,6 +265,26 @@
 	}
 }
 
+// listedUntilNoted is how long after a worker has listed an end it counts as acknowledged, where nothing is impaired.
+const listedUntilNoted = 100 * time.Millisecond
+
+// listed takes note that a worker's answer to a poll lists ends. On days with Plan.Processor, they count as acknowledged soon
+// after that, also if the leader does not read the answer.
+func (c *checker) listed(k *worker, ends []workers.End) {
+	if c.world.plan.Processor == (Processor{}) || len(ends) == 0 {
+		return
+	}
+	incarnation := k.incarnation
+	c.world.after(listedUntilNoted, func() {
+		if k.incarnation != incarnation || c.world.impaired() {
+			return
+		}
+		for _, e := range ends {
+			c.acknowledged(k, e)
+		}
+	})
+}
+
 // failureAcknowledged breaks the rule BUDGET if the task was started after its last attempt had failed, also
 // where the failure is acknowledged after the start.
 func (c *checker) failureAcknowledged(k *worker, e workers.End) {
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -33,7 +33,7 @@
 		h.callWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
 			return k.ifAddressed(e.To, func() (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) })
 		},
-			func(v any, refusal workers.Refusal, err error) {
+			func(v any, refusal workers.Refusal, err error, _ callTimes) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(h.clock(), cell.PaceAnswered{
 					Worker: e.To.ID, Task: e.Pace.Task, Run: e.Pace.Run, Percent: e.Pace.Percent, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
@@ -54,10 +54,14 @@
 		h.advise(e)
 	case cell.SendPoll:
 		sentAt := h.clock()
-		h.callWorker(e.To, e.Timeout, e.Poll.Wait, messageBytes, func(k *worker) (any, workers.Refusal) { return anyOf(k.poll(k.pollFor(e.To, e.Poll))) },
-			func(v any, refusal workers.Refusal, err error) {
+		h.callWorker(e.To, e.Timeout, e.Poll.Wait, messageBytes, func(k *worker) (any, workers.Refusal) {
+			report, refusal := k.poll(k.pollFor(e.To, e.Poll))
+			w.checker.listed(k, report.Ended)
+			return report, refusal
+		},
+			func(v any, refusal workers.Refusal, err error, times callTimes) {
 				report, _ := v.(workers.Report)
-				h.state.Take(h.clock(), cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err})
+				h.state.Take(h.clock(), cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err, Lag: times.lag})
 			})
 	case cell.SendStart:
 		sentAt := h.clock()
@@ -70,18 +74,18 @@
 				return anyOf(k.start(e.Start))
 			})
 		},
-			func(v any, refusal workers.Refusal, err error) {
+			func(v any, refusal workers.Refusal, err error, times callTimes) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(h.clock(), cell.StartAnswered{
 					Worker: e.To.ID, Task: e.Start.Task, Run: e.Start.Run, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err,
-					RoundTrip: h.clock().Sub(sentAt), Bytes: e.Bytes,
+					RoundTrip: times.roundTrip, Lag: times.lag, Bytes: e.Bytes,
 				})
 			})
 	case cell.SendStop:
 		h.callWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
 			return k.ifAddressed(e.To, func() (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) })
 		},
-			func(v any, refusal workers.Refusal, err error) {
+			func(v any, refusal workers.Refusal, err error, _ callTimes) {
 				clock, _ := v.(time.Duration)
 				h.state.Take(h.clock(), cell.StopAnswered{Worker: e.To.ID, Reply: workers.Reply{Refusal: refusal, Clock: clock}, Err: err})
 			})
@@ -114,30 +118,41 @@
 	cell.NoteWaits: true, cell.NoteStop: true, cell.NoteWorkerAside: true, cell.NoteStartRefused: true, cell.NoteStartUnsure: true,
 	cell.NoteWorkerSilent: true, cell.NoteDeposed: true, cell.NoteLoaded: true, cell.NoteStart: true, cell.NoteWorkerNew: true,
 	cell.NoteWorkerLeaves: true, cell.NotePredecessorOver: true, cell.NoteLastingWaits: true, cell.NoteWorkerDropped: true, cell.NoteLastingStopped: true, cell.NoteReserveChanged: true, cell.NoteLastingPlaces: true,
+	cell.NoteStarts: true, cell.NoteDelays: true,
 }
 
 // logsWaits returns whether the day's log holds loggedWaitNotes.
-func (w *World) logsWaits() bool { return w.plan.checksLasting() || w.plan.IdleByReservations }
+func (w *World) logsWaits() bool {
+	return w.plan.checksLasting() || w.plan.IdleByReservations || w.plan.Processor != (Processor{})
+}
 
 // anyOf drops the type of a call's answer.
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
 
+// callTimes are the times of a call: how long it took, and for how much of that the host's process had no processor.
+type callTimes struct{ roundTrip, lag time.Duration }
+
 // callWorker calls a worker over the host's link. done runs only in this incarnation of the host; its error is
 // set if no answer came within the limit.
-func (h *seat) callWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error)) {
+func (h *seat) callWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error, callTimes)) {
 	here := h.bindIncarnation()
 	for _, k := range h.world.workers {
 		if k.name != to.Address {
 			continue
 		}
-		call(h.world, h.name, k, to.ID, limit, wait, h.uploadDelay(bytes)+h.connectDelay(k), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
-			here(func() {
+		h.beginCall(func() {
+			sentAt := h.clock()
+			finish := func(v any, refusal workers.Refusal, ok bool, lag time.Duration) {
 				var err error
 				if !ok {
 					err = fault.New(fault.Unknown, to.ID, "no answer", "")
 				}
-				done(v, refusal, err)
+				done(v, refusal, err, callTimes{roundTrip: h.clock().Sub(sentAt), lag: lag})
 				h.act()
+			}
+			receive := h.receiver(limit, finish)
+			call(h.world, h.name, k, to.ID, limit, wait, h.uploadDelay(bytes)+h.connectDelay(k), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
+				here(func() { receive(v, refusal, ok) })
 			})
 		})
 	}
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -3,7 +3,7 @@
 // day, and a checker reports broken rules. The hosts drive the product's own election.Seat, cell.State and
 // cellchoice.Board; the checker shares no code with the product. emulator.go has the clock and the traffic;
 // random_streams.go the random draws; plans.go, script*.go and load.go the input of days; fault_schedule.go and fault_kinds.go the
-// faults; host.go, handover.go, relays.go, effects.go, leader_messages.go, intake.go, pending_answers.go, contact.go and predecessors.go the hosts; table.go the table;
+// faults; host.go, processor.go, handover.go, relays.go, effects.go, leader_messages.go, intake.go, pending_answers.go, contact.go and predecessors.go the hosts; table.go the table;
 // worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go, leaving_takeovers.go and crash_tasks.go the workers; checker.go,
 // cancel_rule.go, lasting_rule.go, held_rule.go, pending_rule.go and evacuations.go the rules.
 package emulator
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -41,6 +41,8 @@
 	suspendedUntil time.Time
 	// linkFreeAt is when the link has sent all queued bytes.
 	linkFreeAt time.Time
+	// processor is what the process has to do, on days with Plan.Processor.
+	processor processor
 	// storeAt is the table's time at the host's last read of it, storeRead the host's clock then.
 	storeAt   time.Duration
 	storeRead time.Time
@@ -69,6 +71,8 @@
 	successor *election.Acceptance
 	// afterWrite runs once the write of the leadership row in flight is answered; nil: nothing waits for that.
 	afterWrite func()
+	// deciding says that a decision is about to be taken, on days with Plan.Processor.
+	deciding bool
 }
 
 func newHost(w *World, name, hall string) *host {
@@ -86,6 +90,7 @@
 	h.incarnation++
 	h.up, h.bootedAt, h.connected, h.leaving = true, w.now, map[string]bool{}, false
 	h.leaderships, h.passedAt, h.avoided = relay.Reading{}, time.Time{}, nil
+	h.processor = processor{}
 	self := election.Self{
 		Incarnation: h.incarnationID(), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
 		Delay: w.draws.between("delay "+h.name, 0, 150*time.Millisecond),
@@ -241,8 +246,8 @@
 	h.act()
 }
 
-// act carries out what the cell's state decides, and writes the leadership row that the seat asks for.
-func (h *seat) act() {
+// decide carries out what the cell's state decides, and writes the leadership row that the seat asks for.
+func (h *seat) decide() {
 	w := h.world
 	if h.seat.Role() == election.Leader {
 		h.state.Take(h.clock(), cell.LeadershipConfirmed{SentAt: h.seat.RenewedAt(), Until: h.seat.RenewedAt().Add(election.Tenure)})
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -103,6 +103,8 @@
 	// how often a hall is cut off for some seconds, one after the other.
 	Pending    bool
 	CutsInTurn int
+	// Processor is the processor time that the work of hosts takes.
+	Processor Processor
 	// Load, if set, replaces the random cells, workers and jobs.
 	Load *Load `json:"-"`
 }
