The order window takes no late reading by the own process for a full link

Callers of a cell whose leader has little processor time saw tasks wait for a minute beside free workers. The lag of this process (clock.LagMeter, each 5 ms while calls are in flight) no longer counts as delay of the link. TestAnswersThatAreReadLateDoNotStopAFastLink failed before (floor of 6 kB).

--- a/pkg/clock/lag.go
+++ b/pkg/clock/lag.go
@@ -6,7 +6,7 @@
 )
 
 // lagInterval is the interval at which a LagMeter checks how late its timer runs.
-const lagInterval = 20 * time.Millisecond
+const lagInterval = 5 * time.Millisecond
 
 // LagMeter measures for how long this process had work to do and no processor to do it: the sum of the times by which a
 // timer of its own runs late. An answer that arrives meanwhile is read as late. A caller subtracts the lag from the time
@@ -59,13 +59,20 @@
 	return Measurement{meter: m, began: m.lag(m.now())}
 }
 
+// Lag returns the lag since Begin.
+func (e Measurement) Lag() time.Duration {
+	e.meter.mu.Lock()
+	defer e.meter.mu.Unlock()
+	return e.meter.lag(e.meter.now()) - e.began
+}
+
 // End closes the measurement and returns the lag since Begin.
 func (e Measurement) End() time.Duration {
-	m := e.meter
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.open--
-	return m.lag(m.now()) - e.began
+	lag := e.Lag()
+	e.meter.mu.Lock()
+	defer e.meter.mu.Unlock()
+	e.meter.open--
+	return lag
 }
 
 // lag returns the sum of all delays, with that of a timer that should have run by now.
--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -108,7 +108,7 @@
 	if e.Err != nil {
 		s.startWindow.Unanswered(now, e.RoundTrip, e.Bytes)
 	} else {
-		s.startWindow.Answered(now, e.RoundTrip, e.Bytes)
+		s.startWindow.Answered(now, e.RoundTrip, e.Lag, e.Bytes)
 	}
 	s.placementDue = s.placementDue || s.startWindow.Refilled()
 }
--- a/pkg/process/orderwindow/orderwindow.go
+++ b/pkg/process/orderwindow/orderwindow.go
@@ -16,6 +16,9 @@
 	// shortest known objective of callers (250 ms on top of the work itself), a fiftieth of
 	// a lease.
 	targetDelay = 60 * time.Millisecond
+	// targetLag is for how long answers may wait for this process's processor. It is longer than targetDelay, since fewer
+	// orders in flight shorten that wait only as far as it is caused by orders.
+	targetLag = 200 * time.Millisecond
 	// initialSize is the window before the first answer, in bytes: 0.13 s of a link of
 	// 2 Mbit/s, 27 orders of 1.2 kB.
 	initialSize = 32 << 10
@@ -95,18 +98,20 @@
 // Sent records that an order was sent.
 func (w *Window) Sent(bytes int) { w.inFlight += bytes }
 
-// Answered records that an order was answered, and its answer time.
-func (w *Window) Answered(now time.Time, took time.Duration, bytes int) {
+// Answered records that an order was answered, its answer time, and for how much of that this process had no processor. An
+// answer that waits to be read says nothing about the link.
+func (w *Window) Answered(now time.Time, took, lag time.Duration, bytes int) {
 	w.removeInFlight(bytes)
 	w.answeredAt = now
-	w.updateAnswerTimes(now, took)
-	queued := took - min(w.fastest, w.lastFastest)
-	if queued > targetDelay {
-		w.shrink(now, float64(targetDelay)/float64(queued))
+	w.updateAnswerTimes(now, took, took-lag)
+	queued := took - lag - min(w.fastest, w.lastFastest)
+	excess := max(float64(queued)/float64(targetDelay), float64(lag)/float64(targetLag))
+	if excess > 1 {
+		w.shrink(now, 1/excess)
 		return
 	}
 	if w.heldBack {
-		w.size = min(maxSize, w.size+float64(bytes)*(1-float64(queued)/float64(targetDelay)))
+		w.size = min(maxSize, w.size+float64(bytes)*(1-excess))
 	}
 }
 
@@ -122,17 +127,17 @@
 
 func (w *Window) removeInFlight(bytes int) { w.inFlight = max(0, w.inFlight-bytes) }
 
-// updateAnswerTimes updates the fastest answer times, the mean and the mean deviation.
-func (w *Window) updateAnswerTimes(now time.Time, took time.Duration) {
+// updateAnswerTimes updates the fastest answer times on the way, the mean answer time and the mean deviation.
+func (w *Window) updateAnswerTimes(now time.Time, took, onTheWay time.Duration) {
 	if w.fastestSince.IsZero() {
-		w.fastest, w.lastFastest, w.fastestSince = took, took, now
+		w.fastest, w.lastFastest, w.fastestSince = onTheWay, onTheWay, now
 		w.meanAnswerTime, w.meanDeviation = took, took/2
 		return
 	}
 	if now.Sub(w.fastestSince) > fastestSpan {
-		w.lastFastest, w.fastest, w.fastestSince = w.fastest, took, now
+		w.lastFastest, w.fastest, w.fastestSince = w.fastest, onTheWay, now
 	}
-	w.fastest = min(w.fastest, took)
+	w.fastest = min(w.fastest, onTheWay)
 	deviation := took - w.meanAnswerTime
 	w.meanAnswerTime += time.Duration(smoothing * float64(deviation))
 	w.meanDeviation += time.Duration(smoothing * float64(deviation.Abs()-w.meanDeviation))
--- a/pkg/process/orderwindow/orderwindow_test.go
+++ b/pkg/process/orderwindow/orderwindow_test.go
@@ -15,10 +15,13 @@
 	bytesPerSecond float64
 	roundTrip      time.Duration
 	idleAt         time.Time
+	// readLate is for how long each answer waits for the processor of the sender's process.
+	readLate time.Duration
 }
 
 type answer struct {
 	at, sent time.Time
+	lag      time.Duration
 	bytes    int
 }
 
@@ -27,7 +30,7 @@
 		l.idleAt = now
 	}
 	l.idleAt = l.idleAt.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
-	return answer{at: l.idleAt.Add(l.roundTrip), sent: now, bytes: bytes}
+	return answer{at: l.idleAt.Add(l.roundTrip + l.readLate), sent: now, lag: l.readLate, bytes: bytes}
 }
 
 const orderBytes = 1200
@@ -40,7 +43,7 @@
 	for now := start; now.Sub(start) < span; now = now.Add(time.Millisecond) {
 		for len(inFlight) > 0 && !inFlight[0].at.After(now) {
 			took := now.Sub(inFlight[0].sent)
-			w.Answered(now, took, inFlight[0].bytes)
+			w.Answered(now, took, inFlight[0].lag, inFlight[0].bytes)
 			answered++
 			if now.Sub(start) > span/2 {
 				longest, timeout = max(longest, took), max(timeout, w.Timeout())
@@ -65,6 +68,23 @@
 	must.Eq(t, orderwindow.MinTimeout, timeout)
 }
 
+// Guards against a window that stands at its floor on a fast link because this process reads the answers late.
+func TestAnswersThatAreReadLateDoNotStopAFastLink(t *testing.T) {
+	t.Parallel()
+	w := orderwindow.NewWindow()
+	answered, _, _ := fillWindow(w, &link{bytesPerSecond: 25_000_000, roundTrip: 4 * time.Millisecond, readLate: 150 * time.Millisecond}, 10*time.Second)
+	must.Greater(t, 2000, answered)
+	must.Greater(t, 64<<10, w.Size())
+}
+
+// An answer that waits longer than targetLag shrinks the window: more orders would only wait longer to be read.
+func TestOrdersDoNotFillTheProcessor(t *testing.T) {
+	t.Parallel()
+	w := orderwindow.NewWindow()
+	fillWindow(w, &link{bytesPerSecond: 25_000_000, roundTrip: 4 * time.Millisecond, readLate: 400 * time.Millisecond}, 10*time.Second)
+	must.Less(t, 8<<10, w.Size())
+}
+
 // On a fast link the window must allow the same rate as no window.
 func TestWindowDoesNotLimitFastLink(t *testing.T) {
 	t.Parallel()
@@ -108,7 +128,7 @@
 	must.True(t, w.MaySend())
 	w.Sent(2 << 20)
 	must.False(t, w.MaySend())
-	w.Answered(time.Unix(1000, 0), time.Second, 2<<20)
+	w.Answered(time.Unix(1000, 0), time.Second, 0, 2<<20)
 	must.True(t, w.MaySend())
 }
 
@@ -124,7 +144,7 @@
 	must.False(t, w.Refilled())
 	now := time.Unix(1000, 0)
 	for range n/4 + 1 {
-		w.Answered(now, 5*time.Millisecond, orderBytes)
+		w.Answered(now, 5*time.Millisecond, 0, orderBytes)
 	}
 	must.True(t, w.Refilled())
 }
@@ -138,7 +158,7 @@
 	for range 50 {
 		now = now.Add(50 * time.Millisecond)
 		w.Sent(2 * orderBytes)
-		w.Answered(now, 5*time.Millisecond, orderBytes)
+		w.Answered(now, 5*time.Millisecond, 0, orderBytes)
 		w.Unanswered(now, orderwindow.MinTimeout, orderBytes)
 	}
 	must.Eq(t, before, w.Size())
