The control goroutine pauses between batches, so that a slow processor reads answers meanwhile

Callers: tasks of accepted jobs wait beside free capacity (LOST) in cells whose leader has little processor time. Each answer woke the control goroutine, which decided anew on it: 160 to 400 decisions in 3 s that took 1 to 1.6 s of them with the messages. After a batch the next one begins no sooner than twice the batch's time later, 60 ms at most (package dutycycle): messages collect, and two thirds of the time are left to calls. A batch that comes later than that does not wait.

--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -38,7 +38,7 @@
 	other := regexp.MustCompile(`\btime\.(Now|Since|Until)\b`)
 	for _, folder := range []string{
 		"pkg/process/fleet", "pkg/process/cell", "pkg/process/election", "pkg/process/jobs", "pkg/process/workers", "pkg/process/poisontask",
-		"pkg/process/orderwindow", "pkg/process/relay", "pkg/process/registry", "pkg/request/cellchoice", "pkg/process/runtimes", "pkg/process/interference", "pkg/connection/store", "pkg/request/intake", "pkg/request/acceptance", "platform",
+		"pkg/process/orderwindow", "pkg/process/dutycycle", "pkg/process/relay", "pkg/process/registry", "pkg/request/cellchoice", "pkg/process/runtimes", "pkg/process/interference", "pkg/connection/store", "pkg/request/intake", "pkg/request/acceptance", "platform",
 	} {
 		files, err := filepath.Glob(filepath.Join("..", "..", folder, "*.go"))
 		must.NoError(t, err)
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/dutycycle"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/relay"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -41,8 +42,9 @@
 	suspendedUntil time.Time
 	// linkFreeAt is when the link has sent all queued bytes.
 	linkFreeAt time.Time
-	// processor is what the process has to do, on days with Plan.Processor.
+	// processor is what the process has to do, on days with Plan.Processor. dutyCycle bounds the share of decisions.
 	processor processor
+	dutyCycle dutycycle.Limiter
 	// storeAt is the table's time at the host's last read of it, storeRead the host's clock then.
 	storeAt   time.Duration
 	storeRead time.Time
@@ -90,7 +92,7 @@
 	h.incarnation++
 	h.up, h.bootedAt, h.connected, h.leaving = true, w.now, map[string]bool{}, false
 	h.leaderships, h.passedAt, h.avoided = relay.Reading{}, time.Time{}, nil
-	h.processor = processor{}
+	h.processor, h.dutyCycle = processor{}, dutycycle.Limiter{}
 	self := election.Self{
 		Incarnation: h.incarnationID(), Host: h.name, Hall: h.hall, Address: h.name, Since: h.clock(),
 		Delay: w.draws.between("delay "+h.name, 0, 150*time.Millisecond),
--- a/pkg/emulator/processor.go
+++ b/pkg/emulator/processor.go
@@ -66,24 +66,30 @@
 }
 
 // act has the cell decide. On days with Plan.Processor that takes time, and follows each message at once: the goroutine that
-// decides is woken by it, and comes before those that wait for answers.
+// decides is woken by it, and comes before those that wait for answers. It pauses as a host's control goroutine does.
 func (h *seat) act() {
 	cost := h.world.plan.Processor.Decision
-	if cost == 0 {
+	switch {
+	case h.deciding:
+	case cost == 0 || !h.state.HoldsLeadership():
 		h.decide()
-		return
-	}
-	if h.deciding || !h.state.HoldsLeadership() {
-		if !h.deciding {
-			h.decide()
+	default:
+		h.deciding = true
+		if pause := h.dutyCycle.Pause(h.world.now); pause > 0 {
+			h.world.after(pause, h.ifSameIncarnation(func() { h.decideFirst(cost) }))
+			return
 		}
-		return
+		h.decideFirst(cost)
 	}
-	h.deciding = true
+}
+
+// decideFirst has the cell decide before all else that the processor has to do.
+func (h *seat) decideFirst(cost time.Duration) {
 	h.computeFirst(cost, func() {
 		h.deciding = false
 		h.decide()
 		h.state.Decided(h.clock(), cost)
+		h.dutyCycle.Ran(h.world.now.Add(-cost), h.world.now)
 	})
 }
 
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -20,6 +20,7 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/dutycycle"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
@@ -62,6 +63,8 @@
 	view              atomic.Pointer[intake.View]
 	// spent sums up how the control goroutine spends its time.
 	spent controlTime
+	// dutyCycle leaves time for the goroutines that make calls.
+	dutyCycle dutycycle.Limiter
 	// lag measures for how long calls in flight wait for this process's processor.
 	lag *clock.LagMeter
 	// askForRelease asks the process at an address, a leader from another hall, to release a cell of this hall.
@@ -138,11 +141,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-c.inbox:
+			c.pauseBeforeBatch()
 			now := clock.Now()
 			m.apply(c, now)
 			messages := 1 + c.applyWaiting(now)
 			c.timed(now, messages, func() { c.decide(ctx, now) })
 		case <-ticker.C:
+			c.pauseBeforeBatch()
 			now := clock.Now()
 			for _, s := range c.cells {
 				s.state.Take(now, cell.Tick{})
@@ -154,6 +159,13 @@
 	}
 }
 
+// pauseBeforeBatch waits until the next batch of messages may begin.
+func (c *Control) pauseBeforeBatch() {
+	if pause := c.dutyCycle.Pause(clock.Now()); pause > 0 {
+		time.Sleep(pause)
+	}
+}
+
 // applyWaiting applies the messages that wait already, up to the size of a batch, and returns their number.
 func (c *Control) applyWaiting(now time.Time) int {
 	for i := range maxBatch {
--- a/pkg/process/fleet/control_time.go
+++ b/pkg/process/fleet/control_time.go
@@ -51,6 +51,7 @@
 	applied := clock.Now()
 	decide()
 	now := clock.Now()
+	c.dutyCycle.Ran(began, now)
 	c.spent.add(messages, began, applied, now)
 	c.logControlTime(now)
 }
