Answers of workers that arrive while this process has no processor are read, and late polls are read to their end

A poll that times out is reported at once and read for 2 s more: ends in a late answer are taken, if it is of the same incarnation and leadership; it neither ends a silence nor lists active runs.

--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -33,7 +33,6 @@
 	t.Parallel()
 	allowed := map[string]string{
 		"pkg/process/fleet/control.go": "wall: time.Now,", // the time of day, for jobs with due times
-		"platform/incarnations.go":     "c.SetDeadline(time.Now()",
 	}
 	other := regexp.MustCompile(`\btime\.(Now|Since|Until)\b`)
 	for _, folder := range []string{
--- a/pkg/connection/idletimeout/idletimeout.go
+++ b/pkg/connection/idletimeout/idletimeout.go
@@ -21,51 +21,81 @@
 
 type key struct{}
 
-// idleTimer ends a call after a number of parts of its idle time without data.
+// idleTimer calls over, once, after a number of parts of an idle time without data.
 type idleTimer struct {
-	part   time.Duration
-	cancel context.CancelFunc
-	mu     sync.Mutex
-	left   int
-	timer  *time.Timer
+	part  time.Duration
+	over  func()
+	mu    sync.Mutex
+	left  int
+	timer *time.Timer
+}
+
+// newIdleTimer returns an idleTimer that runs.
+func newIdleTimer(idle time.Duration, over func()) *idleTimer {
+	t := &idleTimer{part: idle / parts, over: over, left: parts}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(t.part, t.partOver)
+	return t
 }
 
 // WithIdleTimeout returns a context that ends when DataReceived has not been called for the time
 // idle, and after the time total in any case.
 func WithIdleTimeout(ctx context.Context, idle, total time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, total)
-	t := &idleTimer{part: idle / parts, cancel: cancel, left: parts}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(t.part, t.partOver)
-	return context.WithValue(ctx, key{}, t), t.stop
+	t := newIdleTimer(idle, cancel)
+	return context.WithValue(ctx, key{}, t), func() {
+		t.stop()
+		cancel()
+	}
 }
 
-// stop ends the call.
+// Call makes a call, and returns its result. If no data has arrived for the time idle, it calls overdue, and then goes on
+// waiting for the result for the time grace: late is true for a result that came after overdue. The context that call gets
+// ends after idle and grace, and an answer that has arrived by the end of idle is not late because nobody has read it yet.
+func Call[T any](ctx context.Context, idle, grace time.Duration, call func(ctx context.Context) T, overdue func()) (result T, late bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := newIdleTimer(idle, func() {
+		late = true
+		overdue()
+		time.AfterFunc(grace, cancel)
+	})
+	result = call(context.WithValue(ctx, key{}, t))
+	t.stop()
+	return result, late
+}
+
+// stop ends the timer: over is not called any more, or has returned.
 func (t *idleTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.left = 0
 	t.timer.Stop()
-	t.cancel()
 }
 
-// partOver begins the next part, or ends the call after the last one.
+// partOver begins the next part, or calls over after the last one.
 func (t *idleTimer) partOver() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.left--
 	if t.left <= 0 {
-		t.cancel()
+		return
+	}
+	t.left--
+	if t.left == 0 {
+		t.over()
 		return
 	}
 	t.timer.Reset(t.part)
 }
 
-// restart begins the first part again.
+// restart begins the first part again, unless the timer is over.
 func (t *idleTimer) restart() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.left <= 0 {
+		return
+	}
 	t.left = parts
 	t.timer.Reset(t.part)
 }
--- a/pkg/connection/idletimeout/idletimeout_test.go
+++ b/pkg/connection/idletimeout/idletimeout_test.go
@@ -30,3 +30,32 @@
 	must.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
 	idletimeout.DataReceived(context.Background()) // has no effect
 }
+
+// The caller learns of the time-out when it is due, and of the answer when it comes.
+func TestAnswerAfterTheTimeoutIsLate(t *testing.T) {
+	t.Parallel()
+	overdue := make(chan bool, 1)
+	answer, late := idletimeout.Call(context.Background(), 20*time.Millisecond, time.Minute, func(ctx context.Context) string {
+		<-overdue
+		must.NoError(t, ctx.Err())
+		return "answer"
+	}, func() { overdue <- true })
+	must.True(t, late)
+	must.Eq(t, "answer", answer)
+}
+
+func TestAnswerInTimeIsNotLate(t *testing.T) {
+	t.Parallel()
+	answer, late := idletimeout.Call(context.Background(), time.Minute, time.Minute, func(context.Context) string { return "answer" }, func() { t.Error("overdue") })
+	must.False(t, late)
+	must.Eq(t, "answer", answer)
+}
+
+func TestCallEndsAfterTheGraceTime(t *testing.T) {
+	t.Parallel()
+	_, late := idletimeout.Call(context.Background(), 10*time.Millisecond, 20*time.Millisecond, func(ctx context.Context) bool {
+		<-ctx.Done()
+		return true
+	}, func() {})
+	must.True(t, late)
+}
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -150,7 +150,7 @@
 				done(v, refusal, err, callTimes{roundTrip: h.clock().Sub(sentAt), lag: lag})
 				h.act()
 			}
-			receive := h.receiver(limit, finish)
+			receive := h.receiver(finish)
 			call(h.world, h.name, k, to.ID, limit, wait, h.uploadDelay(bytes)+h.connectDelay(k), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
 				here(func() { receive(v, refusal, ok) })
 			})
--- a/pkg/emulator/processor.go
+++ b/pkg/emulator/processor.go
@@ -103,27 +103,12 @@
 }
 
 // receiver returns a function that takes the outcome of a call of a worker, and has finish handle it once the host's processor
-// has had time for it. The call ends without an answer if that is later than its limit.
-func (h *seat) receiver(limit time.Duration, finish func(v any, refusal workers.Refusal, ok bool, lag time.Duration)) func(v any, refusal workers.Refusal, ok bool) {
+// has had time for it. An answer that has arrived within the call's limit is read, however long it waits for the processor.
+func (h *seat) receiver(finish func(v any, refusal workers.Refusal, ok bool, lag time.Duration)) func(v any, refusal workers.Refusal, ok bool) {
 	if h.world.plan.Processor == (Processor{}) {
 		return func(v any, refusal workers.Refusal, ok bool) { finish(v, refusal, ok, 0) }
 	}
-	over := false
-	h.world.after(limit, h.ifSameIncarnation(func() {
-		if !over {
-			over = true
-			finish(nil, workers.NotRefused, false, 0)
-		}
-	}))
 	return func(v any, refusal workers.Refusal, ok bool) {
-		if !ok {
-			return
-		}
-		h.compute(h.world.plan.Processor.Answer, func(waited time.Duration) {
-			if !over {
-				over = true
-				finish(v, refusal, true, waited)
-			}
-		})
+		h.compute(h.world.plan.Processor.Answer, func(waited time.Duration) { finish(v, refusal, ok, waited) })
 	}
 }
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -112,6 +112,8 @@
 	Err     error
 	// Lag is for how much of the time since SentAt this process had no processor.
 	Lag time.Duration
+	// Late means that the poll has been reported as failed before.
+	Late bool
 }
 
 // StartAnswered is the outcome of a start order.
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -183,6 +183,10 @@
 // takePollAnswered handles the outcome of the last poll of a worker.
 func (s *State) takePollAnswered(now time.Time, e PollAnswered) {
 	w := s.workers[e.Worker]
+	if w != nil && e.Late {
+		s.takeLateAnswer(now, w, e)
+		return
+	}
 	if w == nil || !e.SentAt.Equal(w.PollSentAt) || !w.PollOutstanding {
 		return
 	}
@@ -237,6 +241,21 @@
 	}
 }
 
+// takeLateAnswer takes the ends in an answer that came after the poll's time-out. They are as final as those in any answer,
+// while its list of active runs may be out of date.
+func (s *State) takeLateAnswer(now time.Time, w *workers.Worker, e PollAnswered) {
+	if e.Err != nil || e.Refusal != workers.NotRefused || s.phase == loading || s.phase == following || e.SentAt.Before(s.gainedAt) {
+		return
+	}
+	if w.Ended || e.Report.Born != w.Born {
+		return // the ends may be those of another incarnation, whose numbers are others
+	}
+	w.UpdateClock(now, e.Report.Clock)
+	for _, end := range e.Report.Ended {
+		s.takeEnd(now, w, end)
+	}
+}
+
 // workerAnswered handles an answer of a worker to a poll.
 func (s *State) workerAnswered(now time.Time, w *workers.Worker, e PollAnswered) {
 	w.UpdateClock(now, e.Report.Clock)
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -8,6 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
+	"github.com/wrenferry/wrenferry/pkg/connection/idletimeout"
+	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -62,18 +64,47 @@
 	}
 }
 
+const (
+	// latePollTime is how long a poll is read after its time-out: as long as a worker may take to carry a call out. The ends in
+	// an answer hold whenever it is read.
+	latePollTime = 2 * time.Second
+	// maxOwnDelay bounds by how much a call may exceed its time-out because this process has no processor.
+	maxOwnDelay = 2 * time.Second
+)
+
+// sendPoll polls a worker. A time-out is reported at once, and an answer after it as a late one.
 func (c *Control) sendPoll(ctx context.Context, name string, e cell.SendPoll, sentAt time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
-	defer cancel()
 	lag := c.lag.Begin()
-	report, refusal, err := c.caller.Poll(ctx, e.To, e.Poll)
-	answer := cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err, Lag: lag.End()}
-	c.countCall("look", refusal, err)
-	c.send(cellEvent{name, answer})
+	answer := cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt}
+	poll := func(ctx context.Context) cell.PollAnswered {
+		a := answer
+		a.Report, a.Refusal, a.Err = c.caller.Poll(ctx, e.To, e.Poll)
+		return a
+	}
+	answered, late := idletimeout.Call(ctx, e.Timeout, latePollTime, poll, func() {
+		a := answer
+		a.Lag, a.Err = lag.Lag(), fault.New(fault.Unknown, e.To.ID, "no answer in "+e.Timeout.String(), "")
+		c.countCall("look", a.Refusal, a.Err)
+		c.send(cellEvent{name, a})
+	})
+	answered.Lag, answered.Late = lag.End(), late
+	if late && answered.Err != nil {
+		return
+	}
+	if !late {
+		c.countCall("look", answered.Refusal, answered.Err)
+	}
+	c.send(cellEvent{name, answered})
+}
+
+// orderContext returns the context of an order to a worker. Time for which this process has no processor hardly counts towards
+// the time-out.
+func orderContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return idletimeout.WithIdleTimeout(ctx, timeout, timeout+maxOwnDelay)
 }
 
 func (c *Control) sendStart(ctx context.Context, name string, e cell.SendStart) {
-	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+	ctx, cancel := orderContext(ctx, e.Timeout)
 	defer cancel()
 	began, lag := clock.Now(), c.lag.Begin()
 	reply, err := c.caller.Start(ctx, e.To, e.Start)
@@ -84,7 +115,7 @@
 }
 
 func (c *Control) sendStop(ctx context.Context, name string, e cell.SendStop) {
-	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+	ctx, cancel := orderContext(ctx, e.Timeout)
 	defer cancel()
 	reply, err := c.caller.Stop(ctx, e.To, e.Stop)
 	c.countCall("stop", reply.Refusal, err)
@@ -92,7 +123,7 @@
 }
 
 func (c *Control) sendPace(ctx context.Context, name string, e cell.SendPace) {
-	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+	ctx, cancel := orderContext(ctx, e.Timeout)
 	defer cancel()
 	reply, err := c.caller.Pace(ctx, e.To, e.Pace)
 	c.countCall("pace", reply.Refusal, err)
