Polls of a worker at which a serving task is over its target don't yield to start orders

The pause of the fillers came 5 s after the task went over its target: polls yielded to held start orders, and each reading came up to 0.75 s later. TestPollsDoNotYieldWhereAServingTaskIsOverItsTarget failed before (0.76 s between polls).

--- a/pkg/process/cell/yield_to_starts.go
+++ b/pkg/process/cell/yield_to_starts.go
@@ -38,6 +38,9 @@
 	}
 	pause := yieldFactor * ackPause
 	for _, r := range w.Runs {
+		if !r.OverTargetSince.IsZero() {
+			return ackPause // fillers beside it are paused by what the next answers show
+		}
 		pause = min(pause, max(ackPause, s.endMayWait(now, r)))
 	}
 	return pause
--- a/pkg/process/cell/yield_to_starts_test.go
+++ b/pkg/process/cell/yield_to_starts_test.go
@@ -71,3 +71,49 @@
 	must.Eq(t, usual, shipped)
 	must.Eq(t, writes, shippedWrites)
 }
+
+// overTargetPollPause returns the longest pause before a poll of a worker at which fillers end one after the other beside a
+// serving task with the given tail latency in ms, while start orders are held back.
+func overTargetPollPause(t *testing.T, tail int64) time.Duration {
+	t.Helper()
+	b, free := newCellWithOneFreeWorker(t)
+	b.accept("00000000000000bb", "watches", &wire.StepSpec{Count: 1, Millicores: 8000, MemoryMb: 1000, Lasting: true, TailTargetMs: 100, Image: "s1"})
+	b.accept("00000000000000cc", "offers", &wire.StepSpec{Count: 6, Millicores: 1000, MemoryMb: 1000, Filler: true, EstimateMs: 3000, Image: "f1"})
+	for range 10 {
+		b.step(20 * time.Millisecond)
+	}
+	must.Eq(t, free, b.workerOf["00000000000000bb.0.0.0"])
+	b.heldStarts = true
+	for i := range 30 {
+		b.accept(fmt.Sprintf("%016x", 0xd000+i), "offers", &wire.StepSpec{Count: 8, Millicores: 100, MemoryMb: 100, EstimateMs: 3000, Filler: true, Image: "f2"})
+	}
+	last, longest := time.Time{}, time.Duration(0)
+	for i := range 150 {
+		if i%10 == 0 && i < 60 {
+			b.finish(fmt.Sprintf("00000000000000cc.0.0.%d", i/10), workers.EndedDone)
+		}
+		for k := range b.reports[free].Active {
+			if a := &b.reports[free].Active[k]; a.Task == "00000000000000bb.0.0.0" {
+				a.Percent, a.Reading = 100, tail
+			}
+		}
+		b.step(20 * time.Millisecond)
+		for _, l := range b.polls {
+			if l.To.ID != free {
+				continue
+			}
+			if i > 40 && !last.IsZero() {
+				longest = max(longest, b.now.Sub(last))
+			}
+			last = b.now
+		}
+	}
+	return longest
+}
+
+// Guards against fillers that go on beside a serving task over its target because the polls that show it yield.
+func TestPollsDoNotYieldWhereAServingTaskIsOverItsTarget(t *testing.T) {
+	t.Parallel()
+	must.Greater(t, 500*time.Millisecond, overTargetPollPause(t, 40))
+	must.LessEq(t, 300*time.Millisecond, overTargetPollPause(t, 140))
+}
