--- a/pkg/clock/lag.go
+++ b/pkg/clock/lag.go
@@ -11,7 +11,7 @@
 // LagMeter measures for how long this process had work to do and no processor to do it: the sum of the times by which a
 // timer of its own runs late. An answer that arrives meanwhile is read as late. A caller subtracts the lag from the time
 // that a call took, so that its own wait is not taken for a slow network. It is safe for concurrent use, and measures
-// only while a Measurement is open.
+// only while a Measurement of Begin is open.
 type LagMeter struct {
 	now   func() time.Time
 	after func(time.Duration, func())
@@ -45,6 +45,16 @@
 type Measurement struct {
 	meter *LagMeter
 	began time.Duration
+	// passive is set by Join.
+	passive bool
+}
+
+// Join opens a measurement that sees the lag only while measurements of Begin are open, for calls that last too long to wake
+// the processor for their sake. The caller calls End of it once.
+func (m *LagMeter) Join() Measurement {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Measurement{meter: m, began: m.lag(m.now()), passive: true}
 }
 
 // Begin opens a measurement. The caller calls End of it once.
@@ -71,7 +81,9 @@
 	lag := e.Lag()
 	e.meter.mu.Lock()
 	defer e.meter.mu.Unlock()
-	e.meter.open--
+	if !e.passive {
+		e.meter.open--
+	}
 	return lag
 }
 
--- a/pkg/clock/lag_test.go
+++ b/pkg/clock/lag_test.go
@@ -53,6 +53,20 @@
 	must.Eq(t, 10*time.Millisecond, second.End())
 }
 
+// A poll waits for half a second at its worker. It tells of the lag that orders measure meanwhile, and wakes nothing itself.
+func TestJoinedMeasurementDoesNotSetTheTimer(t *testing.T) {
+	t.Parallel()
+	timer, meter := newLateTimer()
+	poll := meter.Join()
+	must.Nil(t, timer.run)
+	order := meter.Begin()
+	timer.runTimer(30 * time.Millisecond)
+	order.End()
+	timer.runTimer(0)
+	must.Nil(t, timer.run)
+	must.Eq(t, 30*time.Millisecond, poll.End())
+}
+
 // An idle process has no timer of this kind, and the time until the next measurement does not count.
 func TestLagIsMeasuredOnlyWhileAMeasurementIsOpen(t *testing.T) {
 	t.Parallel()
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -74,7 +74,7 @@
 
 // sendPoll polls a worker. A time-out is reported at once, and an answer after it as a late one.
 func (c *Control) sendPoll(ctx context.Context, name string, e cell.SendPoll, sentAt time.Time) {
-	lag := c.lag.Begin()
+	lag := c.lag.Join()
 	answer := cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt}
 	poll := func(ctx context.Context) cell.PollAnswered {
 		a := answer
