An idle time-out wakes the process once, and is extended by as much as its timer fires late

A process that stood when the time was over reads what arrived meanwhile as before: the time is extended by as much as the timer is late, once over. TestAnswersThatArriveWhileTheProcessStandsAreRead and TestPollAnswersThatArriveWhileTheProcessStandsAreRead pass as they are (8 of 8 with the race detector).

--- a/pkg/connection/idletimeout/idletimeout.go
+++ b/pkg/connection/idletimeout/idletimeout.go
@@ -5,9 +5,8 @@
 // traffic. A fixed timeout would end the call, its retry would start from the first byte,
 // and the link would carry nothing but first parts of the answer for as long as the process runs.
 //
-// The idle time is counted in parts, each from when the part before it was seen to be over. A process that got no
-// processor for a while, since its host was suspended or overloaded, loses one part by that. It reads what arrived
-// meanwhile before the next part is over.
+// A process that got no processor for a while, since its host was suspended or overloaded, sees the idle time over too late, and
+// the answers that arrived meanwhile are not read yet. The idle time is then extended by as much, so that they are read first.
 package idletimeout
 
 import (
@@ -16,26 +15,29 @@
 	"time"
 )
 
-// parts is in how many parts the idle time is counted.
-const parts = 9
+// lateDivisor is the part of the idle time from which on a timer counts as late.
+const lateDivisor = 9
 
 type key struct{}
 
-// idleTimer calls over, once, after a number of parts of an idle time without data.
+// idleTimer calls over, once, after an idle time without data.
 type idleTimer struct {
-	part  time.Duration
+	idle  time.Duration
 	over  func()
 	mu    sync.Mutex
-	left  int
+	ended bool
 	timer *time.Timer
+	// due is when the timer should fire, extension by how much the idle time may still be extended.
+	due       time.Time
+	extension time.Duration
 }
 
 // newIdleTimer returns an idleTimer that runs.
 func newIdleTimer(idle time.Duration, over func()) *idleTimer {
-	t := &idleTimer{part: idle / parts, over: over, left: parts}
+	t := &idleTimer{idle: idle, over: over, due: time.Now().Add(idle), extension: idle}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(t.part, t.partOver)
+	t.timer = time.AfterFunc(idle, t.fired)
 	return t
 }
 
@@ -70,34 +72,38 @@
 func (t *idleTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.left = 0
+	t.ended = true
 	t.timer.Stop()
 }
 
-// partOver begins the next part, or calls over after the last one.
-func (t *idleTimer) partOver() {
+// fired calls over, unless the timer has fired late.
+func (t *idleTimer) fired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.left <= 0 {
-		return
-	}
-	t.left--
-	if t.left == 0 {
+	now := time.Now()
+	late := now.Sub(t.due)
+	switch {
+	case t.ended || late < 0: // restarted meanwhile
+	case late >= t.idle/lateDivisor && t.extension > 0:
+		span := min(late, t.extension)
+		t.extension -= span
+		t.due = now.Add(span)
+		t.timer.Reset(span)
+	default:
+		t.ended = true
 		t.over()
-		return
 	}
-	t.timer.Reset(t.part)
 }
 
-// restart begins the first part again, unless the timer is over.
+// restart begins the idle time again, unless it is over.
 func (t *idleTimer) restart() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.left <= 0 {
+	if t.ended {
 		return
 	}
-	t.left = parts
-	t.timer.Reset(t.part)
+	t.due, t.extension = time.Now().Add(t.idle), t.idle
+	t.timer.Reset(t.idle)
 }
 
 // DataReceived restarts the idle timeout of a context that WithIdleTimeout returned. It does nothing
