A run is stalled by what lists tell, not while its leader has not asked

The time without progress ran on while no answer came; a leader with little processor time polls a worker with ends once in 0.75 to 1.5 s and reads that late. A run counts as stalled only if its worker's last list was asked for at least a third of the time-out after the last progress: 0.5 s, 1.3 s for fillers. At usual poll intervals stalls are seen as early as before.

--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -144,9 +144,13 @@
 	stallTimeout = 1500 * time.Millisecond
 	// fillerStallTimeout is stallTimeout for fillers, which get only the processor time that other tasks leave.
 	fillerStallTimeout = 4 * time.Second
+	// A list tells of a stall if it was asked for after the stall timeout divided by stallCheckDivisor: a run at work has made
+	// progress by then.
+	stallCheckDivisor = 3
 )
 
-// stopIfStalled stops a run that has stalled at full pace, and quarantines its worker.
+// stopIfStalled stops a run that has stalled at full pace, and quarantines its worker. A leader that has not asked for a while
+// does not know whether a run makes progress.
 func (s *State) stopIfStalled(now time.Time, w *workers.Worker, r *jobs.Run) {
 	if r.State != jobs.Running || r.Percent >= 100 || w.MoreEnds {
 		return
@@ -158,7 +162,11 @@
 	if r.Pace < 100 || r.PaceWanted < 100 || now.Sub(r.PacedAt) < limit {
 		return
 	}
-	if now.Sub(r.ProgressAt) < limit || now.Sub(r.BeganAt) < limit {
+	progressAt := r.ProgressAt
+	if r.BeganAt.After(progressAt) {
+		progressAt = r.BeganAt
+	}
+	if now.Sub(progressAt) < limit || w.ListAskedAt.Sub(progressAt) < limit/stallCheckDivisor {
 		return
 	}
 	w.Health.Stalled(now)
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -96,6 +96,8 @@
 	// AliveAt is the latest time at which the incarnation is known to have been running: that of its last answer, or
 	// shortly before a waiting call broke.
 	AliveAt time.Time
+	// ListAskedAt is when the poll was sent whose answer listed its runs last: what that says holds for this time or a later one.
+	ListAskedAt time.Time
 	// FailedPolls is how many polls in a row have failed.
 	FailedPolls int
 	// PollSentAt is when the last poll was sent, PollWait how long the worker may wait before it answers, PollTimeout how
