--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -30,7 +30,7 @@
 			w.logf("%s at %s: %s %s %s %s", h.cell, h.name, e.Kind, e.Worker, e.Task, detailOf(e))
 		}
 	case cell.SendPace:
-		h.callWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
+		h.callWorker(e.To, workerCall{limit: e.Timeout, bytes: messageBytes}, func(k *worker) (any, workers.Refusal) {
 			return k.ifAddressed(e.To, func() (any, workers.Refusal) { return anyOf(k.setPace(e.Pace)) })
 		},
 			func(v any, refusal workers.Refusal, err error, _ callTimes) {
@@ -54,21 +54,21 @@
 		h.advise(e)
 	case cell.SendPoll:
 		sentAt := h.clock()
-		h.callWorker(e.To, e.Timeout, e.Poll.Wait, messageBytes, func(k *worker) (any, workers.Refusal) {
+		h.callWorker(e.To, workerCall{limit: e.Timeout, wait: e.Poll.Wait, bytes: messageBytes, readLate: true}, func(k *worker) (any, workers.Refusal) {
 			report, refusal := k.poll(k.pollFor(e.To, e.Poll))
 			w.checker.listed(k, report.Ended)
 			return report, refusal
 		},
 			func(v any, refusal workers.Refusal, err error, times callTimes) {
 				report, _ := v.(workers.Report)
-				h.state.Take(h.clock(), cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err, Lag: times.lag})
+				h.state.Take(h.clock(), cell.PollAnswered{Worker: e.To.ID, SentAt: sentAt, Report: report, Refusal: refusal, Err: err, Lag: times.lag, Late: times.late})
 			})
 	case cell.SendStart:
 		sentAt := h.clock()
 		if w.plan.OddRows && !w.rowWasValid(e.To.Address, h.listReadAt) {
 			w.checker.breakRule("ROW", "%s orders %s at %s, whose row is invalid", h.name, e.Start.Task, e.To.ID)
 		}
-		h.callWorker(e.To, e.Timeout, 0, e.Bytes, func(k *worker) (any, workers.Refusal) {
+		h.callWorker(e.To, workerCall{limit: e.Timeout, bytes: e.Bytes}, func(k *worker) (any, workers.Refusal) {
 			return k.ifAddressed(e.To, func() (any, workers.Refusal) {
 				k.orderedBy, k.orderedAt = h, sentAt
 				return anyOf(k.start(e.Start))
@@ -82,7 +82,7 @@
 				})
 			})
 	case cell.SendStop:
-		h.callWorker(e.To, e.Timeout, 0, messageBytes, func(k *worker) (any, workers.Refusal) {
+		h.callWorker(e.To, workerCall{limit: e.Timeout, bytes: messageBytes}, func(k *worker) (any, workers.Refusal) {
 			return k.ifAddressed(e.To, func() (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) })
 		},
 			func(v any, refusal workers.Refusal, err error, _ callTimes) {
@@ -129,12 +129,24 @@
 // anyOf drops the type of a call's answer.
 func anyOf[T any](v T, r workers.Refusal) (any, workers.Refusal) { return v, r }
 
-// callTimes are the times of a call: how long it took, and for how much of that the host's process had no processor.
-type callTimes struct{ roundTrip, lag time.Duration }
+// callTimes are the times of a call: how long it took, and for how much of that the host's process had no processor. late means
+// that the call has ended without an answer before.
+type callTimes struct {
+	roundTrip, lag time.Duration
+	late           bool
+}
+
+// workerCall says how to call a worker: how long to wait for the answer, how long the worker may wait before it answers, the
+// bytes that are sent, and whether an answer after the limit is read.
+type workerCall struct {
+	limit, wait time.Duration
+	bytes       int
+	readLate    bool
+}
 
 // callWorker calls a worker over the host's link. done runs only in this incarnation of the host; its error is
 // set if no answer came within the limit.
-func (h *seat) callWorker(to workers.Target, limit, wait time.Duration, bytes int, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error, callTimes)) {
+func (h *seat) callWorker(to workers.Target, c workerCall, at func(k *worker) (any, workers.Refusal), done func(any, workers.Refusal, error, callTimes)) {
 	here := h.bindIncarnation()
 	for _, k := range h.world.workers {
 		if k.name != to.Address {
@@ -142,17 +154,19 @@
 		}
 		h.beginCall(func() {
 			sentAt := h.clock()
-			finish := func(v any, refusal workers.Refusal, ok bool, lag time.Duration) {
+			finish := func(v any, refusal workers.Refusal, ok, late bool, lag time.Duration) {
 				var err error
 				if !ok {
 					err = fault.New(fault.Unknown, to.ID, "no answer", "")
 				}
-				done(v, refusal, err, callTimes{roundTrip: h.clock().Sub(sentAt), lag: lag})
+				done(v, refusal, err, callTimes{roundTrip: h.clock().Sub(sentAt), lag: lag, late: late})
 				h.act()
 			}
 			receive := h.receiver(finish)
-			call(h.world, h.name, k, to.ID, limit, wait, h.uploadDelay(bytes)+h.connectDelay(k), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok bool) {
-				here(func() { receive(v, refusal, ok) })
+			call(h.world, h.name, k, to.ID, c.limit, c.wait, h.uploadDelay(c.bytes)+h.connectDelay(k), func() (any, workers.Refusal) { return at(k) }, func(v any, refusal workers.Refusal, ok, late bool) {
+				if !late || c.readLate {
+					here(func() { receive(v, refusal, ok, late) })
+				}
 			})
 		})
 	}
--- a/pkg/emulator/incarnations.go
+++ b/pkg/emulator/incarnations.go
@@ -72,16 +72,25 @@
 	return []workers.Record{r}
 }
 
+// lateCallTime is how long after its limit a call is still answered late.
+const lateCallTime = 2 * time.Second
+
 // call emulates a call from a host to a worker. After the delays of queueing and network the worker executes
 // it, waits up to wait for an end to report, and sends back the answer. done gets ok false if no answer arrives
-// within limit.
-func call[T any](w *World, from string, k *worker, workerID string, limit, wait, queued time.Duration, execute func() (T, workers.Refusal), done func(T, workers.Refusal, bool)) {
+// within limit, and is then called again with late set if one arrives within lateCallTime.
+func call[T any](w *World, from string, k *worker, workerID string, limit, wait, queued time.Duration, execute func() (T, workers.Refusal), done func(v T, r workers.Refusal, ok, late bool)) {
 	var none T
 	answered, stream := false, "call "+from+" "+k.name
+	overdueAt := w.now.Add(limit)
+	overdue := false
 	answer := func(v T, r workers.Refusal, ok bool) {
-		if !answered {
-			answered = true
-			done(v, r, ok)
+		switch {
+		case !answered:
+			answered, overdue = true, !ok && !w.now.Before(overdueAt)
+			done(v, r, ok, false)
+		case ok && overdue && w.now.Before(overdueAt.Add(lateCallTime)):
+			overdue = false
+			done(v, r, ok, true)
 		}
 	}
 	w.after(limit, func() { answer(none, workers.NotRefused, false) })
--- a/pkg/emulator/processor.go
+++ b/pkg/emulator/processor.go
@@ -104,11 +104,11 @@
 
 // receiver returns a function that takes the outcome of a call of a worker, and has finish handle it once the host's processor
 // has had time for it. An answer that has arrived within the call's limit is read, however long it waits for the processor.
-func (h *seat) receiver(finish func(v any, refusal workers.Refusal, ok bool, lag time.Duration)) func(v any, refusal workers.Refusal, ok bool) {
+func (h *seat) receiver(finish func(v any, refusal workers.Refusal, ok, late bool, lag time.Duration)) func(v any, refusal workers.Refusal, ok, late bool) {
 	if h.world.plan.Processor == (Processor{}) {
-		return func(v any, refusal workers.Refusal, ok bool) { finish(v, refusal, ok, 0) }
+		return func(v any, refusal workers.Refusal, ok, late bool) { finish(v, refusal, ok, late, 0) }
 	}
-	return func(v any, refusal workers.Refusal, ok bool) {
-		h.compute(h.world.plan.Processor.Answer, func(waited time.Duration) { finish(v, refusal, ok, waited) })
+	return func(v any, refusal workers.Refusal, ok, late bool) {
+		h.compute(h.world.plan.Processor.Answer, func(waited time.Duration) { finish(v, refusal, ok, late, waited) })
 	}
 }
