Notifications of leaders may take two seconds, as nobody waits for them

That the notification was lost to the time-out is not shown by a log. TestCancelReachesALeaderThatIsLate failed before.

--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -140,8 +140,9 @@
 	c.send(cellEvent{name, cell.AdviceAnswered{Unit: e.Unit, Tickets: tickets, Err: err}})
 }
 
-// notifyTimeout is the timeout of a notification to another cell's leader.
-const notifyTimeout = 300 * time.Millisecond
+// notifyTimeout is the timeout of a notification to another cell's leader, for which nobody waits. A leader that has no processor
+// for a while takes it late.
+const notifyTimeout = 2 * time.Second
 
 // notifyLeader notifies the leader of another cell of a change that is recorded in the table.
 func (c *Control) notifyLeader(ctx context.Context, e cell.NotifyLeader) {
--- a/pkg/request/intake/cancel_test.go
+++ b/pkg/request/intake/cancel_test.go
@@ -3,11 +3,17 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"google.golang.org/grpc"
 
 	"github.com/wrenferry/wrenferry/pkg/clock"
+	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -42,6 +48,40 @@
 	must.Eq(t, []string{"home " + id, "other " + id}, notified)
 }
 
+// lateLeader leads a cell at another host, and takes 600 ms to carry a call out. It notes the cancels that it carried out before
+// their calls had ended.
+type lateLeader struct {
+	wire.FleetClient
+	cancelled chan string
+}
+
+func (l lateLeader) PeerClient(string) (wire.FleetClient, error) { return l, nil }
+
+func (l lateLeader) Cancelled(ctx context.Context, in *wire.JobRef, _ ...grpc.CallOption) (*wire.Empty, error) {
+	time.Sleep(600 * time.Millisecond)
+	if ctx.Err() != nil {
+		l.cancelled <- "too late"
+		return nil, ctx.Err()
+	}
+	l.cancelled <- in.GetId()
+	return &wire.Empty{}, nil
+}
+
+// Guards against tasks of a cancelled job that start because their leader, which had no processor for a while, carried out the
+// notification after the caller had given it up, while the table did not show the cancel either.
+func TestCancelReachesALeaderThatIsLate(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000aa"
+	direct := fixedTable{rows: []table.Row{rows.Row(rows.AnchorKey(id), &wire.JobAnchor{Cell: "far", Queue: "offers"})}}
+	leader := lateLeader{cancelled: make(chan string, 2)}
+	log, _ := logtest.NewNullLogger()
+	client := store.New(direct, func() []store.Peer { return nil }, metrics.NewRegistry(), clock.Now())
+	leaders := knowingLeaders{jobs: &sync.Map{}, farFresh: true}
+	_, err := intake.New("hall", client, leaders, leader, log.WithField("test", true), metrics.NewRegistry()).Cancel(context.Background(), clock.Now(), id)
+	must.NoError(t, err)
+	must.Eq(t, id, <-leader.cancelled)
+}
+
 // commitRecorder is a table that records the keys of committed rows.
 type commitRecorder struct {
 	fixedTable
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -32,8 +32,11 @@
 )
 
 const (
-	// peerTimeout bounds a call to a cell's leader.
+	// peerTimeout bounds a call to a cell's leader whose answer a caller waits for.
 	peerTimeout = 300 * time.Millisecond
+	// notifyTimeout bounds a notification, for which nobody waits: a leader that has no processor for a while takes it late, and
+	// while the table is slow it may learn of a cancel in no other way.
+	notifyTimeout = 2 * time.Second
 	// maxCachedAnchors and maxCachedFinalPhases bound the caches of home cells and final
 	// phases, in jobs: some minutes' worth at the rates of the largest known deployment.
 	maxCachedAnchors     = 8192
@@ -242,7 +245,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
 		p, err := i.peers.PeerClient(view.Address)
 		if err == nil {
