The control goroutine pauses only once its batches exceed a third of the time by 40 ms

A burst of messages is decided on at once; in the long run a third of the time is left for batches, as before.

--- a/pkg/process/dutycycle/dutycycle.go
+++ b/pkg/process/dutycycle/dutycycle.go
@@ -10,19 +10,33 @@
 import "time"
 
 const (
-	// pauseFactor is how many times as long as a batch the pause after it is: a third of the time remains for batches.
-	pauseFactor = 2
+	// share is the part of the time that is left for batches in the long run: one in share.
+	share = 3
+	// burst is how much longer batches may take before they pause: a burst of messages is decided on at once where the processor
+	// is otherwise free.
+	burst = 40 * time.Millisecond
 	// maxPause bounds the pause, so that a batch that took long once doesn't delay the next one.
 	maxPause = 60 * time.Millisecond
 )
 
 // Limiter tells when the next batch may begin.
-type Limiter struct{ notBefore time.Time }
+type Limiter struct {
+	// excess is by how much batches had taken more than their share of the time at the time at.
+	excess time.Duration
+	at     time.Time
+}
 
 // Ran records that a batch began and ended.
 func (l *Limiter) Ran(began, ended time.Time) {
-	l.notBefore = ended.Add(min(maxPause, pauseFactor*max(0, ended.Sub(began))))
+	l.excess, l.at = min(l.excessAt(ended)+max(0, ended.Sub(began)), burst+maxPause/share), ended
 }
 
 // Pause returns how long to wait before a batch that could begin now; 0 if it may.
-func (l *Limiter) Pause(now time.Time) time.Duration { return max(0, l.notBefore.Sub(now)) }
+func (l *Limiter) Pause(now time.Time) time.Duration {
+	return max(0, share*(l.excessAt(now)-burst))
+}
+
+// excessAt returns the excess without what the time since then has made up for.
+func (l *Limiter) excessAt(now time.Time) time.Duration {
+	return max(0, l.excess-max(0, now.Sub(l.at))/share)
+}
