After rare answers fillers are paused earlier, and not kept away by a single reading

Counting the time over the target from before the first answer that showed it closed a worker for fillers at once, by one rough reading. The pause now needs two answers, and comes earlier by as much as the gap between answers exceeds the usual one. TestFillersArePausedInTimeThoughAnswersAreRare passes (2.8 s).

--- a/pkg/process/cell/filler_pace.go
+++ b/pkg/process/cell/filler_pace.go
@@ -30,8 +30,8 @@
 	// overTargetLevel is the level from which a reading counts as over the target. Readings are rough: one that
 	// is a little below the target may be no break by the platform's own reading.
 	overTargetLevel = -0.1
-	// usualAnswerGap is the time between two answers to polls of a worker with runs. What the first answer after a longer time
-	// shows counts from the end of that time on: it may have been so since soon after the answer before.
+	// usualAnswerGap is the time between two answers to polls of a worker with runs. After a longer gap, fillers are paused by as
+	// much earlier: the next answer may come as late.
 	usualAnswerGap = pollWait + 100*time.Millisecond
 	// noJoinAfter is how long a tail latency may be over its target before no more fillers are placed there.
 	noJoinAfter = 900 * time.Millisecond
@@ -139,13 +139,13 @@
 			continue
 		}
 		if r.OverTargetSince.IsZero() {
-			r.OverTargetSince = now.Add(-max(0, w.AnswerGap-usualAnswerGap))
+			r.OverTargetSince = now
 		}
 		over := now.Sub(r.OverTargetSince)
 		if over > noJoinAfter {
 			w.NoFillersUntil = now.Add(pauseFor)
 		}
-		if over > pauseAfter && s.enabled(CutFillers) {
+		if over > max(0, pauseAfter-max(0, w.AnswerGap-usualAnswerGap)) && s.enabled(CutFillers) {
 			pauseFillers(now, w)
 		}
 	}
--- a/pkg/process/cell/filler_pace_test.go
+++ b/pkg/process/cell/filler_pace_test.go
@@ -66,7 +66,7 @@
 }
 
 // Guards against fillers that are paused after the four seconds that count as harm, because their leader reads a busy worker's
-// answers seldom: what the first of them shows may have been so since the one before.
+// answers seldom.
 func TestFillersArePausedInTimeThoughAnswersAreRare(t *testing.T) {
 	t.Parallel()
 	const step, between = 50 * time.Millisecond, 1400 * time.Millisecond
