Time-outs are counted in three parts, and a call with grace ends whatever data comes

Three parts wake the process a third as often as nine; the last one is extended if it ends late, as before. idletimeout.Call went on for as long as pieces of an answer came, so that a poll could outlast the lease that it renews; data no longer restarts its time. TestDataDoesNotExtendACallWithGrace fails without that.

--- a/pkg/connection/idletimeout/idletimeout.go
+++ b/pkg/connection/idletimeout/idletimeout.go
@@ -5,8 +5,9 @@
 // traffic. A fixed timeout would end the call, its retry would start from the first byte,
 // and the link would carry nothing but first parts of the answer for as long as the process runs.
 //
-// A process that got no processor for a while, since its host was suspended or overloaded, sees the idle time over too late, and
-// the answers that arrived meanwhile are not read yet. The idle time is then extended by as much, so that they are read first.
+// The idle time is counted in parts, each from when the part before it was seen to be over: time for which the process had no
+// processor counts as one part at most. If the last part is seen to be over late, the idle time is extended by as much, so that the
+// answers that arrived meanwhile are read first.
 package idletimeout
 
 import (
@@ -15,8 +16,12 @@
 	"time"
 )
 
-// lateDivisor is the part of the idle time from which on a timer counts as late.
-const lateDivisor = 9
+const (
+	// parts is in how many parts the idle time is counted. Each of them wakes the process once.
+	parts = 3
+	// lateDivisor divides the idle time: a timer that fires by more than the result after it was due has fired late.
+	lateDivisor = 9
+)
 
 type key struct{}
 
@@ -27,17 +32,19 @@
 	mu    sync.Mutex
 	ended bool
 	timer *time.Timer
-	// due is when the timer should fire, extension by how much the idle time may still be extended.
+	// left is how many parts have not ended, due when the timer should fire, extension by how much the idle time may still be
+	// extended.
+	left      int
 	due       time.Time
 	extension time.Duration
 }
 
 // newIdleTimer returns an idleTimer that runs.
 func newIdleTimer(idle time.Duration, over func()) *idleTimer {
-	t := &idleTimer{idle: idle, over: over, due: time.Now().Add(idle), extension: idle}
+	t := &idleTimer{idle: idle, over: over, left: parts, due: time.Now().Add(idle / parts), extension: idle}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(idle, t.fired)
+	t.timer = time.AfterFunc(idle/parts, t.fired)
 	return t
 }
 
@@ -52,9 +59,9 @@
 	}
 }
 
-// Call makes a call, and returns its result. If no data has arrived for the time idle, it calls overdue, and then goes on
-// waiting for the result for the time grace: late is true for a result that came after overdue. The context that call gets
-// ends after idle and grace, and an answer that has arrived by the end of idle is not late because nobody has read it yet.
+// Call makes a call, and returns its result. If it has not ended after the time idle, Call calls overdue, and goes on waiting for
+// the result for the time grace: late is true for a result that came after overdue. Data that has arrived does not restart the
+// time, which is counted as that of WithIdleTimeout otherwise.
 func Call[T any](ctx context.Context, idle, grace time.Duration, call func(ctx context.Context) T, overdue func()) (result T, late bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -63,7 +70,7 @@
 		overdue()
 		time.AfterFunc(grace, cancel)
 	})
-	result = call(context.WithValue(ctx, key{}, t))
+	result = call(ctx)
 	t.stop()
 	return result, late
 }
@@ -76,25 +83,32 @@
 	t.timer.Stop()
 }
 
-// fired calls over, unless the timer has fired late.
+// fired begins the next part, or calls over after the last one unless that has ended late.
 func (t *idleTimer) fired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	late := now.Sub(t.due)
+	late := time.Since(t.due)
 	switch {
 	case t.ended || late < 0: // restarted meanwhile
+	case t.left > 1:
+		t.left--
+		t.set(t.idle / parts)
 	case late >= t.idle/lateDivisor && t.extension > 0:
 		span := min(late, t.extension)
 		t.extension -= span
-		t.due = now.Add(span)
-		t.timer.Reset(span)
+		t.set(span)
 	default:
 		t.ended = true
 		t.over()
 	}
 }
 
+// set sets the timer.
+func (t *idleTimer) set(span time.Duration) {
+	t.due = time.Now().Add(span)
+	t.timer.Reset(span)
+}
+
 // restart begins the idle time again, unless it is over.
 func (t *idleTimer) restart() {
 	t.mu.Lock()
@@ -102,8 +116,8 @@
 	if t.ended {
 		return
 	}
-	t.due, t.extension = time.Now().Add(t.idle), t.idle
-	t.timer.Reset(t.idle)
+	t.left, t.extension = parts, t.idle
+	t.set(t.idle / parts)
 }
 
 // DataReceived restarts the idle timeout of a context that WithIdleTimeout returned. It does nothing
--- a/pkg/connection/idletimeout/idletimeout_test.go
+++ b/pkg/connection/idletimeout/idletimeout_test.go
@@ -59,3 +59,18 @@
 	}, func() {})
 	must.True(t, late)
 }
+
+// A call that gets its answer in pieces ends as one that gets it at once: a poll renews a lease, which runs out meanwhile.
+func TestDataDoesNotExtendACallWithGrace(t *testing.T) {
+	t.Parallel()
+	began := time.Now()
+	_, late := idletimeout.Call(context.Background(), 100*time.Millisecond, 200*time.Millisecond, func(ctx context.Context) bool {
+		for ctx.Err() == nil && time.Since(began) < 10*time.Second {
+			idletimeout.DataReceived(ctx)
+			time.Sleep(20 * time.Millisecond)
+		}
+		return true
+	}, func() {})
+	must.True(t, late)
+	must.Less(t, 5*time.Second, time.Since(began))
+}
