A list older than a late answer revives no run

Found by a review: after a late answer had listed the end of a run, an older answer that still listed it as active made the leader take it for running again, for 0.5 to 1.5 s. Lists whose clock reading is below that of a late answer are not taken, and a late answer shows that the worker lived when its poll was sent. TestListOlderThanALateAnswerRevivesNoRun fails without that. TestEndsInALateAnswerToAnEarlierLeadershipAreIgnored guards a check that no test guarded.

--- a/pkg/process/cell/late_answers_test.go
+++ b/pkg/process/cell/late_answers_test.go
@@ -71,3 +71,44 @@
 	}
 	must.Eq(t, 2, b.startsOf(task))
 }
+
+// An answer to a poll of an earlier leadership of this process may list ends that a later leader has recorded differently.
+func TestEndsInALateAnswerToAnEarlierLeadershipAreIgnored(t *testing.T) {
+	t.Parallel()
+	b, task, poll := newCellWithUnreadEnd(t)
+	poll.SentAt = time.Unix(999, 0)
+	b.state.Take(b.now, poll)
+	for range 60 {
+		b.step(100 * time.Millisecond)
+	}
+	must.Eq(t, 2, b.startsOf(task))
+}
+
+// Guards against a run that counts as running again because an older answer lists it after a late one has listed its end.
+func TestListOlderThanALateAnswerRevivesNoRun(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.accept(delegatedJob, "offers", &wire.StepSpec{Count: 1, Millicores: 1000, MemoryMb: 100, EstimateMs: 500})
+	for range 5 {
+		b.step(20 * time.Millisecond)
+	}
+	task := delegatedJob + ".0.0.0"
+	worker := b.workerOf[task]
+	slow := &slowPolls{testCell: b, worker: worker}
+	slow.step(20*time.Millisecond, false)
+	older := b.report(worker)
+	b.clock += 100 * time.Millisecond
+	b.finish(task, workers.EndedStopped)
+	b.state.Take(b.now, cell.PollAnswered{Worker: worker, SentAt: b.now.Add(-time.Millisecond), Report: b.report(worker), Late: true})
+	b.state.Take(b.now, cell.PollAnswered{Worker: worker, SentAt: slow.sentAt, Report: older})
+	for _, n := range b.notes {
+		must.NotEq(t, cell.NoteAdopted, n.Kind)
+	}
+	var adopted bool
+	for _, e := range slow.step(20*time.Millisecond, false) {
+		if n, ok := e.(cell.Note); ok {
+			adopted = adopted || n.Kind == cell.NoteAdopted
+		}
+	}
+	must.False(t, adopted)
+}
--- a/pkg/process/cell/poll.go
+++ b/pkg/process/cell/poll.go
@@ -227,8 +227,10 @@
 	for _, end := range e.Report.Ended {
 		s.takeEnd(now, w, end)
 	}
-	s.reconcileActive(now, w, e)
-	s.learnInterference(now, w)
+	if e.Report.Clock >= w.LateClock { // else runs that it lists may have ended by the late answer
+		s.reconcileActive(now, w, e)
+		s.learnInterference(now, w)
+	}
 	switch {
 	case s.phase == releasing:
 		w.NextPollAt = now.Add(pollRetryPause)
@@ -251,6 +253,10 @@
 		return // the ends may be those of another incarnation, whose numbers are others
 	}
 	w.UpdateClock(now, e.Report.Clock)
+	w.LateClock = max(w.LateClock, e.Report.Clock)
+	if e.SentAt.After(w.AliveAt) {
+		w.AliveAt = e.SentAt
+	}
 	for _, end := range e.Report.Ended {
 		s.takeEnd(now, w, end)
 	}
--- a/pkg/process/workers/worker.go
+++ b/pkg/process/workers/worker.go
@@ -93,6 +93,8 @@
 	// zero: the last call succeeded.
 	LastAnswerAt time.Time
 	SilentSince  time.Time
+	// LateClock is the reading of the worker's clock in the newest answer that came after its poll's time-out.
+	LateClock time.Duration
 	// AnswerGap is the time between its last two answers.
 	AnswerGap time.Duration
 	// AliveAt is the latest time at which the incarnation is known to have been running: that of its last answer, or
