A wait for the processor leaves the order window at 16 kB, and gives no fastest answer

Found by a review: a lag above 250 ms that orders do not cause still took the window to its floor of 6 kB, and one answer whose transit fell into a time without a processor made all others look late (round trips of 70 ms and more: 1,031 answers in 10 s, not 120,606). By lag the window shrinks to 16 kB at most; the fastest answer is taken from answers with little lag; an order without an answer shrinks the window only by the time that this process had a processor.

--- a/pkg/process/cell/orders.go
+++ b/pkg/process/cell/orders.go
@@ -106,7 +106,7 @@
 func (s *State) updateWindow(now time.Time, e StartAnswered) {
 	s.delays.starts.answered(e)
 	if e.Err != nil {
-		s.startWindow.Unanswered(now, e.RoundTrip, e.Bytes)
+		s.startWindow.Unanswered(now, e.RoundTrip-e.Lag, e.Bytes)
 	} else {
 		s.startWindow.Answered(now, e.RoundTrip, e.Lag, e.Bytes)
 	}
--- a/pkg/process/orderwindow/orderwindow.go
+++ b/pkg/process/orderwindow/orderwindow.go
@@ -17,8 +17,13 @@
 	// a lease.
 	targetDelay = 60 * time.Millisecond
 	// targetLag is for how long answers may wait for this process's processor. It is longer than targetDelay, since fewer
-	// orders in flight shorten that wait only as far as it is caused by orders.
-	targetLag = 200 * time.Millisecond
+	// orders in flight shorten that wait only as far as it is caused by orders. For the same reason a longer wait shrinks the
+	// window to minSizeByLag bytes at most.
+	targetLag    = 200 * time.Millisecond
+	minSizeByLag = 16 << 10
+	// clearLagShare is the share of an answer time up to which the lag may overlap the transit of the answer without making it
+	// look shorter than that of an empty link.
+	clearLagShare = 0.25
 	// initialSize is the window before the first answer, in bytes: 0.13 s of a link of
 	// 2 Mbit/s, 27 orders of 1.2 kB.
 	initialSize = 32 << 10
@@ -105,13 +110,14 @@
 	w.answeredAt = now
 	w.updateAnswerTimes(now, took, took-lag)
 	queued := took - lag - min(w.fastest, w.lastFastest)
-	excess := max(float64(queued)/float64(targetDelay), float64(lag)/float64(targetLag))
-	if excess > 1 {
-		w.shrink(now, 1/excess)
-		return
-	}
-	if w.heldBack {
-		w.size = min(maxSize, w.size+float64(bytes)*(1-excess))
+	byLink, byLag := float64(queued)/float64(targetDelay), float64(lag)/float64(targetLag)
+	switch {
+	case byLink > 1:
+		w.shrink(now, 1/byLink, minSize)
+	case byLag > 1:
+		w.shrink(now, 1/byLag, min(w.size, minSizeByLag))
+	case w.heldBack:
+		w.size = min(maxSize, w.size+float64(bytes)*(1-max(byLink, byLag)))
 	}
 }
 
@@ -121,7 +127,7 @@
 func (w *Window) Unanswered(now time.Time, took time.Duration, bytes int) {
 	w.removeInFlight(bytes)
 	if took >= MinTimeout && now.Sub(w.answeredAt) >= took {
-		w.shrink(now, minShrinkFactor)
+		w.shrink(now, minShrinkFactor, minSize)
 	}
 }
 
@@ -130,27 +136,29 @@
 // updateAnswerTimes updates the fastest answer times on the way, the mean answer time and the mean deviation.
 func (w *Window) updateAnswerTimes(now time.Time, took, onTheWay time.Duration) {
 	if w.fastestSince.IsZero() {
-		w.fastest, w.lastFastest, w.fastestSince = onTheWay, onTheWay, now
+		w.fastest, w.lastFastest, w.fastestSince = took, took, now
 		w.meanAnswerTime, w.meanDeviation = took, took/2
 		return
 	}
-	if now.Sub(w.fastestSince) > fastestSpan {
-		w.lastFastest, w.fastest, w.fastestSince = w.fastest, onTheWay, now
+	if lagIsClear := float64(took-onTheWay) <= clearLagShare*float64(took); lagIsClear {
+		if now.Sub(w.fastestSince) > fastestSpan {
+			w.lastFastest, w.fastest, w.fastestSince = w.fastest, onTheWay, now
+		}
+		w.fastest = min(w.fastest, onTheWay)
 	}
-	w.fastest = min(w.fastest, onTheWay)
 	deviation := took - w.meanAnswerTime
 	w.meanAnswerTime += time.Duration(smoothing * float64(deviation))
 	w.meanDeviation += time.Duration(smoothing * float64(deviation.Abs()-w.meanDeviation))
 }
 
-// shrink shrinks the window at most once per mean answer time, since the answers to orders
+// shrink shrinks the window, to least bytes at least, at most once per mean answer time, since the answers to orders
 // already in flight still reflect the earlier size.
-func (w *Window) shrink(now time.Time, factor float64) {
+func (w *Window) shrink(now time.Time, factor, least float64) {
 	if now.Sub(w.shrunkAt) < max(w.meanAnswerTime, targetDelay) {
 		return
 	}
 	w.shrunkAt = now
-	w.size = max(minSize, w.size*max(minShrinkFactor, factor))
+	w.size = max(least, w.size*max(minShrinkFactor, factor))
 }
 
 // Timeout returns how long to wait for an answer: the mean answer time plus several mean
