--- a/pkg/connection/idletimeout/idletimeout.go
+++ b/pkg/connection/idletimeout/idletimeout.go
@@ -89,7 +89,9 @@
 	defer t.mu.Unlock()
 	late := time.Since(t.due)
 	switch {
-	case t.ended || late < 0: // restarted meanwhile
+	case t.ended:
+	case late < 0: // restarted meanwhile
+		t.timer.Reset(-late)
 	case t.left > 1:
 		t.left--
 		t.set(t.idle / parts)
