--- a/pkg/clock/lag.go
+++ b/pkg/clock/lag.go
@@ -8,8 +8,8 @@
 // lagInterval is the interval at which a LagMeter checks how late its timer runs.
 const lagInterval = 5 * time.Millisecond
 
-// LagMeter measures for how long this process had work to do and no processor to do it: the sum of the times by which a
-// timer of its own runs late. An answer that arrives meanwhile is read as late. A caller subtracts the lag from the time
+// LagMeter measures for how long this process was ready to run and did not run: the sum of the times by which a timer of its
+// own fires late. An answer that arrives meanwhile is read as late. A caller subtracts the lag from the time
 // that a call took, so that its own wait is not taken for a slow network. It is safe for concurrent use, and measures
 // only while a Measurement of Begin is open.
 type LagMeter struct {
@@ -45,7 +45,7 @@
 type Measurement struct {
 	meter *LagMeter
 	began time.Duration
-	// passive is set by Join.
+	// passive measurements do not keep the timer running.
 	passive bool
 }
 
--- a/pkg/connection/idletimeout/idletimeout.go
+++ b/pkg/connection/idletimeout/idletimeout.go
@@ -19,7 +19,8 @@
 const (
 	// parts is in how many parts the idle time is counted. Each of them wakes the process once.
 	parts = 3
-	// lateDivisor divides the idle time: a timer that fires by more than the result after it was due has fired late.
+	// A timer that fires later than it was due by the idle time divided by lateDivisor, or more, has fired late. Timers of a
+	// process that has a processor fire some milliseconds late.
 	lateDivisor = 9
 )
 
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -110,7 +110,8 @@
 	Report  workers.Report
 	Refusal workers.Refusal
 	Err     error
-	// Lag is for how much of the time since SentAt this process had no processor, as far as start orders were in flight.
+	// Lag is for how much of the time since SentAt this process had no processor. It is measured only while start orders are in
+	// flight.
 	Lag time.Duration
 	// Late means that the poll has been reported as failed before.
 	Late bool
--- a/pkg/process/cell/lost_runs.go
+++ b/pkg/process/cell/lost_runs.go
@@ -144,8 +144,8 @@
 	stallTimeout = 1500 * time.Millisecond
 	// fillerStallTimeout is stallTimeout for fillers, which get only the processor time that other tasks leave.
 	fillerStallTimeout = 4 * time.Second
-	// A list tells of a stall if it was asked for after the stall timeout divided by stallCheckDivisor: a run at work has made
-	// progress by then.
+	// A worker's list shows a stall only if the leader asked for it at least the stall timeout divided by stallCheckDivisor after
+	// the run's last progress: a run at work has made progress by then.
 	stallCheckDivisor = 3
 )
 
--- a/pkg/process/dutycycle/dutycycle_test.go
+++ b/pkg/process/dutycycle/dutycycle_test.go
@@ -40,6 +40,7 @@
 	must.Zero(t, l.Pause(began.Add(5*batch)))
 }
 
+// Batches that take no more than their share never wait.
 func TestRareBatchesDoNotWait(t *testing.T) {
 	t.Parallel()
 	l := &dutycycle.Limiter{}
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -97,8 +97,8 @@
 	c.send(cellEvent{name, answered})
 }
 
-// orderContext returns the context of an order to a worker. Time for which this process has no processor hardly counts towards
-// the time-out.
+// orderContext returns the context of an order to a worker. A time for which this process has no processor counts as a third of
+// the time-out at most (package idletimeout).
 func orderContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	return idletimeout.WithIdleTimeout(ctx, timeout, timeout+maxOwnDelay)
 }
