Log whom an unsettled cell waits for

What callers saw: lasting tasks stood still after a takeover. No line told by which proof the cell waits, of whom and for how long: lasting-task-waits names one worker, and nothing is logged where no lasting task waits.

members-awaited, each second while the cell has not settled, names the members, whether each is silent, until when leases may last there, and the earlier leaders that are not known to have ended.

--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -244,6 +244,8 @@
 	reportedCapacity reportedCapacity
 	// lastingWaitsLoggedAt is when the log last gave the reasons why lasting tasks wait.
 	lastingWaitsLoggedAt time.Time
+	// awaitedLoggedAt is when the log last named the members that the cell waits for.
+	awaitedLoggedAt time.Time
 	// placesTaken counts the places that other tasks took from an overdue lasting task, for the log.
 	placesTaken placesTaken
 	// idlePollPause is the pause between polls of a worker without runs.
@@ -451,6 +453,7 @@
 	s.decideVerdicts(now)
 	s.expireSilentRuns(now)
 	s.settle(now)
+	s.logAwaitedMembers(now)
 	s.dropRetainedMembers()
 	s.dropEmptyMembers(now)
 	s.updateKnownRuns(now)
