Read the platform's inventory of workers, which tells an ended worker from one that is cut off

Cause of what follows: no connection tells a worker that has ended from one that can't be reached, and the leader that knew may be gone. The platform's list of machines names the worker that runs on each; one that has ended is missing, one that is only cut off is not. Nothing read it.

No cell asks yet.

--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/fault"
+	"github.com/wrenferry/wrenferry/pkg/process/inventory"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
@@ -117,6 +118,13 @@
 	Late bool
 }
 
+// InventoryRead is the outcome of a reading of the platform's inventory, also of one that another cell of this process
+// has asked for.
+type InventoryRead struct {
+	List inventory.List
+	Err  error
+}
+
 // StartAnswered is the outcome of a start order.
 type StartAnswered struct {
 	Worker string
@@ -176,6 +184,7 @@
 func (CancelRequested) event()     {}
 func (TasksReturned) event()       {}
 func (PollAnswered) event()        {}
+func (InventoryRead) event()       {}
 func (StartAnswered) event()       {}
 func (StopAnswered) event()        {}
 func (PaceAnswered) event()        {}
@@ -197,6 +206,9 @@
 	Timeout time.Duration
 }
 
+// ReadInventory asks to read the platform's inventory. The answer is InventoryRead.
+type ReadInventory struct{}
+
 // SendStart asks to send a start order. The answer is always a StartAnswered, also if the call fails.
 type SendStart struct {
 	To      workers.Target
@@ -264,6 +276,7 @@
 
 func (Load) effect()          {}
 func (SendPoll) effect()      {}
+func (ReadInventory) effect() {}
 func (SendStart) effect()     {}
 func (SendStop) effect()      {}
 func (SendPace) effect()      {}
--- a/pkg/process/fleet/config.go
+++ b/pkg/process/fleet/config.go
@@ -23,6 +23,8 @@
 	Metrics string
 	Table   string
 	Advice  string
+	// Inventory is the address of the platform's inventory of hosts; empty: there is none.
+	Inventory string
 
 	MaxLease  time.Duration
 	Retention time.Duration
@@ -61,6 +63,7 @@
 	{Name: "metrics", Example: `"10.0.0.1:8083"`, Required: true, Help: "Where metrics and the state of this process are told over HTTP.", Set: configfile.Address(func(c *Config) *string { return &c.Metrics })},
 	{Name: "table", Example: `"10.0.0.9:7000"`, Required: true, Help: "Where the table service is.", Set: configfile.Address(func(c *Config) *string { return &c.Table })},
 	{Name: "advice", Example: `"10.0.0.9:7001"`, Help: "Where the service is that says which workers may run a step; empty: there is none.", Set: configfile.Value(func(c *Config) *string { return &c.Advice })},
+	{Name: "inventory", Example: `"10.0.0.9:7002"`, Help: "Where the platform's inventory of hosts and the workers that run there is, by which a leader learns that a silent worker has ended; empty: there is none, and the worker's lease decides.", Set: configfile.Value(func(c *Config) *string { return &c.Inventory })},
 	{Name: "maxLease", Example: `"10s"`, Help: "The longest that a worker holds what runs without renewal (default 10s).", Set: configfile.Duration(func(c *Config) *time.Duration { return &c.MaxLease })},
 	{Name: "retention", Example: `"2m"`, Help: "How long the state of an ended job is told (default 2m).", Set: configfile.Duration(func(c *Config) *time.Duration { return &c.Retention })},
 	{Name: "grace", Example: `"6s"`, Help: "How long a planned stop may take (default 6s).", Set: configfile.Duration(func(c *Config) *time.Duration { return &c.Grace })},
--- a/pkg/process/fleet/control.go
+++ b/pkg/process/fleet/control.go
@@ -22,6 +22,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/dutycycle"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/inventory"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/pkg/rows"
@@ -48,9 +49,11 @@
 	store   *store.Client
 	caller  workers.Caller
 	advisor workers.Advisor
-	log     *logrus.Entry
-	metrics metrics.Registry
-	wall    func() time.Time
+	// inventory is read while workers are silent.
+	inventory inventory.Reader
+	log       *logrus.Entry
+	metrics   metrics.Registry
+	wall      func() time.Time
 
 	inbox    chan message
 	cells    map[string]*localCell
@@ -109,7 +112,7 @@
 // NewControl returns the Control of a process. cells maps the name of each cell to its hall.
 func NewControl(self election.Self, cells map[string]string, bounds cell.Bounds, st *store.Client, caller workers.Caller, advisor workers.Advisor, log *logrus.Entry, registry metrics.Registry, options ...cell.Option) *Control {
 	c := &Control{
-		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, log: log, metrics: registry, wall: time.Now, lag: clock.NewLagMeter(),
+		self: self, store: st, confirmedHandover: bounds.ConfirmedHandover, caller: caller, advisor: advisor, inventory: noInventory{}, log: log, metrics: registry, wall: time.Now, lag: clock.NewLagMeter(),
 		inbox: make(chan message, inboxSize), cells: map[string]*localCell{}, releaseAskedAt: map[string]time.Time{},
 		askForRelease: func(string, string) {}, handicap: func() int { return 0 }, askLeadership: func(string, string, string) (predecessorAnswer, bool) { return predecessorAnswer{}, false },
 		notifyPeer:      func(context.Context, string, cell.NotifyLeader) error { return nil },
--- a/pkg/process/fleet/effects.go
+++ b/pkg/process/fleet/effects.go
@@ -49,6 +49,8 @@
 		go c.load(ctx, name, e.Epoch)
 	case cell.SendPoll:
 		go c.sendPoll(ctx, name, e, now)
+	case cell.ReadInventory:
+		go c.readInventory(ctx, name)
 	case cell.SendStart:
 		go c.sendStart(ctx, name, e)
 	case cell.SendStop:
--- a/pkg/process/fleet/host.go
+++ b/pkg/process/fleet/host.go
@@ -21,6 +21,7 @@
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/election"
+	"github.com/wrenferry/wrenferry/pkg/process/inventory"
 	"github.com/wrenferry/wrenferry/pkg/process/relay"
 	"github.com/wrenferry/wrenferry/pkg/process/supervised"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
@@ -66,8 +67,10 @@
 	Caller workers.Caller
 	// Advisor is called for tasks of the queues that need advice.
 	Advisor workers.Advisor
-	Source  Source
-	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	// Inventory is the platform's list of the workers that run; nil: there is none.
+	Inventory inventory.Reader
+	Source    Source
+	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	// CallerAPI returns the HTTP handler of the caller API, and a service that runs with the host.
 	CallerAPI func(h *Host) (http.Handler, suture.Service)
 }
@@ -127,6 +130,9 @@
 		cells[hall] = hall
 	}
 	h.Control = NewControl(self, cells, config.Bounds(), h.Store, outside.Caller, outside.Advisor, h.Log, h.Metrics, options...)
+	if outside.Inventory != nil {
+		h.Control.inventory = outside.Inventory
+	}
 	h.Control.askForRelease = h.askForRelease
 	h.Control.askLeadership = h.askLeadership
 	h.Control.notifyPeer = h.notifyPeer
--- /dev/null
+++ b/pkg/process/inventory/inventory_test.go
@@ -0,0 +1,60 @@
+package inventory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/inventory"
+)
+
+var knownAt = time.Unix(1000, 0)
+
+// listOf returns a list that was asked for so long after knownAt, on so many pages, and names hosts, each with its worker.
+func listOf(after time.Duration, pages int, hosts ...string) inventory.List {
+	l := inventory.List{AskedAt: knownAt.Add(after), Pages: pages, Hosts: map[string]bool{}, Workers: map[string]bool{}}
+	for _, h := range hosts {
+		l.Hosts[h] = true
+		l.Workers["worker of "+h] = true
+	}
+	return l
+}
+
+// A wrong proof would start tasks a second time that still run.
+func TestOnlyTwoCompleteListsInARowEndAnIncarnation(t *testing.T) {
+	t.Parallel()
+	ended, alive := listOf(2500*time.Millisecond, 1, "a", "b"), listOf(2500*time.Millisecond, 1, "a", "b", "c")
+	for _, c := range []struct {
+		name           string
+		earlier, later inventory.List
+		aliveAfter     time.Duration
+		want           bool
+	}{
+		{"missing twice", listOf(time.Second, 1, "a", "b"), ended, 0, true},
+		{"missing on the later list only", listOf(time.Second, 1, "a", "b", "c"), ended, 0, false},
+		{"missing on the earlier list only", listOf(time.Second, 1, "a", "b"), alive, 0, false},
+		{"listed by both", listOf(time.Second, 1, "a", "b", "c"), alive, 0, false},
+		{"one list only", inventory.List{}, ended, 0, false},
+		{"no list", inventory.List{}, inventory.List{}, 0, false},
+		{"the same list twice", ended, ended, 0, false},
+		{"an empty list", listOf(time.Second, 1), ended, 0, false},
+		{"an empty later list", listOf(time.Second, 1, "a"), listOf(3*time.Second, 1), 0, false},
+		{"asked for before it was known", listOf(-time.Millisecond, 1, "a", "b"), ended, 0, false},
+		{"asked for before it was last heard", listOf(time.Second, 1, "a", "b"), ended, 1500 * time.Millisecond, false},
+		{"it may not be listed yet", listOf(time.Millisecond, 1, "a", "b"), listOf(1900*time.Millisecond, 1, "a", "b"), 0, false},
+		{"on several pages, no host has left", listOf(time.Second, 3, "a", "b"), ended, 0, true},
+		{"on several pages, a host has left meanwhile", listOf(time.Second, 3, "a", "b", "d"), ended, 0, false},
+		{"on one page, a host has left meanwhile", listOf(time.Second, 1, "a", "b", "d"), ended, 0, true},
+		{"a host has joined meanwhile", listOf(time.Second, 3, "a"), ended, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			i := inventory.Incarnation{Worker: "worker of c", KnownAt: knownAt}
+			if c.aliveAfter > 0 {
+				i.AliveAt = knownAt.Add(c.aliveAfter)
+			}
+			must.Eq(t, c.want, inventory.Ended(c.earlier, c.later, i))
+		})
+	}
+}
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -105,7 +105,7 @@
 func PlatformAdapters(config fleet.Config) fleet.Adapters {
 	meter := traffic.NewMeter()
 	return fleet.Adapters{
-		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Source: platform.Source{}, Dial: platform.Dial,
+		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Inventory: platform.NewInventory(config.Inventory, meter), Source: platform.Source{}, Dial: platform.Dial,
 		CallerAPI: func(h *fleet.Host) (http.Handler, suture.Service) {
 			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics, intakeOptions(config, h)...)
 			h.Relays.Load, h.Relays.CountPending = jobs.TakeLoad, jobs.CountPending
