A successor reckons since when its predecessor knew a member by the age of the row that it replaced

What callers saw: after a takeover everything that is found nowhere waits until the inventory may prove that unheard members have ended. That counts from when an incarnation was known, as the inventory may list a new one late; a successor counted from its own beginning, two seconds, though its predecessor's membership is older: a claim of an overdue row comes 1.2 s after its renewal.

The claim now tells the time since the replaced row was renewed, by the table's clock; the membership is written with the row. Readings begin to back off after five, so that one comes two seconds after a takeover where the row was new.

--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -37,6 +37,8 @@
 	// Predecessors are the earlier leaders that are not known to have ended, by incarnation, with the
 	// time at which the last lease that each could grant expires.
 	Predecessors map[string]time.Time
+	// MembersKnownAt is a time by which the predecessor had written the membership; zero: not known.
+	MembersKnownAt time.Time
 }
 
 // LeadershipConfirmed says that a renewal of the leadership took effect which this process sent at SentAt. It still led
--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -17,7 +17,7 @@
 	// maxInventoryInterval is the longest time between two readings while the same workers stay silent.
 	maxInventoryInterval = 8 * time.Second
 	// minInventoryReadings is the number of readings after which the interval grows.
-	minInventoryReadings = 3
+	minInventoryReadings = 5
 )
 
 // inventoryReadings is what a leader knows from its readings of the inventory, and when it reads it next.
@@ -73,12 +73,15 @@
 	}
 }
 
-// knownIncarnation returns the incarnation of a worker that this leader knows. A leader can't tell for how long its
-// predecessors knew it.
+// knownIncarnation returns the incarnation of a worker that this leader knows. The membership that it read names
+// incarnations that its predecessors knew; of the others it can't tell for how long they did.
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
 	i := inventory.Incarnation{Worker: w.ID, KnownAt: w.KnownAt, AliveAt: w.LastAnswerAt}
 	if s.gainedAt.After(i.KnownAt) {
 		i.KnownAt = s.gainedAt
+		if e := s.retainedMembers[w.ID]; e != nil && e.GetBorn() == w.Born && !s.membersKnownAt.IsZero() && s.membersKnownAt.Before(s.gainedAt) {
+			i.KnownAt = s.membersKnownAt
+		}
 	}
 	return i
 }
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -244,6 +244,8 @@
 	reportedCapacity reportedCapacity
 	// lastingWaitsLoggedAt is when the log last gave the reasons why lasting tasks wait.
 	lastingWaitsLoggedAt time.Time
+	// membersKnownAt is a time by which a predecessor had written the membership that this leader read; zero: not known.
+	membersKnownAt time.Time
 	// inventory holds the readings of the platform's inventory.
 	inventory inventoryReadings
 	// awaitedLoggedAt is when the log last named the members that the cell waits for.
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -27,7 +27,7 @@
 // NewLeadershipGained returns the event that this process has just won the leadership. change names the earlier leaders
 // that may still act.
 func NewLeadershipGained(now time.Time, epoch int64, change election.Change) LeadershipGained {
-	led := LeadershipGained{Epoch: epoch, LeasesEndAt: now, Predecessors: map[string]time.Time{}}
+	led := LeadershipGained{Epoch: epoch, LeasesEndAt: now, Predecessors: map[string]time.Time{}, MembersKnownAt: now.Add(-change.SinceReplaced)}
 	if change.ReplacedRow.GetReleased() {
 		led.LeasesEndAt = now.Add(maxLeaseDuration)
 	}
@@ -47,7 +47,7 @@
 	s.reportedLeases = map[string]time.Time{}
 	s.resetLeadership()
 	s.phase, s.epoch, s.runSerial, s.gainedAt = loading, e.Epoch, 0, now
-	s.predecessors, s.otherLeasesUntil = maps.Clone(e.Predecessors), e.LeasesEndAt
+	s.predecessors, s.otherLeasesUntil, s.membersKnownAt = maps.Clone(e.Predecessors), e.LeasesEndAt, e.MembersKnownAt
 	s.settleDeadline, s.leadershipConfirmedAt, s.tenureUntil = s.lastLeaseEnd(), time.Time{}, time.Time{}
 	for id, w := range known {
 		if w.Listed {
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -140,6 +140,9 @@
 	// Gained is set when this process becomes the leader. ReplacedRow is the row that its claim replaced, or nil.
 	Gained      bool
 	ReplacedRow *wire.CellLead
+	// SinceReplaced is the time from the last renewal of the replaced row to the claim, by the table's clock: at least so
+	// long ago the predecessor wrote the membership.
+	SinceReplaced time.Duration
 	// Predecessors are the earlier leaders that are not known to have ended.
 	Predecessors []Predecessor
 	// Lost is set when this process stops leading. Reason is the reason.
@@ -208,7 +211,11 @@
 	s.releaseRequested, s.releasePrepared, s.successor = false, false, ""
 	s.writtenMembers, s.predecessorsSettled, s.endedPredecessors = nil, false, nil
 	s.renewalKnownAt, s.ledSince = now, now
-	return Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
+	change := Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
+	if replaced != nil {
+		change.SinceReplaced = max(0, time.Duration(s.row.GetRenewedStoreMs()-replaced.GetRenewedStoreMs())*time.Millisecond)
+	}
+	return change
 }
 
 // PredecessorsSettled records that all runs started by predecessors are known or have certainly ended. Later renewals name no
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -303,3 +303,20 @@
 	s.RowWritten(at(1245), 5)
 	must.NotNil(t, s.NextWrite(at(1250), open, 0, false).Membership)
 }
+
+// A successor has to know how old the membership is that it reads: its members may not be listed elsewhere yet.
+func TestClaimTellsHowLongAgoTheReplacedRowWasRenewed(t *testing.T) {
+	t.Parallel()
+	s := newSeat("b")
+	row := &wire.CellLead{Cell: "cell", Epoch: 4, Holder: "a/1", Host: "a", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds()}
+	s.RowRead(at(100), at(100), row, 9, storeAt(100))
+	must.NotNil(t, s.NextWrite(at(1250), nil, 0, false))
+	change := s.RowWritten(at(1300), 10)
+	must.True(t, change.Gained)
+	must.Eq(t, 1250*time.Millisecond, change.SinceReplaced)
+
+	first := newSeat("a")
+	first.RowRead(at(0), at(0), nil, 0, storeAt(0))
+	must.NotNil(t, first.NextWrite(at(0), nil, 0, false))
+	must.Zero(t, first.RowWritten(at(5), 1).SinceReplaced, must.Sprint("it replaced none"))
+}
