A worker that is not listed yet is not ended by a list that skipped its host

Cause: of two lists of several pages only the earlier one is known to have skipped no host, but the time in which a worker that has just started may be missing was asked of the later one.

Change: that time is asked of the list that is known to have skipped none. With one page nothing changes.

"it may not be listed yet, and the later list may skip it" of TestOnlyTwoCompleteListsInARowEndAnIncarnation fails without the change.

--- a/pkg/process/inventory/inventory.go
+++ b/pkg/process/inventory/inventory.go
@@ -43,13 +43,22 @@
 func Ended(earlier, later List, i Incarnation) bool {
 	return isComplete(earlier) && isComplete(later) &&
 		earlier.AskedAt.After(i.KnownAt) && earlier.AskedAt.After(i.AliveAt) && later.AskedAt.After(earlier.AskedAt) &&
-		later.AskedAt.Sub(i.KnownAt) >= listingDelay &&
+		provenList(earlier, later).AskedAt.Sub(i.KnownAt) >= listingDelay &&
 		!earlier.Workers[i.Worker] && !later.Workers[i.Worker] && skippedNone(earlier, later)
 }
 
 // isComplete reports whether a list can show that a worker is missing: a deployment has workers.
 func isComplete(l List) bool { return l.Pages > 0 && len(l.Workers) > 0 }
 
+// provenList returns the one of two lists that names all workers for sure, if skippedNone: a later list of several pages may
+// have skipped a host itself.
+func provenList(earlier, later List) List {
+	if later.Pages > 1 {
+		return earlier
+	}
+	return later
+}
+
 // skippedNone reports whether the earlier list skipped no host between two of its pages. If a host leaves the inventory
 // while the pages are read, those after it move up, and the first one of the next page may be on none. The later list
 // then misses the host that left.
--- a/pkg/process/inventory/inventory_test.go
+++ b/pkg/process/inventory/inventory_test.go
@@ -45,6 +45,8 @@
 		{"it may not be listed yet", listOf(time.Millisecond, 1, "a", "b"), listOf(1900*time.Millisecond, 1, "a", "b"), 0, false},
 		{"on several pages, no host has left", listOf(time.Second, 3, "a", "b"), ended, 0, true},
 		{"on several pages, a host has left meanwhile", listOf(time.Second, 3, "a", "b", "d"), ended, 0, false},
+		{"on several pages, both late enough", listOf(2*time.Second, 3, "a", "b"), listOf(4*time.Second, 3, "a", "b"), 0, true},
+		{"it may not be listed yet, and the later list may skip it", listOf(time.Second, 3, "a", "b"), listOf(4*time.Second, 3, "a", "b"), 0, false},
 		{"on one page, a host has left meanwhile", listOf(time.Second, 1, "a", "b", "d"), ended, 0, true},
 		{"a host has joined meanwhile", listOf(time.Second, 3, "a"), ended, 0, true},
 	} {
