Lists of the inventory that were read at the same time end no worker

Cause: a list of several pages skips a host if another one leaves between two of its pages, and the list after it shows that, because the host that left is missing. A process passes each list to all cells that it leads.

Change: a list says when its last page had been read. A list that was asked for before the one at hand had been read is passed over, so that lists of other cells which overlap do not keep a cell from a proof either.

TestListsThatWereReadAtTheSameTimeProveNothing and TestOverlappingListsEndNoIncarnation fail without the change.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -65,6 +65,9 @@
 		return
 	}
 	earlier := r.last
+	if inventory.Overlap(earlier, e.List) {
+		return // another cell of this process asked for it
+	}
 	r.last = e.List
 	for _, w := range s.workersByID() {
 		if !w.Ended && !w.SilentSince.IsZero() && inventory.Ended(earlier, e.List, s.knownIncarnation(w)) {
--- /dev/null
+++ b/pkg/process/cell/inventory_lists_test.go
@@ -0,0 +1,56 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/process/inventory"
+)
+
+// inventoryOf returns a list of three pages that names all workers of the cell but some.
+func (b *testCell) inventoryOf(askedAt, readAt time.Time, missing ...string) inventory.List {
+	l := inventory.List{AskedAt: askedAt, ReadAt: readAt, Pages: 3, Hosts: map[string]bool{}, Workers: map[string]bool{}}
+	for id := range b.reports {
+		l.Hosts[id], l.Workers[id] = true, true
+	}
+	for _, id := range missing {
+		delete(l.Hosts, id)
+		delete(l.Workers, id)
+	}
+	return l
+}
+
+// The cells of a process take each other's lists. Where a reading takes long, each list is asked for while the one that arrives
+// before it is still read, and no two lists in a row would prove anything.
+func TestOverlappingListsOfOtherCellsDoNotKeepAnIncarnationFromEnding(t *testing.T) {
+	t.Parallel()
+	b := takeOverBesideEndedWorkers()
+	const reading, between = 800 * time.Millisecond, 200 * time.Millisecond
+	for range 25 {
+		b.step(between)
+		b.state.Take(b.now, cell.InventoryRead{List: b.inventoryOf(b.now.Add(-reading), b.now, "w03", "w07")})
+	}
+	must.MapContainsKey(t, b.started, otherTask)
+}
+
+// Two cells read the inventory at once while a host leaves: both lists skip the same workers, which still run.
+func TestOverlappingListsEndNoIncarnation(t *testing.T) {
+	t.Parallel()
+	b := takeOverBesideEndedWorkers()
+	for range 20 {
+		b.step(200 * time.Millisecond)
+	}
+	askedAt := b.now
+	b.step(200 * time.Millisecond)
+	skipped := b.inventoryOf(askedAt, b.now, "w03", "w07")
+	b.state.Take(b.now, cell.InventoryRead{List: skipped})
+	skipped.AskedAt, skipped.ReadAt = askedAt.Add(time.Millisecond), b.now.Add(time.Millisecond)
+	b.state.Take(b.now, cell.InventoryRead{List: skipped})
+	for range 10 {
+		b.step(200 * time.Millisecond)
+	}
+	must.MapNotContainsKey(t, b.started, otherTask)
+}
--- a/pkg/process/inventory/inventory.go
+++ b/pkg/process/inventory/inventory.go
@@ -17,6 +17,8 @@
 type List struct {
 	// AskedAt is when its first page was asked for: the list says nothing of what changed before.
 	AskedAt time.Time
+	// ReadAt is when its last page had been read.
+	ReadAt time.Time
 	// Pages is the number of pages. Each is of its own moment.
 	Pages int
 	// Hosts are the names of all hosts listed, Workers the ids of the workers that run there.
@@ -43,10 +45,15 @@
 func Ended(earlier, later List, i Incarnation) bool {
 	return isComplete(earlier) && isComplete(later) &&
 		earlier.AskedAt.After(i.KnownAt) && earlier.AskedAt.After(i.AliveAt) && later.AskedAt.After(earlier.AskedAt) &&
+		!Overlap(earlier, later) &&
 		provenList(earlier, later).AskedAt.Sub(i.KnownAt) >= listingDelay &&
 		!earlier.Workers[i.Worker] && !later.Workers[i.Worker] && skippedNone(earlier, later)
 }
 
+// Overlap reports whether the later list was asked for while the earlier one was still read. Both may then have skipped the
+// same host.
+func Overlap(earlier, later List) bool { return later.AskedAt.Before(earlier.ReadAt) }
+
 // isComplete reports whether a list can show that a worker is missing: a deployment has workers.
 func isComplete(l List) bool { return l.Pages > 0 && len(l.Workers) > 0 }
 
--- a/pkg/process/inventory/inventory_test.go
+++ b/pkg/process/inventory/inventory_test.go
@@ -60,3 +60,15 @@
 		})
 	}
 }
+
+// Two cells of one process read the inventory at the same time. If a host leaves while they do, both lists may skip the same
+// worker, which still runs.
+func TestListsThatWereReadAtTheSameTimeProveNothing(t *testing.T) {
+	t.Parallel()
+	earlier, later := listOf(3*time.Second, 3, "a", "b"), listOf(3001*time.Millisecond, 3, "a", "b")
+	earlier.ReadAt, later.ReadAt = knownAt.Add(3300*time.Millisecond), knownAt.Add(3301*time.Millisecond)
+	i := inventory.Incarnation{Worker: "worker of c", KnownAt: knownAt}
+	must.False(t, inventory.Ended(earlier, later, i))
+	later = listOf(3400*time.Millisecond, 3, "a", "b")
+	must.True(t, inventory.Ended(earlier, later, i))
+}
