A worker that started again is not ended before the inventory can list it

Cause: a leader took the time since it led, or since it first knew a worker, for the time since it knew the worker's incarnation. A worker that it knows from the membership row alone may have ended; the one that then answers under its id has just begun, and the inventory may not list it for two seconds.

Change: the incarnation counts as known since its first answer to this leader.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -77,11 +77,14 @@
 }
 
 // knownIncarnation returns the incarnation of a worker that this leader knows. A leader can't tell for how long its
-// predecessors knew it.
+// predecessors knew it, nor whether the incarnation that the membership or the registry named is the one that answered later
+// under its id.
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
 	i := inventory.Incarnation{Worker: w.ID, KnownAt: w.KnownAt, AliveAt: w.LastAnswerAt}
-	if s.gainedAt.After(i.KnownAt) {
-		i.KnownAt = s.gainedAt
+	for _, at := range []time.Time{s.gainedAt, w.FirstAnswerAt} {
+		if at.After(i.KnownAt) {
+			i.KnownAt = at
+		}
 	}
 	return i
 }
