A worker that does not say when it began is not ended while it may have started again

Cause: without the time at which it began, a leader can't tell that the worker that answers is another incarnation than the one that it knew. That one may have begun just before its last answer, and the inventory may not list it yet.

Change: such an incarnation counts as known since its last answer, so that the list that ends it was asked for 2 s after that.

TestWorkerThatRestartsUnnoticedIsNotEndedBeforeTheInventoryCanListIt fails without the change.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -81,7 +81,11 @@
 // under its id.
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
 	i := inventory.Incarnation{Worker: w.ID, KnownAt: w.KnownAt, AliveAt: w.LastAnswerAt}
-	for _, at := range []time.Time{s.gainedAt, w.FirstAnswerAt} {
+	known := []time.Time{s.gainedAt, w.FirstAnswerAt}
+	if w.Born == 0 {
+		known = append(known, w.LastAnswerAt) // it may have started again unnoticed
+	}
+	for _, at := range known {
 		if at.After(i.KnownAt) {
 			i.KnownAt = at
 		}
--- a/pkg/process/cell/inventory_restarts_test.go
+++ b/pkg/process/cell/inventory_restarts_test.go
@@ -55,3 +55,19 @@
 		})
 	}
 }
+
+// A worker restarts under its id a second time, and does not say when it began. It has answered since its first start.
+func TestWorkerThatRestartsUnnoticedIsNotEndedBeforeTheInventoryCanListIt(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.runWithInventory(5 * time.Second)
+	b.silent["w03"] = true
+	b.runWithoutInventory(300 * time.Millisecond)
+	b.silent["w03"] = false
+	b.runWithoutInventory(300 * time.Millisecond)
+	b.silent["w03"] = true
+	b.runWithInventory(1500*time.Millisecond, "w03")
+	must.False(t, b.saidToHaveEnded("w03"))
+	b.runWithInventory(2*time.Second, "w03")
+	must.True(t, b.saidToHaveEnded("w03"))
+}
