--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -65,6 +65,9 @@
 		return
 	}
 	earlier := r.last
+	if inventory.Overlap(earlier, e.List) {
+		return // another cell of this process asked for it
+	}
 	r.last = e.List
 	for _, w := range s.workersByID() {
 		if !w.Ended && !w.SilentSince.IsZero() && inventory.Ended(earlier, e.List, s.knownIncarnation(w)) {
@@ -73,14 +76,18 @@
 	}
 }
 
-// knownIncarnation returns the incarnation of a worker that this leader knows. The membership that it read names
-// incarnations that its predecessors knew; of the others it can't tell for how long they did.
+// knownIncarnation returns the incarnation of a worker that this leader knows. A leader can't tell for how long its
+// predecessors knew it, unless the membership that it read names it, nor whether the incarnation that the membership or the
+// registry named is the one that answered later under its id.
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
 	i := inventory.Incarnation{Worker: w.ID, KnownAt: w.KnownAt, AliveAt: w.LastAnswerAt}
-	if s.gainedAt.After(i.KnownAt) {
-		i.KnownAt = s.gainedAt
-		if e := s.retainedMembers[w.ID]; e != nil && e.GetBorn() == w.Born && !s.membersKnownAt.IsZero() && s.membersKnownAt.Before(s.gainedAt) {
-			i.KnownAt = s.membersKnownAt
+	taken := s.gainedAt
+	if e := s.retainedMembers[w.ID]; e != nil && e.GetBorn() == w.Born && !s.membersKnownAt.IsZero() && s.membersKnownAt.Before(taken) {
+		taken = s.membersKnownAt
+	}
+	for _, at := range []time.Time{taken, w.FirstAnswerAt} {
+		if at.After(i.KnownAt) {
+			i.KnownAt = at
 		}
 	}
 	return i
--- a/pkg/process/inventory/inventory_test.go
+++ b/pkg/process/inventory/inventory_test.go
@@ -45,6 +45,8 @@
 		{"it may not be listed yet", listOf(time.Millisecond, 1, "a", "b"), listOf(1900*time.Millisecond, 1, "a", "b"), 0, false},
 		{"on several pages, no host has left", listOf(time.Second, 3, "a", "b"), ended, 0, true},
 		{"on several pages, a host has left meanwhile", listOf(time.Second, 3, "a", "b", "d"), ended, 0, false},
+		{"on several pages, both late enough", listOf(2*time.Second, 3, "a", "b"), listOf(4*time.Second, 3, "a", "b"), 0, true},
+		{"it may not be listed yet, and the later list may skip it", listOf(time.Second, 3, "a", "b"), listOf(4*time.Second, 3, "a", "b"), 0, false},
 		{"on one page, a host has left meanwhile", listOf(time.Second, 1, "a", "b", "d"), ended, 0, true},
 		{"a host has joined meanwhile", listOf(time.Second, 3, "a"), ended, 0, true},
 	} {
@@ -58,3 +60,15 @@
 		})
 	}
 }
+
+// Two cells of one process read the inventory at the same time. If a host leaves while they do, both lists may skip the same
+// worker, which still runs.
+func TestListsThatWereReadAtTheSameTimeProveNothing(t *testing.T) {
+	t.Parallel()
+	earlier, later := listOf(3*time.Second, 3, "a", "b"), listOf(3001*time.Millisecond, 3, "a", "b")
+	earlier.ReadAt, later.ReadAt = knownAt.Add(3300*time.Millisecond), knownAt.Add(3301*time.Millisecond)
+	i := inventory.Incarnation{Worker: "worker of c", KnownAt: knownAt}
+	must.False(t, inventory.Ended(earlier, later, i))
+	later = listOf(3400*time.Millisecond, 3, "a", "b")
+	must.True(t, inventory.Ended(earlier, later, i))
+}
