A list of the inventory that misses a running worker ends none

Cause: a list was believed whatever it named.

Change: a list that does not name a worker of the cell which answered a poll that was sent after the list had been read, and which it should name, proves nothing. So the earlier of the two lists is the one that proves, with one page as with several: it was asked for 2 s after the incarnation was known, and the time until the later one shows whether it is complete. Where no worker answers, the check tells nothing.

TestListThatMissesARunningWorkerEndsNoIncarnation fails without the change.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/inventory"
@@ -39,7 +40,7 @@
 // requestInventory asks for a reading of the inventory if one is due.
 func (s *State) requestInventory(now time.Time) {
 	r := &s.inventory
-	if s.phase != loading && s.phase != leading || r.outstanding || now.Sub(r.askedAt) < r.interval() || !s.hasSilentWorker() {
+	if s.phase != loading && s.phase != leading || r.outstanding || now.Sub(r.askedAt) < r.interval() || !s.hasSilentWorker(now) {
 		return
 	}
 	r.outstanding, r.askedAt = true, now
@@ -47,10 +48,10 @@
 	s.emit(ReadInventory{})
 }
 
-// hasSilentWorker reports whether a worker is silent that is not known to have ended.
-func (s *State) hasSilentWorker() bool {
+// hasSilentWorker reports whether a worker is silent that is not known to have ended, and that a list could prove to have.
+func (s *State) hasSilentWorker(now time.Time) bool {
 	for _, w := range s.workers {
-		if !w.Ended && !w.SilentSince.IsZero() {
+		if !w.Ended && !w.SilentSince.IsZero() && s.knownIncarnation(w).MustBeListed(now) {
 			return true
 		}
 	}
@@ -69,6 +70,9 @@
 		return // another cell of this process asked for it
 	}
 	r.last = e.List
+	if s.omitsRunningWorker(earlier) {
+		return
+	}
 	for _, w := range s.workersByID() {
 		if !w.Ended && !w.SilentSince.IsZero() && inventory.Ended(earlier, e.List, s.knownIncarnation(w)) {
 			s.endIncarnation(now, w, "the inventory does not list it")
@@ -76,19 +80,27 @@
 	}
 }
 
+// omitsRunningWorker reports whether a list does not name a worker of this cell that has answered a later poll.
+func (s *State) omitsRunningWorker(l inventory.List) bool {
+	for _, w := range s.workers {
+		i := inventory.Incarnation{Worker: w.ID, KnownAt: latest(w.KnownAt, s.gainedAt), AliveAt: w.ListAskedAt}
+		if !w.Ended && w.SilentSince.IsZero() && l.Omits(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // knownIncarnation returns the incarnation of a worker that this leader knows. A leader can't tell for how long its
 // predecessors knew it, nor whether the incarnation that the membership or the registry named is the one that answered later
 // under its id.
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
-	i := inventory.Incarnation{Worker: w.ID, KnownAt: w.KnownAt, AliveAt: w.LastAnswerAt}
-	known := []time.Time{s.gainedAt, w.FirstAnswerAt}
+	i := inventory.Incarnation{Worker: w.ID, KnownAt: latest(w.KnownAt, s.gainedAt, w.FirstAnswerAt), AliveAt: w.LastAnswerAt}
 	if w.Born == 0 {
-		known = append(known, w.LastAnswerAt) // it may have started again unnoticed
-	}
-	for _, at := range known {
-		if at.After(i.KnownAt) {
-			i.KnownAt = at
-		}
+		i.KnownAt = latest(i.KnownAt, w.LastAnswerAt) // it may have started again unnoticed
 	}
 	return i
 }
+
+// latest returns the latest of some times.
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
--- a/pkg/process/cell/inventory_lists_test.go
+++ b/pkg/process/cell/inventory_lists_test.go
@@ -54,3 +54,13 @@
 	}
 	must.MapNotContainsKey(t, b.started, otherTask)
 }
+
+// A list that was cut, or that is of other hosts, misses workers that run. It proves nothing of those that are silent.
+func TestListThatMissesARunningWorkerEndsNoIncarnation(t *testing.T) {
+	t.Parallel()
+	b := takeOverBesideEndedWorkers()
+	b.runWithInventory(4*time.Second, "w03", "w05", "w07")
+	must.MapNotContainsKey(t, b.started, otherTask)
+	b.runWithInventory(6*time.Second, "w03", "w07")
+	must.MapContainsKey(t, b.started, otherTask, must.Sprint("the later lists name all that run"))
+}
--- a/pkg/process/inventory/inventory.go
+++ b/pkg/process/inventory/inventory.go
@@ -41,15 +41,24 @@
 	KnownAt, AliveAt time.Time
 }
 
-// Ended reports whether an incarnation has ended, by two lists in a row.
+// MustBeListed reports whether a list that is asked for at a given time names the incarnation if it runs.
+func (i Incarnation) MustBeListed(at time.Time) bool { return at.Sub(i.KnownAt) >= listingDelay }
+
+// Ended reports whether an incarnation has ended, by two lists in a row. The earlier one proves it. Only the later one, and
+// what has answered meanwhile, show that the earlier one is complete: see skippedNone and Omits.
 func Ended(earlier, later List, i Incarnation) bool {
 	return isComplete(earlier) && isComplete(later) &&
-		earlier.AskedAt.After(i.KnownAt) && earlier.AskedAt.After(i.AliveAt) && later.AskedAt.After(earlier.AskedAt) &&
-		!Overlap(earlier, later) &&
-		provenList(earlier, later).AskedAt.Sub(i.KnownAt) >= listingDelay &&
+		i.MustBeListed(earlier.AskedAt) && earlier.AskedAt.After(i.AliveAt) &&
+		later.AskedAt.After(earlier.AskedAt) && !Overlap(earlier, later) &&
 		!earlier.Workers[i.Worker] && !later.Workers[i.Worker] && skippedNone(earlier, later)
 }
 
+// Omits reports whether a list does not name an incarnation that was alive for sure after it had been read, and should do so.
+// Such a list is incomplete, or of other workers.
+func (l List) Omits(i Incarnation) bool {
+	return i.MustBeListed(l.AskedAt) && i.AliveAt.After(l.ReadAt) && !l.Workers[i.Worker]
+}
+
 // Overlap reports whether the later list was asked for while the earlier one was still read. Both may then have skipped the
 // same host.
 func Overlap(earlier, later List) bool { return later.AskedAt.Before(earlier.ReadAt) }
@@ -57,15 +66,6 @@
 // isComplete reports whether a list can show that a worker is missing: a deployment has workers.
 func isComplete(l List) bool { return l.Pages > 0 && len(l.Workers) > 0 }
 
-// provenList returns the one of two lists that names all workers for sure, if skippedNone: a later list of several pages may
-// have skipped a host itself.
-func provenList(earlier, later List) List {
-	if later.Pages > 1 {
-		return earlier
-	}
-	return later
-}
-
 // skippedNone reports whether the earlier list skipped no host between two of its pages. If a host leaves the inventory
 // while the pages are read, those after it move up, and the first one of the next page may be on none. The later list
 // then misses the host that left.
