Merge the proof's fences: overlapping lists, lists that miss running workers

The earlier of two lists proves that an incarnation has ended; the later one, and workers that have answered meanwhile, show that the earlier one is complete.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/inventory"
@@ -17,7 +18,7 @@
 	// maxInventoryInterval is the longest time between two readings while the same workers stay silent.
 	maxInventoryInterval = 8 * time.Second
 	// minInventoryReadings is the number of readings after which the interval grows.
-	minInventoryReadings = 5
+	minInventoryReadings = 3
 )
 
 // inventoryReadings is what a leader knows from its readings of the inventory, and when it reads it next.
@@ -39,7 +40,7 @@
 // requestInventory asks for a reading of the inventory if one is due.
 func (s *State) requestInventory(now time.Time) {
 	r := &s.inventory
-	if s.phase != loading && s.phase != leading || r.outstanding || now.Sub(r.askedAt) < r.interval() || !s.hasSilentWorker() {
+	if s.phase != loading && s.phase != leading || r.outstanding || now.Sub(r.askedAt) < r.interval() || !s.hasSilentWorker(now) {
 		return
 	}
 	r.outstanding, r.askedAt = true, now
@@ -47,10 +48,10 @@
 	s.emit(ReadInventory{})
 }
 
-// hasSilentWorker reports whether a worker is silent that is not known to have ended.
-func (s *State) hasSilentWorker() bool {
+// hasSilentWorker reports whether a worker is silent that is not known to have ended, and that a list could prove to have.
+func (s *State) hasSilentWorker(now time.Time) bool {
 	for _, w := range s.workers {
-		if !w.Ended && !w.SilentSince.IsZero() {
+		if !w.Ended && !w.SilentSince.IsZero() && s.knownIncarnation(w).MustBeListed(now) {
 			return true
 		}
 	}
@@ -66,29 +67,51 @@
 	}
 	earlier := r.last
 	if inventory.Overlap(earlier, e.List) {
-		return // another cell of this process asked for it
+		return // two cells of this process have asked at the same time
 	}
 	r.last = e.List
+	if s.omitsRunningWorker(earlier) {
+		return
+	}
+	ended := func(i inventory.Incarnation) bool { return inventory.Ended(earlier, e.List, i) }
 	for _, w := range s.workersByID() {
-		if !w.Ended && !w.SilentSince.IsZero() && inventory.Ended(earlier, e.List, s.knownIncarnation(w)) {
+		if !w.Ended && !w.SilentSince.IsZero() && ended(s.knownIncarnation(w)) {
 			s.endIncarnation(now, w, "the inventory does not list it")
 		}
 	}
 }
 
-// knownIncarnation returns the incarnation of a worker that this leader knows. A leader can't tell for how long its
-// predecessors knew it, unless the membership that it read names it, nor whether the incarnation that the membership or the
-// registry named is the one that answered later under its id.
+// omitsRunningWorker reports whether a list does not name a worker of this cell that has answered a later poll.
+func (s *State) omitsRunningWorker(l inventory.List) bool {
+	for _, w := range s.workers {
+		i := inventory.Incarnation{Worker: w.ID, KnownAt: latest(w.KnownAt, s.gainedAt), AliveAt: w.ListAskedAt}
+		if !w.Ended && w.SilentSince.IsZero() && l.Omits(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// knownIncarnation returns the incarnation of a worker that this leader knows. A successor can't tell for how long its
+// predecessors knew it, unless the membership that it read names it. What answered later under its id may be another
+// incarnation than the one that the membership or the registry named.
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
-	i := inventory.Incarnation{Worker: w.ID, KnownAt: w.KnownAt, AliveAt: w.LastAnswerAt}
-	taken := s.gainedAt
-	if e := s.retainedMembers[w.ID]; e != nil && e.GetBorn() == w.Born && !s.membersKnownAt.IsZero() && s.membersKnownAt.Before(taken) {
-		taken = s.membersKnownAt
+	return inventory.Incarnation{
+		Worker:  w.ID,
+		KnownAt: latest(w.KnownAt, s.memberKnownAt(w.ID, w.Born), w.FirstAnswerAt),
+		AliveAt: latest(w.LastAnswerAt, w.AliveAt),
 	}
-	for _, at := range []time.Time{taken, w.FirstAnswerAt} {
-		if at.After(i.KnownAt) {
-			i.KnownAt = at
-		}
+}
+
+// memberKnownAt returns a time at which a predecessor knew an incarnation, or at which this leadership began if the membership
+// does not name it.
+func (s *State) memberKnownAt(worker string, born int64) time.Time {
+	e := s.retainedMembers[worker]
+	if e == nil || e.GetBorn() != born || s.membersKnownAt.IsZero() || s.membersKnownAt.After(s.gainedAt) {
+		return s.gainedAt
 	}
-	return i
+	return s.membersKnownAt
 }
+
+// latest returns the latest of some times.
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
--- a/pkg/process/cell/inventory_test.go
+++ b/pkg/process/cell/inventory_test.go
@@ -153,9 +153,9 @@
 	must.Zero(t, b.inventoryAsked, must.Sprint("all workers answer"))
 	b.silent["w03"] = true
 	b.runWithInventory(10 * time.Second)
-	must.Between(t, 4, b.inventoryAsked, 10)
+	must.Between(t, 4, b.inventoryAsked, 8)
 	b.runWithInventory(time.Minute)
-	must.Between(t, 10, b.inventoryAsked, 18)
+	must.Between(t, 10, b.inventoryAsked, 16)
 	before := b.inventoryAsked
 	b.silent["w04"] = true
 	b.runWithInventory(2*time.Second, "w04")
--- a/pkg/process/fleet/inventory.go
+++ b/pkg/process/fleet/inventory.go
@@ -24,8 +24,8 @@
 	return inventory.List{}, fault.New(fault.Unavailable, "inventory", "the platform has none", "")
 }
 
-// inventoryRead reports a reading of the inventory that a cell has asked for. A list that could be read is passed to all
-// cells, so that a process which leads several cells reads it once.
+// inventoryRead reports a reading of the inventory that a cell has asked for. A list that could be read is shared with all
+// cells that this process leads.
 type inventoryRead struct {
 	cell string
 	list inventory.List
