Since when a predecessor knew a member counts from the own first reading of its row

Cause: the age of the replaced row was reckoned by the table's clock, which each host estimates from its own readings; the estimates differ by the time that a reading takes, up to 2 s with a slow table.

Change: the seat tells when it first read the version that its claim replaced.

--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -27,7 +27,7 @@
 // NewLeadershipGained returns the event that this process has just won the leadership. change names the earlier leaders
 // that may still act.
 func NewLeadershipGained(now time.Time, epoch int64, change election.Change) LeadershipGained {
-	led := LeadershipGained{Epoch: epoch, LeasesEndAt: now, Predecessors: map[string]time.Time{}, MembersKnownAt: now.Add(-change.SinceReplaced)}
+	led := LeadershipGained{Epoch: epoch, LeasesEndAt: now, Predecessors: map[string]time.Time{}, MembersKnownAt: change.ReplacedReadAt}
 	if change.ReplacedRow.GetReleased() {
 		led.LeasesEndAt = now.Add(maxLeaseDuration)
 	}
--- a/pkg/process/election/election.go
+++ b/pkg/process/election/election.go
@@ -76,6 +76,8 @@
 	row     *wire.CellLead
 	version int64
 	readAt  time.Time
+	// versionReadAt is when this process first got this version.
+	versionReadAt time.Time
 	// storeTimeAtRead is the table's clock at readAt.
 	storeTimeAtRead time.Duration
 
@@ -140,9 +142,9 @@
 	// Gained is set when this process becomes the leader. ReplacedRow is the row that its claim replaced, or nil.
 	Gained      bool
 	ReplacedRow *wire.CellLead
-	// SinceReplaced is the time from the last renewal of the replaced row to the claim, by the table's clock: at least so
-	// long ago the predecessor wrote the membership.
-	SinceReplaced time.Duration
+	// ReplacedReadAt is when this process first read the version of the row that its claim replaced: the predecessor had
+	// written the membership by then. It is zero if there was no row.
+	ReplacedReadAt time.Time
 	// Predecessors are the earlier leaders that are not known to have ended.
 	Predecessors []Predecessor
 	// Lost is set when this process stops leading. Reason is the reason.
@@ -187,7 +189,10 @@
 		return Change{}
 	}
 	s.mustReadRow = false
-	before := s.row
+	before, beforeReadAt := s.row, s.versionReadAt
+	if version != s.version {
+		s.versionReadAt = now
+	}
 	s.row, s.version, s.readAt, s.storeTimeAtRead = row, version, now, store
 	mine := row != nil && row.GetHolder() == s.self.Incarnation && !row.GetReleased()
 	switch {
@@ -195,7 +200,7 @@
 		s.role = Follower
 		return Change{Lost: true, Reason: "the leadership row names another leader"}
 	case s.role == Candidate && mine && row.GetEpoch() == s.sentRow.GetEpoch():
-		return s.becomeLeader(now, s.sentAt, before)
+		return s.becomeLeader(now, s.sentAt, before, beforeReadAt)
 	case s.role == Leader && mine && s.sentRow != nil && row.GetRenewedStoreMs() == s.sentRow.GetRenewedStoreMs():
 		s.renewedAt, s.renewalKnownAt = s.sentAt, now // the renewal took effect but its answer was lost
 	case s.role == Candidate:
@@ -205,15 +210,15 @@
 }
 
 // becomeLeader makes this process the leader. claimSentAt is the time at which its claim was sent, replaced the row that
-// the claim replaced.
-func (s *Seat) becomeLeader(now, claimSentAt time.Time, replaced *wire.CellLead) Change {
+// the claim replaced, replacedReadAt when this process first read that version of it.
+func (s *Seat) becomeLeader(now, claimSentAt time.Time, replaced *wire.CellLead, replacedReadAt time.Time) Change {
 	s.role, s.renewedAt, s.handoverOffered = Leader, claimSentAt, false
 	s.releaseRequested, s.releasePrepared, s.successor = false, false, ""
 	s.writtenMembers, s.predecessorsSettled, s.endedPredecessors = nil, false, nil
 	s.renewalKnownAt, s.ledSince = now, now
 	change := Change{Gained: true, ReplacedRow: replaced, Predecessors: s.predecessors(now)}
 	if replaced != nil {
-		change.SinceReplaced = max(0, time.Duration(s.row.GetRenewedStoreMs()-replaced.GetRenewedStoreMs())*time.Millisecond)
+		change.ReplacedReadAt = replacedReadAt
 	}
 	return change
 }
@@ -390,15 +395,15 @@
 		}
 		return Change{}
 	}
-	before := s.row
-	s.row, s.version = s.sentRow, version
+	before, beforeReadAt := s.row, s.versionReadAt
+	s.row, s.version, s.versionReadAt = s.sentRow, version, now
 	s.storeTimeAtRead, s.readAt = s.storeTime(now), now
 	switch {
 	case s.sentRow.GetReleased():
 		s.role, s.releaseRequested = Follower, false
 		return Change{Lost: true, Reason: "released"}
 	case s.role == Candidate:
-		return s.becomeLeader(now, s.sentAt, before)
+		return s.becomeLeader(now, s.sentAt, before, beforeReadAt)
 	default:
 		s.renewedAt, s.renewalKnownAt = s.sentAt, now
 		if s.sentMembership != nil {
--- a/pkg/process/election/election_test.go
+++ b/pkg/process/election/election_test.go
@@ -304,19 +304,36 @@
 	must.NotNil(t, s.NextWrite(at(1250), open, 0, false).Membership)
 }
 
-// A successor has to know how old the membership is that it reads: its members may not be listed elsewhere yet.
-func TestClaimTellsHowLongAgoTheReplacedRowWasRenewed(t *testing.T) {
+// A successor has to know since when the members of the row that it replaces were known. The clocks by which hosts estimate the
+// table's differ by the time that a reading takes, so only this process's own readings of that version count.
+func TestClaimTellsWhenTheReplacedRowWasFirstRead(t *testing.T) {
 	t.Parallel()
 	s := newSeat("b")
 	row := &wire.CellLead{Cell: "cell", Epoch: 4, Holder: "a/1", Host: "a", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds()}
-	s.RowRead(at(100), at(100), row, 9, storeAt(100))
+	s.RowRead(at(100), at(50), row, 8, storeAt(100))
+	s.RowRead(at(400), at(350), row, 9, storeAt(400))
+	s.RowRead(at(700), at(650), row, 9, storeAt(700)) // the same version again
 	must.NotNil(t, s.NextWrite(at(1250), nil, 0, false))
 	change := s.RowWritten(at(1300), 10)
 	must.True(t, change.Gained)
-	must.Eq(t, 1250*time.Millisecond, change.SinceReplaced)
+	must.Eq(t, at(400), change.ReplacedReadAt)
 
 	first := newSeat("a")
 	first.RowRead(at(0), at(0), nil, 0, storeAt(0))
 	must.NotNil(t, first.NextWrite(at(0), nil, 0, false))
-	must.Zero(t, first.RowWritten(at(5), 1).SinceReplaced, must.Sprint("it replaced none"))
+	must.True(t, first.RowWritten(at(5), 1).ReplacedReadAt.IsZero(), must.Sprint("it replaced none"))
+}
+
+// The answer to the claim is lost, and a reading shows that it took effect.
+func TestClaimWhoseAnswerWasLostTellsWhenTheReplacedRowWasFirstRead(t *testing.T) {
+	t.Parallel()
+	s := newSeat("b")
+	row := &wire.CellLead{Cell: "cell", Epoch: 4, Holder: "a/1", Host: "a", Hall: "hall", RenewedStoreMs: storeAt(0).Milliseconds()}
+	s.RowRead(at(100), at(50), row, 8, storeAt(100))
+	w := s.NextWrite(at(1250), nil, 0, false)
+	must.NotNil(t, w)
+	s.RowWritten(at(2000), 0)
+	change := s.RowRead(at(2300), at(2290), w.Row, 9, storeAt(2300))
+	must.True(t, change.Gained)
+	must.Eq(t, at(100), change.ReplacedReadAt)
 }
