The inventory also tells the end of silent workers that are no members any more

Cause: a task whose silent worker may have crashed waits for up to 10 s, a lasting one for 3 s, to learn whether it did. The inventory was asked only for workers that the leader still knows; one that it had dropped, or that only a record of an earlier leader names, was not asked for. Members that were unheard when the cell settled are alike.

Change: such incarnations cause a reading, and end by the same two lists.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,14 +49,15 @@
 	s.emit(ReadInventory{})
 }
 
-// hasSilentWorker reports whether a worker is silent that is not known to have ended, and that a list could prove to have.
+// hasSilentWorker reports whether a worker is silent that is not known to have ended, and that a list could prove to have. Of
+// those that are not known any more, the ones count whose end is still awaited as crash evidence.
 func (s *State) hasSilentWorker(now time.Time) bool {
 	for _, w := range s.workers {
 		if !w.Ended && !w.SilentSince.IsZero() && s.knownIncarnation(w).MustBeListed(now) {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(s.silentRuns, func(r silentRun) bool { return s.workers[r.worker] == nil && s.incarnationOf(r).MustBeListed(now) })
 }
 
 // takeInventory ends the incarnations of silent workers that have ended by this list and the one before.
@@ -79,6 +81,17 @@
 			s.endIncarnation(now, w, "the inventory does not list it")
 		}
 	}
+	s.resolveSilentRuns(now, true, func(r silentRun) bool { return s.workers[r.worker] == nil && ended(s.incarnationOf(r)) })
+	for _, id := range slices.Sorted(maps.Keys(s.unreachedMembers)) {
+		if s.workers[id] == nil && ended(inventory.Incarnation{Worker: id, KnownAt: s.gainedAt}) {
+			s.unreachedMemberEnded(now, id)
+		}
+	}
+}
+
+// incarnationOf returns the incarnation at which a silent run was.
+func (s *State) incarnationOf(r silentRun) inventory.Incarnation {
+	return inventory.Incarnation{Worker: r.worker, KnownAt: latest(r.at, s.gainedAt)}
 }
 
 // omitsRunningWorker reports whether a list does not name a worker of this cell that has answered a later poll.
