An end that is learned while the jobs are loaded counts as that of the member's incarnation

Cause: a leader that loads does not know the membership yet, so the end of a worker that has not answered was remembered without the time at which its incarnation began. A recorded start there then counted as unresolved, which is weaker evidence against its task. Such ends were rare; by the inventory they are usual.

Change: the end is remembered again once the membership is read.

--- a/pkg/process/cell/inventory_witness_test.go
+++ b/pkg/process/cell/inventory_witness_test.go
@@ -60,3 +60,36 @@
 	must.Positive(t, b.inventoryAsked)
 	must.True(t, b.started[task])
 }
+
+// A member ends by the inventory before the leader has read the membership, which says when it began. The end would then not
+// count against a task of which the record says that it started there.
+func TestEndThatTheInventoryTellsWhileLoadingCountsAgainstRecordedStarts(t *testing.T) {
+	t.Parallel()
+	const job = "00000000000000ce"
+	for name, loading := range map[string]time.Duration{"after the load": 0, "while loading": 4 * time.Second} { // the first is green
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newEmptyCell()
+			b.state = cell.New("hall", cell.Bounds{MaxLease: 10 * time.Second, Retention: time.Minute})
+			b.state.Take(b.now, cell.ManifestChanged{Manifest: testManifest})
+			b.register(len(b.reports))
+			b.silent["w03"] = true
+			b.state.Take(b.now, cell.LeadershipGained{Epoch: 2, LeasesEndAt: b.now.Add(15 * time.Second)})
+			b.runWithInventory(loading, "w03")
+			var members []*wire.RosterEntry
+			for id := range b.reports {
+				members = append(members, &wire.RosterEntry{Id: id, Address: "x", Host: id, Service: "quotes", Born: 1})
+			}
+			spec := &wire.JobSpec{Id: job, Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 1, Millicores: 1000, EstimateMs: 500}}}
+			note := &wire.TaskNote{Crashes: crashNotes("a", "b"), Trial: true, TrialWorker: "w03", TrialBorn: 1, TrialHost: "w03"}
+			progress := &wire.JobProgress{Id: job, Units: []*wire.UnitProgress{{Notes: []*wire.TaskNote{note}}}}
+			b.state.Take(b.now, cell.Loaded{Epoch: 2, Wall: b.now, Fences: testFences(), Members: members, Jobs: []cell.LoadedJob{{Spec: spec, Progress: progress}}})
+			b.runWithInventory(5*time.Second, "w03")
+			must.True(t, b.saidToHaveEnded("w03"))
+			must.Len(t, 1, b.state.Suspects())
+			last := b.state.Suspects()[0].Crashes[2]
+			must.Eq(t, "w03", last.Worker)
+			must.Zero(t, last.Company, must.Sprint("the end counts as unresolved"))
+		})
+	}
+}
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -85,6 +85,7 @@
 func (s *State) addEarlierMemberEnd(now time.Time, w *workers.Worker) {
 	switch {
 	case w.Ended && !w.HasAnswered:
+		s.rememberEnd(w) // the membership says when the incarnation began
 		s.addUnobservedEnd(w)
 	case w.LastAnswerAt.IsZero() && !w.SilentSince.IsZero():
 		s.addSilence(now, w, w.SilentSince)
