--- a/pkg/process/cell/inventory_witness_test.go
+++ b/pkg/process/cell/inventory_witness_test.go
@@ -93,3 +93,29 @@
 		})
 	}
 }
+
+// Members that ended unobserved are weak evidence against each task that was found nowhere. It would keep all of these in a
+// full cell for ten seconds, while another cell could start them.
+func TestUnobservedEndsDoNotKeepShortTasksInAFullCell(t *testing.T) {
+	t.Parallel()
+	const job = "00000000000000dd"
+	before := newEmptyCell()
+	before.fillWorkers()
+	members := before.state.Members()
+	before.silent["w03"], before.silent["w07"] = true, true
+	b := newEmptyCell()
+	spec := &wire.JobSpec{Id: job, Queue: "offers", Service: "quotes", Cell: "hall", Steps: []*wire.StepSpec{{Count: 2, Millicores: 2000, EstimateMs: 500}}}
+	b.takeOverWith(before, 15*time.Second, members, spec)
+	b.state.Take(b.now, cell.MembershipRecorded{}) // no worker may get work: the cell counts as full
+	for range 140 {
+		b.state.Take(b.now, cell.PeerLoad{Load: &wire.CellLoad{
+			Leading: true, Cell: "other", CapacityMillicores: 512_000, FreeMillicores: 64_000, LargestFreeMillicores: 32_000, FreeEach: []int64{32_000, 32_000},
+		}})
+		b.runWithInventory(50*time.Millisecond, "w03", "w07")
+		if len(b.lastDelegated(t, "other", job)) > 0 || b.started[job+".0.0.0"] {
+			must.LessEq(t, 4*time.Second, b.now.Sub(before.now), must.Sprintf("%v", b.state.Suspects()))
+			return
+		}
+	}
+	t.Fatalf("neither started nor delegated for seven seconds: %v", b.state.Suspects())
+}
