Tests of what the inventory's ends mean as evidence of crashes

Workers that end by one list count as ended at the same time, leaving workers give no evidence, and an answer that arrives after its worker was ended changes nothing.

--- a/pkg/process/cell/testcell_test.go
+++ b/pkg/process/cell/testcell_test.go
@@ -52,6 +52,9 @@
 	mostEnds int
 	// silent are the workers that do not answer polls.
 	silent map[string]bool
+	// heldPolls are the workers whose polls get no answer, heldAt is when the last of these was sent.
+	heldPolls map[string]bool
+	heldAt    time.Time
 	// inventoryAsked is how often the state has asked for the inventory.
 	inventoryAsked int
 }
@@ -140,6 +143,9 @@
 		switch e := e.(type) {
 		case cell.SendPoll:
 			b.polls = append(b.polls, e)
+			if b.heldPolls[e.To.ID] {
+				b.heldAt = b.now
+			}
 			b.answerPoll(e)
 		case cell.SendStart:
 			if b.refusal != workers.NotRefused {
@@ -186,6 +192,9 @@
 
 // answerPoll answers a poll with the worker's report, or with an error if the worker is silent.
 func (b *testCell) answerPoll(l cell.SendPoll) {
+	if b.heldPolls[l.To.ID] {
+		return
+	}
 	answer := cell.PollAnswered{Worker: l.To.ID, SentAt: b.now}
 	if b.mostEnds > 0 {
 		r := b.reports[l.To.ID]
