A decision looks for silent workers in the sorted list, not in the map

Cause: each decision of a leader asks whether a worker is silent, and went through the map of all workers for that. In a cell of 1,100 calm workers the decision took three times as long.

Change: the sorted list of workers.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -50,7 +50,7 @@
 
 // hasSilentWorker reports whether a worker is silent that is not known to have ended, and that a list could prove to have.
 func (s *State) hasSilentWorker(now time.Time) bool {
-	for _, w := range s.workers {
+	for _, w := range s.workersByID() {
 		if !w.Ended && !w.SilentSince.IsZero() && s.knownIncarnation(w).MustBeListed(now) {
 			return true
 		}
@@ -82,7 +82,7 @@
 
 // omitsRunningWorker reports whether a list does not name a worker of this cell that has answered a later poll.
 func (s *State) omitsRunningWorker(l inventory.List) bool {
-	for _, w := range s.workers {
+	for _, w := range s.workersByID() {
 		i := inventory.Incarnation{Worker: w.ID, KnownAt: latest(w.KnownAt, s.gainedAt), AliveAt: w.ListAskedAt}
 		if !w.Ended && w.SilentSince.IsZero() && l.Omits(i) {
 			return true
