--- a/pkg/process/cell/inventory_restarts_test.go
+++ b/pkg/process/cell/inventory_restarts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,9 +14,11 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
-// saidToHaveEnded reports whether the leader has logged the end of a worker's incarnation.
+// saidToHaveEnded reports whether the leader has ended a worker's incarnation by the inventory.
 func (b *testCell) saidToHaveEnded(id string) bool {
-	return slices.ContainsFunc(b.notes, func(n cell.Note) bool { return n.Kind == cell.NoteWorkerGone && n.Worker == id })
+	return slices.ContainsFunc(b.notes, func(n cell.Note) bool {
+		return n.Kind == cell.NoteWorkerGone && n.Worker == id && strings.Contains(n.Detail, "inventory")
+	})
 }
 
 // runWithoutInventory lets the cell go on while the platform does not answer.
@@ -71,3 +74,29 @@
 	b.runWithInventory(2*time.Second, "w03")
 	must.True(t, b.saidToHaveEnded("w03"))
 }
+
+// A process that was suspended takes lists long after they were asked for. Its worker has started again under its id meanwhile,
+// got runs and been cut off.
+func TestListsThatAreTakenLateDoNotEndTheNextIncarnation(t *testing.T) {
+	t.Parallel()
+	for name, born := range map[string]int64{"it says when it began": 2, "it does not say when it began": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newEmptyCell()
+			b.reports["w03"].Born = min(born, 1)
+			b.runWithoutInventory(5 * time.Second)
+			b.silent["w03"] = true
+			b.runWithoutInventory(time.Second)
+			askedAt := b.now
+			b.runWithoutInventory(time.Second)
+			b.silent["w03"], b.reports["w03"].Born = false, born
+			b.runWithoutInventory(time.Second)
+			b.silent["w03"] = true
+			b.runWithoutInventory(5 * time.Second)
+			b.listInventory(askedAt, "w03")
+			b.listInventory(askedAt.Add(500*time.Millisecond), "w03")
+			b.step(50 * time.Millisecond)
+			must.False(t, b.saidToHaveEnded("w03"))
+		})
+	}
+}
