Model: the platform's inventory ends a life, and a mutant that reads it too early is refuted

The model let a leader learn that a life is over whenever it was. With INVENTORY a leader reads the platform's list: asked at one moment, used at any later one, also after a change of leadership; a life that has ended is missing, one that has just begun may be. Taken as over under a confirmed leadership only.

An acknowledgement did not raise the fence, though it goes with a poll, which does.

--- a/model/cell.pml
+++ b/model/cell.pml
@@ -12,6 +12,10 @@
  *
  * With SAME_ID a worker that crashed begins anew under the id that it had: the rows that
  * name it name its next life too.
+ *
+ * With INVENTORY a leader also reads the platform's list of the workers that run. It names a
+ * life that runs, names one that has ended no more, and may name one that has just begun
+ * only later. What is read may be old when it is used, also under a later leadership.
  */
 
 #define HOSTS 2
@@ -45,6 +49,16 @@
 
 bit unsure[HOSTS * WORKERS];/* it has not led for sure since it heard this life */
 
+#ifdef INVENTORY
+byte life[WORKERS];       /* which life of the worker runs */
+bit shown[WORKERS] = 1;   /* the inventory names it */
+byte knows[HOSTS * WORKERS];/* the life that a host knows */
+byte list[HOSTS * WORKERS];/* whom the inventory named there, asked since that life is known: LISTED(life) or NOBODY; 0: not asked */
+#ifdef SAME_ID
+bit later[HOSTS * WORKERS];/* the life that runs began after the host knew the one that it knows */
+#endif
+#endif
+
 byte fence[WORKERS];      /* the highest epoch that the worker has seen */
 byte runs_at[WORKERS];    /* the run that it runs; 0: none */
 byte highest[WORKERS];    /* the highest run that ended there */
@@ -64,7 +78,11 @@
 #ifdef NO_SETTLING
 #define SETTLED(h, w) true
 #else
+#ifdef NO_SETTLING_CONFIRMATION
 #define SETTLED(h, w) (heard[IX(h, w)] || over[IX(h, w)])
+#else
+#define SETTLED(h, w) ((heard[IX(h, w)] && !ended[IX(h, w)]) || over[IX(h, w)])
+#endif
 #endif
 #ifdef NO_ROSTER
 #define NAMED(h, w) true
@@ -87,11 +105,96 @@
 #define KEPT recorded
 #endif
 
+#ifdef INVENTORY
+#define NOBODY 1
+#define LISTED(l) (2 + l)
+#ifdef SAME_ID
+#define MISSING(h, w) (list[IX(h, w)] == NOBODY)
+#define NAMES_IT(h, w) shown[w]
+#define BEGAN_LATER(h, w) later[IX(h, w)]
+#define KNOWN_SINCE(h, w) later[IX(h, w)] = 0; DROP_LIST(h, w)
+#else
+#define MISSING(h, w) (list[IX(h, w)] != 0 && list[IX(h, w)] != LISTED(knows[IX(h, w)]))
+#define NAMES_IT(h, w) (shown[w] && knows[IX(h, w)] == life[w])
+#define BEGAN_LATER(h, w) (knows[IX(h, w)] != life[w])
+#define KNOWN_SINCE(h, w) DROP_LIST(h, w)
+#endif
+#ifdef NO_ASKED_AFTER
+#define DROP_LIST(h, w) skip
+#else
+#define DROP_LIST(h, w) list[IX(h, w)] = 0
+#endif
+#ifdef NO_LISTING_DELAY
+#define NAMED_IF_IT_RUNS(h, w) true
+#else
+#define NAMED_IF_IT_RUNS(h, w) (shown[w] || BEGAN_LATER(h, w))
+#endif
+#ifdef NO_LIST_CONFIRMATION
+#define LIST_CONFIRMED(h) true
+#else
+#define LIST_CONFIRMED(h) CONFIRMED(h)
+#endif
+#ifdef NO_AGE_OF_LIFE
+#define OTHER_LIFE_ANSWERS(h, w) false
+#else
+#define OTHER_LIFE_ANSWERS(h, w) (knows[IX(h, w)] != life[w])
+#endif
+
+/* A leader can't tell for how long earlier leaders knew a life. */
+inline know_at_takeover(h, w) {
+	if
+	:: roster[w] -> knows[IX(h, w)] = life[w]
+	:: else -> skip
+	fi;
+	KNOWN_SINCE(h, w)
+}
+
+inline know_by_answer(h, w) {
+	if
+	:: OTHER_LIFE_ANSWERS(h, w) -> KNOWN_SINCE(h, w)
+	:: else -> skip
+	fi;
+	knows[IX(h, w)] = life[w]
+}
+
+inline list_life(w) {
+	d_step { !shown[w] -> shown[w] = 1 }
+}
+
+/* It asks once it has known a life for so long that the inventory names it if it still runs; an answer
+ * that does changes nothing. Each page is of its own moment, so each worker is read in a step of its own. */
+inline ask_inventory(h, w) {
+	d_step {
+		lead[h] > 0 && NAMED_IF_IT_RUNS(h, w) && !NAMES_IT(h, w) ->
+		if
+		:: shown[w] -> list[IX(h, w)] = LISTED(life[w])
+		:: else -> list[IX(h, w)] = NOBODY
+		fi
+	}
+}
+
+/* The inventory did not name the life that the leader knows: what ran there is over. */
+inline missing_life(h, w) {
+	d_step {
+		lead[h] > 0 && LIST_CONFIRMED(h) && MISSING(h, w) && (!over[IX(h, w)] || task[h] == AT + w) ->
+		over[IX(h, w)] = 1;
+		if
+		:: task[h] == AT + w -> task[h] = FREE; gone[IX(h, w)] = 0
+		:: else -> skip
+		fi
+	}
+}
+#endif
+
 inline take_over(h) {
-	atomic {
+	d_step {
 		lead[h] == 0 && epoch < EPOCHS ->
 		epoch++;
 		lead[h] = epoch;
+#ifdef INVENTORY
+		know_at_takeover(h, 0);
+		know_at_takeover(h, 1);
+#endif
 		heard[IX(h, 0)] = 0; heard[IX(h, 1)] = 0;
 		named[IX(h, 0)] = roster[0];
 		named[IX(h, 1)] = roster[1];
@@ -108,17 +211,17 @@
 
 /* It learns that another leads, or its tenure is over. */
 inline step_down(h) {
-	atomic { lead[h] > 0 -> lead[h] = 0; task[h] = UNKNOWN }
+	d_step { lead[h] > 0 -> lead[h] = 0; task[h] = UNKNOWN }
 }
 
 /* A renewal that names this life of the worker took effect. */
 inline name_worker(h, w) {
-	atomic { lead[h] > 0 && lead[h] == epoch && !roster[w] -> roster[w] = 1; named[IX(h, w)] = 1 }
+	d_step { lead[h] > 0 && lead[h] == epoch && !roster[w] -> roster[w] = 1; named[IX(h, w)] = 1 }
 }
 
 /* A look raises the fence, and its answer lists runs and ends. */
 inline look(h, w) {
-	atomic {
+	d_step {
 #ifdef NO_FENCE
 		lead[h] > 0 ->
 #else
@@ -126,6 +229,9 @@
 		fence[w] = lead[h];
 #endif
 		heard[IX(h, w)] = 1;
+#ifdef INVENTORY
+		know_by_answer(h, w);
+#endif
 		if
 		:: listed[w] -> task[h] = DONE
 		:: !listed[w] && runs_at[w] > 0 && (task[h] == UNKNOWN || task[h] == FREE) -> task[h] = AT + w; gone[IX(h, w)] = 0
@@ -136,7 +242,7 @@
 }
 
 inline settle(h) {
-	atomic {
+	d_step {
 		lead[h] > 0 && task[h] == UNKNOWN && SETTLED(h, 0) && SETTLED(h, 1) ->
 		task[h] = FREE
 	}
@@ -153,7 +259,7 @@
 /* Nobody else can grant any more: what was granted at a worker that is not
  * heard is over after a lease. */
 inline wait_forerunners(h, w) {
-	atomic {
+	d_step {
 		lead[h] > 0 && lead[h] == epoch && lead[OTHER(h)] == 0 && !heard[IX(h, w)] && !over[IX(h, w)] ->
 		over[IX(h, w)] = 1;
 		lapse(w);
@@ -165,7 +271,7 @@
  * sure only if nobody else could renew it, so a renewal of the leadership after
  * that moment must have taken effect. */
 inline wait_lease(h, w) {
-	atomic {
+	d_step {
 		lead[h] > 0 && task[h] == AT + w && CONFIRMED(h) ->
 		if
 		:: fence[w] <= lead[h] -> lapse(w); order_epoch[w] = 0
@@ -177,12 +283,12 @@
 
 #ifdef NO_LEASE_WAIT
 inline impatient(h, w) {
-	atomic { lead[h] > 0 && lead[h] == epoch && task[h] == AT + w -> task[h] = FREE }
+	d_step { lead[h] > 0 && lead[h] == epoch && task[h] == AT + w -> task[h] = FREE }
 }
 #endif
 
 inline start(h, w) {
-	atomic {
+	d_step {
 		lead[h] > 0 && task[h] == FREE && heard[IX(h, w)] && order_epoch[w] == 0 && runs < RUNS && NAMED(h, w) && SURE(h, w) ->
 		runs++;
 		order_epoch[w] = lead[h];
@@ -194,7 +300,7 @@
 
 /* An order may arrive at any time, or never. */
 inline arrive(w) {
-	atomic {
+	d_step {
 		order_epoch[w] > 0 ->
 		if
 #ifdef NO_FENCE
@@ -213,28 +319,42 @@
 }
 
 inline finish(w) {
-	atomic { runs_at[w] > 0 -> highest[w] = runs_at[w]; runs_at[w] = 0; listed[w] = 1; stale[w] = 0 }
+	d_step { runs_at[w] > 0 -> highest[w] = runs_at[w]; runs_at[w] = 0; listed[w] = 1; stale[w] = 0 }
 }
 
 inline record(h) {
-	atomic { lead[h] > 0 && lead[h] == epoch && task[h] == DONE && !recorded -> recorded = 1 }
+	d_step { lead[h] > 0 && lead[h] == epoch && task[h] == DONE && !recorded -> recorded = 1 }
 }
 
+/* A look carries it, so it raises the fence. */
 inline acknowledge(h, w) {
-	atomic {
+	d_step {
 		lead[h] > 0 && fence[w] <= lead[h] && listed[w] && task[h] == DONE && KEPT ->
+#ifndef NO_FENCE
+		fence[w] = lead[h];
+#endif
 		listed[w] = 0; noted = noted || !stale[w]
 	}
 }
 
+/* Who has heard the life that ends knows what ran there. */
+inline forget(h, w) {
+	if
+	:: heard[IX(h, w)] && !ended[IX(h, w)] -> over[IX(h, w)] = 1
+	:: else -> ended[IX(h, w)] = 1
+	fi;
+	heard[IX(h, w)] = 0
+}
+
 /* A worker's life ends and another begins: it has seen no epoch and lists
  * nothing. Orders name the life that is meant. */
 inline crash(w) {
-	atomic {
+	d_step {
 		crashes < CRASHES ->
 		crashes++;
 		runs_at[w] = 0; highest[w] = 0; fence[w] = 0; listed[w] = 0;
-		heard[IX(0, w)] = 0; heard[IX(1, w)] = 0;
+		forget(0, w);
+		forget(1, w);
 #ifdef SAME_ID
 		/* Whoever leads has read of the life before in the list of workers. */
 		unsure[IX(0, w)] = 1; unsure[IX(1, w)] = 1;
@@ -242,7 +362,13 @@
 		roster[w] = 0;
 		named[IX(0, w)] = 0; named[IX(1, w)] = 0;
 #endif
-		ended[IX(0, w)] = 1; ended[IX(1, w)] = 1;
+#ifdef INVENTORY
+		life[w]++;
+		shown[w] = 0;
+#ifdef SAME_ID
+		later[IX(0, w)] = 1; later[IX(1, w)] = 1;
+#endif
+#endif
 #ifndef NO_INCARNATION
 		order_epoch[w] = 0;
 #endif
@@ -253,24 +379,33 @@
 
 /* A renewal that was sent after a next life was heard took effect. */
 inline confirm_life(h, w) {
-	atomic { lead[h] > 0 && lead[h] == epoch && heard[IX(h, w)] && unsure[IX(h, w)] -> unsure[IX(h, w)] = 0 }
+	d_step { lead[h] > 0 && lead[h] == epoch && heard[IX(h, w)] && unsure[IX(h, w)] -> unsure[IX(h, w)] = 0 }
 }
 
 /* That a life is over is seen in the list of workers; where ids stay, when the next one
- * answers. What ran there may have ended well under a later leader before. */
-#ifdef SAME_ID
+ * answers. What ran there may have ended well under a later leader before. With INVENTORY
+ * the next one's answer shows it, or the inventory. */
+#if defined(SAME_ID) || defined(INVENTORY)
 #define SEEN_OVER(h, w) heard[IX(h, w)]
 #else
 #define SEEN_OVER(h, w) true
 #endif
 inline life_over(h, w) {
-	atomic { lead[h] > 0 && CONFIRMED(h) && SEEN_OVER(h, w) && gone[IX(h, w)] && task[h] == AT + w -> task[h] = FREE; gone[IX(h, w)] = 0 }
+	d_step { lead[h] > 0 && CONFIRMED(h) && SEEN_OVER(h, w) && gone[IX(h, w)] && task[h] == AT + w -> task[h] = FREE; gone[IX(h, w)] = 0 }
 }
 
 inline life_heard_of(h, w) {
-	atomic { lead[h] > 0 && CONFIRMED(h) && SEEN_OVER(h, w) && ended[IX(h, w)] -> over[IX(h, w)] = 1; ended[IX(h, w)] = 0 }
+	d_step { lead[h] > 0 && CONFIRMED(h) && SEEN_OVER(h, w) && ended[IX(h, w)] -> over[IX(h, w)] = 1; ended[IX(h, w)] = 0 }
 }
 
+#ifdef INVENTORY
+#define INVENTORY_STEPS(h) \
+	:: ask_inventory(h, 0) :: ask_inventory(h, 1) \
+	:: missing_life(h, 0) :: missing_life(h, 1)
+#else
+#define INVENTORY_STEPS(h)
+#endif
+
 #define FOR_HOST(h) \
 	:: take_over(h) \
 	:: step_down(h) \
@@ -282,6 +417,7 @@
 	:: confirm_life(h, 0) :: confirm_life(h, 1) \
 	:: life_over(h, 0) :: life_over(h, 1) \
 	:: life_heard_of(h, 0) :: life_heard_of(h, 1) \
+	INVENTORY_STEPS(h) \
 	:: start(h, 0) :: start(h, 1) \
 	:: record(h) \
 	:: acknowledge(h, 0) :: acknowledge(h, 1)
@@ -294,9 +430,12 @@
 	:: impatient(0, 0) :: impatient(0, 1) :: impatient(1, 0) :: impatient(1, 1)
 #endif
 	:: arrive(0) :: arrive(1)
-	:: atomic { order_epoch[0] > 0 -> order_epoch[0] = 0 }  /* lost */
-	:: atomic { order_epoch[1] > 0 -> order_epoch[1] = 0 }
+	:: d_step { order_epoch[0] > 0 -> order_epoch[0] = 0 }  /* lost */
+	:: d_step { order_epoch[1] > 0 -> order_epoch[1] = 0 }
 	:: finish(0) :: finish(1)
 	:: crash(0) :: crash(1)
+#ifdef INVENTORY
+	:: list_life(0) :: list_life(1)
+#endif
 	od
 }
--- a/model/run.sh
+++ b/model/run.sh
@@ -34,7 +34,7 @@
   grep -q 'assertion violated' pan.out && found=fault
   grep -q 'reached -DMEMLIM' pan.out && extent=bounded
   [ "$found" = fault ] && extent=refuted
-  printf '%-28s %-9s %-28s %s\n' "$name" "$extent" "$states" "$depth"
+  printf '%-34s %-9s %-28s %s\n' "$name" "$extent" "$states" "$depth"
   if [ "$found" != "$expect" ] || [ -z "$states" ]; then
     echo "FAILED: $name: expected $expect"
   fi
@@ -73,6 +73,7 @@
 check cell/no-confirmation    cell fault 1500 -DNO_CONFIRMATION
 check cell/no-recorded        cell fault 1500 -DNO_RECORDED
 check cell/no-roster          cell fault 1500 -DNO_ROSTER
+check cell/no-settling-confirmation  cell fault 2500 -DNO_SETTLING_CONFIRMATION
 check cell/no-incarnation     cell fault 1500 -DNO_INCARNATION
 
 check cell/same-id-all        cell none  2500 -DSAME_ID -DEPOCHS=2 -DRUNS=2
@@ -80,6 +81,15 @@
 check cell/same-id-unbound    cell fault 1500 -DSAME_ID -DNO_INCARNATION
 check cell/same-id-no-life    cell fault 1500 -DSAME_ID -DNO_LIFE_CONFIRMATION
 
+check cell/inventory-all      cell none  2500 -DINVENTORY -DEPOCHS=2 -DRUNS=2
+check cell/inventory          cell none  2000 -DINVENTORY
+check cell/inventory-asked-early     cell fault 1500 -DINVENTORY -DNO_ASKED_AFTER -DEPOCHS=2 -DRUNS=2
+check cell/inventory-no-delay        cell fault 1500 -DINVENTORY -DNO_LISTING_DELAY -DEPOCHS=2 -DRUNS=2
+check cell/inventory-no-confirmation cell fault 1500 -DINVENTORY -DNO_LIST_CONFIRMATION -DEPOCHS=2 -DRUNS=2
+check cell/inventory-same-id-all     cell none  2500 -DINVENTORY -DSAME_ID -DEPOCHS=2 -DRUNS=2
+check cell/inventory-same-id         cell none  2000 -DINVENTORY -DSAME_ID
+check cell/inventory-no-age-of-life  cell fault 1500 -DINVENTORY -DSAME_ID -DNO_AGE_OF_LIFE -DEPOCHS=2 -DRUNS=2
+
 check request/all             request none  2500
 check request/no-ask          request fault 2500 -DNO_ASK
 check request/no-promise      request fault 2500 -DNO_PROMISE
