Ends are proven as soon while other hosts leave

Cause: a list of several pages may have skipped a host if another one left, so each pair of lists during which one left proved nothing, for workers on listed hosts as well. Pairs were 1.5 s apart, half a second a page, and readings became rarer though the last list missed the worker.

Change: a host that a list names was not skipped, so what does not run there has ended. Readings are 0.2 s a page apart, 0.5 s at least, and go on so while a list misses a silent worker.

TestHostsThatLeaveDoNotHideThatAListedHostRunsAnotherWorker and TestWorkerThatEndsAfterALongSilenceIsNotAwaitedForMoreThanOnePause fail without the change.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -13,9 +13,10 @@
 // also while it still loads the jobs. Without an answer, the workers' leases decide.
 
 const (
-	// minInventoryInterval is the time between two readings after a worker went silent, for each page of the inventory.
-	// Two readings in a row have to show that a worker has ended.
-	minInventoryInterval = 500 * time.Millisecond
+	// minInventoryInterval is the least time between two readings, and inventoryPageInterval the same for each page: the
+	// platform bounds the pages that all hosts read together. Two readings in a row have to show that a worker has ended.
+	minInventoryInterval  = 500 * time.Millisecond
+	inventoryPageInterval = 200 * time.Millisecond
 	// maxInventoryInterval is the longest time between two readings while the same workers stay silent.
 	maxInventoryInterval = 8 * time.Second
 	// minInventoryReadings is the number of readings after which the interval grows.
@@ -28,13 +29,13 @@
 	// outstanding means that a reading is awaited, which was asked for at askedAt.
 	outstanding bool
 	askedAt     time.Time
-	// readings is the number of readings since a worker last went silent.
+	// readings is the number of readings since a worker went silent or was first missing from a list.
 	readings int
 }
 
 // interval returns the time between the last reading and the next one.
 func (r inventoryReadings) interval() time.Duration {
-	each := minInventoryInterval * time.Duration(max(1, r.last.Pages))
+	each := max(minInventoryInterval, inventoryPageInterval*time.Duration(r.last.Pages))
 	return max(each, min(each<<max(0, min(r.readings, 16)-minInventoryReadings), maxInventoryInterval))
 }
 
@@ -77,13 +78,17 @@
 	}
 	ended := func(i inventory.Incarnation) bool { return inventory.Ended(earlier, e.List, i) }
 	for _, w := range s.workersByID() {
-		if !w.Ended && !w.SilentSince.IsZero() && ended(s.knownIncarnation(w)) {
+		switch {
+		case w.Ended || w.SilentSince.IsZero():
+		case ended(s.knownIncarnation(w)):
 			s.endIncarnation(now, w, "the inventory does not list it")
+		case !e.List.Workers[w.ID] && s.knownIncarnation(w).MustBeListed(e.List.AskedAt):
+			r.readings = 0 // the next list may show that it has ended
 		}
 	}
 	s.resolveSilentRuns(now, true, func(r silentRun) bool { return s.workers[r.worker] == nil && ended(s.incarnationOf(r)) })
 	for _, id := range slices.Sorted(maps.Keys(s.unreachedMembers)) {
-		if s.workers[id] == nil && ended(inventory.Incarnation{Worker: id, KnownAt: s.gainedAt}) {
+		if s.workers[id] == nil && ended(inventory.Incarnation{Worker: id, Host: s.unreachedMembers[id].entry.GetHost(), KnownAt: s.gainedAt}) {
 			s.unreachedMemberEnded(now, id)
 		}
 	}
@@ -91,7 +96,7 @@
 
 // incarnationOf returns the incarnation at which a silent run was.
 func (s *State) incarnationOf(r silentRun) inventory.Incarnation {
-	return inventory.Incarnation{Worker: r.worker, KnownAt: latest(r.at, s.gainedAt)}
+	return inventory.Incarnation{Worker: r.worker, Host: r.host, KnownAt: latest(r.at, s.gainedAt)}
 }
 
 // omitsRunningWorker reports whether a list does not name a worker of this cell that has answered a later poll.
@@ -111,6 +116,7 @@
 func (s *State) knownIncarnation(w *workers.Worker) inventory.Incarnation {
 	return inventory.Incarnation{
 		Worker:  w.ID,
+		Host:    w.Host,
 		KnownAt: latest(w.KnownAt, s.memberKnownAt(w.ID, w.Born), w.FirstAnswerAt),
 		AliveAt: latest(w.LastAnswerAt, w.AliveAt),
 	}
--- a/pkg/process/cell/inventory_lists_test.go
+++ b/pkg/process/cell/inventory_lists_test.go
@@ -64,3 +64,18 @@
 	b.runWithInventory(6*time.Second, "w03", "w07")
 	must.MapContainsKey(t, b.started, otherTask, must.Sprint("the later lists name all that run"))
 }
+
+// A worker has been silent for long, and is read about ever less often, when it ends. The next readings follow soon.
+func TestWorkerThatEndsAfterALongSilenceIsNotAwaitedForMoreThanOnePause(t *testing.T) {
+	t.Parallel()
+	b := newEmptyCell()
+	b.silent["w03"] = true
+	b.runWithInventory(40 * time.Second)
+	must.False(t, b.saidToHaveEnded("w03"))
+	asked := b.inventoryAsked
+	for b.inventoryAsked == asked {
+		b.runWithInventory(50*time.Millisecond, "w03")
+	}
+	b.runWithInventory(700*time.Millisecond, "w03")
+	must.True(t, b.saidToHaveEnded("w03"))
+}
--- a/pkg/process/inventory/inventory.go
+++ b/pkg/process/inventory/inventory.go
@@ -37,6 +37,8 @@
 // Incarnation is an incarnation of a worker, as a leader knows it.
 type Incarnation struct {
 	Worker string
+	// Host is the name of its host, "" if that is not known.
+	Host string
 	// KnownAt is when the leader first knew of it, AliveAt a time at which it was alive for sure, zero if there is none.
 	KnownAt, AliveAt time.Time
 }
@@ -50,7 +52,7 @@
 	return isComplete(earlier) && isComplete(later) &&
 		i.MustBeListed(earlier.AskedAt) && earlier.AskedAt.After(i.AliveAt) &&
 		later.AskedAt.After(earlier.AskedAt) && !Overlap(earlier, later) &&
-		!earlier.Workers[i.Worker] && !later.Workers[i.Worker] && skippedNone(earlier, later)
+		!earlier.Workers[i.Worker] && !later.Workers[i.Worker] && (earlier.Hosts[i.Host] || skippedNone(earlier, later))
 }
 
 // Omits reports whether a list does not name an incarnation that was alive for sure after it had been read, and should do so.
--- a/pkg/process/inventory/inventory_test.go
+++ b/pkg/process/inventory/inventory_test.go
@@ -96,3 +96,19 @@
 		})
 	}
 }
+
+// Other hosts leave all the time, so that a list of several pages may have skipped some. A host that it lists was not skipped:
+// the worker that is not there has ended.
+func TestHostsThatLeaveDoNotHideThatAListedHostRunsAnotherWorker(t *testing.T) {
+	t.Parallel()
+	earlier, later := listOf(3*time.Second, 3, "a", "b", "c", "d"), listOf(4*time.Second, 3, "a", "b", "c")
+	for _, l := range []inventory.List{earlier, later} {
+		delete(l.Workers, "worker of c")
+	}
+	i := inventory.Incarnation{Worker: "worker of c", KnownAt: knownAt}
+	must.False(t, inventory.Ended(earlier, later, i), must.Sprint("its host is not known"))
+	i.Host = "c"
+	must.True(t, inventory.Ended(earlier, later, i))
+	i.Host = "e"
+	must.False(t, inventory.Ended(earlier, later, i), must.Sprint("its host may have been skipped"))
+}
