An end that is known already is not counted again when the next incarnation answers

Cause: while the end of a worker is not confirmed, an outstanding poll may be answered by its next incarnation under the same id. The end then counted as a second crash of the host, and once more against the tasks there. By the inventory ends are known before such an answer more often.

Case "of the next one under its id, the end is not confirmed" of TestAnswerThatArrivesAfterTheInventoryHasEndedItsWorkerChangesNothing fails without the change.

--- a/pkg/process/cell/incarnations.go
+++ b/pkg/process/cell/incarnations.go
@@ -36,8 +36,10 @@
 		Kind: NoteWorkerLife, Worker: w.ID, AgeMs: now.Sub(w.LastAnswerAt).Milliseconds(),
 		Detail: fmt.Sprintf("born %d, was %d; clock %s, expected at least %s", e.Report.Born, w.Born, e.Report.Clock, w.MinClock(now).Round(time.Millisecond)),
 	})
-	s.rememberEnd(w)
-	s.workerCrashed(now, w)
+	if !w.Ended {
+		s.rememberEnd(w)
+		s.workerCrashed(now, w)
+	}
 	for _, p := range s.writers {
 		p.unrecordedEnds = slices.DeleteFunc(p.unrecordedEnds, func(end unrecordedEnd) bool { return end.worker == w.ID })
 	}
--- a/pkg/process/cell/inventory_crashes_test.go
+++ b/pkg/process/cell/inventory_crashes_test.go
@@ -81,9 +81,10 @@
 		born        int64
 		unconfirmed bool
 	}{
-		"of the incarnation that ended":                         {1, false},
-		"of the incarnation that ended, which is not confirmed": {1, true},
-		"of the next one under its id":                          {2, false},
+		"of the incarnation that ended":                          {1, false},
+		"of the incarnation that ended, which is not confirmed":  {1, true},
+		"of the next one under its id":                           {2, false},
+		"of the next one under its id, the end is not confirmed": {2, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
