Log lists of the inventory that are not used, and nothing where there is no inventory

A list that leaves out a worker which answers is passed over; inventory-incomplete names the worker. Without the setting, each reading was logged as one that failed while a worker was silent.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -73,7 +74,8 @@
 		return // two cells of this process have asked at the same time
 	}
 	r.last = e.List
-	if s.omitsRunningWorker(earlier) {
+	if running := s.omittedWorker(earlier); running != "" {
+		s.note(Note{Kind: NoteInventoryOmits, Worker: running, AgeMs: now.Sub(earlier.ReadAt).Milliseconds(), Detail: fmt.Sprintf("%d hosts, %d workers on %d pages", len(earlier.Hosts), len(earlier.Workers), earlier.Pages)})
 		return
 	}
 	ended := func(i inventory.Incarnation) bool { return inventory.Ended(earlier, e.List, i) }
@@ -99,15 +101,15 @@
 	return inventory.Incarnation{Worker: r.worker, Host: r.host, KnownAt: latest(r.at, s.gainedAt)}
 }
 
-// omitsRunningWorker reports whether a list does not name a worker of this cell that has answered a later poll.
-func (s *State) omitsRunningWorker(l inventory.List) bool {
+// omittedWorker returns a worker of this cell that a list does not name and that has answered a later poll, "" if there is none.
+func (s *State) omittedWorker(l inventory.List) string {
 	for _, w := range s.workersByID() {
 		i := inventory.Incarnation{Worker: w.ID, KnownAt: latest(w.KnownAt, s.gainedAt), AliveAt: w.ListAskedAt}
 		if !w.Ended && w.SilentSince.IsZero() && l.Omits(i) {
-			return true
+			return w.ID
 		}
 	}
-	return false
+	return ""
 }
 
 // knownIncarnation returns the incarnation of a worker that this leader knows. A successor can't tell for how long its
--- a/pkg/process/cell/inventory_lists_test.go
+++ b/pkg/process/cell/inventory_lists_test.go
@@ -60,6 +60,8 @@
 	t.Parallel()
 	b := takeOverBesideEndedWorkers()
 	b.runWithInventory(4*time.Second, "w03", "w05", "w07")
+	must.Positive(t, len(b.notesOf(cell.NoteInventoryOmits)))
+	must.Eq(t, "w05", b.notesOf(cell.NoteInventoryOmits)[0].Worker)
 	must.MapNotContainsKey(t, b.started, otherTask)
 	b.runWithInventory(6*time.Second, "w03", "w07")
 	must.MapContainsKey(t, b.started, otherTask, must.Sprint("the later lists name all that run"))
--- a/pkg/process/cell/notes.go
+++ b/pkg/process/cell/notes.go
@@ -11,6 +11,7 @@
 	NoteLoaded          NoteKind = "cell-loaded"
 	NotePredecessorOver NoteKind = "cell-predecessor-over"
 	NoteMembersAwaited  NoteKind = "members-awaited"
+	NoteInventoryOmits  NoteKind = "inventory-incomplete"
 	NoteSettled         NoteKind = "cell-settled"
 	NoteReleased        NoteKind = "cell-released"
 	NoteManifest        NoteKind = "manifest-in-force"
@@ -74,6 +75,7 @@
 	{NoteLoaded, "the cell's jobs were read from the table; detail: numbers of jobs, cancels and members that must answer"},
 	{NotePredecessorOver, "an earlier leader has ended and grants no more leases; detail: its incarnation; age_ms: how much longer the cell may wait for members that do not answer"},
 	{NoteMembersAwaited, "the cell has not settled, as earlier leaders may have started tasks at members that have not answered; repeated each second; detail: how many members, what is known of each and how much longer its leases may last, earlier leaders that are not known to have ended; age_ms: time since this process leads; left_ms: the longest remaining wait"},
+	{NoteInventoryOmits, "a list of the inventory was not used, as it does not name a worker that has answered since; detail: what it names; age_ms: its age"},
 	{NoteSettled, "the runs of earlier leaders are known or have surely ended, except for tasks that the membership names at members that have not answered; detail: numbers of tasks that no worker lists, members that have not answered, tasks that may run there"},
 	{NoteReleased, "this process hands the cell over"},
 	{NoteManifest, "a newer manifest is in force; detail: version"},
--- a/pkg/process/fleet/inventory.go
+++ b/pkg/process/fleet/inventory.go
@@ -49,10 +49,13 @@
 	list, err := c.inventory.Inventory(ctx)
 	outcome := "ok"
 	fields := logrus.Fields{"cell": name, "ms": clock.Now().Sub(began).Milliseconds()}
-	if err != nil {
+	switch {
+	case c.inventory == inventory.Reader(noInventory{}):
+		outcome = "none"
+	case err != nil:
 		outcome = "unanswered"
 		c.log.WithFields(fields).WithField("why", err.Error()).Warn("inventory-not-read")
-	} else {
+	default:
 		fields["pages"], fields["hosts"], fields["workers"] = list.Pages, len(list.Hosts), len(list.Workers)
 		c.log.WithFields(fields).Info("inventory-read")
 	}
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/wrenferry/wrenferry/pkg/connection/traffic"
 	"github.com/wrenferry/wrenferry/pkg/eventlog"
 	"github.com/wrenferry/wrenferry/pkg/process/fleet"
+	"github.com/wrenferry/wrenferry/pkg/process/inventory"
 	"github.com/wrenferry/wrenferry/pkg/request/intake"
 	"github.com/wrenferry/wrenferry/platform"
 )
@@ -104,8 +105,12 @@
 // PlatformAdapters returns the adapters that connect an entry host to the platform.
 func PlatformAdapters(config fleet.Config) fleet.Adapters {
 	meter := traffic.NewMeter()
+	var reader inventory.Reader
+	if config.Inventory != "" {
+		reader = platform.NewInventory(config.Inventory, meter)
+	}
 	return fleet.Adapters{
-		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Inventory: platform.NewInventory(config.Inventory, meter), Source: platform.Source{}, Dial: platform.Dial,
+		Meter: meter, Table: platform.NewTable(config.Table, meter), Caller: platform.NewWorkers(meter), Advisor: platform.NewAdvisor(config.Advice), Inventory: reader, Source: platform.Source{}, Dial: platform.Dial,
 		CallerAPI: func(h *fleet.Host) (http.Handler, suture.Service) {
 			jobs := intake.New(config.Hall, h.Store, h.Control, h, h.Log, h.Metrics, intakeOptions(config, h)...)
 			h.Relays.Load, h.Relays.CountPending = jobs.TakeLoad, jobs.CountPending
