Soak of lasting tasks while workers and hosts are gone for good

The soak of real processes knew no lasting tasks, no worker that is gone for good and no host that is replaced, so it could not show the waits for leases of ended workers. Added: the rule LOST for lasting tasks, workers that die for good (refused, reset, silent) and come back under new ids, hosts that are gone for good and replaced under other names, the inventory and its troubles.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -28,28 +28,33 @@
 // caller submits jobs, queries their states and cancels some. It keeps its connections open until
 // the entry host's process ends.
 type caller struct {
-	hosts   []*host
+	// hosts returns the entry hosts that are not gone for good.
+	hosts   func() []*host
 	checker *checker
-	clients []*http.Client
+	// noCrashes means that no job has a task that crashes workers.
+	noCrashes bool
 }
 
-func newCaller(hosts []*host, c *checker) *caller {
-	all := &caller{hosts: hosts, checker: c}
-	for range hosts {
-		all.clients = append(all.clients, &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
-	}
-	return all
+// newClient returns a client of one entry host.
+func newClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+}
+
+// callAny makes one HTTP call to a random host.
+func (c *caller) callAny(rnd *rand.Rand, method, id, body string) (int, string, error) {
+	hosts := c.hosts()
+	return c.call(hosts[rnd.IntN(len(hosts))], method, id, body)
 }
 
-// call makes one HTTP call to the host with the index at.
-func (c *caller) call(at int, method, id, body string) (int, string, error) {
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+c.hosts[at].callers+"/jobs/"+id, strings.NewReader(body))
+// call makes one HTTP call to a host.
+func (c *caller) call(h *host, method, id, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+"/jobs/"+id, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = "queue.example"
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.clients[at].Do(req)
+	resp, err := h.client.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
@@ -59,8 +64,8 @@
 }
 
 // runJob submits a random job and polls it until it has a final state. It reports a job that has none
-// at the given time to the checker.
-func (c *caller) runJob(id string, rnd *rand.Rand, until time.Time) {
+// at wait after over was closed to the checker.
+func (c *caller) runJob(id string, rnd *rand.Rand, over <-chan struct{}, wait time.Duration) {
 	j := &sentJob{text: "text of " + id}
 	var steps []map[string]any
 	for i := range 1 + rnd.IntN(3) {
@@ -75,7 +80,7 @@
 	if err != nil {
 		panic(err) // the job consists of values that JSON can encode
 	}
-	if rnd.IntN(crashingJobOneIn) == 0 {
+	if !c.noCrashes && rnd.IntN(crashingJobOneIn) == 0 {
 		step := rnd.IntN(len(j.steps))
 		j.crashingTask = fmt.Sprintf("%s.0.%d.%d", id, step, rnd.IntN(j.steps[step]))
 	}
@@ -89,9 +94,17 @@
 		c.cancel(id, rnd)
 	}
 	state := ""
-	for time.Now().Before(until) {
+	var until time.Time
+	for until.IsZero() || time.Now().Before(until) {
 		time.Sleep(statePollInterval)
-		status, text, err := c.call(rnd.IntN(len(c.hosts)), http.MethodGet, id, "")
+		select {
+		case <-over:
+			if until.IsZero() {
+				until = time.Now().Add(wait)
+			}
+		default:
+		}
+		status, text, err := c.callAny(rnd, http.MethodGet, id, "")
 		if err != nil {
 			continue
 		}
@@ -110,7 +123,7 @@
 // submit submits a job until it is accepted, and returns whether it was.
 func (c *caller) submit(id, body string, rnd *rand.Rand) bool {
 	for range maxSubmitTries {
-		status, _, err := c.call(rnd.IntN(len(c.hosts)), http.MethodPost, id, body)
+		status, _, err := c.callAny(rnd, http.MethodPost, id, body)
 		c.checker.submitAnswered(id, status, err)
 		if err == nil && status/100 == 2 {
 			return true
@@ -122,7 +135,7 @@
 
 func (c *caller) cancel(id string, rnd *rand.Rand) {
 	for range maxSubmitTries {
-		status, _, err := c.call(rnd.IntN(len(c.hosts)), http.MethodDelete, id, "")
+		status, _, err := c.callAny(rnd, http.MethodDelete, id, "")
 		if err == nil && (status/100 == 2 || status == http.StatusGone) {
 			return
 		}
@@ -133,12 +146,23 @@
 // traffic submits jobs for span, with pauses of pause on average. It returns when each job has a final
 // state, at most about wait after span.
 func (c *caller) traffic(rnd *rand.Rand, span, wait time.Duration, pause time.Duration) {
+	over := make(chan struct{})
+	time.AfterFunc(span, func() { close(over) })
+	c.trafficUntil(over, rnd, wait, pause)
+}
+
+// trafficUntil is traffic until over is closed.
+func (c *caller) trafficUntil(over <-chan struct{}, rnd *rand.Rand, wait, pause time.Duration) {
 	var all sync.WaitGroup
-	end := time.Now().Add(span)
-	for n := 1; time.Now().Before(end); n++ {
+	for n := 1; ; n++ {
+		select {
+		case <-over:
+			all.Wait()
+			return
+		default:
+		}
 		id, own := fmt.Sprintf("%016x", n), rand.New(rand.NewPCG(rnd.Uint64(), 1))
-		all.Go(func() { c.runJob(id, own, end.Add(wait)) })
+		all.Go(func() { c.runJob(id, own, over, wait) })
 		time.Sleep(time.Duration(rnd.Int64N(int64(2 * pause))))
 	}
-	all.Wait()
 }
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -19,7 +19,9 @@
 //	MIXED    a job shown as completed with a task that has not ended as done
 //	BUDGET   a third start of a task after three workers have crashed under it
 //	GIVENUP  a job shown as failed, though no task of it failed often enough or crashed two workers
-//	LOST     an accepted job that is unknown, or has no final state long after all faults
+//	LOST     an accepted job that is unknown, or has no final state long after all faults; or a lasting task of an
+//	         accepted job without a run, though there was capacity for it in a calm (lasting_test.go)
+//	UNASKED  a lasting task that runs on after its job was cancelled
 type checker struct {
 	mu               sync.Mutex
 	startedAt        time.Time
@@ -38,6 +40,8 @@
 	// its starts after crashLimit crashes. failures counts the runs of each task that failed.
 	crashesUnder, startsAfterCrashes, failures map[string]int
 
+	lasting lastingTasks
+
 	violations []string
 	log        []string
 }
@@ -50,6 +54,8 @@
 	// this open.
 	accepted, maybeAccepted bool
 	cancelled               bool
+	// lasting means that its tasks run until the job is cancelled.
+	lasting bool
 	// crashingTask is the job's task that crashes each worker that starts it, or empty.
 	crashingTask string
 }
@@ -133,6 +139,7 @@
 	case status/100 == 2:
 		if !j.accepted {
 			c.logLocked("%s accepted", id)
+			c.lasting.accepted(id, j)
 		}
 		j.accepted = true
 	}
@@ -181,6 +188,7 @@
 	}
 	c.running[task][fmt.Sprintf("%s run %d", incarnation, run)] = true
 	c.lastStart[task] = time.Now()
+	c.lasting.started(task)
 }
 
 func (c *checker) ended(incarnation, task string, run int64, how string) {
@@ -188,6 +196,9 @@
 	defer c.mu.Unlock()
 	c.logLocked("%s ends %s run %d: %s", incarnation, task, run, how)
 	delete(c.running[task], fmt.Sprintf("%s run %d", incarnation, run))
+	if len(c.running[task]) == 0 && c.lasting.ended(task) {
+		return // a lasting task may fail as often as it likes
+	}
 	switch how {
 	case howDone:
 		c.done[task] = true
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -124,6 +124,12 @@
 	return d.rand.IntN(n)
 }
 
+func (d *day) uint64() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rand.Uint64()
+}
+
 func (d *day) randomHost() *host {
 	h := d.hosts[d.intN(len(d.hosts))]
 	d.checker.logf("FAULT at %s", h.name)
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,9 +14,11 @@
 // host is one entry host. It runs one process at a time under the same name.
 type host struct {
 	name, hall string
-	callers    string
-	file       string
-	log        *os.File
+	// addresses are where it serves callers, readiness, other hosts and its figures.
+	callers, ready, control, figures string
+	file                             string
+	log                              *os.File
+	client                           *http.Client
 	// storeProxy is the proxy between the host and the store.
 	storeProxy *proxy
 
@@ -24,15 +27,17 @@
 	ended   chan struct{}
 	// down is when its last process ended.
 	down time.Time
+	// gone means that no process follows.
+	gone bool
 }
 
 // overloadSettings enable the parts that deal with load at its worst (docs/operators/overload.md).
 const overloadSettings = `, "confirmAcceptance": true, "confirmedHandover": true, "urgentWait": "300ms", "refuseLate": "on"`
 
 // settings writes the host's settings file. more holds further settings, each after a comma.
-func (h *host) settings(halls, ready, control, figures, table, more string) error {
+func (h *host) settings(halls, table, more string) error {
 	text := fmt.Sprintf(`{"name": %q, "hall": %q, "halls": [%s], "callers": %q, "ready": %q, "control": %q, "metrics": %q, "table": %q,
-		"retention": "5m", "grace": "4s", "processors": 0.5, "memoryMB": 256%s}`, h.name, h.hall, halls, h.callers, ready, control, figures, table, more)
+		"retention": "5m", "grace": "4s", "processors": 0.5, "memoryMB": 256%s}`, h.name, h.hall, halls, h.callers, h.ready, h.control, h.figures, table, more)
 	return os.WriteFile(h.file, []byte(text), 0o600)
 }
 
@@ -40,7 +45,7 @@
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process != nil {
+	if h.process != nil || h.gone {
 		return nil
 	}
 	c := exec.Command(filepath.Join(bin, "wrenferryd"), "fleet", "--config", h.file)
--- /dev/null
+++ b/test/soak/losses_test.go
@@ -0,0 +1,215 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wrenferry/wrenferry/platform/platformtest"
+)
+
+// Days on which workers and hosts are gone for good and are replaced, while lasting tasks run.
+//
+//	SEEDS=50 go test ./test/soak -run TestLastingTasksRunAgainAfterWorkersAndHostsAreGone -parallel 2 -timeout 120m
+//	SEED=17 go test ./test/soak -run TestLastingTasksRunAgainAfterWorkersAndHostsAreGone -v
+//
+// With INVENTORY=off the hosts know no inventory.
+
+const (
+	lossWorkers = 24
+	lossHosts   = 6
+	lossBeat    = 1500 * time.Millisecond
+	// lastingJobs and lastingCount are the lasting jobs of a day, and the tasks of each.
+	lastingJobs, lastingCount = 4, 8
+	// losses is the number of times on a day at which workers and hosts are gone, each followed by calmAfterLoss.
+	losses        = 3
+	calmAfterLoss = calmTime + 4*time.Second
+	// Hosts are gone only while minHosts others are there, and at most maxHostsAtOnce in one moment.
+	minHosts, maxHostsAtOnce = 3, 2
+	// lossJobPause is the mean pause between other jobs.
+	lossJobPause = 250 * time.Millisecond
+	// maxFirstStart is how long the first starts of the lasting tasks may take.
+	maxFirstStart = 20 * time.Second
+	// pollLastingInterval is the time between two queries for the state of the lasting jobs.
+	pollLastingInterval = time.Second
+)
+
+func TestLastingTasksRunAgainAfterWorkersAndHostsAreGone(t *testing.T) {
+	t.Parallel()
+	if seed, one := intFromEnv(t, "SEED", 0); one {
+		for _, line := range playLosses(t, uint64(seed)) {
+			t.Log(line)
+		}
+		return
+	}
+	n, _ := intFromEnv(t, "SEEDS", defaultSeeds)
+	first, _ := intFromEnv(t, "FIRST", 0)
+	for seed := range n {
+		t.Run(fmt.Sprint(first+seed), func(t *testing.T) {
+			t.Parallel()
+			playLosses(t, uint64(first+seed))
+		})
+	}
+}
+
+// playLosses plays one day and returns its log.
+func playLosses(t *testing.T, seed uint64) []string {
+	t.Helper()
+	d := newLossDay(t, seed)
+	defer d.cleanUp()
+	rnd := rand.New(rand.NewPCG(seed, 6))
+	var ids []string
+	for i := range lastingJobs {
+		ids = append(ids, fmt.Sprintf("%016x", 0xa000+i))
+		d.caller.submitLasting(ids[i], lastingCount, rnd)
+	}
+	d.awaitLasting()
+	go d.watchLasting()
+	var others sync.WaitGroup
+	others.Go(func() {
+		d.caller.trafficUntil(d.quiet, rand.New(rand.NewPCG(seed, 2)), completionTimeout, lossJobPause)
+	})
+	others.Go(func() { d.pollLasting(ids, rand.New(rand.NewPCG(seed, 7))) })
+	for range losses {
+		d.loseSome()
+		time.Sleep(calmAfterLoss)
+		d.addWorkers()
+	}
+	close(d.quiet)
+	d.cancelLasting(ids, rnd)
+	others.Wait()
+	d.checker.checkRefused()
+	t.Log(d.waits())
+	return d.report(seed, "go test ./test/soak -v -run "+t.Name()+" with SEED")
+}
+
+// newLossDay starts the processes of a day with an inventory.
+func newLossDay(t *testing.T, seed uint64) *day {
+	t.Helper()
+	d := &day{
+		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
+		quiet: make(chan struct{}), inventory: platformtest.NewInventory(), beat: lossBeat,
+	}
+	d.store.Put("op", "config", platformtest.Manifest(3))
+	if os.Getenv("INVENTORY") != "off" {
+		d.more = fmt.Sprintf(`, "inventory": %q`, d.inventory.Address())
+	}
+	if seed%2 == 1 {
+		d.more += overloadSettings
+	}
+	if d.oneIn(3) {
+		d.inventory.SetPageSize(3 + d.intN(6))
+	}
+	for i := range lossWorkers {
+		d.addWorker(i, halls[i%len(halls)])
+	}
+	for i := range lossHosts {
+		d.addHost(i)
+	}
+	d.caller = &caller{hosts: d.presentHosts, checker: d.checker, noCrashes: true}
+	d.ready()
+	return d
+}
+
+// oneIn returns true once in n times.
+func (d *day) oneIn(n int) bool { return d.intN(n) == 0 }
+
+// between returns a random time.
+func (d *day) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(d.intN(int(high-low)))
+}
+
+// awaitLasting waits until all lasting tasks run.
+func (d *day) awaitLasting() {
+	for end := time.Now().Add(maxFirstStart); time.Now().Before(end); time.Sleep(sampleInterval) {
+		if running, all := d.checker.runningLasting(); running == all {
+			return
+		}
+	}
+	running, all := d.checker.runningLasting()
+	must.Eq(d.t, all, running, must.Sprint("lasting tasks run before anything is lost"))
+}
+
+// pollLasting asks for the states of the lasting jobs until the last loss is over.
+func (d *day) pollLasting(ids []string, rnd *rand.Rand) {
+	for {
+		select {
+		case <-d.quiet:
+			return
+		case <-time.After(pollLastingInterval):
+		}
+		d.caller.pollLasting(ids[rnd.IntN(len(ids))], rnd)
+	}
+}
+
+// loseSome injects one loss, or a series of them, and returns when all its impairments have ended.
+func (d *day) loseSome() {
+	times := 1
+	if d.oneIn(3) {
+		times = 3
+	}
+	var all sync.WaitGroup
+	for i := range times {
+		if i > 0 {
+			time.Sleep(d.between(500*time.Millisecond, 3*time.Second))
+		}
+		if d.oneIn(3) {
+			trouble := lossTroubles[d.intN(len(lossTroubles))]
+			span := d.between(300*time.Millisecond, 3*time.Second)
+			all.Go(func() { trouble(d, span) })
+			time.Sleep(d.between(0, 500*time.Millisecond))
+		}
+		d.lose(&all)
+	}
+	all.Wait()
+}
+
+// lose ends several workers for good, and hosts shortly after.
+func (d *day) lose(all *sync.WaitGroup) {
+	hosts := d.leaders()
+	if d.oneIn(4) || len(hosts) == 0 {
+		hosts = d.presentHosts()
+	}
+	d.mu.Lock()
+	d.rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	d.mu.Unlock()
+	most := 1
+	if d.oneIn(3) {
+		most = maxHostsAtOnce
+	}
+	hosts = hosts[:min(most, len(hosts), max(0, len(d.presentHosts())-minHosts))]
+	hall := halls[d.intN(len(halls))]
+	oneHall := d.oneIn(3)
+	var lost []*worker
+	present := d.presentWorkers()
+	d.mu.Lock()
+	d.rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+	d.mu.Unlock()
+	count := len(present) / 10
+	if d.oneIn(2) {
+		count = len(present) / 3
+	}
+	for _, w := range present {
+		if len(lost) < count && (!oneHall || w.hall == hall) {
+			lost = append(lost, w)
+		}
+	}
+	d.endWorkers(lost, workerEnds[d.intN(len(workerEnds))])
+	time.Sleep(d.between(0, 300*time.Millisecond))
+	for _, h := range hosts {
+		how, after, oldAddress := hostEnds[d.intN(len(hostEnds))], d.between(200*time.Millisecond, 900*time.Millisecond), d.oneIn(4)
+		if d.oneIn(4) {
+			after = d.between(time.Second, 4*time.Second) // a slow start
+		}
+		all.Go(func() { d.replaceHost(h, how, after, oldAddress) })
+	}
+	if d.oneIn(2) {
+		after := d.between(500*time.Millisecond, 4*time.Second)
+		all.Go(func() { time.Sleep(after); d.addWorkers() })
+	}
+}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -15,8 +15,8 @@
 	mu    sync.Mutex
 	conns map[*proxied]bool
 	delay time.Duration
-	// cut means that new connections are closed at once.
-	cut bool
+	// cut means that new connections are closed at once, mute that they and the open ones carry no data and stay open.
+	cut, mute bool
 }
 
 // proxied is one connection through a proxy.
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	// silent directions drop all further data: 0 is towards the server, 1 back. They stay silent.
 	silent [2]bool
+	// mute means that in stays open when out ends.
+	mute bool
 }
 
 const (
@@ -66,8 +68,12 @@
 
 func (p *proxy) forward(in net.Conn) {
 	p.mu.Lock()
-	cut := p.cut
+	cut, mute := p.cut, p.mute
 	p.mu.Unlock()
+	if mute {
+		p.hold(in)
+		return
+	}
 	out, err := net.DialTimeout("tcp", p.to, time.Second)
 	if err != nil || cut {
 		_ = in.Close()
@@ -91,7 +97,7 @@
 
 // pump forwards one direction until either end closes.
 func (p *proxy) pump(c *proxied, way int, to io.Writer, from io.Reader) {
-	defer c.close()
+	defer c.endOf(from)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -119,6 +125,43 @@
 	_ = c.out.Close()
 }
 
+// hold keeps a connection open until its client or the proxy closes it, and carries no data.
+func (p *proxy) hold(in net.Conn) {
+	c := &proxied{in: in, out: in}
+	p.mu.Lock()
+	p.conns[c] = true
+	p.mu.Unlock()
+	_, _ = io.Copy(io.Discard, in) // until it is closed
+	c.close()
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+}
+
+// endOf closes the connection after one end of it was closed. A mute one stays open for the client.
+func (c *proxied) endOf(from io.Reader) {
+	c.mu.Lock()
+	mute := c.mute
+	c.mu.Unlock()
+	if mute && from == io.Reader(c.out) {
+		return
+	}
+	c.close()
+}
+
+// setMute makes the proxy carry no more data, on open and on new connections, which all stay open.
+func (p *proxy) setMute() {
+	p.mu.Lock()
+	p.mute = true
+	p.mu.Unlock()
+	p.silence(0, 1)
+	p.each(func(c *proxied) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.mute = true
+	})
+}
+
 // each calls do for all open connections.
 func (p *proxy) each(do func(c *proxied)) {
 	p.mu.Lock()
--- /dev/null
+++ b/test/soak/replacement_test.go
@@ -0,0 +1,158 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/wrenferry/wrenferry/platform/platformtest"
+)
+
+// Hosts and workers that are gone for good, and those that replace them.
+
+// statusTimeout bounds the question to a host for the cells that it leads.
+const statusTimeout = 300 * time.Millisecond
+
+// presentHosts returns the hosts that are not gone for good.
+func (d *day) presentHosts() []*host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*host
+	for _, h := range d.hosts {
+		h.mu.Lock()
+		if !h.gone {
+			list = append(list, h)
+		}
+		h.mu.Unlock()
+	}
+	return list
+}
+
+// presentWorkers returns the workers that are not gone for good.
+func (d *day) presentWorkers() []*worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*worker
+	for _, w := range d.workers {
+		w.mu.Lock()
+		if !w.gone {
+			list = append(list, w)
+		}
+		w.mu.Unlock()
+	}
+	return list
+}
+
+// proxyOf returns the proxy of a worker.
+func (d *day) proxyOf(w *worker) *proxy {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.workerProxies[slices.Index(d.workers, w)]
+}
+
+// ledBy returns the cells that a host says it leads.
+func (d *day) ledBy(h *host) []string {
+	client := http.Client{Timeout: statusTimeout}
+	resp, err := client.Get("http://" + h.figures + "/status")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	status := struct{ Led map[string]json.RawMessage }{}
+	if json.NewDecoder(resp.Body).Decode(&status) != nil {
+		return nil
+	}
+	var cells []string
+	for cell := range status.Led {
+		cells = append(cells, cell)
+	}
+	slices.Sort(cells)
+	return cells
+}
+
+// leaders returns the hosts that lead a cell.
+func (d *day) leaders() []*host {
+	var list []*host
+	for _, h := range d.presentHosts() {
+		if cells := d.ledBy(h); len(cells) > 0 {
+			d.checker.logf("%s leads %v", h.name, cells)
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// hostEnd is how a host is gone for good: killed, so that its addresses refuse connections, or frozen, so that they
+// are silent.
+type hostEnd struct {
+	name   string
+	signal syscall.Signal
+}
+
+var hostEnds = []hostEnd{{"killed", syscall.SIGKILL}, {"killed", syscall.SIGKILL}, {"frozen", syscall.SIGSTOP}}
+
+// replaceHost ends a host for good and starts another one after a while, at the old addresses if it may.
+func (d *day) replaceHost(h *host, how hostEnd, after time.Duration, oldAddress bool) {
+	h.mu.Lock()
+	if h.gone {
+		h.mu.Unlock()
+		return
+	}
+	h.gone = true
+	h.mu.Unlock()
+	d.checker.impaired("%s is gone for good, %s", h.name, how.name)()
+	h.signal(how.signal)
+	time.Sleep(after)
+	at := []string{h.callers, h.ready, h.control, h.figures}
+	if !oldAddress || how.signal != syscall.SIGKILL {
+		var err error
+		if at, err = platformtest.FreeAddresses(len(at)); err != nil {
+			d.t.Error(err)
+			return
+		}
+	}
+	d.mu.Lock()
+	i := len(d.hosts)
+	d.mu.Unlock()
+	d.checker.impaired("host-%d replaces %s, in %s, at %s", i, h.name, h.hall, at[0])()
+	d.startHost(i, h.hall, at)
+}
+
+// workerEnd is how a worker is gone for good.
+type workerEnd struct {
+	name  string
+	leave func(p *proxy)
+}
+
+var workerEnds = []workerEnd{
+	{"its connections are reset", func(*proxy) {}},
+	{"its address refuses", (*proxy).close},
+	{"its address is silent", (*proxy).setMute},
+}
+
+// endWorkers ends workers for good.
+func (d *day) endWorkers(list []*worker, how workerEnd) {
+	var names []string
+	for _, w := range list {
+		names = append(names, w.id)
+	}
+	d.checker.impaired("%v are gone for good, %s", names, how.name)()
+	for _, w := range list {
+		how.leave(d.proxyOf(w))
+		w.die()
+	}
+}
+
+// addWorkers adds workers until there are as many as at first.
+func (d *day) addWorkers() {
+	for len(d.presentWorkers()) < lossWorkers {
+		d.mu.Lock()
+		i := len(d.workers)
+		d.mu.Unlock()
+		d.checker.logf("worker %s comes", fmt.Sprintf("i-%d", i))
+		d.addWorker(i, halls[i%len(halls)])
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -93,6 +93,13 @@
 	d.caller.traffic(rand.New(rand.NewPCG(seed, 2)), faultPeriod, completionTimeout, jobPause)
 	faults.Wait()
 	d.checker.checkRefused()
+	return d.report(seed, "make soak SEED")
+}
+
+// report reports the violations of the day, if any, and returns its log. again is the command that plays it again.
+func (d *day) report(seed uint64, again string) []string {
+	t := d.t
+	t.Helper()
 	broken, log := d.checker.result()
 	t.Log(d.checker.summary())
 	if len(broken) > 0 {
@@ -102,8 +109,8 @@
 			_ = exec.Command("cp", h.log.Name(), dir).Run() // a failed copy shows as a missing file
 		}
 		_ = os.WriteFile(filepath.Join(dir, "story.txt"), []byte(strings.Join(log, "\n")), 0o600)
-		t.Errorf("seed %d: %d broken, first: %s\nagain: make soak SEED=%d\nlogs: %s\n%s",
-			seed, len(broken), broken[0], seed, dir, strings.Join(relatedLines(broken[0], log), "\n"))
+		t.Errorf("seed %d: %d broken, first: %s\nagain: %s=%d\nlogs: %s\n%s",
+			seed, len(broken), broken[0], again, seed, dir, strings.Join(relatedLines(broken[0], log), "\n"))
 	}
 	return log
 }
@@ -125,18 +132,26 @@
 	return list
 }
 
+// halls are the halls of each day.
+var halls = []string{"hall-a", "hall-b"}
+
 // day is one seeded day: the processes, their stand-ins and proxies, and the checker.
 type day struct {
 	t             *testing.T
-	mu            sync.Mutex // of rand
+	mu            sync.Mutex // of rand, and of the lists of workers and hosts
 	rand          *rand.Rand
 	store         *platformtest.Store
 	checker       *checker
+	inventory     *platformtest.Inventory // nil on days without one
+	more          string                  // further settings of the hosts
 	workers       []*worker
 	workerProxies []*proxy
 	hosts         []*host
 	caller        *caller
 	over          chan struct{}
+	// quiet is closed when no more is to happen, beat the time between two writes of a worker's row (worker_test.go).
+	quiet chan struct{}
+	beat  time.Duration
 }
 
 func newDay(t *testing.T, seed uint64) *day {
@@ -145,18 +160,16 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
 	}
 	d.store.Put("op", "config", platformtest.Manifest(3))
-	halls := []string{"hall-a", "hall-b"}
 	for i := range 6 {
 		d.addWorker(i, halls[i%len(halls)])
 	}
-	more := ""
 	if seed%2 == 1 {
-		more = overloadSettings // the seeds of a usual run have days with these settings and without
+		d.more = overloadSettings // the seeds of a usual run have days with these settings and without
 	}
 	for i := range 5 {
-		d.addHost(i, halls, more)
+		d.addHost(i)
 	}
-	d.caller = newCaller(d.hosts, d.checker)
+	d.caller = &caller{hosts: d.presentHosts, checker: d.checker}
 	d.ready()
 	return d
 }
@@ -166,35 +179,50 @@
 	must.NoError(d.t, err)
 	w := &worker{
 		id: fmt.Sprintf("i-%d", i), hall: hall, address: free[0], front: free[1], checker: d.checker,
-		rand: rand.New(rand.NewPCG(d.rand.Uint64(), 4)), dayOver: d.over,
+		rand: rand.New(rand.NewPCG(d.uint64(), 4)), dayOver: d.over, lapsing: map[string]time.Time{},
+		newIDs: d.inventory != nil, inventory: d.inventory, beat: d.beat,
 		put:    func(key string, row any) { d.store.Put("servers", key, row) },
 		remove: func(key string) { d.store.Remove("servers", key) },
 	}
 	must.NoError(d.t, w.startIncarnation())
 	front, err := newProxy(w.front, w.address)
 	must.NoError(d.t, err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.workers, d.workerProxies = append(d.workers, w), append(d.workerProxies, front)
 	go w.writeRows()
 }
 
-func (d *day) addHost(i int, halls []string, more string) {
-	free, err := platformtest.FreeAddresses(5)
+func (d *day) addHost(i int) {
+	free, err := platformtest.FreeAddresses(4)
+	must.NoError(d.t, err)
+	d.startHost(i, halls[i%len(halls)], free)
+}
+
+// startHost starts a host that serves callers, readiness, other hosts and its figures at the given addresses.
+func (d *day) startHost(i int, hall string, at []string) {
+	free, err := platformtest.FreeAddresses(1)
 	must.NoError(d.t, err)
 	dir := d.t.TempDir()
-	h := &host{name: fmt.Sprintf("host-%d", i), hall: halls[i%len(halls)], callers: free[0], file: filepath.Join(dir, "settings.jsonc")}
-	h.storeProxy, err = newProxy(free[4], d.store.Address())
+	h := &host{
+		name: fmt.Sprintf("host-%d", i), hall: hall, callers: at[0], ready: at[1], control: at[2], figures: at[3],
+		file: filepath.Join(dir, "settings.jsonc"), client: newClient(),
+	}
+	h.storeProxy, err = newProxy(free[0], d.store.Address())
 	must.NoError(d.t, err)
 	h.log, err = os.Create(filepath.Join(dir, h.name+".log"))
 	must.NoError(d.t, err)
-	must.NoError(d.t, h.settings(`"`+strings.Join(halls, `", "`)+`"`, free[1], free[2], free[3], free[4], more))
+	must.NoError(d.t, h.settings(`"`+strings.Join(halls, `", "`)+`"`, free[0], d.more))
 	must.NoError(d.t, h.start())
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.hosts = append(d.hosts, h)
 }
 
 // ready waits until the first host answers calls. Faults may hit the others before they do.
 func (d *day) ready() {
 	for range 400 {
-		if status, _, err := d.caller.call(0, "GET", "00000000000000ff", ""); err == nil && status == 410 {
+		if status, _, err := d.caller.call(d.hosts[0], "GET", "00000000000000ff", ""); err == nil && status == 410 {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -217,4 +245,8 @@
 	}
 	d.store.CloseClientConnections()
 	d.store.Close()
+	if d.inventory != nil {
+		d.inventory.CloseClientConnections()
+		d.inventory.Close()
+	}
 }
--- a/test/soak/worker_test.go
+++ b/test/soak/worker_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/wrenferry/wrenferry/platform/platformtest"
 )
 
 const (
@@ -27,9 +29,15 @@
 	endsPerAnswer = 500
 )
 
-// worker is a stand-in worker. It runs one incarnation at a time, at one address and under one id.
+// worker is a stand-in worker. It runs one incarnation at a time, at one address and, without newIDs, under one id.
 type worker struct {
 	id, hall string
+	// newIDs means that each incarnation after the first has an id of its own.
+	newIDs bool
+	// beat is the time between two writes of an unchanged row; 0: the row is written every rowInterval.
+	beat time.Duration
+	// inventory lists the worker's machine, unless it is nil.
+	inventory *platformtest.Inventory
 	// address is where its incarnations listen, front the address in its row: that of its proxy.
 	address, front string
 	checker        *checker
@@ -46,13 +54,16 @@
 	delayingUntil, invalidRowUntil, leavingUntil time.Time
 	// Until smallUntil, the capacity is a single task's; until noRoomUntil, it is 0.
 	smallUntil, noCapacityUntil time.Time
-	downSince                   time.Time
 	dayOver                     chan struct{}
+	// lapsing has the ids of incarnations that have ended with a row, and since when.
+	lapsing map[string]time.Time
+	// gone means that no incarnation follows.
+	gone bool
 }
 
 // incarnation stands for one process of a worker.
 type incarnation struct {
-	name        string
+	name, id    string
 	startedAt   time.Time
 	clockOffset time.Duration
 	fence       int64
@@ -100,7 +111,7 @@
 func (w *worker) startIncarnation() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.incarnation != nil {
+	if w.incarnation != nil || w.gone {
 		return nil // another fault has started one already
 	}
 	listener, err := listen(w.address)
@@ -109,11 +120,13 @@
 	}
 	w.incarnations++
 	l := &incarnation{
-		name: fmt.Sprintf("%s/%d", w.id, w.incarnations), startedAt: time.Now(), clockOffset: time.Duration(w.rand.IntN(3600)) * time.Second,
+		name: fmt.Sprintf("%s/%d", w.id, w.incarnations), id: w.incarnationID(), startedAt: time.Now(), clockOffset: time.Duration(w.rand.IntN(3600)) * time.Second,
 		runs: map[string]*run{}, highestRun: map[string]int64{}, changed: make(chan struct{}),
 	}
 	l.server = &http.Server{Handler: w.handler(l), ReadHeaderTimeout: time.Minute}
 	w.incarnation = l
+	delete(w.lapsing, l.id)
+	w.list(l)
 	w.checker.logf("%s begins", l.name)
 	go func() { _ = l.server.Serve(listener) }() // until it is closed
 	return nil
@@ -127,7 +140,9 @@
 		w.mu.Unlock()
 		return
 	}
-	w.incarnation, w.downSince = nil, time.Now()
+	w.incarnation = nil
+	w.lapsing[l.id] = time.Now()
+	w.unlist()
 	w.checker.logf("%s crashes", l.name)
 	for task, r := range l.runs {
 		w.checker.ended(l.name, task, r.number, "crashed")
@@ -137,35 +152,40 @@
 	_ = l.server.Close()
 }
 
-// writeRows writes the worker's row every rowInterval until the day is over, and removes it after the
-// worker has been down for rowTTL.
+// writeRows writes the worker's row every rowInterval, or every beat, until the day is over, and removes it after its
+// incarnation has been down for rowTTL, or for three beats.
 func (w *worker) writeRows() {
+	var written *incarnation
+	var writtenAt time.Time
 	for sequence := 1; ; sequence++ {
 		select {
 		case <-w.dayOver:
 			return
 		case <-time.After(rowInterval):
 		}
+		w.removeLapsedRows()
 		w.mu.Lock()
 		l, now := w.incarnation, time.Now()
+		if l == nil || (l == written && now.Sub(writtenAt) < w.beat) {
+			w.mu.Unlock()
+			continue
+		}
+		written, writtenAt = l, now
 		state := "ready"
 		if now.Before(w.leavingUntil) {
 			state = "draining"
 		}
-		odd, down, cpu := now.Before(w.invalidRowUntil), now.Sub(w.downSince), w.availableCPU()
+		odd, cpu := now.Before(w.invalidRowUntil), w.availableCPU()
 		w.mu.Unlock()
 		switch {
-		case l == nil && down > rowTTL:
-			w.remove(w.id)
-		case l == nil:
 		case odd:
-			w.put(w.id, map[string]any{"service": 7, "address": "nowhere"})
+			w.put(l.id, map[string]any{"service": 7, "address": "nowhere"})
 			w.put("odd-"+w.id, oddRow(sequence))
 		default:
-			w.put(w.id, map[string]any{
+			w.put(l.id, map[string]any{
 				"service": "pool", "address": w.front, "zone": w.hall, "version": "v1", "slots": 8, "state": state, "sequence": sequence,
 				"capacity": map[string]any{"cpu": cpu, "mem-mb": workerMemMB, "gpu": 0}, "labels": []string{"a", "r1"},
-				"machine": "m-" + w.id, "born": l.startedAt.UnixMilli(), "clock-ms": l.clock().Milliseconds(), "remaining-ms": 3000,
+				"machine": w.machine(), "born": l.startedAt.UnixMilli(), "clock-ms": l.clock().Milliseconds(), "remaining-ms": 3000,
 			})
 		}
 	}
@@ -212,7 +232,7 @@
 		reply(out, status, answer)
 	})
 	return http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
-		if want := in.Header.Get("Expect-Instance"); want != "" && want != w.id {
+		if want := in.Header.Get("Expect-Instance"); want != "" && want != l.id {
 			out.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -364,6 +384,10 @@
 	if w.checker.crashesWorkers(o.Task) {
 		time.AfterFunc(crashAfter, func() { w.crashDuring(l, o.Task) })
 	}
+	if w.checker.isLasting(o.Task) {
+		w.startLasting(l, o.Task, r)
+		return http.StatusOK, nil
+	}
 	how := howDone
 	if w.rand.IntN(failureOneIn) == 0 {
 		how = "failed"
