--- a/test/soak/lasting_test.go
+++ b/test/soak/lasting_test.go
@@ -21,8 +21,8 @@
 	// sampleInterval is the time between two checks. A check that is maxSampleDelay late counts as an impairment.
 	sampleInterval = 50 * time.Millisecond
 	maxSampleDelay = time.Second
-	// lastingTakes stands for the time of a lasting task, which ends only when it is stopped or fails.
-	lastingTakes = time.Hour
+	// maxLastingStart is the longest time from the start of a lasting task until it is at work.
+	maxLastingStart = 400 * time.Millisecond
 	// lastingFailureOneIn is the number of lasting runs of which one, on average, fails within maxLastingFailure.
 	lastingFailureOneIn = 12
 	maxLastingFailure   = 8 * time.Second
@@ -48,6 +48,14 @@
 	reported  bool
 }
 
+// idle returns for how long a task has had no run. A task of a cancelled job needs none.
+func (t *lastingTask) idle(now time.Time) time.Duration {
+	if t.idleSince.IsZero() || t.job.cancelled {
+		return 0
+	}
+	return now.Sub(t.idleSince)
+}
+
 func (l *lastingTasks) accepted(id string, j *sentJob) {
 	if !j.lasting {
 		return
@@ -67,9 +75,6 @@
 
 func (l *lastingTasks) started(task string) {
 	if known := l.tasks[task]; known != nil {
-		if !known.idleSince.IsZero() {
-			l.longestIdle = max(l.longestIdle, time.Since(known.idleSince))
-		}
 		known.idleSince, known.reported = time.Time{}, false
 	}
 }
@@ -114,12 +119,15 @@
 	if free < capacityTwice {
 		l.fullAt = now
 	}
+	for _, each := range l.tasks {
+		l.longestIdle = max(l.longestIdle, each.idle(now))
+	}
 	if l.underWay > 0 || now.Sub(l.calmSince) < calmTime || now.Sub(l.fullAt) < capacityTime {
 		return
 	}
 	for task, each := range l.tasks {
-		idle := now.Sub(each.idleSince)
-		if each.idleSince.IsZero() || each.job.cancelled || each.reported || idle < maxIdle {
+		idle := each.idle(now)
+		if each.reported || idle < maxIdle {
 			continue
 		}
 		each.reported = true
@@ -139,7 +147,7 @@
 	return running, len(c.lasting.tasks)
 }
 
-// longestIdle returns the longest time that a lasting task had no run before it was started.
+// longestIdle returns the longest time that a lasting task had no run.
 func (c *checker) longestIdle() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -168,12 +176,21 @@
 
 // startLasting lets a lasting run go on until it is stopped. Some fail by themselves.
 func (w *worker) startLasting(l *incarnation, task string, r *run) {
-	r.takes = lastingTakes
+	r.lasting, r.takes = true, time.Duration(1+w.rand.Int64N(int64(maxLastingStart)))
 	if w.rand.IntN(lastingFailureOneIn) == 0 {
 		w.endAfter(l, task, r, time.Duration(w.rand.Int64N(int64(maxLastingFailure))), "failed")
 	}
 }
 
+// percent returns the progress that a worker lists for a run.
+func (r *run) percent() int {
+	progress := int(100 * time.Since(r.since) / r.takes)
+	if r.lasting {
+		return min(100, progress)
+	}
+	return min(99, progress)
+}
+
 // submitLasting submits a job of lasting tasks.
 func (c *caller) submitLasting(id string, count int, rnd *rand.Rand) {
 	j := &sentJob{text: "text of " + id, steps: []int{count}, lasting: true}
--- a/test/soak/worker_test.go
+++ b/test/soak/worker_test.go
@@ -82,6 +82,8 @@
 	since  time.Time
 	takes  time.Duration
 	cpu    int64
+	// lasting means that it is at work after takes, and goes on until it is stopped.
+	lasting bool
 }
 
 type runEnd struct {
@@ -348,7 +350,7 @@
 	l.ended = keep
 	active, finished := [][]any{}, [][]any{}
 	for task, r := range l.runs {
-		active = append(active, []any{task, r.number, "", min(99, int(100*time.Since(r.since)/r.takes)), r.cpu})
+		active = append(active, []any{task, r.number, "", r.percent(), r.cpu})
 	}
 	for _, e := range keep[:min(len(keep), endsPerAnswer)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
