--- a/test/soak/losses_test.go
+++ b/test/soak/losses_test.go
@@ -31,6 +31,10 @@
 	calmAfterLoss = calmTime + 4*time.Second
 	// Hosts are gone only while minHosts others are there, and at most maxHostsAtOnce in one moment.
 	minHosts, maxHostsAtOnce = 3, 2
+	// maxHunted is the number of workers that a hunt ends at once.
+	maxHunted = 4
+	// firstLastingJob is the id of the first lasting job, as a number.
+	firstLastingJob = 0xa000
 	// lossJobPause is the mean pause between other jobs.
 	lossJobPause = 250 * time.Millisecond
 	// maxFirstStart is how long the first starts of the lasting tasks may take.
@@ -65,7 +69,7 @@
 	rnd := rand.New(rand.NewPCG(seed, 6))
 	var ids []string
 	for i := range lastingJobs {
-		ids = append(ids, fmt.Sprintf("%016x", 0xa000+i))
+		ids = append(ids, lastingJob(i))
 		d.caller.submitLasting(ids[i], lastingCount, rnd)
 	}
 	d.awaitLasting()
@@ -93,11 +97,12 @@
 	t.Helper()
 	d := &day{
 		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
-		quiet: make(chan struct{}), inventory: platformtest.NewInventory(), beat: lossBeat,
+		quiet: make(chan struct{}), beat: lossBeat,
 	}
 	d.store.Put("op", "config", platformtest.Manifest(3))
-	if os.Getenv("INVENTORY") != "off" {
-		d.more = fmt.Sprintf(`, "inventory": %q`, d.inventory.Address())
+	d.useInventory()
+	if os.Getenv("INVENTORY") == "off" {
+		d.more = ""
 	}
 	if seed%2 == 1 {
 		d.more += overloadSettings
@@ -164,11 +169,35 @@
 			all.Go(func() { trouble(d, span) })
 			time.Sleep(d.between(0, 500*time.Millisecond))
 		}
+		if d.oneIn(5) {
+			d.hunt()
+			continue
+		}
 		d.lose(&all)
 	}
 	all.Wait()
 }
 
+// hunt ends the workers of one lasting job again and again, so that its tasks become suspects.
+func (d *day) hunt() {
+	job, times := lastingJob(d.intN(lastingJobs)), 2+d.intN(3)
+	end := workerEnds[d.intN(len(workerEnds))]
+	for range times {
+		var lost []*worker
+		for _, w := range d.presentWorkers() {
+			if w.runsTaskOf(job) && len(lost) < maxHunted {
+				lost = append(lost, w)
+			}
+		}
+		d.endWorkers(lost, end)
+		time.Sleep(d.between(700*time.Millisecond, 2500*time.Millisecond))
+		d.addWorkers()
+	}
+}
+
+// lastingJob returns the id of a lasting job.
+func lastingJob(i int) string { return fmt.Sprintf("%016x", firstLastingJob+i) }
+
 // lose ends several workers for good, and hosts shortly after.
 func (d *day) lose(all *sync.WaitGroup) {
 	hosts := d.leaders()
--- a/test/soak/losstroubles_test.go
+++ b/test/soak/losstroubles_test.go
@@ -62,6 +62,25 @@
 		}
 		time.Sleep(span)
 	},
+	func(d *day, span time.Duration) {
+		w := d.anyWorker()
+		defer d.checker.impaired("%s restarts and is cut off at once", w.id)()
+		p := d.proxyOf(w)
+		d.restartWorker(w, span/4)
+		p.setCut(true)
+		time.Sleep(span)
+		p.setCut(false)
+	},
+	func(d *day, _ time.Duration) {
+		w := d.anyWorker()
+		defer d.checker.impaired("%s's connections are reset", w.id)()
+		d.proxyOf(w).reset()
+	},
+	func(d *day, _ time.Duration) {
+		w := d.anyWorker()
+		defer d.checker.impaired("%s's answers are lost", w.id)()
+		d.proxyOf(w).silence(1)
+	},
 	func(d *day, span time.Duration) {
 		h := d.anyHost()
 		defer d.checker.impaired("%s is killed and comes back", h.name)()
--- a/test/soak/machines_test.go
+++ b/test/soak/machines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -77,6 +78,20 @@
 	w.crash()
 }
 
+// runsTaskOf returns whether the worker runs a task of a job.
+func (w *worker) runsTaskOf(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.incarnation != nil {
+		for task := range w.incarnation.runs {
+			if strings.HasPrefix(task, job+".") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // freeSlots returns how many more tasks fit.
 func (w *worker) freeSlots() int {
 	w.mu.Lock()
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +19,9 @@
 	delay time.Duration
 	// cut means that new connections are closed at once, mute that they and the open ones carry no data and stay open.
 	cut, mute bool
+	// over means that it was closed. unanswered is what dropConnects holds open.
+	over       bool
+	unanswered []io.Closer
 }
 
 // proxied is one connection through a proxy.
@@ -34,6 +39,8 @@
 	// that a process between fork and exec still holds.
 	maxListenTries      = 100
 	listenRetryInterval = 20 * time.Millisecond
+	// maxQueued is the number of attempts to connect that fill a queue of one.
+	maxQueued = 2
 )
 
 func listen(address string) (l net.Listener, err error) {
@@ -209,6 +216,48 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.over = true
+	unanswered := p.unanswered
+	p.unanswered = nil
+	p.mu.Unlock()
 	_ = p.listener.Close()
+	for _, each := range unanswered {
+		_ = each.Close()
+	}
 	p.reset()
 }
+
+func (p *proxy) closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.over
+}
+
+// dropConnects makes the proxy's address answer no attempt to connect, as that of a machine without power: it listens
+// with a queue of one, which it never empties.
+func (p *proxy) dropConnects() {
+	address, ok := p.listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return
+	}
+	_ = p.listener.Close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return // the address refuses connections then
+	}
+	queue := os.NewFile(uintptr(fd), address.String())
+	at := &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unanswered = append(p.unanswered, queue)
+	if syscall.Bind(fd, at) != nil || syscall.Listen(fd, 0) != nil {
+		return
+	}
+	for range maxQueued {
+		if c, err := net.DialTimeout("tcp", address.String(), listenRetryInterval); err == nil {
+			p.unanswered = append(p.unanswered, c)
+		}
+	}
+}
--- a/test/soak/replacement_test.go
+++ b/test/soak/replacement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"syscall"
@@ -85,14 +84,16 @@
 	return list
 }
 
-// hostEnd is how a host is gone for good: killed, so that its addresses refuse connections, or frozen, so that they
-// are silent.
+// hostEnd is how a host is gone for good: killed, so that its addresses refuse connections, frozen, so that they are
+// silent, or stopped in order.
 type hostEnd struct {
 	name   string
 	signal syscall.Signal
 }
 
-var hostEnds = []hostEnd{{"killed", syscall.SIGKILL}, {"killed", syscall.SIGKILL}, {"frozen", syscall.SIGSTOP}}
+var hostEnds = []hostEnd{
+	{"killed", syscall.SIGKILL}, {"killed", syscall.SIGKILL}, {"killed", syscall.SIGKILL}, {"frozen", syscall.SIGSTOP}, {"stopped", syscall.SIGTERM},
+}
 
 // replaceHost ends a host for good and starts another one after a while, at the old addresses if it may.
 func (d *day) replaceHost(h *host, how hostEnd, after time.Duration, oldAddress bool) {
@@ -131,6 +132,7 @@
 	{"its connections are reset", func(*proxy) {}},
 	{"its address refuses", (*proxy).close},
 	{"its address is silent", (*proxy).setMute},
+	{"its address can't be reached", func(p *proxy) { p.setMute(); p.dropConnects() }},
 }
 
 // endWorkers ends workers for good.
@@ -146,13 +148,41 @@
 	}
 }
 
-// addWorkers adds workers until there are as many as at first.
+// addWorkers adds workers until there are as many as at first. Some come at an old address of one that is gone.
 func (d *day) addWorkers() {
 	for len(d.presentWorkers()) < lossWorkers {
 		d.mu.Lock()
 		i := len(d.workers)
 		d.mu.Unlock()
-		d.checker.logf("worker %s comes", fmt.Sprintf("i-%d", i))
-		d.addWorker(i, halls[i%len(halls)])
+		free, err := platformtest.FreeAddresses(2)
+		if err != nil {
+			d.t.Error(err)
+			return
+		}
+		if old := d.freeFront(); old != "" && d.oneIn(3) {
+			free[1] = old
+		}
+		d.checker.logf("worker i-%d comes, at %s", i, free[1])
+		d.startWorker(i, halls[i%len(halls)], free)
+	}
+}
+
+// freeFront returns an address at which a worker was served that is gone, and no other since, or "".
+func (d *day) freeFront() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	taken := map[string]bool{}
+	for i, w := range d.workers {
+		w.mu.Lock()
+		if !w.gone || !d.workerProxies[i].closed() {
+			taken[w.front] = true
+		}
+		w.mu.Unlock()
+	}
+	for _, w := range d.workers {
+		if !taken[w.front] {
+			return w.front
+		}
 	}
+	return ""
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -5,6 +5,8 @@
 //	make soak SEEDS=50           plays days one after the other, from seed 0
 //	make soak SEED=17            replays one day and prints its log
 //
+// With LOGS=folder the logs of each day are stored there.
+//
 // The same seed samples the same faults. Processes on a machine don't keep exact time, so a replay
 // is not identical to the millisecond.
 package soak_test
@@ -102,19 +104,28 @@
 	t.Helper()
 	broken, log := d.checker.result()
 	t.Log(d.checker.summary())
+	if dir := os.Getenv("LOGS"); dir != "" {
+		t.Log("logs:", d.storeLogs(dir, log))
+	}
 	if len(broken) > 0 {
-		dir, err := os.MkdirTemp("", "wrenferry-soak-logs-")
-		must.NoError(t, err)
-		for _, h := range d.hosts {
-			_ = exec.Command("cp", h.log.Name(), dir).Run() // a failed copy shows as a missing file
-		}
-		_ = os.WriteFile(filepath.Join(dir, "story.txt"), []byte(strings.Join(log, "\n")), 0o600)
+		dir := d.storeLogs("", log)
 		t.Errorf("seed %d: %d broken, first: %s\nagain: %s=%d\nlogs: %s\n%s",
 			seed, len(broken), broken[0], again, seed, dir, strings.Join(relatedLines(broken[0], log), "\n"))
 	}
 	return log
 }
 
+// storeLogs stores the logs of the entry hosts and of the day in a new folder of dir, and returns its path.
+func (d *day) storeLogs(dir string, log []string) string {
+	dir, err := os.MkdirTemp(dir, "wrenferry-soak-logs-")
+	must.NoError(d.t, err)
+	for _, h := range d.hosts {
+		_ = exec.Command("cp", h.log.Name(), dir).Run() // a failed copy shows as a missing file
+	}
+	_ = os.WriteFile(filepath.Join(dir, "story.txt"), []byte(strings.Join(log, "\n")), 0o600)
+	return dir
+}
+
 // relatedLines returns the log lines about the job of a violation and about faults.
 func relatedLines(broken string, log []string) []string {
 	job := ""
@@ -160,11 +171,14 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
 	}
 	d.store.Put("op", "config", platformtest.Manifest(3))
+	if seed/2%2 == 1 {
+		d.useInventory() // the workers' incarnations have ids of their own then
+	}
 	for i := range 6 {
 		d.addWorker(i, halls[i%len(halls)])
 	}
 	if seed%2 == 1 {
-		d.more = overloadSettings // the seeds of a usual run have days with these settings and without
+		d.more += overloadSettings // the seeds of a usual run have days with these settings and without
 	}
 	for i := range 5 {
 		d.addHost(i)
@@ -174,11 +188,22 @@
 	return d
 }
 
+// useInventory starts an inventory, and sets it in the hosts' settings.
+func (d *day) useInventory() {
+	d.inventory = platformtest.NewInventory()
+	d.more += fmt.Sprintf(`, "inventory": %q`, d.inventory.Address())
+}
+
 func (d *day) addWorker(i int, hall string) {
 	free, err := platformtest.FreeAddresses(2)
 	must.NoError(d.t, err)
+	d.startWorker(i, hall, free)
+}
+
+// startWorker starts a worker that listens at the first address, behind a proxy at the second one.
+func (d *day) startWorker(i int, hall string, at []string) {
 	w := &worker{
-		id: fmt.Sprintf("i-%d", i), hall: hall, address: free[0], front: free[1], checker: d.checker,
+		id: fmt.Sprintf("i-%d", i), hall: hall, address: at[0], front: at[1], checker: d.checker,
 		rand: rand.New(rand.NewPCG(d.uint64(), 4)), dayOver: d.over, lapsing: map[string]time.Time{},
 		newIDs: d.inventory != nil, inventory: d.inventory, beat: d.beat,
 		put:    func(key string, row any) { d.store.Put("servers", key, row) },
