--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -139,7 +139,7 @@
 	case status/100 == 2:
 		if !j.accepted {
 			c.logLocked("%s accepted", id)
-			c.lasting.accepted(id, j)
+			c.lasting.accepted(id, j, c.running)
 		}
 		j.accepted = true
 	}
--- a/test/soak/lasting_test.go
+++ b/test/soak/lasting_test.go
@@ -56,7 +56,8 @@
 	return now.Sub(t.idleSince)
 }
 
-func (l *lastingTasks) accepted(id string, j *sentJob) {
+// accepted records a job whose acceptance its caller has learned. Some of its tasks may run already.
+func (l *lastingTasks) accepted(id string, j *sentJob, running map[string]map[string]bool) {
 	if !j.lasting {
 		return
 	}
@@ -66,8 +67,9 @@
 	for step, count := range j.steps {
 		for i := range count {
 			task := fmt.Sprintf("%s.0.%d.%d", id, step, i)
-			if l.tasks[task] == nil {
-				l.tasks[task] = &lastingTask{job: j, idleSince: time.Now()}
+			l.tasks[task] = &lastingTask{job: j}
+			if len(running[task]) == 0 {
+				l.tasks[task].idleSince = time.Now()
 			}
 		}
 	}
--- a/test/soak/replacement_test.go
+++ b/test/soak/replacement_test.go
@@ -12,8 +12,12 @@
 
 // Hosts and workers that are gone for good, and those that replace them.
 
-// statusTimeout bounds the question to a host for the cells that it leads.
-const statusTimeout = 300 * time.Millisecond
+const (
+	// statusTimeout bounds the question to a host for the cells that it leads.
+	statusTimeout = 300 * time.Millisecond
+	// firstNewNumber is above the numbers of the hosts and workers that a day begins with.
+	firstNewNumber = 99
+)
 
 // presentHosts returns the hosts that are not gone for good.
 func (d *day) presentHosts() []*host {
@@ -115,9 +119,7 @@
 			return
 		}
 	}
-	d.mu.Lock()
-	i := len(d.hosts)
-	d.mu.Unlock()
+	i := d.nextNumber()
 	d.checker.impaired("host-%d replaces %s, in %s, at %s", i, h.name, h.hall, at[0])()
 	d.startHost(i, h.hall, at)
 }
@@ -150,10 +152,10 @@
 
 // addWorkers adds workers until there are as many as at first. Some come at an old address of one that is gone.
 func (d *day) addWorkers() {
+	d.adding.Lock()
+	defer d.adding.Unlock()
 	for len(d.presentWorkers()) < lossWorkers {
-		d.mu.Lock()
-		i := len(d.workers)
-		d.mu.Unlock()
+		i := d.nextNumber()
 		free, err := platformtest.FreeAddresses(2)
 		if err != nil {
 			d.t.Error(err)
@@ -167,6 +169,14 @@
 	}
 }
 
+// nextNumber returns a number for the name of a host or worker that comes during the day.
+func (d *day) nextNumber() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.number++
+	return firstNewNumber + d.number
+}
+
 // freeFront returns an address at which a worker was served that is gone, and no other since, or "".
 func (d *day) freeFront() string {
 	d.mu.Lock()
