--- a/test/soak/losses_test.go
+++ b/test/soak/losses_test.go
@@ -31,6 +31,10 @@
 	calmAfterLoss = calmTime + 4*time.Second
 	// Hosts are gone only while minHosts others are there, and at most maxHostsAtOnce in one moment.
 	minHosts, maxHostsAtOnce = 3, 2
+	// maxPageDelay is the longest usual time until a page of the inventory is answered, with small pages.
+	maxPageDelay = 100 * time.Millisecond
+	// beforeFirstLoss is the time from the first starts of the lasting tasks to the first loss.
+	beforeFirstLoss = 2500 * time.Millisecond
 	// maxHunted is the number of workers that a hunt ends at once.
 	maxHunted = 4
 	// firstLastingJob is the id of the first lasting job, as a number.
@@ -79,6 +83,10 @@
 		d.caller.trafficUntil(d.quiet, rand.New(rand.NewPCG(seed, 2)), completionTimeout, lossJobPause)
 	})
 	others.Go(func() { d.pollLasting(ids, rand.New(rand.NewPCG(seed, 7))) })
+	if d.oneIn(4) {
+		others.Go(d.replaceInOrder)
+	}
+	time.Sleep(beforeFirstLoss)
 	for range losses {
 		d.loseSome()
 		time.Sleep(calmAfterLoss)
@@ -108,7 +116,10 @@
 		d.more += overloadSettings
 	}
 	if d.oneIn(3) {
+		// Reading takes a while then, and machines leave the list between two pages.
 		d.inventory.SetPageSize(3 + d.intN(6))
+		d.inventoryDelay = d.between(0, maxPageDelay)
+		d.inventory.Delay(d.inventoryDelay)
 	}
 	for i := range lossWorkers {
 		d.addWorker(i, halls[i%len(halls)])
@@ -228,7 +239,12 @@
 			lost = append(lost, w)
 		}
 	}
-	d.endWorkers(lost, workerEnds[d.intN(len(workerEnds))])
+	end := workerEnds[d.intN(len(workerEnds))]
+	if d.oneIn(4) {
+		d.endOneByOne(lost, end, all)
+	} else {
+		d.endWorkers(lost, end)
+	}
 	time.Sleep(d.between(0, 300*time.Millisecond))
 	for _, h := range hosts {
 		how, after, oldAddress := hostEnds[d.intN(len(hostEnds))], d.between(200*time.Millisecond, 900*time.Millisecond), d.oneIn(4)
--- a/test/soak/losstroubles_test.go
+++ b/test/soak/losstroubles_test.go
@@ -15,13 +15,13 @@
 		defer d.checker.impaired("the inventory is slow")()
 		d.inventory.Delay(span / 4)
 		time.Sleep(span)
-		d.inventory.Delay(0)
+		d.inventory.Delay(d.inventoryDelay)
 	},
 	func(d *day, span time.Duration) {
 		defer d.checker.impaired("the inventory is silent")()
 		d.inventory.Delay(longSilence)
 		time.Sleep(span)
-		d.inventory.Delay(0)
+		d.inventory.Delay(d.inventoryDelay)
 		d.inventory.CloseClientConnections()
 	},
 	func(d *day, span time.Duration) {
@@ -39,14 +39,8 @@
 		time.Sleep(span)
 		d.inventory.Answer(nil)
 	},
-	func(d *day, span time.Duration) {
-		w := d.anyWorker()
-		defer d.checker.impaired("%s is cut off", w.id)()
-		p := d.proxyOf(w)
-		p.setCut(true)
-		time.Sleep(span)
-		p.setCut(false)
-	},
+	func(d *day, span time.Duration) { d.cutOff(d.anyWorker(), span) },
+	func(d *day, span time.Duration) { d.cutOff(d.anyWorker(), 4*span) },
 	func(d *day, span time.Duration) {
 		w := d.anyWorker()
 		defer d.checker.impaired("%s crashes and comes back", w.id)()
@@ -113,6 +107,15 @@
 	},
 }
 
+// cutOff cuts a worker off for a while. It stays listed.
+func (d *day) cutOff(w *worker, span time.Duration) {
+	defer d.checker.impaired("%s is cut off", w.id)()
+	p := d.proxyOf(w)
+	p.setCut(true)
+	time.Sleep(span)
+	p.setCut(false)
+}
+
 // anyWorker returns a worker that is not gone for good.
 func (d *day) anyWorker() *worker {
 	list := d.presentWorkers()
--- a/test/soak/machines_test.go
+++ b/test/soak/machines_test.go
@@ -96,7 +96,7 @@
 func (w *worker) freeSlots() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.incarnation == nil {
+	if w.incarnation == nil || !w.leavingUntil.IsZero() {
 		return 0
 	}
 	free := w.availableCPU()
--- a/test/soak/replacement_test.go
+++ b/test/soak/replacement_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,6 +16,8 @@
 const (
 	// statusTimeout bounds the question to a host for the cells that it leads.
 	statusTimeout = 300 * time.Millisecond
+	// minLeaving and maxLeaving bound the time for which a worker says that it leaves.
+	minLeaving, maxLeaving = 2500 * time.Millisecond, 4 * time.Second
 	// firstNewNumber is above the numbers of the hosts and workers that a day begins with.
 	firstNewNumber = 99
 )
@@ -150,6 +153,47 @@
 	}
 }
 
+// endOneByOne ends workers for good one after the other, while another one may be cut off.
+func (d *day) endOneByOne(list []*worker, how workerEnd, all *sync.WaitGroup) {
+	if w := d.anyWorker(); d.oneIn(2) && !slices.Contains(list, w) {
+		span := d.between(3*time.Second, 9*time.Second)
+		all.Go(func() { d.cutOff(w, span) })
+	}
+	for _, w := range list {
+		d.endWorkers([]*worker{w}, how)
+		time.Sleep(d.between(0, 400*time.Millisecond))
+	}
+}
+
+// replaceInOrder lets one worker after the other leave as planned, with another one for each, until the last loss is over.
+// That is no impairment.
+func (d *day) replaceInOrder() {
+	for {
+		select {
+		case <-d.quiet:
+			return
+		case <-time.After(d.between(700*time.Millisecond, 2*time.Second)):
+		}
+		w, span := d.anyWorker(), d.between(minLeaving, maxLeaving)
+		w.mu.Lock()
+		leaving := !w.leavingUntil.IsZero()
+		w.leavingUntil = time.Now().Add(maxLeaving + time.Second)
+		w.mu.Unlock()
+		if leaving {
+			continue
+		}
+		d.checker.logf("%s leaves in %s", w.id, span)
+		time.AfterFunc(span, func() {
+			select {
+			case <-d.quiet:
+			default:
+				w.die()
+				d.addWorkers()
+			}
+		})
+	}
+}
+
 // addWorkers adds workers until there are as many as at first. Some come at an old address of one that is gone.
 func (d *day) addWorkers() {
 	d.adding.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -163,6 +163,8 @@
 	// quiet is closed when no more is to happen, beat the time between two writes of a worker's row (worker_test.go).
 	quiet chan struct{}
 	beat  time.Duration
+	// inventoryDelay is the usual time until the inventory answers.
+	inventoryDelay time.Duration
 	// number counts the hosts and workers that came during the day; adding is held while workers are added.
 	number int
 	adding sync.Mutex
--- a/test/soak/worker_test.go
+++ b/test/soak/worker_test.go
@@ -159,6 +159,7 @@
 func (w *worker) writeRows() {
 	var written *incarnation
 	var writtenAt time.Time
+	writtenState := ""
 	for sequence := 1; ; sequence++ {
 		select {
 		case <-w.dayOver:
@@ -168,15 +169,15 @@
 		w.removeLapsedRows()
 		w.mu.Lock()
 		l, now := w.incarnation, time.Now()
-		if l == nil || (l == written && now.Sub(writtenAt) < w.beat) {
-			w.mu.Unlock()
-			continue
-		}
-		written, writtenAt = l, now
 		state := "ready"
 		if now.Before(w.leavingUntil) {
 			state = "draining"
 		}
+		if l == nil || (l == written && state == writtenState && now.Sub(writtenAt) < w.beat) {
+			w.mu.Unlock()
+			continue
+		}
+		written, writtenAt, writtenState = l, now, state
 		odd, cpu := now.Before(w.invalidRowUntil), w.availableCPU()
 		w.mu.Unlock()
 		switch {
