--- a/test/soak/losses_test.go
+++ b/test/soak/losses_test.go
@@ -31,6 +31,8 @@
 	calmAfterLoss = calmTime + 4*time.Second
 	// Hosts are gone only while minHosts others are there, and at most maxHostsAtOnce in one moment.
 	minHosts, maxHostsAtOnce = 3, 2
+	// maxPages is the usual number of pages of the inventory, with small pages.
+	maxPages = 3
 	// maxPageDelay is the longest usual time until a page of the inventory is answered, with small pages.
 	maxPageDelay = 100 * time.Millisecond
 	// beforeFirstLoss is the time from the first starts of the lasting tasks to the first loss.
@@ -83,7 +85,7 @@
 		d.caller.trafficUntil(d.quiet, rand.New(rand.NewPCG(seed, 2)), completionTimeout, lossJobPause)
 	})
 	others.Go(func() { d.pollLasting(ids, rand.New(rand.NewPCG(seed, 7))) })
-	if d.oneIn(4) {
+	if d.oneIn(3) {
 		others.Go(d.replaceInOrder)
 	}
 	time.Sleep(beforeFirstLoss)
@@ -115,9 +117,9 @@
 	if seed%2 == 1 {
 		d.more += overloadSettings
 	}
-	if d.oneIn(3) {
+	if d.oneIn(2) {
 		// Reading takes a while then, and machines leave the list between two pages.
-		d.inventory.SetPageSize(3 + d.intN(6))
+		d.inventory.SetPageSize(lossWorkers/maxPages + d.intN(lossWorkers/maxPages))
 		d.inventoryDelay = d.between(0, maxPageDelay)
 		d.inventory.Delay(d.inventoryDelay)
 	}
