Soak: a test of losses while other workers leave as planned and the inventory has several pages

RED by a fault of the product: a machine that leaves the inventory between two readings, for whatever reason, makes the earlier list of several pages untrusted (inventory.skippedNone), and the readings of such an inventory are half a second per page apart. So workers that leave one after the other put off each proof, and the cell waits for leases again.

What would answer it: ask for the confirming list at once after a list of several pages that misses a silent worker, so that only machines that leave within the two readings (tens of milliseconds) cast doubt.

--- a/test/soak/losses_test.go
+++ b/test/soak/losses_test.go
@@ -51,8 +51,28 @@
 
 func TestLastingTasksRunAgainAfterWorkersAndHostsAreGone(t *testing.T) {
 	t.Parallel()
+	playSeeds(t, lossPlan{})
+}
+
+// An inventory of several pages is not trusted if a machine left it between two readings.
+func TestLastingTasksRunAgainWhileOtherWorkersLeaveInOrder(t *testing.T) {
+	t.Parallel()
+	playSeeds(t, lossPlan{smallPages: true, inOrder: true, single: true})
+}
+
+// lossPlan is what is certain of a day. All else is random.
+type lossPlan struct {
+	// smallPages means that the inventory has several pages, inOrder that workers leave as planned all the time.
+	smallPages, inOrder bool
+	// single means that each loss is one moment, of workers and the leader of a cell, without other troubles.
+	single bool
+}
+
+// playSeeds plays the days of the seeds in SEED or SEEDS.
+func playSeeds(t *testing.T, plan lossPlan) {
+	t.Helper()
 	if seed, one := intFromEnv(t, "SEED", 0); one {
-		for _, line := range playLosses(t, uint64(seed)) {
+		for _, line := range playLosses(t, uint64(seed), plan) {
 			t.Log(line)
 		}
 		return
@@ -62,15 +82,15 @@
 	for seed := range n {
 		t.Run(fmt.Sprint(first+seed), func(t *testing.T) {
 			t.Parallel()
-			playLosses(t, uint64(first+seed))
+			playLosses(t, uint64(first+seed), plan)
 		})
 	}
 }
 
 // playLosses plays one day and returns its log.
-func playLosses(t *testing.T, seed uint64) []string {
+func playLosses(t *testing.T, seed uint64, plan lossPlan) []string {
 	t.Helper()
-	d := newLossDay(t, seed)
+	d := newLossDay(t, seed, plan)
 	defer d.cleanUp()
 	rnd := rand.New(rand.NewPCG(seed, 6))
 	var ids []string
@@ -85,12 +105,16 @@
 		d.caller.trafficUntil(d.quiet, rand.New(rand.NewPCG(seed, 2)), completionTimeout, lossJobPause)
 	})
 	others.Go(func() { d.pollLasting(ids, rand.New(rand.NewPCG(seed, 7))) })
-	if d.oneIn(3) {
+	if d.oneIn(3) || plan.inOrder {
 		others.Go(d.replaceInOrder)
 	}
 	time.Sleep(beforeFirstLoss)
 	for range losses {
-		d.loseSome()
+		if plan.single {
+			d.loseOnce()
+		} else {
+			d.loseSome()
+		}
 		time.Sleep(calmAfterLoss)
 		d.addWorkers()
 	}
@@ -103,7 +127,7 @@
 }
 
 // newLossDay starts the processes of a day with an inventory.
-func newLossDay(t *testing.T, seed uint64) *day {
+func newLossDay(t *testing.T, seed uint64, plan lossPlan) *day {
 	t.Helper()
 	d := &day{
 		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
@@ -117,7 +141,7 @@
 	if seed%2 == 1 {
 		d.more += overloadSettings
 	}
-	if d.oneIn(2) {
+	if d.oneIn(2) || plan.smallPages {
 		// Reading takes a while then, and machines leave the list between two pages.
 		d.inventory.SetPageSize(lossWorkers/maxPages + d.intN(lossWorkers/maxPages))
 		d.inventoryDelay = d.between(0, maxPageDelay)
@@ -211,6 +235,35 @@
 // lastingJob returns the id of a lasting job.
 func lastingJob(i int) string { return fmt.Sprintf("%016x", firstLastingJob+i) }
 
+// loseOnce ends a third of the workers for good, and the leader of a cell shortly after.
+func (d *day) loseOnce() {
+	var all sync.WaitGroup
+	leaders := d.leaders()
+	d.endWorkers(d.someWorkers(3, func(*worker) bool { return true }), workerEnds[d.intN(len(workerEnds))])
+	time.Sleep(d.between(0, 300*time.Millisecond))
+	if len(leaders) > 0 {
+		h, after := leaders[d.intN(len(leaders))], d.between(200*time.Millisecond, 900*time.Millisecond)
+		all.Go(func() { d.replaceHost(h, hostEnds[0], after, false) })
+	}
+	all.Wait()
+	d.addWorkers()
+}
+
+// someWorkers returns random workers that meet a condition, at most the given part of all that are not gone for good.
+func (d *day) someWorkers(part int, meets func(w *worker) bool) []*worker {
+	present := d.presentWorkers()
+	d.mu.Lock()
+	d.rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+	d.mu.Unlock()
+	var list []*worker
+	for _, w := range present {
+		if len(list) < len(present)/part && meets(w) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // lose ends several workers for good, and hosts shortly after.
 func (d *day) lose(all *sync.WaitGroup) {
 	hosts := d.leaders()
@@ -227,20 +280,11 @@
 	hosts = hosts[:min(most, len(hosts), max(0, len(d.presentHosts())-minHosts))]
 	hall := halls[d.intN(len(halls))]
 	oneHall := d.oneIn(3)
-	var lost []*worker
-	present := d.presentWorkers()
-	d.mu.Lock()
-	d.rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
-	d.mu.Unlock()
-	count := len(present) / 10
+	part := 10
 	if d.oneIn(2) {
-		count = len(present) / 3
-	}
-	for _, w := range present {
-		if len(lost) < count && (!oneHall || w.hall == hall) {
-			lost = append(lost, w)
-		}
+		part = 3
 	}
+	lost := d.someWorkers(part, func(w *worker) bool { return !oneHall || w.hall == hall })
 	end := workerEnds[d.intN(len(workerEnds))]
 	if d.oneIn(4) {
 		d.endOneByOne(lost, end, all)
