--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,8 +17,11 @@
 	mu    sync.Mutex
 	conns map[*proxied]bool
 	delay time.Duration
-	// cut means that new connections are closed at once.
-	cut bool
+	// cut means that new connections are closed at once, mute that they and the open ones carry no data and stay open.
+	cut, mute bool
+	// over means that it was closed. unanswered is what dropConnects holds open.
+	over       bool
+	unanswered []io.Closer
 }
 
 // proxied is one connection through a proxy.
@@ -25,6 +30,8 @@
 	mu      sync.Mutex
 	// silent directions drop all further data: 0 is towards the server, 1 back. They stay silent.
 	silent [2]bool
+	// mute means that in stays open when out ends.
+	mute bool
 }
 
 const (
@@ -32,6 +39,8 @@
 	// that a process between fork and exec still holds.
 	maxListenTries      = 100
 	listenRetryInterval = 20 * time.Millisecond
+	// maxQueued is the number of attempts to connect that fill a queue of one.
+	maxQueued = 2
 )
 
 func listen(address string) (l net.Listener, err error) {
@@ -66,8 +75,12 @@
 
 func (p *proxy) forward(in net.Conn) {
 	p.mu.Lock()
-	cut := p.cut
+	cut, mute := p.cut, p.mute
 	p.mu.Unlock()
+	if mute {
+		p.hold(in)
+		return
+	}
 	out, err := net.DialTimeout("tcp", p.to, time.Second)
 	if err != nil || cut {
 		_ = in.Close()
@@ -91,7 +104,7 @@
 
 // pump forwards one direction until either end closes.
 func (p *proxy) pump(c *proxied, way int, to io.Writer, from io.Reader) {
-	defer c.close()
+	defer c.endOf(from)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -119,6 +132,43 @@
 	_ = c.out.Close()
 }
 
+// hold keeps a connection open until its client or the proxy closes it, and carries no data.
+func (p *proxy) hold(in net.Conn) {
+	c := &proxied{in: in, out: in}
+	p.mu.Lock()
+	p.conns[c] = true
+	p.mu.Unlock()
+	_, _ = io.Copy(io.Discard, in) // until it is closed
+	c.close()
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+}
+
+// endOf closes the connection after one end of it was closed. A mute one stays open for the client.
+func (c *proxied) endOf(from io.Reader) {
+	c.mu.Lock()
+	mute := c.mute
+	c.mu.Unlock()
+	if mute && from == io.Reader(c.out) {
+		return
+	}
+	c.close()
+}
+
+// setMute makes the proxy carry no more data, on open and on new connections, which all stay open.
+func (p *proxy) setMute() {
+	p.mu.Lock()
+	p.mute = true
+	p.mu.Unlock()
+	p.silence(0, 1)
+	p.each(func(c *proxied) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.mute = true
+	})
+}
+
 // each calls do for all open connections.
 func (p *proxy) each(do func(c *proxied)) {
 	p.mu.Lock()
@@ -166,6 +216,48 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.over = true
+	unanswered := p.unanswered
+	p.unanswered = nil
+	p.mu.Unlock()
 	_ = p.listener.Close()
+	for _, each := range unanswered {
+		_ = each.Close()
+	}
 	p.reset()
 }
+
+func (p *proxy) closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.over
+}
+
+// dropConnects makes the proxy's address answer no attempt to connect, as that of a machine without power: it listens
+// with a queue of one, which it never empties.
+func (p *proxy) dropConnects() {
+	address, ok := p.listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return
+	}
+	_ = p.listener.Close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return // the address refuses connections then
+	}
+	queue := os.NewFile(uintptr(fd), address.String())
+	at := &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unanswered = append(p.unanswered, queue)
+	if syscall.Bind(fd, at) != nil || syscall.Listen(fd, 0) != nil {
+		return
+	}
+	for range maxQueued {
+		if c, err := net.DialTimeout("tcp", address.String(), listenRetryInterval); err == nil {
+			p.unanswered = append(p.unanswered, c)
+		}
+	}
+}
