Switches for the conditions by which the inventory ends an incarnation

cell.Unsafe gets one switch for each condition of inventory.Ended, so that the emulator can show what it prevents. They change the arguments of inventory.Ended; the package inventory stays as it is.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -67,7 +67,7 @@
 	earlier := r.last
 	r.last = e.List
 	for _, w := range s.workersByID() {
-		if !w.Ended && !w.SilentSince.IsZero() && inventory.Ended(earlier, e.List, s.knownIncarnation(w)) {
+		if !w.Ended && !w.SilentSince.IsZero() && s.unsafe.inventoryEnded(earlier, e.List, s.knownIncarnation(w)) {
 			s.endIncarnation(now, w, "the inventory does not list it")
 		}
 	}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -103,6 +103,10 @@
 	NoLostRuns bool
 	// NoRequeue does not queue a task again whose run is presumed over.
 	NoRequeue bool
+	// NoSecondList ends the incarnation of a silent worker by a single list of the inventory, NoSkippedHosts by lists of
+	// which one may have skipped it between two pages, NoEmptyLists by empty lists, NoListingDelay though the inventory
+	// may not list it yet, NoAskedAt by lists that were asked for at any time, also before it was known or last heard.
+	NoSecondList, NoSkippedHosts, NoEmptyLists, NoListingDelay, NoAskedAt bool
 }
 
 // State holds what a process knows of one cell, and takes the cell's decisions while the process leads it.
