The emulator knows the inventory, and plans on which workers and their leader's host are lost

The inventory lists the workers as the platform does: none at a crashed worker, a new incarnation some time after its start, a lost one no longer, one that is cut off as before; on pages, each of its own moment. It fails by plan or script: slow, silent, refusing, empty, cut (fault kind fail-inventory).

LostWorkersPlan, FailingInventoryPlan, LostWorkersCrashTasksPlan: workers are lost at one moment (leave kind lost), the host of their leader up to 0.3 s before or after, others join (join-host). CutOffWorkersPlan: workers are cut off while the inventory is empty, does not list them yet, or skips them between pages; TestEachFenceIsNeeded shows on it that each condition of inventory.Ended is needed.

--- a/pkg/emulator/days/days.go
+++ b/pkg/emulator/days/days.go
@@ -191,6 +191,7 @@
 	"HandoverPlan": emulator.HandoverPlan, "FullListsPlan": emulator.FullListsPlan, "LostHallPlan": emulator.LostHallPlan, "PartLostHallPlan": emulator.PartLostHallPlan, "EvacuationPlan": emulator.EvacuationPlan, "EvacuationLeavingPlan": emulator.EvacuationLeavingPlan,
 	"LeavingPlan": emulator.LeavingPlan, "LeavingTakeoverPlan": emulator.LeavingTakeoverPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
 	"RelayPlan": emulator.RelayPlan, "UrgentPlan": emulator.UrgentPlan, "UrgentTroublePlan": emulator.UrgentTroublePlan, "UrgentLoadPlan": emulator.UrgentLoadPlan, "ProcessorPlan": emulator.ProcessorPlan, "SlowAnswersPlan": emulator.SlowAnswersPlan,
+	"CutOffWorkersPlan": emulator.CutOffWorkersPlan, "LostWorkersPlan": emulator.LostWorkersPlan, "FailingInventoryPlan": emulator.FailingInventoryPlan, "LostWorkersCrashTasksPlan": emulator.LostWorkersCrashTasksPlan,
 	"BacklogPlan": emulator.BacklogPlan, "ScarceMemoryPlan": emulator.ScarceMemoryPlan, "LostLabelPlan": emulator.LostLabelPlan, "LostLabelTroublePlan": emulator.LostLabelTroublePlan, "AdvicePlan": emulator.AdvicePlan, "PendingPlan": emulator.PendingPlan,
 }
 
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -81,6 +81,8 @@
 					RoundTrip: times.roundTrip, Lag: times.lag, Bytes: e.Bytes,
 				})
 			})
+	case cell.ReadInventory:
+		h.readInventory()
 	case cell.SendStop:
 		h.callWorker(e.To, workerCall{limit: e.Timeout, bytes: messageBytes}, func(k *worker) (any, workers.Refusal) {
 			return k.ifAddressed(e.To, func() (any, workers.Refusal) { return anyOf(k.stop(e.Stop)) })
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -3,7 +3,9 @@
 // day, and a checker reports broken rules. The hosts drive the product's own election.Seat, cell.State and
 // cellchoice.Board; the checker shares no code with the product. emulator.go has the clock and the traffic;
 // random_streams.go the random draws; plans.go, script*.go and load.go the input of days; fault_schedule.go and fault_kinds.go the
-// faults; host.go, processor.go, handover.go, relays.go, effects.go, leader_messages.go, intake.go, pending_answers.go, contact.go and predecessors.go the hosts; table.go the table;
+// faults; inventory.go the platform's inventory;
+// host.go, processor.go, handover.go, relays.go, effects.go, leader_messages.go, intake.go, pending_answers.go, contact.go and predecessors.go the hosts; table.go the table;
+// losses.go and cut_offs.go plans of lost and cut-off workers;
 // worker.go, incarnations.go, machine.go, capacity.go, spoiled_rows.go, leaving.go, leaving_takeovers.go and crash_tasks.go the workers; checker.go,
 // cancel_rule.go, lasting_rule.go, held_rule.go, pending_rule.go and evacuations.go the rules.
 package emulator
@@ -31,21 +33,22 @@
 
 // World is the state of one emulated day.
 type World struct {
-	plan    Plan
-	rand    *rand.Rand     // plans the day: fleet, traffic and faults
-	draws   *randomStreams // all other random draws, by named stream
-	now     time.Time
-	start   time.Time
-	events  eventHeap
-	serial  int
-	table   *tableService
-	cells   []string
-	workers []*worker
-	hosts   []*host
-	jobs    map[string]*wire.JobSpec
-	tickets map[string]ticket
-	checker *checker
-	cuts    map[[2]string]time.Time // when the partition between two names ends
+	plan      Plan
+	rand      *rand.Rand     // plans the day: fleet, traffic and faults
+	draws     *randomStreams // all other random draws, by named stream
+	now       time.Time
+	start     time.Time
+	events    eventHeap
+	serial    int
+	table     *tableService
+	inventory *inventoryService
+	cells     []string
+	workers   []*worker
+	hosts     []*host
+	jobs      map[string]*wire.JobSpec
+	tickets   map[string]ticket
+	checker   *checker
+	cuts      map[[2]string]time.Time // when the partition between two names ends
 	// hallCuts holds when the partition between two halls ends.
 	hallCuts map[string]time.Time
 	// evacuations are the evacuations in force, by hall.
@@ -130,7 +133,7 @@
 		}
 	}
 	for i := range w.plan.Hosts {
-		w.hosts = append(w.hosts, newHost(w, fmt.Sprintf("host-%d", i), w.cells[i%len(w.cells)]))
+		w.hosts = append(w.hosts, newHost(w, hostName(i), w.cells[i%len(w.cells)]))
 	}
 	if w.script != nil {
 		w.script.recordFleet(w)
@@ -139,6 +142,8 @@
 
 func workerName(n int) string { return fmt.Sprintf("worker-%d", n) }
 
+func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
+
 // usualMachine returns the worker machine of drawn days.
 func usualMachine(cell string) Machine {
 	return Machine{Hall: cell, Millicores: workerCores, MemoryMB: workerMemory}
--- a/pkg/emulator/emulator_test.go
+++ b/pkg/emulator/emulator_test.go
@@ -287,6 +287,11 @@
 		{name: "lives that ended unseen", unsafe: cell.Unsafe{NoUnseen: true}, plan: emulator.LeaderEndsPlan, rule: "BUDGET"},
 		{name: "stops of runs that are discovered late", unsafe: cell.Unsafe{NoLateStops: true}, plan: emulator.CancelsPlan, rule: "UNASKED"},
 		{name: "leases of tasks that leave a hall without their label", unsafe: cell.Unsafe{NoLeaseWait: true}, plan: emulator.LostLabelTroublePlan, rule: "TWICE"},
+		{name: "two lists of the inventory", unsafe: cell.Unsafe{NoSecondList: true}, plan: emulator.CutOffWorkersPlan, rule: "TWICE"},
+		{name: "lists that skip no host", unsafe: cell.Unsafe{NoSkippedHosts: true}, plan: emulator.CutOffWorkersPlan, rule: "TWICE"},
+		{name: "lists that are not empty", unsafe: cell.Unsafe{NoEmptyLists: true}, plan: emulator.CutOffWorkersPlan, rule: "TWICE"},
+		{name: "time until a worker is listed", unsafe: cell.Unsafe{NoListingDelay: true}, plan: emulator.CutOffWorkersPlan, rule: "TWICE"},
+		{name: "lists asked for after a worker was known", unsafe: cell.Unsafe{NoAskedAt: true}, plan: emulator.CutOffWorkersPlan, rule: "TWICE"},
 		{name: "trials recorded first", unsafe: cell.Unsafe{NoTrialRecord: true}, plan: emulator.UnrecordedEndsPlan, rule: "BUDGET"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/emulator/fault_kinds.go
+++ b/pkg/emulator/fault_kinds.go
@@ -48,6 +48,10 @@
 	LeaveWorker FaultKind = "leave-worker"
 	// JoinWorker adds a worker of a new name to a cell. The duration has no meaning.
 	JoinWorker FaultKind = "join-worker"
+	// JoinHost adds a host of a new name to the hall of a cell. The duration has no meaning.
+	JoinHost FaultKind = "join-host"
+	// FailInventory makes the inventory fail in the way How, an InventoryFailure.
+	FailInventory FaultKind = "fail-inventory"
 )
 
 // Fault is a fault with its time, counted from the beginning of the day.
@@ -58,11 +62,11 @@
 	// is the duration.
 	Target string `json:",omitempty"`
 	Peer   string `json:",omitempty"`
-	// Cell is the cell of a worker that joins.
+	// Cell is the cell of a worker or a host that joins.
 	Cell string        `json:",omitempty"`
 	For  time.Duration `json:",omitempty"`
 	// How is the number of quarters that ShrinkWorker removes, the index of the change that SpoilRow makes, the index
-	// of the delays of LateWorker, or the LeaveKind of LeaveWorker.
+	// of the delays of LateWorker, the LeaveKind of LeaveWorker, or the InventoryFailure of FailInventory.
 	How int `json:",omitempty"`
 }
 
@@ -78,8 +82,10 @@
 	switch f.Kind {
 	case LeaveWorker:
 		return fmt.Sprintf("%s (%s) after %s", text, LeaveKind(f.How), f.For)
-	case JoinWorker:
+	case JoinWorker, JoinHost:
 		return text + " in " + f.Cell
+	case FailInventory:
+		return fmt.Sprintf("%s (%s) for %s", text, InventoryFailure(f.How), f.For)
 	}
 	if f.Kind == ShrinkWorker || f.Kind == SpoilRow || (f.Kind == LateWorker && f.How > 0) {
 		text += fmt.Sprintf(" by %d", f.How)
@@ -87,6 +93,9 @@
 	return text + " for " + f.For.String()
 }
 
+// joins returns whether the fault adds a worker or a host.
+func (f Fault) joins() bool { return f.Kind == JoinWorker || f.Kind == JoinHost }
+
 // targetType is the type of the entity that a kind of fault affects.
 type targetType int
 
@@ -97,6 +106,9 @@
 	targetCell
 	// targetNewWorker is a worker that the fault adds.
 	targetNewWorker
+	// targetNewHost is a host that the fault adds.
+	targetNewHost
+	targetInventory
 )
 
 // faultSpec describes a kind of fault.
@@ -109,26 +121,28 @@
 }
 
 var faultSpecs = map[FaultKind]faultSpec{
-	KillHost:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).kill(f.For) }},
-	StopHost:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).stop(f.For) }},
-	HandOver:     {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).handOverToStronger() }},
-	RemoveHost:   {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).remove() }},
-	FreezeHost:   {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).freeze(f.For) }},
-	SuspendHost:  {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).suspend(f.For) }},
-	TableDown:    {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.downUntil = until }},
-	TableLoses:   {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.losesUntil = until }},
-	TableSlow:    {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.slowUntil = until }},
-	CutLink:      {targetHost, 1, func(w *World, f Fault, until time.Time) { w.cuts[[2]string{f.Target, f.Peer}] = until }},
-	CutCell:      {targetCell, 1, func(w *World, f Fault, until time.Time) { w.cutOffCell(f.Target, until) }},
-	LateWorker:   {targetWorker, len(latenesses), func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).delayCalls(f.How, until) }},
-	CrashWorker:  {targetWorker, 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).crashByFault(f.For) }},
-	HangRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsHang, until) }},
-	FailRuns:     {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsFail, until) }},
-	ShrinkWorker: {targetWorker, quarters + 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).shrinkCapacity(int64(f.How), f.For) }},
-	EvacuateHall: {targetCell, 1, func(w *World, f Fault, _ time.Time) { w.orderEvacuation(f.Target, f.For) }},
-	LeaveWorker:  {targetWorker, leaveKinds, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).beginLeave(LeaveKind(f.How), f.For) }},
-	JoinWorker:   {targetNewWorker, 1, func(w *World, f Fault, _ time.Time) { w.addWorker(f.Target, f.Cell) }},
-	SpoilRow:     {targetWorker, len(spoilings), func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).startSpoilingRow(f.How, until) }},
+	KillHost:      {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).kill(f.For) }},
+	StopHost:      {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).stop(f.For) }},
+	HandOver:      {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).handOverToStronger() }},
+	RemoveHost:    {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).remove() }},
+	FreezeHost:    {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).freeze(f.For) }},
+	SuspendHost:   {targetHost, 1, func(w *World, f Fault, _ time.Time) { w.hostAt(f.Target).suspend(f.For) }},
+	TableDown:     {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.downUntil = until }},
+	TableLoses:    {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.losesUntil = until }},
+	TableSlow:     {targetTable, 1, func(w *World, _ Fault, until time.Time) { w.table.slowUntil = until }},
+	CutLink:       {targetHost, 1, func(w *World, f Fault, until time.Time) { w.cuts[[2]string{f.Target, f.Peer}] = until }},
+	CutCell:       {targetCell, 1, func(w *World, f Fault, until time.Time) { w.cutOffCell(f.Target, until) }},
+	LateWorker:    {targetWorker, len(latenesses), func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).delayCalls(f.How, until) }},
+	CrashWorker:   {targetWorker, 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).crashByFault(f.For) }},
+	HangRuns:      {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsHang, until) }},
+	FailRuns:      {targetWorker, 1, func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).impairRuns(runsFail, until) }},
+	ShrinkWorker:  {targetWorker, quarters + 1, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).shrinkCapacity(int64(f.How), f.For) }},
+	EvacuateHall:  {targetCell, 1, func(w *World, f Fault, _ time.Time) { w.orderEvacuation(f.Target, f.For) }},
+	LeaveWorker:   {targetWorker, leaveKinds, func(w *World, f Fault, _ time.Time) { w.workerAt(f.Target).beginLeave(LeaveKind(f.How), f.For) }},
+	JoinWorker:    {targetNewWorker, 1, func(w *World, f Fault, _ time.Time) { w.addWorker(f.Target, f.Cell) }},
+	JoinHost:      {targetNewHost, 1, func(w *World, f Fault, _ time.Time) { w.addHost(f.Target, f.Cell) }},
+	FailInventory: {targetInventory, inventoryFailures, func(w *World, f Fault, until time.Time) { w.inventory.fail(InventoryFailure(f.How), until) }},
+	SpoilRow:      {targetWorker, len(spoilings), func(w *World, f Fault, until time.Time) { w.workerAt(f.Target).startSpoilingRow(f.How, until) }},
 }
 
 // injectFault injects a fault now, logs it, and records it in the script of a recorded day.
--- a/pkg/emulator/fault_schedule.go
+++ b/pkg/emulator/fault_schedule.go
@@ -50,6 +50,9 @@
 	w.scheduleLossOfLabel()
 	w.scheduleLoadEvacuations()
 	w.scheduleRestarts()
+	w.scheduleLosses()
+	w.scheduleCutOffs()
+	w.inventory.scheduleFailures()
 }
 
 // delayOrders makes a random worker execute orders late for up to 3 s. On every second day the runs that it starts
--- a/pkg/emulator/lasting_rule.go
+++ b/pkg/emulator/lasting_rule.go
@@ -178,6 +178,9 @@
 	if w.now.Before(t.downUntil) || w.now.Before(t.losesUntil) || w.now.Before(t.slowUntil) {
 		return true
 	}
+	if w.now.Before(w.inventory.failsUntil) {
+		return true
+	}
 	for _, until := range w.cuts {
 		if w.now.Before(until) {
 			return true
--- a/pkg/emulator/leaving.go
+++ b/pkg/emulator/leaving.go
@@ -21,13 +21,15 @@
 	LeaveSpot
 	// LeaveUnannounced workers don't announce that they leave: their registry row is removed while they still serve.
 	LeaveUnannounced
+	// LeaveLost workers are gone without a word, and nothing answers for them. Their registry row goes some time later.
+	LeaveLost
 )
 
 // leaveKinds is the number of kinds.
-const leaveKinds = int(LeaveUnannounced) + 1
+const leaveKinds = int(LeaveLost) + 1
 
 func (l LeaveKind) String() string {
-	return [...]string{"released", "scaled in", "spot", "unsaid"}[l]
+	return [...]string{"released", "scaled in", "spot", "unsaid", "lost"}[l]
 }
 
 // Leaving configures which workers leave on a day.
@@ -73,6 +75,8 @@
 	begunAt, endsAt time.Time
 	// unannounced means that the worker's row is removed at begunAt, without an announcement.
 	unannounced bool
+	// lost means that the worker is gone without a word.
+	lost bool
 	// ended means that the worker has ended for good. Its row stays until rowUntil.
 	ended    bool
 	rowUntil time.Time
@@ -236,7 +240,7 @@
 func (k *worker) beginLeave(kind LeaveKind, serves time.Duration) {
 	w := k.world
 	k.leave.begunAt, k.leave.endsAt = w.now, w.now.Add(serves)
-	k.leave.unannounced = kind == LeaveUnannounced
+	k.leave.unannounced, k.leave.lost = kind == LeaveUnannounced, kind == LeaveLost
 	w.logf("%s leaves (%s), and serves on for %s", k.id(), kind, serves)
 	w.after(serves, k.endDeparted)
 	if w.afterLeave != nil {
@@ -251,11 +255,15 @@
 		return
 	}
 	k.leave.ended = true
+	k.leaveInventory()
 	if k.up {
 		w.logf("%s is gone", k.id())
 		k.leave.rowUntil = w.now.Add(w.draws.between("row "+k.name, 0, maxRowRetention))
 		k.endIncarnation("gone")
-		k.failPendingCalls()
+		k.refusesConnections = false
+		if !k.leave.lost || w.plan.Resets {
+			k.failPendingCalls()
+		}
 	}
 }
 
@@ -269,7 +277,7 @@
 
 // setLeavingFields sets the fields of the worker's row that announce that it leaves.
 func (k *worker) setLeavingFields(r *workers.Record) {
-	if !k.leave.isLeaving() || k.leave.unannounced {
+	if !k.leave.isLeaving() || k.leave.unannounced || k.leave.lost {
 		return
 	}
 	r.Ready, r.Leaving = false, true
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -105,6 +105,12 @@
 	CutsInTurn int
 	// Processor is the processor time that the work of hosts takes.
 	Processor Processor
+	// Inventory configures the platform's inventory. Losses configures workers that are lost together with the host of their
+	// leader.
+	Inventory Inventory
+	Losses    Losses
+	// CutOffs is the number of rounds in which workers are cut off from all hosts while they go on.
+	CutOffs int
 	// Load, if set, replaces the random cells, workers and jobs.
 	Load *Load `json:"-"`
 }
--- a/pkg/emulator/reduce/reduce.go
+++ b/pkg/emulator/reduce/reduce.go
@@ -266,7 +266,7 @@
 		there[p.Name] = true
 	}
 	for _, f := range s.Faults {
-		if f.Kind == emulator.JoinWorker {
+		if f.Kind == emulator.JoinWorker || f.Kind == emulator.JoinHost {
 			there[f.Target] = true
 		}
 	}
--- a/pkg/emulator/script.go
+++ b/pkg/emulator/script.go
@@ -109,6 +109,7 @@
 	w.now, w.impairedAt = w.start, w.start
 	w.checker = newChecker(w)
 	w.table = newTable(w)
+	w.inventory = newInventoryService(w)
 	return w
 }
 
--- a/pkg/emulator/script_check.go
+++ b/pkg/emulator/script_check.go
@@ -64,8 +64,10 @@
 
 func (s *Script) hasCell(name string) bool { return slices.Contains(cellNames(s.Plan.Cells), name) }
 
+// hasHost returns whether a host of that name is there from the beginning of the day, or joins.
 func (s *Script) hasHost(name string) bool {
-	return slices.ContainsFunc(s.Hosts, func(p Node) bool { return p.Name == name })
+	return slices.ContainsFunc(s.Hosts, func(p Node) bool { return p.Name == name }) ||
+		slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == JoinHost && f.Target == name })
 }
 
 // hasWorker returns whether a worker of that name is there from the beginning of the day, or joins.
@@ -177,9 +179,9 @@
 		return "Peer", quote(f.Peer) + " is not an end of a link"
 	case f.Kind != CutLink && f.Peer != "":
 		return "Peer", string(f.Kind) + " takes no peer"
-	case f.Kind == JoinWorker && !s.hasCell(f.Cell):
+	case f.joins() && !s.hasCell(f.Cell):
 		return "Cell", quote(f.Cell) + " is not a cell"
-	case f.Kind != JoinWorker && f.Cell != "":
+	case !f.joins() && f.Cell != "":
 		return "Cell", string(f.Kind) + " takes no cell"
 	}
 	if problem := s.checkTarget(kind.target, f, i); problem != "" {
@@ -195,9 +197,12 @@
 func (s *Script) checkTarget(kind targetType, f Fault, i int) (problem string) {
 	has := false
 	switch kind {
-	case targetNewWorker:
+	case targetNewWorker, targetNewHost:
 		return s.checkNewName(f.Target, i)
 	case targetHost:
+		if s.joinsAfter(f.Target, i) {
+			return quote(f.Target) + " joins later"
+		}
 		has = s.hasHost(f.Target)
 	case targetWorker:
 		if s.joinsAfter(f.Target, i) {
@@ -206,7 +211,7 @@
 		has = s.hasWorker(f.Target)
 	case targetCell:
 		has = s.hasCell(f.Target)
-	case targetTable:
+	case targetTable, targetInventory:
 		has = f.Target == ""
 	}
 	if !has {
@@ -215,20 +220,20 @@
 	return ""
 }
 
-// checkNewName checks the name of the worker that joins with the fault of index i.
+// checkNewName checks the name of the worker or host that joins with the fault of index i.
 func (s *Script) checkNewName(name string, i int) (problem string) {
 	sameName := func(p Node) bool { return p.Name == name }
-	joinsBefore := slices.ContainsFunc(s.Faults[:i], func(f Fault) bool { return f.Kind == JoinWorker && f.Target == name })
-	if name == "" || name == "table" || joinsBefore || s.hasHost(name) || slices.ContainsFunc(s.Workers, sameName) {
+	joinsBefore := slices.ContainsFunc(s.Faults[:i], func(f Fault) bool { return f.joins() && f.Target == name })
+	if name == "" || name == "table" || joinsBefore || slices.ContainsFunc(s.Hosts, sameName) || slices.ContainsFunc(s.Workers, sameName) {
 		return quote(name) + " is empty or used twice"
 	}
 	return ""
 }
 
-// joinsAfter returns whether a worker of that name joins after the fault of index i. Faults of the same time are
+// joinsAfter returns whether a worker or host of that name joins after the fault of index i. Faults of the same time are
 // injected in the order of the list.
 func (s *Script) joinsAfter(name string, i int) bool {
-	join := slices.IndexFunc(s.Faults, func(f Fault) bool { return f.Kind == JoinWorker && f.Target == name })
+	join := slices.IndexFunc(s.Faults, func(f Fault) bool { return f.joins() && f.Target == name })
 	if join < 0 {
 		return false
 	}
--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -57,6 +57,7 @@
 	orderedAt time.Time
 
 	leave       departure
+	listing     listing
 	lateUntil   time.Time
 	lateness    lateness
 	faultyUntil time.Time
@@ -116,6 +117,7 @@
 	k.incarnation++
 	k.up, k.fence, k.until, k.lastEndNumber = true, 0, 0, 0
 	k.pendingCalls = nil
+	k.startListing()
 	k.rate = 0.98 + 0.04*w.draws.fraction("clock "+k.name)
 	k.offset = w.draws.between("clock "+k.name, 0, time.Hour)
 	k.previousBornAt, k.bornAt = k.bornAt.UnixMilli(), w.now
@@ -141,6 +143,7 @@
 // endIncarnation ends the incarnation and, with it, all its runs.
 func (k *worker) endIncarnation(how workers.Outcome) {
 	k.up = false
+	k.endListing()
 	for _, r := range k.sorted() {
 		k.world.checker.ended(k, r, how)
 	}
