--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -55,7 +55,7 @@
 // those that are not known any more, the ones count whose end is still awaited as crash evidence.
 func (s *State) hasSilentWorker(now time.Time) bool {
 	for _, w := range s.workersByID() {
-		if !w.Ended && !w.SilentSince.IsZero() && s.knownIncarnation(w).MustBeListed(now) {
+		if !w.Ended && !w.SilentSince.IsZero() && s.unsafe.mustBeListed(s.knownIncarnation(w), now) {
 			return true
 		}
 	}
@@ -74,11 +74,11 @@
 		return // two cells of this process have asked at the same time
 	}
 	r.last = e.List
-	if running := s.omittedWorker(earlier); running != "" {
+	if running := s.omittedWorker(earlier); running != "" && !s.unsafe.NoCompleteLists {
 		s.note(Note{Kind: NoteInventoryOmits, Worker: running, AgeMs: now.Sub(earlier.ReadAt).Milliseconds(), Detail: fmt.Sprintf("%d hosts, %d workers on %d pages", len(earlier.Hosts), len(earlier.Workers), earlier.Pages)})
 		return
 	}
-	ended := func(i inventory.Incarnation) bool { return inventory.Ended(earlier, e.List, i) }
+	ended := func(i inventory.Incarnation) bool { return s.unsafe.inventoryEnded(earlier, e.List, i) }
 	for _, w := range s.workersByID() {
 		switch {
 		case w.Ended || w.SilentSince.IsZero():
