--- a/test/soak/losses_test.go
+++ b/test/soak/losses_test.go
@@ -54,7 +54,7 @@
 	playSeeds(t, lossPlan{})
 }
 
-// An inventory of several pages is not trusted if a machine left it between two readings.
+// Machines that left an inventory of several pages between two readings put off the proof that others had ended.
 func TestLastingTasksRunAgainWhileOtherWorkersLeaveInOrder(t *testing.T) {
 	t.Parallel()
 	playSeeds(t, lossPlan{smallPages: true, inOrder: true, single: true})
