--- a/test/soak/replacement_test.go
+++ b/test/soak/replacement_test.go
@@ -168,6 +168,8 @@
 // replaceInOrder lets one worker after the other leave as planned, with another one for each, until the last loss is over.
 // That is no impairment.
 func (d *day) replaceInOrder() {
+	var all sync.WaitGroup
+	defer all.Wait()
 	for {
 		select {
 		case <-d.quiet:
@@ -183,10 +185,10 @@
 			continue
 		}
 		d.checker.logf("%s leaves in %s", w.id, span)
-		time.AfterFunc(span, func() {
+		all.Go(func() {
 			select {
 			case <-d.quiet:
-			default:
+			case <-time.After(span):
 				w.die()
 				d.addWorkers()
 			}
