--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -50,6 +50,8 @@
 	}
 	c := exec.Command(filepath.Join(bin, "wrenferryd"), "fleet", "--config", h.file)
 	c.Stdout, c.Stderr = h.log, h.log
+	// A host that outlives a run that was ended would join the next one at the same addresses.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
 	}
