Readings of the inventory that fail are repeated each second

Change: a reading that fails tells nothing of the silent workers, so the next one follows within a second. TestEndIsKnownSoonAfterTheInventoryHasFailedForLong fails without the change.

--- a/pkg/process/cell/inventory.go
+++ b/pkg/process/cell/inventory.go
@@ -22,6 +22,8 @@
 	maxInventoryInterval = 8 * time.Second
 	// minInventoryReadings is the number of readings after which the interval grows.
 	minInventoryReadings = 3
+	// maxFailedReadings bounds how far the interval grows by readings that fail: they tell nothing of the silent workers.
+	maxFailedReadings = minInventoryReadings + 1
 )
 
 // inventoryReadings is what a leader knows from its readings of the inventory, and when it reads it next.
@@ -66,6 +68,9 @@
 func (s *State) takeInventory(now time.Time, e InventoryRead) {
 	r := &s.inventory
 	r.outstanding = false
+	if e.Err != nil {
+		r.readings = min(r.readings, maxFailedReadings)
+	}
 	if e.Err != nil || (s.phase != loading && s.phase != leading) {
 		return
 	}
--- a/pkg/process/cell/inventory_lists_test.go
+++ b/pkg/process/cell/inventory_lists_test.go
@@ -81,3 +81,14 @@
 	b.runWithInventory(700*time.Millisecond, "w03")
 	must.True(t, b.saidToHaveEnded("w03"))
 }
+
+// The platform does not answer for long while a worker has ended. Once it answers, the end must be known soon.
+func TestEndIsKnownSoonAfterTheInventoryHasFailedForLong(t *testing.T) {
+	t.Parallel()
+	for seconds := 5; seconds <= 11; seconds++ {
+		b := takeOverBesideEndedWorkers()
+		b.runWithoutInventory(time.Duration(seconds) * time.Second)
+		b.runWithInventory(2500*time.Millisecond, "w03", "w07")
+		must.MapContainsKey(t, b.started, otherTask, must.Sprintf("after %d s", seconds))
+	}
+}
