--- a/test/soak/replacement_test.go
+++ b/test/soak/replacement_test.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/wrenferry/wrenferry/platform/platformtest"
 )
 
 // Hosts and workers that are gone for good, and those that replace them.
@@ -117,7 +115,7 @@
 	at := []string{h.callers, h.ready, h.control, h.figures}
 	if !oldAddress || how.signal != syscall.SIGKILL {
 		var err error
-		if at, err = platformtest.FreeAddresses(len(at)); err != nil {
+		if at, err = freeAddresses(len(at)); err != nil {
 			d.t.Error(err)
 			return
 		}
@@ -202,7 +200,7 @@
 	defer d.adding.Unlock()
 	for len(d.presentWorkers()) < lossWorkers {
 		i := d.nextNumber()
-		free, err := platformtest.FreeAddresses(2)
+		free, err := freeAddresses(2)
 		if err != nil {
 			d.t.Error(err)
 			return
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -200,7 +200,7 @@
 }
 
 func (d *day) addWorker(i int, hall string) {
-	free, err := platformtest.FreeAddresses(2)
+	free, err := freeAddresses(2)
 	must.NoError(d.t, err)
 	d.startWorker(i, hall, free)
 }
@@ -224,14 +224,14 @@
 }
 
 func (d *day) addHost(i int) {
-	free, err := platformtest.FreeAddresses(4)
+	free, err := freeAddresses(4)
 	must.NoError(d.t, err)
 	d.startHost(i, halls[i%len(halls)], free)
 }
 
 // startHost starts a host that serves callers, readiness, other hosts and its figures at the given addresses.
 func (d *day) startHost(i int, hall string, at []string) {
-	free, err := platformtest.FreeAddresses(1)
+	free, err := freeAddresses(1)
 	must.NoError(d.t, err)
 	dir := d.t.TempDir()
 	h := &host{
