--- a/pkg/emulator/cut_offs.go
+++ b/pkg/emulator/cut_offs.go
@@ -3,8 +3,7 @@
 import "time"
 
 // Workers that are cut off from all hosts and go on, while the inventory makes them look as if they had ended: it is empty,
-// does not list them yet, or skips them between two pages as hosts before
-// them leave.
+// does not list them yet, or skips them between two pages as hosts before them leave.
 
 const (
 	// firstCutOffAt is when the first round begins, cutOffsEvery the time between two rounds.
