The test of an unknown kind of leave asks for the one after the last kind

The emulator has one kind of leave more since the plans of lost workers, so the number that the test took for unknown was a known one, and another check refused it. The test now takes the one after LeaveLost, with the same check and message.

--- a/pkg/emulator/script_test.go
+++ b/pkg/emulator/script_test.go
@@ -139,7 +139,7 @@
 	}
 	cut := emulator.Fault{At: time.Second, Kind: emulator.CutLink, Target: "host-0", Peer: "worker-9"}
 	spot := leave(time.Second, "worker-0")
-	spot.How = int(emulator.LeaveUnannounced) + 1
+	spot.How = int(emulator.LeaveLost) + 1
 	crash := emulator.Fault{At: time.Second, Kind: emulator.CrashWorker, Target: "worker-0", Cell: "hall-0"}
 	for _, c := range []struct {
 		name   string
@@ -154,7 +154,7 @@
 		{"leave without a join", []emulator.Fault{leave(time.Second, "worker-9")}, `Faults[0].Target: "worker-9" is not of the type`},
 		{"leave of a host", []emulator.Fault{leave(time.Second, "host-0")}, `Faults[0].Target: "host-0" is not of the type`},
 		{"two leaves", []emulator.Fault{leave(time.Second, "worker-0"), leave(2*time.Second, "worker-0")}, `Faults[1].Target: "worker-0" leaves twice`},
-		{"unknown kind of leave", []emulator.Fault{spot}, `Faults[0].How: 4 is not valid for leave-worker`},
+		{"unknown kind of leave", []emulator.Fault{spot}, `Faults[0].How: 5 is not valid for leave-worker`},
 		{"unknown cell", []emulator.Fault{join(time.Second, "worker-9", "hall-7")}, `Faults[0].Cell: "hall-7" is not a cell`},
 		{"cell of another kind", []emulator.Fault{crash}, `Faults[0].Cell: crash-worker takes no cell`},
 		{"name of a worker", []emulator.Fault{join(time.Second, "worker-0", "hall-0")}, `Faults[0].Target: "worker-0" is empty or used twice`},
