--- a/review/testdata/second/kit/runner.go
+++ b/review/testdata/second/kit/runner.go
@@ -30,10 +30,12 @@
 	Lasting bool
 	// How is the end of a run that is not lasting.
 	How string
-	// CPU and MemMB are its size.
+	// CPU and MemMB are its size; CPU is 0 for a task that fills.
 	CPU, MemMB int64
 	// StopTakes is how long a stop takes.
 	StopTakes time.Duration
+	// Tail is the tail of its answers' times in milliseconds, for a task that serves.
+	Tail int64
 	// Advised means that a start needs a ticket of the advising service.
 	Advised bool
 	// Gang is the number of members if the task is one of a gang.
@@ -536,7 +538,11 @@
 		r.mu.Lock()
 		active := [][]any{}
 		for task, each := range b.active {
-			active = append(active, []any{task, each.number, each.saved(false), each.percent(), each.behaviour.CPU})
+			reading := each.behaviour.CPU
+			if each.behaviour.Tail > 0 {
+				reading = each.behaviour.Tail
+			}
+			active = append(active, []any{task, each.number, each.saved(false), each.percent(), reading})
 		}
 		body["clock-ms"] = float64(b.clock().Microseconds()) / 1000
 		body["active"], body["finished"] = active, append([][]any{}, b.finished[:min(len(b.finished), endsAtOne)]...)
