--- a/review/testdata/second/kit/runner.go
+++ b/review/testdata/second/kit/runner.go
@@ -32,6 +32,8 @@
 	How string
 	// CPU and MemMB are its size; CPU is 0 for a task that fills.
 	CPU, MemMB int64
+	// GPU is the number of accelerators it takes.
+	GPU int64
 	// StopTakes is how long a stop takes.
 	StopTakes time.Duration
 	// Tail is the tail of its answers' times in milliseconds, for a task that serves.
@@ -49,6 +51,7 @@
 	Machine, Zone string
 	Labels        []string
 	CPU, MemMB    int64
+	GPU           int64
 	Address       string
 
 	world *World
@@ -195,7 +198,7 @@
 	}
 	entry := map[string]any{
 		"service": Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": 8, "state": r.state, "cold-remaining-ms": 0, "sequence": sequence,
-		"capacity": map[string]any{"cpu": r.CPU, "mem-mb": r.MemMB, "gpu": 0}, "labels": r.Labels, "machine": r.Machine, "clock-ms": b.clock().Milliseconds(),
+		"capacity": map[string]any{"cpu": r.CPU, "mem-mb": r.MemMB, "gpu": r.GPU}, "labels": r.Labels, "machine": r.Machine, "clock-ms": b.clock().Milliseconds(),
 	}
 	r.mu.Unlock()
 	r.world.Store.Put("servers", b.id, entry)
@@ -355,11 +358,11 @@
 		r.world.countRefused(o.Task)
 		return refuse("ticket")
 	}
-	cpu, mem := how.CPU, how.MemMB
+	cpu, mem, gpu := how.CPU, how.MemMB, how.GPU
 	for _, each := range b.active {
-		cpu, mem = cpu+each.behaviour.CPU, mem+each.behaviour.MemMB
+		cpu, mem, gpu = cpu+each.behaviour.CPU, mem+each.behaviour.MemMB, gpu+each.behaviour.GPU
 	}
-	if cpu > r.CPU || mem > r.MemMB {
+	if cpu > r.CPU || mem > r.MemMB || gpu > r.GPU {
 		return refuse("room")
 	}
 	each := &run{number: o.Run, began: time.Now(), behaviour: how, unit: UnitOf(o.Task)}
