A cancel that finds no job keeps later submissions of its id out

Cause: a row that is missing was taken to mean that the job won't run. The insertion is conditional on the anchor's absence only, so as long as it is open the absence proves nothing, and neither does what one host remembers of its own open calls: the submission may have gone to another host, or to one that has ended.

Change: a cancel that finds no anchor inserts a tombstone in its place, under the condition that it is absent, and answers 410 once the table has it. Each late insertion then fails its own condition. A cancel that meets the insertion finds the job's anchor in the conflict and cancels the job. Without an answer of the table the cancel is not acknowledged. A submission that meets a tombstone gets 503 with Retry-After: it is not taken and never runs. A refused submission still writes nothing, since its caller sends the same id again. The cell's leader removes a tombstone after the retention of ended jobs, by the versions of both of its rows, so that a late removal spares a row written since.

Package cancellation makes the decision without I/O. The usual submission takes one call and the cancel of a known job one or two, as before (TestCallsOfSubmissionsAndCancels).

--- a/pkg/process/fleet/followers.go
+++ b/pkg/process/fleet/followers.go
@@ -112,8 +112,10 @@
 type tableVersions struct{ specs, cancels int64 }
 
 // followCell reads new jobs, cancels and returned tasks of a led cell, and sends them to the cell, until
-// the epoch ends.
-func (c *Control) followCell(ctx context.Context, name string, epoch int64, from tableVersions) {
+// the epoch ends. It removes tombstones whose time is over.
+func (c *Control) followCell(ctx context.Context, name string, epoch int64, loaded *loadedCell) {
+	from, tombstones := loaded.versions, &loaded.tombstones
+	removeFrom := time.Time{}
 	for ctx.Err() == nil {
 		pause(ctx, cellReadInterval)
 		if v := c.View().Cells[name]; !v.Mine || v.Epoch != epoch {
@@ -133,6 +135,9 @@
 			c.send(cellEvent{cell: name, event: cell.TableCaughtUp{At: askedAt}})
 		}
 		from.cancels, _ = c.followTable(ctx, rows.CancelTable(name), from.cancels, func(r table.Row) {
+			if c.addTombstone(tombstones, r) {
+				return
+			}
 			if !rows.IsReturn(r.Key) {
 				c.CancelRequested(name, r.Key.Key)
 				return
@@ -141,6 +146,9 @@
 				c.send(cellEvent{cell: name, event: cell.TasksReturned{Tasks: returned}})
 			}
 		})
+		if now := clock.Now(); now.After(removeFrom) && !c.removeTombstones(ctx, now, name, tombstones) {
+			removeFrom = now.Add(tombstoneInterval)
+		}
 	}
 }
 
--- a/pkg/process/fleet/load.go
+++ b/pkg/process/fleet/load.go
@@ -11,6 +11,7 @@
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/process/jobs"
+	"github.com/wrenferry/wrenferry/pkg/request/cancellation"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -27,7 +28,7 @@
 		loaded, err := c.loadOnce(ctx, name, epoch)
 		if err == nil {
 			c.send(cellEvent{name, loaded.event})
-			c.followCell(ctx, name, epoch, loaded.versions)
+			c.followCell(ctx, name, epoch, loaded)
 			return
 		}
 		c.log.WithFields(logrus.Fields{"cell": name, "why": err.Error()}).Warn("cell-load-failed")
@@ -44,15 +45,16 @@
 
 // loadedCell is the content of a cell's tables, and the versions at which they were read.
 type loadedCell struct {
-	event    cell.Loaded
-	versions tableVersions
+	event      cell.Loaded
+	versions   tableVersions
+	tombstones cancellation.Tombstones
 }
 
 // loadedPart is the content of one part of a cell's tables.
 type loadedPart struct {
 	fence    int64
 	jobs     []cell.LoadedJob
-	cancels  []string
+	cancels  []table.Row
 	returned []*wire.ReturnedTasks
 	versions tableVersions
 	err      error
@@ -72,19 +74,24 @@
 	}
 	now := clock.Now()
 	event := cell.Loaded{Epoch: epoch, Members: membership.GetEntries(), Fences: map[string]int64{}, Wall: c.wall(), StoreNow: c.store.StoreTime(now)}
-	versions := parts[0].versions
+	loaded := &loadedCell{versions: parts[0].versions}
 	for i, p := range parts {
 		if p.err != nil {
 			return nil, p.err
 		}
 		event.Fences[rows.PartName(i)] = p.fence
 		event.Jobs = append(event.Jobs, p.jobs...)
-		event.Cancels = append(event.Cancels, p.cancels...)
+		for _, r := range p.cancels {
+			if !c.addTombstone(&loaded.tombstones, r) {
+				event.Cancels = append(event.Cancels, r.Key.Key)
+			}
+		}
 		event.Returned = append(event.Returned, p.returned...)
-		versions.specs = min(versions.specs, p.versions.specs)
-		versions.cancels = min(versions.cancels, p.versions.cancels)
+		loaded.versions.specs = min(loaded.versions.specs, p.versions.specs)
+		loaded.versions.cancels = min(loaded.versions.cancels, p.versions.cancels)
 	}
-	return &loadedCell{event: event, versions: versions}, nil
+	loaded.event = event
+	return loaded, nil
 }
 
 // loadPart raises the fence in one part and then reads the part. The fence rejects later commits of
@@ -113,7 +120,7 @@
 	p.jobs = c.joinJobRows(specs.Rows, progress.Rows)
 	for _, r := range cancels.Rows {
 		if !rows.IsReturn(r.Key) {
-			p.cancels = append(p.cancels, r.Key.Key)
+			p.cancels = append(p.cancels, r)
 		} else if returned := c.readReturned(r); returned != nil {
 			p.returned = append(p.returned, returned)
 		}
--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/wrenferry/wrenferry/pkg/clock"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/request/acceptance"
+	"github.com/wrenferry/wrenferry/pkg/request/cancellation"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -38,7 +39,7 @@
 	s, err := i.confirm(ctx, s, spec)
 	code := fault.CodeOf(err)
 	if err == nil {
-		i.outcomes.jobFound(id)
+		i.outcomes.settle(id)
 	}
 	if code == fault.Unknown {
 		i.increment("accept.unknown")
@@ -70,8 +71,8 @@
 		case acceptance.Wait:
 			sleep(ctx, step.Pause)
 		case acceptance.Look:
-			if i.findAnchor(ctx, spec, s) {
-				return s, nil
+			if found, err := i.findAnchor(ctx, spec, s); found || err != nil {
+				return s, err
 			}
 			s = s.WithLook()
 		case acceptance.Refuse:
@@ -89,14 +90,17 @@
 			byPeer := step.Do == acceptance.SendByPeer
 			i.outcomes.callBegins(spec.GetId())
 			done, err := i.send(ctx, s, now, tx, byPeer)
-			found := err == nil && i.holds(spec, s, done)
+			found, cancelled := false, error(nil)
+			if err == nil {
+				found, cancelled = i.holds(spec, s, now, done)
+			}
 			outcome := acceptance.NoAnswer
 			if err != nil && fault.CodeOf(err) == fault.NotRun {
 				outcome = acceptance.Refused
 			}
-			i.outcomes.callEnded(spec.GetId(), !found && outcome == acceptance.NoAnswer)
-			if found {
-				return s.WithSuccess(), nil
+			i.outcomes.callEnded(spec.GetId(), !found && cancelled == nil && outcome == acceptance.NoAnswer)
+			if found || cancelled != nil {
+				return s.WithSuccess(), cancelled
 			}
 			last, s = err, s.WithOutcome(clock.Now(), byPeer, outcome)
 		}
@@ -111,29 +115,34 @@
 	return i.store.CommitDirect(ctx, tx, func(at time.Time) bool { return s.KeepWaiting(at, now, i.tableState()) })
 }
 
-// holds returns whether an answered transaction shows that the table holds the job.
-func (i *Intake) holds(spec *wire.JobSpec, s acceptance.Submission, done table.CommitResult) bool {
+// holds returns whether an answered transaction shows that the table holds the job. It returns a NotRun fault if a tombstone
+// has kept the job out.
+func (i *Intake) holds(spec *wire.JobSpec, s acceptance.Submission, now time.Time, done table.CommitResult) (bool, error) {
 	if !done.Conflict {
 		i.homeCells.Add(spec.GetId(), spec.GetCell())
 		i.notifyAccepted(spec)
-		return true
+		return true, nil
 	}
-	i.cacheAnchor(spec.GetId(), done.Current)
-	cell, found := i.homeCells.Get(spec.GetId())
-	if found {
-		i.notifyIfWritten(spec, s, cell)
+	anchor, cancelled := i.readConflict(now, spec.GetId(), done)
+	if anchor.Status != cancellation.Held {
+		return false, cancelled
 	}
-	return found
+	i.notifyIfWritten(spec, s, anchor.Cell)
+	return true, nil
 }
 
-// findAnchor returns whether a reading of the table shows the job's anchor row.
-func (i *Intake) findAnchor(ctx context.Context, spec *wire.JobSpec, s acceptance.Submission) bool {
-	cell, found, err := i.homeCell(ctx, spec.GetId())
-	if err != nil || !found {
-		return false
+// findAnchor returns whether a reading of the table shows that it holds the job. It returns a NotRun fault if there is a
+// tombstone.
+func (i *Intake) findAnchor(ctx context.Context, spec *wire.JobSpec, s acceptance.Submission) (bool, error) {
+	anchor, err := i.anchor(ctx, spec.GetId())
+	switch {
+	case err != nil || anchor.Status == cancellation.Absent:
+		return false, nil // the submission goes on without knowing
+	case anchor.Status == cancellation.Tombstone:
+		return false, i.cancelledBefore(clock.Now(), spec.GetId(), anchor)
 	}
-	i.notifyIfWritten(spec, s, cell)
-	return true
+	i.notifyIfWritten(spec, s, anchor.Cell)
+	return true, nil
 }
 
 // notifyIfWritten notifies the leader of a job whose rows a call without an answer may have written.
@@ -152,9 +161,12 @@
 	if !away && s.MayRead(clock.Now(), state) {
 		bounded, cancel := context.WithTimeout(ctx, anchorReadTimeout)
 		defer cancel()
-		_, found, err := i.homeCell(bounded, id)
-		if err == nil && found {
+		anchor, err := i.anchor(bounded, id)
+		switch {
+		case err == nil && anchor.Status == cancellation.Held:
 			return nil
+		case err == nil && anchor.Status == cancellation.Tombstone:
+			return i.cancelledBefore(clock.Now(), id, anchor)
 		}
 		absent = err == nil
 	}
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -11,8 +11,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +22,7 @@
 	"github.com/wrenferry/wrenferry/pkg/connection/store"
 	"github.com/wrenferry/wrenferry/pkg/fault"
 	"github.com/wrenferry/wrenferry/pkg/request/admission"
+	"github.com/wrenferry/wrenferry/pkg/request/cancellation"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -44,6 +43,8 @@
 	// maxCachedReasons bounds the cache of failure reasons, in jobs: few jobs fail, and a
 	// reason takes about a hundred bytes.
 	maxCachedReasons = 512
+	// defaultRetention is how long the table keeps ended jobs and tombstones.
+	defaultRetention = 2 * time.Minute
 )
 
 // Peers connects to other hosts.
@@ -86,6 +87,7 @@
 	// refuseLate returns the treatment of jobs that would be too late, admission decides which these are.
 	refuseLate func() string
 	admission  *admission.Admission
+	retention  time.Duration
 }
 
 // Option changes an Intake from its defaults.
@@ -95,6 +97,10 @@
 // while the table is away. Package acceptance makes the decisions.
 func WithConfirmation() Option { return func(i *Intake) { i.confirms = true } }
 
+// WithRetention sets how long a cancelled id that has no job can't be submitted. It must be longer than the table may take to
+// carry out a transaction.
+func WithRetention(span time.Duration) Option { return func(i *Intake) { i.retention = span } }
+
 // Exchange passes the loads of cells and counts of jobs from relays to the hosts that follow them.
 type Exchange interface {
 	// Relaying returns whether this host asks for loads on behalf of others.
@@ -119,7 +125,7 @@
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
 		board: cellchoice.NewBoard(hall), loadRequested: map[string]bool{}, beliefsRequestedAt: map[string]time.Time{},
 		tableCounts: map[string]*sharedCount{}, pendingAnswers: map[string]pendingAnswer{}, outcomes: newOpenOutcomes(),
-		refuseLate: func() string { return admission.Off }, admission: admission.New(),
+		refuseLate: func() string { return admission.Off }, admission: admission.New(), retention: defaultRetention,
 	}
 	for _, o := range options {
 		o(i)
@@ -128,7 +134,8 @@
 }
 
 // Submit accepts a job. It returns nil once the table holds the job, fault.NotRun if the
-// table certainly does not hold it, and otherwise fault.Unknown.
+// table certainly does not hold it, and otherwise fault.Unknown. fault.NotRun is about this submission: callers go on
+// submitting the job under the same id. A submission of an id that was cancelled before the table held a job is refused.
 func (i *Intake) Submit(ctx context.Context, now time.Time, q manifest.Queue, spec *wire.JobSpec) error {
 	if _, known := i.homeCells.Get(spec.GetId()); known {
 		i.logJob("job-accepted-again", spec, now, "", nil)
@@ -166,9 +173,9 @@
 	case i.confirms:
 		return i.insertConfirmed(ctx, now, spec)
 	case i.refuseLate() != admission.Off:
-		return i.insertTracked(ctx, spec)
+		return i.insertTracked(ctx, now, spec)
 	}
-	return i.insert(ctx, spec)
+	return i.insert(ctx, now, spec)
 }
 
 // insertion returns the transaction that writes the job's anchor and spec rows if its id is unused.
@@ -184,17 +191,17 @@
 }
 
 // insert writes the job's anchor and spec rows if its id is unused. An id that is in use denotes the same job, so
-// insert then succeeds, too.
-func (i *Intake) insert(ctx context.Context, spec *wire.JobSpec) error {
+// insert then succeeds, too, unless a tombstone is there.
+func (i *Intake) insert(ctx context.Context, now time.Time, spec *wire.JobSpec) error {
 	done, err := i.store.Commit(ctx, insertion(spec))
 	switch {
 	case err != nil && fault.CodeOf(err) == fault.NotRun:
 		return err
 	case err != nil:
-		return i.resolveUnknown(ctx, spec, err)
+		return i.resolveUnknown(ctx, now, spec, err)
 	case done.Conflict:
-		i.cacheAnchor(spec.GetId(), done.Current)
-		return nil // the id is in use, so this job was accepted before
+		_, err := i.readConflict(now, spec.GetId(), done)
+		return err // without an error the id is in use, so this job was accepted before
 	}
 	i.homeCells.Add(spec.GetId(), spec.GetCell())
 	i.notifyAccepted(spec)
@@ -203,10 +210,13 @@
 
 // resolveUnknown checks whether a transaction without an answer took effect. A missing anchor
 // proves nothing, as the transaction may still take effect: the result is then fault.Unknown.
-func (i *Intake) resolveUnknown(ctx context.Context, spec *wire.JobSpec, cause error) error {
-	cell, found, err := i.homeCell(ctx, spec.GetId())
-	if err == nil && found {
-		if cell == spec.GetCell() {
+func (i *Intake) resolveUnknown(ctx context.Context, now time.Time, spec *wire.JobSpec, cause error) error {
+	anchor, err := i.anchor(ctx, spec.GetId())
+	if err == nil && anchor.Status == cancellation.Tombstone {
+		return i.cancelledBefore(now, spec.GetId(), anchor)
+	}
+	if err == nil && anchor.Status == cancellation.Held {
+		if anchor.Cell == spec.GetCell() {
 			i.notifyAccepted(spec)
 		}
 		return nil
@@ -214,16 +224,6 @@
 	return fault.New(fault.Unknown, spec.GetId(), "the table did not say whether it took the job", "ask again with the same id").WithCause(cause)
 }
 
-// cacheAnchor caches the job's home cell if the rows found by a conflicting transaction hold its anchor.
-func (i *Intake) cacheAnchor(id string, found []table.Row) {
-	for _, r := range found {
-		anchor := &wire.JobAnchor{}
-		if r.Version != 0 && r.Table == rows.AnchorTable && rows.Read(r, anchor) == nil {
-			i.homeCells.Add(id, anchor.GetCell())
-		}
-	}
-}
-
 // notifyAccepted sends an accepted job to its cell's leader in the background.
 func (i *Intake) notifyAccepted(spec *wire.JobSpec) {
 	i.notifyLeader(spec.GetCell(), func() { i.leaders.JobAccepted(spec) }, func(ctx context.Context, p wire.FleetClient) error {
@@ -259,7 +259,8 @@
 
 // ----------------------------------------------------------------- states
 
-// State returns a job's phase, or UNSPECIFIED if there is no such job.
+// State returns a job's phase, or UNSPECIFIED if there is no such job at this moment. A submission without an answer may take
+// effect later; only a cancel keeps it out.
 func (i *Intake) State(ctx context.Context, id string) (wire.JobPhase, error) {
 	if phase, ok := i.finalPhases.Get(id); ok {
 		return phase, nil
@@ -303,23 +304,11 @@
 
 // homeCell returns the cell that accepted a job. found is false if there is no such job.
 func (i *Intake) homeCell(ctx context.Context, id string) (cell string, found bool, err error) {
-	if cell, ok := i.homeCells.Get(id); ok {
-		return cell, true, nil
-	}
-	key := rows.AnchorKey(id)
-	page, err := i.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
-	if err != nil {
+	anchor, err := i.anchor(ctx, id)
+	if err != nil || anchor.Status != cancellation.Held {
 		return "", false, err
 	}
-	if len(page.Rows) == 0 {
-		return "", false, nil
-	}
-	anchor := &wire.JobAnchor{}
-	if err := rows.Read(page.Rows[0], anchor); err != nil {
-		return "", false, err
-	}
-	i.homeCells.Add(id, anchor.GetCell())
-	return anchor.GetCell(), true, nil
+	return anchor.Cell, true, nil
 }
 
 // phaseFromLeader asks the leader of the job's home cell for its phase. It returns false if
@@ -376,46 +365,6 @@
 	return p, nil
 }
 
-// Cancel writes the rows of a cancel into the table and notifies the leaders. It returns false
-// if there is no such job. A job whose end this host knows is left alone.
-func (i *Intake) Cancel(ctx context.Context, now time.Time, id string) (bool, error) {
-	if phase, ok := i.finalPhases.Get(id); ok {
-		i.log.WithFields(logrus.Fields{"job": id, "phase": phase.String()}).Info("job-cancel-late")
-		return true, nil
-	}
-	cell, found, err := i.homeCell(ctx, id)
-	if err != nil || !found {
-		return found, err
-	}
-	cells := i.leaders.View().Cells
-	tx := table.Transaction{Puts: []table.Row{rows.Row(rows.CancelKey(cell, id), &wire.JobRef{Cell: cell, Id: id})}}
-	for _, name := range slices.Sorted(maps.Keys(cells)) {
-		if name != cell {
-			// A cell that runs delegated tasks of the job must learn of the cancel even while the home cell has no
-			// leader. Its next leader must learn of it, too: a notification may be lost, or end with its recipient.
-			tx.Puts = append(tx.Puts, rows.Row(rows.CancelKey(name, id), &wire.JobRef{Cell: name, Id: id}))
-		}
-	}
-	if _, err = i.store.Commit(ctx, tx); err != nil {
-		i.log.WithFields(logrus.Fields{"job": id, "why": err.Error()}).Warn("job-cancel-failed")
-		return true, err
-	}
-	i.increment("cancelled")
-	i.log.WithFields(logrus.Fields{"job": id, "cell": cell, "ms": clock.Now().Sub(now).Milliseconds()}).Info("job-cancel")
-	for name := range cells {
-		i.notifyCancel(name, id) // arrives before the leader reads the row
-	}
-	return true, nil
-}
-
-// notifyCancel notifies a cell's leader of a cancel in the background.
-func (i *Intake) notifyCancel(cell, id string) {
-	i.notifyLeader(cell, func() { i.leaders.CancelRequested(cell, id) }, func(ctx context.Context, p wire.FleetClient) error {
-		_, err := p.Cancelled(ctx, &wire.JobRef{Cell: cell, Id: id})
-		return err
-	})
-}
-
 func (i *Intake) increment(name string) {
 	metrics.GetOrRegisterCounter("jobs."+name, i.metrics).Inc(1)
 }
--- a/pkg/request/intake/late.go
+++ b/pkg/request/intake/late.go
@@ -74,12 +74,12 @@
 
 // insertTracked inserts a job, and keeps its id while the outcome is unknown: the transaction may still take effect, so
 // that a missing row does not prove that the job won't run. Only a row that is there settles such a doubt.
-func (i *Intake) insertTracked(ctx context.Context, spec *wire.JobSpec) error {
+func (i *Intake) insertTracked(ctx context.Context, now time.Time, spec *wire.JobSpec) error {
 	i.outcomes.callBegins(spec.GetId())
-	err := i.insert(ctx, spec)
+	err := i.insert(ctx, now, spec)
 	i.outcomes.callEnded(spec.GetId(), err != nil && fault.CodeOf(err) != fault.NotRun)
 	if err == nil {
-		i.outcomes.jobFound(spec.GetId())
+		i.outcomes.settle(spec.GetId())
 	}
 	return err
 }
--- a/pkg/request/intake/open_outcomes.go
+++ b/pkg/request/intake/open_outcomes.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// jobFound records that the table holds the job.
-func (o *openOutcomes) jobFound(id string) {
+// settle records that the table holds the job, or a tombstone of its id: calls without an answer change nothing any more.
+func (o *openOutcomes) settle(id string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.unknown.Remove(id)
--- a/pkg/rows/fleet.go
+++ b/pkg/rows/fleet.go
@@ -14,11 +14,12 @@
 // The tables of the fleet's rows, with part and key of each row. All rows of a job share one part, so that one
 // transaction can write them. The part depends only on the job's id.
 //
-//	anchor            PART ID    the job's home cell; makes the id unique
+//	anchor            PART ID    the job's home cell, or a tombstone; makes the id unique
 //	spec.CELL         PART ID    the job as submitted, until it has ended
 //	progress.CELL     PART ID    the job's progress, written by its cell's leader
 //	progress.CELL     PART ID/N  a further piece of it, if one row is too small
-//	cancel.CELL       PART ID    a cancel that the leader has not carried out yet
+//	cancel.CELL       PART ID    a cancel that the leader has not carried out yet, or a
+//	                             tombstone that it has to remove
 //	cancel.CELL       PART ID.C  delegated tasks that cell C returns, until the job's end
 //	fence             PART CELL  the epoch that may write a cell's progress
 //	lead              -    CELL  the cell's leadership
--- a/pkg/serve/fleet.go
+++ b/pkg/serve/fleet.go
@@ -121,7 +121,7 @@
 
 // intakeOptions returns the options of the intake by the settings.
 func intakeOptions(config fleet.Config, h *fleet.Host) []intake.Option {
-	options := []intake.Option{intake.WithLateRefusal(h.RefuseLate), intake.WithExchange(h.Relays)}
+	options := []intake.Option{intake.WithLateRefusal(h.RefuseLate), intake.WithExchange(h.Relays), intake.WithRetention(config.Retention)}
 	if config.ConfirmAcceptance {
 		options = append(options, intake.WithConfirmation())
 	}
