Emulator: callers that give up and cancel at any host

The rule on cancels was checked on another path than the product's: the emulated intake wrote the rows of a cancel without reading the anchor, and callers cancelled accepted jobs only.

The emulated hosts now take cancels with package cancellation, as the product does, and leaders remove tombstones. The rule MIXED is broken by a job that comes to be, or is accepted, after its cancel was answered that there is none.

--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -31,7 +31,8 @@
 //	EVAC     a start in a hall long after its evacuation was ordered, by a host in contact
 //	MIXED    a job recorded as completed with a task that has not ended well,
 //	         or as failed or cancelled without cause; an open job recorded as begun
-//	         before any of its tasks has started
+//	         before any of its tasks has started; a job that comes to be, or is accepted,
+//	         after its cancel was answered that there is none
 //	PENDING  a host in contact counts as pending under half of the jobs that have waited for long without
 //	         a start of any of their tasks
 //	ROW      a start order to a worker whose row is invalid, by a host that has read that
@@ -73,8 +74,10 @@
 	cancelWaits     map[string]cancelWait
 	cancelOverdueAt map[string]time.Time
 	watchedCancels  map[string]bool
-	held            heldRule
-	pending         pendingRule
+	// noJob are the jobs whose cancel was answered that there is no such job.
+	noJob   map[string]bool
+	held    heldRule
+	pending pendingRule
 }
 
 func newChecker(w *World) *checker {
@@ -83,7 +86,7 @@
 		startedAt: map[string]time.Time{}, done: map[string]bool{}, doneAcknowledged: map[string]bool{}, failed: map[string]map[string]bool{}, failedAt: map[string]map[string]time.Time{}, phases: map[string]wire.JobPhase{},
 		crashes: map[string]int{}, startsAfterLimit: map[string]int{}, failures: map[string]map[int64]bool{}, maxFailures: map[string]int{},
 		acceptedAt: map[string]time.Time{}, lastEndAt: map[string]time.Time{}, lastingWaits: map[string]*lastingWait{},
-		cancelWaits: map[string]cancelWait{}, cancelOverdueAt: map[string]time.Time{}, watchedCancels: map[string]bool{},
+		cancelWaits: map[string]cancelWait{}, cancelOverdueAt: map[string]time.Time{}, watchedCancels: map[string]bool{}, noJob: map[string]bool{},
 		brokenAt: map[string]time.Duration{}, held: newHeldRule(), pending: newPendingRule(),
 	}
 }
@@ -331,6 +334,7 @@
 // checkWrite checks each job progress row that is written, since callers are told its content.
 func (c *checker) checkWrite(r table.Row) {
 	id := r.Key.Key
+	c.checkInsertion(r)
 	if r.Table != rows.ProgressTable(c.world.jobs[id].GetCell()) {
 		return // another table, or a cell's report on tasks delegated to it
 	}
--- a/pkg/emulator/days/days.go
+++ b/pkg/emulator/days/days.go
@@ -192,7 +192,7 @@
 	"LeavingPlan": emulator.LeavingPlan, "LeavingTakeoverPlan": emulator.LeavingTakeoverPlan, "LeavingTroublePlan": emulator.LeavingTroublePlan, "ReleasePlan": emulator.ReleasePlan,
 	"RelayPlan": emulator.RelayPlan, "UrgentPlan": emulator.UrgentPlan, "UrgentTroublePlan": emulator.UrgentTroublePlan, "UrgentLoadPlan": emulator.UrgentLoadPlan, "ProcessorPlan": emulator.ProcessorPlan, "SlowAnswersPlan": emulator.SlowAnswersPlan,
 	"CutOffWorkersPlan": emulator.CutOffWorkersPlan, "LostWorkersPlan": emulator.LostWorkersPlan, "FailingInventoryPlan": emulator.FailingInventoryPlan, "LostWorkersCrashTasksPlan": emulator.LostWorkersCrashTasksPlan,
-	"BacklogPlan": emulator.BacklogPlan, "ScarceMemoryPlan": emulator.ScarceMemoryPlan, "LostLabelPlan": emulator.LostLabelPlan, "LostLabelTroublePlan": emulator.LostLabelTroublePlan, "AdvicePlan": emulator.AdvicePlan, "PendingPlan": emulator.PendingPlan,
+	"BacklogPlan": emulator.BacklogPlan, "ScarceMemoryPlan": emulator.ScarceMemoryPlan, "LostLabelPlan": emulator.LostLabelPlan, "LostLabelTroublePlan": emulator.LostLabelTroublePlan, "AdvicePlan": emulator.AdvicePlan, "GivingUpPlan": emulator.GivingUpPlan, "PendingPlan": emulator.PendingPlan,
 }
 
 func planNames() []string { return slices.Sorted(maps.Keys(plans)) }
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -257,7 +257,7 @@
 						return
 					}
 					loaded.Jobs = loadedJobs(specs, progress)
-					addCancels(&loaded, cancels)
+					h.addCancels(&loaded, cancels)
 					loaded.Members = t.members(h.cell)
 					loaded.Wall, loaded.StoreNow = h.world.now, at
 					h.jobsReadAt = askedAt
@@ -270,8 +270,11 @@
 }
 
 // addCancels adds the rows of the cancel table to what is loaded: cancels, and tasks returned by other cells.
-func addCancels(loaded *cell.Loaded, cancels []table.Row) {
+func (h *seat) addCancels(loaded *cell.Loaded, cancels []table.Row) {
 	for _, r := range cancels {
+		if added, err := h.tombstones.Add(r); added || err != nil {
+			continue
+		}
 		if !rows.IsReturn(r.Key) {
 			loaded.Cancels = append(loaded.Cancels, r.Key.Key)
 			continue
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -70,7 +70,11 @@
 	// afterLeave, if set, is called when a worker begins to leave.
 	afterLeave func(k *worker)
 	results    map[string]*JobResult
-	script     *Script // records the day, nil if it is not recorded
+	// gaveUp are the jobs whose callers have given up their submissions. InsertionsKeptOut counts the insertions that met a
+	// tombstone, LateInsertionsKeptOut those that the table carried out later than it answers.
+	gaveUp                                   map[string]bool
+	InsertionsKeptOut, LateInsertionsKeptOut int
+	script                                   *Script // records the day, nil if it is not recorded
 	// passedReadings counts the recent readings that relays have passed on.
 	passedReadings int
 	// Noted counts the notes of all hosts by kind.
@@ -253,6 +257,7 @@
 	w.planScarceMemory()
 	w.planLabelJobs()
 	w.planAdvisedJobs()
+	w.planGivingUp()
 }
 
 // newJob draws a job of one to three steps, or one with lasting tasks, or a repeated one.
@@ -304,8 +309,14 @@
 
 // submit submits a job at some host. A caller without an answer retries, up to maxSubmitRetries times.
 func (w *World) submit(spec *wire.JobSpec, tries int) {
+	if w.gaveUp[spec.GetId()] {
+		return
+	}
 	h := w.entryHostFor(spec.GetId())
 	h.submit(spec, func(taken bool) {
+		if w.gaveUp[spec.GetId()] {
+			return // nobody hears the answer
+		}
 		if taken {
 			w.checker.accepted(spec)
 			return
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -8,6 +8,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/election"
 	"github.com/wrenferry/wrenferry/pkg/process/relay"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
+	"github.com/wrenferry/wrenferry/pkg/request/cancellation"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -73,6 +74,8 @@
 	successor *election.Acceptance
 	// afterWrite runs once the write of the leadership row in flight is answered; nil: nothing waits for that.
 	afterWrite func()
+	// tombstones are those that the state's epoch has read.
+	tombstones cancellation.Tombstones
 	// deciding says that a decision is about to be taken, on days with Plan.Processor.
 	deciding bool
 }
@@ -400,10 +403,24 @@
 			for _, r := range list {
 				h.takeCancelRow(r)
 			}
+			h.removeTombstones()
 		})
 	})
 }
 
+// removeTombstones removes tombstones whose time is over.
+func (h *seat) removeTombstones() {
+	tx, ok := h.tombstones.Removal(h.storeTime(), h.cell)
+	if !ok {
+		return
+	}
+	h.commit(tx, func(c table.CommitResult, ok bool) {
+		if ok {
+			h.tombstones.Removed(tx, c)
+		}
+	})
+}
+
 // mayOrder returns whether this host may still give orders in a cell: its state holds the leadership, or its seat
 // claims it.
 func (h *host) mayOrder(name string) bool {
--- a/pkg/emulator/intake.go
+++ b/pkg/emulator/intake.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wrenferry/wrenferry/pkg/process/cell"
+	"github.com/wrenferry/wrenferry/pkg/request/cancellation"
 	"github.com/wrenferry/wrenferry/pkg/request/cellchoice"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
@@ -119,8 +120,10 @@
 			Puts: []table.Row{
 				rows.Row(anchor, &wire.JobAnchor{Cell: spec.GetCell()}), rows.Row(rows.SpecKey(spec.GetCell(), spec.GetId()), spec),
 			},
-		}, func(_ table.CommitResult, ok bool) {
-			done(ok) // a conflict means that an earlier try wrote the job
+		}, func(c table.CommitResult, ok bool) {
+			found, err := cancellation.ReadAnchor(spec.GetId(), c.Current)
+			ok = ok && (err != nil || found.Status != cancellation.Tombstone)
+			done(ok) // any other conflict means that an earlier try wrote the job
 			for _, each := range w.hosts {
 				if other := each.leads(spec.GetCell()); ok && other != nil && !w.unreachable(h.name, each.name) && h.believesLeader(spec.GetCell(), each) {
 					other.whenRunning(func() {
@@ -141,20 +144,67 @@
 		return
 	}
 	h.whenRunning(func() {
-		var tx table.Transaction
-		for _, name := range h.world.cells {
-			tx.Puts = append(tx.Puts, rows.Row(rows.CancelKey(name, id), &wire.JobRef{Id: id}))
+		h.cancelJob(id, h.world.jobs[id].GetCell(), done)
+	})
+}
+
+// cancelJob records a cancel of a job that the table holds.
+func (h *host) cancelJob(id, home string, done func(taken bool)) {
+	h.commit(cancellation.CancelRows(id, home, h.world.cells), func(_ table.CommitResult, ok bool) {
+		done(ok)
+		if ok && h.world.plan.Touch {
+			h.notifyCancel(id)
 		}
-		h.commit(tx,
-			func(_ table.CommitResult, ok bool) {
-				done(ok)
-				if ok && h.world.plan.Touch {
-					h.notifyCancel(id)
+	})
+}
+
+// cancelAny cancels a job of which it is not known whether the table holds it. done gets whether it does, and whether the
+// cancel is acknowledged.
+func (h *host) cancelAny(id string, done func(found, ok bool)) {
+	if !h.up {
+		return
+	}
+	here := h.bindIncarnation()
+	h.whenRunning(func() {
+		h.world.table.get(h.name, rows.AnchorKey(id), func(found []table.Row, ok bool) {
+			here(func() {
+				if ok {
+					h.cancelByAnchor(id, found, done)
 				}
 			})
+		})
 	})
 }
 
+// cancelByAnchor goes on with a cancel that has found the rows.
+func (h *host) cancelByAnchor(id string, found []table.Row, done func(found, ok bool)) {
+	anchor, err := cancellation.ReadAnchor(id, found)
+	if err != nil {
+		return
+	}
+	next := anchor.Next()
+	if next == cancellation.InsertTombstone && h.world.plan.GivingUp.NoTombstones {
+		next = cancellation.AnswerNoJob
+	}
+	switch next {
+	case cancellation.CancelJob:
+		h.cancelJob(id, anchor.Cell, func(taken bool) { done(true, taken) })
+	case cancellation.AnswerNoJob:
+		done(false, true)
+	case cancellation.InsertTombstone:
+		h.commit(cancellation.NewTombstone(id, h.hall, h.storeTime()+tombstoneLifetime), func(c table.CommitResult, ok bool) {
+			switch {
+			case !ok:
+				done(false, false)
+			case c.Conflict:
+				h.cancelByAnchor(id, c.Current, done)
+			default:
+				done(false, true)
+			}
+		})
+	}
+}
+
 // notifyCancel notifies the leaders of all cells of a cancel that is recorded in the table.
 func (h *host) notifyCancel(id string) {
 	for _, name := range h.world.cells {
--- a/pkg/emulator/leader_messages.go
+++ b/pkg/emulator/leader_messages.go
@@ -12,6 +12,9 @@
 // takeCancelRow has the state take a row of the cancel table: a cancel, or delegated tasks that another cell
 // returns.
 func (h *seat) takeCancelRow(r table.Row) {
+	if added, err := h.tombstones.Add(r); added || err != nil {
+		return
+	}
 	if !rows.IsReturn(r.Key) {
 		h.state.Take(h.clock(), cell.CancelRequested{ID: r.Key.Key})
 		return
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -109,6 +109,8 @@
 	// leader.
 	Inventory Inventory
 	Losses    Losses
+	// GivingUp configures callers that cancel a job without an answer to its submission.
+	GivingUp GivingUp
 	// CutOffs is the number of rounds in which workers are cut off from all hosts while they go on.
 	CutOffs int
 	// Load, if set, replaces the random cells, workers and jobs.
--- a/pkg/emulator/script.go
+++ b/pkg/emulator/script.go
@@ -42,6 +42,8 @@
 	At    time.Duration
 	Spec  JobSpec
 	Crash *Crash `json:",omitempty"`
+	// GiveUp is set if the caller gives up.
+	GiveUp *GiveUp `json:",omitempty"`
 }
 
 // JobSpec is a job's specification in its own JSON form.
@@ -103,7 +105,7 @@
 	w := &World{
 		plan: plan, draws: d, start: time.Unix(1_000_000, 0),
 		jobs: map[string]*wire.JobSpec{}, tickets: map[string]ticket{}, cuts: map[[2]string]time.Time{}, hallCuts: map[string]time.Time{}, evacuations: map[string]*evacuation{},
-		truths: map[string]*TaskBehavior{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{},
+		truths: map[string]*TaskBehavior{}, saved: map[string]time.Duration{}, results: map[string]*JobResult{}, gaveUp: map[string]bool{},
 		crashTaskDelays: map[string]time.Duration{}, Noted: map[cell.NoteKind]int{},
 	}
 	w.now, w.impairedAt = w.start, w.start
@@ -145,6 +147,9 @@
 		w.logf("%s crashes its worker after %s", task, c.After)
 	}
 	w.after(j.At, func() { w.submit(spec, 0) })
+	if g := j.GiveUp; g != nil {
+		w.after(j.At+g.After, func() { w.giveUp(spec, *g) })
+	}
 }
 
 // scheduleCancel schedules the cancel of a job.
--- a/pkg/emulator/script_check.go
+++ b/pkg/emulator/script_check.go
@@ -131,6 +131,9 @@
 			return "Crash.After", c.After.String() + " is before the start of the task"
 		}
 	}
+	if g := j.GiveUp; g != nil && (g.After < 0 || g.Again < 0) {
+		return "GiveUp", g.After.String() + " or " + g.Again.String() + " is below 0"
+	}
 	return "", ""
 }
 
--- a/pkg/emulator/script_test.go
+++ b/pkg/emulator/script_test.go
@@ -25,7 +25,7 @@
 	"leaving": emulator.LeavingPlan, "leaving trouble": emulator.LeavingTroublePlan, "leaving takeover": emulator.LeavingTakeoverPlan, "release": emulator.ReleasePlan,
 	"evacuation leaving": emulator.EvacuationLeavingPlan, "urgent trouble": emulator.UrgentTroublePlan,
 	"urgent load": shortUrgentLoadPlan, "cancels": emulator.CancelsPlan, "deposed": emulator.DeposedPlan, "hall cut": emulator.HallCutPlan, "all troubles": emulator.AllTroublesPlan,
-	"pending": emulator.PendingPlan, "lost workers": emulator.LostWorkersPlan, "failing inventory": emulator.FailingInventoryPlan, "cut-off workers": emulator.CutOffWorkersPlan,
+	"pending": emulator.PendingPlan, "lost workers": emulator.LostWorkersPlan, "failing inventory": emulator.FailingInventoryPlan, "cut-off workers": emulator.CutOffWorkersPlan, "giving up": emulator.GivingUpPlan,
 }
 
 func TestScriptReplaysRecordedDay(t *testing.T) {
--- a/pkg/emulator/table.go
+++ b/pkg/emulator/table.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/wrenferry/wrenferry/pkg/request/cancellation"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/wire"
@@ -64,6 +65,7 @@
 	answered := false
 	w.after(delay, func() {
 		c := t.apply(tx)
+		t.countKeptOut(c, delay)
 		if lost {
 			return
 		}
@@ -120,6 +122,36 @@
 	return c
 }
 
+// countKeptOut counts a transaction that met a tombstone after a delay.
+func (t *tableService) countKeptOut(c table.CommitResult, delay time.Duration) {
+	for _, r := range c.Current {
+		anchor, err := cancellation.ReadAnchor(r.Key.Key, []table.Row{r})
+		if err != nil || anchor.Status != cancellation.Tombstone {
+			continue
+		}
+		t.world.InsertionsKeptOut++
+		if delay > tableTimeout {
+			t.world.LateInsertionsKeptOut++
+		}
+	}
+}
+
+// get reads one row. done gets ok false if there was no answer.
+func (t *tableService) get(from string, key table.Key, done func(found []table.Row, ok bool)) {
+	w := t.world
+	if w.unreachable(from, "table") || w.now.Before(t.downUntil) {
+		w.after(tableTimeout, func() { done(nil, false) })
+		return
+	}
+	w.after(w.draws.messageDelay("table "+from)+tableServiceTime, func() {
+		var found []table.Row
+		if r, ok := t.rows[key]; ok {
+			found = append(found, r)
+		}
+		w.after(w.draws.messageDelay("table "+from), func() { done(found, true) })
+	})
+}
+
 // scan reads all rows of a table, sorted by key. done gets the table's time at the read, and ok false if there
 // was no answer.
 func (t *tableService) scan(from, name string, done func(rows []table.Row, at time.Duration, ok bool)) {
