Cancels of jobs that never come are removed from the table

Rows of cancels stayed for ever in cells that never had a task of the job, and were read again by each new leader. If the id came into use again, its job would be cancelled on arrival.

Cause: a cancel's transaction without an answer is repeated through a peer. The first one may be carried out seconds later, after the home cell has recorded the job's end and removed the rows of all cells. The home cell removes them again unless its leader has changed meanwhile: of an ended job the next leader knows no cell, so it removes its own row only (TestTargetCellRemovesOnlyItsOwnCancel).

Change: a leader that has held a cancel of an unknown job for the retention, and has read its jobs since, removes the row. The removal of the row by the home cell ends the wait, so the usual cancel costs the other cells no transaction.

TestCancelOfAJobThatNeverComesIsRemoved failed before.

--- a/pkg/process/cell/cancel_test.go
+++ b/pkg/process/cell/cancel_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -56,3 +57,54 @@
 		must.False(t, slices.Contains(removed, rows.CancelKey("target", id)))
 	}
 }
+
+// cancelsRemoved passes the events to a leader that has read a cancel of an unknown job, lets the retention pass, and returns the
+// rows that its transactions then remove. The first transaction gets no answer.
+func cancelsRemoved(t *testing.T, id string, events ...cell.Event) (list []table.Key) {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	s := cell.New("hall", cell.Bounds{Retention: time.Minute}, cell.WithPeers([]string{"hall", "home"}))
+	s.Take(now, cell.LeadershipGained{Epoch: 1, LeasesEndAt: now})
+	s.Take(now, cell.Loaded{Epoch: 1, Fences: testFences(), Wall: now})
+	s.Take(now, cell.CancelRequested{ID: id})
+	for _, e := range events {
+		s.Take(now, e)
+	}
+	unanswered := false
+	for range 90 {
+		now = now.Add(time.Second)
+		s.Take(now, cell.LeadershipConfirmed{SentAt: now, Until: now.Add(10 * time.Second)})
+		s.Take(now, cell.TableCaughtUp{At: now})
+		s.Take(now, cell.Tick{})
+		for _, e := range s.Decide(now, now) {
+			r, ok := e.(cell.WriteProgress)
+			if !ok {
+				continue
+			}
+			if !unanswered {
+				unanswered = true
+				s.Take(now, cell.WriteAnswered{Part: r.Part, Serial: r.Serial, Err: errors.New("no answer")})
+				continue
+			}
+			must.Greater(t, time.Minute, now.Sub(time.Unix(1000, 0)))
+			list = append(list, r.Transaction.Removes...)
+			s.Take(now, cell.WriteAnswered{Part: r.Part, Serial: r.Serial, Committed: table.CommitResult{Version: 9}})
+		}
+	}
+	return list
+}
+
+// Guards against rows that stay for ever: the table carries a cancel out late, after the home cell has removed the rows that it
+// had written to all cells.
+func TestCancelOfAJobThatNeverComesIsRemoved(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000aa"
+	must.Eq(t, []table.Key{rows.CancelKey("hall", id)}, cancelsRemoved(t, id))
+}
+
+// The home cell usually removes the rows of a cancel, which must cost the other cells no transaction.
+func TestCancelThatTheHomeCellRemovedCostsNothing(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000aa"
+	must.SliceEmpty(t, cancelsRemoved(t, id, cell.CancelRemoved{ID: id}))
+}
--- a/pkg/process/cell/events.go
+++ b/pkg/process/cell/events.go
@@ -103,6 +103,9 @@
 // CancelRequested carries the id of a job whose cancel is in the table.
 type CancelRequested struct{ ID string }
 
+// CancelRemoved carries the id of a job whose cancel has been removed from the cell's table of cancels.
+type CancelRemoved struct{ ID string }
+
 // TasksReturned carries another cell's report, already in the table, on tasks that were delegated to it.
 type TasksReturned struct{ Tasks *wire.ReturnedTasks }
 
@@ -184,6 +187,7 @@
 func (Loaded) event()              {}
 func (JobAccepted) event()         {}
 func (CancelRequested) event()     {}
+func (CancelRemoved) event()       {}
 func (TasksReturned) event()       {}
 func (PollAnswered) event()        {}
 func (InventoryRead) event()       {}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -164,7 +164,8 @@
 	// diedRuns are runs whose worker has restarted. They are presumed over once leadership is confirmed for a later
 	// time.
 	diedRuns []diedRun
-	// pendingCancels are cancels of jobs that are not known yet, with the time at which each was received.
+	// pendingCancels are cancels of jobs that are not known yet, with the time at which each was received. Each is likely to
+	// have a row in the table.
 	pendingCancels map[string]time.Time
 	// waitingUnits are the units that have tasks to start.
 	waitingUnits map[*jobs.Unit]struct{}
@@ -393,6 +394,8 @@
 		s.takeTableCaughtUp(e)
 	case CancelRequested:
 		s.takeCancel(now, e)
+	case CancelRemoved:
+		delete(s.pendingCancels, e.ID)
 	case TasksReturned:
 		s.takeTasksReturned(now, e.Tasks)
 	case PollAnswered:
@@ -567,12 +570,14 @@
 	}
 }
 
-// dropExpiredJobs drops jobs that ended longer ago than the retention, and cancels of unknown jobs after the same time.
-// It also drops the tickets of jobs that have ended.
+// dropExpiredJobs drops jobs that ended longer ago than the retention, and cancels of unknown jobs after the same time: the
+// table may have carried such a cancel out late, after the job's home cell had removed its rows. It also drops the tickets of
+// jobs that have ended.
 func (s *State) dropExpiredJobs(now time.Time) {
 	for id, at := range s.pendingCancels {
-		if now.Sub(at) > s.bounds.Retention {
+		if s.phase == leading && s.caughtUpAt.Sub(at) > s.bounds.Retention {
 			delete(s.pendingCancels, id)
+			s.writer(rows.JobPart(id)).unknownCancels[id] = struct{}{}
 		}
 	}
 	for id, j := range s.jobs {
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -46,6 +46,10 @@
 	deferredUntil time.Time
 	// expired are ended jobs whose retention is over, by id: their rows are removed.
 	expired map[string]*jobs.Job
+	// unknownCancels are the ids of jobs that never became known here: the rows of their cancels are removed.
+	// sentCancels are those in the transaction in flight.
+	unknownCancels map[string]struct{}
+	sentCancels    []string
 	// urgent says that a change of the dirty jobs does not wait for writeInterval.
 	urgent bool
 	// sending says that transaction number serial is in flight. It contains the jobs in sent, and once
@@ -103,7 +107,7 @@
 func (s *State) writer(name string) *partWriter {
 	p := s.writers[name]
 	if p == nil {
-		p = &partWriter{name: name, dirty: map[string]*jobs.Job{}, deferred: map[string]*jobs.Job{}, expired: map[string]*jobs.Job{}}
+		p = &partWriter{name: name, dirty: map[string]*jobs.Job{}, deferred: map[string]*jobs.Job{}, expired: map[string]*jobs.Job{}, unknownCancels: map[string]struct{}{}}
 		s.writers[name] = p
 	}
 	return p
@@ -155,7 +159,7 @@
 func (s *State) writeProgress(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(s.writers)) {
 		p := s.writers[name]
-		nothingDue := len(p.dirty)+len(p.expired) == 0 && !p.deferredDue(now)
+		nothingDue := len(p.dirty)+len(p.expired)+len(p.unknownCancels) == 0 && !p.deferredDue(now)
 		if p.sending || nothingDue || p.fence == 0 {
 			continue
 		}
@@ -191,6 +195,7 @@
 		tx, p.sent[id] = tx.With(entries), sent
 		delete(p.expired, id)
 	}
+	tx = s.addUnknownCancels(p, tx)
 	tx = s.addDeferred(p, tx)
 	p.urgent, p.awaited = false, p.awaited && len(p.dirty) > 0
 	for _, j := range p.dirty {
@@ -206,6 +211,27 @@
 	s.emitTransaction(now, p)
 }
 
+// addUnknownCancels adds the removal of cancels of unknown jobs to a transaction, as many as it takes.
+func (s *State) addUnknownCancels(p *partWriter, tx table.Transaction) table.Transaction {
+	for _, id := range slices.Sorted(maps.Keys(p.unknownCancels)) {
+		if tx.Entries() >= maxTransactionEntries {
+			break
+		}
+		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
+		p.sentCancels = append(p.sentCancels, id)
+		delete(p.unknownCancels, id)
+	}
+	return tx
+}
+
+// requeueCancels queues the cancels of a failed transaction for another try.
+func (p *partWriter) requeueCancels() {
+	for _, id := range p.sentCancels {
+		p.unknownCancels[id] = struct{}{}
+	}
+	p.sentCancels = nil
+}
+
 // takes reports whether a transaction of the part may have the given size. One with a single job may have any size: no later one
 // would be smaller.
 func (p *partWriter) takes(tx table.Transaction) bool {
@@ -324,6 +350,7 @@
 		s.note(Note{Kind: NoteRecordFailed, Detail: p.name + ": " + err.Error(), Code: fault.CodeOf(err), AgeMs: -1})
 	}
 	p.failing = true
+	p.requeueCancels()
 	p.nextAt, p.yieldsUntil = now.Add(writeRetryDelay), time.Time{}
 	for id, sent := range p.sent {
 		p.requeue(id, sent)
@@ -375,6 +402,7 @@
 		}
 		p.requeue(id, sent)
 	}
+	p.requeueCancels()
 	p.sent = nil
 	if len(p.dirty) == 0 {
 		s.markPartDurable(now, p)
@@ -391,7 +419,7 @@
 		}
 		s.markJobDurable(sent, version(rows.ProgressKey(s.name, id)))
 	}
-	p.sent = nil
+	p.sent, p.sentCancels = nil, nil
 	s.markPartDurable(now, p)
 }
 
--- a/pkg/process/fleet/followers.go
+++ b/pkg/process/fleet/followers.go
@@ -124,6 +124,9 @@
 		askedAt := clock.Now()
 		var specsRead bool
 		from.specs, specsRead = c.followTable(ctx, rows.SpecTable(name), from.specs, func(r table.Row) {
+			if r.Removed {
+				return
+			}
 			spec := &wire.JobSpec{}
 			if err := rows.Read(r, spec); err != nil {
 				c.logUnreadable(r, err)
@@ -135,6 +138,10 @@
 			c.send(cellEvent{cell: name, event: cell.TableCaughtUp{At: askedAt}})
 		}
 		from.cancels, _ = c.followTable(ctx, rows.CancelTable(name), from.cancels, func(r table.Row) {
+			if r.Removed {
+				c.send(cellEvent{cell: name, event: cell.CancelRemoved{ID: r.Key.Key}})
+				return
+			}
 			if c.addTombstone(tombstones, r) {
 				return
 			}
@@ -163,7 +170,7 @@
 	return returned
 }
 
-// followTable passes the rows that changed after a version to take. It returns the version up to which the
+// followTable passes the rows that changed after a version to take, also removed ones. It returns the version up to which the
 // table was read, and false if it could not be read. If the changes can't be read, for example because the
 // table has dropped them, all rows of the table are passed.
 func (c *Control) followTable(ctx context.Context, name string, after int64, take func(table.Row)) (int64, bool) {
@@ -176,9 +183,7 @@
 		}
 	}
 	for _, r := range page.Rows {
-		if !r.Removed {
-			take(r)
-		}
+		take(r)
 	}
 	return page.Version, true
 }
