Soak: callers that give up, and a store that carries transactions out late

Callers give up their submissions, some within 4 ms, cancel at any host until that is acknowledged, and a third submit the id again, beside the usual faults of hosts, workers and the store. After a cancel that found no job, nothing of it may start, be accepted or be shown; at the end no row of a job, a tombstone or a cancel may stay in the table.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -48,7 +48,12 @@
 
 // call makes one HTTP call to a host.
 func (c *caller) call(h *host, method, id, body string) (int, string, error) {
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+"/jobs/"+id, strings.NewReader(body))
+	return c.callFor(context.Background(), h, method, id, body)
+}
+
+// callFor makes one HTTP call to a host, and breaks it off when the context ends.
+func (*caller) callFor(ctx context.Context, h *host, method, id, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.callers+"/jobs/"+id, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -133,14 +138,17 @@
 	return false
 }
 
-func (c *caller) cancel(id string, rnd *rand.Rand) {
+// cancel cancels a job until that is acknowledged, and returns the status of the last answer.
+func (c *caller) cancel(id string, rnd *rand.Rand) (status int) {
 	for range maxSubmitTries {
-		status, _, err := c.callAny(rnd, http.MethodDelete, id, "")
+		var err error
+		status, _, err = c.callAny(rnd, http.MethodDelete, id, "")
 		if err == nil && (status/100 == 2 || status == http.StatusGone) {
-			return
+			return status
 		}
 		time.Sleep(statePollInterval)
 	}
+	return status
 }
 
 // traffic submits jobs for span, with pauses of pause on average. It returns when each job has a final
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -21,6 +21,8 @@
 	client                           *http.Client
 	// storeProxy is the proxy between the host and the store.
 	storeProxy *proxy
+	// retention is the setting of that name, "" for a time that is longer than a day.
+	retention string
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -36,8 +38,12 @@
 
 // settings writes the host's settings file. more holds further settings, each after a comma.
 func (h *host) settings(halls, table, more string) error {
+	retention := h.retention
+	if retention == "" {
+		retention = "5m"
+	}
 	text := fmt.Sprintf(`{"name": %q, "hall": %q, "halls": [%s], "callers": %q, "ready": %q, "control": %q, "metrics": %q, "table": %q,
-		"retention": "5m", "grace": "4s", "processors": 0.5, "memoryMB": 256%s}`, h.name, h.hall, halls, h.callers, h.ready, h.control, h.figures, table, more)
+		"retention": %q, "grace": "4s", "processors": 0.5, "memoryMB": 256%s}`, h.name, h.hall, halls, h.callers, h.ready, h.control, h.figures, table, retention, more)
 	return os.WriteFile(h.file, []byte(text), 0o600)
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -155,6 +155,7 @@
 	checker       *checker
 	inventory     *platformtest.Inventory // nil on days without one
 	more          string                  // further settings of the hosts
+	retention     string                  // the setting of that name of the hosts
 	workers       []*worker
 	workerProxies []*proxy
 	hosts         []*host
@@ -170,11 +171,14 @@
 	adding sync.Mutex
 }
 
-func newDay(t *testing.T, seed uint64) *day {
+func newDay(t *testing.T, seed uint64, options ...func(d *day)) *day {
 	t.Helper()
 	d := &day{
 		t: t, rand: rand.New(rand.NewPCG(seed, 3)), store: platformtest.NewStore(), checker: newChecker(), over: make(chan struct{}),
 	}
+	for _, o := range options {
+		o(d)
+	}
 	d.store.Put("op", "config", platformtest.Manifest(3))
 	if seed/2%2 == 1 {
 		d.useInventory() // the workers' incarnations have ids of their own then
@@ -236,7 +240,7 @@
 	dir := d.t.TempDir()
 	h := &host{
 		name: fmt.Sprintf("host-%d", i), hall: hall, callers: at[0], ready: at[1], control: at[2], figures: at[3],
-		file: filepath.Join(dir, "settings.jsonc"), client: newClient(),
+		file: filepath.Join(dir, "settings.jsonc"), client: newClient(), retention: d.retention,
 	}
 	h.storeProxy, err = newProxy(free[0], d.store.Address())
 	must.NoError(d.t, err)
