A host forgets a job whose rows have expired

A host that had cached a job's home cell showed the job as queued for ever after its rows had been removed, and answered a new submission of the id with 2xx without keeping a job.

Cause: the cache of home cells had no bound in time, and a job that its leader does not know and that has no progress row counts as queued. The table keeps the rows of an ended job for the retention only.

Change: a cached home cell counts for the retention, and the anchor is read again after that. Without an answer of the table an older one still tells which leader to ask (TestStateOfAnOldJobIsToldWithoutTheTable).

TestHostForgetsAJobWhoseRowsHaveExpired failed before, with the phase QUEUED.

--- a/pkg/request/intake/cancel.go
+++ b/pkg/request/intake/cancel.go
@@ -105,24 +105,49 @@
 	})
 }
 
-// anchor returns what the table holds under a job's id. The home cells of jobs are cached.
+// cachedCell is the home cell of a job that the table held at a time.
+type cachedCell struct {
+	cell string
+	at   time.Time
+}
+
+// cacheCell caches the home cell of a job that the table holds.
+func (i *Intake) cacheCell(id, cell string) {
+	i.homeCells.Add(id, cachedCell{cell: cell, at: clock.Now()})
+}
+
+// knownCell returns the cached home cell of a job. It returns false for one that the table may not hold any more: the rows of
+// an ended job are removed after the retention, and its id may come into use again.
+func (i *Intake) knownCell(id string) (cell string, known bool) {
+	cached, ok := i.homeCells.Get(id)
+	if !ok || clock.Now().Sub(cached.at) > i.retention {
+		return "", false
+	}
+	return cached.cell, true
+}
+
+// anchor returns what the table holds under a job's id. The home cells of jobs are cached; without an answer of the table an
+// older one counts, too, as the job's leader may still be asked.
 func (i *Intake) anchor(ctx context.Context, id string) (cancellation.Anchor, error) {
-	if cell, ok := i.homeCells.Get(id); ok {
+	if cell, known := i.knownCell(id); known {
 		return cancellation.Anchor{Status: cancellation.Held, Cell: cell}, nil
 	}
 	key := rows.AnchorKey(id)
 	page, err := i.store.Read(ctx, table.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
-	if err != nil {
-		return cancellation.Anchor{}, err
+	if err == nil {
+		return i.cacheAnchor(id, page.Rows)
+	}
+	if cached, ok := i.homeCells.Get(id); ok {
+		return cancellation.Anchor{Status: cancellation.Held, Cell: cached.cell}, nil
 	}
-	return i.cacheAnchor(id, page.Rows)
+	return cancellation.Anchor{}, err
 }
 
 // cacheAnchor returns the anchor of a job's id among the rows found, and caches the home cell of a job.
 func (i *Intake) cacheAnchor(id string, found []table.Row) (cancellation.Anchor, error) {
 	anchor, err := cancellation.ReadAnchor(id, found)
 	if err == nil && anchor.Status == cancellation.Held {
-		i.homeCells.Add(id, anchor.Cell)
+		i.cacheCell(id, anchor.Cell)
 	}
 	return anchor, err
 }
--- a/pkg/request/intake/confirm.go
+++ b/pkg/request/intake/confirm.go
@@ -119,7 +119,7 @@
 // has kept the job out.
 func (i *Intake) holds(spec *wire.JobSpec, s acceptance.Submission, now time.Time, done table.CommitResult) (bool, error) {
 	if !done.Conflict {
-		i.homeCells.Add(spec.GetId(), spec.GetCell())
+		i.cacheCell(spec.GetId(), spec.GetCell())
 		i.notifyAccepted(spec)
 		return true, nil
 	}
@@ -183,7 +183,7 @@
 	if s.Unknown() || i.outcomes.open(id) {
 		return unknownOutcome(id, cause)
 	}
-	if i.homeCells.Contains(id) {
+	if _, known := i.knownCell(id); known {
 		return nil
 	}
 	f := fault.New(fault.NotRun, id, "the table did not take the job", "ask again")
@@ -226,7 +226,7 @@
 		go func() {
 			answer := i.askLeader(ctx, name, c, id)
 			if answer == jobKnown {
-				i.homeCells.Add(id, name)
+				i.cacheCell(id, name)
 			}
 			if answer == jobUncertain && !c.Fresh && !c.Mine {
 				answer = jobNotKnown
--- a/pkg/request/intake/evacuation.go
+++ b/pkg/request/intake/evacuation.go
@@ -20,13 +20,14 @@
 		return nil
 	}
 	err := i.refuseInEvacuation(ctx, now, spec, cells)
+	_, known := i.knownCell(spec.GetId())
 	switch {
 	case err == nil:
 		return nil
 	case i.outcomes.open(spec.GetId()):
 		i.increment("accept.unknown")
 		return unknownOutcome(spec.GetId(), err)
-	case i.homeCells.Contains(spec.GetId()):
+	case known:
 		return nil // another submission of the job was accepted after the row was read
 	}
 	return err
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -62,7 +62,7 @@
 	log     *logrus.Entry
 	metrics metrics.Registry
 
-	homeCells   *lru.Cache[string, string]
+	homeCells   *lru.Cache[string, cachedCell]
 	finalPhases *lru.Cache[string, wire.JobPhase]
 	// reasons holds the reasons of failed jobs by job id.
 	reasons *lru.Cache[string, string]
@@ -117,7 +117,7 @@
 
 // New returns the intake of a host in the given hall.
 func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry, options ...Option) *Intake {
-	homeCells, _ := lru.New[string, string](maxCachedAnchors)              // fails for a negative size only
+	homeCells, _ := lru.New[string, cachedCell](maxCachedAnchors)          // fails for a negative size only
 	finalPhases, _ := lru.New[string, wire.JobPhase](maxCachedFinalPhases) // likewise
 	reasons, _ := lru.New[string, string](maxCachedReasons)                // likewise
 	i := &Intake{
@@ -137,7 +137,7 @@
 // table certainly does not hold it, and otherwise fault.Unknown. fault.NotRun is about this submission: callers go on
 // submitting the job under the same id. A submission of an id that was cancelled before the table held a job is refused.
 func (i *Intake) Submit(ctx context.Context, now time.Time, q manifest.Queue, spec *wire.JobSpec) error {
-	if _, known := i.homeCells.Get(spec.GetId()); known {
+	if _, known := i.knownCell(spec.GetId()); known {
 		i.logJob("job-accepted-again", spec, now, "", nil)
 		return nil
 	}
@@ -203,7 +203,7 @@
 		_, err := i.readConflict(now, spec.GetId(), done)
 		return err // without an error the id is in use, so this job was accepted before
 	}
-	i.homeCells.Add(spec.GetId(), spec.GetCell())
+	i.cacheCell(spec.GetId(), spec.GetCell())
 	i.notifyAccepted(spec)
 	return nil
 }
--- a/pkg/request/intake/tombstone_test.go
+++ b/pkg/request/intake/tombstone_test.go
@@ -247,3 +247,37 @@
 		must.Eq(t, []int{c.reads, c.commits}, []int{reads, commits}, must.Sprint(c.name))
 	}
 }
+
+// Guards against a host that goes on answering for a job whose rows have expired: it showed the job as queued, and accepted the id
+// without keeping a job.
+func TestHostForgetsAJobWhoseRowsHaveExpired(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := hostAt(m, intake.WithConfirmation(), intake.WithRetention(50*time.Millisecond))
+	must.NoError(t, h.submit(confirmedID))
+	h.jobs.Delete(confirmedID)
+	m.mu.Lock()
+	clear(m.rows)
+	m.mu.Unlock()
+	time.Sleep(60 * time.Millisecond)
+	phase, err := h.State(t.Context(), confirmedID)
+	must.NoError(t, err)
+	must.Eq(t, wire.JobPhase_JOB_PHASE_UNSPECIFIED, phase)
+	must.NoError(t, h.submit(confirmedID))
+	must.True(t, m.holds(confirmedID))
+}
+
+// While the table is away, the leader of an older job is still asked for its state.
+func TestStateOfAnOldJobIsToldWithoutTheTable(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := hostAt(m, intake.WithConfirmation(), intake.WithRetention(50*time.Millisecond))
+	must.NoError(t, h.submit(confirmedID))
+	time.Sleep(60 * time.Millisecond)
+	m.mu.Lock()
+	m.away = true
+	m.mu.Unlock()
+	phase, err := h.State(t.Context(), confirmedID)
+	must.NoError(t, err)
+	must.Eq(t, wire.JobPhase_JOB_PHASE_QUEUED, phase)
+}
