Model of cancels that find no job

Two submissions and two cancels at any hosts, calls that are carried out late, twice or not at all, lost answers, the removal of the tombstone, and an id that is used again.

--- a/model/run.sh
+++ b/model/run.sh
@@ -90,6 +90,13 @@
 check cell/inventory-same-id         cell none  2000 -DINVENTORY -DSAME_ID
 check cell/inventory-no-age-of-life  cell fault 1500 -DINVENTORY -DSAME_ID -DNO_AGE_OF_LIFE -DEPOCHS=2 -DRUNS=2
 
+check cancel/all              cancel none  500
+check cancel/no-tombstone     cancel fault 500 -DNO_TOMBSTONE
+check cancel/no-condition     cancel fault 500 -DNO_CONDITION
+check cancel/no-answer        cancel fault 500 -DNO_ANSWER
+check cancel/no-lifetime      cancel fault 500 -DNO_LIFETIME
+check cancel/no-version       cancel fault 500 -DNO_VERSION
+
 check request/all             request none  2500
 check request/no-ask          request fault 2500 -DNO_ASK
 check request/no-promise      request fault 2500 -DNO_PROMISE
