A cancel of an id that is in use again cancels the new job

A host that had cached the final phase of a job acknowledged the cancel of a later job under the same id without writing it, and showed the new job as ended. The cache had no bound in time, as that of home cells.

A cached final phase counts for the retention, too; a job's id comes into use again only after that. A cancel also gives up after two tries to write a tombstone, where it repeated them until the caller's time was over.

TestCancelOfAnIDInUseAgainCancelsTheNewJob failed before: no row of the cancel was written.

--- a/pkg/request/intake/cancel.go
+++ b/pkg/request/intake/cancel.go
@@ -16,16 +16,20 @@
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
+// maxTombstoneTries is how often a cancel tries to insert a tombstone. A second try is needed only where a conflict shows no
+// anchor, as another tombstone has just been removed.
+const maxTombstoneTries = 2
+
 // Cancel writes the rows of a cancel into the table and notifies the leaders. It returns false
 // if there is no such job; the table then keeps submissions of the id out. A job whose end this host knows is left alone.
 func (i *Intake) Cancel(ctx context.Context, now time.Time, id string) (bool, error) {
-	if phase, ok := i.finalPhases.Get(id); ok {
+	if phase, known := i.knownFinalPhase(id); known {
 		i.log.WithFields(logrus.Fields{"job": id, "phase": phase.String()}).Info("job-cancel-late")
 		return true, nil
 	}
 	anchor, err := i.anchor(ctx, id)
 	written := false
-	for err == nil {
+	for tries := 0; err == nil; {
 		switch anchor.Next() {
 		case cancellation.CancelJob:
 			return true, i.cancelJob(ctx, now, anchor.Cell, id)
@@ -36,6 +40,10 @@
 			}).Info("job-cancel-without-job")
 			return false, nil
 		case cancellation.InsertTombstone:
+			if tries++; tries > maxTombstoneTries {
+				err = fault.New(fault.Unavailable, id, "the anchor changes all the time", "cancel again")
+				break
+			}
 			anchor, written, err = i.insertTombstone(ctx, now, id)
 		}
 	}
@@ -47,9 +55,6 @@
 // wrote it. The transaction may have taken effect, or may yet do so, if the error is fault.Unknown: the caller's next
 // cancel tells.
 func (i *Intake) insertTombstone(ctx context.Context, now time.Time, id string) (anchor cancellation.Anchor, written bool, err error) {
-	if err := ctx.Err(); err != nil {
-		return anchor, false, fault.New(fault.Unavailable, id, "the caller's time has ended", "cancel again").WithCause(err)
-	}
 	anchor = cancellation.Anchor{Status: cancellation.Tombstone, Cell: i.tombstoneCell(), Until: i.store.StoreTime(now) + i.retention}
 	done, err := i.store.Commit(ctx, cancellation.NewTombstone(id, anchor.Cell, anchor.Until))
 	switch {
@@ -62,24 +67,24 @@
 	return anchor, true, nil
 }
 
-// tombstoneCell returns the cell whose leader is to remove a tombstone: that of the own hall if it has a leader, or any other
-// one with a leader.
+// tombstoneCell returns the cell whose leader is to remove a tombstone: that of the own hall unless only others have a leader.
 func (i *Intake) tombstoneCell() string {
 	cells := i.leaders.View().Cells
-	best := i.hall
+	other := ""
 	for _, name := range slices.Sorted(maps.Keys(cells)) {
 		c := cells[name]
-		if !c.Fresh && !c.Mine {
-			continue
-		}
-		if c.Hall == i.hall {
+		switch {
+		case !c.Fresh && !c.Mine:
+		case c.Hall == i.hall:
 			return name
+		case other == "":
+			other = name
 		}
-		if best == i.hall {
-			best = name
-		}
 	}
-	return best
+	if other != "" {
+		return other
+	}
+	return i.hall
 }
 
 // cancelJob cancels a job that the table holds.
@@ -105,27 +110,6 @@
 	})
 }
 
-// cachedCell is the home cell of a job that the table held at a time.
-type cachedCell struct {
-	cell string
-	at   time.Time
-}
-
-// cacheCell caches the home cell of a job that the table holds.
-func (i *Intake) cacheCell(id, cell string) {
-	i.homeCells.Add(id, cachedCell{cell: cell, at: clock.Now()})
-}
-
-// knownCell returns the cached home cell of a job. It returns false for one that the table may not hold any more: the rows of
-// an ended job are removed after the retention, and its id may come into use again.
-func (i *Intake) knownCell(id string) (cell string, known bool) {
-	cached, ok := i.homeCells.Get(id)
-	if !ok || clock.Now().Sub(cached.at) > i.retention {
-		return "", false
-	}
-	return cached.cell, true
-}
-
 // anchor returns what the table holds under a job's id. The home cells of jobs are cached; without an answer of the table an
 // older one counts, too, as the job's leader may still be asked.
 func (i *Intake) anchor(ctx context.Context, id string) (cancellation.Anchor, error) {
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -63,7 +63,7 @@
 	metrics metrics.Registry
 
 	homeCells   *lru.Cache[string, cachedCell]
-	finalPhases *lru.Cache[string, wire.JobPhase]
+	finalPhases *lru.Cache[string, cachedPhase]
 	// reasons holds the reasons of failed jobs by job id.
 	reasons *lru.Cache[string, string]
 
@@ -117,9 +117,9 @@
 
 // New returns the intake of a host in the given hall.
 func New(hall string, st *store.Client, leaders Leaders, peers Peers, log *logrus.Entry, registry metrics.Registry, options ...Option) *Intake {
-	homeCells, _ := lru.New[string, cachedCell](maxCachedAnchors)          // fails for a negative size only
-	finalPhases, _ := lru.New[string, wire.JobPhase](maxCachedFinalPhases) // likewise
-	reasons, _ := lru.New[string, string](maxCachedReasons)                // likewise
+	homeCells, _ := lru.New[string, cachedCell](maxCachedAnchors)        // fails for a negative size only
+	finalPhases, _ := lru.New[string, cachedPhase](maxCachedFinalPhases) // likewise
+	reasons, _ := lru.New[string, string](maxCachedReasons)              // likewise
 	i := &Intake{
 		hall: hall, store: st, leaders: leaders, peers: peers, log: log, metrics: registry,
 		homeCells: homeCells, finalPhases: finalPhases, reasons: reasons,
@@ -262,7 +262,7 @@
 // State returns a job's phase, or UNSPECIFIED if there is no such job at this moment. A submission without an answer may take
 // effect later; only a cancel keeps it out.
 func (i *Intake) State(ctx context.Context, id string) (wire.JobPhase, error) {
-	if phase, ok := i.finalPhases.Get(id); ok {
+	if phase, known := i.knownFinalPhase(id); known {
 		return phase, nil
 	}
 	cell, found, err := i.homeCell(ctx, id)
@@ -279,7 +279,7 @@
 		}
 	}
 	if phase.Terminal() {
-		i.finalPhases.Add(id, phase)
+		i.cacheFinalPhase(id, phase)
 	}
 	return phase, nil
 }
--- a/pkg/request/intake/tombstone_test.go
+++ b/pkg/request/intake/tombstone_test.go
@@ -267,6 +267,33 @@
 	must.True(t, m.holds(confirmedID))
 }
 
+// Guards against a job that runs on after its cancel was acknowledged, as the host that took the cancel knew an earlier job of the
+// same id that had ended.
+func TestCancelOfAnIDInUseAgainCancelsTheNewJob(t *testing.T) {
+	t.Parallel()
+	m := newMemTable()
+	h := hostAt(m, intake.WithConfirmation(), intake.WithRetention(50*time.Millisecond))
+	must.NoError(t, h.submit(confirmedID))
+	h.jobs.Delete(confirmedID)
+	ended := rows.Row(rows.ProgressKey("hall", confirmedID), &wire.JobProgress{Phase: wire.JobPhase_JOB_PHASE_COMPLETED})
+	m.mu.Lock()
+	m.rows[ended.Key] = ended
+	m.mu.Unlock()
+	phase, err := h.State(t.Context(), confirmedID)
+	must.NoError(t, err)
+	must.Eq(t, wire.JobPhase_JOB_PHASE_COMPLETED, phase)
+	m.mu.Lock()
+	clear(m.rows)
+	m.mu.Unlock()
+	must.NoError(t, hostAt(m).submit(confirmedID))
+	time.Sleep(60 * time.Millisecond)
+	_, err = h.Cancel(t.Context(), clock.Now(), confirmedID)
+	must.NoError(t, err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	must.MapContainsKey(t, m.rows, rows.CancelKey("hall", confirmedID))
+}
+
 // While the table is away, the leader of an older job is still asked for its state.
 func TestStateOfAnOldJobIsToldWithoutTheTable(t *testing.T) {
 	t.Parallel()
