--- a/pkg/emulator/giving_up.go
+++ b/pkg/emulator/giving_up.go
@@ -142,6 +142,19 @@
 	}
 }
 
+// removeTombstones removes tombstones whose time is over.
+func (h *seat) removeTombstones() {
+	tx, ok := h.tombstones.Removal(h.storeTime(), h.cell)
+	if !ok {
+		return
+	}
+	h.commit(tx, func(c table.CommitResult, ok bool) {
+		if ok {
+			h.tombstones.Removed(tx, c)
+		}
+	})
+}
+
 // Tombstones returns the number of rows that tombstones have in the table.
 func (w *World) Tombstones() (count int) {
 	for key, r := range w.table.rows {
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -408,19 +408,6 @@
 	})
 }
 
-// removeTombstones removes tombstones whose time is over.
-func (h *seat) removeTombstones() {
-	tx, ok := h.tombstones.Removal(h.storeTime(), h.cell)
-	if !ok {
-		return
-	}
-	h.commit(tx, func(c table.CommitResult, ok bool) {
-		if ok {
-			h.tombstones.Removed(tx, c)
-		}
-	})
-}
-
 // mayOrder returns whether this host may still give orders in a cell: its state holds the leadership, or its seat
 // claims it.
 func (h *host) mayOrder(name string) bool {
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -211,27 +211,6 @@
 	s.emitTransaction(now, p)
 }
 
-// addUnknownCancels adds the removal of cancels of unknown jobs to a transaction, as many as it takes.
-func (s *State) addUnknownCancels(p *partWriter, tx table.Transaction) table.Transaction {
-	for _, id := range slices.Sorted(maps.Keys(p.unknownCancels)) {
-		if tx.Entries() >= maxTransactionEntries {
-			break
-		}
-		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
-		p.sentCancels = append(p.sentCancels, id)
-		delete(p.unknownCancels, id)
-	}
-	return tx
-}
-
-// requeueCancels queues the cancels of a failed transaction for another try.
-func (p *partWriter) requeueCancels() {
-	for _, id := range p.sentCancels {
-		p.unknownCancels[id] = struct{}{}
-	}
-	p.sentCancels = nil
-}
-
 // takes reports whether a transaction of the part may have the given size. One with a single job may have any size: no later one
 // would be smaller.
 func (p *partWriter) takes(tx table.Transaction) bool {
--- a/pkg/process/fleet/followers.go
+++ b/pkg/process/fleet/followers.go
@@ -139,7 +139,9 @@
 		}
 		from.cancels, _ = c.followTable(ctx, rows.CancelTable(name), from.cancels, func(r table.Row) {
 			if r.Removed {
-				c.send(cellEvent{cell: name, event: cell.CancelRemoved{ID: r.Key.Key}})
+				if !rows.IsReturn(r.Key) {
+					c.send(cellEvent{cell: name, event: cell.CancelRemoved{ID: r.Key.Key}})
+				}
 				return
 			}
 			if c.addTombstone(tombstones, r) {
