A refused record is written again with all its rows

Cause: a leader's record took effect and its answer was lost. The transaction sent next was refused by the new version of the progress row; that row was equal to the one sent, so the job counted as written. Rows that only the later transaction held were neither written nor removed: the second row of a repeated cancel, or the specification of a delegated job that a late transaction of its home cell put again. The next leader to read such a specification after the retention starts the tasks of a cancelled job.

Change: a conflict only tells versions. The job is queued again and all its rows are written: one transaction more after a lost answer, none without.

--- a/pkg/emulator/cancel_rule.go
+++ b/pkg/emulator/cancel_rule.go
@@ -3,7 +3,11 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/wrenferry/wrenferry/pkg/rows"
+	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
 // The rule UNASKED for cancelled jobs: from cancelGrace after the acknowledgement of a cancel on no task of the job
@@ -28,6 +32,33 @@
 	cancelCheckEvery = 100 * time.Millisecond
 )
 
+// idLength is the length of a job's id, with which the keys of all rows of the job begin.
+const idLength = 16
+
+// checkKept breaks the rule KEPT for each cancel, and each row of an ended job, that the table holds when the day ends, on days of
+// CancelChanges. The retention of the last job that ends is over by then.
+func (c *checker) checkKept() {
+	if !c.world.plan.CancelChanges {
+		return
+	}
+	tables := []string{rows.AnchorTable}
+	for _, name := range c.world.cells {
+		tables = append(tables, rows.SpecTable(name), rows.ProgressTable(name), rows.CancelTable(name))
+	}
+	var kept []string
+	for _, name := range tables {
+		for key := range c.world.table.tables[name] {
+			isCancel := strings.HasPrefix(name, rows.CancelTable("")) && !rows.IsReturn(key)
+			if isCancel || c.phases[key.Key[:idLength]] >= wire.JobPhase_JOB_PHASE_COMPLETED {
+				kept = append(kept, name+" "+key.Key)
+			}
+		}
+	}
+	for _, row := range slices.Sorted(slices.Values(kept)) {
+		c.breakRule("KEPT", "%s stays in the table", row)
+	}
+}
+
 // startedRun is the checker's record of a run that goes on.
 type startedRun struct {
 	on *worker
--- a/pkg/emulator/checker.go
+++ b/pkg/emulator/checker.go
@@ -405,6 +405,7 @@
 	if c.world.plan.Load != nil {
 		return // a day of a given load may end while jobs still run
 	}
+	c.checkKept()
 	for id := range c.acceptedJobs {
 		if c.phases[id] < wire.JobPhase_JOB_PHASE_COMPLETED {
 			c.breakRule("LOST", "%s was accepted and is %s at the end", id, c.phases[id])
--- a/pkg/emulator/effects.go
+++ b/pkg/emulator/effects.go
@@ -261,7 +261,7 @@
 					loaded.Members = t.members(h.cell)
 					loaded.Wall, loaded.StoreNow = h.world.now, at
 					h.jobsReadAt = askedAt
-					h.state.Take(h.clock(), loaded)
+					h.takeLoaded(loaded, cancels)
 					h.act()
 				})
 			})
@@ -269,6 +269,19 @@
 	})
 }
 
+// takeLoaded gives the state what was loaded, which it ignores if it has loaded the cell before or no longer leads.
+func (h *seat) takeLoaded(loaded cell.Loaded, cancels []table.Row) {
+	led := h.state.Leading()
+	h.state.Take(h.clock(), loaded)
+	if led || !h.state.Leading() {
+		return
+	}
+	h.cancelsVersion = 0
+	for _, r := range cancels {
+		h.cancelsVersion = max(h.cancelsVersion, r.Version)
+	}
+}
+
 // addCancels adds the rows of the cancel table to what is loaded: cancels, and tasks returned by other cells.
 func (h *seat) addCancels(loaded *cell.Loaded, cancels []table.Row) {
 	for _, r := range cancels {
--- a/pkg/emulator/giving_up.go
+++ b/pkg/emulator/giving_up.go
@@ -39,7 +39,7 @@
 func GivingUpPlan(seed uint64) Plan {
 	plan := TwoCellPlan(seed)
 	plan.Hosts, plan.Jobs, plan.Faults, plan.Touch = 5, 24, 3, true
-	plan.GivingUp = GivingUp{Callers: 30, Spells: 3}
+	plan.GivingUp, plan.CancelChanges = GivingUp{Callers: 30, Spells: 3}, true
 	switch seed % 3 {
 	case 1:
 		plan.Suspends = 3
@@ -49,6 +49,14 @@
 	return plan
 }
 
+// retention returns for how long leaders keep the rows of ended jobs. On days of CancelChanges these expire before the day ends.
+func (p Plan) retention() time.Duration {
+	if p.CancelChanges {
+		return tombstoneLifetime
+	}
+	return 2 * time.Minute
+}
+
 // planGivingUp plans the callers that give up. Most of them submit their jobs while the table loses answers.
 func (w *World) planGivingUp() {
 	p := w.plan.GivingUp
--- a/pkg/emulator/host.go
+++ b/pkg/emulator/host.go
@@ -76,6 +76,8 @@
 	afterWrite func()
 	// tombstones are those that the state's epoch has read.
 	tombstones cancellation.Tombstones
+	// cancelsVersion is the version up to which the state's epoch has read the rows of cancels.
+	cancelsVersion int64
 	// deciding says that a decision is about to be taken, on days with Plan.Processor.
 	deciding bool
 }
@@ -113,7 +115,7 @@
 	}
 	for _, name := range w.cells {
 		s := &seat{host: h, cell: name, seat: election.New(name, name, self, w.seatOptions()...)}
-		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: 2 * time.Minute, ConfirmedHandover: w.plan.ConfirmedHandover, UrgentWait: w.plan.UrgentWait}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
+		s.state = cell.New(name, cell.Bounds{MaxLease: maxHold, Retention: w.plan.retention(), ConfirmedHandover: w.plan.ConfirmedHandover, UrgentWait: w.plan.UrgentWait}, cell.WithUnsafe(w.plan.Unsafe), cell.WithoutMechanisms(w.plan.Without), cell.WithPeers(w.cells))
 		s.state.Take(h.clock(), cell.ManifestChanged{Manifest: w.manifest()})
 		h.seats = append(h.seats, s)
 		h.every(100*time.Millisecond, s.tick)
@@ -400,9 +402,7 @@
 	})
 	h.world.table.scan(h.name, rows.CancelTable(h.cell), func(list []table.Row, _ time.Duration, _ bool) {
 		here(func() {
-			for _, r := range list {
-				h.takeCancelRow(r)
-			}
+			h.takeCancelRows(list)
 			h.removeTombstones()
 		})
 	})
--- a/pkg/emulator/leader_messages.go
+++ b/pkg/emulator/leader_messages.go
@@ -9,6 +9,17 @@
 
 // Exchange between the leaders of cells, through the table and by direct calls.
 
+// takeCancelRows has the state take the rows of the cancel table, on days of CancelChanges only those that have changed.
+func (h *seat) takeCancelRows(list []table.Row) {
+	read := h.cancelsVersion
+	for _, r := range list {
+		if !h.world.plan.CancelChanges || r.Version > read {
+			h.takeCancelRow(r)
+		}
+		h.cancelsVersion = max(h.cancelsVersion, r.Version)
+	}
+}
+
 // takeCancelRow has the state take a row of the cancel table: a cancel, or delegated tasks that another cell
 // returns.
 func (h *seat) takeCancelRow(r table.Row) {
--- a/pkg/emulator/plans.go
+++ b/pkg/emulator/plans.go
@@ -109,6 +109,9 @@
 	// leader.
 	Inventory Inventory
 	Losses    Losses
+	// CancelChanges means that a leader takes only the rows of cancels that have changed since its last reading, as it does on
+	// the platform, and that the rule KEPT is checked. Without it a leader takes all rows at each reading.
+	CancelChanges bool
 	// GivingUp configures callers that cancel a job without an answer to its submission.
 	GivingUp GivingUp
 	// CutOffs is the number of rounds in which workers are cut off from all hosts while they go on.
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -77,9 +76,8 @@
 // sentJob is a job's share of the transaction in flight.
 type sentJob struct {
 	job *jobs.Job
-	// value is the first progress row, rows the number of progress rows.
-	value []byte
-	rows  int
+	// rows is the number of progress rows.
+	rows int
 	// final says that the progress row holds the job's last phase.
 	final bool
 	// begun says that the progress row says that the job has begun.
@@ -225,7 +223,7 @@
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: rows.ProgressKey(s.name, id), Version: j.ProgressVersion})
 	progress := j.Progress(s.storeClock)
 	tx.Puts = rows.ProgressRows(s.name, progress)
-	sent = sentJob{job: j, value: tx.Puts[0].Value, rows: len(tx.Puts), final: j.Ended(), begun: progress.GetBegun(), delegations: len(s.pendingDelegations[j])}
+	sent = sentJob{job: j, rows: len(tx.Puts), final: j.Ended(), begun: progress.GetBegun(), delegations: len(s.pendingDelegations[j])}
 	tx.Removes = rows.ProgressPieces(s.name, id, sent.rows, j.ProgressRows)
 	sent.starts = j.StartRecordsWanted()
 	for _, spec := range latestByCell(s.pendingDelegations[j]) {
@@ -346,9 +344,9 @@
 	p.urgent = p.urgent || sent.final
 }
 
-// writeConflicted handles a transaction that was refused because a row's version was not as required. It
-// compares the rows in the table with the sent ones: where they are equal, an earlier try was committed
-// and its answer lost, so the job counts as written.
+// writeConflicted handles a transaction that was refused because a row's version was not as required, so nothing of it took
+// effect. It takes over the versions found and queues all jobs again, also one whose progress the table holds already: an earlier
+// try that took effect without an answer may have lacked other rows of this one, such as the removal of a cancel.
 func (s *State) writeConflicted(now time.Time, p *partWriter, c table.CommitResult) {
 	found := map[string]table.Row{}
 	for _, r := range c.Current {
@@ -366,10 +364,6 @@
 		if sent.expired && r.Version == 0 {
 			continue // the rows are removed already
 		}
-		if r.Version != 0 && bytes.Equal(r.Value, sent.value) {
-			s.markJobDurable(sent, r.Version)
-			continue
-		}
 		if r.Version != sent.job.ProgressVersion {
 			// An earlier try took effect and its answer was lost: under this leader's fence no other
 			// process can have written the row.
