A job that expires has no other change to write

Found by reading: a cancel of an ended job that came as its retention was over, or whose record had no answer yet, put and removed the progress row in one transaction.

Cause: the job was on the list of changed jobs and on that of expired ones.

Change: an expired job leaves the other list, also when a transaction fails, and the removal of its rows includes that of its cancel.

Tests: CancelOfAJobThatExpiresIsRemoved and JobThatExpiresWhileItsRecordIsUnansweredIsRemoved failed before, as the same row was put and removed; they pass now.

--- a/pkg/process/cell/lost_answers_test.go
+++ b/pkg/process/cell/lost_answers_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wrenferry/wrenferry/pkg/process/cell"
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
@@ -55,3 +56,39 @@
 	c.writeFor(int(2 * recordedRetention / time.Second))
 	must.MapEmpty(t, c.table.rows)
 }
+
+// Guards against a transaction that puts and removes the same row, of which the table may carry out either: a cancel comes as the
+// retention of its ended job is over.
+func TestCancelOfAJobThatExpiresIsRemoved(t *testing.T) {
+	t.Parallel()
+	c := newRecordedCell(t, recordedSpec())
+	c.cancel()
+	c.write(nil)
+	c.now = c.now.Add(2 * recordedRetention)
+	c.cancel()
+	c.writeFor(5)
+	must.MapEmpty(t, c.table.rows)
+}
+
+// The same while the record of an earlier cancel of the job has no answer yet.
+func TestJobThatExpiresWhileItsRecordIsUnansweredIsRemoved(t *testing.T) {
+	t.Parallel()
+	c := newRecordedCell(t, recordedSpec())
+	c.cancel()
+	c.write(nil)
+	c.cancel()
+	c.unanswered = 1
+	expired := false
+	c.now = c.now.Add(recordedRetention)
+	c.write(func() {
+		if !expired {
+			expired = true
+			c.now = c.now.Add(recordedRetention)
+			c.state.Take(c.now, cell.Tick{})
+			c.state.Decide(c.now, c.now)
+			c.cancel()
+		}
+	})
+	c.writeFor(int(2 * recordedRetention / time.Second))
+	must.MapEmpty(t, c.table.rows)
+}
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -582,7 +582,7 @@
 	}
 	for id, j := range s.jobs {
 		if j.Ended() && j.DurablePhase == j.Phase && now.Sub(j.EndedAt) > s.bounds.Retention {
-			s.writer(rows.JobPart(id)).expired[id] = j
+			s.writer(rows.JobPart(id)).expire(id, j)
 			delete(s.jobs, id)
 		}
 		if j.Ended() {
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -153,6 +153,14 @@
 	return true
 }
 
+// expire queues the removal of a job's rows. No other change of the job is written any more: a transaction must not put and remove
+// the same row.
+func (p *partWriter) expire(id string, j *jobs.Job) {
+	p.expired[id] = j
+	delete(p.dirty, id)
+	delete(p.deferred, id)
+}
+
 // writeProgress sends a transaction for each part that has changes due and no transaction in flight.
 func (s *State) writeProgress(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(s.writers)) {
@@ -283,12 +291,13 @@
 	key := rows.ProgressKey(s.name, id)
 	tx.Conditions = append(tx.Conditions, table.Condition{Key: key, Version: j.ProgressVersion})
 	tx.Removes = append(tx.Removes, key)
-	if j.Delegated() {
-		// The home cell may have cancelled the job after it had ended here.
-		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
-	} else {
+	if !j.Delegated() {
 		tx.Removes = append(tx.Removes, rows.AnchorKey(id))
 	}
+	// The home cell may have cancelled a delegated job after it had ended here.
+	if j.Delegated() || j.CancelRequested {
+		tx.Removes = append(tx.Removes, rows.CancelKey(s.name, id))
+	}
 	return tx, sentJob{job: j, expired: true}
 }
 
@@ -336,7 +345,7 @@
 
 // requeue queues a job of a failed transaction for another try.
 func (p *partWriter) requeue(id string, sent sentJob) {
-	if sent.expired {
+	if sent.expired || p.expired[id] == sent.job {
 		p.expired[id] = sent.job
 		return
 	}
