The removal of an expired job ends when its id comes into use again

Found by reading: the removal of an expired job's rows took effect without an answer, and the id was submitted again. The next transaction held both the new job's record and the removal; the table refused it, and the leader took the missing row for the removal's success and dropped the record, too. The new job's end was then not recorded until something else changed.

Cause: changes to write are held by job id, and two jobs had the same one.

Change: a leader that takes a new job drops the removal of an earlier one with that id, and does not queue it again after a failure.

--- a/pkg/process/cell/lost_answers_test.go
+++ b/pkg/process/cell/lost_answers_test.go
@@ -92,3 +92,27 @@
 	c.writeFor(int(2 * recordedRetention / time.Second))
 	must.MapEmpty(t, c.table.rows)
 }
+
+// Guards against a new job whose record is not written: the removal of the expired job that had the id before has no answer, and is
+// sent again together with that record.
+func TestExpiryWithoutAnAnswerSparesANewJobOfItsID(t *testing.T) {
+	t.Parallel()
+	c := newRecordedCell(t, recordedSpec())
+	c.cancel()
+	c.write(nil)
+	c.now = c.now.Add(2 * recordedRetention)
+	c.unanswered = 1
+	accepted := false
+	c.write(func() {
+		if !accepted {
+			accepted = true
+			must.MapEmpty(t, c.table.rows)
+			c.accept(recordedSpec())
+			c.cancel() // has the leader record the new job's progress
+		}
+	})
+	c.writeFor(5)
+	must.True(t, c.table.holds(rows.AnchorKey(recordedJob)))
+	must.True(t, c.table.holds(rows.ProgressKey("hall", recordedJob)))
+	must.False(t, c.table.holds(rows.CancelKey("hall", recordedJob)))
+}
--- a/pkg/process/cell/takeover.go
+++ b/pkg/process/cell/takeover.go
@@ -275,6 +275,7 @@
 	j := jobs.New(e.Spec, now.Add(-max(0, age)))
 	j.MarkArrived(now)
 	s.jobs[id] = j
+	s.dropExpiry(id)
 	s.restoreEvidence(now, j)
 	if !s.newTasksSettled() {
 		// A predecessor that does not know of its end yet may have received the job, too, and
--- a/pkg/process/cell/write_progress.go
+++ b/pkg/process/cell/write_progress.go
@@ -161,6 +161,14 @@
 	delete(p.deferred, id)
 }
 
+// dropExpiry drops the removal of an expired job's rows, as its id has come into use again: the new job's rows replace what is
+// left of them.
+func (s *State) dropExpiry(id string) {
+	if p := s.writers[rows.JobPart(id)]; p != nil {
+		delete(p.expired, id)
+	}
+}
+
 // writeProgress sends a transaction for each part that has changes due and no transaction in flight.
 func (s *State) writeProgress(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(s.writers)) {
@@ -339,18 +347,20 @@
 	p.requeueCancels()
 	p.nextAt, p.yieldsUntil = now.Add(writeRetryDelay), time.Time{}
 	for id, sent := range p.sent {
-		p.requeue(id, sent)
+		s.requeue(p, id, sent)
 	}
 }
 
-// requeue queues a job of a failed transaction for another try.
-func (p *partWriter) requeue(id string, sent sentJob) {
-	if sent.expired || p.expired[id] == sent.job {
+// requeue queues a job of a failed transaction for another try, unless its id has come into use again.
+func (s *State) requeue(p *partWriter, id string, sent sentJob) {
+	switch current := s.jobs[id]; {
+	case current != nil && current != sent.job:
+	case sent.expired || p.expired[id] == sent.job:
 		p.expired[id] = sent.job
-		return
+	default:
+		p.dirty[id] = sent.job
+		p.urgent = p.urgent || sent.final
 	}
-	p.dirty[id] = sent.job
-	p.urgent = p.urgent || sent.final
 }
 
 // writeConflicted handles a transaction that was refused because a row's version was not as required, so nothing of it took
@@ -382,7 +392,7 @@
 			})
 			sent.job.ProgressVersion = r.Version
 		}
-		p.requeue(id, sent)
+		s.requeue(p, id, sent)
 	}
 	p.requeueCancels()
 	p.sent = nil
