Jobs keep the settings of their queue

The next step of a job whose starts need tickets is ordered without one for ever, and its workers turn each order away; a task of a queue with max-attempts 2 is started four times.

Cause: a leader looks up the queue of a job in the manifest in force, and took default values where that no longer names it.

Change: the entry host keeps the queue's settings with the accepted job. They hold once the manifest no longer names the queue; one that does goes first.

--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -9,6 +9,7 @@
 	"github.com/wrenferry/wrenferry/pkg/process/poisontask"
 	"github.com/wrenferry/wrenferry/pkg/process/workers"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/version/queueterms"
 )
 
 // Placement. Units with waiting tasks are sorted by package joborder. A task goes to the
@@ -57,10 +58,15 @@
 	s.stopForUrgent(now, usable)
 }
 
-// queueOf returns a job's queue from the manifest, or one with default values if the manifest no longer
-// names it.
+// queueOf returns a job's queue from the manifest. If the manifest no longer names it, the queue has the settings that were in
+// force when the job was accepted, or default values for a job of an earlier release.
 func (s *State) queueOf(j *jobs.Job) manifest.Queue {
-	if q, ok := s.manifest.Queue(j.Spec.GetQueue()); ok {
+	if s.manifest != nil {
+		if q, ok := s.manifest.Queue(j.Spec.GetQueue()); ok {
+			return q
+		}
+	}
+	if q, ok := queueterms.Queue(j.Spec); ok {
 		return q
 	}
 	return manifest.Queue{Service: j.Spec.GetService(), Stretch: defaultStretch, Slack: defaultSlack}
--- a/pkg/process/cell/run_ends.go
+++ b/pkg/process/cell/run_ends.go
@@ -154,10 +154,8 @@
 
 // maxAttempts returns after how many failed runs of one task a job fails.
 func (s *State) maxAttempts(j *jobs.Job) int {
-	if s.manifest != nil {
-		if q, ok := s.manifest.Queue(j.Spec.GetQueue()); ok && q.MaxAttempts > 0 {
-			return q.MaxAttempts
-		}
+	if q := s.queueOf(j); q.MaxAttempts > 0 {
+		return q.MaxAttempts
 	}
 	return defaultMaxAttempts
 }
--- a/pkg/request/intake/intake.go
+++ b/pkg/request/intake/intake.go
@@ -27,6 +27,7 @@
 	"github.com/wrenferry/wrenferry/pkg/rows"
 	"github.com/wrenferry/wrenferry/pkg/table"
 	"github.com/wrenferry/wrenferry/pkg/version/manifest"
+	"github.com/wrenferry/wrenferry/pkg/version/queueterms"
 	"github.com/wrenferry/wrenferry/pkg/wire"
 )
 
@@ -141,7 +142,7 @@
 		i.logJob("job-accepted-again", spec, now, "", nil)
 		return nil
 	}
-	spec.Queue, spec.Service = q.Name, q.Service
+	spec.Queue, spec.Service, spec.Terms = q.Name, q.Service, queueterms.Of(q)
 	cells := i.cells(now)
 	if err := i.refuseBeforeChoice(ctx, now, spec, cells); err != nil {
 		i.increment("refused.evacuation")
