Fillers go to cells that give harmful places

Cause: a cell gives fillers harmful places where it, or all cells together, are mostly free. The cell that delegates asked only whether the other one by itself is mostly free.

Change: it asks for what the receiver asks, for gangs of fillers, too. Load messages that don't name a capacity are left out of the sum.

Tests: FillersLeaveACellWithoutFreeMemory failed before, single and as a gang.

--- a/pkg/process/cell/delegation_gang.go
+++ b/pkg/process/cell/delegation_gang.go
@@ -109,7 +109,7 @@
 		if name == s.name || !o.mayReceive(now) || !o.hasLabelFor(u) || s.returnedLately(now, u.Tasks[0], name) {
 			continue
 		}
-		fits := o.startableGang(u, service, waited)
+		fits := s.startableGang(o, u, service, waited)
 		if fits >= int64(len(u.Tasks)) && fits > most {
 			best, most = name, fits
 		}
@@ -117,11 +117,11 @@
 	return best, most
 }
 
-// startableGang returns how many tasks of a gang could start in the cell, less what was delegated there since its load
-// message. A gang of fillers needs harmless places, or later a cell that is mostly free (mostlyFreePeer).
-func (o peerLoad) startableGang(u *jobs.Unit, service string, waited time.Duration) int64 {
+// startableGang returns how many tasks of a gang could start in a cell, less what was delegated there since its load
+// message. A gang of fillers needs harmless places, or later a cell that gives others, too.
+func (s *State) startableGang(o peerLoad, u *jobs.Unit, service string, waited time.Duration) int64 {
 	startable, delegated := o.unclaimed(u, service)
-	if u.Spec.GetFiller() && !(waited >= delegateToHarmfulAfter && o.isMostlyFree()) {
+	if u.Spec.GetFiller() && (waited < delegateToHarmfulAfter || !s.givesHarmfulPlaces(o)) {
 		return int64(o.delegableTasks(u, service, waited))
 	}
 	return startable - delegated
--- a/pkg/process/cell/delegation_short.go
+++ b/pkg/process/cell/delegation_short.go
@@ -141,14 +141,13 @@
 	return best, most
 }
 
-// mostlyFreePeer returns the cell with unused processors for the most tasks of a unit of fillers, among the cells that
-// are mostly free, and how many may be delegated to it on its last load message; "" and 0 if there is none. The sums for
-// fillers in load messages are of harmless places, and only for images that have run beside serving images. A cell that is
-// mostly free also gives fillers places that cost their neighbours more than they earn (maxNetCost).
+// mostlyFreePeer returns the cell with unused processors for the most tasks of a unit of fillers, among the cells that give them
+// harmful places, and how many may be delegated to it on its last load message; "" and 0 if there is none. The sums for
+// fillers in load messages are of harmless places, and only for images that have run beside serving images.
 func (s *State) mostlyFreePeer(now time.Time, u *jobs.Unit) (best string, most int) {
 	for _, name := range slices.Sorted(maps.Keys(s.peerLoads)) {
 		o := s.peerLoads[name]
-		if name == s.name || !o.isMostlyFree() || !o.mayReceive(now) || !o.hasLabelFor(u) || o.tooSmallFor(u) || s.allReturnedLately(now, u, name) {
+		if name == s.name || !s.givesHarmfulPlaces(o) || !o.mayReceive(now) || !o.hasLabelFor(u) || o.tooSmallFor(u) || s.allReturnedLately(now, u, name) {
 			continue
 		}
 		if delegable := o.delegableByRoom(u, s.serviceOf(u.Job), now.Sub(u.ReadyAt)); delegable > most {
@@ -158,6 +157,12 @@
 	return best, most
 }
 
+// givesHarmfulPlaces reports whether a cell gives fillers also places that cost their neighbours more than they earn (maxNetCost): it
+// does while it, or all cells together, are mostly free.
+func (s *State) givesHarmfulPlaces(o peerLoad) bool {
+	return o.tellsCapacity() && (s.cellsMostlyFree || o.isMostlyFree())
+}
+
 // returnedLately reports whether a cell returned a task within the task's backoff.
 func (s *State) returnedLately(now time.Time, t *jobs.Task, name string) bool {
 	return now.Sub(t.ReturnedAt[name]) < s.shortReturnBackoff(t, name)
@@ -200,10 +205,13 @@
 	return int(harmless)
 }
 
+// tellsCapacity reports whether the load message names the cell's capacity. Senders of earlier versions don't.
+func (o peerLoad) tellsCapacity() bool { return o.load.GetCapacityMillicores() > 0 }
+
 // isMostlyFree reports whether the cell by itself has spare capacity.
 func (o peerLoad) isMostlyFree() bool {
 	capacity := o.load.GetCapacityMillicores()
-	return capacity > 0 && float64(capacity-o.load.GetFreeMillicores()) < mostlyFreeBelow*float64(capacity)
+	return isMostlyFree(capacity-o.load.GetFreeMillicores(), capacity)
 }
 
 // delegableByRoom returns how many more tasks of a unit of a service may be delegated to the cell by what its workers have
--- a/pkg/process/cell/filler_places.go
+++ b/pkg/process/cell/filler_places.go
@@ -32,15 +32,15 @@
 	if !s.enabled(WaitForCheapPlaces) {
 		return math.Inf(1)
 	}
-	if s.mostlyFree && waits >= harmfulPlaceAfter {
+	if (s.mostlyFree || s.cellsMostlyFree) && waits >= harmfulPlaceAfter {
 		return math.Inf(1)
 	}
 	return fullValueRate(u) * waits.Seconds() / fullNetCostWait.Seconds()
 }
 
-// isMostlyFree reports whether there is spare capacity: in this cell, or in all cells together of which this
-// process has a recent load message.
-func (s *State) isMostlyFree(now time.Time) bool {
+// updateMostlyFree determines whether there is spare capacity: in this cell, and in all cells together of which this process has a
+// recent load message.
+func (s *State) updateMostlyFree(now time.Time) {
 	taken, all := int64(0), int64(0)
 	for _, w := range s.workersByID() {
 		if !w.Ended {
@@ -48,18 +48,19 @@
 			taken += w.Capacity.Millicores - w.FreeCapacity().Millicores
 		}
 	}
-	if float64(taken) < mostlyFreeBelow*float64(all) {
-		return true
-	}
+	s.mostlyFree = isMostlyFree(taken, all)
 	for name, o := range s.peerLoads {
-		if name != s.name && now.Sub(o.receivedAt) <= peerLoadMaxAge {
+		if name != s.name && now.Sub(o.receivedAt) <= peerLoadMaxAge && o.tellsCapacity() {
 			all += o.load.GetCapacityMillicores()
 			taken += o.load.GetCapacityMillicores() - o.load.GetFreeMillicores()
 		}
 	}
-	return float64(taken) < mostlyFreeBelow*float64(all)
+	s.cellsMostlyFree = isMostlyFree(taken, all)
 }
 
+// isMostlyFree reports whether capacity counts as spare of which so many millicores are taken.
+func isMostlyFree(taken, all int64) bool { return float64(taken) < mostlyFreeBelow*float64(all) }
+
 // enoughUnusedCPU reports whether a filler would get enough unused CPU at a worker, and whether fillers may
 // join there at all. A job that has been idle for too long gets one filler started without that.
 func (s *State) enoughUnusedCPU(now time.Time, u *jobs.Unit, w *workers.Worker) bool {
--- a/pkg/process/cell/placement.go
+++ b/pkg/process/cell/placement.go
@@ -30,7 +30,7 @@
 		return
 	}
 	s.placementDue, s.placedLast = false, true
-	s.mostlyFree = s.isMostlyFree(now)
+	s.updateMostlyFree(now)
 	s.interference.Merge(now)
 	s.dropOutdatedCosts(now)
 	clear(s.reservedForLasting)
--- a/pkg/process/cell/state.go
+++ b/pkg/process/cell/state.go
@@ -259,8 +259,9 @@
 	placesTaken placesTaken
 	// idlePollPause is the pause between polls of a worker without runs.
 	idlePollPause time.Duration
-	// mostlyFree is set if much of the cell's capacity is free, as of the last placement.
-	mostlyFree bool
+	// mostlyFree is set if much of the cell's capacity is free, cellsMostlyFree if much of all cells' together is, as of the last
+	// placement.
+	mostlyFree, cellsMostlyFree bool
 	// reservedForLasting are the workers whose capacity is reserved for lasting tasks, as of the last placement.
 	reservedForLasting map[*workers.Worker]bool
 	// reservedForIdle are the workers that take no fillers but those of a job that has nothing running, as of the last
--- a/pkg/process/cell/stranded_tasks_test.go
+++ b/pkg/process/cell/stranded_tasks_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against fillers that wait for ever in a cell without free memory: another cell could start them, but reports no harmless
+// place for their image, and most of its own processors are reserved, though not most of all cells'.
+func TestFillersLeaveACellWithoutFreeMemory(t *testing.T) {
+	t.Parallel()
+	for name, gang := range map[string]bool{"single": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			home, other := newEmptyCell(), newEmptyCellOf("other", "quotes")
+			home.fillMemory()
+			other.accept("00000000000000ad", "watches", &wire.StepSpec{Count: 16, Millicores: 20_000, MemoryMb: 8000, Lasting: true, TailTargetMs: 150, Image: "s2"})
+			home.accept(delegatedJob, "offers", &wire.StepSpec{Count: 3, Millicores: 3000, MemoryMb: 16_000, EstimateMs: 1000, Filler: true, Gang: gang, Image: "unknown"})
+			exchange(t, home, other, 6*time.Second)
+			for i := range 3 {
+				must.True(t, other.started[fmt.Sprintf("%s.0.0.%d", delegatedJob, i)])
+			}
+		})
+	}
+}
+
 // Guards against a lasting task that is delegated to a cell with free processors and no free memory, and returned after a
 // while, again and again.
 func TestLastingTaskIsNotDelegatedToACellWithoutFreeMemory(t *testing.T) {
